--- /dev/null
+++ b/batch/input.go
@@ -0,0 +1,108 @@
+package batch
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Item is one line of an input file.
+type Item struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// Result is one line of a result file.
+type Result struct {
+	CustomID string        `json:"custom_id"`
+	Response *ItemResponse `json:"response,omitempty"`
+	Error    *ItemError    `json:"error,omitempty"`
+}
+
+// ItemResponse is the answer to an item.
+type ItemResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// ItemError says why an item has no answer.
+type ItemError struct {
+	Code    verdict.Code    `json:"code"`
+	Message string          `json:"message"`
+	Verdict verdict.Verdict `json:"verdict"`
+}
+
+// ReadItems decodes JSON Lines and calls take for each item with its line
+// number, from 1. An error names the line and field at fault.
+func ReadItems(r io.Reader, maxLineBytes int, take func(line int, item *Item) error) error {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(nil, maxLineBytes)
+	seen := make(map[string]int)
+	n := 0
+	for lines.Scan() {
+		n++
+		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
+			continue
+		}
+		item, err := parseItem(lines.Bytes(), n)
+		if err != nil {
+			return err
+		}
+		if first, dup := seen[item.CustomID]; dup {
+			return badLine(n, "custom_id", "is the same as on line "+strconv.Itoa(first))
+		}
+		seen[item.CustomID] = n
+		if err := take(n, item); err != nil {
+			return err
+		}
+	}
+	if errors.Is(lines.Err(), bufio.ErrTooLong) {
+		return badLine(n+1, "", "exceeds "+strconv.Itoa(maxLineBytes)+" bytes")
+	}
+	if lines.Err() == nil && len(seen) == 0 {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The file has no items.").WithParam("file")
+	}
+	return lines.Err()
+}
+
+func parseItem(text []byte, line int) (*Item, error) {
+	item := &Item{}
+	if err := json.Unmarshal(text, item); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return nil, badLine(line, wrong.Field, "has the wrong type")
+		}
+		return nil, badLine(line, "", "is not a JSON object: "+err.Error())
+	}
+	switch {
+	case item.CustomID == "":
+		return nil, badLine(line, "custom_id", "is missing")
+	case item.Method != http.MethodPost:
+		return nil, badLine(line, "method", "must be POST")
+	case item.URL != upstream.PathChat && item.URL != upstream.PathCompletions:
+		return nil, badLine(line, "url", "must be "+upstream.PathChat+" or "+upstream.PathCompletions)
+	case len(item.Body) == 0 || item.Body[0] != '{':
+		return nil, badLine(line, "body", "must be an object")
+	}
+	item.Body = bytes.Clone(item.Body)
+	return item, nil
+}
+
+func badLine(line int, field, what string) error {
+	where := "line " + strconv.Itoa(line)
+	if field != "" {
+		where += ", field " + field
+	}
+	return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "Input %s: %s.", where, what).WithParam(where)
+}
--- /dev/null
+++ b/batch/job.go
@@ -0,0 +1,126 @@
+// Package batch accepts jobs of many items, runs each item once and keeps the
+// results readable.
+package batch
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/config"
+)
+
+// Status is the status of a job, as in the batch format.
+type Status string
+
+// Statuses of a job.
+const (
+	StatusInProgress Status = "in_progress"
+	StatusCompleted  Status = "completed"
+	StatusCancelling Status = "cancelling"
+	StatusCancelled  Status = "cancelled"
+)
+
+// Job is one accepted job.
+type Job struct {
+	ID          string            `json:"id"`
+	Service     string            `json:"service"`
+	Caller      string            `json:"caller"`
+	Endpoint    string            `json:"endpoint"`
+	InputFileID string            `json:"input_file_id"`
+	Metadata    map[string]string `json:"metadata,omitempty"`
+	Status      Status            `json:"status"`
+	AcceptedAt  time.Time         `json:"accepted_at"`
+	DueAt       time.Time         `json:"due_at"`
+	EndedAt     time.Time         `json:"ended_at,omitzero"`
+	// Items were accepted; Completed ended with an answer; Failed with a reason.
+	Items     int `json:"items"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+	// Resent says that the job had been accepted before this request.
+	Resent bool `json:"resent,omitempty"`
+	// Late says that the job will miss its due time at the present rate.
+	Late bool `json:"late,omitempty"`
+}
+
+// File is an input or a result file.
+type File struct {
+	ID        string `json:"id"`
+	Object    string `json:"object"`
+	Bytes     int64  `json:"bytes"`
+	CreatedAt int64  `json:"created_at"`
+	Filename  string `json:"filename"`
+	Purpose   string `json:"purpose"`
+}
+
+// CreateRequest asks for a job.
+type CreateRequest struct {
+	InputFileID string
+	Endpoint    string
+	// Due is the time until the job is due; zero takes the document's.
+	Due      time.Duration
+	Metadata map[string]string
+	// Key is the caller's idempotency key; it may be empty.
+	Key string
+}
+
+// API is what callers can do with jobs. Errors carry verdicts.
+type API interface {
+	// PutFile checks and keeps an input file.
+	PutFile(ctx context.Context, who config.Identity, name string, r io.Reader) (File, error)
+	// File describes an input or result file.
+	File(ctx context.Context, who config.Identity, id string) (File, error)
+	// Content writes a file, in order of input if asked.
+	Content(ctx context.Context, who config.Identity, id string, inputOrder bool, w io.Writer) error
+	// Create accepts a job, or finds the same job accepted before.
+	Create(ctx context.Context, who config.Identity, req CreateRequest) (Job, error)
+	// Job returns a job with its progress.
+	Job(ctx context.Context, who config.Identity, id string) (Job, error)
+	// Cancel stops a job.
+	Cancel(ctx context.Context, who config.Identity, id string) (Job, error)
+	// List returns up to limit jobs after the given id, newest first.
+	List(ctx context.Context, who config.Identity, after string, limit int) (jobs []Job, more bool, err error)
+}
+
+// Object is a job in the callers' format.
+type Object struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	InputFileID      string            `json:"input_file_id"`
+	OutputFileID     string            `json:"output_file_id,omitempty"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           Status            `json:"status"`
+	CreatedAt        int64             `json:"created_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      int64             `json:"completed_at,omitempty"`
+	RequestCounts    Counts            `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata,omitempty"`
+	Resent           bool              `json:"comfreyspindle_resent,omitempty"`
+	Late             bool              `json:"comfreyspindle_late,omitempty"`
+}
+
+// Counts are a job's items by outcome.
+type Counts struct {
+	Total     int `json:"total"`
+	Completed int `json:"completed"`
+	Failed    int `json:"failed"`
+}
+
+// outputPrefix makes the id of a result file from the id of its job.
+const outputPrefix = "out-"
+
+// Object returns the job in the callers' format.
+func (j *Job) Object() Object {
+	o := Object{
+		ID: j.ID, Object: "batch", Endpoint: j.Endpoint, InputFileID: j.InputFileID,
+		OutputFileID: outputPrefix + j.ID, CompletionWindow: j.DueAt.Sub(j.AcceptedAt).String(),
+		Status: j.Status, CreatedAt: j.AcceptedAt.Unix(), ExpiresAt: j.DueAt.Unix(),
+		RequestCounts: Counts{Total: j.Items, Completed: j.Completed, Failed: j.Failed},
+		Metadata:      j.Metadata, Resent: j.Resent, Late: j.Late,
+	}
+	if !j.EndedAt.IsZero() {
+		o.CompletedAt = j.EndedAt.Unix()
+	}
+	return o
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,64 @@
+// Package cli holds what the commands share: the version and exit codes.
+package cli
+
+import (
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Exit codes by kind of error.
+const (
+	ExitOK = iota
+	// ExitFailure is any failure without a code of its own.
+	ExitFailure
+	// ExitUsage means bad arguments, settings or documents.
+	ExitUsage
+	// ExitConflict means that another change came first.
+	ExitConflict
+	// ExitUnreachable means that no host or platform could be reached.
+	ExitUnreachable
+	// ExitDenied means a missing or wrong token.
+	ExitDenied
+	// ExitNotFound means that the named thing does not exist.
+	ExitNotFound
+)
+
+// codeError is an error with an exit code.
+type codeError struct {
+	error
+	code int
+}
+
+// Unwrap returns the error without its code.
+func (e *codeError) Unwrap() error { return e.error }
+
+// WithCode gives an error an exit code; a nil error stays nil.
+func WithCode(err error, code int) error {
+	if err == nil {
+		return nil
+	}
+	return &codeError{error: err, code: code}
+}
+
+// Code returns the exit code of an error.
+func Code(err error) int {
+	var e *codeError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &e):
+		return e.code
+	default:
+		return ExitFailure
+	}
+}
+
+// Version returns the module's version as built.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "(devel)"
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/config/snapshot.go
@@ -0,0 +1,158 @@
+// Package config keeps the service documents in force on a host. A host
+// applies only a higher generation of a document, so that late or repeated
+// deliveries never revert it.
+package config
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"sort"
+	"sync"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// Snapshot is an immutable set of documents.
+type Snapshot struct {
+	docs    map[string]*service.Document
+	names   []string
+	byModel map[string]*service.Document
+	keys    map[string][]access
+}
+
+// access is a caller's right to use a service.
+type access struct {
+	digest  []byte
+	service string
+	caller  string
+}
+
+func newSnapshot(docs map[string]*service.Document) *Snapshot {
+	s := &Snapshot{docs: docs, byModel: make(map[string]*service.Document), keys: make(map[string][]access)}
+	for name, d := range docs {
+		if !d.Deleted {
+			s.names = append(s.names, name)
+		}
+	}
+	sort.Strings(s.names)
+	for _, name := range s.names {
+		s.index(docs[name])
+	}
+	return s
+}
+
+func (s *Snapshot) index(d *service.Document) {
+	for _, m := range d.Models {
+		if _, taken := s.byModel[m.Name]; !taken {
+			s.byModel[m.Name] = d
+		}
+	}
+	for _, c := range d.Callers {
+		digest, err := hex.DecodeString(c.KeySHA256)
+		if err != nil {
+			continue
+		}
+		s.keys[string(digest)] = append(s.keys[string(digest)], access{digest: digest, service: d.Name, caller: c.Name})
+	}
+}
+
+// Names returns the names of the services, sorted.
+func (s *Snapshot) Names() []string { return s.names }
+
+// Service returns the document of a service.
+func (s *Snapshot) Service(name string) (*service.Document, bool) {
+	d, ok := s.docs[name]
+	if !ok || d.Deleted {
+		return nil, false
+	}
+	return d, true
+}
+
+// Lookup returns the document that answers to a service or model name.
+func (s *Snapshot) Lookup(name string) (*service.Document, bool) {
+	if d, ok := s.Service(name); ok {
+		return d, true
+	}
+	d, ok := s.byModel[name]
+	return d, ok
+}
+
+// Generation returns the generation of a document, also of a deleted one.
+func (s *Snapshot) Generation(name string) uint64 {
+	if d, ok := s.docs[name]; ok {
+		return d.Generation
+	}
+	return 0
+}
+
+// Identity is what an API key gives access to.
+type Identity struct {
+	// Callers maps the names of services to the caller's name there.
+	Callers map[string]string
+}
+
+// Authenticate returns the identity behind an API key. The key's digest finds
+// the entry, and digests are compared in constant time.
+func (s *Snapshot) Authenticate(key string) (Identity, bool) {
+	digest := sha256.Sum256([]byte(key))
+	id := Identity{Callers: make(map[string]string)}
+	for _, a := range s.keys[string(digest[:])] {
+		if subtle.ConstantTimeCompare(a.digest, digest[:]) == 1 {
+			id.Callers[a.service] = a.caller
+		}
+	}
+	return id, len(id.Callers) > 0
+}
+
+// Holder holds the documents in force. It is safe for concurrent use.
+type Holder struct {
+	mu      sync.RWMutex
+	current *Snapshot
+	changed chan struct{}
+}
+
+// NewHolder returns a holder without documents.
+func NewHolder() *Holder {
+	return &Holder{current: newSnapshot(nil), changed: make(chan struct{})}
+}
+
+// Current returns the documents in force.
+func (h *Holder) Current() *Snapshot {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.current
+}
+
+// Changed returns a channel that is closed at the next change.
+func (h *Holder) Changed() <-chan struct{} {
+	h.mu.RLock()
+	defer h.mu.RUnlock()
+	return h.changed
+}
+
+// Apply puts the documents in force whose generation is higher than the one in
+// force, and returns how many were.
+func (h *Holder) Apply(docs ...*service.Document) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next := make(map[string]*service.Document, len(h.current.docs)+len(docs))
+	for name, d := range h.current.docs {
+		next[name] = d
+	}
+	applied := 0
+	for _, d := range docs {
+		if old, ok := next[d.Name]; ok && old.Generation >= d.Generation {
+			continue
+		}
+		next[d.Name] = d
+		applied++
+	}
+	if applied == 0 {
+		return 0
+	}
+	h.current = newSnapshot(next)
+	close(h.changed)
+	h.changed = make(chan struct{})
+	return applied
+}
--- /dev/null
+++ b/escrow/escrow.go
@@ -0,0 +1,33 @@
+// Package escrow keeps hard ceilings on cost over all hosts. A ceiling for a
+// period is taken in allotments from one counter by compare-and-swap; a host
+// spends only what it took, so that the sum never passes the ceiling.
+package escrow
+
+import (
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Account spends cross-region bytes.
+type Account interface {
+	// Spend takes n bytes from the host's allotment. It never waits: an error
+	// with verdict NotRun means that there is no room now, and the account has
+	// begun to ask for more where the ceiling allows it.
+	Spend(doc *service.Document, n int64) error
+	// Refund gives back bytes that were taken and not sent.
+	Refund(doc *service.Document, n int64)
+}
+
+// None is an Account without room.
+type None struct{}
+
+var _ Account = None{}
+
+// Spend implements Account.
+func (None) Spend(doc *service.Document, n int64) error {
+	return verdict.New(verdict.NotRun, verdict.CodeCeiling,
+		"Service %s has no allotment for %d bytes between regions.", doc.Name, n)
+}
+
+// Refund implements Account.
+func (None) Refund(*service.Document, int64) {}
--- /dev/null
+++ b/gateway/batches.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/batch"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// maxListed bounds one page of jobs.
+const maxListed = 100
+
+// createFile takes the input file of a batch job.
+func (g *Gateway) createFile(c echo.Context) error {
+	if err := g.limitRead(c); err != nil {
+		return err
+	}
+	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, g.Limits.MaxFileBytes)
+	parts, err := c.Request().MultipartReader()
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body is not multipart/form-data.")
+	}
+	for {
+		part, err := parts.NextPart()
+		if errors.Is(err, io.EOF) {
+			return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The field file is missing.").WithParam("file")
+		}
+		if err != nil {
+			return readError(err)
+		}
+		if part.FormName() != "file" {
+			continue
+		}
+		f, err := g.Batches.PutFile(c.Request().Context(), identityOf(c), part.FileName(), part)
+		if err != nil {
+			return err
+		}
+		return g.answer(c, f)
+	}
+}
+
+func (g *Gateway) getFile(c echo.Context) error {
+	f, err := g.Batches.File(c.Request().Context(), identityOf(c), c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return g.answer(c, f)
+}
+
+func (g *Gateway) getContent(c echo.Context) error {
+	ctx := c.Request().Context()
+	if _, err := g.Batches.File(ctx, identityOf(c), c.Param("id")); err != nil {
+		return err
+	}
+	w := &lazyWriter{c: c}
+	err := g.Batches.Content(ctx, identityOf(c), c.Param("id"), c.QueryParam("order") == "input", w)
+	if err == nil {
+		_, err = w.Write(nil)
+	}
+	if err != nil && w.begun {
+		// A broken connection tells the caller that the file is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return err
+}
+
+// lazyWriter sends the headers with the first bytes.
+type lazyWriter struct {
+	c     echo.Context
+	begun bool
+}
+
+// Write implements io.Writer.
+func (w *lazyWriter) Write(p []byte) (int, error) {
+	if !w.begun {
+		w.begun = true
+		w.c.Response().Header().Set(echo.HeaderContentType, "application/jsonl")
+		w.c.Response().WriteHeader(http.StatusOK)
+	}
+	return w.c.Response().Write(p)
+}
+
+type createBody struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+func (g *Gateway) createBatch(c echo.Context) error {
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	if _, err := parseObject(body); err != nil {
+		return err
+	}
+	var in createBody
+	if err := json.Unmarshal(body, &in); err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body has a field of the wrong type: %v.", err)
+	}
+	due, err := dueOf(in.CompletionWindow)
+	if err != nil {
+		return err
+	}
+	job, err := g.Batches.Create(c.Request().Context(), identityOf(c), batch.CreateRequest{
+		InputFileID: in.InputFileID, Endpoint: in.Endpoint, Due: due, Metadata: in.Metadata,
+		Key: c.Request().Header.Get(HeaderIdempotencyKey),
+	})
+	if err != nil {
+		return err
+	}
+	return g.answer(c, job.Object())
+}
+
+// dueOf parses a completion window; an empty one leaves it to the document.
+func dueOf(window string) (time.Duration, error) {
+	if window == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(window)
+	if err != nil || d <= 0 {
+		return 0, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The completion window must be a time such as 24h.").WithParam("completion_window")
+	}
+	return d, nil
+}
+
+func (g *Gateway) getBatch(c echo.Context) error {
+	job, err := g.Batches.Job(c.Request().Context(), identityOf(c), c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return g.answer(c, job.Object())
+}
+
+func (g *Gateway) cancelBatch(c echo.Context) error {
+	job, err := g.Batches.Cancel(c.Request().Context(), identityOf(c), c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return g.answer(c, job.Object())
+}
+
+type batchList struct {
+	Object  string         `json:"object"`
+	Data    []batch.Object `json:"data"`
+	HasMore bool           `json:"has_more"`
+}
+
+func (g *Gateway) listBatches(c echo.Context) error {
+	limit, err := strconv.Atoi(c.QueryParam("limit"))
+	if err != nil || limit < 1 || limit > maxListed {
+		limit = maxListed
+	}
+	jobs, more, err := g.Batches.List(c.Request().Context(), identityOf(c), c.QueryParam("after"), limit)
+	if err != nil {
+		return err
+	}
+	list := batchList{Object: "list", Data: []batch.Object{}, HasMore: more}
+	for i := range jobs {
+		list.Data = append(list.Data, jobs[i].Object())
+	}
+	return g.answer(c, list)
+}
+
+// answer sends a result of the system itself.
+func (g *Gateway) answer(c echo.Context, v any) error {
+	c.Response().Header().Set(HeaderVerdict, verdict.Ran.String())
+	return c.JSON(http.StatusOK, v)
+}
--- /dev/null
+++ b/gateway/complete.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/tidwall/gjson"
+
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/online"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens from bytes.
+	bytesPerToken = 4
+	// defaultAnswerTokens is the expected answer when a request names none.
+	defaultAnswerTokens = 256
+	// prefixBytes is the part of the prompt that cache affinity looks at.
+	prefixBytes = 1024
+)
+
+// complete serves chat and text completions.
+func (g *Gateway) complete(c echo.Context) error {
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	root, err := parseObject(body)
+	if err != nil {
+		return err
+	}
+	if err := checkFields(root, c.Path()); err != nil {
+		return err
+	}
+	doc, caller, err := access(g.Config.Current(), identityOf(c), root.Get("model").String(), "model")
+	if err != nil {
+		return err
+	}
+	if doc.Kind != service.KindEngine {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "Service %s is not served by engines.", doc.Name).WithParam("model")
+	}
+	req := g.newRequest(c, doc, caller, body)
+	req.Path = c.Path()
+	req.Header = http.Header{echo.HeaderContentType: {echo.MIMEApplicationJSON}}
+	req.Stream = root.Get("stream").Bool()
+	req.Tokens = len(body)/bytesPerToken + answerTokens(root)
+	req.Prefix = promptPrefix(root)
+	if err := setOnce(c, req); err != nil {
+		return err
+	}
+	return g.Runner.Run(c.Request().Context(), req, &responseSink{c: c})
+}
+
+// plain passes a request on to a plain service.
+func (g *Gateway) plain(c echo.Context) error {
+	doc, caller, err := access(g.Config.Current(), identityOf(c), c.Param("service"), "service")
+	if err != nil {
+		return err
+	}
+	if doc.Kind != service.KindPlain {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "Service %s is not a plain service.", doc.Name).WithParam("service")
+	}
+	body, err := g.readBody(c)
+	if err != nil {
+		return err
+	}
+	req := g.newRequest(c, doc, caller, body)
+	req.Path = "/" + c.Param("*")
+	if q := c.Request().URL.RawQuery; q != "" {
+		req.Path += "?" + q
+	}
+	req.Header = forwarded(c.Request().Header)
+	req.Tokens = 1
+	if err := setOnce(c, req); err != nil {
+		return err
+	}
+	return g.Runner.Run(c.Request().Context(), req, &responseSink{c: c})
+}
+
+func (g *Gateway) newRequest(c echo.Context, doc *service.Document, caller string, body []byte) *online.Request {
+	return &online.Request{
+		ID: c.Response().Header().Get(upstream.HeaderRequestID), Doc: doc, Caller: caller,
+		Class: doc.ClassOf(c.Request()), Method: c.Request().Method, Body: body,
+	}
+}
+
+// setOnce marks a request that may run at most once.
+func setOnce(c echo.Context, req *online.Request) error {
+	h := c.Request().Header
+	req.Once = req.Class.Repeat == service.RepeatNever || h.Get(HeaderRepeat) == string(service.RepeatNever)
+	if !req.Once {
+		return nil
+	}
+	key := h.Get(HeaderIdempotencyKey)
+	if key == "" {
+		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
+			"A request that may run at most once needs an idempotency key.").WithParam(HeaderIdempotencyKey)
+	}
+	req.Key = ledger.Key{Service: req.Doc.Name, Caller: req.Caller, Value: key}
+	if text := h.Get(HeaderKeyTime); text != "" {
+		made, err := time.Parse(time.RFC3339, text)
+		if err != nil {
+			return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The key's time is not in RFC 3339 form.").WithParam(HeaderKeyTime)
+		}
+		req.Key.Made = made
+	}
+	return nil
+}
+
+func (g *Gateway) readBody(c echo.Context) ([]byte, error) {
+	if err := g.limitRead(c); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, g.Limits.MaxBodyBytes))
+	return body, readError(err)
+}
+
+// limitRead bounds the time that a caller may take to send its body.
+func (g *Gateway) limitRead(c echo.Context) error {
+	deadline := time.Now().Add(g.Limits.ReadTimeout)
+	return http.NewResponseController(c.Response()).SetReadDeadline(deadline)
+}
+
+// readError explains why a body can't be read.
+func readError(err error) error {
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &large):
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTooLarge, "The body exceeds %d bytes.", large.Limit)
+	default:
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body could not be read in time.")
+	}
+}
+
+// parseObject checks that body is a JSON object.
+func parseObject(body []byte) (gjson.Result, error) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(body, &object); err != nil {
+		e := verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body is not a JSON object: %v.", err)
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			line := 1 + bytes.Count(body[:min(int64(len(body)), syntax.Offset)], []byte("\n"))
+			return gjson.Result{}, e.WithParam("line " + itoa(line))
+		}
+		return gjson.Result{}, e
+	}
+	return gjson.ParseBytes(body), nil
+}
+
+// field is a rule for one field of a request body.
+type field struct {
+	name     string
+	required bool
+	ok       func(gjson.Result) bool
+	want     string
+}
+
+func isString(r gjson.Result) bool { return r.Type == gjson.String && r.String() != "" }
+func isBool(r gjson.Result) bool   { return r.IsBool() }
+func isCount(r gjson.Result) bool {
+	return r.Type == gjson.Number && r.Num >= 1 && r.Num == float64(int64(r.Num))
+}
+func isMessages(r gjson.Result) bool { return r.IsArray() && len(r.Array()) > 0 }
+func isPrompt(r gjson.Result) bool   { return r.Type == gjson.String || r.IsArray() }
+
+var commonFields = []field{
+	{"model", true, isString, "a non-empty string"},
+	{"stream", false, isBool, "true or false"},
+	{"max_tokens", false, isCount, "a whole number of at least 1"},
+	{"max_completion_tokens", false, isCount, "a whole number of at least 1"},
+}
+
+// checkFields checks the fields that the system itself reads.
+func checkFields(root gjson.Result, path string) error {
+	fields := commonFields
+	if path == upstream.PathChat {
+		fields = append(fields[:len(fields):len(fields)], field{"messages", true, isMessages, "a non-empty array"})
+	} else {
+		fields = append(fields[:len(fields):len(fields)], field{"prompt", true, isPrompt, "a string or an array"})
+	}
+	for _, f := range fields {
+		v := root.Get(f.name)
+		if !v.Exists() || v.Type == gjson.Null {
+			if f.required {
+				return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The field %s is missing.", f.name).WithParam(f.name)
+			}
+			continue
+		}
+		if !f.ok(v) {
+			return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The field %s must be %s.", f.name, f.want).WithParam(f.name)
+		}
+	}
+	return nil
+}
+
+// access finds the document that answers to name and the caller's name there.
+func access(s *config.Snapshot, id config.Identity, name, param string) (*service.Document, string, error) {
+	doc, ok := s.Lookup(name)
+	if !ok {
+		return nil, "", verdict.New(verdict.NotRun, verdict.CodeUnknownService, "No service answers to %q.", name).WithParam(param)
+	}
+	caller, ok := id.Callers[doc.Name]
+	if !ok {
+		return nil, "", verdict.New(verdict.NotRun, verdict.CodeForbidden, "The caller may not use service %s.", doc.Name).WithParam(param)
+	}
+	return doc, caller, nil
+}
+
+func answerTokens(root gjson.Result) int {
+	for _, name := range []string{"max_completion_tokens", "max_tokens"} {
+		if v := root.Get(name); v.Exists() && v.Type == gjson.Number {
+			return int(v.Int())
+		}
+	}
+	return defaultAnswerTokens
+}
+
+// promptPrefix hashes the beginning of the prompt.
+func promptPrefix(root gjson.Result) uint64 {
+	text := root.Get("messages").Raw
+	if text == "" {
+		text = root.Get("prompt").Raw
+	}
+	return xxhash.Sum64String(text[:min(len(text), prefixBytes)])
+}
+
+// hopHeaders are not passed on (RFC 9110, section 7.6.1), nor are the headers
+// between caller and system.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", HeaderRepeat, HeaderKeyTime,
+}
+
+func forwarded(h http.Header) http.Header {
+	out := h.Clone()
+	for _, named := range strings.Split(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(named))
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,143 @@
+// Package gateway is the callers' HTTP interface in the OpenAI-style format.
+package gateway
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/ulid/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/batch"
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/online"
+	"github.com/comfreyspindle/comfreyspindle/settings"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Headers of the callers' interface.
+const (
+	HeaderVerdict        = "Comfreyspindle-Verdict"
+	HeaderRepeat         = "Comfreyspindle-Repeat"
+	HeaderKeyTime        = "Comfreyspindle-Key-Time"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// contextIdentity is the echo context key of the authenticated identity.
+const contextIdentity = "identity"
+
+// Gateway serves callers. All fields but draining are required.
+type Gateway struct {
+	Config  *config.Holder
+	Runner  *online.Runner
+	Batches batch.API
+	Limits  settings.Gateway
+	Log     *logrus.Entry
+
+	draining atomic.Bool
+}
+
+// Drain makes the gateway refuse new requests as not run.
+func (g *Gateway) Drain() { g.draining.Store(true) }
+
+// Handler returns the HTTP handler of the callers' interface.
+func (g *Gateway) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.HTTPErrorHandler = g.handleError
+	e.Use(requestID, g.refuseWhileDraining, g.authenticate)
+	v1 := e.Group("/v1")
+	v1.POST("/chat/completions", g.complete)
+	v1.POST("/completions", g.complete)
+	v1.GET("/models", g.listModels)
+	v1.POST("/files", g.createFile)
+	v1.GET("/files/:id", g.getFile)
+	v1.GET("/files/:id/content", g.getContent)
+	v1.POST("/batches", g.createBatch)
+	v1.GET("/batches", g.listBatches)
+	v1.GET("/batches/:id", g.getBatch)
+	v1.POST("/batches/:id/cancel", g.cancelBatch)
+	e.Any("/s/:service/*", g.plain)
+	return e
+}
+
+// requestID gives each request an id and a default verdict.
+func requestID(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		id := ulid.Make().String()
+		c.Request().Header.Set(upstream.HeaderRequestID, id)
+		c.Response().Header().Set(upstream.HeaderRequestID, id)
+		return next(c)
+	}
+}
+
+func (g *Gateway) refuseWhileDraining(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if g.draining.Load() {
+			c.Response().Header().Set("Connection", "close")
+			return verdict.New(verdict.NotRun, verdict.CodeDraining, "This host is stopping; send the request again.")
+		}
+		return next(c)
+	}
+}
+
+func (g *Gateway) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		if !ok {
+			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "The request has no API key.").WithParam("Authorization")
+		}
+		id, ok := g.Config.Current().Authenticate(key)
+		if !ok {
+			return verdict.New(verdict.NotRun, verdict.CodeUnauthorized, "The API key is unknown.").WithParam("Authorization")
+		}
+		c.Set(contextIdentity, id)
+		return next(c)
+	}
+}
+
+func identityOf(c echo.Context) config.Identity {
+	id, _ := c.Get(contextIdentity).(config.Identity)
+	return id
+}
+
+// handleError answers with the error in the callers' format.
+func (g *Gateway) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
+		err = routeError(he)
+	}
+	e := verdict.As(err)
+	h := c.Response().Header()
+	h.Set(HeaderVerdict, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	if e.Code == verdict.CodeInternal {
+		g.Log.WithError(err).WithField("request", h.Get(upstream.HeaderRequestID)).Error("request failed inside the system")
+	}
+	h.Set(echo.HeaderContentType, echo.MIMEApplicationJSON)
+	c.Response().WriteHeader(e.Status())
+	if err := json.NewEncoder(c.Response()).Encode(online.BodyOf(e)); err != nil {
+		g.Log.WithError(err).Debug("error not delivered")
+	}
+}
+
+// routeError translates an error of the router.
+func routeError(he *echo.HTTPError) error {
+	code := verdict.CodeInvalidRequest
+	if he.Code == http.StatusNotFound {
+		code = verdict.CodeNotFound
+	}
+	return verdict.New(verdict.NotRun, code, "%v.", he.Message)
+}
--- /dev/null
+++ b/limits/bound.go
@@ -0,0 +1,37 @@
+package limits
+
+import (
+	"context"
+	"sync"
+)
+
+// Bound is an Admission that only bounds the running requests of a service by
+// its queue limit.
+type Bound struct {
+	mu      sync.Mutex
+	running map[string]int
+}
+
+var _ Admission = (*Bound)(nil)
+
+// NewBound returns a Bound.
+func NewBound() *Bound { return &Bound{running: make(map[string]int)} }
+
+// Admit implements Admission.
+func (b *Bound) Admit(_ context.Context, ask Ask) (func(), error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	name := ask.Doc.Name
+	if b.running[name] >= ask.Doc.Routing.QueueLimit {
+		return nil, refused(ask)
+	}
+	b.running[name]++
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.running[name]--
+	}, nil
+}
+
+// Waiting implements Admission.
+func (b *Bound) Waiting(string) int { return 0 }
--- /dev/null
+++ b/membership/membership.go
@@ -0,0 +1,132 @@
+// Package membership keeps the view of hosts and upstreams: alive, leaving or
+// gone.
+package membership
+
+import (
+	"sort"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is the state of a host or an upstream.
+type State uint8
+
+// States, in order of precedence within one incarnation.
+const (
+	Alive State = iota
+	Leaving
+	Gone
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	return [...]string{"alive", "leaving", "gone"}[min(s, Gone)]
+}
+
+// MarshalText encodes the state's name.
+func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
+
+// Host is one entry host as others see it.
+type Host struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	// PeerAddress takes traffic between hosts; OperatorsAddress serves the
+	// operators' interface.
+	PeerAddress      string `json:"peer_address"`
+	OperatorsAddress string `json:"operators_address"`
+	// Incarnation grows with each start of the host.
+	Incarnation uint64 `json:"incarnation"`
+	State       State  `json:"state"`
+}
+
+// View is what one host knows of the hosts.
+type View interface {
+	// Self returns the host itself.
+	Self() Host
+	// Local returns the hosts of the own data centre that are alive or
+	// leaving, the host itself included, sorted by name.
+	Local() []Host
+	// Remote returns the known hosts of other data centres.
+	Remote() []Host
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+}
+
+// Rendezvous returns the n hosts with the highest weights for key (Thaler and
+// Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996), best
+// first. Hosts that are not alive take no role.
+func Rendezvous(hosts []Host, key string, n int) []Host {
+	type weighted struct {
+		host   Host
+		weight uint64
+	}
+	ranked := make([]weighted, 0, len(hosts))
+	for _, h := range hosts {
+		if h.State == Alive {
+			ranked = append(ranked, weighted{h, xxhash.Sum64String(h.Name + "\x00" + key)})
+		}
+	}
+	sort.Slice(ranked, func(i, j int) bool { return ranked[i].weight > ranked[j].weight })
+	out := make([]Host, 0, n)
+	for i := range min(n, len(ranked)) {
+		out = append(out, ranked[i].host)
+	}
+	return out
+}
+
+// Static is a View that changes only through Set.
+type Static struct {
+	mu      sync.Mutex
+	self    Host
+	hosts   []Host
+	changed chan struct{}
+}
+
+var _ View = (*Static)(nil)
+
+// NewStatic returns a view of the given hosts; self is added.
+func NewStatic(self Host, others ...Host) *Static {
+	s := &Static{self: self, changed: make(chan struct{})}
+	s.Set(others)
+	return s
+}
+
+// Set replaces the other hosts.
+func (s *Static) Set(others []Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hosts = append([]Host{s.self}, others...)
+	sort.Slice(s.hosts, func(i, j int) bool { return s.hosts[i].Name < s.hosts[j].Name })
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Self implements View.
+func (s *Static) Self() Host { return s.self }
+
+// Local implements View.
+func (s *Static) Local() []Host { return s.filter(true) }
+
+// Remote implements View.
+func (s *Static) Remote() []Host { return s.filter(false) }
+
+func (s *Static) filter(local bool) []Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Host
+	for _, h := range s.hosts {
+		if (h.DataCentre == s.self.DataCentre) == local && h.State != Gone {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// Changed implements View.
+func (s *Static) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
--- /dev/null
+++ b/node/log.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"os"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/settings"
+)
+
+// NewLogger returns a logger as the settings describe it. The level has been
+// checked with the settings.
+func NewLogger(s settings.Log) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	if s.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	if level, err := logrus.ParseLevel(s.Level); err == nil {
+		log.SetLevel(level)
+	}
+	return log
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,170 @@
+// Package node assembles one host of the system as a supervisor tree. A
+// program embeds a host by New, Serve and Stop.
+package node
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/admin"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/settings"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+)
+
+// Options hold what a program gives to a node. The zero value is usable.
+type Options struct {
+	// Clock is the source of time; nil takes the real clock.
+	Clock clockwork.Clock
+	// Log takes the log output; nil makes one from the settings.
+	Log *logrus.Logger
+	// Store replaces the platform's service; nil takes the HTTP adapter.
+	Store platform.Store
+}
+
+// Node is one host of the system.
+type Node struct {
+	settings *settings.Settings
+	clock    clockwork.Clock
+	log      *logrus.Entry
+	registry *prometheus.Registry
+	events   *timeline.Recorder
+	store    platform.Store
+	book     *accounting.Book
+
+	peers  *peer.Server
+	dialer *peer.Client
+	hosts  *membership.Static
+	// upstreams is the state of upstreams as this host knows it.
+	upstreams membership.UpstreamView
+	config    configPart
+	online    onlinePart
+	batch     batchPart
+	gateway   *httpService
+	admin     *httpService
+
+	tree     *suture.Supervisor
+	stopping atomic.Bool
+	cancel   context.CancelFunc
+	served   chan struct{}
+}
+
+// New provisions a node: it binds all addresses and starts nothing.
+func New(s *settings.Settings, o Options) (*Node, error) {
+	if o.Clock == nil {
+		o.Clock = clockwork.NewRealClock()
+	}
+	if o.Log == nil {
+		o.Log = NewLogger(s.Log)
+	}
+	n := &Node{
+		settings: s, clock: o.Clock, registry: prometheus.NewRegistry(), served: make(chan struct{}),
+		log: o.Log.WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
+	}
+	n.book = accounting.NewBook(n.registry)
+	n.events = timeline.NewRecorder(s.Host, timeline.NewClock(o.Clock), s.Timeline.Events)
+	n.store = o.Store
+	if n.store == nil {
+		n.store = platform.NewHTTP(s.Host, s.Platform.Addresses, s.Platform.Timeout)
+	}
+	if err := n.provision(); err != nil {
+		n.close()
+		return nil, err
+	}
+	return n, nil
+}
+
+// provision builds the parts, those that others use first.
+func (n *Node) provision() error {
+	steps := []func() error{
+		n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	n.tree = n.newTree()
+	return nil
+}
+
+const peerTimeout = 2 * time.Second
+
+func (n *Node) provisionPeers() error {
+	conf, err := loadTLS(n.settings.TLS)
+	if err != nil {
+		return err
+	}
+	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf); err != nil {
+		return errors.Wrap(err, "listen.peers")
+	}
+	n.dialer = peer.NewClient(peerTimeout, conf)
+	n.upstreams = membership.NewLocalUpstreams()
+	n.hosts = membership.NewStatic(membership.Host{
+		Name: n.settings.Host, DataCentre: n.settings.DataCentre, Region: n.settings.Region,
+		PeerAddress: n.peers.Address(), Incarnation: uint64(n.clock.Now().UnixNano()),
+	})
+	return nil
+}
+
+func (n *Node) provisionAdmin() error {
+	srv := &admin.Server{
+		Config: n.config.holder, Editor: n.config.editor, Hosts: n.hosts, Events: n.events,
+		Metrics: n.registry, Ready: n.readiness, TokenSHA256: n.settings.Operators.TokenSHA256,
+	}
+	l, err := net.Listen("tcp", n.settings.Listen.Operators)
+	if err != nil {
+		return errors.Wrap(err, "listen.operators")
+	}
+	n.admin = newHTTPService("operators", l, srv.Handler(), n.settings.Gateway)
+	return nil
+}
+
+// readiness says whether the balancer may send requests here.
+func (n *Node) readiness() admin.Readiness {
+	var lacks []string
+	if n.stopping.Load() {
+		lacks = append(lacks, "the host is stopping")
+	}
+	if len(n.config.holder.Current().Names()) == 0 {
+		lacks = append(lacks, "no service document is in force")
+	}
+	return admin.Readiness{Ready: len(lacks) == 0, Lacks: lacks}
+}
+
+// Ready reports whether the balancer may send requests here.
+func (n *Node) Ready() bool { return n.readiness().Ready }
+
+// CallersAddress returns the bound address of the callers' interface.
+func (n *Node) CallersAddress() string { return n.gateway.address() }
+
+// OperatorsAddress returns the bound address of the operators' interface.
+func (n *Node) OperatorsAddress() string { return n.admin.address() }
+
+// PeersAddress returns the bound address for traffic between hosts.
+func (n *Node) PeersAddress() string { return n.peers.Address() }
+
+// close releases what provision took.
+func (n *Node) close() {
+	if n.peers != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = n.peers.Serve(ctx)
+	}
+	for _, s := range []*httpService{n.gateway, n.admin} {
+		if s != nil {
+			_ = s.listener.Close()
+		}
+	}
+}
--- /dev/null
+++ b/node/online.go
@@ -0,0 +1,54 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/gateway"
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/limits"
+	"github.com/comfreyspindle/comfreyspindle/online"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+)
+
+// Bounds of the connections to upstreams.
+const (
+	upstreamDialTimeout = 2 * time.Second
+	upstreamIdleConns   = 64
+)
+
+// onlinePart serves waiting callers.
+type onlinePart struct {
+	balancer routing.Balancer
+	client   *upstream.Client
+	runner   *online.Runner
+	gateway  *gateway.Gateway
+}
+
+func (n *Node) provisionOnline() error {
+	client := upstream.NewClient(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleConns: upstreamIdleConns})
+	balancer := routing.NewLeastInFlight(n.settings.DataCentre, n.settings.Region)
+	n.online = onlinePart{balancer: balancer, client: client, runner: &online.Runner{
+		Admission: limits.NewBound(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
+		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
+		Metrics: online.NewMetrics(n.registry),
+	}}
+	return nil
+}
+
+func (n *Node) provisionGateway() error {
+	l, err := net.Listen("tcp", n.settings.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen.callers")
+	}
+	n.online.gateway = &gateway.Gateway{
+		Config: n.config.holder, Runner: n.online.runner, Batches: n.batch.manager,
+		Limits: n.settings.Gateway, Log: n.log.WithField("part", "gateway"),
+	}
+	n.gateway = newHTTPService("callers", l, n.online.gateway.Handler(), n.settings.Gateway)
+	return nil
+}
--- /dev/null
+++ b/node/tree.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+)
+
+// Restart policy of every supervisor.
+const (
+	failureThreshold = 5
+	failureDecay     = 30.0 // seconds
+	failureBackoff   = 2 * time.Second
+	stopTimeout      = 10 * time.Second
+)
+
+// newTree returns the root supervisor. Control parts and serving parts restart
+// apart from each other, so that a failing control part cuts off no request.
+func (n *Node) newTree() *suture.Supervisor {
+	spec := suture.Spec{
+		EventHook: n.logEvent, FailureThreshold: failureThreshold, FailureDecay: failureDecay,
+		FailureBackoff: failureBackoff, Timeout: stopTimeout,
+	}
+	root := suture.New("spindled", spec)
+	control := suture.New("control", spec)
+	control.Add(n.peers)
+	control.Add(n.config.watcher)
+	serving := suture.New("serving", spec)
+	serving.Add(n.gateway)
+	serving.Add(n.admin)
+	root.Add(control)
+	root.Add(serving)
+	return root
+}
+
+func (n *Node) logEvent(e suture.Event) {
+	n.log.WithFields(logrus.Fields(e.Map())).Warn("supervisor: " + e.String())
+}
+
+// Serve runs the node until ctx ends or Stop is called.
+func (n *Node) Serve(ctx context.Context) error {
+	ctx, n.cancel = context.WithCancel(ctx)
+	defer close(n.served)
+	n.log.WithFields(logrus.Fields{
+		"callers": n.CallersAddress(), "peers": n.PeersAddress(), "operators": n.OperatorsAddress(),
+	}).Info("serving")
+	err := n.tree.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Stop stops the node in order: readiness off, wait for the balancer, refuse
+// new requests, finish running ones, then stop all parts. Serve must have been
+// called. The context bounds the whole stop.
+func (n *Node) Stop(ctx context.Context) error {
+	n.stopping.Store(true)
+	n.log.Info("stopping: readiness off")
+	select {
+	case <-n.clock.After(n.settings.Stop.BalancerDelay):
+	case <-ctx.Done():
+	}
+	n.online.gateway.Drain()
+	err := n.gateway.shutdown(ctx)
+	n.batch.manager.Wait()
+	n.cancel()
+	<-n.served
+	n.log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/online/online.go
@@ -0,0 +1,155 @@
+// Package online runs one waiting caller's request: admission, choice of
+// upstream, tries, and the relay of the answer.
+package online
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/limits"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/retry"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Kinds of event that a request records.
+const (
+	EventAdmitted timeline.Kind = "request.admitted"
+	EventRefused  timeline.Kind = "request.refused"
+	EventSent     timeline.Kind = "request.sent"
+	EventRetried  timeline.Kind = "request.retried"
+	EventFailed   timeline.Kind = "request.failed"
+	EventDone     timeline.Kind = "request.done"
+)
+
+// Request is one request of a waiting caller.
+type Request struct {
+	ID     string
+	Doc    *service.Document
+	Class  *service.Class
+	Caller string
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
+	// Stream asks for the answer token by token.
+	Stream bool
+	// Tokens is the expected work: prompt tokens and asked tokens.
+	Tokens int
+	// Prefix is the hash of the prompt's beginning, for cache affinity.
+	Prefix uint64
+	// Once marks a request that may run at most once, under Key.
+	Once bool
+	Key  ledger.Key
+}
+
+// Sink takes the answer.
+type Sink interface {
+	// Begin sends status and headers; it is called once, before Write.
+	Begin(status int, header http.Header) error
+	// Write sends a part of the body and flushes it.
+	Write(p []byte) error
+}
+
+// Runner runs requests. All fields are required.
+type Runner struct {
+	Admission limits.Admission
+	Balancer  routing.Balancer
+	Guard     quarantine.Guard
+	Ledger    ledger.Ledger
+	Client    *upstream.Client
+	Events    *timeline.Recorder
+	Clock     clockwork.Clock
+	Log       *logrus.Entry
+	Metrics   *Metrics
+}
+
+// Run runs a request and relays its answer. An error before Begin carries the
+// verdict; after Begin the sink has got an explicit error event.
+func (r *Runner) Run(ctx context.Context, req *Request, sink Sink) error {
+	ctx, cancel := context.WithTimeout(ctx, req.Doc.Routing.RequestTimeout)
+	defer cancel()
+	start := r.Clock.Now()
+	err := r.admitted(ctx, req, sink)
+	r.finish(req, start, err)
+	return err
+}
+
+func (r *Runner) admitted(ctx context.Context, req *Request, sink Sink) error {
+	fp := quarantine.FingerprintOf(req.Doc.Name, req.Body)
+	if _, err := r.Guard.Check(req.Doc.Name, fp); err != nil {
+		return err
+	}
+	release, err := r.Admission.Admit(ctx, limits.Ask{Doc: req.Doc, Class: req.Class, Caller: req.Caller, Tokens: req.Tokens})
+	if err != nil {
+		return err
+	}
+	defer release()
+	r.record(req, EventAdmitted, "", "")
+	if err := r.claim(ctx, req); err != nil {
+		return err
+	}
+	return r.tries(ctx, req, fp, sink)
+}
+
+// claim makes the request's claim in the ledger where it may run at most once.
+func (r *Runner) claim(ctx context.Context, req *Request) error {
+	if !req.Once {
+		return nil
+	}
+	c, err := r.Ledger.Claim(ctx, req.Doc, req.Key, req.ID)
+	if err != nil {
+		return err
+	}
+	if !c.Won {
+		return verdict.New(verdict.MayHaveRun, verdict.CodeDuplicate,
+			"The request was first seen at %s as %s and may have run.", c.First.UTC().Format(time.RFC3339), c.RequestID)
+	}
+	return nil
+}
+
+// tries sends the request until it is answered or may not be tried again.
+func (r *Runner) tries(ctx context.Context, req *Request, fp quarantine.Fingerprint, sink Sink) error {
+	t := &try{runner: r, req: req, fp: fp, sink: sink}
+	for n := 1; ; n++ {
+		err := t.once(ctx)
+		if err == nil {
+			return nil
+		}
+		state := retry.State{
+			Err: err, Tries: n, MaxTries: req.Doc.Routing.MaxTries,
+			Once: req.Once, Begun: t.begun, Budget: true,
+		}
+		if ctx.Err() != nil || !retry.Again(state) {
+			return err
+		}
+		r.record(req, EventRetried, "", err.Error())
+	}
+}
+
+func (r *Runner) finish(req *Request, start time.Time, err error) {
+	r.Metrics.observe(req, r.Clock.Since(start), err)
+	if err == nil {
+		r.record(req, EventDone, "", "")
+		return
+	}
+	kind := EventFailed
+	if verdict.Of(err) == verdict.NotRun {
+		kind = EventRefused
+	}
+	r.record(req, kind, "", err.Error())
+	r.Log.WithFields(logrus.Fields{"request": req.ID, "service": req.Doc.Name}).WithError(err).Debug("request failed")
+}
+
+func (r *Runner) record(req *Request, kind timeline.Kind, upstream, cause string) {
+	r.Events.Record(timeline.Event{Kind: kind, Service: req.Doc.Name, Request: req.ID, Upstream: upstream, Cause: cause})
+}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,75 @@
+// Package routing chooses the upstream of a request.
+package routing
+
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Ask describes the request to route.
+type Ask struct {
+	Doc *service.Document
+	// Tokens is the expected work.
+	Tokens int
+	// Prefix is the hash of the prompt's beginning, for cache affinity; zero
+	// has no affinity.
+	Prefix uint64
+	// Exclude names upstreams that the request must not go to again.
+	Exclude []string
+	// Batch marks an item of a batch job.
+	Batch bool
+}
+
+// Outcome is how a try on an upstream ended.
+type Outcome struct {
+	Err error
+	// FirstToken is the time to the first token; zero if there was none.
+	FirstToken time.Duration
+	// Load is the load that the upstream reported on the answer, if any.
+	Load *upstream.Load
+	// Leaving says that the upstream refused because it leaves.
+	Leaving bool
+}
+
+// Choice is an upstream chosen for one try.
+type Choice struct {
+	Upstream service.Upstream
+	// Cause says why, and Scores against what, for the time line.
+	Cause  string
+	Scores []timeline.Score
+	// Done reports the end of the try; it is called exactly once.
+	Done func(Outcome)
+}
+
+// Balancer chooses upstreams.
+type Balancer interface {
+	// Choose returns an upstream and counts the request as in flight there. The
+	// error carries verdict NotRun.
+	Choose(ask Ask) (*Choice, error)
+}
+
+// noUpstream returns the error of a request that no upstream may take.
+func noUpstream(ask Ask) error {
+	return verdict.New(verdict.NotRun, verdict.CodeNoUpstream,
+		"No upstream of service %s can take the request.", ask.Doc.Name).WithRetryAfter(time.Second)
+}
+
+// Activity tells what a host knows of the work on an upstream.
+type Activity struct {
+	// Online and Batch are the host's own requests in flight there.
+	Online int
+	Batch  int
+	// Load is the newest load report, read at ReadAt; nil if there is none.
+	Load   *upstream.Load
+	ReadAt time.Time
+}
+
+// Observer reports activity, for the batch dispatcher.
+type Observer interface {
+	// Activity returns what is known of the upstream at an address.
+	Activity(address string) Activity
+}
--- /dev/null
+++ b/timeline/timeline.go
@@ -0,0 +1,128 @@
+// Package timeline records the events of one process in a bounded ring, under
+// a hybrid logical clock, and merges the rings of many processes.
+package timeline
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Kind names what happened.
+type Kind string
+
+// Stamp is a reading of a hybrid logical clock: physical milliseconds since
+// the Unix epoch and a logical counter (Kulkarni et al., "Logical Physical
+// Clocks", OPODIS 2014).
+type Stamp struct {
+	Millis  int64  `json:"millis"`
+	Logical uint32 `json:"logical"`
+}
+
+// Compare orders stamps.
+func (s Stamp) Compare(o Stamp) int {
+	return cmp.Or(cmp.Compare(s.Millis, o.Millis), cmp.Compare(s.Logical, o.Logical))
+}
+
+// Event is one thing that happened in a process.
+type Event struct {
+	Stamp    Stamp  `json:"stamp"`
+	Host     string `json:"host"`
+	Kind     Kind   `json:"kind"`
+	Service  string `json:"service,omitempty"`
+	Request  string `json:"request,omitempty"`
+	Job      string `json:"job,omitempty"`
+	Upstream string `json:"upstream,omitempty"`
+	// Cause says why, in a few words.
+	Cause string `json:"cause,omitempty"`
+	// Scores are the candidates of a choice, best first.
+	Scores []Score `json:"scores,omitempty"`
+}
+
+// Score is one candidate of a choice; lower is better.
+type Score struct {
+	Upstream string  `json:"upstream"`
+	Score    float64 `json:"score"`
+}
+
+// Clock is a hybrid logical clock. It is safe for concurrent use.
+type Clock struct {
+	clock clockwork.Clock
+	mu    sync.Mutex
+	last  Stamp
+}
+
+// NewClock returns a clock over a physical one.
+func NewClock(clock clockwork.Clock) *Clock { return &Clock{clock: clock} }
+
+// Now returns a stamp after every stamp returned or observed before.
+func (c *Clock) Now() Stamp { return c.Observe(Stamp{}) }
+
+// Observe moves the clock past a stamp from another process and returns the
+// new reading.
+func (c *Clock) Observe(remote Stamp) Stamp {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	latest := c.last
+	if remote.Compare(latest) > 0 {
+		latest = remote
+	}
+	if now := c.clock.Now().UnixMilli(); now > latest.Millis {
+		c.last = Stamp{Millis: now}
+	} else {
+		c.last = Stamp{Millis: latest.Millis, Logical: latest.Logical + 1}
+	}
+	return c.last
+}
+
+// Time returns the physical part of a stamp.
+func (s Stamp) Time() time.Time { return time.UnixMilli(s.Millis) }
+
+// Recorder keeps the newest events of a process. It is safe for concurrent use.
+type Recorder struct {
+	host  string
+	clock *Clock
+
+	mu   sync.Mutex
+	ring []Event
+	next uint64
+}
+
+// NewRecorder returns a recorder that keeps the given number of events.
+func NewRecorder(host string, clock *Clock, events int) *Recorder {
+	return &Recorder{host: host, clock: clock, ring: make([]Event, 0, events)}
+}
+
+// Clock returns the recorder's clock, to stamp messages to other processes.
+func (r *Recorder) Clock() *Clock { return r.clock }
+
+// Record keeps an event; it sets Stamp and Host.
+func (r *Recorder) Record(e Event) {
+	e.Host = r.host
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.Stamp = r.clock.Now()
+	if len(r.ring) < cap(r.ring) {
+		r.ring = append(r.ring, e)
+	} else {
+		r.ring[r.next%uint64(cap(r.ring))] = e
+	}
+	r.next++
+}
+
+// Events returns the kept events that match, oldest first.
+func (r *Recorder) Events(match func(*Event) bool) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Event
+	n := uint64(len(r.ring))
+	for i := r.next - n; i < r.next; i++ {
+		e := &r.ring[i%uint64(cap(r.ring))]
+		if match(e) {
+			out = append(out, *e)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,175 @@
+// Package verdict classifies the outcome of a request by whether an upstream
+// may have run it. Every error that reaches a caller carries a Verdict.
+package verdict
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Verdict says whether a request may have run on an upstream.
+type Verdict uint8
+
+// The zero value is MayHaveRun, the only answer that is safe without evidence.
+const (
+	// MayHaveRun means that the request may have run, wholly or in part.
+	MayHaveRun Verdict = iota
+	// NotRun means that no upstream ran any part of the request.
+	NotRun
+	// Ran means that an upstream ran the request.
+	Ran
+)
+
+// String returns the wire form of v, as used in the Comfreyspindle-Verdict header.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// MarshalText encodes v in its wire form.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText decodes the wire form. An unknown text is an error.
+func (v *Verdict) UnmarshalText(text []byte) error {
+	for _, known := range []Verdict{MayHaveRun, NotRun, Ran} {
+		if string(text) == known.String() {
+			*v = known
+			return nil
+		}
+	}
+	return errors.Newf("unknown verdict %q", text)
+}
+
+// Code is a stable, machine-readable reason for an error.
+type Code string
+
+// Codes that callers may see.
+const (
+	CodeInvalidRequest      Code = "invalid_request"
+	CodeUnauthorized        Code = "unauthorized"
+	CodeForbidden           Code = "forbidden"
+	CodeNotFound            Code = "not_found"
+	CodeUnknownService      Code = "unknown_service"
+	CodeTooLarge            Code = "too_large"
+	CodeConflict            Code = "conflict"
+	CodeOverloaded          Code = "overloaded"
+	CodeCallerLimit         Code = "caller_limit"
+	CodeCeiling             Code = "ceiling_reached"
+	CodeNoUpstream          Code = "no_upstream"
+	CodeUpstreamFailed      Code = "upstream_failed"
+	CodeIncomplete          Code = "incomplete_answer"
+	CodeTimeout             Code = "timeout"
+	CodeCancelled           Code = "cancelled"
+	CodeQuarantined         Code = "quarantined"
+	CodeDuplicate           Code = "duplicate"
+	CodePlatformUnavailable Code = "platform_unavailable"
+	CodeDraining            Code = "draining"
+	CodeInternal            Code = "internal"
+)
+
+var codeStatus = map[Code]int{
+	CodeInvalidRequest:      http.StatusBadRequest,
+	CodeUnauthorized:        http.StatusUnauthorized,
+	CodeForbidden:           http.StatusForbidden,
+	CodeNotFound:            http.StatusNotFound,
+	CodeUnknownService:      http.StatusNotFound,
+	CodeTooLarge:            http.StatusRequestEntityTooLarge,
+	CodeConflict:            http.StatusConflict,
+	CodeOverloaded:          http.StatusTooManyRequests,
+	CodeCallerLimit:         http.StatusTooManyRequests,
+	CodeCeiling:             http.StatusTooManyRequests,
+	CodeNoUpstream:          http.StatusServiceUnavailable,
+	CodeUpstreamFailed:      http.StatusBadGateway,
+	CodeIncomplete:          http.StatusBadGateway,
+	CodeTimeout:             http.StatusGatewayTimeout,
+	CodeCancelled:           499,
+	CodeQuarantined:         http.StatusUnprocessableEntity,
+	CodeDuplicate:           http.StatusConflict,
+	CodePlatformUnavailable: http.StatusServiceUnavailable,
+	CodeDraining:            http.StatusServiceUnavailable,
+	CodeInternal:            http.StatusInternalServerError,
+}
+
+// Error is a failure with the verdict on the request that it ended.
+type Error struct {
+	Verdict Verdict
+	Code    Code
+	// Message is a full sentence for the caller.
+	Message string
+	// Param names the request field or line at fault; it may be empty.
+	Param string
+	// RetryAfter says when a repeat makes sense; zero means no advice.
+	RetryAfter time.Duration
+	cause      error
+}
+
+// New returns an Error without a cause.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	return &Error{Verdict: v, Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// Wrap returns an Error caused by err.
+func Wrap(err error, v Verdict, code Code, format string, args ...any) *Error {
+	e := New(v, code, format, args...)
+	e.cause = err
+	return e
+}
+
+// WithParam sets the field or line at fault and returns e.
+func (e *Error) WithParam(param string) *Error {
+	e.Param = param
+	return e
+}
+
+// WithRetryAfter sets when a repeat makes sense and returns e.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	e.RetryAfter = d
+	return e
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s (%s, %s)", e.Message, e.Code, e.Verdict)
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Status returns the HTTP status that goes with the code.
+func (e *Error) Status() int {
+	if status, ok := codeStatus[e.Code]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Of returns the verdict that err carries, or MayHaveRun when it carries none.
+func Of(err error) Verdict {
+	return As(err).Verdict
+}
+
+// As returns err as an *Error. An error without a verdict becomes an internal
+// error that may have run. As(nil) returns nil.
+func As(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, MayHaveRun, CodeInternal, "The request failed inside the system.")
+}
--- /dev/null
+++ b/yamlcheck/yamlcheck.go
@@ -0,0 +1,66 @@
+// Package yamlcheck decodes YAML strictly: unknown keys are refused, defaults
+// are filled in from struct tags, and each error names file, line and key.
+package yamlcheck
+
+import (
+	"bytes"
+	"io"
+	"net/netip"
+	"reflect"
+	"regexp"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/creasty/defaults"
+	"github.com/go-playground/validator/v10"
+	"github.com/goccy/go-yaml"
+)
+
+// ErrInvalid marks every error that Decode returns for a faulty text.
+var ErrInvalid = errors.New("invalid YAML")
+
+var labelPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$`)
+
+var newValidator = sync.OnceValue(func() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(func(f reflect.StructField) string {
+		name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+		return name
+	})
+	mustRegister(v, "ipport", isIPPort)
+	mustRegister(v, "label", func(fl validator.FieldLevel) bool {
+		return labelPattern.MatchString(fl.Field().String())
+	})
+	return v
+})
+
+func mustRegister(v *validator.Validate, tag string, fn validator.Func) {
+	if err := v.RegisterValidation(tag, fn); err != nil {
+		panic(err)
+	}
+}
+
+func isIPPort(fl validator.FieldLevel) bool {
+	_, err := netip.ParseAddrPort(fl.Field().String())
+	return err == nil
+}
+
+// Decode fills target, a pointer to a struct, from defaults and then from the
+// text. The source names the text in errors.
+func Decode(source string, text []byte, target any) error {
+	if err := defaults.Set(target); err != nil {
+		return errors.Wrap(err, "set defaults")
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := dec.Decode(target); err != nil && !errors.Is(err, io.EOF) {
+		return errors.Mark(errors.Wrap(err, source), ErrInvalid)
+	}
+	if err := defaults.Set(target); err != nil {
+		return errors.Wrap(err, "set defaults")
+	}
+	if err := newValidator().Struct(target); err != nil {
+		return errors.Mark(locate(source, text, err), ErrInvalid)
+	}
+	return nil
+}
