node: let an embedder replace balancer and admission

Experiments compare policies in one run, and an embedder may bring its own. Node also gives access to its metrics, events, documents and cost counters. Not measured: no change of behaviour.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,8 @@
 	Engine func(u *service.Upstream) upstreamtest.Options
 	// Settings changes the settings of a host; nil changes nothing.
 	Settings func(s *settings.Settings)
+	// Options changes the options of a host's node; nil changes nothing.
+	Options func(o *node.Options)
 	// Log takes the hosts' log output; nil drops it.
 	Log *logrus.Logger
 }
@@ -159,7 +161,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n, err := node.New(s, node.Options{Log: f.spec.Log})
+	o := node.Options{Log: f.spec.Log}
+	if f.spec.Options != nil {
+		f.spec.Options(&o)
+	}
+	n, err := node.New(s, o)
 	if err != nil {
 		return nil, err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -16,9 +16,12 @@
 
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/admin"
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
@@ -31,11 +34,16 @@
 	Log *logrus.Logger
 	// Store replaces the platform's service; nil takes the HTTP adapter.
 	Store platform.Store
+	// Balancer replaces the choice of upstreams; nil takes the built-in one.
+	Balancer routing.Balancer
+	// Admission replaces the admission of requests; nil takes the built-in one.
+	Admission limits.Admission
 }
 
 // Node is one host of the system.
 type Node struct {
 	settings *settings.Settings
+	options  Options
 	clock    clockwork.Clock
 	log      *logrus.Entry
 	registry *prometheus.Registry
@@ -69,7 +77,7 @@
 		o.Log = NewLogger(s.Log)
 	}
 	n := &Node{
-		settings: s, clock: o.Clock, registry: prometheus.NewRegistry(), served: make(chan struct{}),
+		settings: s, options: o, clock: o.Clock, registry: prometheus.NewRegistry(), served: make(chan struct{}),
 		log: o.Log.WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
 	}
 	n.book = accounting.NewBook(n.registry)
@@ -146,6 +154,18 @@
 // Ready reports whether the balancer may send requests here.
 func (n *Node) Ready() bool { return n.readiness().Ready }
 
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() prometheus.Gatherer { return n.registry }
+
+// Events returns the node's time line.
+func (n *Node) Events() *timeline.Recorder { return n.events }
+
+// Config returns the documents in force.
+func (n *Node) Config() *config.Holder { return n.config.holder }
+
+// Book returns the node's cost counters.
+func (n *Node) Book() *accounting.Book { return n.book }
+
 // CallersAddress returns the bound address of the callers' interface.
 func (n *Node) CallersAddress() string { return n.gateway.address() }
 
--- a/node/online.go
+++ b/node/online.go
@@ -31,15 +31,31 @@
 
 func (n *Node) provisionOnline() error {
 	client := upstream.NewClient(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleConns: upstreamIdleConns})
-	balancer := routing.NewLeastInFlight(n.settings.DataCentre, n.settings.Region)
+	balancer := n.newBalancer()
 	n.online = onlinePart{balancer: balancer, client: client, runner: &online.Runner{
-		Admission: limits.NewBound(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
+		Admission: n.newAdmission(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
 		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
 		Metrics: online.NewMetrics(n.registry),
 	}}
 	return nil
 }
 
+// newBalancer returns the embedder's balancer or the built-in one.
+func (n *Node) newBalancer() routing.Balancer {
+	if n.options.Balancer != nil {
+		return n.options.Balancer
+	}
+	return routing.NewLeastInFlight(n.settings.DataCentre, n.settings.Region)
+}
+
+// newAdmission returns the embedder's admission or the built-in one.
+func (n *Node) newAdmission() limits.Admission {
+	if n.options.Admission != nil {
+		return n.options.Admission
+	}
+	return limits.NewBound()
+}
+
 func (n *Node) provisionGateway() error {
 	l, err := net.Listen("tcp", n.settings.Listen.Callers)
 	if err != nil {
