spindlebench: experiments with baselines, targets and comparison

Fifteen experiments run against fleets in the program's own process, over loopback sockets, with open-loop arrivals. Each states its targets; a run exits 0 only when all hold; two reports can be compared.

--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -24,6 +24,10 @@
 	Items  int
 	Tokens int
 	Seed   uint64
+	// Poll is the time between looks at a running job; zero takes 50 ms.
+	Poll time.Duration
+	// Word begins every prompt; empty adds none.
+	Word string
 	// Window is the completion window, such as 24h.
 	Window string
 }
@@ -36,7 +40,7 @@
 	for i := range j.Items {
 		item := batch.Item{
 			CustomID: fmt.Sprintf("item-%06d", i), Method: http.MethodPost, URL: "/v1/chat/completions",
-			Body: ChatBody(j.Model, Prompt(rng, 32), j.Tokens, false),
+			Body: ChatBody(j.Model, j.Word+" "+Prompt(rng, 32), j.Tokens, false),
 		}
 		if err := enc.Encode(&item); err != nil {
 			panic(err)
@@ -88,7 +92,10 @@
 
 // Await polls the job until it has ended.
 func (j *Job) Await(ctx context.Context, client *http.Client, id string) (batch.Object, error) {
-	const interval = 50 * time.Millisecond
+	interval := j.Poll
+	if interval == 0 {
+		interval = 50 * time.Millisecond
+	}
 	for {
 		job, err := j.Get(ctx, client, id)
 		if err != nil || job.Status == batch.StatusCompleted || job.Status == batch.StatusCancelled {
--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -3,12 +3,9 @@
 package load
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -40,25 +37,46 @@
 	Tokens int
 	// PromptWords is the length of a prompt.
 	PromptWords int
-	Seed        uint64
+	// Prompt makes the prompts; nil takes random words.
+	Prompt func(rng *rand.Rand) string
+	// Once sends each request as one that may run at most once.
+	Once bool
+	Seed uint64
 }
 
-// Stats are the outcome of a load. It is safe for concurrent use.
+// NewClient returns an HTTP client that keeps connections for a load.
+func NewClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, DisableCompression: true}}
+}
+
+// Stats are the outcome of a load. It is safe for concurrent use while a load
+// runs; the fields are read after it.
 type Stats struct {
 	mu         sync.Mutex
 	FirstToken *hdrhistogram.Histogram
 	Total      *hdrhistogram.Histogram
-	Sent       int
-	Whole      int
-	Refused    int
-	Failed     int
+	// Refusal is the time to a refusal as not run.
+	Refusal *hdrhistogram.Histogram
+	Sent    int
+	// Whole answers are complete and are those of the own request; Wrong ones
+	// are complete and are not.
+	Whole   int
+	Wrong   int
+	Refused int
+	Failed  int
+	// Errors holds a few of the failures.
+	Errors []string
 }
 
+// maxErrors bounds the failures that Stats keeps.
+const maxErrors = 5
+
 // NewStats returns empty statistics.
 func NewStats() *Stats {
 	return &Stats{
 		FirstToken: hdrhistogram.New(minMicros, maxMicros, digits),
 		Total:      hdrhistogram.New(minMicros, maxMicros, digits),
+		Refusal:    hdrhistogram.New(minMicros, maxMicros, digits),
 	}
 }
 
@@ -75,18 +93,55 @@
 	next := time.Now()
 	for n := 0; ; n++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / c.Rate * float64(time.Second)))
-		select {
-		case <-time.After(time.Until(next)):
-		case <-ctx.Done():
+		if wait(ctx, time.Until(next)) != nil {
 			return
 		}
-		target := c.Targets[n%len(c.Targets)]
-		prompt := Prompt(rng, c.PromptWords)
-		due := next
-		group.Go(func() { c.one(context.WithoutCancel(ctx), client, target, prompt, due, stats) })
+		call := c.call(rng, n, next)
+		group.Go(func() { call.run(context.WithoutCancel(ctx), client, stats) })
+	}
+}
+
+// RunClosed keeps the given number of requests running until ctx ends, for
+// finding the capacity.
+func (c *Chat) RunClosed(ctx context.Context, client *http.Client, stats *Stats, running int) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for worker := range running {
+		rng := rand.New(rand.NewPCG(c.Seed, uint64(worker)+2))
+		group.Go(func() {
+			for n := worker; ctx.Err() == nil; n++ {
+				call := c.call(rng, n, time.Now())
+				call.run(context.WithoutCancel(ctx), client, stats)
+			}
+		})
 	}
 }
 
+func wait(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Chat) call(rng *rand.Rand, n int, due time.Time) *call {
+	newPrompt := c.Prompt
+	if newPrompt == nil {
+		newPrompt = func(rng *rand.Rand) string { return Prompt(rng, c.PromptWords) }
+	}
+	prompt := newPrompt(rng)
+	key := ""
+	if c.Once {
+		key = fmt.Sprintf("%d-%d", c.Seed, rng.Uint64())
+	}
+	return &call{chat: c, target: c.Targets[n%len(c.Targets)], prompt: prompt, key: key, due: due}
+}
+
 // Prompt returns a prompt of n words.
 func Prompt(rng *rand.Rand, n int) string {
 	words := make([]string, n)
@@ -119,55 +174,30 @@
 	return text
 }
 
-// errRefused marks a request that was refused as not run.
-var errRefused = errors.New("refused")
+// Errors of one request.
+var (
+	errRefused = errors.New("refused as not run")
+	errWrong   = errors.New("answer of another request")
+)
 
-// one sends a streaming request; latency counts from the time it was due.
-func (c *Chat) one(ctx context.Context, client *http.Client, target, prompt string, due time.Time, stats *Stats) {
-	first, err := c.stream(ctx, client, target, prompt)
-	stats.mu.Lock()
-	defer stats.mu.Unlock()
-	stats.Sent++
+func (s *Stats) add(due, first, end time.Time, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Sent++
 	switch {
 	case errors.Is(err, errRefused):
-		stats.Refused++
+		s.Refused++
+		_ = s.Refusal.RecordValue(end.Sub(due).Microseconds())
+	case errors.Is(err, errWrong):
+		s.Wrong++
 	case err != nil:
-		stats.Failed++
-	default:
-		stats.Whole++
-		_ = stats.FirstToken.RecordValue(first.Sub(due).Microseconds())
-		_ = stats.Total.RecordValue(time.Since(due).Microseconds())
-	}
-}
-
-func (c *Chat) stream(ctx context.Context, client *http.Client, target, prompt string) (first time.Time, err error) {
-	body := ChatBody(c.Model, prompt, c.Tokens, true)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+target+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return first, err
-	}
-	req.Header.Set("Authorization", "Bearer "+c.Key)
-	req.Header.Set("X-Class", c.Class)
-	res, err := client.Do(req)
-	if err != nil {
-		return first, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		_, _ = io.Copy(io.Discard, res.Body)
-		if res.Header.Get("Comfreyspindle-Verdict") == "not-run" {
-			return first, errRefused
-		}
-		return first, errors.Newf("status %d", res.StatusCode)
-	}
-	lines := bufio.NewScanner(res.Body)
-	for lines.Scan() {
-		if first.IsZero() {
-			first = time.Now()
-		}
-		if lines.Text() == "data: [DONE]" {
-			return first, nil
+		s.Failed++
+		if len(s.Errors) < maxErrors {
+			s.Errors = append(s.Errors, err.Error())
 		}
+	default:
+		s.Whole++
+		_ = s.FirstToken.RecordValue(first.Sub(due).Microseconds())
+		_ = s.Total.RecordValue(end.Sub(due).Microseconds())
 	}
-	return first, errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF)
 }
--- /dev/null
+++ b/bench/suite/scrape.go
@@ -0,0 +1,58 @@
+package suite
+
+import (
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/fleet"
+)
+
+// cost sums a kind of cost over all hosts.
+func (s *system) cost(kind accounting.Kind) int64 {
+	var n int64
+	for _, h := range s.Hosts {
+		n += costOf(h, kind)
+	}
+	return n
+}
+
+func costOf(h *fleet.Host, kind accounting.Kind) int64 {
+	var n int64
+	for _, e := range h.Node.Book().Entries() {
+		if e.Kind == kind {
+			n += e.Count
+		}
+	}
+	return n
+}
+
+// wastedTokens are generated tokens that were thrown away.
+func (s *system) wastedTokens() int64 { return s.cost(accounting.WastedTokens) }
+
+// metric sums a counter or gauge over all its labels on one host.
+func metric(h *fleet.Host, name string) float64 {
+	families, err := h.Node.Metrics().Gather()
+	if err != nil {
+		return 0
+	}
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+		}
+	}
+	return sum
+}
+
+// metricPeerBytes counts the bytes that a host sends to peers.
+const metricPeerBytes = "comfreyspindle_peer_sent_bytes_total"
+
+// peerBytes returns the bytes that all hosts have sent to peers.
+func (s *system) peerBytes() float64 {
+	sum := 0.0
+	for _, h := range s.Hosts {
+		sum += metric(h, metricPeerBytes)
+	}
+	return sum
+}
--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -35,7 +35,7 @@
 		Version: cli.Version(), SilenceUsage: true, SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return cli.WithCode(err, cli.ExitUsage) })
-	root.AddCommand(newDemoCommand())
+	root.AddCommand(newDemoCommand(), newRunCommand(), newListCommand(), newCompareCommand())
 	return root
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,8 @@
 	Store platform.Store
 	// Balancer replaces the choice of upstreams; nil takes the built-in one.
 	Balancer routing.Balancer
+	// WrapBalancer wraps the balancer in use; nil changes nothing.
+	WrapBalancer func(routing.Balancer) routing.Balancer
 	// Admission replaces the admission of requests; nil takes the built-in one.
 	Admission limits.Admission
 }
--- a/node/online.go
+++ b/node/online.go
@@ -32,6 +32,9 @@
 func (n *Node) provisionOnline() error {
 	client := upstream.NewClient(upstream.ClientOptions{DialTimeout: upstreamDialTimeout, IdleConns: upstreamIdleConns})
 	balancer := n.newBalancer()
+	if n.options.WrapBalancer != nil {
+		balancer = n.options.WrapBalancer(balancer)
+	}
 	n.online = onlinePart{balancer: balancer, client: client, runner: &online.Runner{
 		Admission: n.newAdmission(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
 		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
--- a/upstream/upstreamtest/engine.go
+++ b/upstream/upstreamtest/engine.go
@@ -70,6 +70,7 @@
 	reports []upstream.Load
 	cache   *prefixCache
 
+	asked    atomic.Int64
 	tokens   atomic.Int64
 	prefills atomic.Int64
 	hits     atomic.Int64
--- a/upstream/upstreamtest/handler.go
+++ b/upstream/upstreamtest/handler.go
@@ -48,6 +48,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	e.asked.Add(1)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
