--- a/bench/suite/overload.go
+++ b/bench/suite/overload.go
@@ -8,6 +8,7 @@
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/bench/experiment"
 	"github.com/comfreyspindle/comfreyspindle/bench/load"
+	"github.com/comfreyspindle/comfreyspindle/examples"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
 )
 
@@ -53,21 +54,25 @@
 	return out, nil
 }
 
+// quietCaller is a caller that sends no more than its share.
+type quietCaller struct {
+	key  string
+	rate float64
+}
+
 // victims compares the goodput of two callers with and without a third that
 // sends ten times its share.
 func (s *system) victims(ctx context.Context, env *experiment.Env, capacity float64) float64 {
 	length := env.Duration(4 * time.Second)
 	share := 0.8 * capacity / 5
-	rates := map[string]float64{"demo-crews": 3 * share, "demo-organisers": share}
+	quiet := []quietCaller{{examples.KeyCrews, 3 * share}, {examples.KeyOrganisers, share}}
 	run := func(noisy float64) int {
 		var group sync.WaitGroup
-		whole := make([]int, len(rates))
-		i := 0
-		for key, rate := range rates {
-			c := s.chat(rate, env.Seed+uint64(i))
-			c.Key = key
+		whole := make([]int, len(quiet))
+		for i, q := range quiet {
+			c := s.chat(q.rate, env.Seed+uint64(i))
+			c.Key = q.key
 			group.Go(func() { whole[i] = s.run(ctx, c, length).Whole })
-			i++
 		}
 		c := s.chat(noisy, env.Seed+20)
 		c.Key = s.user.jobKey
--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -19,22 +17,14 @@
 func Main(args []string) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	cmd := newCommand()
-	cmd.SetArgs(args)
-	err := cmd.ExecuteContext(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "spindlebench:", err)
-	}
-	return cli.Code(err)
+	return cli.Execute(ctx, newCommand(), args)
 }
 
 func newCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use: "spindlebench", Short: "Generate load, run experiments, show a demo",
 		Example: "  spindlebench demo",
-		Version: cli.Version(), SilenceUsage: true, SilenceErrors: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return cli.WithCode(err, cli.ExitUsage) })
 	root.AddCommand(newDemoCommand(), newRunCommand(), newListCommand(), newCompareCommand())
 	return root
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -2,9 +2,13 @@
 package cli
 
 import (
+	"context"
+	"fmt"
+	"os"
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
 )
 
 // Exit codes by kind of error.
@@ -62,3 +66,22 @@
 	}
 	return info.Main.Version
 }
+
+// Execute runs a root command and returns the exit code. An error that comes
+// before a command runs is one of usage.
+func Execute(ctx context.Context, root *cobra.Command, args []string) int {
+	root.Version = Version()
+	root.SilenceUsage, root.SilenceErrors = true, true
+	started := false
+	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
+	root.SetArgs(args)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", root.Name(), err)
+	if !started {
+		return ExitUsage
+	}
+	return Code(err)
+}
--- a/cli/control/control.go
+++ b/cli/control/control.go
@@ -2,6 +2,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -13,22 +14,14 @@
 
 // Main runs the command and returns the exit code.
 func Main(args []string) int {
-	cmd := newCommand()
-	cmd.SetArgs(args)
-	err := cmd.Execute()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "spindlectl:", err)
-	}
-	return cli.Code(err)
+	return cli.Execute(context.Background(), newCommand(), args)
 }
 
 func newCommand() *cobra.Command {
 	root := &cobra.Command{
 		Use: "spindlectl", Short: "Operate services and hosts",
 		Example: "  spindlectl service check -f service.yaml",
-		Version: cli.Version(), SilenceUsage: true, SilenceErrors: true,
 	}
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return cli.WithCode(err, cli.ExitUsage) })
 	root.AddCommand(newServiceCommand())
 	return root
 }
--- a/cli/daemon/daemon.go
+++ b/cli/daemon/daemon.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"os/signal"
 	"syscall"
 
@@ -17,13 +16,7 @@
 
 // Main runs the command and returns the exit code.
 func Main(args []string) int {
-	cmd := newCommand()
-	cmd.SetArgs(args)
-	err := cmd.Execute()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "spindled:", err)
-	}
-	return cli.Code(err)
+	return cli.Execute(context.Background(), newCommand(), args)
 }
 
 func newCommand() *cobra.Command {
@@ -33,11 +26,10 @@
 		Short: "Serve online and batch inference on one entry host",
 		Example: `  spindled -f settings.yaml
   spindled check -f settings.yaml`,
-		Version: cli.Version(), SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
+		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), path) },
 	}
 	root.PersistentFlags().StringVarP(&path, "file", "f", "settings.yaml", "settings file")
-	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return cli.WithCode(err, cli.ExitUsage) })
 	root.AddCommand(&cobra.Command{
 		Use: "check", Short: "Check the settings and start nothing", Args: cobra.NoArgs,
 		Example: "  spindled check -f settings.yaml",
--- a/node/http.go
+++ b/node/http.go
@@ -50,21 +50,22 @@
 }
 
 // loadTLS returns the configuration of mutual TLS, or nil without certificates.
-func loadTLS(t settings.TLS) (*tls.Config, error) {
+func loadTLS(s *settings.Settings) (*tls.Config, error) {
+	t := s.TLS
 	if !t.Enabled() {
 		return nil, nil
 	}
 	cert, err := tls.LoadX509KeyPair(t.Certificate, t.Key)
 	if err != nil {
-		return nil, errors.Wrap(err, "tls.certificate")
+		return nil, errors.Wrap(err, s.At("tls.certificate"))
 	}
 	pem, err := os.ReadFile(t.Authority)
 	if err != nil {
-		return nil, errors.Wrap(err, "tls.authority")
+		return nil, errors.Wrap(err, s.At("tls.authority"))
 	}
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(pem) {
-		return nil, errors.Newf("tls.authority: no certificate in %s", t.Authority)
+		return nil, errors.Newf("%s: no certificate in %s", s.At("tls.authority"), t.Authority)
 	}
 	return &tls.Config{
 		Certificates: []tls.Certificate{cert}, RootCAs: pool, ClientCAs: pool,
--- a/node/node.go
+++ b/node/node.go
@@ -112,12 +112,12 @@
 const peerTimeout = 2 * time.Second
 
 func (n *Node) provisionPeers() error {
-	conf, err := loadTLS(n.settings.TLS)
+	conf, err := loadTLS(n.settings)
 	if err != nil {
 		return err
 	}
 	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf); err != nil {
-		return errors.Wrap(err, "listen.peers")
+		return errors.Wrap(err, n.settings.At("listen.peers"))
 	}
 	n.dialer = peer.NewClient(peerTimeout, conf)
 	n.upstreams = membership.NewLocalUpstreams()
@@ -135,7 +135,7 @@
 	}
 	l, err := net.Listen("tcp", n.settings.Listen.Operators)
 	if err != nil {
-		return errors.Wrap(err, "listen.operators")
+		return errors.Wrap(err, n.settings.At("listen.operators"))
 	}
 	n.admin = newHTTPService("operators", l, srv.Handler(), n.settings.Gateway)
 	return nil
--- a/node/online.go
+++ b/node/online.go
@@ -62,7 +62,7 @@
 func (n *Node) provisionGateway() error {
 	l, err := net.Listen("tcp", n.settings.Listen.Callers)
 	if err != nil {
-		return errors.Wrap(err, "listen.callers")
+		return errors.Wrap(err, n.settings.At("listen.callers"))
 	}
 	n.online.gateway = &gateway.Gateway{
 		Config: n.config.holder, Runner: n.online.runner, Batches: n.batch.manager,
--- a/service/document.go
+++ b/service/document.go
@@ -52,8 +52,11 @@
 
 // Model is a model, or an adapter over one, that the service's engines serve.
 type Model struct {
-	Name    string `yaml:"name" validate:"required,max=128"`
+	// Name is the model's name in requests.
+	Name string `yaml:"name" validate:"required,max=128"`
+	// Version is the wanted version.
 	Version string `yaml:"version" default:"1"`
+	// Adapter is the wanted adapter over the model.
 	Adapter string `yaml:"adapter,omitempty"`
 	// Replicas is the wanted number of replicas; zero means all.
 	Replicas int `yaml:"replicas,omitempty" validate:"min=0"`
@@ -61,6 +64,7 @@
 
 // Caller is a customer's API key with its share and limits.
 type Caller struct {
+	// Name identifies the caller in limits and costs.
 	Name string `yaml:"name" validate:"required,max=64,label"`
 	// KeySHA256 is the hexadecimal SHA-256 digest of the API key.
 	KeySHA256 string `yaml:"key_sha256" validate:"required,len=64,hexadecimal"`
@@ -74,11 +78,14 @@
 
 // Upstream is one replica.
 type Upstream struct {
+	// Name identifies the upstream in the service.
 	Name string `yaml:"name" validate:"required,max=64,label"`
 	// Address is an IP number and port.
-	Address    string `yaml:"address" validate:"required,ipport"`
+	Address string `yaml:"address" validate:"required,ipport"`
+	// DataCentre is where the upstream stands.
 	DataCentre string `yaml:"data_centre" validate:"required,label"`
-	Region     string `yaml:"region" validate:"required,label"`
+	// Region is the region of the data centre.
+	Region string `yaml:"region" validate:"required,label"`
 	// ChecksFencing says that the engine refuses an order with an old fencing number.
 	ChecksFencing bool `yaml:"checks_fencing,omitempty"`
 	// RefusalStatuses are the HTTP statuses by which this upstream says that
@@ -97,6 +104,7 @@
 
 // Class is a group of online requests with one urgency.
 type Class struct {
+	// Name identifies the class.
 	Name string `yaml:"name" validate:"required,max=64,label"`
 	// Match selects the requests; an empty match selects all.
 	Match Match `yaml:"match,omitempty"`
@@ -112,9 +120,12 @@
 
 // Match selects requests by a header's value or a path prefix.
 type Match struct {
+	// Header is the name of a header that must have Value.
 	Header string `yaml:"header,omitempty"`
-	Value  string `yaml:"value,omitempty"`
-	Path   string `yaml:"path,omitempty"`
+	// Value is the header's wanted value.
+	Value string `yaml:"value,omitempty"`
+	// Path is the wanted beginning of the path.
+	Path string `yaml:"path,omitempty"`
 }
 
 // Scope bounds how far from its entry host a request may run.
@@ -129,6 +140,7 @@
 
 // Routing bounds where requests may go and for how long.
 type Routing struct {
+	// Scope bounds how far from its entry host a request may run.
 	Scope Scope `yaml:"scope" default:"region" validate:"oneof=data-centre region any"`
 	// Subset is the number of replicas that one host keeps connections to.
 	Subset int `yaml:"subset" default:"40" validate:"min=1,max=1000"`
@@ -193,6 +205,7 @@
 
 // Quarantine steers the defence against requests that crash upstreams.
 type Quarantine struct {
+	// Enabled turns the defence on.
 	Enabled bool `yaml:"enabled" default:"true"`
 	// Duration is how long a confirmed request is refused.
 	Duration time.Duration `yaml:"duration" default:"1h" validate:"gt=0"`
--- a/service/parse.go
+++ b/service/parse.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 
-	"github.com/goccy/go-yaml"
+	"go.yaml.in/yaml/v3"
 
 	"github.com/comfreyspindle/comfreyspindle/yamlcheck"
 )
@@ -21,10 +21,30 @@
 	return doc, nil
 }
 
+// UnmarshalYAML fills in the defaults of a list's element first.
+func (m *Model) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Model
+	return yamlcheck.DecodeElement((*plain)(m), unmarshal)
+}
+
+// UnmarshalYAML fills in the defaults of a list's element first.
+func (c *Caller) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Caller
+	return yamlcheck.DecodeElement((*plain)(c), unmarshal)
+}
+
+// UnmarshalYAML fills in the defaults of a list's element first.
+func (c *Class) UnmarshalYAML(unmarshal func(any) error) error {
+	type plain Class
+	return yamlcheck.DecodeElement((*plain)(c), unmarshal)
+}
+
 // Marshal encodes a document as YAML.
 func Marshal(doc *Document) ([]byte, error) {
 	var out bytes.Buffer
-	if err := yaml.NewEncoder(&out).Encode(doc); err != nil {
+	enc := yaml.NewEncoder(&out)
+	enc.SetIndent(2)
+	if err := enc.Encode(doc); err != nil {
 		return nil, err
 	}
 	return out.Bytes(), nil
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,9 +15,11 @@
 // Settings are the settings of one daemon.
 type Settings struct {
 	// Host is the host's name, unique in its data centre.
-	Host       string `yaml:"host" validate:"required,max=64,label"`
+	Host string `yaml:"host" validate:"required,max=64,label"`
+	// DataCentre is where the host stands.
 	DataCentre string `yaml:"data_centre" validate:"required,label"`
-	Region     string `yaml:"region" validate:"required,label"`
+	// Region is the region of the data centre.
+	Region string `yaml:"region" validate:"required,label"`
 	// Listen holds the addresses that the process binds.
 	Listen Listen `yaml:"listen"`
 	// Peers are the peer addresses of hosts that the process asks first.
@@ -38,12 +40,22 @@
 	Stop Stop `yaml:"stop"`
 	// Timeline bounds the event ring.
 	Timeline Timeline `yaml:"timeline"`
+
+	source string
+	text   []byte
 }
 
+// At returns "file:line: key" of a key such as listen.callers, for errors that
+// show only when a value is used.
+func (s *Settings) At(key string) string { return yamlcheck.At(s.source, s.text, key) }
+
 // Listen holds addresses as IP number and port; port 0 takes a free one.
 type Listen struct {
-	Callers   string `yaml:"callers" default:"127.0.0.1:8080" validate:"ipport"`
-	Peers     string `yaml:"peers" default:"127.0.0.1:7080" validate:"ipport"`
+	// Callers is the address of the callers' interface.
+	Callers string `yaml:"callers" default:"127.0.0.1:8080" validate:"ipport"`
+	// Peers is the address for traffic between hosts.
+	Peers string `yaml:"peers" default:"127.0.0.1:7080" validate:"ipport"`
+	// Operators is the address of the operators' interface and metrics.
 	Operators string `yaml:"operators" default:"127.0.0.1:9080" validate:"ipport"`
 }
 
@@ -61,18 +73,26 @@
 
 // Log steers the log output.
 type Log struct {
-	Level  string `yaml:"level" default:"info" validate:"oneof=debug info warning error"`
+	// Level is the lowest level that is logged.
+	Level string `yaml:"level" default:"info" validate:"oneof=debug info warning error"`
+	// Format is the form of a log line.
 	Format string `yaml:"format" default:"json" validate:"oneof=json text"`
 }
 
 // Gateway bounds callers' requests.
 type Gateway struct {
-	MaxHeaderBytes int           `yaml:"max_header_bytes" default:"65536" validate:"min=1024"`
-	MaxBodyBytes   int64         `yaml:"max_body_bytes" default:"8388608" validate:"min=1024"`
-	MaxFileBytes   int64         `yaml:"max_file_bytes" default:"268435456" validate:"min=1024"`
-	MaxLineBytes   int           `yaml:"max_line_bytes" default:"1048576" validate:"min=1024"`
-	ReadTimeout    time.Duration `yaml:"read_timeout" default:"30s" validate:"gt=0"`
-	IdleTimeout    time.Duration `yaml:"idle_timeout" default:"2m" validate:"gt=0"`
+	// MaxHeaderBytes bounds the headers of a request.
+	MaxHeaderBytes int `yaml:"max_header_bytes" default:"65536" validate:"min=1024"`
+	// MaxBodyBytes bounds the body of a request, files apart.
+	MaxBodyBytes int64 `yaml:"max_body_bytes" default:"8388608" validate:"min=1024"`
+	// MaxFileBytes bounds an input file of a batch job.
+	MaxFileBytes int64 `yaml:"max_file_bytes" default:"268435456" validate:"min=1024"`
+	// MaxLineBytes bounds one line of an input file.
+	MaxLineBytes int `yaml:"max_line_bytes" default:"1048576" validate:"min=1024"`
+	// ReadTimeout bounds the time that a caller takes to send headers or body.
+	ReadTimeout time.Duration `yaml:"read_timeout" default:"30s" validate:"gt=0"`
+	// IdleTimeout closes a connection without requests.
+	IdleTimeout time.Duration `yaml:"idle_timeout" default:"2m" validate:"gt=0"`
 }
 
 // Operators steers the operators' interface.
@@ -84,9 +104,12 @@
 
 // TLS names PEM files for mutual TLS between hosts. All or none are set.
 type TLS struct {
+	// Certificate is the host's certificate.
 	Certificate string `yaml:"certificate,omitempty" validate:"required_with=Key Authority"`
-	Key         string `yaml:"key,omitempty" validate:"required_with=Certificate Authority"`
-	Authority   string `yaml:"authority,omitempty" validate:"required_with=Certificate Key"`
+	// Key is the private key of the certificate.
+	Key string `yaml:"key,omitempty" validate:"required_with=Certificate Authority"`
+	// Authority holds the certificates that sign those of all hosts.
+	Authority string `yaml:"authority,omitempty" validate:"required_with=Certificate Key"`
 }
 
 // Enabled reports whether certificates are named.
@@ -103,6 +126,7 @@
 
 // Timeline bounds the event ring.
 type Timeline struct {
+	// Events is the number of events that the host keeps.
 	Events int `yaml:"events" default:"16384" validate:"min=64,max=1048576"`
 }
 
@@ -117,7 +141,7 @@
 
 // Parse decodes and checks settings; the source names the text in errors.
 func Parse(source string, text []byte) (*Settings, error) {
-	s := &Settings{}
+	s := &Settings{source: source, text: text}
 	if err := yamlcheck.Decode(source, text, s); err != nil {
 		return nil, err
 	}
--- a/yamlcheck/yamlcheck.go
+++ b/yamlcheck/yamlcheck.go
@@ -14,7 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/creasty/defaults"
 	"github.com/go-playground/validator/v10"
-	"github.com/goccy/go-yaml"
+	"go.yaml.in/yaml/v3"
 )
 
 // ErrInvalid marks every error that Decode returns for a faulty text.
@@ -52,15 +52,23 @@
 	if err := defaults.Set(target); err != nil {
 		return errors.Wrap(err, "set defaults")
 	}
-	dec := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict(), yaml.DisallowUnknownField())
+	dec := yaml.NewDecoder(bytes.NewReader(text))
+	dec.KnownFields(true)
 	if err := dec.Decode(target); err != nil && !errors.Is(err, io.EOF) {
-		return errors.Mark(errors.Wrap(err, source), ErrInvalid)
-	}
-	if err := defaults.Set(target); err != nil {
-		return errors.Wrap(err, "set defaults")
+		return errors.Mark(locateSyntax(source, text, err), ErrInvalid)
 	}
 	if err := newValidator().Struct(target); err != nil {
-		return errors.Mark(locate(source, text, err), ErrInvalid)
+		return errors.Mark(locateRules(source, text, err), ErrInvalid)
 	}
 	return nil
 }
+
+// DecodeElement fills an element of a list from defaults and then from the
+// text, so that a zero in the text stays a zero. A list's struct type with
+// defaults calls it in its UnmarshalYAML, for a plain type that has none.
+func DecodeElement(plain any, unmarshal func(any) error) error {
+	if err := defaults.Set(plain); err != nil {
+		return errors.Wrap(err, "set defaults")
+	}
+	return unmarshal(plain)
+}
