--- a/service/document_test.go
+++ b/service/document_test.go
@@ -1,6 +1,7 @@
 package service_test
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"reflect"
 	"strings"
@@ -68,7 +69,7 @@
 func TestClassOf(t *testing.T) {
 	d, err := service.Parse("example", examples.Kyushu)
 	require.NoError(t, err)
-	r := httptest.NewRequest("POST", "/v1/chat/completions", nil)
+	r := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", nil)
 	require.Equal(t, "quote", d.ClassOf(r).Name)
 	r.Header.Set("X-Class", "crew")
 	require.Equal(t, "crew", d.ClassOf(r).Name)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -31,7 +31,7 @@
 		want string
 	}{
 		{"unknown key", smallest + "regoin: x\n", `s.yaml:6: unknown key "regoin"`},
-		{"unknown nested key", smallest + "log:\n  levle: info\n", `s.yaml:7: unknown key "levle"`},
+		{"unknown nested key", smallest + "log:\n  lvl: info\n", `s.yaml:7: unknown key "lvl"`},
 		{"bad duration", smallest + "stop:\n  timeout: 5parsecs\n", "s.yaml:7: stop.timeout: `5parsecs` is not a duration"},
 		{"duration without unit", smallest + "stop:\n  timeout: 5\n", "s.yaml:7: stop.timeout: `5` is not a duration"},
 		{"host name as address", smallest + "listen:\n  peers: localhost:7080\n", `s.yaml:7: listen.peers: "localhost:7080" is not an IP number and port`},
