peer: exact not-run errors, bounds, metrics and a fault table

Cause: the client marked every rpc.ErrShutdown as not run, but net/rpc gives that error also to calls that were sent, when the end of the stream is read while the connection is being closed. A reply after a timeout could be decoded into a value that the caller had taken back, a stalled peer could block a call without bound, and a timed-out connection was kept.

Change: the codec notes when the first byte of a request may have been written; only calls without that note are marked ErrUnreachable. Replies are decoded into a fresh value. Writes have a deadline, a partly written request breaks the connection, and a timeout without any reply drops it. At most 64 calls run per connection, on both sides. Calls and bytes are counted by method. Addresses are IP numbers. peertest wraps a Caller with cuts, delays and freezes.

Checked that the tests can fail: without the note TestSentCallIsNeverUnreachable fails in all cases; without the slots TestCallsAreBounded fails.

--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,278 @@
+package peer_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
+)
+
+type Echo struct {
+	running, most atomic.Int64
+	began         chan struct{}
+	gate          chan struct{}
+}
+
+func (e *Echo) Say(text string, reply *string) error {
+	*reply = text
+	return nil
+}
+
+func (e *Echo) Fail(string, *string) error { return errors.New("refused") }
+
+func (e *Echo) Hold(text string, reply *string) error {
+	n := e.running.Add(1)
+	defer e.running.Add(-1)
+	for m := e.most.Load(); n > m && !e.most.CompareAndSwap(m, n); m = e.most.Load() {
+	}
+	e.began <- struct{}{}
+	<-e.gate
+	*reply = text
+	return nil
+}
+
+func serve(t *testing.T, address string, conf *tls.Config) (*peer.Server, *Echo, context.CancelFunc) {
+	s, err := peer.Listen(address, conf)
+	require.NoError(t, err)
+	e := &Echo{began: make(chan struct{}, 1000), gate: make(chan struct{})}
+	require.NoError(t, s.Register("Echo", e))
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = s.Serve(ctx) }()
+	return s, e, cancel
+}
+
+func newClient(t *testing.T, timeout time.Duration, conf *tls.Config, opts ...peer.Option) *peer.Client {
+	c := peer.NewClient(timeout, conf, opts...)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestCallAndRemoteError(t *testing.T) {
+	s, _, _ := serve(t, "127.0.0.1:0", nil)
+	c := newClient(t, 5*time.Second, nil)
+	var reply string
+	require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+	require.Equal(t, "a", reply)
+	err := c.Call(t.Context(), s.Address(), "Echo.Fail", "a", &reply)
+	require.ErrorContains(t, err, "refused")
+	require.False(t, errors.Is(err, peer.ErrUnreachable))
+}
+
+func TestNamesAreRefused(t *testing.T) {
+	c := newClient(t, time.Second, nil)
+	var reply string
+	err := c.Call(t.Context(), "localhost:1", "Echo.Say", "a", &reply)
+	errtest.Is(t, err, peer.ErrUnreachable)
+	require.ErrorContains(t, err, "not an IP number")
+}
+
+func TestBrokenConnectionIsRedialled(t *testing.T) {
+	s, _, stop := serve(t, "127.0.0.1:0", nil)
+	c := newClient(t, 5*time.Second, nil)
+	var reply string
+	require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+	stop()
+	require.Eventually(t, func() bool {
+		return errors.Is(c.Call(t.Context(), s.Address(), "Echo.Say", "b", &reply), peer.ErrUnreachable)
+	}, 10*time.Second, time.Millisecond)
+	serve(t, s.Address(), nil)
+	require.Eventually(t, func() bool {
+		return c.Call(t.Context(), s.Address(), "Echo.Say", "c", &reply) == nil
+	}, 10*time.Second, time.Millisecond)
+	require.Equal(t, "c", reply)
+}
+
+// A call that was sent and then ended by the loss or the closing of its
+// connection may have run.
+func TestSentCallIsNeverUnreachable(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(c *peer.Client, address string, stop context.CancelFunc)
+	}{
+		{"peer lost", func(_ *peer.Client, _ string, stop context.CancelFunc) { stop() }},
+		{"own connection closed", func(c *peer.Client, _ string, _ context.CancelFunc) { c.Close() }},
+		{"peer forgotten while lost", func(c *peer.Client, address string, stop context.CancelFunc) {
+			go stop()
+			c.Forget(address)
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, e, stop := serve(t, "127.0.0.1:0", nil)
+			c := newClient(t, 20*time.Second, nil)
+			ended := make(chan error, 1)
+			go func() {
+				var reply string
+				ended <- c.Call(context.Background(), s.Address(), "Echo.Hold", "a", &reply)
+			}()
+			<-e.began
+			tc.end(c, s.Address(), stop)
+			err := <-ended
+			require.Error(t, err)
+			require.False(t, errors.Is(err, peer.ErrUnreachable), "%v", err)
+			close(e.gate)
+		})
+	}
+}
+
+func TestTimeoutDropsSilentConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	accepted := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	c := newClient(t, 50*time.Millisecond, nil)
+	for range 2 {
+		reply := "untouched"
+		err := c.Call(t.Context(), l.Addr().String(), "Echo.Say", "a", &reply)
+		errtest.Is(t, err, context.DeadlineExceeded)
+		require.False(t, errors.Is(err, peer.ErrUnreachable))
+		require.Equal(t, "untouched", reply)
+		// Each call dials anew, as the one before got no reply.
+		_ = (<-accepted).Close()
+	}
+}
+
+func TestCallsAreBounded(t *testing.T) {
+	s, e, _ := serve(t, "127.0.0.1:0", nil)
+	c := newClient(t, 20*time.Second, nil)
+	const calls = 200
+	done := make(chan error, calls)
+	for range calls {
+		go func() {
+			var reply string
+			done <- c.Call(context.Background(), s.Address(), "Echo.Hold", "a", &reply)
+		}()
+	}
+	for range 64 {
+		<-e.began
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	var reply string
+	errtest.Is(t, c.Call(ctx, s.Address(), "Echo.Say", "a", &reply), peer.ErrUnreachable)
+	close(e.gate)
+	for range calls {
+		require.NoError(t, <-done)
+	}
+	require.LessOrEqual(t, e.most.Load(), int64(64))
+}
+
+func testTLS(t *testing.T) *tls.Config {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	require.NoError(t, err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		KeyUsage:    x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, key.Public(), key)
+	require.NoError(t, err)
+	cert, err := x509.ParseCertificate(der)
+	require.NoError(t, err)
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: pool, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+}
+
+func TestMutualTLS(t *testing.T) {
+	conf := testTLS(t)
+	s, _, _ := serve(t, "127.0.0.1:0", conf)
+	var reply string
+	require.NoError(t, newClient(t, 5*time.Second, conf).Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+	reply = ""
+	require.Error(t, newClient(t, time.Second, nil).Call(t.Context(), s.Address(), "Echo.Say", "plain", &reply))
+	anonymous := conf.Clone()
+	anonymous.Certificates = nil
+	require.Error(t, newClient(t, time.Second, anonymous).Call(t.Context(), s.Address(), "Echo.Say", "no certificate", &reply))
+	require.Error(t, newClient(t, time.Second, testTLS(t)).Call(t.Context(), s.Address(), "Echo.Say", "other authority", &reply))
+	require.Empty(t, reply)
+	conn, err := net.Dial("tcp", s.Address())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte("plain text\n"))
+	require.NoError(t, err)
+	text, _ := bufio.NewReader(conn).ReadString('\n')
+	require.NotContains(t, text, "plain")
+}
+
+func TestMetricsByMethod(t *testing.T) {
+	s, _, _ := serve(t, "127.0.0.1:0", nil)
+	reg := prometheus.NewRegistry()
+	c := newClient(t, 5*time.Second, nil, peer.WithMetrics(peer.NewMetrics(reg)))
+	var reply string
+	for range 3 {
+		require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+	}
+	families, err := reg.Gather()
+	require.NoError(t, err)
+	sums := map[string]float64{}
+	for _, f := range families {
+		for _, m := range f.Metric {
+			sums[f.GetName()] += m.GetCounter().GetValue()
+		}
+	}
+	require.Equal(t, 6.0, sums["comfreyspindle_peer_calls_total"])
+	require.Greater(t, sums["comfreyspindle_peer_bytes_total"], 6*20.0)
+}
+
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name        string
+		fault       func(f *peertest.Faults, a, b string)
+		unreachable bool
+	}{
+		{"request cut", func(f *peertest.Faults, a, b string) { f.Cut(a, b) }, true},
+		{"reply cut", func(f *peertest.Faults, a, b string) { f.Cut(b, a) }, false},
+		{"both cut", func(f *peertest.Faults, a, b string) { f.CutBoth(a, b) }, true},
+		{"peer frozen", func(f *peertest.Faults, _, b string) { f.Freeze(b) }, true},
+		{"request delayed", func(f *peertest.Faults, a, b string) { f.Delay(a, b, time.Hour) }, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, _, _ := serve(t, "127.0.0.1:0", nil)
+			f := peertest.NewFaults()
+			c := f.Wrap("a", newClient(t, 5*time.Second, nil))
+			var reply string
+			require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+			tc.fault(f, "a", s.Address())
+			ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
+			defer cancel()
+			err := c.Call(ctx, s.Address(), "Echo.Say", "a", &reply)
+			require.Error(t, err)
+			require.Equal(t, tc.unreachable, errors.Is(err, peer.ErrUnreachable))
+			f.Heal()
+			f.Thaw(s.Address())
+			require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "a", &reply))
+		})
+	}
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,118 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of a server.
+const (
+	// maxCalls bounds the calls that run at one time for one connection.
+	maxCalls = 64
+	// replyTimeout bounds the write of one reply.
+	replyTimeout = 5 * time.Second
+)
+
+// Server serves calls from peers.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+	metrics  *Metrics
+
+	mu      sync.Mutex
+	conns   map[net.Conn]struct{}
+	methods map[string]struct{}
+}
+
+// Listen binds the address, with mutual TLS when conf is not nil.
+func Listen(address string, conf *tls.Config, opts ...Option) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	if conf != nil {
+		l = tls.NewListener(l, conf)
+	}
+	o := collect(opts)
+	return &Server{
+		rpc: rpc.NewServer(), listener: l, metrics: o.metrics,
+		conns: make(map[net.Conn]struct{}), methods: make(map[string]struct{}),
+	}, nil
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Register publishes the methods of receiver under name.
+func (s *Server) Register(name string, receiver any) error {
+	s.mu.Lock()
+	for m := range reflect.TypeOf(receiver).Methods() {
+		s.methods[name+"."+m.Name] = struct{}{}
+	}
+	s.mu.Unlock()
+	return errors.Wrapf(s.rpc.RegisterName(name, receiver), "register %s", name)
+}
+
+// label returns the metrics label of a method, so that a peer can't add labels.
+func (s *Server) label(method string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.methods[method]; ok {
+		return method
+	}
+	return "unknown"
+}
+
+// Serve takes calls until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			return errors.Wrap(err, "accept peer")
+		}
+		if !s.keep(ctx, conn) {
+			return ctx.Err()
+		}
+		go s.serveConn(conn)
+	}
+}
+
+// keep notes a connection, unless the server ends.
+func (s *Server) keep(ctx context.Context, conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ctx.Err() != nil {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	return true
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	s.rpc.ServeCodec(newServerCodec(s, conn))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+func (s *Server) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
