--- a/node/node.go
+++ b/node/node.go
@@ -84,10 +84,7 @@
 	}
 	n.book = accounting.NewBook(n.registry)
 	n.events = timeline.NewRecorder(s.Host, timeline.NewClock(o.Clock), s.Timeline.Events)
-	n.store = o.Store
-	if n.store == nil {
-		n.store = platform.NewHTTP(s.Host, s.Platform.Addresses, s.Platform.Timeout)
-	}
+	n.store = newStore(o.Store, s, n.clock, n.registry)
 	if err := n.provision(); err != nil {
 		n.close()
 		return nil, err
