Verdict NotRun rests on bytes written to the connection

Cause: NotRun was decided by whether a connection was handed over, so a request that was given up before its first byte counted as may-have-run, a write that raced the cancel could still go out, and requests without a body were resent by net/http (GET, or any with an Idempotency-Key). Change: a connection wrapper counts bytes and is sealed when a request is given up without any; HTTP/1.1 only; body form that net/http can't resend; refusals are typed.

--- a/online/try.go
+++ b/online/try.go
@@ -49,7 +49,7 @@
 	t.runner.record(t.req, EventSent, name, choice.Cause)
 	t.runner.Guard.Started(t.req.Doc.Name, name, t.fp)
 	outcome := t.send(ctx, choice)
-	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, outcome.Err != nil && ctx.Err() == nil)
+	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, endOf(ctx, outcome.Err))
 	choice.Done(outcome)
 	return outcome.Err
 }
@@ -69,6 +69,19 @@
 	return outcome
 }
 
+// endOf tells the guard what an error says of the upstream.
+func endOf(ctx context.Context, err error) quarantine.End {
+	var status *upstream.StatusError
+	switch {
+	case err == nil, errors.As(err, &status) && !status.Refusal:
+		return quarantine.Finished
+	case ctx.Err() != nil, errors.As(err, &status), verdict.As(err).Code == verdict.CodeCancelled:
+		return quarantine.Abandoned
+	default:
+		return quarantine.Lost
+	}
+}
+
 func loadOf(h http.Header) *upstream.Load {
 	text := h.Get(upstream.HeaderLoad)
 	if text == "" {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -2,7 +2,12 @@
 package quarantine
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 // Fingerprint identifies a request by service and canonical body.
@@ -24,10 +29,39 @@
 	Check(service string, f Fingerprint) (alone bool, err error)
 	// Started says that a request began on an upstream.
 	Started(service, upstream string, f Fingerprint)
-	// Ended says that it ended there; lost means that the connection broke.
-	Ended(service, upstream string, f Fingerprint, lost bool)
+	// Ended says how it ended there. After Lost it may wait, for a bounded
+	// time, until the hosts of the data centre know of the suspects.
+	Ended(service, upstream string, f Fingerprint, end End)
+	// Reserved returns the upstreams on which a suspect runs alone. No other
+	// request may be sent there.
+	Reserved(service string) []string
+	// Reserve waits until an upstream of the service may run suspect f alone.
+	// The caller sends f there and then releases it. The error carries verdict
+	// NotRun.
+	Reserve(ctx context.Context, doc *service.Document, f Fingerprint) (Reservation, error)
 }
 
+// Reservation keeps one upstream for one suspect.
+type Reservation struct {
+	Upstream string
+	Release  func()
+}
+
+// End is how a request ended on an upstream.
+type End uint8
+
+const (
+	// Abandoned means that the request was cancelled, timed out or refused;
+	// it tells nothing.
+	Abandoned End = iota
+	// Finished means that the upstream answered the whole request, be it with
+	// an error of its own.
+	Finished
+	// Lost means that the connection broke after bytes of the request were
+	// sent, or that the upstream could not be reached.
+	Lost
+)
+
 // Off is a Guard that lets everything run.
 type Off struct{}
 
@@ -40,4 +74,12 @@
 func (Off) Started(string, string, Fingerprint) {}
 
 // Ended implements Guard.
-func (Off) Ended(string, string, Fingerprint, bool) {}
+func (Off) Ended(string, string, Fingerprint, End) {}
+
+// Reserved implements Guard.
+func (Off) Reserved(string) []string { return nil }
+
+// Reserve implements Guard.
+func (Off) Reserve(_ context.Context, doc *service.Document, _ Fingerprint) (Reservation, error) {
+	return Reservation{}, verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "Service %s reserves no upstream.", doc.Name)
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -7,14 +7,18 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
+// idleTimeout ends idle connections to upstreams.
+const idleTimeout = 30 * time.Second
+
 // Request is one request to an upstream.
 type Request struct {
 	ID     string
@@ -32,6 +36,11 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Length is the body's length in bytes, or -1 when it is not declared.
+	Length int64
+	// Delimited says that the end of the body is marked: by its length or by
+	// chunks. Without a mark a cut body looks like a whole one.
+	Delimited bool
 }
 
 // Client sends requests to upstreams. It is safe for concurrent use.
@@ -47,13 +56,18 @@
 	IdleConns int
 }
 
-// NewClient returns a Client.
+// NewClient returns a Client. It speaks HTTP/1.1 only: a connection then
+// carries one request at a time, so that the bytes written to it belong to
+// that request.
 func NewClient(o ClientOptions) *Client {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: o.DialTimeout}).DialContext,
+		DialContext:         countedDial(&net.Dialer{Timeout: o.DialTimeout}),
 		MaxIdleConnsPerHost: o.IdleConns,
-		IdleConnTimeout:     30 * time.Second,
+		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+		Protocols:           protocols,
 	}
 	return &Client{http: &http.Client{
 		Transport:     transport,
@@ -61,53 +75,118 @@
 	}}
 }
 
+func countedDial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn}, nil
+	}
+}
+
 // Close closes idle connections.
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
-// Send sends r to u. An error carries a verdict: NotRun only when no
-// connection was handed the request or the document says that the answer's
-// status is a refusal.
+// Send sends r to u at most once. An error carries a verdict: NotRun only when
+// no byte of the request reached a connection or the document says that the
+// answer's status is a refusal. The cause of an answered error is a
+// *StatusError.
 func (c *Client) Send(ctx context.Context, u *service.Upstream, r *Request) (*Response, error) {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
-	req, err := newRequest(ctx, u, r)
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The request can't be sent.")
-	}
-	res, err := c.http.Do(req)
-	if err != nil {
-		v := verdict.NotRun
-		if connected.Load() {
-			v = verdict.MayHaveRun
+	for {
+		sent := &attempt{}
+		res, err := c.send(ctx, u, r, sent)
+		if err == nil {
+			return checked(res, u, r)
+		}
+		if !sent.none() {
+			return nil, failed(err, verdict.MayHaveRun, u)
+		}
+		// An idle connection that the upstream had closed took no byte.
+		if !sent.reused || ctx.Err() != nil {
+			return nil, failed(err, verdict.NotRun, u)
 		}
-		return nil, verdict.Wrap(err, v, verdict.CodeUpstreamFailed, "Upstream %s failed.", u.Name)
 	}
-	for _, status := range u.RefusalStatuses {
-		if res.StatusCode == status {
-			_ = res.Body.Close()
-			return nil, verdict.New(verdict.NotRun, verdict.CodeUpstreamFailed, "Upstream %s refused the request with status %d.", u.Name, status)
+}
+
+func failed(err error, v verdict.Verdict, u *service.Upstream) error {
+	return verdict.Wrap(err, v, verdict.CodeUpstreamFailed, "Upstream %s failed.", u.Name)
+}
+
+// attempt notes which connections the transport gave one request.
+type attempt struct {
+	mu     sync.Mutex
+	conns  []usedConn
+	reused bool
+}
+
+type usedConn struct {
+	conn *countedConn
+	base int64
+}
+
+func (a *attempt) got(info httptrace.GotConnInfo) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.reused = info.Reused
+	conn, ok := info.Conn.(*countedConn)
+	if !ok {
+		a.conns = append(a.conns, usedConn{})
+		return
+	}
+	a.conns = append(a.conns, usedConn{conn: conn, base: conn.count()})
+}
+
+// none reports whether no byte of the request was or will be written.
+func (a *attempt) none() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, used := range a.conns {
+		if used.conn == nil || !used.conn.seal(used.base) {
+			return false
 		}
 	}
+	return true
+}
+
+func (c *Client) send(ctx context.Context, u *service.Upstream, r *Request, a *attempt) (*http.Response, error) {
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.got})
+	req, err := newRequest(ctx, u, r)
+	if err != nil {
+		return nil, err
+	}
+	return c.http.Do(req)
+}
+
+// checked rules out refusals and answers to other requests.
+func checked(res *http.Response, u *service.Upstream, r *Request) (*Response, error) {
 	if id := res.Header.Get(HeaderRequestID); id != "" && id != r.ID {
 		_ = res.Body.Close()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered another request.", u.Name)
 	}
-	return &Response{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	if slices.Contains(u.RefusalStatuses, res.StatusCode) {
+		_ = res.Body.Close()
+		cause := &StatusError{Upstream: u.Name, Status: res.StatusCode, Refusal: true, Header: res.Header}
+		return nil, verdict.Wrap(cause, verdict.NotRun, verdict.CodeUpstreamFailed,
+			"Upstream %s refused the request with status %d.", u.Name, res.StatusCode)
+	}
+	return &Response{
+		Status: res.StatusCode, Header: res.Header, Body: res.Body, Length: res.ContentLength,
+		Delimited: res.ContentLength >= 0 || slices.Contains(res.TransferEncoding, "chunked"),
+	}, nil
 }
 
+// newRequest returns a request that the transport can't send twice. The body's
+// type is unknown to net/http, so GetBody stays unset; and it is never
+// http.NoBody, also without content, because net/http resends requests without
+// a body that are idempotent by method or carry an Idempotency-Key.
 func newRequest(ctx context.Context, u *service.Upstream, r *Request) (*http.Request, error) {
-	// The body's type is unknown to net/http, so GetBody stays unset and the
-	// transport can't resend a request whose body it has begun to read.
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+u.Address+r.Path, io.NopCloser(bytes.NewReader(r.Body)))
+	body := io.NopCloser(bytes.NewReader(r.Body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+u.Address+r.Path, body)
 	if err != nil {
 		return nil, err
 	}
 	req.ContentLength = int64(len(r.Body))
-	if len(r.Body) == 0 {
-		req.Body = http.NoBody
-	}
 	for k, v := range r.Header {
 		req.Header[k] = v
 	}
--- a/upstream/protocol.go
+++ b/upstream/protocol.go
@@ -28,6 +28,9 @@
 	HeaderDeadline = "Comfreyspindle-Start-By"
 	// HeaderLeaving is set to true by an upstream that takes no new work.
 	HeaderLeaving = "Comfreyspindle-Leaving"
+	// HeaderResumed is the number of tokens after which an answer goes on. An
+	// engine that ignores FieldResume doesn't set it.
+	HeaderResumed = "Comfreyspindle-Resumed"
 )
 
 // FieldResume is the body field that continues a broken answer.
