online: resume cut streams, check whole answers, retry budget, cross-region bill

Cause: a cut stream was ended with an error although another engine can go on; an invalid or over-long JSON body was passed on as whole; ids inside answers were not looked at; a request whose first try may have run was reported as not run when its second try was; retries had no budget; cross-region bytes and waste were not counted; the read deadline of the body stayed set while the answer streamed. Change: event scanner that parses only events that don't begin as the others; resume from the tokens sent where the engine confirms it (Comfreyspindle- Resumed); sliding retry budget; bytes between regions taken from escrow before they are sent or read; verdict over all tries; raw streams of plain services are cut off visibly. Checked that the tests fail without: verdict over tries, id check, end marker check, JSON check, retry budget, bounded reads. Conclusion: tests cause each fault by itself.

--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -59,7 +59,7 @@
 	if err := setOnce(c, req); err != nil {
 		return err
 	}
-	return g.Runner.Run(c.Request().Context(), req, &responseSink{c: c})
+	return g.run(c, req)
 }
 
 // plain passes a request on to a plain service.
@@ -85,7 +85,7 @@
 	if err := setOnce(c, req); err != nil {
 		return err
 	}
-	return g.Runner.Run(c.Request().Context(), req, &responseSink{c: c})
+	return g.run(c, req)
 }
 
 func (g *Gateway) newRequest(c echo.Context, doc *service.Document, caller string, body []byte) *online.Request {
@@ -123,7 +123,12 @@
 		return nil, err
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, g.Limits.MaxBodyBytes))
-	return body, readError(err)
+	if err != nil {
+		return nil, readError(err)
+	}
+	// The deadline is the body's only: net/http goes on reading to notice that
+	// the caller has gone, and would cancel a longer request.
+	return body, http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
 }
 
 // limitRead bounds the time that a caller may take to send its body.
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -3,18 +3,25 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/comfreyspindle/comfreyspindle/online"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
+// writeGrace is the time beyond a request's own for its last bytes.
+const writeGrace = 5 * time.Second
+
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // responseSink writes an answer to the caller.
 type responseSink struct {
-	c echo.Context
+	c       echo.Context
+	aborted bool
 }
 
 // Begin implements online.Sink.
@@ -26,7 +33,11 @@
 	}
 	out.Set(upstream.HeaderRequestID, id)
 	out.Del(upstream.HeaderLoad)
-	out.Set(HeaderVerdict, verdict.Ran.String())
+	v := verdict.Ran
+	if status >= http.StatusBadRequest {
+		v = verdict.MayHaveRun
+	}
+	out.Set(HeaderVerdict, v.String())
 	s.c.Response().WriteHeader(status)
 	return nil
 }
@@ -39,3 +50,21 @@
 	s.c.Response().Flush()
 	return nil
 }
+
+// Abort implements online.Sink.
+func (s *responseSink) Abort() { s.aborted = true }
+
+// run runs a request and relays its answer.
+func (g *Gateway) run(c echo.Context, req *online.Request) error {
+	sink := &responseSink{c: c}
+	// A caller that takes no bytes must not hold the request for ever.
+	deadline := time.Now().Add(req.Doc.Routing.RequestTimeout + writeGrace)
+	if err := http.NewResponseController(c.Response()).SetWriteDeadline(deadline); err != nil {
+		return errors.Wrap(err, "set write deadline")
+	}
+	err := g.Runner.Run(c.Request().Context(), req, sink)
+	if sink.aborted {
+		panic(http.ErrAbortHandler)
+	}
+	return err
+}
--- a/node/online.go
+++ b/node/online.go
@@ -6,11 +6,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/gateway"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/online"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/retry"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 )
@@ -37,6 +39,7 @@
 	}
 	n.online = onlinePart{balancer: balancer, client: client, runner: &online.Runner{
 		Admission: n.newAdmission(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
+		Budgets: retry.NewBudgets(n.clock), Escrow: escrow.None{}, Book: n.book, Region: n.settings.Region,
 		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
 		Metrics: online.NewMetrics(n.registry),
 	}}
--- a/online/online.go
+++ b/online/online.go
@@ -4,12 +4,16 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
@@ -58,6 +62,9 @@
 	Begin(status int, header http.Header) error
 	// Write sends a part of the body and flushes it.
 	Write(p []byte) error
+	// Abort breaks the connection to the caller after Begin, so that a cut
+	// answer can't be taken for a whole one.
+	Abort()
 }
 
 // Runner runs requests. All fields are required.
@@ -66,11 +73,16 @@
 	Balancer  routing.Balancer
 	Guard     quarantine.Guard
 	Ledger    ledger.Ledger
+	Budgets   *retry.Budgets
+	Escrow    escrow.Account
+	Book      *accounting.Book
 	Client    *upstream.Client
 	Events    *timeline.Recorder
 	Clock     clockwork.Clock
 	Log       *logrus.Entry
 	Metrics   *Metrics
+	// Region is the host's own region.
+	Region string
 }
 
 // Run runs a request and relays its answer. An error before Begin carries the
@@ -120,20 +132,72 @@
 // tries sends the request until it is answered or may not be tried again.
 func (r *Runner) tries(ctx context.Context, req *Request, fp quarantine.Fingerprint, sink Sink) error {
 	t := &try{runner: r, req: req, fp: fp, sink: sink}
+	t.sent.off = !resumableRequest(req)
+	budget := r.Budgets.Of(req.Doc.Name)
 	for n := 1; ; n++ {
 		err := t.once(ctx)
 		if err == nil {
+			budget.Succeeded()
+			t.answered()
 			return nil
 		}
-		state := retry.State{
-			Err: err, Tries: n, MaxTries: req.Doc.Routing.MaxTries,
-			Once: req.Once, Begun: t.begun, Budget: true,
+		if reason := t.again(ctx, n, err, budget); reason != retry.ReasonNone {
+			return t.end(err, reason)
 		}
-		if ctx.Err() != nil || !retry.Again(state) {
-			return err
-		}
-		r.record(req, EventRetried, "", err.Error())
+		t.last = err
+	}
+}
+
+// again returns why the request is not tried again.
+func (t *try) again(ctx context.Context, tries int, err error, budget *retry.Budget) retry.Reason {
+	if ctx.Err() != nil {
+		return retry.ReasonTime
+	}
+	state := retry.State{
+		Err: err, Tries: tries, MaxTries: t.req.Doc.Routing.MaxTries,
+		Once: t.req.Once, Begun: t.begun, Resumable: t.sent.resumable(), Left: timeLeft(ctx),
+	}
+	if reason := retry.Decide(state); reason != retry.ReasonNone {
+		return reason
+	}
+	if !budget.Spend(t.req.Doc.Routing.RetryBudget) {
+		return retry.ReasonBudget
+	}
+	return retry.ReasonNone
+}
+
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return math.MaxInt64
+	}
+	return time.Until(deadline)
+}
+
+// answered books a request that is done.
+func (t *try) answered() {
+	t.runner.count(t.req, accounting.Requests, "", 1)
+	t.runner.count(t.req, accounting.AnswerTokens, "", t.sent.tokens)
+}
+
+// end gives the request up. A caller that has got a part of the answer is told
+// by an error event or, where the answer has no events, by a broken connection.
+func (t *try) end(err error, reason retry.Reason) error {
+	if t.last != nil && verdict.As(err).Code == verdict.CodeNoUpstream {
+		err = t.last
+	}
+	err = t.final(err)
+	if !t.begun {
+		return err
+	}
+	if t.sent.resumable() {
+		t.runner.count(t.req, accounting.WastedTokens, string(reason), t.sent.tokens)
+	}
+	if !t.req.Stream {
+		t.sink.Abort()
+		return err
 	}
+	return errors.CombineErrors(err, t.sink.Write(errorEvent(err)))
 }
 
 func (r *Runner) finish(req *Request, start time.Time, err error) {
--- /dev/null
+++ b/online/online_test.go
@@ -0,0 +1,551 @@
+package online_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/limits"
+	"github.com/comfreyspindle/comfreyspindle/online"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/retry"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// rig is a runner over some upstreams.
+type rig struct {
+	*online.Runner
+	doc *service.Document
+}
+
+func newRig(t testing.TB, addresses ...string) *rig {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reg := prometheus.NewRegistry()
+	clock := clockwork.NewRealClock()
+	client := upstream.NewClient(upstream.ClientOptions{DialTimeout: time.Second, IdleConns: 64})
+	t.Cleanup(client.Close)
+	r := &rig{doc: &service.Document{
+		Name: "chat", Kind: service.KindEngine, Classes: []service.Class{{Name: "all"}},
+		Routing: service.Routing{
+			Scope: service.ScopeAny, RequestTimeout: 20 * time.Second, RetryBudget: 0.1, MaxTries: 3,
+			Concurrency: 100000, QueueLimit: 1000000,
+		},
+	}}
+	for i, a := range addresses {
+		r.doc.Upstreams = append(r.doc.Upstreams, service.Upstream{Name: fmt.Sprintf("u%d", i), Address: a, DataCentre: "a", Region: "a"})
+	}
+	r.Runner = &online.Runner{
+		Admission: limits.NewBound(), Balancer: routing.NewLeastInFlight("a", "a"), Guard: quarantine.Off{},
+		Ledger: &fakeLedger{claims: make(map[ledger.Key]ledger.Claim)}, Budgets: retry.NewBudgets(clock), Escrow: escrow.None{},
+		Book: accounting.NewBook(reg), Client: client, Events: timeline.NewRecorder("h", timeline.NewClock(clock), 1024),
+		Clock: clock, Log: logrus.NewEntry(log), Metrics: online.NewMetrics(reg), Region: "a",
+	}
+	return r
+}
+
+func serve(t testing.TB, h http.HandlerFunc) string {
+	srv := httptest.NewServer(h)
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+	})
+	return srv.Listener.Addr().String()
+}
+
+func startEngine(t testing.TB) *upstreamtest.Engine {
+	e := upstreamtest.NewEngine(upstreamtest.DefaultOptions())
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (r *rig) request(stream bool, prompt string, tokens int) *online.Request {
+	body := fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
+	return &online.Request{
+		ID: ulid.Make().String(), Doc: r.doc, Class: &r.doc.Classes[0], Caller: "caller", Method: http.MethodPost,
+		Path: upstream.PathChat, Header: http.Header{"Content-Type": {"application/json"}}, Body: []byte(body), Stream: stream, Tokens: tokens,
+	}
+}
+
+// sum adds up the entries of a kind.
+func (r *rig) sum(kind accounting.Kind) int64 {
+	var n int64
+	for _, e := range r.Book.Entries() {
+		if e.Kind == kind {
+			n += e.Count
+		}
+	}
+	return n
+}
+
+type fakeLedger struct {
+	mu     sync.Mutex
+	claims map[ledger.Key]ledger.Claim
+}
+
+func (l *fakeLedger) Claim(_ context.Context, _ *service.Document, key ledger.Key, id string) (ledger.Claim, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c, ok := l.claims[key]; ok {
+		c.Won = false
+		return c, nil
+	}
+	l.claims[key] = ledger.Claim{Key: key, Won: true, First: time.Unix(0, 0), RequestID: id}
+	return l.claims[key], nil
+}
+
+// sink records an answer.
+type sink struct {
+	mu      sync.Mutex
+	status  int
+	body    bytes.Buffer
+	aborted bool
+	onWrite func()
+}
+
+func (s *sink) Begin(status int, _ http.Header) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status = status
+	return nil
+}
+
+func (s *sink) Write(p []byte) error {
+	s.mu.Lock()
+	s.body.Write(p)
+	hook := s.onWrite
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
+	return nil
+}
+
+func (s *sink) Abort() { s.aborted = true }
+
+func (s *sink) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.body.String()
+}
+
+// text joins the tokens of a streamed answer.
+func (s *sink) text() string {
+	text := ""
+	for _, line := range strings.Split(s.String(), "\n") {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			text += gjson.Get(data, "choices.0.delta.content").String()
+		}
+	}
+	return text
+}
+
+func (s *sink) whole() bool { return strings.HasSuffix(s.String(), "data: [DONE]\n\n") }
+
+func TestCutStreamIsResumed(t *testing.T) {
+	engines := []*upstreamtest.Engine{startEngine(t), startEngine(t)}
+	r := newRig(t, engines[0].Address(), engines[1].Address())
+	var once sync.Once
+	out := &sink{onWrite: func() {
+		once.Do(func() {
+			for _, e := range engines {
+				if e.TotalRuns() > 0 {
+					e.Kill()
+				}
+			}
+		})
+	}}
+	require.NoError(t, r.Run(t.Context(), r.request(true, "resume me", 60), out))
+	require.Equal(t, upstreamtest.Answer("resume me", 60), out.text())
+	require.True(t, out.whole())
+	require.Equal(t, 2, engines[0].TotalRuns()+engines[1].TotalRuns())
+	require.EqualValues(t, 60, r.sum(accounting.AnswerTokens))
+	require.EqualValues(t, 1, r.sum(accounting.Retries))
+	require.EqualValues(t, 1, r.sum(accounting.WastedRuns))
+	require.Zero(t, r.sum(accounting.WastedTokens))
+}
+
+// event is one event of a stand-in's stream.
+func event(id, content string) string {
+	return fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, content)
+}
+
+func streamOf(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, e := range events {
+			_, _ = io.WriteString(w, strings.ReplaceAll(e, "REQUEST", r.Header.Get(upstream.HeaderRequestID)))
+			_ = http.NewResponseController(w).Flush()
+		}
+	}
+}
+
+func TestBrokenStreamsEndWithAnError(t *testing.T) {
+	other := ulid.Make().String()
+	rows := map[string]struct {
+		events []string
+		want   string
+		code   verdict.Code
+	}{
+		"no end marker":         {[]string{event("x", "one"), event("x", "two")}, "onetwo", verdict.CodeIncomplete},
+		"cut inside an event":   {[]string{event("x", "one"), `data: {"id":"x","choi`}, "one", verdict.CodeIncomplete},
+		"end marker is cut":     {[]string{event("x", "one"), "data: [DONE]"}, "one", verdict.CodeIncomplete},
+		"another request's id":  {[]string{event("REQUEST", "one"), event(other, "two"), "data: [DONE]\n\n"}, "one", verdict.CodeUpstreamFailed},
+		"another chatcmpl id":   {[]string{event("chatcmpl-REQUEST", "one"), event("chatcmpl-"+other, "two"), "data: [DONE]\n\n"}, "one", verdict.CodeUpstreamFailed},
+		"id changes":            {[]string{event("x", "one"), event("y", "two"), "data: [DONE]\n\n"}, "one", verdict.CodeUpstreamFailed},
+		"first id is another's": {[]string{event(other, "one"), "data: [DONE]\n\n"}, "", verdict.CodeUpstreamFailed},
+		"error event":           {[]string{event("x", "one"), "event: error\ndata: {}\n\n", "data: [DONE]\n\n"}, "one", verdict.CodeIncomplete},
+		"error object":          {[]string{event("x", "one"), "data: {\"error\":{\"message\":\"m\"}}\n\n", "data: [DONE]\n\n"}, "one", verdict.CodeIncomplete},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, serve(t, streamOf(row.events...)), serve(t, streamOf(row.events...)))
+			out := &sink{}
+			err := r.Run(t.Context(), r.request(true, "p", 10), out)
+			require.Error(t, err)
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+			require.Equal(t, row.want, out.text())
+			require.NotContains(t, out.String(), "[DONE]")
+			if row.want != "" {
+				require.Contains(t, out.String(), "event: error\ndata: ")
+				require.Contains(t, out.String(), `"verdict":"may-have-run"`)
+			} else {
+				require.Zero(t, out.status)
+			}
+		})
+	}
+}
+
+func TestStreamForms(t *testing.T) {
+	rows := map[string][]string{
+		"line ends":   {strings.ReplaceAll(event("x", "one")+event("x", "two"), "\n", "\r\n"), "data: [DONE]\r\n\r\n"},
+		"comments":    {": ping\n\n", event("x", "one"), ": ping\n\n", event("x", "two"), "data: [DONE]\n\n"},
+		"split":       strings.SplitAfter(event("REQUEST", "one")+event("REQUEST", "two")+"data: [DONE]\n\n", `"`),
+		"big event":   {event("x", "one"), event("x", "two"), event("x", "")[:20] + strings.Repeat(" ", 100<<10) + event("x", "")[20:], "data: [DONE]\n\n"},
+		"no space":    {strings.ReplaceAll(event("x", "one")+event("x", "two"), "data: ", "data:"), "data:[DONE]\n\n"},
+		"after end":   {event("x", "one"), event("x", "two"), "data: [DONE]\n\n", event("y", "late")},
+		"without ids": {"data: {\"choices\":[{\"delta\":{\"content\":\"one\"}}]}\n\n", "data: {\"choices\":[{\"delta\":{\"content\":\"two\"}}]}\n\n", "data: [DONE]\n\n"},
+	}
+	for name, events := range rows {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, serve(t, streamOf(events...)))
+			out := &sink{}
+			require.NoError(t, r.Run(t.Context(), r.request(true, "p", 10), out))
+			text := strings.ReplaceAll(strings.ReplaceAll(out.String(), "\r", ""), "data:{", "data: {")
+			require.Contains(t, text, `"one"`)
+			require.Contains(t, text, `"two"`)
+			require.NotContains(t, text, "late")
+		})
+	}
+}
+
+func TestBrokenAnswersAreNotPassedOn(t *testing.T) {
+	other := ulid.Make().String()
+	rows := map[string]http.HandlerFunc{
+		"shorter than declared": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, `{"id":"x"}`)
+		},
+		"invalid JSON": func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"id":"x",`) },
+		"end not marked": func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err == nil {
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}")
+				_ = conn.Close()
+			}
+		},
+		"another request's header": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(upstream.HeaderRequestID, other)
+			_, _ = io.WriteString(w, `{}`)
+		},
+		"another request's id":  func(w http.ResponseWriter, _ *http.Request) { _, _ = fmt.Fprintf(w, `{"id":%q}`, other) },
+		"status 500":            func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) },
+		"connection is dropped": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, h := range rows {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, serve(t, h))
+			out := &sink{}
+			err := r.Run(t.Context(), r.request(false, "p", 10), out)
+			require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+			require.Zero(t, out.status)
+			require.Empty(t, out.String())
+		})
+	}
+}
+
+func TestRawStreamOfPlainServiceIsAborted(t *testing.T) {
+	cut := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: one\n\n")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	r := newRig(t, serve(t, cut))
+	r.doc.Kind = service.KindPlain
+	out := &sink{}
+	require.Error(t, r.Run(t.Context(), r.request(false, "p", 1), out))
+	require.True(t, out.aborted)
+
+	r = newRig(t, serve(t, streamOf("data: one\n\n", "data: two\n\n")))
+	r.doc.Kind = service.KindPlain
+	out = &sink{}
+	require.NoError(t, r.Run(t.Context(), r.request(false, "p", 1), out))
+	require.False(t, out.aborted)
+	require.Equal(t, "data: one\n\ndata: two\n\n", out.String())
+}
+
+func TestCallerGoneCancelsTheUpstream(t *testing.T) {
+	e := startEngine(t)
+	r := newRig(t, e.Address())
+	ctx, cancel := context.WithCancel(t.Context())
+	out := &sink{onWrite: cancel}
+	require.Error(t, r.Run(ctx, r.request(true, "p", 100000), out))
+	require.Eventually(t, func() bool { return e.Load().Running == 0 }, 5*time.Second, time.Millisecond)
+	require.Less(t, e.Stats().Tokens, int64(10000))
+	require.Equal(t, 1, e.TotalRuns())
+}
+
+func TestSlowCallerBlocksNoOther(t *testing.T) {
+	e := startEngine(t)
+	r := newRig(t, e.Address())
+	slow := make(chan struct{})
+	done := make(chan error, 1)
+	begun := make(chan struct{}, 100)
+	go func() {
+		done <- r.Run(t.Context(), r.request(true, "slow", 30), &sink{onWrite: func() { begun <- struct{}{}; <-slow }})
+	}()
+	<-begun
+	for i := range 5 {
+		out := &sink{}
+		prompt := fmt.Sprint("fast", i)
+		require.NoError(t, r.Run(t.Context(), r.request(true, prompt, 10), out))
+		require.Equal(t, upstreamtest.Answer(prompt, 10), out.text())
+	}
+	close(slow)
+	require.NoError(t, <-done)
+}
+
+// Answers of different lengths come back in another order than the requests
+// went out, over reused connections and between callers that give up.
+func TestEachCallerGetsItsOwnAnswer(t *testing.T) {
+	a, b := startEngine(t), startEngine(t)
+	r := newRig(t, a.Address(), b.Address())
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := range 3 {
+				prompt := fmt.Sprintf("own %d %d", i, k)
+				n := 1 + (i*7+k*13)%40
+				ctx, cancel := context.WithCancel(t.Context())
+				out := &sink{}
+				gone := (i+k)%5 == 0
+				if gone {
+					out.onWrite = cancel
+				}
+				stream := i%2 == 0
+				err := r.Run(ctx, r.request(stream, prompt, n), out)
+				cancel()
+				want := upstreamtest.Answer(prompt, n)
+				got := out.text()
+				if !stream {
+					got = gjson.Get(out.String(), "choices.0.message.content").String()
+				}
+				if err == nil && got != want || !strings.HasPrefix(want, got) {
+					t.Errorf("caller %d got %q for %q", i, got, want)
+				}
+				if err != nil && !gone {
+					t.Errorf("caller %d: %v", i, err)
+				}
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+func drop(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestOnceIsTriedAgainOnlyWhenNotRun(t *testing.T) {
+	var runs sync.Map
+	count := func(h http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, req *http.Request) {
+			runs.Store(ulid.Make().String(), req.Header.Get("Idempotency-Key"))
+			h(w, req)
+		}
+	}
+	total := func() (n int) {
+		runs.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+	ok := count(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") })
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+	t.Run("may have run", func(t *testing.T) {
+		runs.Clear()
+		r := newRig(t, serve(t, count(drop)), serve(t, count(drop)))
+		req := r.request(false, "p", 1)
+		req.Once, req.Key = true, ledger.Key{Value: "k"}
+		req.Header.Set("Idempotency-Key", "k")
+		err := r.Run(t.Context(), req, &sink{})
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+		require.Equal(t, 1, total())
+	})
+	t.Run("refused", func(t *testing.T) {
+		runs.Clear()
+		r := newRig(t, serve(t, refuse), serve(t, refuse), serve(t, ok))
+		for i := range r.doc.Upstreams {
+			r.doc.Upstreams[i].RefusalStatuses = []int{http.StatusServiceUnavailable}
+		}
+		for i := range 3 {
+			req := r.request(false, "p", 1)
+			req.Once, req.Key = true, ledger.Key{Value: fmt.Sprint(i)}
+			require.NoError(t, r.Run(t.Context(), req, &sink{}))
+		}
+		require.Equal(t, 3, total())
+	})
+	t.Run("repeated key", func(t *testing.T) {
+		runs.Clear()
+		r := newRig(t, serve(t, ok))
+		for i := range 3 {
+			req := r.request(false, "p", 1)
+			req.Once, req.Key = true, ledger.Key{Value: "same"}
+			err := r.Run(t.Context(), req, &sink{})
+			if i == 0 {
+				require.NoError(t, err)
+				continue
+			}
+			require.Equal(t, verdict.CodeDuplicate, verdict.As(err).Code)
+		}
+		require.Equal(t, 1, total())
+	})
+	t.Run("no ledger", func(t *testing.T) {
+		runs.Clear()
+		r := newRig(t, serve(t, ok))
+		r.Ledger = ledger.Unavailable{}
+		req := r.request(false, "p", 1)
+		req.Once = true
+		err := r.Run(t.Context(), req, &sink{})
+		require.Equal(t, verdict.NotRun, verdict.Of(err))
+		require.Zero(t, total())
+	})
+}
+
+// A request is not run only if none of its tries may have run.
+func TestVerdictCoversEarlierTries(t *testing.T) {
+	refuse := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+	r := newRig(t, serve(t, drop), serve(t, refuse))
+	r.doc.Upstreams[1].RefusalStatuses = []int{http.StatusServiceUnavailable}
+	for range 4 {
+		err := r.Run(t.Context(), r.request(false, "p", 1), &sink{})
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	}
+	r = newRig(t, serve(t, refuse), serve(t, refuse))
+	for i := range r.doc.Upstreams {
+		r.doc.Upstreams[i].RefusalStatuses = []int{http.StatusServiceUnavailable}
+	}
+	require.Equal(t, verdict.NotRun, verdict.Of(r.Run(t.Context(), r.request(false, "p", 1), &sink{})))
+}
+
+func TestRetriesAddAtMostTheBudget(t *testing.T) {
+	var tries, answers sync.Map
+	flaky := func(w http.ResponseWriter, req *http.Request) {
+		tries.Store(ulid.Make().String(), true)
+		body, _ := io.ReadAll(req.Body)
+		if bytes.Contains(body, []byte("good")) {
+			answers.Store(ulid.Make().String(), true)
+			_, _ = io.WriteString(w, "{}")
+			return
+		}
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+	count := func(m *sync.Map) (n int) {
+		m.Range(func(any, any) bool { n++; return true })
+		return n
+	}
+	r := newRig(t, serve(t, flaky), serve(t, flaky), serve(t, flaky))
+	for range 300 {
+		require.NoError(t, r.Run(t.Context(), r.request(false, "good", 1), &sink{}))
+	}
+	for range 300 {
+		require.Error(t, r.Run(t.Context(), r.request(false, "bad", 1), &sink{}))
+	}
+	require.LessOrEqual(t, count(&tries), 600+30)
+	require.Greater(t, count(&tries), 600)
+}
+
+// account is an escrow account with some room.
+type account struct {
+	mu   sync.Mutex
+	room int64
+	used int64
+}
+
+func (a *account) Spend(doc *service.Document, n int64) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if n > a.room {
+		return escrow.None{}.Spend(doc, n)
+	}
+	a.room -= n
+	a.used += n
+	return nil
+}
+
+func (a *account) Refund(_ *service.Document, n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.room += n
+	a.used -= n
+}
+
+func TestCrossRegionBytesAreTakenAndBooked(t *testing.T) {
+	e := startEngine(t)
+	r := newRig(t, e.Address())
+	r.Region = "b"
+	r.Balancer = routing.NewLeastInFlight("a", "a")
+	acc := &account{room: 1 << 20}
+	r.Escrow = acc
+	req := r.request(true, "far", 50)
+	out := &sink{}
+	require.NoError(t, r.Run(t.Context(), req, out))
+	require.Equal(t, acc.used, r.sum(accounting.CrossRegionBytes))
+	require.GreaterOrEqual(t, acc.used, int64(len(req.Body)+len(out.String())))
+
+	acc.room = 0
+	err := r.Run(t.Context(), r.request(true, "far", 50), &sink{})
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	require.Equal(t, verdict.CodeCeiling, verdict.As(err).Code)
+	require.Equal(t, 1, e.TotalRuns())
+
+	acc.room = 8 << 10
+	out = &sink{}
+	err = r.Run(t.Context(), r.request(true, "far", 500), out)
+	require.Equal(t, verdict.CodeCeiling, verdict.As(err).Code)
+	require.Contains(t, out.String(), "event: error")
+	require.GreaterOrEqual(t, acc.room, int64(0))
+	require.Equal(t, acc.used, r.sum(accounting.CrossRegionBytes))
+}
--- /dev/null
+++ b/online/transcript.go
@@ -0,0 +1,127 @@
+package online
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+
+	"github.com/tidwall/gjson"
+	"github.com/tidwall/sjson"
+
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// transcript is what the caller has got of a streamed answer.
+type transcript struct {
+	tokens int
+	text   []byte
+	// off says that the answer can't be resumed from text and tokens.
+	off bool
+	// resumed says that the answer has been resumed.
+	resumed bool
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+var (
+	contentField = []byte(`"content":"`)
+	textField    = []byte(`"text":"`)
+)
+
+// add takes the data of one event.
+func (t *transcript) add(data []byte) {
+	if t.off {
+		if hasText(data) {
+			t.tokens++
+		}
+		return
+	}
+	i := bytes.Index(data, contentField)
+	n := len(contentField)
+	if i < 0 {
+		i, n = bytes.Index(data, textField), len(textField)
+	}
+	if i < 0 {
+		t.odd(data)
+		return
+	}
+	rest := data[i+n:]
+	end := bytes.IndexByte(rest, '"')
+	if end <= 0 {
+		return
+	}
+	t.tokens++
+	if bytes.IndexByte(rest[:end], '\\') < 0 {
+		t.text = append(t.text, rest[:end]...)
+		return
+	}
+	t.text = append(t.text, contentOf(data)...)
+}
+
+func hasText(data []byte) bool {
+	return bytes.Contains(data, contentField) || bytes.Contains(data, textField)
+}
+
+// odd looks at an event whose text is not in the usual form. One that calls
+// tools or reasons can't be resumed.
+func (t *transcript) odd(data []byte) {
+	if text := contentOf(data); text != "" {
+		t.tokens++
+		t.text = append(t.text, text...)
+		return
+	}
+	for _, field := range []string{`"tool_calls"`, `"function_call"`, `"reasoning`} {
+		if bytes.Contains(data, []byte(field)) {
+			t.off = true
+		}
+	}
+}
+
+func contentOf(data []byte) string {
+	if c := gjson.GetBytes(data, "choices.0.delta.content"); c.Exists() {
+		return c.String()
+	}
+	return gjson.GetBytes(data, "choices.0.text").String()
+}
+
+// disable rules out resuming.
+func (t *transcript) disable() { t.off = true }
+
+// resumable reports whether an engine could go on from here.
+func (t *transcript) resumable() bool { return !t.off && t.tokens > 0 }
+
+// resume returns the request's body with what the caller has got.
+func (t *transcript) resume(body []byte) ([]byte, error) {
+	t.resumed = true
+	out, err := sjson.SetBytes(body, upstream.FieldResume, upstream.Resume{Text: string(t.text), Tokens: t.tokens})
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer can't be resumed.")
+	}
+	return out, nil
+}
+
+// resumableRequest reports whether a request's answer is one sequence of
+// tokens in the engines' format.
+func resumableRequest(req *Request) bool {
+	if !req.Stream || req.Once || !strings.HasPrefix(req.Path, "/v1/") {
+		return false
+	}
+	n := gjson.GetBytes(req.Body, "n")
+	return !n.Exists() || n.Int() == 1
+}
+
+// usageOf returns the token counts that an answer states.
+func usageOf(body []byte) (prompt, answer int64) {
+	var parsed struct {
+		Usage struct {
+			PromptTokens     int64 `json:"prompt_tokens"`
+			CompletionTokens int64 `json:"completion_tokens"`
+		} `json:"usage"`
+	}
+	if err := json.Unmarshal(body, &parsed); err != nil {
+		return 0, 0
+	}
+	return parsed.Usage.PromptTokens, parsed.Usage.CompletionTokens
+}
--- a/online/try.go
+++ b/online/try.go
@@ -1,31 +1,19 @@
 package online
 
 import (
-	"bufio"
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
-	"net/http"
-	"strings"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
-// endMarker is the data of the event that ends a whole stream.
-const endMarker = "[DONE]"
-
-// maxAnswerBytes bounds an answer that is not streamed.
-const maxAnswerBytes = 64 << 20
-
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
-
 // try carries the state of a request over its tries.
 type try struct {
 	runner  *Runner
@@ -33,57 +21,155 @@
 	fp      quarantine.Fingerprint
 	sink    Sink
 	exclude []string
-	begun   bool
+	// begun says that a part of the answer has reached the caller.
+	begun bool
+	// mayHaveRun says that some try may have run the request.
+	mayHaveRun bool
+	// last is how the try before ended.
+	last error
+	// sent is what the caller has of a streamed answer.
+	sent transcript
 }
 
 // once sends the request to one upstream and relays the answer.
 func (t *try) once(ctx context.Context) error {
-	choice, err := t.runner.Balancer.Choose(routing.Ask{
-		Doc: t.req.Doc, Tokens: t.req.Tokens, Prefix: t.req.Prefix, Exclude: t.exclude,
-	})
+	ask, release, err := t.ask(ctx)
+	if err != nil {
+		return err
+	}
+	defer release()
+	choice, err := t.runner.Balancer.Choose(ask)
 	if err != nil {
 		return err
 	}
 	name := choice.Upstream.Name
 	t.exclude = append(t.exclude, name)
+	if t.last != nil {
+		t.runner.count(t.req, accounting.Retries, string(verdict.As(t.last).Code), 1)
+		t.runner.record(t.req, EventRetried, name, t.last.Error())
+	}
 	t.runner.record(t.req, EventSent, name, choice.Cause)
 	t.runner.Guard.Started(t.req.Doc.Name, name, t.fp)
 	outcome := t.send(ctx, choice)
-	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, endOf(ctx, outcome.Err))
 	choice.Done(outcome)
+	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, endOf(ctx, outcome.Err))
+	if outcome.Err != nil {
+		t.note(outcome.Err)
+	}
 	return outcome.Err
 }
 
+// ask says where the request may go: a suspect runs alone on the upstream that
+// is reserved for it, and every other request keeps away from reserved ones.
+func (t *try) ask(ctx context.Context) (routing.Ask, func(), error) {
+	ask := routing.Ask{Doc: t.req.Doc, Tokens: t.req.Tokens, Prefix: t.req.Prefix}
+	alone, err := t.runner.Guard.Check(t.req.Doc.Name, t.fp)
+	if err != nil {
+		return ask, nil, err
+	}
+	if !alone {
+		ask.Exclude = slices.Concat(t.exclude, t.runner.Guard.Reserved(t.req.Doc.Name))
+		return ask, func() {}, nil
+	}
+	reserved, err := t.runner.Guard.Reserve(ctx, t.req.Doc, t.fp)
+	if err != nil {
+		return ask, nil, err
+	}
+	for i := range t.req.Doc.Upstreams {
+		if name := t.req.Doc.Upstreams[i].Name; name != reserved.Upstream {
+			ask.Exclude = append(ask.Exclude, name)
+		}
+	}
+	return ask, reserved.Release, nil
+}
+
+// note keeps what a failed try means for the request's verdict and cost.
+func (t *try) note(err error) {
+	e := verdict.As(err)
+	if e.Verdict == verdict.NotRun {
+		return
+	}
+	t.mayHaveRun = true
+	t.runner.count(t.req, accounting.WastedRuns, string(e.Code), 1)
+	if !t.sent.resumable() {
+		t.runner.count(t.req, accounting.WastedTokens, string(e.Code), t.sent.tokens)
+	}
+}
+
+// final returns the error of a request whose last try ended with err: it is
+// not run only if no try may have run it.
+func (t *try) final(err error) error {
+	if !t.mayHaveRun || verdict.Of(err) != verdict.NotRun {
+		return err
+	}
+	e := *verdict.As(err)
+	return verdict.Wrap(err, verdict.MayHaveRun, e.Code, "%s An earlier try may have run.", e.Message).
+		WithParam(e.Param).WithRetryAfter(e.RetryAfter)
+}
+
 func (t *try) send(ctx context.Context, choice *routing.Choice) routing.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	body, err := t.body()
+	if err != nil {
+		return routing.Outcome{Err: err}
+	}
+	bill := t.runner.bill(t.req, &choice.Upstream)
+	if err := bill.request(body); err != nil {
+		return routing.Outcome{Err: err}
+	}
+	defer bill.close()
+	start := t.runner.Clock.Now()
 	res, err := t.runner.Client.Send(ctx, &choice.Upstream, &upstream.Request{
-		ID: t.req.ID, Method: t.req.Method, Path: t.req.Path, Header: t.req.Header, Body: t.req.Body,
+		ID: t.req.ID, Method: t.req.Method, Path: t.req.Path, Header: t.req.Header, Body: body,
 	})
 	if err != nil {
-		return routing.Outcome{Err: err}
+		return t.refused(err, bill)
 	}
 	defer func() { _ = res.Body.Close() }()
-	outcome := routing.Outcome{Load: loadOf(res.Header), Leaving: res.Header.Get(upstream.HeaderLeaving) != ""}
-	outcome.Err = t.relay(res, choice.Upstream.Name)
+	outcome := routing.Outcome{Load: loadOf(res.Header.Get(upstream.HeaderLoad)), Leaving: res.Header.Get(upstream.HeaderLeaving) != ""}
+	res.Body = bill.answer(res.Body)
+	first := func() { outcome.FirstToken = t.runner.Clock.Since(start) }
+	outcome.Err = t.relay(res, choice.Upstream.Name, first)
 	return outcome
 }
 
+// refused returns the outcome of a request without an answer.
+func (t *try) refused(err error, bill *bill) routing.Outcome {
+	outcome := routing.Outcome{Err: err}
+	var status *upstream.StatusError
+	if errors.As(err, &status) {
+		outcome.Load = loadOf(status.Header.Get(upstream.HeaderLoad))
+		outcome.Leaving = status.Header.Get(upstream.HeaderLeaving) != ""
+	} else if verdict.Of(err) == verdict.NotRun {
+		bill.refund()
+	}
+	return outcome
+}
+
+// body returns the request's body, or one that goes on from what the caller
+// has already got.
+func (t *try) body() ([]byte, error) {
+	if t.sent.tokens == 0 {
+		return t.req.Body, nil
+	}
+	return t.sent.resume(t.req.Body)
+}
+
 // endOf tells the guard what an error says of the upstream.
 func endOf(ctx context.Context, err error) quarantine.End {
 	var status *upstream.StatusError
 	switch {
 	case err == nil, errors.As(err, &status) && !status.Refusal:
 		return quarantine.Finished
-	case ctx.Err() != nil, errors.As(err, &status), verdict.As(err).Code == verdict.CodeCancelled:
+	case ctx.Err() != nil, verdict.Of(err) == verdict.NotRun, verdict.As(err).Code == verdict.CodeCancelled:
 		return quarantine.Abandoned
 	default:
 		return quarantine.Lost
 	}
 }
 
-func loadOf(h http.Header) *upstream.Load {
-	text := h.Get(upstream.HeaderLoad)
+func loadOf(text string) *upstream.Load {
 	if text == "" {
 		return nil
 	}
@@ -93,55 +179,3 @@
 	}
 	return &l
 }
-
-func (t *try) relay(res *upstream.Response, name string) error {
-	if res.Status >= http.StatusInternalServerError {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered with status %d.", name, res.Status)
-	}
-	if strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
-		return t.relayStream(res, name)
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
-	if err != nil {
-		return incomplete(err, name)
-	}
-	t.begun = true
-	if err := t.sink.Begin(res.Status, res.Header); err != nil {
-		return err
-	}
-	return t.sink.Write(body)
-}
-
-func incomplete(err error, name string) error {
-	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer of upstream %s ended early.", name)
-}
-
-// relayStream passes events on and ends with an explicit error event when the
-// stream ends without its end marker.
-func (t *try) relayStream(res *upstream.Response, name string) error {
-	lines := bufio.NewScanner(res.Body)
-	lines.Buffer(nil, maxEventBytes)
-	for lines.Scan() {
-		line := lines.Bytes()
-		if len(line) == 0 {
-			continue
-		}
-		if !t.begun {
-			t.begun = true
-			if err := t.sink.Begin(res.Status, res.Header); err != nil {
-				return err
-			}
-		}
-		if err := t.sink.Write(append(bytes.Clone(line), '\n', '\n')); err != nil {
-			return err
-		}
-		if string(line) == "data: "+endMarker {
-			return nil
-		}
-	}
-	err := incomplete(errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF), name)
-	if t.begun {
-		return errors.CombineErrors(err, t.sink.Write(errorEvent(err)))
-	}
-	return err
-}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,7 +1,15 @@
-// Package retry decides whether a failed try is made again.
+// Package retry decides whether a failed try is made again, and keeps the
+// budget from which tries after the first are spent.
 package retry
 
-import "github.com/comfreyspindle/comfreyspindle/verdict"
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// minLeft is the least time before the deadline that is worth a try.
+const minLeft = 20 * time.Millisecond
 
 // State is what a decision depends on.
 type State struct {
@@ -12,16 +20,58 @@
 	MaxTries int
 	// Once marks a request that may run at most once.
 	Once bool
-	// Begun says that a part of the answer has reached the caller.
-	Begun bool
-	// Budget says that the retry budget has room.
-	Budget bool
+	// Begun says that a part of the answer has reached the caller; Resumable
+	// says that another upstream can go on from there.
+	Begun     bool
+	Resumable bool
+	// Left is the time until the request's deadline.
+	Left time.Duration
+}
+
+// Reason says why a request is not tried again.
+type Reason string
+
+// Reasons against another try.
+const (
+	ReasonNone   Reason = ""
+	ReasonTries  Reason = "tries used up"
+	ReasonTime   Reason = "no time left"
+	ReasonBegun  Reason = "answer begun"
+	ReasonOnce   Reason = "may run at most once"
+	ReasonFinal  Reason = "error is final"
+	ReasonBudget Reason = "retry budget used up"
+)
+
+// Decide returns ReasonNone when the request may be tried again, budget apart.
+func Decide(s State) Reason {
+	e := verdict.As(s.Err)
+	switch {
+	case final(e):
+		return ReasonFinal
+	case s.Once && e.Verdict != verdict.NotRun:
+		return ReasonOnce
+	case s.Begun && !s.Resumable:
+		return ReasonBegun
+	case s.Tries >= s.MaxTries:
+		return ReasonTries
+	case s.Left < minLeft:
+		return ReasonTime
+	default:
+		return ReasonNone
+	}
 }
 
-// Again reports whether the request may be tried again.
-func Again(s State) bool {
-	if s.Tries >= s.MaxTries || s.Begun || !s.Budget {
-		return false
+// final reports whether an error can't change with another try.
+func final(e *verdict.Error) bool {
+	if e == nil {
+		return true
+	}
+	switch e.Code {
+	case verdict.CodeUpstreamFailed, verdict.CodeIncomplete:
+		return e.Verdict == verdict.Ran
+	case verdict.CodeCeiling:
+		return e.Verdict == verdict.Ran
+	default:
+		return true
 	}
-	return verdict.Of(s.Err) == verdict.NotRun || !s.Once && verdict.Of(s.Err) == verdict.MayHaveRun
 }
--- a/upstream/upstreamtest/handler.go
+++ b/upstream/upstreamtest/handler.go
@@ -57,6 +57,9 @@
 	load, _ := json.Marshal(e.lagged())
 	w.Header().Set(upstream.HeaderRequestID, s.id)
 	w.Header().Set(upstream.HeaderLoad, string(load))
+	if s.next > 0 {
+		w.Header().Set(upstream.HeaderResumed, strconv.Itoa(s.next))
+	}
 	if !e.enqueue(s) {
 		w.Header().Set(upstream.HeaderLeaving, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/upstream/upstreamtest/steps.go
+++ b/upstream/upstreamtest/steps.go
@@ -67,6 +67,10 @@
 	if e.down || e.leaving {
 		return false
 	}
+	if s.next >= s.end {
+		s.finish(nil)
+		return true
+	}
 	e.waiting = append(e.waiting, s)
 	select {
 	case e.wake <- struct{}{}:
