--- a/online/online.go
+++ b/online/online.go
@@ -97,7 +97,7 @@
 }
 
 func (r *Runner) admitted(ctx context.Context, req *Request, sink Sink) error {
-	fp := quarantine.FingerprintOf(req.Doc.Name, req.Body)
+	fp := fingerprintOf(req)
 	if _, err := r.Guard.Check(req.Doc.Name, fp); err != nil {
 		return err
 	}
@@ -113,6 +113,13 @@
 	return r.tries(ctx, req, fp, sink)
 }
 
+func fingerprintOf(req *Request) quarantine.Fingerprint {
+	if req.Doc.Kind == service.KindPlain {
+		return quarantine.FingerprintOfPath(req.Doc.Name, req.Method+" "+req.Path, req.Body)
+	}
+	return quarantine.FingerprintOf(req.Doc.Name, req.Body)
+}
+
 // claim makes the request's claim in the ledger where it may run at most once.
 func (r *Runner) claim(ctx context.Context, req *Request) error {
 	if !req.Once {
--- a/online/try.go
+++ b/online/try.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -21,10 +22,14 @@
 	fp      quarantine.Fingerprint
 	sink    Sink
 	exclude []string
+	// status is that of the last answer.
+	status int
 	// begun says that a part of the answer has reached the caller.
 	begun bool
 	// mayHaveRun says that some try may have run the request.
 	mayHaveRun bool
+	// reserved is the upstream that is kept for this try; mostly empty.
+	reserved string
 	// last is how the try before ended.
 	last error
 	// sent is what the caller has of a streamed answer.
@@ -38,7 +43,7 @@
 		return err
 	}
 	defer release()
-	choice, err := t.runner.Balancer.Choose(ask)
+	choice, err := t.choose(ask)
 	if err != nil {
 		return err
 	}
@@ -52,17 +57,33 @@
 	t.runner.Guard.Started(t.req.Doc.Name, name, t.fp)
 	outcome := t.send(ctx, choice)
 	choice.Done(outcome)
-	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, endOf(ctx, outcome.Err))
+	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, t.endOf(ctx, outcome.Err))
 	if outcome.Err != nil {
 		t.note(outcome.Err)
 	}
 	return outcome.Err
 }
 
+// choose returns the upstream of the try. A reserved upstream serves its
+// suspect also when the balancer holds it back.
+func (t *try) choose(ask routing.Ask) (*routing.Choice, error) {
+	choice, err := t.runner.Balancer.Choose(ask)
+	if err == nil || t.reserved == "" {
+		return choice, err
+	}
+	for i := range ask.Doc.Upstreams {
+		if u := &ask.Doc.Upstreams[i]; u.Name == t.reserved {
+			return &routing.Choice{Upstream: *u, Cause: "runs alone", Done: func(routing.Outcome) {}}, nil
+		}
+	}
+	return nil, err
+}
+
 // ask says where the request may go: a suspect runs alone on the upstream that
 // is reserved for it, and every other request keeps away from reserved ones.
 func (t *try) ask(ctx context.Context) (routing.Ask, func(), error) {
 	ask := routing.Ask{Doc: t.req.Doc, Tokens: t.req.Tokens, Prefix: t.req.Prefix}
+	t.reserved = ""
 	alone, err := t.runner.Guard.Check(t.req.Doc.Name, t.fp)
 	if err != nil {
 		return ask, nil, err
@@ -75,6 +96,7 @@
 	if err != nil {
 		return ask, nil, err
 	}
+	t.reserved = reserved.Upstream
 	for i := range t.req.Doc.Upstreams {
 		if name := t.req.Doc.Upstreams[i].Name; name != reserved.Upstream {
 			ask.Exclude = append(ask.Exclude, name)
@@ -129,6 +151,7 @@
 	defer func() { _ = res.Body.Close() }()
 	outcome := routing.Outcome{Load: loadOf(res.Header.Get(upstream.HeaderLoad)), Leaving: res.Header.Get(upstream.HeaderLeaving) != ""}
 	res.Body = bill.answer(res.Body)
+	t.status = res.Status
 	first := func() { outcome.FirstToken = t.runner.Clock.Since(start) }
 	outcome.Err = t.relay(res, choice.Upstream.Name, first)
 	return outcome
@@ -156,13 +179,16 @@
 	return t.sent.resume(t.req.Body)
 }
 
-// endOf tells the guard what an error says of the upstream.
-func endOf(ctx context.Context, err error) quarantine.End {
+// endOf tells the guard what an outcome says of the upstream. Statuses by which
+// an upstream turns work away, and errors of its own, tell nothing.
+func (t *try) endOf(ctx context.Context, err error) quarantine.End {
 	var status *upstream.StatusError
 	switch {
-	case err == nil, errors.As(err, &status) && !status.Refusal:
+	case err == nil && t.status != http.StatusTooManyRequests && t.status != http.StatusRequestTimeout:
 		return quarantine.Finished
-	case ctx.Err() != nil, verdict.Of(err) == verdict.NotRun, verdict.As(err).Code == verdict.CodeCancelled:
+	case err == nil, ctx.Err() != nil, errors.As(err, &status), verdict.Of(err) == verdict.NotRun:
+		return quarantine.Abandoned
+	case verdict.As(err).Code == verdict.CodeCancelled, verdict.As(err).Code == verdict.CodeCeiling:
 		return quarantine.Abandoned
 	default:
 		return quarantine.Lost
--- /dev/null
+++ b/quarantine/fingerprint.go
@@ -0,0 +1,97 @@
+package quarantine
+
+import (
+	"bytes"
+	"encoding/binary"
+	"math"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
+)
+
+// Fingerprint identifies a request by service and canonical body.
+type Fingerprint uint64
+
+// volatileFields of a body say nothing of the work that an engine does.
+var volatileFields = []string{
+	"user", "metadata", "stream", "stream_options", "store", "safety_identifier", "prompt_cache_key", "service_tier", "resume",
+}
+
+// FingerprintOf returns the fingerprint of a request to an engine. Bodies that
+// differ only in white space, the order of keys or volatile fields have the
+// same one.
+func FingerprintOf(service string, body []byte) Fingerprint {
+	return FingerprintOfPath(service, "", body)
+}
+
+// FingerprintOfPath returns the fingerprint of a request to a plain service,
+// whose path says what it does.
+func FingerprintOfPath(service, path string, body []byte) Fingerprint {
+	h := xxhash.New()
+	_, _ = h.WriteString(service)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(path)
+	_, _ = h.Write([]byte{0})
+	var sum [8]byte
+	binary.LittleEndian.PutUint64(sum[:], bodySum(body))
+	_, _ = h.Write(sum[:])
+	return Fingerprint(h.Sum64())
+}
+
+func bodySum(body []byte) uint64 {
+	body = bytes.TrimSpace(body)
+	if len(body) == 0 || body[0] != '{' || !gjson.ValidBytes(body) {
+		return xxhash.Sum64(body)
+	}
+	return objectSum(gjson.ParseBytes(body), true)
+}
+
+// objectSum adds up the members' sums, so that their order does not count.
+func objectSum(object gjson.Result, top bool) uint64 {
+	sum := uint64(0)
+	object.ForEach(func(key, value gjson.Result) bool {
+		if !top || !isVolatile(key.String()) {
+			sum += mix(xxhash.Sum64String(key.String()), valueSum(value))
+		}
+		return true
+	})
+	return mix('{', sum)
+}
+
+func isVolatile(key string) bool {
+	for _, name := range volatileFields {
+		if strings.EqualFold(name, key) {
+			return true
+		}
+	}
+	return false
+}
+
+func valueSum(v gjson.Result) uint64 {
+	switch {
+	case v.IsObject():
+		return objectSum(v, false)
+	case v.IsArray():
+		sum := uint64('[')
+		v.ForEach(func(_, item gjson.Result) bool {
+			sum = mix(sum, valueSum(item))
+			return true
+		})
+		return sum
+	case v.Type == gjson.Number:
+		return mix('0', math.Float64bits(v.Num))
+	case v.Type == gjson.String:
+		return mix('"', xxhash.Sum64String(v.String()))
+	default:
+		return mix('l', xxhash.Sum64String(v.Raw))
+	}
+}
+
+// mix hashes a pair.
+func mix(a, b uint64) uint64 {
+	var pair [16]byte
+	binary.LittleEndian.PutUint64(pair[:8], a)
+	binary.LittleEndian.PutUint64(pair[8:], b)
+	return xxhash.Sum64(pair[:])
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -4,24 +4,10 @@
 import (
 	"context"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
-// Fingerprint identifies a request by service and canonical body.
-type Fingerprint uint64
-
-// FingerprintOf returns the fingerprint of a request.
-func FingerprintOf(service string, body []byte) Fingerprint {
-	h := xxhash.New()
-	_, _ = h.WriteString(service)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(body)
-	return Fingerprint(h.Sum64())
-}
-
 // Guard watches what runs where and decides what may run.
 type Guard interface {
 	// Check returns an error with verdict NotRun for a confirmed request, and
@@ -51,14 +37,13 @@
 type End uint8
 
 const (
-	// Abandoned means that the request was cancelled, timed out or refused;
-	// it tells nothing.
+	// Abandoned means that the request was cancelled, timed out or turned
+	// away; it tells nothing.
 	Abandoned End = iota
-	// Finished means that the upstream answered the whole request, be it with
-	// an error of its own.
+	// Finished means that the upstream ran the request to its end.
 	Finished
 	// Lost means that the connection broke after bytes of the request were
-	// sent, or that the upstream could not be reached.
+	// sent.
 	Lost
 )
 
--- /dev/null
+++ b/quarantine/spread.go
@@ -0,0 +1,280 @@
+package quarantine
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// PeerName is the name under which hosts serve each other's notices.
+const PeerName = "Quarantine"
+
+const (
+	keyConfirmed = "quarantine/"
+	// pullInterval is the time between two pulls of a peer's whole state.
+	pullInterval = 30 * time.Second
+	watchWait    = 30 * time.Second
+	storeBackoff = 5 * time.Second
+	// maxSwaps bounds the tries to write the confirmed requests of a service.
+	maxSwaps = 5
+	// maxTold bounds the calls to peers under way for one notice.
+	maxTold = 32
+)
+
+// Notice is what a host learned.
+type Notice struct {
+	Service   string
+	Crash     *Crash
+	Cleared   []Fingerprint
+	Confirmed []Confirmed
+}
+
+// Ack is the empty reply.
+type Ack struct{}
+
+// Peer serves the calls of other hosts.
+type Peer struct{ watch *Watch }
+
+// Peer returns the receiver that is registered under PeerName.
+func (w *Watch) Peer() *Peer { return &Peer{watch: w} }
+
+// Tell takes a notice.
+func (p *Peer) Tell(n Notice, _ *Ack) error {
+	p.watch.apply(n)
+	return nil
+}
+
+// Pull returns all confirmed requests.
+func (p *Peer) Pull(_ Ack, out *[]Notice) error {
+	p.watch.mu.RLock()
+	defer p.watch.mu.RUnlock()
+	for _, name := range p.watch.state.Services() {
+		*out = append(*out, Notice{Service: name, Confirmed: p.watch.state.Confirmed(name)})
+	}
+	return nil
+}
+
+func (w *Watch) apply(n Notice) {
+	doc, ok := w.Document(n.Service)
+	if !ok || !doc.Quarantine.Enabled {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n.Crash != nil {
+		// The sender confirms; here the crash only implicates.
+		c := *n.Crash
+		c.Trial = 0
+		w.losses[place{c.Service, c.Upstream}] = loss{at: w.Clock.Now()}
+		w.state.Crashed(c, doc.Quarantine.Duration)
+	}
+	for _, f := range n.Cleared {
+		w.state.Finished(n.Service, f)
+	}
+	for _, c := range n.Confirmed {
+		if c.Until.After(w.Clock.Now()) {
+			w.state.Confirm(n.Service, c)
+		}
+	}
+}
+
+// others returns the other hosts of the data centre.
+func (w *Watch) others() []membership.Host {
+	self := w.View.Self()
+	var out []membership.Host
+	for _, h := range w.View.Local() {
+		if h.Name != self.Name {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// tell sends a notice to the hosts of the data centre and waits for their
+// replies, but not long.
+func (w *Watch) tell(n Notice) {
+	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+	defer cancel()
+	w.each(ctx, func(ctx context.Context, h membership.Host) {
+		if err := w.Caller.Call(ctx, h.PeerAddress, PeerName+".Tell", n, &Ack{}); err != nil {
+			w.Log.WithError(err).WithField("peer", h.Name).Debug("quarantine notice not delivered")
+		}
+	})
+}
+
+// each calls do for every other host of the data centre, some at a time.
+func (w *Watch) each(ctx context.Context, do func(context.Context, membership.Host)) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, maxTold)
+	for _, h := range w.others() {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			do(ctx, h)
+			<-slots
+		}()
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	wg.Wait()
+}
+
+// publish writes the confirmed requests of a service for the other data
+// centres.
+func (w *Watch) publish(name string) {
+	if w.Store == nil {
+		return
+	}
+	ctx := platform.WithPurpose(context.Background(), platform.PurposeQuarantine)
+	for range maxSwaps {
+		err := w.swapConfirmed(ctx, name)
+		if err == nil {
+			return
+		}
+		w.Log.WithError(err).WithField("service", name).Warn("confirmed requests not written")
+		if !errors.Is(err, platform.ErrConflict) {
+			w.Clock.Sleep(storeBackoff)
+		}
+	}
+}
+
+func (w *Watch) swapConfirmed(ctx context.Context, name string) error {
+	key := keyConfirmed + name
+	record, err := platform.Read(ctx, w.Store, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	w.merge(name, record.Payload)
+	w.mu.RLock()
+	text, err := json.Marshal(w.state.Confirmed(name))
+	w.mu.RUnlock()
+	if err != nil {
+		return errors.Wrap(err, "encode confirmed requests")
+	}
+	_, err = platform.Swap(ctx, w.Store, platform.Put{Key: key, Value: text, If: record.Version})
+	return err
+}
+
+// merge takes the confirmed requests that other data centres wrote.
+func (w *Watch) merge(name string, payload []byte) {
+	var list []Confirmed
+	if len(payload) == 0 {
+		return
+	}
+	if err := json.Unmarshal(payload, &list); err != nil {
+		w.Log.WithError(err).WithField("service", name).Warn("confirmed requests not readable")
+		return
+	}
+	w.apply(Notice{Service: name, Confirmed: list})
+}
+
+// Serve keeps in step with the other hosts until ctx ends. One host of the
+// data centre watches the platform's service; the others pull from it, so that
+// a lost notice is made good.
+func (w *Watch) Serve(ctx context.Context) error {
+	ctx = platform.WithPurpose(ctx, platform.PurposeQuarantine)
+	for ctx.Err() == nil {
+		relay := membership.Rendezvous(w.View.Local(), PeerName, 1)
+		if len(relay) == 0 || relay[0].Name == w.View.Self().Name {
+			if w.watchStore(ctx) == nil {
+				continue
+			}
+			w.pause(ctx, storeBackoff)
+			continue
+		}
+		w.pull(ctx, relay[0])
+		w.pause(ctx, pullInterval)
+	}
+	return ctx.Err()
+}
+
+// String names the service in supervisor events.
+func (w *Watch) String() string { return "quarantine" }
+
+func (w *Watch) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-w.Clock.After(d):
+	case <-ctx.Done():
+	}
+}
+
+func (w *Watch) pull(ctx context.Context, from membership.Host) {
+	var notices []Notice
+	if err := w.Caller.Call(ctx, from.PeerAddress, PeerName+".Pull", Ack{}, &notices); err != nil {
+		w.Log.WithError(err).WithField("peer", from.Name).Debug("confirmed requests not pulled")
+		return
+	}
+	for _, n := range notices {
+		w.apply(n)
+	}
+}
+
+// watchStore reads what is stored and follows changes until it is no longer
+// the relay, which it checks after each wait.
+func (w *Watch) watchStore(ctx context.Context) error {
+	if w.Store == nil {
+		w.pause(ctx, pullInterval)
+		return nil
+	}
+	begin, err := w.Store.Watch(ctx, platform.Watch{Key: keyConfirmed, Prefix: true})
+	if err != nil {
+		return err
+	}
+	w.readStored(ctx)
+	after := begin.Through
+	for ctx.Err() == nil {
+		changes, err := w.Store.Watch(ctx, platform.Watch{Key: keyConfirmed, Prefix: true, After: after, Wait: watchWait})
+		if err != nil {
+			return err
+		}
+		after = changes.Through
+		for _, e := range changes.Events {
+			w.stored(e)
+		}
+		relay := membership.Rendezvous(w.View.Local(), PeerName, 1)
+		if len(relay) > 0 && relay[0].Name != w.View.Self().Name {
+			return nil
+		}
+	}
+	return ctx.Err()
+}
+
+// readStored reads the keys of all services in force.
+func (w *Watch) readStored(ctx context.Context) {
+	for _, name := range w.Services() {
+		record, err := platform.Read(ctx, w.Store, keyConfirmed+name)
+		if err == nil {
+			w.merge(name, record.Payload)
+		}
+	}
+}
+
+// stored takes a changed key and passes it on to the data centre.
+func (w *Watch) stored(e platform.Event) {
+	if e.Deleted {
+		return
+	}
+	record, err := platform.RecordOf(e.Entry)
+	if err != nil {
+		w.Log.WithError(err).Warn("confirmed requests not readable")
+		return
+	}
+	name := strings.TrimPrefix(e.Key, keyConfirmed)
+	w.merge(name, record.Payload)
+	w.mu.RLock()
+	n := Notice{Service: name, Confirmed: w.state.Confirmed(name)}
+	w.mu.RUnlock()
+	w.tell(n)
+}
--- /dev/null
+++ b/quarantine/watch_test.go
@@ -0,0 +1,292 @@
+package quarantine_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// hosts are the watches of one data centre; calls between them go straight to
+// the receiver.
+type hosts struct {
+	t       *testing.T
+	watches map[string]*quarantine.Watch
+	doc     *service.Document
+
+	mu   sync.Mutex
+	dead map[string]bool
+}
+
+func (h *hosts) Call(_ context.Context, address, method string, args, reply any) error {
+	w, ok := h.watches[address]
+	if !ok {
+		return errors.New("no such host")
+	}
+	switch method {
+	case quarantine.PeerName + ".Tell":
+		return w.Peer().Tell(args.(quarantine.Notice), reply.(*quarantine.Ack))
+	case quarantine.PeerName + ".Reserve":
+		return w.Peer().Reserve(args.(quarantine.ReserveCall), reply.(*quarantine.ReserveReply))
+	case quarantine.PeerName + ".Pull":
+		return w.Peer().Pull(args.(quarantine.Ack), reply.(*[]quarantine.Notice))
+	default:
+		return errors.Newf("unknown method %s", method)
+	}
+}
+
+func (h *hosts) setDead(upstream string, dead bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.dead[upstream] = dead
+}
+
+func startHosts(t *testing.T, dataCentre string, store *platformtest.Store, upstreams int, names ...string) *hosts {
+	h := &hosts{t: t, watches: make(map[string]*quarantine.Watch), dead: make(map[string]bool), doc: &service.Document{
+		Name: "s", Quarantine: service.Quarantine{Enabled: true, Duration: time.Hour}, Routing: service.Routing{RequestTimeout: time.Minute},
+	}}
+	for i := range upstreams {
+		h.doc.Upstreams = append(h.doc.Upstreams, service.Upstream{Name: string(rune('p' + i)), DataCentre: dataCentre})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	var all []membership.Host
+	for _, n := range names {
+		all = append(all, membership.Host{Name: n, DataCentre: dataCentre, PeerAddress: n})
+	}
+	for i, n := range names {
+		view := membership.NewStatic(all[i], append(append([]membership.Host{}, all[:i]...), all[i+1:]...)...)
+		h.watches[n] = quarantine.NewWatch(quarantine.Options{
+			DataCentre: dataCentre, View: view, Caller: h, Store: store,
+			Alive: func(_ context.Context, u *service.Upstream) bool {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				return !h.dead[u.Name]
+			},
+			Document: func(string) (*service.Document, bool) { return h.doc, true },
+			Services: func() []string { return []string{"s"} },
+			Events:   timeline.NewRecorder(n, timeline.NewClock(clockwork.NewRealClock()), 64),
+			Clock:    clockwork.NewRealClock(), Log: logrus.NewEntry(log),
+		})
+	}
+	return h
+}
+
+// crash runs requests on an upstream through a host and loses it.
+func (h *hosts) crash(host, upstream string, requests ...quarantine.Fingerprint) {
+	w := h.watches[host]
+	for _, f := range requests {
+		w.Started("s", upstream, f)
+	}
+	h.setDead(upstream, true)
+	for _, f := range requests {
+		w.Ended("s", upstream, f, quarantine.Lost)
+	}
+	h.setDead(upstream, false)
+}
+
+func (h *hosts) check(host string, f quarantine.Fingerprint) (bool, verdict.Code) {
+	alone, err := h.watches[host].Check("s", f)
+	if err != nil {
+		require.Equal(h.t, verdict.NotRun, verdict.Of(err))
+		return alone, verdict.As(err).Code
+	}
+	return alone, ""
+}
+
+const killer, innocent = quarantine.Fingerprint(1), quarantine.Fingerprint(2)
+
+func TestSuspicionSpreadsBeforeTheAnswer(t *testing.T) {
+	store := platformtest.NewStore(clockwork.NewRealClock())
+	h := startHosts(t, "a", store, 12, "x", "y", "z")
+	far := startHosts(t, "b", store, 12, "v", "w")
+	ctx, cancel := context.WithCancel(t.Context())
+	var served sync.WaitGroup
+	for _, w := range far.watches {
+		served.Add(1)
+		go func() {
+			defer served.Done()
+			_ = w.Serve(ctx)
+		}()
+	}
+	defer served.Wait()
+	defer cancel()
+
+	h.crash("x", "p", killer, innocent)
+	alone, _ := h.check("z", killer)
+	require.False(t, alone)
+	h.crash("y", "q", killer, 3)
+	for host := range h.watches {
+		alone, code := h.check(host, killer)
+		require.True(t, alone, host)
+		require.Empty(t, code)
+		alone, _ = h.check(host, innocent)
+		require.False(t, alone, host)
+	}
+	r, err := h.watches["z"].Reserve(t.Context(), h.doc, killer)
+	require.NoError(t, err)
+	require.Equal(t, []string{r.Upstream}, h.watches["x"].Reserved("s"))
+	h.crash("z", r.Upstream, killer)
+	r.Release()
+	for host := range h.watches {
+		_, code := h.check(host, killer)
+		require.Equal(t, verdict.CodeQuarantined, code, host)
+		_, code = h.check(host, innocent)
+		require.Empty(t, code, host)
+	}
+	require.Eventually(t, func() bool { return len(h.watches["x"].Reserved("s")) == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		for host := range far.watches {
+			if _, code := far.check(host, killer); code != verdict.CodeQuarantined {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+func TestAnAnswerClears(t *testing.T) {
+	h := startHosts(t, "a", nil, 12, "x", "y")
+	h.crash("x", "p", killer, innocent)
+	h.crash("x", "q", killer, innocent)
+	alone, _ := h.check("y", innocent)
+	require.True(t, alone)
+	h.watches["x"].Started("s", "r", innocent)
+	h.watches["x"].Ended("s", "r", innocent, quarantine.Finished)
+	require.Eventually(t, func() bool {
+		alone, _ := h.check("y", innocent)
+		return !alone
+	}, 5*time.Second, time.Millisecond)
+	h.watches["x"].Started("s", "r", killer)
+	h.watches["x"].Ended("s", "r", killer, quarantine.Abandoned)
+	alone, _ = h.check("y", killer)
+	require.True(t, alone)
+}
+
+func TestBrokenRequestIsNoCrash(t *testing.T) {
+	rows := map[string]struct {
+		broken, running int
+		dead            bool
+		crash           bool
+	}{
+		"one of several":                 {broken: 1, running: 3},
+		"the only one, upstream alive":   {broken: 1},
+		"several of more":                {broken: 2, running: 1},
+		"all together, upstream is back": {broken: 3, crash: true},
+		"no sign of life":                {broken: 1, running: 3, dead: true, crash: true},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			h := startHosts(t, "a", nil, 12, "x")
+			for _, upstream := range []string{"p", "q"} {
+				w := h.watches["x"]
+				h.setDead(upstream, row.dead)
+				for i := range row.broken + row.running {
+					w.Started("s", upstream, quarantine.Fingerprint(1+i))
+				}
+				for i := range row.broken {
+					w.Ended("s", upstream, quarantine.Fingerprint(1+i), quarantine.Lost)
+				}
+			}
+			alone, _ := h.check("x", 1)
+			require.Equal(t, row.crash, alone)
+		})
+	}
+}
+
+func TestReservationsDoNotMeet(t *testing.T) {
+	h := startHosts(t, "a", nil, 8, "x", "y", "z")
+	var mu sync.Mutex
+	held := make(map[string]bool)
+	var wg sync.WaitGroup
+	for name, w := range h.watches {
+		for i := range 4 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				r, err := w.Reserve(t.Context(), h.doc, quarantine.Fingerprint(i+1))
+				if err != nil {
+					t.Errorf("host %s: %v", name, err)
+					return
+				}
+				mu.Lock()
+				if held[r.Upstream] {
+					t.Errorf("upstream %s is held twice", r.Upstream)
+				}
+				held[r.Upstream] = true
+				mu.Unlock()
+				time.Sleep(5 * time.Millisecond)
+				mu.Lock()
+				held[r.Upstream] = false
+				mu.Unlock()
+				r.Release()
+			}()
+		}
+	}
+	wg.Wait()
+}
+
+func TestTrialWaitsForOtherWork(t *testing.T) {
+	h := startHosts(t, "a", nil, 2, "x", "y")
+	for _, u := range []string{"p", "q"} {
+		h.watches["y"].Started("s", u, 9)
+	}
+	got := make(chan quarantine.Reservation, 1)
+	go func() {
+		r, err := h.watches["x"].Reserve(t.Context(), h.doc, killer)
+		if err == nil {
+			got <- r
+		}
+	}()
+	require.Eventually(t, func() bool { return len(h.watches["y"].Reserved("s")) == 1 }, 5*time.Second, time.Millisecond)
+	u := h.watches["y"].Reserved("s")[0]
+	require.Empty(t, got)
+	h.watches["y"].Ended("s", u, 9, quarantine.Finished)
+	require.Equal(t, u, (<-got).Upstream)
+}
+
+func TestSoleUpstreamStaysOpen(t *testing.T) {
+	h := startHosts(t, "a", nil, 1, "x", "y")
+	r, err := h.watches["x"].Reserve(t.Context(), h.doc, killer)
+	require.NoError(t, err)
+	require.Equal(t, "p", r.Upstream)
+	require.Empty(t, h.watches["x"].Reserved("s"))
+	require.Empty(t, h.watches["y"].Reserved("s"))
+	r.Release()
+}
+
+func TestFingerprint(t *testing.T) {
+	base := quarantine.FingerprintOf("s", []byte(`{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":5}`))
+	rows := []struct {
+		body string
+		same bool
+	}{
+		{`{"max_tokens":5, "model":"m", "messages":[{"content":"a","role":"user"}]}`, true},
+		{`{"model":"m","messages":[{"role":"user","content":"\u0061"}],"max_tokens":5.0,"user":"u","stream":true,"metadata":{"n":1}}`, true},
+		{`{"model":"m","messages":[{"role":"user","content":"b"}],"max_tokens":5}`, false},
+		{`{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":6}`, false},
+		{`{"model":"m","messages":[{"role":"user","content":"a"},{"role":"user","content":"a"}],"max_tokens":5}`, false},
+		{`{"model":"m","messages":[{"role":"content","user":"a"}],"max_tokens":5}`, false},
+		{`{"model":"m","messages":[{"role":"user","content":"a","user":"x"}],"max_tokens":5}`, false},
+		{`not json`, false},
+		{``, false},
+	}
+	for _, row := range rows {
+		require.Equal(t, row.same, base == quarantine.FingerprintOf("s", []byte(row.body)), row.body)
+	}
+	require.NotEqual(t, base, quarantine.FingerprintOf("other", []byte(`{"model":"m","messages":[{"role":"user","content":"a"}],"max_tokens":5}`)))
+	require.NotEqual(t, quarantine.FingerprintOfPath("s", "/a", nil), quarantine.FingerprintOfPath("s", "/b", nil))
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -46,6 +46,8 @@
 // Client sends requests to upstreams. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
+	// probes uses a new connection each time.
+	probes *http.Client
 }
 
 // ClientOptions bound a Client.
@@ -72,7 +74,24 @@
 	return &Client{http: &http.Client{
 		Transport:     transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-	}}
+	}, probes: &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: o.DialTimeout}).DialContext, DisableKeepAlives: true, Protocols: protocols,
+	}}}
+}
+
+// Alive reports whether an upstream answers at all, with any status, over a
+// new connection.
+func (c *Client) Alive(ctx context.Context, u *service.Upstream) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+u.Address+PathLoad, http.NoBody)
+	if err != nil {
+		return false
+	}
+	res, err := c.probes.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return true
 }
 
 func countedDial(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
