--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -25,7 +25,8 @@
 		Use: "spindlebench", Short: "Generate load, run experiments, show a demo",
 		Example: "  spindlebench demo",
 	}
-	root.AddCommand(newDemoCommand(), newRunCommand(), newListCommand(), newCompareCommand())
+	root.AddCommand(newDemoCommand(), newRunCommand(), newListCommand(), newCompareCommand(),
+		newPlatformCommand(), newEngineCommand())
 	return root
 }
 
--- a/upstream/upstreamtest/engine.go
+++ b/upstream/upstreamtest/engine.go
@@ -15,6 +15,8 @@
 
 // Options shape a stand-in engine.
 type Options struct {
+	// Listen is the address to bind; empty takes a free port on loopback.
+	Listen  string
 	Model   string
 	Version string
 	// MaxRunning bounds the sequences in one step.
@@ -85,11 +87,22 @@
 	}
 	e.order.Model, e.order.Version = o.Model, o.Version
 	e.srv = httptest.NewUnstartedServer(e.handler())
+	if o.Listen != "" {
+		e.srv.Listener = mustListen(o.Listen)
+	}
 	e.srv.Start()
 	go e.loop()
 	return e
 }
 
+func mustListen(address string) net.Listener {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
 // Address returns the engine's IP number and port.
 func (e *Engine) Address() string { return e.srv.Listener.Addr().String() }
 
