--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -7,9 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"text/tabwriter"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/bench/load"
 	"github.com/comfreyspindle/comfreyspindle/examples"
@@ -61,6 +63,15 @@
 	}
 }
 
+// stage is one user's running fleet.
+type stage struct {
+	user   user
+	fleet  *fleet.Fleet
+	doc    *service.Document
+	client *http.Client
+	result result
+}
+
 // result is what one user saw.
 type result struct {
 	alone    *load.Stats
@@ -71,83 +82,155 @@
 
 // Run runs the demo and prints to out.
 func Run(ctx context.Context, out io.Writer, o Options) error {
+	var stages []*stage
+	defer func() {
+		for _, s := range stages {
+			s.fleet.Close()
+		}
+	}()
 	for _, u := range users() {
-		if err := runUser(ctx, out, o, u); err != nil {
+		s, err := newStage(u, o)
+		if err != nil {
 			return err
 		}
+		stages = append(stages, s)
+		fmt.Fprintf(out, "%s: %d hosts in %d data centres, %d replicas of %s\n",
+			u.name, len(s.fleet.Hosts), len(u.places), len(s.fleet.Engines), s.doc.Name)
+	}
+	if err := phases(ctx, out, o, stages); err != nil {
+		return err
 	}
+	for _, s := range stages {
+		s.print(out)
+	}
+	if !o.Keep {
+		return nil
+	}
+	for _, s := range stages {
+		printCurl(out, s.user)
+	}
+	fmt.Fprintln(out, "The fleets stay up until interrupted.")
+	<-ctx.Done()
 	return nil
 }
 
-func runUser(ctx context.Context, out io.Writer, o Options, u user) error {
+func newStage(u user, o Options) (*stage, error) {
 	doc, err := service.Parse(u.name, u.text)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	f, err := fleet.Start(fleet.Spec{Places: u.places, Documents: []*service.Document{doc}})
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer f.Close()
 	for _, h := range f.Hosts {
 		u.chat.Targets = append(u.chat.Targets, h.Node.CallersAddress())
 	}
 	u.job.Target, u.job.Items = u.chat.Targets[0], o.Items
-	fmt.Fprintf(out, "%s: %d hosts in %d data centres, %d replicas of %s\n", u.name, len(f.Hosts), len(u.places), len(f.Engines), doc.Name)
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}
-	r, err := phases(ctx, out, client, o, u)
-	if err != nil {
-		return err
+	s := &stage{user: u, fleet: f, doc: doc, client: load.NewClient()}
+	s.result = result{alone: load.NewStats(), together: load.NewStats()}
+	return s, nil
+}
+
+// phases runs chat alone and then chat with a batch, for all users at once.
+func phases(ctx context.Context, out io.Writer, o Options, stages []*stage) error {
+	fmt.Fprintf(out, "\nchat alone for %s\n", o.Duration)
+	each(stages, func(s *stage) { s.chat(ctx, o.Duration, s.result.alone) })
+	fmt.Fprintf(out, "chat with an evening batch of %d items for each user\n", o.Items)
+	begin := time.Now()
+	for _, s := range stages {
+		job, err := s.user.job.Submit(ctx, s.client)
+		if err != nil {
+			return err
+		}
+		s.result.job = job
 	}
-	r.print(out)
-	if o.Keep {
-		printCurl(out, u)
-		<-ctx.Done()
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	go progress(watching, out, stages)
+	each(stages, func(s *stage) { s.chat(ctx, o.Duration, s.result.together) })
+	for _, s := range stages {
+		job, err := s.user.job.Await(ctx, s.client, s.result.job.ID)
+		if err != nil {
+			return err
+		}
+		s.result.job, s.result.took = job, time.Since(begin)
 	}
 	return nil
 }
 
-func phases(ctx context.Context, out io.Writer, client *http.Client, o Options, u user) (*result, error) {
-	r := &result{alone: load.NewStats(), together: load.NewStats()}
-	fmt.Fprintf(out, "  chat alone for %s\n", o.Duration)
-	phase(ctx, o.Duration, func(ctx context.Context) { u.chat.Run(ctx, client, r.alone) })
-	fmt.Fprintf(out, "  chat with an evening batch of %d items\n", o.Items)
-	begin := time.Now()
-	job, err := u.job.Submit(ctx, client)
-	if err != nil {
-		return nil, err
+// each runs a function for all stages at once.
+func each(stages []*stage, f func(*stage)) {
+	var group sync.WaitGroup
+	for _, s := range stages {
+		group.Go(func() { f(s) })
 	}
-	phase(ctx, o.Duration, func(ctx context.Context) { u.chat.Run(ctx, client, r.together) })
-	r.job, err = u.job.Await(ctx, client, job.ID)
-	r.took = time.Since(begin)
-	return r, err
+	group.Wait()
 }
 
-func phase(ctx context.Context, d time.Duration, run func(context.Context)) {
+func (s *stage) chat(ctx context.Context, d time.Duration, stats *load.Stats) {
 	ctx, cancel := context.WithTimeout(ctx, d)
 	defer cancel()
-	run(ctx)
+	s.user.chat.Run(ctx, s.client, stats)
 }
 
-func (r *result) print(out io.Writer) {
+// progressInterval is the time between two lines of progress.
+const progressInterval = time.Second
+
+// progress prints how far the jobs are until ctx ends.
+func progress(ctx context.Context, out io.Writer, stages []*stage) {
+	tick := time.NewTicker(progressInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, s := range stages {
+			job, err := s.user.job.Get(ctx, s.client, s.result.job.ID)
+			if err != nil {
+				continue
+			}
+			fmt.Fprintf(out, "  %s: %d of %d items done\n", s.user.name, job.RequestCounts.Completed, job.RequestCounts.Total)
+		}
+	}
+}
+
+func (s *stage) print(out io.Writer) {
+	fmt.Fprintf(out, "\n%s\n", s.user.name)
 	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "  online\twhole\tfailed\tfirst token p50\tp95\tp99")
+	fmt.Fprintln(w, "online\twhole\trefused\tfailed\tfirst token p50\tp95\tp99")
 	for _, row := range []struct {
 		name  string
 		stats *load.Stats
-	}{{"alone", r.alone}, {"with batch", r.together}} {
+	}{{"alone", s.result.alone}, {"with batch", s.result.together}} {
 		h := row.stats.FirstToken
-		fmt.Fprintf(w, "  %s\t%d\t%d\t%s\t%s\t%s\n", row.name, row.stats.Whole, row.stats.Failed,
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%s\t%s\t%s\n", row.name, row.stats.Whole, row.stats.Refused, row.stats.Failed+row.stats.Wrong,
 			load.Percentile(h, 50), load.Percentile(h, 95), load.Percentile(h, 99))
 	}
 	_ = w.Flush()
-	c := r.job.RequestCounts
-	fmt.Fprintf(out, "  batch: accepted %d, finished %d, failed %d, in %s\n", c.Total, c.Completed, c.Failed, r.took.Round(time.Millisecond))
+	c := s.result.job.RequestCounts
+	fmt.Fprintf(out, "batch: accepted %d, finished %d, failed %d in %s: %.0f items/s\n", c.Total, c.Completed, c.Failed,
+		s.result.took.Round(time.Millisecond), float64(c.Completed)/s.result.took.Seconds())
+	s.printCost(out)
+}
+
+// printCost adds up what the hosts have counted.
+func (s *stage) printCost(out io.Writer) {
+	sums := make(map[accounting.Kind]int64)
+	for _, h := range s.fleet.Hosts {
+		for _, e := range h.Node.Book().Entries() {
+			sums[e.Kind] += e.Count
+		}
+	}
+	fmt.Fprintf(out, "cost: %d prompt and %d answer tokens, %d retries, %d wasted tokens, %d of %d cross-region bytes\n",
+		sums[accounting.PromptTokens], sums[accounting.AnswerTokens], sums[accounting.Retries], sums[accounting.WastedTokens],
+		sums[accounting.CrossRegionBytes], s.doc.Ceilings.CrossRegionBytes)
 }
 
 func printCurl(out io.Writer, u user) {
-	fmt.Fprintf(out, `  try:
-    curl -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"hello"}]}' http://%s/v1/chat/completions
-  interrupt to go on
-`, u.chat.Key, u.chat.Model, u.chat.Targets[0])
+	body := fmt.Sprintf(`{"model":"%s","stream":true,"messages":[{"role":"user","content":"hello"}]}`, u.chat.Model)
+	fmt.Fprintf(out, "\n%s, try:\n  curl -N -H 'Authorization: Bearer %s' -d '%s' http://%s/v1/chat/completions\n",
+		u.name, u.chat.Key, body, u.chat.Targets[0])
 }
