quarantine: find requests that crash upstreams and refuse them

Cause: a request that crashes each upstream that runs it took replicas down without end, with its own retries and its caller's. Lost upstreams are avoided until they answer again. Guard.Reserved is renamed Avoid.

--- /dev/null
+++ b/fleet/online_test.go
@@ -0,0 +1,132 @@
+package fleet_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/examples"
+	"github.com/comfreyspindle/comfreyspindle/fleet"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/settings"
+	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
+)
+
+// startSmall starts one host before the upstreams of one data centre.
+func startSmall(t *testing.T, engine upstreamtest.Options, change func(*settings.Settings)) *fleet.Fleet {
+	doc, err := service.Parse("kyushu", examples.Kyushu)
+	require.NoError(t, err)
+	f, err := fleet.Start(fleet.Spec{
+		Places:    []fleet.Place{{DataCentre: "fukuoka-hakata", Region: "fukuoka", Hosts: 1}},
+		Documents: []*service.Document{doc}, Settings: change,
+		Engine: func(*service.Upstream) upstreamtest.Options { return engine },
+	})
+	require.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+// post sends a chat request and returns the answer's body.
+func post(c *http.Client, h *fleet.Host, prompt string, tokens int, stream bool) (*http.Response, string, error) {
+	body := fmt.Sprintf(`{"model":"dispatch","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt)
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Node.CallersAddress()+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+examples.KeyCrews)
+	res, err := c.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return res, string(text), err
+}
+
+// answerText returns the text of a streamed or whole answer, and whether it
+// has its end marker.
+func answerText(body string, stream bool) (string, bool) {
+	type choice struct {
+		Message, Delta struct{ Content string }
+	}
+	var whole struct{ Choices []choice }
+	if !stream {
+		err := json.Unmarshal([]byte(body), &whole)
+		return whole.Choices[0].Message.Content, err == nil
+	}
+	var text bytes.Buffer
+	for _, line := range strings.Split(body, "\n") {
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok || data == "[DONE]" || json.Unmarshal([]byte(data), &whole) != nil || len(whole.Choices) == 0 {
+			continue
+		}
+		text.WriteString(whole.Choices[0].Delta.Content)
+	}
+	return text.String(), strings.HasSuffix(body, "data: [DONE]\n\n")
+}
+
+func TestRequestThatCrashesUpstreamsIsRefused(t *testing.T) {
+	engine := upstreamtest.DefaultOptions()
+	engine.CrashMarker, engine.RestartTime = "poison", 300*time.Millisecond
+	f := startSmall(t, engine, nil)
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for k := 0; ; k++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				prompt := fmt.Sprintf("innocent %d %d", i, k)
+				res, body, err := post(http.DefaultClient, f.Hosts[0], prompt, 10, true)
+				if err != nil || res.StatusCode != http.StatusOK {
+					t.Errorf("innocent request failed: %v %s", err, body)
+					return
+				}
+				if text, whole := answerText(body, true); !whole || text != upstreamtest.Answer(prompt, 10) {
+					t.Errorf("innocent got %q", body)
+				}
+			}
+		}()
+	}
+	var last *http.Response
+	for range 8 {
+		res, body, err := post(http.DefaultClient, f.Hosts[0], "poison", 10, true)
+		require.NoError(t, err)
+		require.NotEqual(t, http.StatusOK, res.StatusCode, body)
+		last = res
+	}
+	close(stop)
+	wg.Wait()
+	require.Equal(t, http.StatusUnprocessableEntity, last.StatusCode)
+	require.Equal(t, "not-run", last.Header.Get("Comfreyspindle-Verdict"))
+	crashes := int64(0)
+	for _, e := range f.Engines {
+		crashes += e.Stats().Crashes
+	}
+	require.LessOrEqual(t, crashes, int64(3))
+	require.Positive(t, crashes)
+}
+
+// The deadline of the request's body must not end its answer.
+func TestStreamOutlastsTheReadTimeout(t *testing.T) {
+	f := startSmall(t, upstreamtest.DefaultOptions(), func(s *settings.Settings) { s.Gateway.ReadTimeout = 100 * time.Millisecond })
+	res, body, err := post(http.DefaultClient, f.Hosts[0], "long", 100, true)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	text, whole := answerText(body, true)
+	require.True(t, whole)
+	require.Equal(t, upstreamtest.Answer("long", 100), text)
+}
--- a/node/online.go
+++ b/node/online.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/retry"
 	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 )
 
@@ -27,6 +28,7 @@
 type onlinePart struct {
 	balancer routing.Balancer
 	client   *upstream.Client
+	guard    *quarantine.Watch
 	runner   *online.Runner
 	gateway  *gateway.Gateway
 }
@@ -37,8 +39,12 @@
 	if n.options.WrapBalancer != nil {
 		balancer = n.options.WrapBalancer(balancer)
 	}
-	n.online = onlinePart{balancer: balancer, client: client, runner: &online.Runner{
-		Admission: n.newAdmission(), Balancer: balancer, Guard: quarantine.Off{}, Ledger: ledger.Unavailable{},
+	guard, err := n.newGuard(client)
+	if err != nil {
+		return err
+	}
+	n.online = onlinePart{balancer: balancer, client: client, guard: guard, runner: &online.Runner{
+		Admission: n.newAdmission(), Balancer: balancer, Guard: guard, Ledger: ledger.Unavailable{},
 		Budgets: retry.NewBudgets(n.clock), Escrow: escrow.None{}, Book: n.book, Region: n.settings.Region,
 		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
 		Metrics: online.NewMetrics(n.registry),
@@ -46,6 +52,17 @@
 	return nil
 }
 
+// newGuard returns the watch for requests that crash upstreams.
+func (n *Node) newGuard(client *upstream.Client) (*quarantine.Watch, error) {
+	guard := quarantine.NewWatch(quarantine.Options{
+		DataCentre: n.settings.DataCentre, Region: n.settings.Region, View: n.hosts, Caller: n.dialer, Alive: client.Alive,
+		Document: func(name string) (*service.Document, bool) { return n.config.holder.Current().Service(name) },
+		Services: func() []string { return n.config.holder.Current().Names() },
+		Store:    n.store, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "quarantine"),
+	})
+	return guard, n.peers.Register(quarantine.PeerName, guard.Peer())
+}
+
 // newBalancer returns the embedder's balancer or the built-in one.
 func (n *Node) newBalancer() routing.Balancer {
 	if n.options.Balancer != nil {
--- a/node/tree.go
+++ b/node/tree.go
@@ -28,6 +28,7 @@
 	control := suture.New("control", spec)
 	control.Add(n.peers)
 	control.Add(n.config.watcher)
+	control.Add(n.online.guard)
 	serving := suture.New("serving", spec)
 	serving.Add(n.gateway)
 	serving.Add(n.admin)
--- a/online/try.go
+++ b/online/try.go
@@ -89,7 +89,7 @@
 		return ask, nil, err
 	}
 	if !alone {
-		ask.Exclude = slices.Concat(t.exclude, t.runner.Guard.Reserved(t.req.Doc.Name))
+		ask.Exclude = slices.Concat(t.exclude, t.runner.Guard.Avoid(t.req.Doc.Name))
 		return ask, func() {}, nil
 	}
 	reserved, err := t.runner.Guard.Reserve(ctx, t.req.Doc, t.fp)
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -106,10 +106,10 @@
 
 func (m *model) try(c *call) {
 	decision, _ := m.states[c.host].Decide(modelService, c.f, m.time(), m.policy.careful && m.lately())
-	switch {
-	case decision == Refuse:
+	switch decision {
+	case Refuse:
 		m.end(c, &m.result.refused)
-	case decision == RunAlone:
+	case RunAlone:
 		m.alone(c)
 	default:
 		c.tries++
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,9 +18,9 @@
 	// Ended says how it ended there. After Lost it may wait, for a bounded
 	// time, until the hosts of the data centre know of the suspects.
 	Ended(service, upstream string, f Fingerprint, end End)
-	// Reserved returns the upstreams on which a suspect runs alone. No other
-	// request may be sent there.
-	Reserved(service string) []string
+	// Avoid returns the upstreams to which no request may be sent now: a
+	// suspect runs there alone, or the upstream was lost and is not yet back.
+	Avoid(service string) []string
 	// Reserve waits until an upstream of the service may run suspect f alone.
 	// The caller sends f there and then releases it. The error carries verdict
 	// NotRun.
@@ -61,8 +61,8 @@
 // Ended implements Guard.
 func (Off) Ended(string, string, Fingerprint, End) {}
 
-// Reserved implements Guard.
-func (Off) Reserved(string) []string { return nil }
+// Avoid implements Guard.
+func (Off) Avoid(string) []string { return nil }
 
 // Reserve implements Guard.
 func (Off) Reserve(_ context.Context, doc *service.Document, _ Fingerprint) (Reservation, error) {
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -34,6 +34,8 @@
 	Crash     *Crash
 	Cleared   []Fingerprint
 	Confirmed []Confirmed
+	// Back names an upstream that was lost and answers again.
+	Back string
 }
 
 // Ack is the empty reply.
@@ -75,6 +77,7 @@
 		w.losses[place{c.Service, c.Upstream}] = loss{at: w.Clock.Now()}
 		w.state.Crashed(c, doc.Quarantine.Duration)
 	}
+	w.back(place{n.Service, n.Back})
 	for _, f := range n.Cleared {
 		w.state.Finished(n.Service, f)
 	}
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -17,6 +17,8 @@
 	drainTime = 2 * time.Second
 	// trialPoll is the time between two looks at a reserved upstream.
 	trialPoll = 50 * time.Millisecond
+	// maxAvoided bounds the part of the upstreams near that is avoided as lost.
+	maxAvoided = 0.5
 	// lostTime is the time for which an upstream counts as lost lately.
 	lostTime = 10 * time.Second
 	// maxLost is the part of the upstreams near beyond which each suspect runs
@@ -115,17 +117,36 @@
 	return n
 }
 
-// Reserved implements Guard.
-func (w *Watch) Reserved(name string) []string {
+// Avoid implements Guard.
+func (w *Watch) Avoid(name string) []string {
 	w.mu.RLock()
 	defer w.mu.RUnlock()
-	var out []string
+	if len(w.reserved) == 0 && len(w.losses) == 0 {
+		return nil
+	}
 	now := w.Clock.Now()
+	var out []string
 	for at, r := range w.reserved {
 		if at.service == name && !r.shared && now.Before(r.until) {
 			out = append(out, at.upstream)
 		}
 	}
+	return append(out, w.lostUpstreams(name, now)...)
+}
+
+// lostUpstreams returns the lost upstreams of a service that are not back. When
+// they are many, news of them is not trusted and none is returned.
+func (w *Watch) lostUpstreams(name string, now time.Time) []string {
+	var out []string
+	for at := range w.losses {
+		if at.service == name && w.gone(at, now) {
+			out = append(out, at.upstream)
+		}
+	}
+	doc, ok := w.Document(name)
+	if !ok || float64(len(out)) > maxAvoided*float64(len(w.near(doc))) {
+		return nil
+	}
 	return out
 }
 
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -31,6 +31,8 @@
 	probeTimeout = 500 * time.Millisecond
 	// tellTimeout bounds the wait until the peers know of a crash.
 	tellTimeout = 250 * time.Millisecond
+	// backPoll is the time between two questions to a lost upstream.
+	backPoll = 250 * time.Millisecond
 	// together is the time within which connections that break, break
 	// together.
 	together = time.Second
@@ -129,14 +131,35 @@
 	}
 	near, lost := w.near(doc), 0
 	for _, u := range near {
-		l, ok := w.losses[place{name, u}]
-		if ok && now.Sub(l.at) < lostTime && !(gone && l.back) {
+		at := place{name, u}
+		l, ok := w.losses[at]
+		if gone && w.gone(at, now) || !gone && ok && now.Sub(l.at) < lostTime {
 			lost++
 		}
 	}
 	return float64(lost) > maxLost*float64(len(near))
 }
 
+// gone reports whether an upstream was lost lately and has not answered since.
+func (w *Watch) gone(at place, now time.Time) bool {
+	l, ok := w.losses[at]
+	return ok && !l.back && now.Sub(l.at) < lostTime
+}
+
+// awaitBack asks a lost upstream for signs of life for a while.
+func (w *Watch) awaitBack(doc *service.Document, at place) {
+	for end := w.Clock.Now().Add(lostTime); w.Clock.Now().Before(end); {
+		w.Clock.Sleep(backPoll)
+		if w.alive(context.Background(), doc, at.upstream) {
+			w.mu.Lock()
+			w.back(at)
+			w.mu.Unlock()
+			w.tell(Notice{Service: at.service, Back: at.upstream})
+			return
+		}
+	}
+}
+
 // back notes that an upstream answers.
 func (w *Watch) back(at place) {
 	if l, ok := w.losses[at]; ok && !l.back {
@@ -249,6 +272,12 @@
 func (w *Watch) crash(doc *service.Document, at place) {
 	now := w.Clock.Now()
 	w.mu.Lock()
+	if w.gone(at, now) {
+		// It had not come back from the loss before.
+		delete(w.broken, at)
+		w.mu.Unlock()
+		return
+	}
 	c := Crash{Service: at.service, Upstream: at.upstream, At: now, Trial: w.reserved[at].trialHere()}
 	for _, m := range w.broken[at] {
 		c.Suspects = append(c.Suspects, m.f)
@@ -260,6 +289,7 @@
 	w.losses[at] = loss{at: now}
 	found, ok := w.state.Crashed(c, doc.Quarantine.Duration)
 	w.mu.Unlock()
+	go w.awaitBack(doc, at)
 	notice := Notice{Service: at.service, Crash: &c}
 	w.record(EventCrash, at, c.Trial)
 	if ok {
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -138,7 +138,7 @@
 	}
 	r, err := h.watches["z"].Reserve(t.Context(), h.doc, killer)
 	require.NoError(t, err)
-	require.Equal(t, []string{r.Upstream}, h.watches["x"].Reserved("s"))
+	require.ElementsMatch(t, []string{r.Upstream, "p", "q"}, h.watches["x"].Avoid("s"))
 	h.crash("z", r.Upstream, killer)
 	r.Release()
 	for host := range h.watches {
@@ -147,7 +147,7 @@
 		_, code = h.check(host, innocent)
 		require.Empty(t, code, host)
 	}
-	require.Eventually(t, func() bool { return len(h.watches["x"].Reserved("s")) == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return len(h.watches["x"].Avoid("s")) == 0 }, 5*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
 		for host := range far.watches {
 			if _, code := far.check(host, killer); code != verdict.CodeQuarantined {
@@ -251,8 +251,8 @@
 			got <- r
 		}
 	}()
-	require.Eventually(t, func() bool { return len(h.watches["y"].Reserved("s")) == 1 }, 5*time.Second, time.Millisecond)
-	u := h.watches["y"].Reserved("s")[0]
+	require.Eventually(t, func() bool { return len(h.watches["y"].Avoid("s")) == 1 }, 5*time.Second, time.Millisecond)
+	u := h.watches["y"].Avoid("s")[0]
 	require.Empty(t, got)
 	h.watches["y"].Ended("s", u, 9, quarantine.Finished)
 	require.Equal(t, u, (<-got).Upstream)
@@ -263,8 +263,8 @@
 	r, err := h.watches["x"].Reserve(t.Context(), h.doc, killer)
 	require.NoError(t, err)
 	require.Equal(t, "p", r.Upstream)
-	require.Empty(t, h.watches["x"].Reserved("s"))
-	require.Empty(t, h.watches["y"].Reserved("s"))
+	require.Empty(t, h.watches["x"].Avoid("s"))
+	require.Empty(t, h.watches["y"].Avoid("s"))
 	r.Release()
 }
 
