quarantine: make the model deterministic, count a try when it is sent

Cause: calls with the same fingerprint were sorted in map order, so the model's figures changed from run to run; it counted a reserved trial as a try also when the replica was lost before the request was sent, unlike the code. Change: calls have ids; tries are counted at the start.

--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -54,6 +54,7 @@
 }
 
 type call struct {
+	id      int
 	f       Fingerprint
 	killer  bool
 	begun   time.Duration
@@ -112,7 +113,6 @@
 	case RunAlone:
 		m.alone(c)
 	default:
-		c.tries++
 		m.place(c)
 	}
 }
@@ -175,7 +175,6 @@
 	best.reserved = c
 	m.trialing[c.host]++
 	m.result.trials++
-	c.tries++
 	m.whenFree(c, best, m.now+drainTime)
 }
 
@@ -195,6 +194,7 @@
 
 func (m *model) start(c *call, r *replica) {
 	c.replica = r
+	c.tries++
 	c.epoch++
 	epoch := c.epoch
 	r.running[c] = struct{}{}
@@ -243,7 +243,7 @@
 	for c := range r.running {
 		lost = append(lost, c)
 	}
-	slices.SortFunc(lost, func(a, b *call) int { return int(a.f) - int(b.f) })
+	slices.SortFunc(lost, func(a, b *call) int { return a.id - b.id })
 	for host := range m.states {
 		m.implicate(host, r, lost)
 	}
@@ -306,7 +306,7 @@
 	if m.rng.IntN(10) == 0 {
 		work = Fingerprint(100 + m.rng.IntN(modelPopular))
 	}
-	m.submit(&call{f: work, begun: m.now, work: time.Duration(100+m.rng.IntN(200)) * time.Millisecond})
+	m.submit(&call{id: int(f), f: work, begun: m.now, work: time.Duration(100+m.rng.IntN(200)) * time.Millisecond})
 	m.after(modelRate/time.Duration(m.policy.replicas), func() { m.arrive(f + 1) })
 }
 
@@ -321,7 +321,7 @@
 	m.arrive(1000)
 	for k := range killers {
 		m.after(2*time.Second+time.Duration(k)*20*time.Millisecond, func() {
-			m.submit(&call{f: Fingerprint(1 + k), killer: true, begun: m.now})
+			m.submit(&call{id: k, f: Fingerprint(1 + k), killer: true, begun: m.now})
 		})
 	}
 	for len(m.queue) > 0 {
