--- a/batch/job.go
+++ b/batch/api.go
@@ -1,5 +1,5 @@
-// Package batch accepts jobs of many items, runs each item once and keeps the
-// results readable.
+// Package batch accepts jobs of many items, gives each item one result and
+// keeps the results readable.
 package batch
 
 import (
@@ -7,20 +7,27 @@
 	"io"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/config"
 )
 
 // Status is the status of a job, as in the batch format.
-type Status string
+type Status = store.Status
 
 // Statuses of a job.
 const (
-	StatusInProgress Status = "in_progress"
-	StatusCompleted  Status = "completed"
-	StatusCancelling Status = "cancelling"
-	StatusCancelled  Status = "cancelled"
+	StatusInProgress = store.StatusInProgress
+	StatusCompleted  = store.StatusCompleted
+	StatusCancelling = store.StatusCancelling
+	StatusCancelled  = store.StatusCancelled
 )
 
+// Item is one line of an input file.
+type Item = store.Item
+
+// Result is one line of a result file.
+type Result = store.Result
+
 // Job is one accepted job.
 type Job struct {
 	ID          string            `json:"id"`
@@ -66,8 +73,9 @@
 
 // API is what callers can do with jobs. Errors carry verdicts.
 type API interface {
-	// PutFile checks and keeps an input file.
-	PutFile(ctx context.Context, who config.Identity, name string, r io.Reader) (File, error)
+	// PutFile checks and keeps an input file. The key is the caller's
+	// idempotency key; it may be empty.
+	PutFile(ctx context.Context, who config.Identity, name, key string, r io.Reader) (File, error)
 	// File describes an input or result file.
 	File(ctx context.Context, who config.Identity, id string) (File, error)
 	// Content writes a file, in order of input if asked.
@@ -76,7 +84,8 @@
 	Create(ctx context.Context, who config.Identity, req CreateRequest) (Job, error)
 	// Job returns a job with its progress.
 	Job(ctx context.Context, who config.Identity, id string) (Job, error)
-	// Cancel stops a job.
+	// Cancel asks for the end of a job. Its status is cancelling until nothing
+	// of it can start any more, then cancelled.
 	Cancel(ctx context.Context, who config.Identity, id string) (Job, error)
 	// List returns up to limit jobs after the given id, newest first.
 	List(ctx context.Context, who config.Identity, after string, limit int) (jobs []Job, more bool, err error)
@@ -96,6 +105,8 @@
 	CompletedAt      int64             `json:"completed_at,omitempty"`
 	RequestCounts    Counts            `json:"request_counts"`
 	Metadata         map[string]string `json:"metadata,omitempty"`
+	ErrorFileID      string            `json:"error_file_id,omitempty"`
+	CancelledAt      int64             `json:"cancelled_at,omitempty"`
 	Resent           bool              `json:"comfreyspindle_resent,omitempty"`
 	Late             bool              `json:"comfreyspindle_late,omitempty"`
 }
@@ -107,8 +118,11 @@
 	Failed    int `json:"failed"`
 }
 
-// outputPrefix makes the id of a result file from the id of its job.
-const outputPrefix = "out-"
+// Prefixes that make the ids of a job's result files from its own.
+const (
+	outputPrefix = "out-"
+	errorPrefix  = "err-"
+)
 
 // Object returns the job in the callers' format.
 func (j *Job) Object() Object {
@@ -119,8 +133,14 @@
 		RequestCounts: Counts{Total: j.Items, Completed: j.Completed, Failed: j.Failed},
 		Metadata:      j.Metadata, Resent: j.Resent, Late: j.Late,
 	}
-	if !j.EndedAt.IsZero() {
+	if j.Failed > 0 {
+		o.ErrorFileID = errorPrefix + j.ID
+	}
+	if j.Status == StatusCompleted {
 		o.CompletedAt = j.EndedAt.Unix()
 	}
+	if j.Status == StatusCancelled {
+		o.CancelledAt = j.EndedAt.Unix()
+	}
 	return o
 }
--- /dev/null
+++ b/batch/dispatch/slots.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// Replica is what a dispatcher knows of one replica.
+type Replica struct {
+	// Slots is the present number of slots, and Batch the items that run in
+	// them.
+	Slots int
+	Batch int
+	// Online is the host's own online requests in flight there.
+	Online int
+	// OnlineUsual is their usual number, a moving average.
+	OnlineUsual float64
+	// Reported is the newest load report; it is ignored when it is old.
+	Reported Report
+	// BurstAt is when a host last told of a burst or of waiting online work.
+	BurstAt time.Time
+	// RaisedAt is when a slot was last added, LoweredAt when slots were last
+	// taken away.
+	RaisedAt  time.Time
+	LoweredAt time.Time
+	// Ceiling is the number of slots at which the replica last queued, less a
+	// little; it holds for a time after CeilingAt. Zero is none.
+	Ceiling   int
+	CeilingAt time.Time
+	// Leaving takes no new work.
+	Leaving bool
+}
+
+// Report is a replica's own report of its load.
+type Report struct {
+	At      time.Time
+	Running int
+	Waiting int
+	// Interval is the time between tokens of one sequence.
+	Interval time.Duration
+}
+
+// Cause says why a plan has its number of slots.
+type Cause string
+
+// Causes.
+const (
+	CauseLeaving  Cause = "leaving"
+	CauseBurst    Cause = "burst"
+	CauseWaiting  Cause = "online work waits"
+	CauseHold     Cause = "after a burst"
+	CauseInterval Cause = "time between tokens"
+	CauseQueue    Cause = "replica queues"
+	CauseRoom     Cause = "room"
+	CauseFull     Cause = "all slots"
+	CauseSteady   Cause = "steady"
+)
+
+// Plan is the decision for one replica.
+type Plan struct {
+	Slots int
+	Cause Cause
+	// Ceiling and CeilingAt are kept in the replica's state.
+	Ceiling   int
+	CeilingAt time.Time
+}
+
+const (
+	// reportAge is the age after which a load report says nothing.
+	reportAge = 2 * time.Second
+	// burstFactor and burstFloor tell a burst from the usual online work.
+	burstFactor = 2.0
+	burstFloor  = 4.0
+	// raiseSlow and raiseFast bound the time between two added slots.
+	raiseSlow = 60 * time.Millisecond
+	raiseFast = 5 * time.Millisecond
+	// holdLong and holdShort bound the wait after a burst.
+	holdLong  = 1500 * time.Millisecond
+	holdShort = 300 * time.Millisecond
+	// intervalLow and intervalHigh are the parts of the target for the time
+	// between tokens up to which batch fills a replica.
+	intervalLow  = 0.5
+	intervalHigh = 0.95
+	// ceilingTime is how long a replica's slots stay below the number at which
+	// it queued, and ceilingRoom how far below.
+	ceilingTime = 10 * time.Second
+	ceilingRoom = 2
+)
+
+// between goes from low at weight 0 to high at weight 1.
+func between(low, high, weight float64) float64 { return low + (high-low)*weight }
+
+func durationBetween(low, high time.Duration, weight float64) time.Duration {
+	return time.Duration(between(float64(low), float64(high), weight))
+}
+
+// Slots plans the batch slots of a replica: none at once when online work
+// bursts or waits, fewer when the replica slows down, else one more at a time.
+// The document's weight between throughput and online tail sets how fast slots
+// come back and how much room is left.
+func Slots(r *Replica, conf *service.Batch, now time.Time) Plan {
+	p := Plan{Ceiling: r.Ceiling, CeilingAt: r.CeilingAt}
+	if r.queues(now) && r.Batch > 0 && r.Reported.At.After(r.CeilingAt) {
+		p.Ceiling, p.CeilingAt = max(1, r.Batch-r.Reported.Waiting-ceilingRoom), r.Reported.At
+	}
+	p.Slots, p.Cause = r.decide(conf, p, now)
+	return p
+}
+
+func (r *Replica) decide(conf *service.Batch, p Plan, now time.Time) (int, Cause) {
+	weight := conf.ThroughputWeight
+	hold := durationBetween(holdLong, holdShort, weight)
+	limit := time.Duration(float64(conf.TokenInterval) * between(intervalLow, intervalHigh, weight))
+	switch {
+	case r.Leaving:
+		return 0, CauseLeaving
+	case float64(r.Online) > burstFactor*r.OnlineUsual+burstFloor:
+		return 0, CauseBurst
+	case now.Sub(r.BurstAt) < hold:
+		return 0, CauseBurst
+	case r.queues(now) && r.Reported.Running+r.Reported.Waiting > r.Batch:
+		return 0, CauseWaiting
+	case r.Slots == 0 && !r.LoweredAt.IsZero() && now.Sub(r.LoweredAt) < hold:
+		return 0, CauseHold
+	case r.queues(now):
+		return r.lower(), CauseQueue
+	case r.fresh(now) && r.Reported.Interval > limit:
+		return r.lower(), CauseInterval
+	}
+	return r.raise(conf, p, now)
+}
+
+func (r *Replica) fresh(now time.Time) bool {
+	return !r.Reported.At.IsZero() && now.Sub(r.Reported.At) < reportAge
+}
+
+// queues reports whether work waits in the replica.
+func (r *Replica) queues(now time.Time) bool { return r.fresh(now) && r.Reported.Waiting > 0 }
+
+// lower takes a quarter of the slots away, at most once per report.
+func (r *Replica) lower() int {
+	if !r.LoweredAt.Before(r.Reported.At) {
+		return r.Slots
+	}
+	return r.Slots - (r.Slots+3)/4
+}
+
+func (r *Replica) raise(conf *service.Batch, p Plan, now time.Time) (int, Cause) {
+	top := conf.MaxSlots
+	if p.Ceiling > 0 && now.Sub(p.CeilingAt) < ceilingTime {
+		top = min(top, p.Ceiling)
+	}
+	switch {
+	case r.Slots >= top:
+		return top, CauseFull
+	case r.Batch < r.Slots:
+		return r.Slots, CauseSteady
+	case now.Sub(r.RaisedAt) < durationBetween(raiseSlow, raiseFast, conf.ThroughputWeight):
+		return r.Slots, CauseSteady
+	default:
+		return r.Slots + 1, CauseRoom
+	}
+}
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -1,265 +1,303 @@
 package batch
 
 import (
-	"bytes"
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"io"
-	"net/http"
-	"strings"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	"github.com/oklog/ulid/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/tidwall/gjson"
 
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/batch/run"
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
-	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
-// Keys in the platform's service.
-const (
-	keyFiles   = "batch/file/"
-	keyJobs    = "batch/job/"
-	keyResults = "batch/result/"
-)
-
-// slots bounds the items that one host runs at one time.
-const slots = 8
-
-// Manager is the first, simple form of the batch path: a job is one value, and
-// the host that accepts it runs it.
-type Manager struct {
-	Store    platform.Store
-	Config   *config.Holder
-	Balancer routing.Balancer
-	Client   *upstream.Client
-	Events   *timeline.Recorder
-	Clock    clockwork.Clock
-	Log      *logrus.Entry
+// Options make a Manager. All fields are required.
+type Options struct {
+	KV        platform.Store
+	Config    *config.Holder
+	Client    *upstream.Client
+	Observer  routing.Observer
+	Guard     quarantine.Guard
+	Hosts     membership.View
+	Upstreams membership.UpstreamView
+	Peers     peer.Caller
+	Events    *timeline.Recorder
+	Book      *accounting.Book
+	Clock     clockwork.Clock
+	Log       *logrus.Entry
+	// Owner identifies this run of the host's process.
+	Owner  store.Owner
+	Times  run.Times
+	Limits run.Limits
 	// MaxLineBytes bounds a line of an input file.
 	MaxLineBytes int
+}
+
+// Manager is the batch path of one host: it accepts jobs, claims their
+// segments, runs items on the replicas that the host dispatches for, and reads
+// results. It implements API and suture's Service.
+type Manager struct {
+	o          Options
+	acceptor   *store.Acceptor
+	worker     *run.Worker
+	dispatcher *dispatcher
+	collector  *store.Collector
+	wake       chan struct{}
 
-	running sync.WaitGroup
+	mu    sync.Mutex
+	index map[string]map[int][]store.ActiveEntry
 }
 
 var _ API = (*Manager)(nil)
 
-// PutFile implements API.
-func (m *Manager) PutFile(ctx context.Context, _ config.Identity, name string, r io.Reader) (File, error) {
-	var items []*Item
-	err := ReadItems(r, m.MaxLineBytes, func(_ int, item *Item) error {
-		items = append(items, item)
-		return nil
-	})
-	if err != nil {
-		return File{}, err
-	}
-	text, err := json.Marshal(items)
-	if err != nil {
-		return File{}, err
+// NewManager returns a manager that runs nothing until Serve.
+func NewManager(o Options) *Manager {
+	m := &Manager{
+		o: o, acceptor: &store.Acceptor{KV: o.KV, Clock: o.Clock}, collector: &store.Collector{KV: o.KV},
+		wake: make(chan struct{}, 1), index: make(map[string]map[int][]store.ActiveEntry),
 	}
-	id := "file-" + ulid.Make().String()
-	if _, err := platform.Swap(ctx, m.Store, platform.Put{Key: keyFiles + id, Value: text}); err != nil {
-		return File{}, notAccepted(err)
-	}
-	return File{ID: id, Object: "file", Bytes: int64(len(text)), CreatedAt: m.Clock.Now().Unix(), Filename: name, Purpose: "batch"}, nil
+	left := &departures{hosts: o.Hosts, seen: make(map[string]uint64)}
+	m.worker = run.New(run.Options{
+		KV: o.KV, Clock: o.Clock, Owner: o.Owner, Events: o.Events, Book: o.Book, Log: o.Log,
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), Times: o.Times, Limits: o.Limits,
+		Document: m.document, Capacity: m.capacity, Gone: left.gone,
+	})
+	m.dispatcher = newDispatcher(m)
+	return m
 }
 
-func notAccepted(err error) error {
-	return verdict.Wrap(err, verdict.NotRun, verdict.CodePlatformUnavailable, "The platform can't record it now.").WithRetryAfter(time.Second)
+func (m *Manager) document(name string) (*service.Document, bool) {
+	return m.o.Config.Current().Service(name)
 }
 
-// File implements API.
-func (m *Manager) File(ctx context.Context, _ config.Identity, id string) (File, error) {
-	key := keyFiles + id
-	if job, ok := strings.CutPrefix(id, outputPrefix); ok {
-		key = keyResults + job
-	}
-	r, err := platform.Read(ctx, m.Store, key)
-	if errors.Is(err, platform.ErrNotFound) {
-		return File{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no file %s.", id)
-	}
-	return File{ID: id, Object: "file", Bytes: int64(len(r.Payload)), Purpose: "batch"}, err
+// capacity estimates what all hosts finish from what this host finishes.
+func (m *Manager) capacity(service string) float64 {
+	hosts := len(m.o.Hosts.Local()) + len(m.o.Hosts.Remote())
+	return m.dispatcher.rate(service) * float64(max(1, hosts))
 }
 
-// Content implements API.
-func (m *Manager) Content(ctx context.Context, _ config.Identity, id string, _ bool, w io.Writer) error {
-	job, ok := strings.CutPrefix(id, outputPrefix)
-	if !ok {
-		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no result file %s.", id)
-	}
-	r, err := platform.Read(ctx, m.Store, keyResults+job)
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(r.Payload)
-	return err
+// Register publishes the calls from other hosts.
+func (m *Manager) Register(s *peer.Server) error { return s.Register(rpcName, &peers{m}) }
+
+// String names the service in supervisor events.
+func (m *Manager) String() string { return "batch" }
+
+// Serve runs the batch path until ctx ends.
+func (m *Manager) Serve(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group.Go(func() { m.watch(ctx) })
+	group.Go(func() { m.control(ctx) })
+	group.Go(func() { m.collect(ctx) })
+	m.dispatcher.serve(ctx)
+	return ctx.Err()
 }
 
-// Create implements API.
-func (m *Manager) Create(ctx context.Context, who config.Identity, req CreateRequest) (Job, error) {
-	r, err := platform.Read(ctx, m.Store, keyFiles+req.InputFileID)
-	if errors.Is(err, platform.ErrNotFound) {
-		return Job{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no file %s.", req.InputFileID).WithParam("input_file_id")
-	}
-	if err != nil {
-		return Job{}, notAccepted(err)
-	}
-	var items []*Item
-	if err := json.Unmarshal(r.Payload, &items); err != nil {
-		return Job{}, err
-	}
-	doc, ok := m.Config.Current().Lookup(gjson.GetBytes(items[0].Body, "model").String())
-	if !ok {
-		return Job{}, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "No service answers to the items' model.").WithParam("model")
+// Times between steps of control.
+const (
+	controlBusy = 20 * time.Millisecond
+	controlIdle = 500 * time.Millisecond
+	tendTime    = 10 * time.Second
+	collectTime = time.Hour
+)
+
+// control lets the worker step while there is work.
+func (m *Manager) control(ctx context.Context) {
+	tendAt := m.o.Clock.Now()
+	for ctx.Err() == nil {
+		wants := m.dispatcher.wants()
+		m.worker.Step(ctx, wants...)
+		if now := m.o.Clock.Now(); !now.Before(tendAt) {
+			m.worker.Tend(ctx, m.keeps)
+			tendAt = now.Add(tendTime)
+		}
+		m.dispatcher.wakeUp()
+		wait := controlIdle
+		if m.worker.Active() {
+			wait = controlBusy
+		}
+		m.sleep(ctx, wait, m.wake)
 	}
-	job := m.newJob(doc, who.Callers[doc.Name], req, len(items))
-	if err := m.put(ctx, &job, 0); err != nil {
-		return Job{}, notAccepted(err)
+}
+
+func (m *Manager) sleep(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	timer := m.o.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+	case <-wake:
+	case <-ctx.Done():
 	}
-	m.running.Add(1)
-	go func() {
-		defer m.running.Done()
-		m.run(context.WithoutCancel(ctx), doc, job, items)
-	}()
-	return job, nil
 }
 
-func (m *Manager) newJob(doc *service.Document, caller string, req CreateRequest, items int) Job {
-	due := req.Due
-	if due == 0 {
-		due = doc.Batch.Due
+// wakeControl ends the wait between two steps.
+func (m *Manager) wakeControl() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
 	}
-	digest := sha256.Sum256([]byte(caller + "\x00" + doc.Name + "\x00" + req.Key + "\x00" + req.InputFileID))
-	now := m.Clock.Now()
-	return Job{
-		ID: "batch-" + hex.EncodeToString(digest[:12]), Service: doc.Name, Caller: caller, Endpoint: req.Endpoint,
-		InputFileID: req.InputFileID, Metadata: req.Metadata, Status: StatusInProgress,
-		AcceptedAt: now, DueAt: now.Add(due), Items: items,
+}
+
+// keeps reports whether this host looks after a job.
+func (m *Manager) keeps(job string) bool {
+	hosts := append(m.o.Hosts.Local(), m.o.Hosts.Remote()...)
+	best := membership.Rendezvous(hosts, job, 1)
+	return len(best) == 1 && best[0].Name == m.o.Hosts.Self().Name
+}
+
+// Drain hands over all claims with their progress and waits until that is
+// recorded or ctx ends. Items that run are cancelled.
+func (m *Manager) Drain(ctx context.Context) {
+	m.worker.Drain()
+	for ctx.Err() == nil && m.worker.State().Held > 0 {
+		m.wakeControl()
+		m.sleep(ctx, controlBusy, nil)
 	}
 }
 
-func (m *Manager) put(ctx context.Context, job *Job, version platform.Version) error {
-	text, err := json.Marshal(job)
-	if err != nil {
-		return err
+// collect removes what has passed its retention, from the shards that this
+// host keeps.
+func (m *Manager) collect(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, name := range m.o.Config.Current().Names() {
+			m.collectService(ctx, name)
+		}
+		m.sleep(ctx, collectTime, nil)
 	}
-	_, err = platform.Swap(ctx, m.Store, platform.Put{Key: keyJobs + job.ID, Value: text, If: version})
-	return err
 }
 
-// run runs all items and records the results.
-func (m *Manager) run(ctx context.Context, doc *service.Document, job Job, items []*Item) {
-	results := make([]Result, len(items))
-	var group sync.WaitGroup
-	room := make(chan struct{}, slots)
-	for i, item := range items {
-		room <- struct{}{}
-		group.Add(1)
-		go func() {
-			defer group.Done()
-			defer func() { <-room }()
-			results[i] = m.runItem(ctx, doc, item)
-		}()
+func (m *Manager) collectService(ctx context.Context, name string) {
+	doc, ok := m.document(name)
+	if !ok {
+		return
 	}
-	group.Wait()
-	if err := m.finish(ctx, job, results); err != nil {
-		m.Log.WithError(err).WithField("job", job.ID).Error("job not recorded")
+	ctx = platform.WithPurpose(ctx, platform.PurposeOther)
+	for shard := range store.Shards {
+		if !m.keeps(store.ExpiryRole(name, shard)) {
+			continue
+		}
+		err := m.collector.Collect(ctx, name, shard, doc.Batch.Retention, m.o.Clock.Now())
+		if err != nil && ctx.Err() == nil {
+			m.o.Log.WithError(err).WithField("service", name).Info("collection put off")
+			return
+		}
 	}
 }
 
-func (m *Manager) finish(ctx context.Context, job Job, results []Result) error {
-	var out bytes.Buffer
-	enc := json.NewEncoder(&out)
-	for i := range results {
-		if results[i].Error != nil {
-			job.Failed++
-		} else {
-			job.Completed++
+// watch keeps the index of active jobs current for all services.
+func (m *Manager) watch(ctx context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	running := make(map[string]bool)
+	for ctx.Err() == nil {
+		changed := m.o.Config.Changed()
+		for _, name := range m.o.Config.Current().Names() {
+			if !running[name] {
+				running[name] = true
+				group.Go(func() { m.watchService(ctx, name) })
+			}
 		}
-		if err := enc.Encode(&results[i]); err != nil {
-			return err
+		select {
+		case <-changed:
+		case <-ctx.Done():
 		}
 	}
-	if _, err := platform.Swap(ctx, m.Store, platform.Put{Key: keyResults + job.ID, Value: out.Bytes()}); err != nil {
-		return err
-	}
-	r, err := platform.Read(ctx, m.Store, keyJobs+job.ID)
-	if err != nil {
-		return err
-	}
-	job.Status = StatusCompleted
-	job.EndedAt = m.Clock.Now()
-	return m.put(ctx, &job, r.Version)
 }
 
-func (m *Manager) runItem(ctx context.Context, doc *service.Document, item *Item) Result {
-	result := Result{CustomID: item.CustomID}
-	id := ulid.Make().String()
-	body, status, err := m.send(ctx, doc, id, item)
-	if err != nil {
-		e := verdict.As(err)
-		result.Error = &ItemError{Code: e.Code, Message: e.Message, Verdict: e.Verdict}
-		return result
+const (
+	watchWait  = 30 * time.Second
+	watchRetry = time.Second
+)
+
+// watchService reads a service's index, then follows its changes.
+func (m *Manager) watchService(ctx context.Context, name string) {
+	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
+	w := platform.Watch{Key: store.ActivePrefix(name), Prefix: true, Wait: watchWait}
+	for ctx.Err() == nil {
+		changes, err := m.o.KV.Watch(ctx, w)
+		if err == nil && w.After == 0 {
+			err = m.readIndex(ctx, name)
+		}
+		if err != nil {
+			if errors.Is(err, platform.ErrCompacted) {
+				w.After = 0
+			}
+			m.sleep(ctx, watchRetry+rand.N(watchRetry), nil)
+			continue
+		}
+		w.After = changes.Through
+		m.follow(name, changes.Events)
 	}
-	result.Response = &ItemResponse{StatusCode: status, RequestID: id, Body: body}
-	return result
 }
 
-func (m *Manager) send(ctx context.Context, doc *service.Document, id string, item *Item) ([]byte, int, error) {
-	choice, err := m.Balancer.Choose(routing.Ask{Doc: doc, Batch: true})
-	if err != nil {
-		return nil, 0, err
-	}
-	var outcome routing.Outcome
-	defer func() { choice.Done(outcome) }()
-	res, err := m.Client.Send(ctx, &choice.Upstream, &upstream.Request{
-		ID: id, Method: http.MethodPost, Path: item.URL, Body: item.Body,
-		Header: http.Header{"Content-Type": {"application/json"}},
-	})
-	if err != nil {
-		outcome.Err = err
-		return nil, 0, err
+func (m *Manager) readIndex(ctx context.Context, name string) error {
+	for shard := range store.Shards {
+		entries, err := store.Active(ctx, m.o.KV, name, shard)
+		if err != nil {
+			return err
+		}
+		m.setShard(name, shard, entries)
 	}
-	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
-	outcome.Err = err
-	return body, res.Status, err
+	m.announce(name)
+	return nil
 }
 
-// Job implements API.
-func (m *Manager) Job(ctx context.Context, _ config.Identity, id string) (Job, error) {
-	var job Job
-	r, err := platform.Read(ctx, m.Store, keyJobs+id)
-	if errors.Is(err, platform.ErrNotFound) {
-		return job, verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no job %s.", id)
+func (m *Manager) follow(name string, events []platform.Event) {
+	for _, e := range events {
+		shard, ok := store.ActiveShard(name, e.Key)
+		if !ok {
+			continue
+		}
+		var entries []store.ActiveEntry
+		if !e.Deleted {
+			var err error
+			if entries, err = store.ActiveIn(e); err != nil {
+				m.o.Log.WithError(err).WithField("service", name).Error("index shard not read")
+				continue
+			}
+		}
+		m.setShard(name, shard, entries)
 	}
-	if err != nil {
-		return job, err
+	if len(events) > 0 {
+		m.announce(name)
 	}
-	return job, json.Unmarshal(r.Payload, &job)
 }
 
-// Cancel implements API.
-func (m *Manager) Cancel(context.Context, config.Identity, string) (Job, error) {
-	return Job{}, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "Jobs can't be cancelled yet.")
+func (m *Manager) setShard(name string, shard int, entries []store.ActiveEntry) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.index[name] == nil {
+		m.index[name] = make(map[int][]store.ActiveEntry)
+	}
+	m.index[name][shard] = entries
 }
 
-// List implements API.
-func (m *Manager) List(context.Context, config.Identity, string, int) ([]Job, bool, error) {
-	return nil, false, nil
+// announce passes the index on to the worker.
+func (m *Manager) announce(name string) {
+	m.mu.Lock()
+	var all []store.ActiveEntry
+	for _, entries := range m.index[name] {
+		all = append(all, entries...)
+	}
+	m.mu.Unlock()
+	m.worker.Announce(name, all)
+	m.wakeControl()
 }
 
-// Wait waits until all running jobs have ended.
-func (m *Manager) Wait() { m.running.Wait() }
+// noticed lets control look at a job that this host has just changed.
+func (m *Manager) noticed(string, *store.Record) { m.wakeControl() }
--- /dev/null
+++ b/batch/peers.go
@@ -0,0 +1,118 @@
+package batch
+
+import (
+	"context"
+	"sync"
+
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// rpcName is the name of the calls between hosts.
+const rpcName = "Batch"
+
+// StopArgs ask a host to stop a job.
+type StopArgs struct {
+	Job string
+	// Callers are the names, by service, of the identity that asks; empty when
+	// the asking host has checked that the job is its own.
+	Callers map[string]string
+}
+
+// StopReply says what was stopped.
+type StopReply struct {
+	// Running items were cancelled.
+	Running int
+}
+
+// BusyArgs tell the dispatcher of a replica of online work.
+type BusyArgs struct {
+	Service  string
+	Upstream string
+}
+
+// BusyReply is empty.
+type BusyReply struct{}
+
+// peers serves calls from other hosts.
+type peers struct{ manager *Manager }
+
+// Stop stops a job on this host.
+func (p *peers) Stop(args *StopArgs, reply *StopReply) error {
+	rec, known := p.manager.worker.Known(args.Job)
+	if len(args.Callers) > 0 && (!known || args.Callers[rec.Service] != rec.Caller) {
+		return nil
+	}
+	reply.Running = p.manager.worker.Stop(args.Job)
+	p.manager.wakeControl()
+	return nil
+}
+
+// Busy gives a replica's batch slots back to online work.
+func (p *peers) Busy(args *BusyArgs, _ *BusyReply) error {
+	p.manager.dispatcher.busy(args.Service, args.Upstream)
+	return nil
+}
+
+// tellParallel bounds the calls under way at one time.
+const tellParallel = 16
+
+// tell tells hosts to stop a job, this host included, and waits for them for a
+// bounded time.
+func (m *Manager) tell(ctx context.Context, args *StopArgs, addresses []string) {
+	if err := (&peers{m}).Stop(args, &StopReply{}); err != nil {
+		m.o.Log.WithError(err).Warn("own part of a job not stopped")
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	room := make(chan struct{}, tellParallel)
+	var group sync.WaitGroup
+	for _, address := range addresses {
+		if address == "" || address == m.o.Owner.Address {
+			continue
+		}
+		room <- struct{}{}
+		group.Go(func() {
+			defer func() { <-room }()
+			var reply StopReply
+			if err := m.o.Peers.Call(ctx, address, rpcName+".Stop", args, &reply); err != nil {
+				m.o.Log.WithError(err).WithField("job", args.Job).Info("owner not told; its claim's term will run out")
+			}
+		})
+	}
+	group.Wait()
+}
+
+// everyone returns the addresses of all known hosts.
+func (m *Manager) everyone() []string {
+	var out []string
+	for _, hosts := range [][]membership.Host{m.o.Hosts.Local(), m.o.Hosts.Remote()} {
+		for _, h := range hosts {
+			out = append(out, h.PeerAddress)
+		}
+	}
+	return out
+}
+
+// departures tells which owners are known to have ended.
+type departures struct {
+	hosts membership.View
+	mu    sync.Mutex
+	seen  map[string]uint64
+}
+
+// gone reports whether an owner's process is known to have ended: its host has
+// started anew, or was seen and is no longer there.
+func (d *departures) gone(o store.Owner) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, hosts := range [][]membership.Host{d.hosts.Local(), d.hosts.Remote()} {
+		for _, h := range hosts {
+			d.seen[h.Name] = max(d.seen[h.Name], h.Incarnation)
+			if h.Name == o.Host {
+				return h.Incarnation > o.Incarnation
+			}
+		}
+	}
+	return d.seen[o.Host] >= o.Incarnation && d.seen[o.Host] > 0
+}
--- /dev/null
+++ b/batch/run/items.go
@@ -0,0 +1,218 @@
+package run
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// maxResultBytes bounds one result, so that it fits into a chunk.
+const maxResultBytes = 900_000
+
+// mayStart reports whether items of the segment may start now. The caller
+// holds the lock.
+func (w *Worker) mayStart(s *segment) bool {
+	if s.ended || s.lost || w.draining || w.full() {
+		return false
+	}
+	return w.o.Clock.Now().Add(w.o.Times.Margin).Before(s.termEnd)
+}
+
+// full reports whether unrecorded results leave no room for more.
+func (w *Worker) full() bool {
+	if w.o.Limits.Folder != "" && w.spilled < w.o.Limits.DiskBytes {
+		return w.buffered >= 2*w.o.Limits.MemoryBytes
+	}
+	return w.buffered >= w.o.Limits.MemoryBytes
+}
+
+// Next hands out the next item of a service, earliest due job first. The caller
+// ends it with exactly one of Finish, Fail, Yield and Reject.
+func (w *Worker) Next(service string) (*Work, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.byDue(service) {
+		if !w.mayStart(s) {
+			continue
+		}
+		if i, ok := s.take(); ok {
+			work := w.newWork(s, i)
+			s.running[i] = work
+			return work, true
+		}
+	}
+	return nil, false
+}
+
+// byDue returns the held segments of a service, earliest due first.
+func (w *Worker) byDue(service string) []*segment {
+	var held []*segment
+	for _, j := range w.jobs {
+		if j.service != service {
+			continue
+		}
+		for _, s := range j.held {
+			held = append(held, s)
+		}
+	}
+	slices.SortFunc(held, func(a, b *segment) int {
+		return cmp.Or(w.jobs[a.job].entry.DueAt.Compare(w.jobs[b.job].entry.DueAt), cmp.Compare(a.job, b.job), cmp.Compare(a.n, b.n))
+	})
+	return held
+}
+
+// take removes the next item that may start from the queue.
+func (s *segment) take() (int, bool) {
+	for at, i := range s.queue {
+		if s.once && !s.marked.Has(i) {
+			continue
+		}
+		s.queue = slices.Delete(s.queue, at, at+1)
+		return i, true
+	}
+	return 0, false
+}
+
+// MayStart must be asked just before an item's first byte goes out. It reports
+// whether the claim's term still allows the item to start, and notes the start.
+func (w *Worker) MayStart(work *Work) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := work.segment
+	if s.running[work.Index] != work || !w.mayStart(s) {
+		return false
+	}
+	s.begun = s.begun.With(work.Index)
+	return true
+}
+
+// Finish ends an item with its result.
+func (w *Worker) Finish(work *Work, result *store.Result) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settle(work) {
+		return
+	}
+	w.keep(work.segment, work.Index, result)
+}
+
+// settle takes a run off the running ones and reports whether its outcome
+// counts. The caller holds the lock.
+func (w *Worker) settle(work *Work) bool {
+	s := work.segment
+	if s.running[work.Index] != work {
+		return false
+	}
+	delete(s.running, work.Index)
+	if s.lost {
+		w.waste(s, WasteClaimLost, 1)
+	}
+	return !s.lost
+}
+
+func (w *Worker) waste(s *segment, reason string, runs int) {
+	w.o.Book.Add(s.service, s.caller, accounting.WastedRuns, reason, int64(runs))
+}
+
+// keep buffers a result until it is flushed.
+func (w *Worker) keep(s *segment, i int, result *store.Result) {
+	size := sizeOf(result)
+	if size > maxResultBytes {
+		result = failure(result.CustomID, verdict.New(verdict.Ran, verdict.CodeTooLarge, "The answer exceeds %d bytes.", maxResultBytes))
+		size = sizeOf(result)
+	}
+	if len(s.results) == 0 {
+		s.oldest = w.o.Clock.Now()
+	}
+	s.results = append(s.results, store.ItemResult{Index: i, Result: *result})
+	s.size += size
+	w.buffered += size
+	delete(s.partial, i)
+	if result.Error == nil {
+		return
+	}
+	w.o.Events.Record(timeline.Event{
+		Kind: EventItemEnded, Job: s.job, Service: s.service, Request: result.CustomID, Cause: result.Error.Message,
+	})
+}
+
+func sizeOf(r *store.Result) int {
+	text, err := json.Marshal(r)
+	if err != nil {
+		return maxResultBytes + 1
+	}
+	return len(text)
+}
+
+func failure(id string, err error) *store.Result {
+	e := verdict.As(err)
+	return &store.Result{CustomID: id, Error: &store.ItemError{Code: e.Code, Message: e.Message, Verdict: e.Verdict}}
+}
+
+// Fail ends a run without an answer. The item is tried again unless it has used
+// up its tries or may run at most once and may have run.
+func (w *Worker) Fail(work *Work, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settle(work) {
+		return
+	}
+	s, v := work.segment, verdict.Of(err)
+	maxTries := 1
+	if doc, ok := w.o.Document(s.service); ok {
+		maxTries = doc.Batch.MaxTries
+	}
+	final := verdict.As(err).Code == verdict.CodeQuarantined || s.tries[work.Index] >= maxTries || s.once && v != verdict.NotRun
+	if final {
+		w.keep(s, work.Index, failure(work.Item.CustomID, err))
+		return
+	}
+	if v != verdict.NotRun {
+		w.waste(s, WasteFailed, 1)
+	}
+	s.queue = append(s.queue, work.Index)
+}
+
+// Reject gives an item back that did not start; it doesn't count as a try.
+func (w *Worker) Reject(work *Work) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s := work.segment
+	if s.running[work.Index] != work {
+		return
+	}
+	delete(s.running, work.Index)
+	s.tries[work.Index]--
+	s.queue = slices.Insert(s.queue, 0, work.Index)
+}
+
+// Yield gives an item back that stepped aside, with what it had produced. An
+// item that may run at most once ends as one that may have run.
+func (w *Worker) Yield(work *Work, p Partial) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settle(work) {
+		return
+	}
+	s := work.segment
+	if s.once && s.begun.Has(work.Index) {
+		w.keep(s, work.Index, mayHaveRun(work.Item.CustomID))
+		return
+	}
+	if s.ended {
+		w.waste(s, WasteCancelled, 1)
+	}
+	s.tries[work.Index]--
+	s.partial[work.Index] = p
+	s.queue = slices.Insert(s.queue, 0, work.Index)
+}
+
+func mayHaveRun(id string) *store.Result {
+	return failure(id, verdict.New(verdict.MayHaveRun, verdict.CodeIncomplete,
+		"The item may run at most once; it may have run, and its result is lost."))
+}
--- /dev/null
+++ b/batch/run/segment.go
@@ -0,0 +1,104 @@
+package run
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+)
+
+// segment is a claimed segment with its items.
+type segment struct {
+	job     string
+	service string
+	caller  string
+	run     string
+	n       int
+	epoch   uint32
+	once    bool
+	items   []store.Item
+	// termEnd ends the time in which items may start.
+	termEnd   time.Time
+	renewedAt time.Time
+	// queue holds items that have not ended, next first.
+	queue    []int
+	running  map[int]*Work
+	tries    map[int]int
+	partial  map[int]Partial
+	marked   store.Bitmap
+	begun    store.Bitmap
+	results  []store.ItemResult
+	oldest   time.Time
+	size     int
+	chunks   []*store.Chunk
+	sequence uint32
+	// ended takes no more items; lost has another owner.
+	ended bool
+	lost  bool
+	stop  chan struct{}
+}
+
+// end starts no more items and cancels the running ones.
+func (s *segment) end() {
+	if !s.ended {
+		s.ended = true
+		close(s.stop)
+	}
+}
+
+// ready counts the items that may be handed out.
+func (s *segment) ready() int {
+	if !s.once {
+		return len(s.queue)
+	}
+	n := 0
+	for _, i := range s.queue {
+		if s.marked.Has(i) {
+			n++
+		}
+	}
+	return n
+}
+
+// done reports whether each item has a result, recorded or not.
+func (s *segment) done() bool { return len(s.queue) == 0 && len(s.running) == 0 }
+
+// Partial is the part of an answer that was produced before an item stepped
+// aside.
+type Partial struct {
+	Text   string
+	Tokens int
+}
+
+// Work is one item handed out to run.
+type Work struct {
+	Job     string
+	Service string
+	Caller  string
+	Segment int
+	Index   int
+	// ID names this run in requests to upstreams.
+	ID   string
+	Item store.Item
+	// Once marks an item that may run at most once.
+	Once bool
+	// Try counts runs of this item on this host, from 1.
+	Try int
+	// Partial continues an earlier run.
+	Partial Partial
+	// StartBy is the time after which the item must not start.
+	StartBy time.Time
+	// Stopped is closed when the run's result will not be used.
+	Stopped <-chan struct{}
+	segment *segment
+}
+
+func (w *Worker) newWork(s *segment, i int) *Work {
+	s.tries[i]++
+	return &Work{
+		Job: s.job, Service: s.service, Caller: s.caller, Segment: s.n, Index: i,
+		ID:   fmt.Sprintf("%s-%d-%d-%d-%d", s.job, s.n, i, s.epoch, s.tries[i]),
+		Item: s.items[i], Once: s.once, Try: s.tries[i], Partial: s.partial[i],
+		StartBy: s.termEnd, Stopped: s.stop, segment: s,
+	}
+}
--- /dev/null
+++ b/batch/run/worker.go
@@ -0,0 +1,332 @@
+// Package run claims segments of batch jobs, hands out their items and records
+// the results. It decides nothing about replicas; the caller runs the items.
+package run
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+)
+
+// Kinds of event that a worker records.
+const (
+	EventClaimed   timeline.Kind = "batch.claimed"
+	EventTakenOver timeline.Kind = "batch.taken-over"
+	EventLost      timeline.Kind = "batch.claim-lost"
+	EventFlushed   timeline.Kind = "batch.flushed"
+	EventEnded     timeline.Kind = "batch.ended"
+	EventStopped   timeline.Kind = "batch.stopped"
+	EventItemEnded timeline.Kind = "batch.item-failed"
+)
+
+// Reasons of wasted runs.
+const (
+	WasteClaimLost = "claim lost"
+	WasteCancelled = "job cancelled"
+	WasteFailed    = "item failed"
+)
+
+// Times bound a worker's claims and writes.
+type Times struct {
+	// Term is how long an owner may start items after it began the write that
+	// last renewed its claim.
+	Term time.Duration
+	// Margin is kept free at the end of a term.
+	Margin time.Duration
+	// Renew is the time between renewals.
+	Renew time.Duration
+	// Flush is the longest time that a result waits for its chunk.
+	Flush time.Duration
+	// TakeOver is how long a claim must stay without renewal, while the
+	// platform's service answers, before another host takes it.
+	TakeOver time.Duration
+	// Rescan is the time between two looks at a job with nothing to claim.
+	Rescan time.Duration
+	// Look is the time between two looks at jobs in search of work.
+	Look time.Duration
+	// Tend is the time between two looks at a job that the host keeps.
+	Tend time.Duration
+	// Backoff is the wait after a failed write.
+	Backoff time.Duration
+}
+
+// DefaultTimes outlast an outage of the platform's service of ten minutes.
+func DefaultTimes() Times {
+	return Times{
+		Term: 15 * time.Minute, Margin: time.Second, Renew: time.Minute, Flush: 20 * time.Second,
+		TakeOver: 4 * time.Minute, Rescan: 20 * time.Second,
+		Look: 500 * time.Millisecond, Tend: 2 * time.Minute, Backoff: 2 * time.Second,
+	}
+}
+
+// Limits bound a worker's memory.
+type Limits struct {
+	// ChunkBytes is the size of results at which a chunk is cut early.
+	ChunkBytes int
+	// MemoryBytes bounds unrecorded results in memory, DiskBytes on disk.
+	MemoryBytes int
+	DiskBytes   int
+	// Folder takes results that wait for the platform; empty keeps them in
+	// memory.
+	Folder string
+}
+
+// DefaultLimits keep a host within its memory for control.
+func DefaultLimits() Limits {
+	return Limits{ChunkBytes: 512 << 10, MemoryBytes: 16 << 20, DiskBytes: 1 << 30}
+}
+
+// Options make a Worker. All fields but Capacity and Gone are required.
+type Options struct {
+	KV     platform.Store
+	Clock  clockwork.Clock
+	Owner  store.Owner
+	Events *timeline.Recorder
+	Book   *accounting.Book
+	Log    *logrus.Entry
+	Rand   *rand.Rand
+	Times  Times
+	Limits Limits
+	// Document returns the document of a service in force.
+	Document func(service string) (*service.Document, bool)
+	// Capacity returns the items a second that all hosts finish for a service;
+	// zero is unknown.
+	Capacity func(service string) float64
+	// Gone reports whether an owner is known to have ended.
+	Gone func(store.Owner) bool
+}
+
+// Worker holds a host's claims on segments. Step does the I/O and is called by
+// one goroutine; the other methods may be called by any.
+type Worker struct {
+	o Options
+
+	mu       sync.Mutex
+	jobs     map[string]*job
+	buffered int
+	spilled  int
+	// sightings grows when the platform's service failed to answer: claims
+	// seen before are looked at anew.
+	sightings uint64
+	draining  bool
+	lookAt    time.Time
+}
+
+// job is what a worker knows of one announced job.
+type job struct {
+	service string
+	entry   store.ActiveEntry
+	known   *store.Job
+	held    map[int]*segment
+	seen    map[int]sighting
+	// stopped ends the job here; cancel asks for it to be recorded.
+	stopped bool
+	cancel  bool
+	// cancelSeen is when this host first saw the job being cancelled.
+	cancelSeen time.Time
+	retryAt    time.Time
+	scanAt     time.Time
+	tendAt     time.Time
+	gone       bool
+}
+
+// sighting is when a claim was first seen in its present state.
+type sighting struct {
+	epoch    uint32
+	renewals uint64
+	round    uint64
+	since    time.Time
+}
+
+// New returns a worker without claims.
+func New(o Options) *Worker {
+	if o.Gone == nil {
+		o.Gone = func(store.Owner) bool { return false }
+	}
+	if o.Capacity == nil {
+		o.Capacity = func(string) float64 { return 0 }
+	}
+	return &Worker{o: o, jobs: make(map[string]*job)}
+}
+
+// Announce tells the worker of the jobs that are active in a service. Jobs that
+// are no longer announced are forgotten once nothing is held of them.
+func (w *Worker) Announce(service string, entries []store.ActiveEntry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	listed := make(map[string]bool, len(entries))
+	for _, e := range entries {
+		listed[e.Job] = true
+		j, ok := w.jobs[e.Job]
+		if !ok {
+			j = &job{service: service, held: make(map[int]*segment), seen: make(map[int]sighting)}
+			w.jobs[e.Job] = j
+		}
+		j.entry, j.gone = e, false
+	}
+	for id, j := range w.jobs {
+		if j.service == service && !listed[id] {
+			j.gone = true
+			w.forget(id, j)
+		}
+	}
+}
+
+// forget drops a job that nothing is left to do for. The caller holds the lock.
+func (w *Worker) forget(id string, j *job) {
+	if j.gone && len(j.held) == 0 && !j.cancel {
+		delete(w.jobs, id)
+	}
+}
+
+// Stop stops a job on this host at once: no item of it starts and running ones
+// are cancelled. The next steps record the cancellation. It returns the number
+// of items that were running.
+func (w *Worker) Stop(id string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j, ok := w.jobs[id]
+	if !ok {
+		return 0
+	}
+	if !j.stopped {
+		w.record(EventStopped, id, j.service, "told to stop")
+	}
+	j.cancel = j.cancel || !j.stopped
+	return w.stop(j)
+}
+
+// stop stops a job. The caller holds the lock.
+func (w *Worker) stop(j *job) int {
+	j.stopped = true
+	j.retryAt = time.Time{}
+	running := 0
+	for _, s := range j.held {
+		running += len(s.running)
+		s.end()
+	}
+	return running
+}
+
+// Drain makes the next steps hand over all claims, with their progress.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+	for _, j := range w.jobs {
+		j.retryAt = time.Time{}
+		for _, s := range j.held {
+			s.end()
+		}
+	}
+}
+
+// State is a summary of what a worker holds.
+type State struct {
+	// Ready items may start now; Running ones have started.
+	Ready   int
+	Running int
+	Held    int
+	// Unrecorded results wait for the platform's service.
+	Unrecorded int
+	// Buffered and Spilled are the bytes of unrecorded results.
+	Buffered int
+	Spilled  int
+}
+
+// State returns what the worker holds.
+func (w *Worker) State() State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	st := State{Buffered: w.buffered, Spilled: w.spilled}
+	for _, j := range w.jobs {
+		for _, s := range j.held {
+			st.Held++
+			st.Running += len(s.running)
+			st.Unrecorded += len(s.results)
+			for _, c := range s.chunks {
+				st.Unrecorded += len(c.Items)
+			}
+			if w.mayStart(s) {
+				st.Ready += s.ready()
+			}
+		}
+	}
+	return st
+}
+
+// Active reports whether any job is announced or held.
+func (w *Worker) Active() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.jobs) > 0
+}
+
+// Known returns the newest record of a job that the worker has seen.
+func (w *Worker) Known(id string) (*store.Record, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if j, ok := w.jobs[id]; ok && j.known != nil {
+		return j.known.Record, true
+	}
+	return nil, false
+}
+
+// Holds returns the ids of the jobs of which segments are held, sorted.
+func (w *Worker) Holds() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var ids []string
+	for id, j := range w.jobs {
+		if len(j.held) > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (w *Worker) record(kind timeline.Kind, id, service, cause string) {
+	w.o.Events.Record(timeline.Event{Kind: kind, Job: id, Service: service, Cause: cause})
+}
+
+// failed notes a failed call: claims are sighted anew, and the job waits.
+func (w *Worker) failed(ctx context.Context, id string, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sightings++
+	if j, ok := w.jobs[id]; ok {
+		wait := w.o.Times.Backoff/2 + time.Duration(w.o.Rand.Int64N(int64(w.o.Times.Backoff)))
+		j.retryAt = w.o.Clock.Now().Add(wait)
+	}
+	if ctx.Err() == nil {
+		w.o.Log.WithError(err).WithField("job", id).Debug("batch step failed")
+	}
+}
+
+func isNotFound(err error) bool { return errors.Is(err, platform.ErrNotFound) }
+
+// Late reports whether a job is planned to miss its due time, given the jobs
+// that are due before it.
+func (w *Worker) Late(service, id string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.shares(service, w.o.Clock.Now()) {
+		if s.ID == id {
+			return s.Late
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/batch/store/collect.go
@@ -0,0 +1,282 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// Expiry names what may be removed on a day: an upload's data under a file's
+// id, or, without data, a job.
+type Expiry struct {
+	ID   string `json:"id"`
+	Data string `json:"data,omitempty"`
+}
+
+type expiryShard struct {
+	Entries []Expiry `json:"e"`
+}
+
+// day is the length of one shard of the expiry index.
+const day = 24 * time.Hour
+
+// dayOf numbers days since the Unix epoch.
+func dayOf(t time.Time) int64 { return t.Unix() / int64(day/time.Second) }
+
+func expiryKey(service string, d int64, shard int) string {
+	return fmt.Sprintf("%s%s/%d/%d", keyExpiry, service, d, shard)
+}
+
+func cursorKey(service string, shard int) string {
+	return fmt.Sprintf("%s%s/cursor/%d", keyExpiry, service, shard)
+}
+
+// ExpiryRole names the role of collecting a shard, for placing it on a host.
+func ExpiryRole(service string, shard int) string { return cursorKey(service, shard) }
+
+// addExpiry enters e under the day after t. An entry with the same data takes
+// the new id.
+func addExpiry(ctx context.Context, kv platform.Store, service string, t time.Time, e Expiry) error {
+	shard := shardOf(e.Data)
+	if e.Data == "" {
+		shard = shardOf(e.ID)
+	}
+	return change(ctx, kv, expiryKey(service, dayOf(t)+1, shard), 0, func(s *expiryShard) (bool, error) {
+		at := slices.IndexFunc(s.Entries, func(o Expiry) bool { return o.Data == e.Data && (o.ID == e.ID || e.Data != "") })
+		switch {
+		case at >= 0 && s.Entries[at] == e:
+			return false, nil
+		case at >= 0:
+			s.Entries[at] = e
+		default:
+			s.Entries = append(s.Entries, e)
+		}
+		return true, nil
+	})
+}
+
+// Retire moves an ended job from the active index to the expiry index.
+func Retire(ctx context.Context, kv platform.Store, r *Record, e ActiveEntry, retention time.Duration) error {
+	if err := addExpiry(ctx, kv, r.Service, r.EndedAt.Add(retention), Expiry{ID: r.ID}); err != nil {
+		return err
+	}
+	return Withdraw(ctx, kv, r.Service, e)
+}
+
+// Collector removes what has passed its retention.
+type Collector struct {
+	KV platform.Store
+}
+
+type cursor struct {
+	// Done is the last day that was collected as a whole.
+	Done int64 `json:"d"`
+}
+
+// Collect removes what expired up to now from one shard of a service.
+func (c *Collector) Collect(ctx context.Context, service string, shard int, retention time.Duration, now time.Time) error {
+	var at cursor
+	if _, err := read(ctx, c.KV, cursorKey(service, shard), &at); err != nil {
+		return err
+	}
+	today := dayOf(now)
+	if at.Done == 0 {
+		at.Done = today - 1 - int64(retention/day)
+	}
+	from := at.Done
+	for d := at.Done + 1; d <= today; d++ {
+		if err := c.collectDay(ctx, service, d, shard, retention, now); err != nil {
+			return err
+		}
+		if d < today {
+			at.Done = d
+		}
+	}
+	if at.Done == from {
+		return nil
+	}
+	return change(ctx, c.KV, cursorKey(service, shard), 0, func(v *cursor) (bool, error) {
+		if v.Done >= at.Done {
+			return false, nil
+		}
+		*v = at
+		return true, nil
+	})
+}
+
+func (c *Collector) collectDay(ctx context.Context, service string, d int64, shard int, retention time.Duration, now time.Time) error {
+	key := expiryKey(service, d, shard)
+	var s expiryShard
+	version, err := read(ctx, c.KV, key, &s)
+	if err != nil || version == 0 {
+		return err
+	}
+	for _, e := range s.Entries {
+		if err := c.expire(ctx, service, e, retention, now); err != nil {
+			return errors.Wrapf(err, "collect %s", e.ID)
+		}
+	}
+	// A racing entry changes the version, and the day is collected again.
+	return ignoreGone(c.KV.Delete(ctx, key, version))
+}
+
+func ignoreGone(err error) error {
+	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+func (c *Collector) expire(ctx context.Context, service string, e Expiry, retention time.Duration, now time.Time) error {
+	if e.Data == "" {
+		return c.expireJob(ctx, service, e, retention, now)
+	}
+	f, err := LoadFile(ctx, c.KV, e.ID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return c.abandonUpload(ctx, e)
+	}
+	if err != nil {
+		return err
+	}
+	if f.Data != e.Data {
+		return c.removeData(ctx, e.Data)
+	}
+	until, err := c.neededUntil(ctx, f, retention, now)
+	if err != nil {
+		return err
+	}
+	if until.After(now) {
+		return addExpiry(ctx, c.KV, service, maxTime(until, now), e)
+	}
+	if err := c.KV.Delete(ctx, keyFile+f.ID, f.Version); err != nil {
+		return err
+	}
+	return c.removeData(ctx, e.Data)
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// neededUntil returns the time until which a file is kept.
+func (c *Collector) neededUntil(ctx context.Context, f *File, retention time.Duration, now time.Time) (time.Time, error) {
+	until := f.CreatedAt.Add(retention)
+	for _, id := range f.Jobs {
+		job, err := c.headOrMark(ctx, f.Service, id)
+		switch {
+		case err != nil:
+			return until, err
+		case !job.Status.Ended():
+			until = maxTime(until, now.Add(day))
+		case job.Status != StatusAbandoned:
+			until = maxTime(until, job.EndedAt.Add(retention))
+		}
+	}
+	return until, nil
+}
+
+// headOrMark returns a job's record; where there is none it marks the
+// acceptance as abandoned, so that a late acceptor has to name its file again.
+func (c *Collector) headOrMark(ctx context.Context, service, id string) (*Job, error) {
+	job, err := Load(ctx, c.KV, id)
+	if !errors.Is(err, platform.ErrNotFound) {
+		return job, err
+	}
+	if err := markAbandoned(ctx, c.KV, service, id); err != nil {
+		return nil, err
+	}
+	return Load(ctx, c.KV, id)
+}
+
+// abandonUpload marks the file id, so that a late upload can't take it, and
+// removes the data.
+func (c *Collector) abandonUpload(ctx context.Context, e Expiry) error {
+	value, err := encode(&FileHead{ID: e.ID})
+	if err != nil {
+		return err
+	}
+	if _, err := platform.Swap(ctx, c.KV, platform.Put{Key: keyFile + e.ID, Value: value, TTL: abandonedTTL}); err != nil {
+		return err
+	}
+	return c.removeData(ctx, e.Data)
+}
+
+// removeData removes input segments, which are numbered without gaps, last
+// first, so that an interrupted removal can be done again.
+func (c *Collector) removeData(ctx context.Context, data string) error {
+	return c.removeRun(ctx, func(n int) string { return dataKey(data, n) })
+}
+
+// removeRun removes keys numbered without gaps.
+func (c *Collector) removeRun(ctx context.Context, key func(n int) string) error {
+	var found []platform.Entry
+	for n := 0; ; n++ {
+		e, err := c.KV.Get(ctx, key(n))
+		if errors.Is(err, platform.ErrNotFound) {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		found = append(found, platform.Entry{Key: e.Key, Version: e.Version})
+	}
+	for _, e := range slices.Backward(found) {
+		if err := ignoreGone(c.KV.Delete(ctx, e.Key, e.Version)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *Collector) expireJob(ctx context.Context, service string, e Expiry, retention time.Duration, now time.Time) error {
+	job, err := Load(ctx, c.KV, e.ID)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if !job.Status.Ended() {
+		return nil
+	}
+	if until := job.EndedAt.Add(retention); until.After(now) {
+		return addExpiry(ctx, c.KV, service, until, e)
+	}
+	for n := range job.Segments {
+		if err := c.removeChunks(ctx, job.Record, n); err != nil {
+			return err
+		}
+	}
+	return ignoreGone(c.KV.Delete(ctx, keyJob+job.ID, job.Version))
+}
+
+// removeChunks removes a segment's chunks: those that the record names and
+// those that lost owners left behind.
+func (c *Collector) removeChunks(ctx context.Context, r *Record, n int) error {
+	s := &r.Segments[n]
+	for _, ref := range s.Chunks {
+		if err := ignoreGone(c.KV.Delete(ctx, chunkKey(r.Run, ref, n), ref.Version)); err != nil {
+			return err
+		}
+	}
+	for epoch := uint32(1); epoch <= s.Epoch; epoch++ {
+		if epoch == s.Epoch && s.Done() {
+			continue
+		}
+		err := c.removeRun(ctx, func(i int) string {
+			return chunkKey(r.Run, ChunkRef{Epoch: epoch, Sequence: s.NextSequence(epoch) + uint32(i)}, n)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/batch/store/index.go
@@ -0,0 +1,215 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+const (
+	// Shards is the number of shards of each service's indexes.
+	Shards = 16
+	// maxShardEntries bounds the entries of one shard.
+	maxShardEntries = 4096
+)
+
+// ErrFull means that an index shard has no room.
+var ErrFull = errors.New("index shard is full")
+
+func shardOf(id string) int { return int(xxhash.Sum64String(id) % Shards) }
+
+// change changes the value under a key by compare-and-swap; an absent key has
+// the zero value. The change reports whether it wants a write, and may be
+// called again after a lost race.
+func change[T any](ctx context.Context, kv platform.Store, key string, ttl time.Duration, f func(*T) (bool, error)) error {
+	for range maxSwaps {
+		var value T
+		version, err := read(ctx, kv, key, &value)
+		if err != nil {
+			return err
+		}
+		wanted, err := f(&value)
+		if err != nil || !wanted {
+			return err
+		}
+		text, err := encode(&value)
+		if err != nil {
+			return err
+		}
+		_, err = platform.Swap(ctx, kv, platform.Put{Key: key, Value: text, If: version, TTL: ttl})
+		if err == nil || !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+	return errors.Mark(errors.Newf("key %s: too many racing writers", key), platform.ErrConflict)
+}
+
+// read decodes the value under a key; an absent key leaves v and has version zero.
+func read[T any](ctx context.Context, kv platform.Store, key string, v *T) (platform.Version, error) {
+	r, err := platform.Read(ctx, kv, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return r.Version, decode(r.Payload, v)
+}
+
+// ActiveEntry announces a job that hosts may work on.
+type ActiveEntry struct {
+	Job string `json:"j"`
+	// Nonce tells two announcements of one job apart.
+	Nonce   string    `json:"x"`
+	AddedAt time.Time `json:"t"`
+	DueAt   time.Time `json:"d"`
+	Items   int       `json:"n"`
+}
+
+type activeShard struct {
+	Entries []ActiveEntry `json:"e"`
+}
+
+func (s *activeShard) find(job string) int {
+	return slices.IndexFunc(s.Entries, func(e ActiveEntry) bool { return e.Job == job })
+}
+
+// ActivePrefix returns the prefix of a service's active shards, for a watch.
+func ActivePrefix(service string) string { return keyActive + service + "/" }
+
+func activeKey(service string, shard int) string {
+	return fmt.Sprintf("%s%d", ActivePrefix(service), shard)
+}
+
+// ActiveShard returns the number of a service's active shard with the key.
+func ActiveShard(service, key string) (int, bool) {
+	text, ok := strings.CutPrefix(key, ActivePrefix(service))
+	if !ok {
+		return 0, false
+	}
+	n, err := strconv.Atoi(text)
+	return n, err == nil
+}
+
+// Announce adds a job to the active index. With renew it replaces an
+// announcement that is already there.
+func Announce(ctx context.Context, kv platform.Store, service string, e ActiveEntry, renew bool) error {
+	return change(ctx, kv, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
+		at := s.find(e.Job)
+		switch {
+		case at >= 0 && (!renew || s.Entries[at].Nonce == e.Nonce):
+			return false, nil
+		case at >= 0:
+			s.Entries[at] = e
+		case len(s.Entries) >= maxShardEntries:
+			return false, ErrFull
+		default:
+			s.Entries = append(s.Entries, e)
+		}
+		return true, nil
+	})
+}
+
+// Withdraw removes an announcement, but not a newer one of the same job.
+func Withdraw(ctx context.Context, kv platform.Store, service string, e ActiveEntry) error {
+	return change(ctx, kv, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
+		at := s.find(e.Job)
+		if at < 0 || s.Entries[at].Nonce != e.Nonce {
+			return false, nil
+		}
+		s.Entries = slices.Delete(s.Entries, at, at+1)
+		return true, nil
+	})
+}
+
+// Active returns the announced jobs of one shard of a service.
+func Active(ctx context.Context, kv platform.Store, service string, shard int) ([]ActiveEntry, error) {
+	var s activeShard
+	_, err := read(ctx, kv, activeKey(service, shard), &s)
+	return s.Entries, err
+}
+
+// ActiveIn decodes a shard that a watch saw.
+func ActiveIn(e platform.Event) ([]ActiveEntry, error) {
+	r, err := platform.RecordOf(e.Entry)
+	if err != nil {
+		return nil, err
+	}
+	var s activeShard
+	return s.Entries, decode(r.Payload, &s)
+}
+
+// Page of a caller's jobs.
+const (
+	pageEntries = 256
+	maxPages    = 64
+)
+
+type callerPage struct {
+	// Jobs are oldest first.
+	Jobs []string `json:"j"`
+	// Older names the page before this one.
+	Older string `json:"o,omitempty"`
+	Depth int    `json:"p,omitempty"`
+}
+
+func callerKey(service, caller, page string) string {
+	return keyCaller + service + "/" + caller + "/" + page
+}
+
+// pageName is the key's end of the newest page.
+const pageName = "newest"
+
+// AddToCaller adds a job to its caller's list. A full page becomes an immutable
+// one. Pages vanish after ttl.
+func AddToCaller(ctx context.Context, kv platform.Store, service, caller, job string, ttl time.Duration) error {
+	return change(ctx, kv, callerKey(service, caller, pageName), ttl, func(p *callerPage) (bool, error) {
+		if slices.Contains(p.Jobs, job) {
+			return false, nil
+		}
+		if len(p.Jobs) >= pageEntries {
+			name := digestOf(p.Jobs...)
+			text, err := encode(p)
+			if err != nil {
+				return false, err
+			}
+			_, err = platform.Swap(ctx, kv, platform.Put{Key: callerKey(service, caller, name), Value: text, TTL: ttl})
+			if err != nil && !errors.Is(err, platform.ErrConflict) {
+				return false, err
+			}
+			*p = callerPage{Older: name, Depth: p.Depth + 1}
+		}
+		p.Jobs = append(p.Jobs, job)
+		return true, nil
+	})
+}
+
+// JobsOf calls take for a caller's jobs, newest first, until it returns false.
+func JobsOf(ctx context.Context, kv platform.Store, service, caller string, take func(job string) (bool, error)) error {
+	page := pageName
+	for range maxPages {
+		var p callerPage
+		if _, err := read(ctx, kv, callerKey(service, caller, page), &p); err != nil {
+			return err
+		}
+		for _, job := range slices.Backward(p.Jobs) {
+			more, err := take(job)
+			if err != nil || !more {
+				return err
+			}
+		}
+		if p.Older == "" {
+			return nil
+		}
+		page = p.Older
+	}
+	return nil
+}
--- a/batch/input.go
+++ b/batch/store/input.go
@@ -1,4 +1,4 @@
-package batch
+package store
 
 import (
 	"bufio"
@@ -60,7 +60,7 @@
 			return err
 		}
 		if first, dup := seen[item.CustomID]; dup {
-			return badLine(n, "custom_id", "is the same as on line "+strconv.Itoa(first))
+			return BadLine(n, "custom_id", "is the same as on line "+strconv.Itoa(first))
 		}
 		seen[item.CustomID] = n
 		if err := take(n, item); err != nil {
@@ -68,7 +68,7 @@
 		}
 	}
 	if errors.Is(lines.Err(), bufio.ErrTooLong) {
-		return badLine(n+1, "", "exceeds "+strconv.Itoa(maxLineBytes)+" bytes")
+		return BadLine(n+1, "", "exceeds "+strconv.Itoa(maxLineBytes)+" bytes")
 	}
 	if lines.Err() == nil && len(seen) == 0 {
 		return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The file has no items.").WithParam("file")
@@ -81,25 +81,26 @@
 	if err := json.Unmarshal(text, item); err != nil {
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
-			return nil, badLine(line, wrong.Field, "has the wrong type")
+			return nil, BadLine(line, wrong.Field, "has the wrong type")
 		}
-		return nil, badLine(line, "", "is not a JSON object: "+err.Error())
+		return nil, BadLine(line, "", "is not a JSON object: "+err.Error())
 	}
 	switch {
 	case item.CustomID == "":
-		return nil, badLine(line, "custom_id", "is missing")
+		return nil, BadLine(line, "custom_id", "is missing")
 	case item.Method != http.MethodPost:
-		return nil, badLine(line, "method", "must be POST")
+		return nil, BadLine(line, "method", "must be POST")
 	case item.URL != upstream.PathChat && item.URL != upstream.PathCompletions:
-		return nil, badLine(line, "url", "must be "+upstream.PathChat+" or "+upstream.PathCompletions)
+		return nil, BadLine(line, "url", "must be "+upstream.PathChat+" or "+upstream.PathCompletions)
 	case len(item.Body) == 0 || item.Body[0] != '{':
-		return nil, badLine(line, "body", "must be an object")
+		return nil, BadLine(line, "body", "must be an object")
 	}
 	item.Body = bytes.Clone(item.Body)
 	return item, nil
 }
 
-func badLine(line int, field, what string) error {
+// BadLine returns the error of an input line, which names line and field.
+func BadLine(line int, field, what string) error {
 	where := "line " + strconv.Itoa(line)
 	if field != "" {
 		where += ", field " + field
--- /dev/null
+++ b/batch/store/jobs.go
@@ -0,0 +1,69 @@
+package store
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// maxSwaps bounds the tries of one change against racing writers.
+const maxSwaps = 64
+
+// ErrUnchanged is returned by a change that wants no write.
+var ErrUnchanged = errors.New("unchanged")
+
+// Job is a record at one version.
+type Job struct {
+	*Record
+	Version platform.Version
+}
+
+// Load reads a job's record.
+func Load(ctx context.Context, kv platform.Store, id string) (*Job, error) {
+	r, err := platform.Read(ctx, kv, keyJob+id)
+	if err != nil {
+		return nil, err
+	}
+	job := &Job{Record: &Record{}, Version: r.Version}
+	return job, decode(r.Payload, job.Record)
+}
+
+// Update changes a job's record by compare-and-swap, from known when it is not
+// nil. The change may be called again on a newer record, also when an earlier
+// call took effect with its reply lost, so it must be idempotent.
+func Update(ctx context.Context, kv platform.Store, id string, known *Job, change func(*Record) error) (*Job, error) {
+	for range maxSwaps {
+		if known == nil {
+			var err error
+			if known, err = Load(ctx, kv, id); err != nil {
+				return nil, err
+			}
+		}
+		next := known.Clone()
+		if err := change(next); err != nil {
+			if errors.Is(err, ErrUnchanged) {
+				return known, nil
+			}
+			return known, err
+		}
+		version, err := putRecord(ctx, kv, next, known.Version)
+		if err == nil {
+			return &Job{Record: next, Version: version}, nil
+		}
+		if !errors.Is(err, platform.ErrConflict) {
+			return known, err
+		}
+		known = nil
+	}
+	return nil, errors.Mark(errors.Newf("job %s: too many racing writers", id), platform.ErrConflict)
+}
+
+func putRecord(ctx context.Context, kv platform.Store, r *Record, version platform.Version) (platform.Version, error) {
+	value, err := encode(r)
+	if err != nil {
+		return 0, err
+	}
+	return platform.Swap(ctx, kv, platform.Put{Key: keyJob + r.ID, Value: value, If: version})
+}
--- /dev/null
+++ b/batch/store/keys.go
@@ -0,0 +1,39 @@
+package store
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// Prefixes of the keys in the platform's service.
+const (
+	keyFile   = "batch/file/"
+	keyData   = "batch/data/"
+	keyJob    = "batch/job/"
+	keyChunk  = "batch/chunk/"
+	keyResent = "batch/resent/"
+	keyActive = "batch/active/"
+	keyExpiry = "batch/expiry/"
+	keyCaller = "batch/caller/"
+)
+
+// idBytes is the length of the digest in a file's or job's id.
+const idBytes = 12
+
+func dataKey(data string, n int) string { return fmt.Sprintf("%s%s/%d", keyData, data, n) }
+
+func chunkKey(run string, ref ChunkRef, segment int) string {
+	return fmt.Sprintf("%s%s/%d/%d/%d", keyChunk, run, segment, ref.Epoch, ref.Sequence)
+}
+
+// digestOf returns a short digest of the parts, which may hold any bytes.
+func digestOf(parts ...string) string {
+	var text strings.Builder
+	for _, p := range parts {
+		fmt.Fprintf(&text, "%d:%s", len(p), p)
+	}
+	sum := sha256.Sum256([]byte(text.String()))
+	return hex.EncodeToString(sum[:idBytes])
+}
--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -38,7 +38,7 @@
 		if part.FormName() != "file" {
 			continue
 		}
-		f, err := g.Batches.PutFile(c.Request().Context(), identityOf(c), part.FileName(), part)
+		f, err := g.Batches.PutFile(c.Request().Context(), identityOf(c), part.FileName(), c.Request().Header.Get(HeaderIdempotencyKey), part)
 		if err != nil {
 			return err
 		}
--- a/node/batch.go
+++ b/node/batch.go
@@ -1,6 +1,17 @@
 package node
 
-import "github.com/comfreyspindle/comfreyspindle/batch"
+import (
+	"context"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/batch"
+	"github.com/comfreyspindle/comfreyspindle/batch/run"
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+)
 
 // batchPart accepts and runs batch jobs.
 type batchPart struct {
@@ -8,10 +19,34 @@
 }
 
 func (n *Node) provisionBatch() error {
-	n.batch.manager = &batch.Manager{
-		Store: n.store, Config: n.config.holder, Balancer: n.online.balancer, Client: n.online.client,
-		Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "batch"),
-		MaxLineBytes: n.settings.Gateway.MaxLineBytes,
+	limits := run.DefaultLimits()
+	if n.settings.DataFolder != "" {
+		limits.Folder = filepath.Join(n.settings.DataFolder, "batch")
+		if err := os.MkdirAll(limits.Folder, 0o700); err != nil {
+			return errors.Wrap(err, "data_folder")
+		}
+	}
+	self := n.hosts.Self()
+	n.batch.manager = batch.NewManager(batch.Options{
+		KV: n.store, Config: n.config.holder, Client: n.online.client, Observer: n.observer(),
+		Guard: n.online.runner.Guard, Hosts: n.hosts, Upstreams: n.upstreams, Peers: n.dialer,
+		Events: n.events, Book: n.book, Clock: n.clock, Log: n.log.WithField("part", "batch"),
+		Owner: store.Owner{Host: self.Name, Address: self.PeerAddress, Incarnation: self.Incarnation},
+		Times: run.DefaultTimes(), Limits: limits, MaxLineBytes: n.settings.Gateway.MaxLineBytes,
+	})
+	return n.batch.manager.Register(n.peers)
+}
+
+// observer returns what tells of the online work on replicas: the balancer, or
+// a wrapper around one that doesn't tell.
+func (n *Node) observer() routing.Observer {
+	if o, ok := n.online.balancer.(routing.Observer); ok {
+		return o
 	}
-	return nil
+	t := batch.NewTracker(n.online.balancer, n.clock)
+	n.online.balancer, n.online.runner.Balancer = t, t
+	return t
 }
+
+// drainBatch hands over claimed segments.
+func (n *Node) drainBatch(ctx context.Context) { n.batch.manager.Drain(ctx) }
--- a/node/tree.go
+++ b/node/tree.go
@@ -31,6 +31,7 @@
 	serving := suture.New("serving", spec)
 	serving.Add(n.gateway)
 	serving.Add(n.admin)
+	serving.Add(n.batch.manager)
 	root.Add(control)
 	root.Add(serving)
 	return root
@@ -66,7 +67,7 @@
 	}
 	n.online.gateway.Drain()
 	err := n.gateway.shutdown(ctx)
-	n.batch.manager.Wait()
+	n.drainBatch(ctx)
 	n.cancel()
 	<-n.served
 	n.log.Info("stopped")
--- a/service/document.go
+++ b/service/document.go
@@ -169,6 +169,12 @@
 	ResendWindow time.Duration `yaml:"resend_window" default:"1h" validate:"gt=0"`
 	// Due is the time to the due time of a job that names none.
 	Due time.Duration `yaml:"due" default:"24h" validate:"gt=0"`
+	// LateShare is the largest part of the batch capacity that jobs take which
+	// will miss their due time, ahead of jobs that can still meet theirs.
+	LateShare float64 `yaml:"late_share" default:"0.5" validate:"min=0,max=1"`
+	// Resume says that the engines continue a broken answer, so that an item
+	// that stepped aside keeps what it had produced.
+	Resume bool `yaml:"resume" default:"true"`
 	// Repeat says whether items may run more than once.
 	Repeat Repeat `yaml:"repeat" default:"allowed" validate:"oneof=allowed never"`
 }
