--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -24,6 +24,8 @@
 	Items  int
 	Tokens int
 	Seed   uint64
+	// IdempotencyKey is sent with file and job; empty sends none.
+	IdempotencyKey string
 	// Poll is the time between looks at a running job; zero takes 50 ms.
 	Poll time.Duration
 	// Word begins every prompt; empty adds none.
@@ -90,7 +92,8 @@
 	return job, j.call(ctx, client, http.MethodGet, "/v1/batches/"+id, "", nil, &job)
 }
 
-// Await polls the job until it has ended.
+// Await polls the job until it has ended. While the job can't be read, as in an
+// outage, it goes on until ctx ends and returns the last error then.
 func (j *Job) Await(ctx context.Context, client *http.Client, id string) (batch.Object, error) {
 	interval := j.Poll
 	if interval == 0 {
@@ -98,13 +101,13 @@
 	}
 	for {
 		job, err := j.Get(ctx, client, id)
-		if err != nil || job.Status == batch.StatusCompleted || job.Status == batch.StatusCancelled {
-			return job, err
+		if err == nil && (job.Status == batch.StatusCompleted || job.Status == batch.StatusCancelled) {
+			return job, nil
 		}
 		select {
 		case <-time.After(interval):
 		case <-ctx.Done():
-			return job, ctx.Err()
+			return job, errors.CombineErrors(err, ctx.Err())
 		}
 	}
 }
@@ -118,6 +121,9 @@
 	if kind != "" {
 		req.Header.Set("Content-Type", kind)
 	}
+	if j.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", j.IdempotencyKey)
+	}
 	res, err := client.Do(req)
 	if err != nil {
 		return err
