membership: hosts by SWIM-like gossip, upstream states spread with it

Cause: the view of hosts was static and signs of leaving upstreams stayed on the host that saw them.

Change: a pure state machine (ticks and messages in, messages out) after Das, Gupta and Motivala 2002, carried by net/rpc; two ring successors and one random member probed each second, indirect probes, suspicion, refutation, new updates pushed at once and piggybacked, word of a loss verified before it is believed, names checked at the join, digests between members and between data centres. Claims about upstreams travel with the same messages, bound to the generation that gave the address and to the upstream's own start. Relays read the platform's lists as hints.

The client of package peer no longer drops a connection because of a caller with less patience than its own timeout.

Checked that tests can fail: without sticky flags, without tries of gone hosts, without corrections of old news, with claims in any order, with a suspicion of 100 ms, and without relays, tests of this package fail.

--- a/membership/membership.go
+++ b/membership/membership.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 )
 
 // State is the state of a host or an upstream.
@@ -27,6 +28,17 @@
 // MarshalText encodes the state's name.
 func (s State) MarshalText() ([]byte, error) { return []byte(s.String()), nil }
 
+// UnmarshalText decodes a state's name.
+func (s *State) UnmarshalText(text []byte) error {
+	for _, known := range []State{Alive, Leaving, Gone} {
+		if string(text) == known.String() {
+			*s = known
+			return nil
+		}
+	}
+	return errors.Newf("unknown state %q", text)
+}
+
 // Host is one entry host as others see it.
 type Host struct {
 	Name       string `json:"name"`
--- /dev/null
+++ b/membership/sim_test.go
@@ -0,0 +1,240 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Bytes that net/rpc adds to a payload on an open connection;
+// TestFramingOverPeer measures them.
+const (
+	requestFraming = 48
+	replyFraming   = 48
+)
+
+const simLatency = time.Millisecond
+
+// sim runs members in virtual time over an in-memory network. It is
+// deterministic.
+type sim struct {
+	t       *testing.T
+	now     time.Time
+	events  simEvents
+	seq     int
+	rnd     *rand.Rand
+	members map[netip.AddrPort]*simMember
+	cut     func(from, to *simMember) bool
+}
+
+type simMember struct {
+	*machine
+	address netip.AddrPort
+	dead    bool
+	paused  time.Time
+	// bytes sent and received, with framing.
+	bytes int
+	// gone notes for each name when this member first took it for gone.
+	gone map[string]time.Time
+	// noted is the version of the machine at the last note.
+	noted uint64
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int      { return len(e) }
+func (e simEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e simEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e *simEvents) Push(x any) { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newSim(t *testing.T, seed uint64) *sim {
+	return &sim{
+		t: t, now: time.Unix(1_000_000_000, 0), rnd: rand.New(rand.NewPCG(seed, 1)),
+		members: make(map[netip.AddrPort]*simMember), cut: func(_, _ *simMember) bool { return false },
+	}
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.seq, run})
+}
+
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.events) > 0 && !s.events[0].at.After(end) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// until runs for at most d and reports whether ok became true.
+func (s *sim) until(d time.Duration, ok func() bool) time.Duration {
+	for begin := s.now; s.now.Sub(begin) < d; s.run(50 * time.Millisecond) {
+		if ok() {
+			return s.now.Sub(begin)
+		}
+	}
+	require.True(s.t, ok(), "not within %s", d)
+	return d
+}
+
+func (s *sim) add(dc, name string, address int, seeds ...*simMember) *simMember {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(address >> 8), byte(address)}), 7080)
+	u := hostUpdate{
+		Name: name, DataCentre: dc, Region: "region-of-" + dc, Peer: a, Operators: a,
+		Incarnation: uint64(s.now.UnixNano()) + uint64(address),
+	}
+	var from []netip.AddrPort
+	for _, m := range seeds {
+		from = append(from, m.address)
+	}
+	m := &simMember{
+		machine: newMachine(u, from, rand.New(rand.NewPCG(s.rnd.Uint64(), 2)), s.now), address: a,
+		gone: make(map[string]time.Time),
+	}
+	s.members[a] = m
+	s.after(time.Duration(s.rnd.Int64N(int64(tickInterval))), func() { s.tick(m) })
+	return m
+}
+
+func (s *sim) tick(m *simMember) {
+	if m.dead {
+		return
+	}
+	if wait := m.paused.Sub(s.now); wait > 0 {
+		s.after(wait, func() { s.tick(m) })
+		return
+	}
+	s.after(tickInterval, func() { s.tick(m) })
+	s.send(m, m.tick(s.now))
+	s.note(m)
+}
+
+func (s *sim) note(m *simMember) {
+	if m.noted == m.version {
+		return
+	}
+	m.noted = m.version
+	for name, r := range m.local {
+		if _, seen := m.gone[name]; r.state() == Gone && !seen {
+			m.gone[name] = s.now
+		}
+	}
+}
+
+func (s *sim) send(from *simMember, out []outgoing) {
+	for _, o := range out {
+		data, err := encode(o.msg)
+		require.NoError(s.t, err)
+		from.bytes += len(data) + requestFraming
+		if to := s.members[o.to]; to != nil && !s.cut(from, to) {
+			s.after(simLatency, func() { s.deliver(from, to, data, true) })
+		}
+	}
+}
+
+// deliver takes a call, or with inline false the reply of one.
+func (s *sim) deliver(from, to *simMember, data []byte, call bool) {
+	if to.dead {
+		return
+	}
+	if wait := to.paused.Sub(s.now); wait > 0 {
+		s.after(wait, func() { s.deliver(from, to, data, call) })
+		return
+	}
+	to.bytes += len(data) + requestFraming
+	msg, err := decode(data)
+	require.NoError(s.t, err)
+	reply, out := to.receive(s.now, msg)
+	s.note(to)
+	s.send(to, out)
+	if call {
+		to.bytes += replyFraming
+		from.bytes += replyFraming
+	}
+	if reply == nil {
+		return
+	}
+	answer, err := encode(reply)
+	require.NoError(s.t, err)
+	to.bytes += len(answer)
+	if !s.cut(to, from) {
+		s.after(simLatency, func() { s.deliver(to, from, answer, false) })
+	}
+}
+
+// fleet starts n members of one data centre and waits until all know all.
+func (s *sim) fleet(dc string, n, firstAddress int) []*simMember {
+	var all []*simMember
+	for i := range n {
+		all = append(all, s.add(dc, fmt.Sprintf("%s-host-%d", dc, i), firstAddress+i, all[:min(i, 3)]...))
+		s.run(20 * time.Millisecond)
+	}
+	s.until(time.Minute, func() bool { return s.agree(all) })
+	return all
+}
+
+// agree reports whether the members see each other alive.
+func (s *sim) agree(all []*simMember) bool {
+	for _, m := range all {
+		if !m.joined || len(m.hosts().byName) != len(all)-1 {
+			return false
+		}
+		for _, o := range all {
+			if r := m.local[o.self.Name]; o != m && (r == nil || r.state() != o.self.state() || r.Incarnation != o.self.Incarnation) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// warmFleet returns n members that know each other.
+func (s *sim) warmFleet(dc string, n, firstAddress int) []*simMember {
+	var all []*simMember
+	for i := range n {
+		all = append(all, s.add(dc, fmt.Sprintf("%s-host-%d", dc, i), firstAddress+i))
+	}
+	for _, m := range all {
+		for _, o := range all {
+			if o != m {
+				m.local[o.self.Name] = &record{hostUpdate: o.self.hostUpdate}
+			}
+		}
+	}
+	return all
+}
+
+func without(all []*simMember, out ...*simMember) []*simMember {
+	var rest []*simMember
+	for _, m := range all {
+		kept := true
+		for _, o := range out {
+			kept = kept && m != o
+		}
+		if kept {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/membership/spread.go
@@ -0,0 +1,89 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+)
+
+// SpreadUpstreams is an UpstreamView whose reports reach all hosts with the
+// members' messages. A report binds to the upstream's incarnation: the
+// generation of the service document that gave it its address, and the
+// upstream's own number of its start.
+type SpreadUpstreams struct {
+	gossip *Gossip
+	since  func(UpstreamKey) uint64
+}
+
+var _ UpstreamView = (*SpreadUpstreams)(nil)
+
+// NewSpreadUpstreams returns a view over a member. The function since returns
+// the generation of the document that gave an upstream its present address;
+// zero while the upstream is unknown.
+func NewSpreadUpstreams(g *Gossip, since func(UpstreamKey) uint64) *SpreadUpstreams {
+	return &SpreadUpstreams{gossip: g, since: since}
+}
+
+// State implements UpstreamView. A claim about an earlier address doesn't
+// count.
+func (s *SpreadUpstreams) State(key UpstreamKey) State {
+	c, ok := s.claim(key)
+	if !ok || c.Since < s.since(key) {
+		return Alive
+	}
+	return c.State
+}
+
+func (s *SpreadUpstreams) claim(key UpstreamKey) (claim, bool) {
+	s.gossip.mu.RLock()
+	defer s.gossip.mu.RUnlock()
+	return s.gossip.machine.claims.get(key)
+}
+
+// Report implements UpstreamView. Alive changes nothing: only Restarted or a
+// new address makes an upstream alive again.
+func (s *SpreadUpstreams) Report(key UpstreamKey, state State, cause string) {
+	if state == Alive || s.State(key) >= state {
+		return
+	}
+	c := claim{Service: key.Service, Name: key.Name, Since: s.since(key), State: state}
+	if old, ok := s.claim(key); ok && old.Since >= c.Since {
+		c.Since, c.Start = old.Since, old.Start
+	}
+	s.spread(c, cause)
+}
+
+// Hint takes a word of the platform's lagging list. It counts like a report,
+// but only about an upstream that has not reported a start of its own.
+func (s *SpreadUpstreams) Hint(key UpstreamKey, state State) {
+	if old, ok := s.claim(key); ok && old.Start > 0 && old.Since >= s.since(key) {
+		return
+	}
+	s.Report(key, state, "platform list")
+}
+
+// Restarted takes an upstream's own report of a start. A number that is not
+// higher than the one known is old news.
+func (s *SpreadUpstreams) Restarted(key UpstreamKey, start uint64) {
+	c := claim{Service: key.Service, Name: key.Name, Since: s.since(key), Start: start, State: Alive}
+	if old, ok := s.claim(key); ok && old.Since > c.Since {
+		c.Since = old.Since
+	}
+	s.spread(c, "upstream reported a new start")
+}
+
+func (s *SpreadUpstreams) spread(c claim, cause string) {
+	g := s.gossip
+	changed := false
+	g.step(func(m *machine, now time.Time) []outgoing {
+		c.Origin = m.self.DataCentre
+		old, known := m.claims.get(c.key())
+		changed = !known || c.compare(&old) > 0
+		return m.report(now, c)
+	})
+	if changed && g.options.Events != nil {
+		g.options.Events.Record(timeline.Event{
+			Kind: EventUpstream, Service: c.Service, Upstream: c.Name, Cause: c.State.String() + ": " + cause,
+		})
+	}
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -44,6 +44,8 @@
 // Call implements Caller. At most maxCalls calls run at one time to one peer;
 // others wait for their turn, within their time.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	asked, given := ctx.Deadline()
+	short := given && time.Until(asked) < c.timeout
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	l := c.link(address)
@@ -57,27 +59,30 @@
 	if err != nil {
 		return unreachable(err, address)
 	}
-	return errors.Wrapf(c.call(ctx, l, conn, codec, method, args, reply), "call %s at %s", method, address)
+	replies := codec.replies.Load()
+	err = c.call(ctx, l, conn, method, args, reply)
+	// A connection without any reply for the whole timeout is dead. A caller
+	// with less patience doesn't decide that for others.
+	if errors.Is(err, context.DeadlineExceeded) && !short && codec.replies.Load() == replies {
+		l.drop(conn)
+	}
+	return errors.Wrapf(err, "call %s at %s", method, address)
 }
 
 func unreachable(err error, address string) error {
 	return errors.Mark(errors.Wrapf(err, "connect to peer %s", address), ErrUnreachable)
 }
 
-func (c *Client) call(ctx context.Context, l *link, conn *rpc.Client, codec *clientCodec, method string, args, reply any) error {
+func (c *Client) call(ctx context.Context, l *link, conn *rpc.Client, method string, args, reply any) error {
 	deadline, _ := ctx.Deadline()
 	req := &request{args: args, deadline: deadline}
 	// A reply that arrives after the call has ended must not touch the
 	// caller's value.
 	fresh := reflect.New(reflect.TypeOf(reply).Elem())
-	replies := codec.replies.Load()
 	call := conn.Go(method, req, fresh.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
-		if codec.replies.Load() == replies && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			l.drop(conn)
-		}
 		return ctx.Err()
 	}
 	if call.Error == nil {
