ledger: requests that run at most once, over all hosts

Cause: every such request was refused, since nothing recorded claims. Change: claims in sharded head records with immutable chunks, decided by the head's compare-and-swap; batches through the shard's writer in the data centre; lost replies resolved by nonce; unsent claims taken over or removed; window with a mark of what was dropped; refusal at once while the platform's service is away. Ledger gains Settle; the online path calls it and tells a repeat that its first request ran. once.shards defaults to 4 instead of 16 and is fixed by the first request. Tests: each step failing, lost, late or slow; one key on all hosts; paused writer; unreachable writer; lost host; overflow and merge; window; 300 random schedules with porcupine; real peers.

--- /dev/null
+++ b/ledger/chunks.go
@@ -0,0 +1,139 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+const (
+	// cachedChunks bounds the decoded chunks that a shard keeps.
+	cachedChunks = 2 * mergeFan
+	// createTries bounds the sequence numbers tried for one chunk.
+	createTries = 8
+)
+
+// chunkSet reads and writes a shard's chunks. It is not safe for concurrent use.
+type chunkSet struct {
+	store platform.Store
+	key   string
+	// prefixes holds the sorted digest prefixes of each chunk read so far.
+	prefixes map[uint64][]uint64
+	decoded  *lru.Cache[uint64, []entry]
+}
+
+func newChunkSet(store platform.Store, key string) *chunkSet {
+	cache, err := lru.New[uint64, []entry](cachedChunks)
+	if err != nil {
+		panic(err)
+	}
+	return &chunkSet{store: store, key: key, prefixes: make(map[uint64][]uint64), decoded: cache}
+}
+
+func (c *chunkSet) keyOf(seq uint64) string { return fmt.Sprintf("%s/chunk/%d", c.key, seq) }
+
+// remember keeps a chunk's content.
+func (c *chunkSet) remember(seq uint64, entries []entry) {
+	prefixes := make([]uint64, len(entries))
+	for i := range entries {
+		prefixes[i] = entries[i].Key.prefix()
+	}
+	slices.Sort(prefixes)
+	c.prefixes[seq] = prefixes
+	c.decoded.Add(seq, entries)
+}
+
+// forget drops what is kept of chunks that the head does not name.
+func (c *chunkSet) forget(h *head) {
+	for seq := range c.prefixes {
+		if !slices.ContainsFunc(h.Chunks, func(r chunkRef) bool { return r.Seq == seq }) {
+			delete(c.prefixes, seq)
+			c.decoded.Remove(seq)
+		}
+	}
+}
+
+// entries returns the content of a chunk.
+func (c *chunkSet) entries(ctx context.Context, seq uint64) ([]entry, error) {
+	if entries, ok := c.decoded.Get(seq); ok {
+		return entries, nil
+	}
+	r, err := platform.Read(ctx, c.store, c.keyOf(seq))
+	if err != nil {
+		return nil, err
+	}
+	var entries []entry
+	if err := decode(r.Payload, &entries); err != nil {
+		return nil, err
+	}
+	c.remember(seq, entries)
+	return entries, nil
+}
+
+// lookup searches the chunks for the newest claim of an ask's key. A key that
+// says when it was made can't be in chunks whose claims are all older.
+func (c *chunkSet) lookup(ctx context.Context, h *head, a *ask) older {
+	for _, ref := range slices.Backward(h.Chunks) {
+		if a.Made != 0 && ref.Newest < a.Made {
+			continue
+		}
+		if prefixes, ok := c.prefixes[ref.Seq]; ok {
+			if _, hit := slices.BinarySearch(prefixes, a.Entry.Key.prefix()); !hit {
+				continue
+			}
+		}
+		entries, err := c.entries(ctx, ref.Seq)
+		if err != nil {
+			return older{failed: true}
+		}
+		for _, e := range slices.Backward(entries) {
+			if e.Key == a.Entry.Key {
+				return older{holder: e, found: true}
+			}
+		}
+	}
+	return older{}
+}
+
+// create writes a new chunk under the head's next sequence number and moves
+// that on. Numbers that other writers took are noted as dead, to be deleted.
+func (c *chunkSet) create(ctx context.Context, h *head, entries []entry, merged bool) (chunkRef, error) {
+	payload, err := encode(entries)
+	if err != nil {
+		return chunkRef{}, err
+	}
+	for range createTries {
+		seq := h.Next
+		h.Next++
+		v, err := platform.Swap(ctx, c.store, platform.Put{Key: c.keyOf(seq), Value: payload})
+		switch {
+		case err == nil:
+			c.remember(seq, entries)
+			return chunkRef{Seq: seq, Version: uint64(v), Newest: newest(entries), Merged: merged}, nil
+		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
+			h.Dead = append(h.Dead, chunkRef{Seq: seq})
+		default:
+			return chunkRef{}, err
+		}
+	}
+	return chunkRef{}, errors.Wrap(platform.ErrConflict, "create chunk")
+}
+
+// remove deletes a dead chunk and reports whether it is gone.
+func (c *chunkSet) remove(ctx context.Context, ref chunkRef) bool {
+	version := platform.Version(ref.Version)
+	if version == 0 {
+		e, err := c.store.Get(ctx, c.keyOf(ref.Seq))
+		if err != nil {
+			return errors.Is(err, platform.ErrNotFound)
+		}
+		version = e.Version
+	}
+	err := c.store.Delete(ctx, c.keyOf(ref.Seq), version)
+	return err == nil || errors.Is(err, platform.ErrNotFound)
+}
--- /dev/null
+++ b/ledger/chunks_test.go
@@ -0,0 +1,224 @@
+package ledger_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/creasty/defaults"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// fill claims n keys with the given prefix on a host, at once.
+func fill(t *testing.T, c *cluster, host, prefix string, n int) {
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() {
+			claim, err := c.claim(host, fmt.Sprint(prefix, i), "r")
+			if err != nil || !claim.Won {
+				t.Errorf("key %s%d: %+v %v", prefix, i, claim, err)
+			}
+		})
+		if i%128 == 127 {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+}
+
+func (c *cluster) chunks() int { return len(c.store.Keys("ledger/s/0/chunk/")) }
+
+// TestChunkOverflow claims more keys than a head holds, so that chunks are
+// written and merged, and repeats all of them in the other data centre.
+func TestChunkOverflow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const keys = 4000
+		c := newCluster(t, 1, day)
+		fill(t, c, c.writer("a"), "", keys)
+		require.Less(t, c.chunks(), 20, "chunks were not merged, or those merged not deleted")
+		require.Positive(t, c.chunks())
+		var wg sync.WaitGroup
+		for i := range keys {
+			wg.Go(func() {
+				claim, err := c.claim(c.writer("b"), fmt.Sprint(i), "again")
+				if err != nil || claim.Won {
+					t.Errorf("key %d: %+v %v", i, claim, err)
+				}
+			})
+			if i%128 == 127 {
+				wg.Wait()
+			}
+		}
+		wg.Wait()
+		for _, key := range c.store.Keys("ledger/s/0") {
+			e, err := c.store.Get(context.Background(), key)
+			require.NoError(t, err)
+			require.Less(t, len(e.Value), platform.MaxValueBytes/2)
+		}
+	})
+}
+
+// TestChunkFaults breaks the writing of chunks. Every key is claimed once and
+// no chunk is left over when the window has passed.
+func TestChunkFaults(t *testing.T) {
+	rows := []struct {
+		name  string
+		fault platformtest.Fault
+	}{
+		{"creation refused", platformtest.Fault{Op: platformtest.OpPut, Err: platform.ErrUnreachable, Times: 2}},
+		{"creation's reply lost", platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 2}},
+		{"creation lost", platformtest.Fault{Op: platformtest.OpPut, LoseRequest: true, Times: 2}},
+		{"read refused", platformtest.Fault{Op: platformtest.OpGet, Err: platform.ErrUnreachable, Times: 2}},
+		{"deletion refused", platformtest.Fault{Op: platformtest.OpDelete, Err: platform.ErrUnreachable, Times: 2}},
+		{"deletion's reply lost", platformtest.Fault{Op: platformtest.OpDelete, LoseReply: true, Times: 2}},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, time.Hour)
+				request := strings.Repeat("r", 64)
+				row.fault.Prefix = "ledger/s/0/chunk/"
+				c.store.AddFault(row.fault)
+				for i := range 300 {
+					key := fmt.Sprint(i)
+					host := hostNames[i%len(hostNames)]
+					claim, err := c.claim(host, key, request)
+					for err != nil {
+						requireNotRun(t, err)
+						time.Sleep(time.Second)
+						claim, err = c.claim(host, key, request)
+					}
+					require.True(t, claim.Won, "key %d", i)
+				}
+				require.Positive(t, c.chunks())
+				// A chunk whose writer lost the race is found by the next
+				// writer that comes to its sequence number.
+				fill(t, c, c.writer("a"), "next", 500)
+				time.Sleep(2 * time.Hour)
+				fill(t, c, c.writer("a"), "late", 5)
+				time.Sleep(time.Second)
+				fill(t, c, c.writer("a"), "last", 1)
+				time.Sleep(time.Second)
+				require.Zero(t, c.chunks(), "%v", c.store.Keys("ledger"))
+			})
+		})
+	}
+}
+
+// TestWindow checks what is remembered around the end of the window.
+func TestWindow(t *testing.T) {
+	const window = time.Hour
+	rows := []struct {
+		name string
+		// made is the age of the key at its first claim; negative for a key
+		// without a time.
+		made    time.Duration
+		later   time.Duration
+		filler  int
+		won     bool
+		verdict verdict.Verdict
+	}{
+		{"repeat inside the window", 0, 59 * time.Minute, 0, false, verdict.MayHaveRun},
+		{"repeat inside the window, in a chunk", 0, 59 * time.Minute, 400, false, verdict.MayHaveRun},
+		{"old key inside the window", 30 * time.Minute, 29 * time.Minute, 400, false, verdict.MayHaveRun},
+		{"key older than the window", 30 * time.Minute, 31 * time.Minute, 0, false, verdict.MayHaveRun},
+		{"key made long ago, forgotten", time.Minute, 3 * time.Hour, 400, false, verdict.MayHaveRun},
+		{"key made in the future", -time.Hour, 0, 0, false, verdict.NotRun},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, window)
+				key := ledger.Key{Service: "s", Caller: "c", Value: "k", Made: time.Now().Add(-row.made)}
+				first, err := c.hosts["a1"].Claim(t.Context(), c.doc, key, "first")
+				if row.made < 0 {
+					require.Equal(t, row.verdict, verdict.Of(err))
+					return
+				}
+				require.NoError(t, err)
+				require.True(t, first.Won)
+				fill(t, c, "a2", "f", row.filler)
+				time.Sleep(row.later)
+				claim, err := c.hosts["b1"].Claim(t.Context(), c.doc, key, "repeat")
+				require.False(t, claim.Won)
+				require.Equal(t, row.verdict, verdict.Of(orHeld(err)))
+			})
+		})
+	}
+}
+
+// orHeld stands for the error that a caller sees when its claim is held.
+func orHeld(err error) error {
+	if err != nil {
+		return err
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.CodeDuplicate, "held")
+}
+
+// TestWindowGrows enlarges the window after claims were dropped: a key that
+// could have been among them is refused, not run again.
+func TestWindowGrows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, time.Hour)
+		key := ledger.Key{Service: "s", Caller: "c", Value: "k", Made: time.Now()}
+		_, err := c.hosts["a1"].Claim(t.Context(), c.doc, key, "first")
+		require.NoError(t, err)
+		time.Sleep(2 * time.Hour)
+		_, err = c.claim("a1", "drops the first", "r")
+		require.NoError(t, err)
+		c.doc.Once.Window = day
+		claim, err := c.hosts["b1"].Claim(t.Context(), c.doc, key, "repeat")
+		require.Error(t, err, "%+v", claim)
+		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
+	})
+}
+
+// TestCallsPerRequest measures the calls and bytes per claim at steady rates,
+// with the default number of shards and calls of 3 ms.
+func TestCallsPerRequest(t *testing.T) {
+	const target = 0.05
+	var once service.Once
+	require.NoError(t, defaults.Set(&once))
+	defaultShards := once.Shards
+	rows := []struct {
+		perSecond int
+		bound     bool
+	}{{100, false}, {400, false}, {1000, true}, {4000, true}}
+	for _, row := range rows {
+		t.Run(fmt.Sprint(row.perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const seconds = 4
+				c := newCluster(t, defaultShards, day)
+				c.store.AddFault(platformtest.Fault{Delay: 3 * time.Millisecond})
+				var wg sync.WaitGroup
+				for i := range seconds * row.perSecond {
+					wg.Go(func() {
+						claim, err := c.claim([]string{"a1", "a2"}[i%2], fmt.Sprint(i), "01J00000000000000000000000")
+						if err != nil || !claim.Won {
+							t.Errorf("%+v %v", claim, err)
+						}
+					})
+					time.Sleep(time.Second / time.Duration(row.perSecond))
+				}
+				wg.Wait()
+				claims := float64(seconds * row.perSecond)
+				calls := float64(c.store.Calls("", "")) / claims
+				t.Logf("%d claims a second: %.4f calls and %.0f bytes written a claim",
+					row.perSecond, calls, float64(c.store.BytesWritten())/claims)
+				if row.bound {
+					require.LessOrEqual(t, calls, target)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/ledger/history_test.go
@@ -0,0 +1,262 @@
+package ledger_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+// claimInput is a claim of one key. Claims that ended with an error were not
+// sent and may be removed or taken over.
+type claimInput struct {
+	key     string
+	request string
+	unsent  []string
+}
+
+// claimOutput is how a claim ended: holder is its own request if it won.
+type claimOutput struct {
+	holder string
+	failed bool
+}
+
+// keyState is who holds a key, and who held it before.
+type keyState struct {
+	holder  string
+	earlier string
+}
+
+// ledgerModel is one key of the ledger: claimed once, and again only after a
+// claim whose request was not sent. A failed claim may take effect at any time
+// after its call. A key that is held may be answered with an earlier holder.
+var ledgerModel = porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			key := op.Input.(claimInput).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() []any { return []any{keyState{}} },
+	Step: func(state, input, output any) []any {
+		s, in, out := state.(keyState), input.(claimInput), output.(claimOutput)
+		free := s.holder == "" || slices.Contains(in.unsent, s.holder)
+		taken := keyState{holder: in.request, earlier: s.earlier + "|" + s.holder}
+		switch {
+		case out.failed && free:
+			return []any{s, taken}
+		case out.failed:
+			return []any{s}
+		case out.holder == in.request && free:
+			return []any{taken}
+		case out.holder == in.request:
+			return nil
+		case out.holder == s.holder, slices.Contains(splitHolders(s.earlier), out.holder):
+			return []any{s}
+		default:
+			return nil
+		}
+	},
+	DescribeOperation: func(in, out any) string { return fmt.Sprintf("%+v -> %+v", in, out) },
+}
+
+func splitHolders(earlier string) []string {
+	var out []string
+	for part := range slices.Values([]byte(earlier)) {
+		if part == '|' {
+			out = append(out, "")
+			continue
+		}
+		out[len(out)-1] += string(part)
+	}
+	return out
+}
+
+// schedule is one random run: claims on random hosts while faults come and go.
+type schedule struct {
+	c   *cluster
+	rng *rand.Rand
+
+	mu       sync.Mutex
+	start    time.Time
+	ops      []porcupine.Operation
+	failures []failure
+	sent     map[string][]string
+}
+
+// failure is a claim that ended with an error, at a time since the start.
+type failure struct {
+	key, request string
+	at           int64
+}
+
+// draw draws a fault and returns how to begin it, which returns how to end it.
+func (s *schedule) draw() (begin func() (end func())) {
+	host := hostNames[s.rng.IntN(len(hostNames))]
+	faults := []platformtest.Fault{
+		{LoseReply: true},
+		{LoseRequest: true},
+		{Late: true},
+		{Err: platform.ErrUnreachable},
+		{Err: platform.ErrLimited},
+		{Delay: time.Duration(s.rng.IntN(3000)) * time.Millisecond},
+	}
+	switch s.rng.IntN(10) {
+	case 0:
+		return s.link(host, linkDown)
+	case 1:
+		return s.link(host, linkLosesReplies)
+	case 2:
+		return s.cut(host, platformtest.CutRequests)
+	case 3:
+		return s.cut(host, platformtest.CutReplies)
+	case 4:
+		return func() func() {
+			s.c.store.SetOutage(true)
+			return func() { s.c.store.SetOutage(false) }
+		}
+	default:
+		f := faults[s.rng.IntN(len(faults))]
+		f.Skip, f.Times = s.rng.IntN(3), s.rng.IntN(4)
+		if s.rng.IntN(2) == 0 {
+			f.Host = host
+		}
+		return func() func() { return s.c.store.AddFault(f) }
+	}
+}
+
+func (s *schedule) link(host string, f linkFault) func() func() {
+	return func() func() {
+		s.c.net.set(host, f)
+		return func() { s.c.net.set(host, linkOK) }
+	}
+}
+
+func (s *schedule) cut(host string, c platformtest.Cut) func() func() {
+	return func() func() {
+		s.c.store.SetCut(host, c)
+		return func() { s.c.store.SetCut(host, platformtest.CutNone) }
+	}
+}
+
+// claim makes one claim and records it.
+func (s *schedule) claim(client int, host, key string) {
+	request := fmt.Sprintf("%s-%d", host, client)
+	call := time.Since(s.start)
+	got, err := s.c.claim(host, key, request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	op := porcupine.Operation{
+		ClientId: client, Input: claimInput{key: key, request: request},
+		Call: int64(call), Return: int64(time.Since(s.start)),
+	}
+	if err != nil {
+		s.failures = append(s.failures, failure{key: key, request: request, at: op.Return})
+		op.Output, op.Return = claimOutput{failed: true}, int64(time.Hour*1000)
+	} else {
+		op.Output = claimOutput{holder: got.RequestID}
+	}
+	if err == nil && got.Won {
+		s.sent[key] = append(s.sent[key], request)
+	}
+	s.ops = append(s.ops, op)
+}
+
+// history returns the recorded claims. A claim that failed before another one
+// ended may have been removed, or taken over by a repeat on its host.
+func (s *schedule) history() []porcupine.Operation {
+	for i, op := range s.ops {
+		in := op.Input.(claimInput)
+		for _, f := range s.failures {
+			if f.key == in.key && f.at <= op.Return {
+				in.unsent = append(in.unsent, f.request)
+			}
+		}
+		s.ops[i].Input = in
+	}
+	return s.ops
+}
+
+func (s *schedule) run() {
+	const claims, keys, faults = 24, 4, 6
+	var wg sync.WaitGroup
+	for range faults {
+		at, d := s.rng.IntN(4000), s.rng.IntN(4000)
+		begin := s.draw()
+		wg.Go(func() {
+			time.Sleep(time.Duration(at) * time.Millisecond)
+			end := begin()
+			time.Sleep(time.Duration(d) * time.Millisecond)
+			end()
+			s.c.store.ReleaseLate()
+		})
+	}
+	for i := range claims {
+		at := time.Duration(s.rng.IntN(8000)) * time.Millisecond
+		host, key := hostNames[s.rng.IntN(len(hostNames))], fmt.Sprint(s.rng.IntN(keys))
+		wg.Go(func() {
+			time.Sleep(at)
+			s.claim(i, host, key)
+		})
+	}
+	wg.Wait()
+	s.c.store.ReleaseLate()
+}
+
+// describe lists a history in order of call.
+func describe(ops []porcupine.Operation) string {
+	slices.SortFunc(ops, func(a, b porcupine.Operation) int { return cmp.Compare(a.Call, b.Call) })
+	text := ""
+	for _, op := range ops {
+		text += fmt.Sprintf("\n%v to %v: %+v -> %+v", time.Duration(op.Call), time.Duration(op.Return), op.Input, op.Output)
+	}
+	return text
+}
+
+// TestRandomFaults runs random schedules with fixed seeds. No key is sent
+// twice, and the history of each key is linearizable.
+func TestRandomFaults(t *testing.T) {
+	const seeds = 300
+	failed, won := 0, 0
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			s := &schedule{
+				c: newCluster(t, 1, day), rng: rand.New(rand.NewPCG(seed, 0)), start: time.Now(),
+				sent: make(map[string][]string),
+			}
+			s.run()
+			for key, requests := range s.sent {
+				require.Len(t, requests, 1, "seed %d: key %s was sent more than once", seed, key)
+				won++
+			}
+			for _, op := range s.ops {
+				if op.Output.(claimOutput).failed {
+					failed++
+				}
+			}
+			for _, ops := range ledgerModel.Partition(s.history()) {
+				res := porcupine.CheckOperationsTimeout(ledgerModel.ToModel(), ops, time.Minute)
+				require.Equal(t, porcupine.Ok, res, "seed %d:%s", seed, describe(ops))
+			}
+		})
+	}
+	t.Logf("%d schedules: %d claims won, %d refused", seeds, won, failed)
+	require.Positive(t, failed)
+	require.Greater(t, won, seeds)
+}
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -1,4 +1,10 @@
-// Package ledger remembers requests that may run at most once, over all hosts.
+// Package ledger remembers requests that may run at most once, over all hosts
+// and data centres.
+//
+// Keys hash to shards. A shard is one head record in the platform's service
+// with its newest claims, and immutable chunks that the head names. The
+// compare-and-swap of the head is the one arbiter: a claim is won by the write
+// that brings it into the head. See docs/design/ledger.md.
 package ledger
 
 import (
@@ -29,12 +35,22 @@
 	Host  string
 	// RequestID is the id of the request that holds the claim.
 	RequestID string
+	// Ran says that the holder is known to have run.
+	Ran bool
+	// Nonce identifies this claim among all claims of the key.
+	Nonce uint64
 }
 
 // Ledger records claims. A claim is durable before Claim returns.
 type Ledger interface {
-	// Claim records the key for the request. The error carries verdict NotRun.
+	// Claim records the key for the request. After an error the request must
+	// not be sent. The error carries verdict NotRun, or MayHaveRun for a key
+	// that is older than the ledger remembers.
 	Claim(ctx context.Context, doc *service.Document, key Key, requestID string) (Claim, error)
+	// Settle tells how the request of a won claim ended. NotRun frees the key
+	// for a repeat and must be certain; Ran is told to repeats. It returns at
+	// once, and what it tells may be lost.
+	Settle(doc *service.Document, claim Claim, v verdict.Verdict)
 }
 
 // Unavailable is a Ledger that refuses every claim.
@@ -44,6 +60,14 @@
 
 // Claim implements Ledger.
 func (Unavailable) Claim(context.Context, *service.Document, Key, string) (Claim, error) {
-	return Claim{}, verdict.New(verdict.NotRun, verdict.CodePlatformUnavailable,
-		"Requests that may run at most once can't be recorded now.").WithRetryAfter(time.Second)
+	return Claim{}, unavailable(time.Second)
+}
+
+// Settle implements Ledger.
+func (Unavailable) Settle(*service.Document, Claim, verdict.Verdict) {}
+
+// unavailable refuses a claim while the platform's service can't be used.
+func unavailable(retryAfter time.Duration) error {
+	return verdict.New(verdict.NotRun, verdict.CodePlatformUnavailable,
+		"Requests that may run at most once can't be recorded now.").WithRetryAfter(retryAfter)
 }
--- /dev/null
+++ b/ledger/ledger_test.go
@@ -0,0 +1,344 @@
+package ledger_test
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+const day = 24 * time.Hour
+
+// TestOneKeyManyHosts claims keys on all hosts of two data centres at once,
+// and again later.
+func TestOneKeyManyHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		c.store.AddFault(platformtest.Fault{Delay: 3 * time.Millisecond})
+		const keys = 20
+		won := make([]atomic.Int64, keys)
+		var wg sync.WaitGroup
+		for k := range keys {
+			for i := range 3 * len(hostNames) {
+				wg.Go(func() {
+					claim, err := c.claim(hostNames[i%len(hostNames)], fmt.Sprint(k), fmt.Sprint(k, i))
+					require.NoError(t, err)
+					if claim.Won {
+						won[k].Add(1)
+					}
+				})
+			}
+		}
+		wg.Wait()
+		for k := range keys {
+			require.EqualValues(t, 1, won[k].Load(), "key %d", k)
+		}
+		time.Sleep(time.Hour)
+		for _, host := range hostNames {
+			claim, err := c.claim(host, "0", "later")
+			require.NoError(t, err)
+			require.False(t, claim.Won)
+			require.NotEmpty(t, claim.Host)
+			require.NotEmpty(t, claim.RequestID)
+		}
+	})
+}
+
+// TestFaultAtEachStep breaks one step of the first claim of a key. At most one
+// request with the key is sent, and after the fault a repeat on the same host
+// is sent if the first one was not.
+func TestFaultAtEachStep(t *testing.T) {
+	steps := []struct {
+		name   string
+		op     platformtest.Op
+		prefix string
+	}{
+		{"layout read", platformtest.OpGet, "ledger/s/layout"},
+		{"layout created", platformtest.OpPut, "ledger/s/layout"},
+		{"head read", platformtest.OpGet, "ledger/s/0"},
+		{"head swapped", platformtest.OpPut, "ledger/s/0"},
+	}
+	faults := []struct {
+		name  string
+		fault platformtest.Fault
+	}{
+		{"refused", platformtest.Fault{Err: platform.ErrUnreachable}},
+		{"limited", platformtest.Fault{Err: platform.ErrLimited}},
+		{"request lost", platformtest.Fault{LoseRequest: true}},
+		{"reply lost", platformtest.Fault{LoseReply: true}},
+		{"late", platformtest.Fault{Late: true}},
+		{"slow", platformtest.Fault{Delay: 3 * time.Second}},
+	}
+	for _, step := range steps {
+		for _, row := range faults {
+			for _, times := range []int{1, 0} {
+				t.Run(fmt.Sprintf("%s/%s/%d", step.name, row.name, times), func(t *testing.T) {
+					f := row.fault
+					f.Op, f.Prefix, f.Times = step.op, step.prefix, times
+					synctest.Test(t, func(t *testing.T) { repeatAfterFault(t, f) })
+				})
+			}
+		}
+	}
+}
+
+func repeatAfterFault(t *testing.T, f platformtest.Fault) {
+	c := newCluster(t, 1, day)
+	heal := c.store.AddFault(f)
+	sent := 0
+	claim, err := c.claim("a1", "k", "first")
+	if err != nil {
+		requireNotRun(t, err)
+	} else if claim.Won {
+		sent++
+	}
+	heal()
+	time.Sleep(10 * time.Second)
+	c.store.ReleaseLate()
+	claim, err = c.claim("a1", "k", "repeat")
+	require.NoError(t, err)
+	if claim.Won {
+		sent++
+	}
+	require.Equal(t, 1, sent, "after a healed fault the repeat runs if the first did not")
+	time.Sleep(10 * time.Second)
+	for _, host := range hostNames {
+		claim, err := c.claim(host, "k", "other")
+		require.NoError(t, err)
+		require.False(t, claim.Won, "sent again by %s", host)
+	}
+}
+
+func TestPlatformDownIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		claim, err := c.claim("a1", "known", "first")
+		require.NoError(t, err)
+		require.True(t, claim.Won)
+		c.store.SetOutage(true)
+		for i := range 20 {
+			start := time.Now()
+			_, err := c.claim("a1", fmt.Sprint(i), "r")
+			requireNotRun(t, err)
+			require.Less(t, time.Since(start), 201*time.Millisecond)
+		}
+		claim, err = c.claim(c.writer("a"), "known", "repeat")
+		require.NoError(t, err, "the writer knows the claim while the service is down")
+		require.False(t, claim.Won)
+		c.store.SetOutage(false)
+		time.Sleep(10 * time.Second)
+		claim, err = c.claim("a1", "0", "again")
+		require.NoError(t, err)
+		require.True(t, claim.Won, "a key that was refused is free")
+	})
+}
+
+// TestPausedWriter pauses the writer of one data centre just before its swap.
+// The other data centre claims the key meanwhile; the woken writer loses.
+func TestPausedWriter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		writer := c.writer("a")
+		_, err := c.claim(writer, "warm", "w")
+		require.NoError(t, err)
+		gate := make(chan struct{})
+		c.store.AddFault(platformtest.Fault{Host: writer, Op: platformtest.OpPut, Gate: gate, Times: 1})
+		type result struct {
+			claim ledger.Claim
+			err   error
+		}
+		woken := make(chan result, 1)
+		go func() {
+			claim, err := c.claim(writer, "k", "paused")
+			woken <- result{claim, err}
+		}()
+		time.Sleep(time.Second)
+		claim, err := c.claim(c.writer("b"), "k", "meanwhile")
+		require.NoError(t, err)
+		require.True(t, claim.Won)
+		close(gate)
+		r := <-woken
+		require.NoError(t, r.err)
+		require.False(t, r.claim.Won)
+		require.Equal(t, "meanwhile", r.claim.RequestID)
+	})
+}
+
+// TestWriterUnreachable cuts the way to the shard's writer in every manner;
+// the host writes by itself, and the key is still claimed once.
+func TestWriterUnreachable(t *testing.T) {
+	rows := []struct {
+		name string
+		set  func(c *cluster)
+	}{
+		{"link down", func(c *cluster) { c.net.set(c.writer("a"), linkDown) }},
+		{"link loses replies", func(c *cluster) { c.net.set(c.writer("a"), linkLosesReplies) }},
+		{"writer cut off from the platform", func(c *cluster) { c.store.SetCut(c.writer("a"), platformtest.CutRequests) }},
+		{"platform's replies to the writer lost", func(c *cluster) { c.store.SetCut(c.writer("a"), platformtest.CutReplies) }},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, day)
+				row.set(c)
+				claim, err := c.claim(c.other("a"), "k", "r")
+				require.NoError(t, err)
+				require.True(t, claim.Won)
+				claim, err = c.claim(c.other("b"), "k", "r2")
+				require.NoError(t, err)
+				require.False(t, claim.Won)
+			})
+		})
+	}
+}
+
+// TestHostLostAfterClaim asks for a key whose host was lost before it sent.
+func TestHostLostAfterClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		_, err := c.claim("a2", "k", "lost")
+		require.NoError(t, err)
+		c.net.set("a2", linkDown)
+		for _, host := range []string{"a1", "b1"} {
+			claim, err := c.claim(host, "k", "repeat")
+			require.NoError(t, err)
+			require.False(t, claim.Won)
+			require.Equal(t, "lost", claim.RequestID)
+			require.Equal(t, "a2", claim.Host)
+		}
+	})
+}
+
+// TestSettle tells how requests ended.
+func TestSettle(t *testing.T) {
+	rows := []struct {
+		verdict verdict.Verdict
+		won     bool
+		ran     bool
+	}{
+		{verdict.NotRun, true, false},
+		{verdict.Ran, false, true},
+		{verdict.MayHaveRun, false, false},
+	}
+	for _, row := range rows {
+		t.Run(row.verdict.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCluster(t, 1, day)
+				first, err := c.claim("a1", "k", "first")
+				require.NoError(t, err)
+				c.hosts["a1"].Settle(c.doc, first, row.verdict)
+				time.Sleep(5 * time.Second)
+				claim, err := c.claim("b1", "k", "repeat")
+				require.NoError(t, err)
+				require.Equal(t, row.won, claim.Won)
+				require.Equal(t, row.ran, claim.Ran)
+			})
+		})
+	}
+}
+
+// TestUnsentClaimIsTakenOver refuses a request after its claim was made, while
+// settlements are lost, and repeats it on the same host.
+func TestUnsentClaimIsTakenOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		c.net.dropSettlements = true
+		host := c.other("a")
+		first, err := c.claim(host, "k", "first")
+		require.NoError(t, err)
+		c.hosts[host].Settle(c.doc, first, verdict.NotRun)
+		time.Sleep(5 * time.Second)
+		claim, err := c.claim("b1", "k", "elsewhere")
+		require.NoError(t, err)
+		require.False(t, claim.Won, "only the host of the claim knows that it was not sent")
+		claim, err = c.claim(host, "k", "repeat")
+		require.NoError(t, err)
+		require.True(t, claim.Won)
+	})
+}
+
+// TestLateSettlement lets the settlement of a claim come after a repeat took
+// the claim over: the repeat's claim stays.
+func TestLateSettlement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		first, err := c.claim("a1", "k", "first")
+		require.NoError(t, err)
+		c.hosts["a1"].Settle(c.doc, first, verdict.NotRun)
+		claim, err := c.claim("a1", "k", "repeat")
+		require.NoError(t, err)
+		require.True(t, claim.Won)
+		c.hosts["a1"].Settle(c.doc, first, verdict.NotRun)
+		time.Sleep(10 * time.Second)
+		claim, err = c.claim("b1", "k", "later")
+		require.NoError(t, err)
+		require.False(t, claim.Won)
+	})
+}
+
+// TestWriterBringsInRefusedClaim lets the writer record a claim whose host has
+// given up on both ways. The request was not sent, so that a repeat runs.
+func TestWriterBringsInRefusedClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		host := c.other("a")
+		_, err := c.claim(host, "warm", "w")
+		require.NoError(t, err)
+		c.net.set(c.writer("a"), linkLosesReplies)
+		heal := c.store.AddFault(platformtest.Fault{Host: host, Err: platform.ErrUnreachable})
+		_, err = c.claim(host, "k", "first")
+		requireNotRun(t, err)
+		heal()
+		c.net.set(c.writer("a"), linkOK)
+		time.Sleep(10 * time.Second)
+		claim, err := c.claim(host, "k", "repeat")
+		require.NoError(t, err)
+		require.True(t, claim.Won)
+	})
+}
+
+// TestPlatformHangs lets calls hang before they fail: only the first claim
+// waits, later ones are refused at once.
+func TestPlatformHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 1, day)
+		writer := c.writer("a")
+		_, err := c.claim(writer, "warm", "w")
+		require.NoError(t, err)
+		heal := c.store.AddFault(platformtest.Fault{Delay: 1500 * time.Millisecond, Err: platform.ErrUnreachable})
+		_, err = c.claim(writer, "first", "r")
+		requireNotRun(t, err)
+		start := time.Now()
+		for i := range 100 {
+			_, err := c.claim(writer, fmt.Sprint(i), "r")
+			requireNotRun(t, err)
+		}
+		require.Zero(t, time.Since(start), "a claim waited for a service that is known to hang")
+		heal()
+	})
+}
+
+func TestLayoutIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 8, day)
+		for i := range 20 {
+			_, err := c.claim("a1", fmt.Sprint(i), "r")
+			require.NoError(t, err)
+		}
+		c.doc.Once.Shards = 3
+		for i := range 20 {
+			claim, err := c.claim("b2", fmt.Sprint(i), "r2")
+			require.NoError(t, err)
+			require.False(t, claim.Won, "another number of shards lost the claim")
+		}
+	})
+}
--- a/node/node.go
+++ b/node/node.go
@@ -95,7 +95,7 @@
 // provision builds the parts, those that others use first.
 func (n *Node) provision() error {
 	steps := []func() error{
-		n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+		n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/online/online.go
+++ b/online/online.go
@@ -107,10 +107,23 @@
 	}
 	defer release()
 	r.record(req, EventAdmitted, "", "")
-	if err := r.claim(ctx, req); err != nil {
+	claim, err := r.claim(ctx, req)
+	if err != nil {
 		return err
 	}
-	return r.tries(ctx, req, fp, sink)
+	err = r.tries(ctx, req, fp, sink)
+	if req.Once {
+		r.Ledger.Settle(req.Doc, claim, outcomeOf(err))
+	}
+	return err
+}
+
+// outcomeOf returns the verdict on a request that ended with err.
+func outcomeOf(err error) verdict.Verdict {
+	if err == nil {
+		return verdict.Ran
+	}
+	return verdict.Of(err)
 }
 
 func fingerprintOf(req *Request) quarantine.Fingerprint {
@@ -121,19 +134,23 @@
 }
 
 // claim makes the request's claim in the ledger where it may run at most once.
-func (r *Runner) claim(ctx context.Context, req *Request) error {
+func (r *Runner) claim(ctx context.Context, req *Request) (ledger.Claim, error) {
 	if !req.Once {
-		return nil
+		return ledger.Claim{}, nil
 	}
 	c, err := r.Ledger.Claim(ctx, req.Doc, req.Key, req.ID)
-	if err != nil {
-		return err
-	}
-	if !c.Won {
-		return verdict.New(verdict.MayHaveRun, verdict.CodeDuplicate,
-			"The request was first seen at %s as %s and may have run.", c.First.UTC().Format(time.RFC3339), c.RequestID)
+	switch first := c.First.UTC().Format(time.RFC3339); {
+	case err != nil:
+		return ledger.Claim{}, err
+	case !c.Won && c.Ran:
+		return ledger.Claim{}, verdict.New(verdict.Ran, verdict.CodeDuplicate,
+			"The request was first seen at %s as %s and has run.", first, c.RequestID)
+	case !c.Won:
+		return ledger.Claim{}, verdict.New(verdict.MayHaveRun, verdict.CodeDuplicate,
+			"The request was first seen at %s as %s and may have run.", first, c.RequestID)
+	default:
+		return c, nil
 	}
-	return nil
 }
 
 // tries sends the request until it is answered or may not be tried again.
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -105,6 +105,15 @@
 	claims map[ledger.Key]ledger.Claim
 }
 
+// Settle frees the key of a request that was not run.
+func (l *fakeLedger) Settle(_ *service.Document, c ledger.Claim, v verdict.Verdict) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if v == verdict.NotRun {
+		delete(l.claims, c.Key)
+	}
+}
+
 func (l *fakeLedger) Claim(_ context.Context, _ *service.Document, key ledger.Key, id string) (ledger.Claim, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/service/document.go
+++ b/service/document.go
@@ -205,8 +205,9 @@
 type Once struct {
 	// Window is how long the ledger remembers a key.
 	Window time.Duration `yaml:"window" default:"24h" validate:"gt=0"`
-	// Shards is the number of ledger shards.
-	Shards int `yaml:"shards" default:"16" validate:"min=1,max=4096"`
+	// Shards is the number of ledger shards. It is fixed by the first request;
+	// a later change has no effect.
+	Shards int `yaml:"shards" default:"4" validate:"min=1,max=4096"`
 }
 
 // Quarantine steers the defence against requests that crash upstreams.
