--- a/online/online_test.go
+++ b/online/online_test.go
@@ -470,6 +470,31 @@
 	require.Equal(t, verdict.NotRun, verdict.Of(r.Run(t.Context(), r.request(false, "p", 1), &sink{})))
 }
 
+// reservingGuard reserves one upstream for whoever asks.
+type reservingGuard struct {
+	quarantine.Off
+	upstream string
+	reserved int
+	released int
+}
+
+func (g *reservingGuard) Reserve(context.Context, *service.Document, quarantine.Fingerprint) (quarantine.Reservation, error) {
+	g.reserved++
+	return quarantine.Reservation{Upstream: g.upstream, Release: func() { g.released++ }}, nil
+}
+
+func TestRequestLostTwiceRunsAlone(t *testing.T) {
+	ok := func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") }
+	r := newRig(t, serve(t, drop), serve(t, drop), serve(t, ok))
+	r.doc.Upstreams[2].DataCentre, r.doc.Upstreams[2].Region = "b", "a"
+	r.doc.Quarantine.Enabled = true
+	g := &reservingGuard{upstream: "u2"}
+	r.Guard = g
+	require.NoError(t, r.Run(t.Context(), r.request(false, "p", 1), &sink{}))
+	require.Equal(t, 1, g.reserved)
+	require.Equal(t, 1, g.released)
+}
+
 func TestRetriesAddAtMostTheBudget(t *testing.T) {
 	var tries, answers sync.Map
 	flaky := func(w http.ResponseWriter, req *http.Request) {
--- a/online/try.go
+++ b/online/try.go
@@ -15,6 +15,10 @@
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
+// aloneAfter is the number of lost tries after which a request runs alone, also
+// when its like was cleared meanwhile: it must not be lost with others again.
+const aloneAfter = 2
+
 // try carries the state of a request over its tries.
 type try struct {
 	runner  *Runner
@@ -22,6 +26,8 @@
 	fp      quarantine.Fingerprint
 	sink    Sink
 	exclude []string
+	// losses counts the tries that were lost with their connection.
+	losses int
 	// status is that of the last answer.
 	status int
 	// begun says that a part of the answer has reached the caller.
@@ -57,7 +63,11 @@
 	t.runner.Guard.Started(t.req.Doc.Name, name, t.fp)
 	outcome := t.send(ctx, choice)
 	choice.Done(outcome)
-	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, t.endOf(ctx, outcome.Err))
+	end := t.endOf(ctx, outcome.Err)
+	t.runner.Guard.Ended(t.req.Doc.Name, name, t.fp, end)
+	if end == quarantine.Lost {
+		t.losses++
+	}
 	if outcome.Err != nil {
 		t.note(outcome.Err)
 	}
@@ -88,7 +98,7 @@
 	if err != nil {
 		return ask, nil, err
 	}
-	if !alone {
+	if !alone && !(t.req.Doc.Quarantine.Enabled && t.losses >= aloneAfter) {
 		ask.Exclude = slices.Concat(t.exclude, t.runner.Guard.Avoid(t.req.Doc.Name))
 		return ask, func() {}, nil
 	}
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -107,6 +107,9 @@
 
 func (m *model) try(c *call) {
 	decision, _ := m.states[c.host].Decide(modelService, c.f, m.time(), m.policy.careful && m.lately())
+	if decision == Run && m.policy.careful && c.tries >= aloneAfter {
+		decision = RunAlone // the host keeps a request apart that was lost twice
+	}
 	switch decision {
 	case Refuse:
 		m.end(c, &m.result.refused)
