batch: tell the guard how an item ended

Change: endOf; a status of 500 or more carries its StatusError, so that it is not taken for a lost upstream.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -77,10 +77,23 @@
 	fp := quarantine.FingerprintOf(work.Service, work.Item.Body)
 	e.guard.Started(work.Service, u.Name, fp)
 	o := e.exchange(ctx, u, work, body, streamed)
-	e.guard.Ended(work.Service, u.Name, fp, o.err != nil && ctx.Err() == nil && verdict.Of(o.err) == verdict.MayHaveRun)
+	e.guard.Ended(work.Service, u.Name, fp, endOf(ctx, o.err))
 	return o
 }
 
+// endOf tells the guard what an outcome says of the replica.
+func endOf(ctx context.Context, err error) quarantine.End {
+	var status *upstream.StatusError
+	switch {
+	case err == nil:
+		return quarantine.Finished
+	case ctx.Err() != nil, verdict.Of(err) != verdict.MayHaveRun, errors.As(err, &status):
+		return quarantine.Abandoned
+	default:
+		return quarantine.Lost
+	}
+}
+
 func streamable(body []byte) bool {
 	for _, field := range unstreamed {
 		if gjson.GetBytes(body, field).Exists() {
@@ -114,7 +127,8 @@
 	o.leaving = res.Header.Get(upstream.HeaderLeaving) != ""
 	switch {
 	case res.Status >= http.StatusInternalServerError:
-		o.err = verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered with status %d.", u.Name, res.Status)
+		cause := &upstream.StatusError{Upstream: u.Name, Status: res.Status, Header: res.Header}
+		o.err = verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered with status %d.", u.Name, res.Status)
 	case streamed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
 		e.readStream(res, u, work, &o)
 	default:
