routing: choose by own work, damped reports, affinity and subsets

Cause: the first balancer knew only the host's own requests, took every upstream alike and never stopped sending to a leaving or failing one.

Even, stable subsets; nearest distance first; smoothed reports of others' work by the host's own part; prefix affinity within a load bound; slow start; ejection with backoff under the document's limit; a sign of leaving reaches the membership view. The online path hands over load as the headers arrive and records scores with request.sent.

Each test was seen to fail with its part broken by hand: reports of leaving dropped, ejection limit off, affinity bound off, slow start off, reports not damped, subset cap off, distance ignored.

--- a/node/online.go
+++ b/node/online.go
@@ -68,7 +68,7 @@
 	if n.options.Balancer != nil {
 		return n.options.Balancer
 	}
-	return routing.NewLeastInFlight(n.settings.DataCentre, n.settings.Region)
+	return n.newLoadAware(escrow.None{})
 }
 
 // newAdmission returns the embedder's admission or the built-in one.
--- /dev/null
+++ b/node/routing.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/escrow"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// newLoadAware returns the host's balancer. The account says whether a request
+// may go to another region.
+func (n *Node) newLoadAware(account escrow.Account) *routing.LoadAware {
+	return routing.NewLoadAware(routing.Options{
+		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Hosts: n.hosts, Upstreams: n.upstreams,
+		CrossRegion: func(doc *service.Document) bool { return hasRoom(account, doc) },
+		Clock:       n.clock, Seed: xxhash.Sum64String(n.settings.Host) ^ uint64(n.clock.Now().UnixNano()),
+	})
+}
+
+// hasRoom asks an account for one byte and gives it back.
+func hasRoom(account escrow.Account, doc *service.Document) bool {
+	if account.Spend(doc, 1) != nil {
+		return false
+	}
+	account.Refund(doc, 1)
+	return true
+}
--- a/online/online.go
+++ b/online/online.go
@@ -224,3 +224,11 @@
 func (r *Runner) record(req *Request, kind timeline.Kind, upstream, cause string) {
 	r.Events.Record(timeline.Event{Kind: kind, Service: req.Doc.Name, Request: req.ID, Upstream: upstream, Cause: cause})
 }
+
+// recordChoice records where a try goes, why, and what the alternatives were.
+func (r *Runner) recordChoice(req *Request, choice *routing.Choice) {
+	r.Events.Record(timeline.Event{
+		Kind: EventSent, Service: req.Doc.Name, Request: req.ID, Upstream: choice.Upstream.Name,
+		Cause: choice.Cause, Scores: choice.Scores,
+	})
+}
--- a/online/try.go
+++ b/online/try.go
@@ -53,7 +53,7 @@
 		t.runner.count(t.req, accounting.Retries, string(verdict.As(t.last).Code), 1)
 		t.runner.record(t.req, EventRetried, name, t.last.Error())
 	}
-	t.runner.record(t.req, EventSent, name, choice.Cause)
+	t.runner.recordChoice(t.req, choice)
 	t.runner.Guard.Started(t.req.Doc.Name, name, t.fp)
 	outcome := t.send(ctx, choice)
 	choice.Done(outcome)
@@ -150,6 +150,9 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	outcome := routing.Outcome{Load: loadOf(res.Header.Get(upstream.HeaderLoad)), Leaving: res.Header.Get(upstream.HeaderLeaving) != ""}
+	if choice.Observe != nil {
+		choice.Observe(outcome.Load)
+	}
 	res.Body = bill.answer(res.Body)
 	t.status = res.Status
 	first := func() { outcome.FirstToken = t.runner.Clock.Since(start) }
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -20,6 +20,9 @@
 	Prefix uint64
 	// Exclude names upstreams that the request must not go to again.
 	Exclude []string
+	// Only names the one upstream that may take the request; empty leaves the
+	// choice to the balancer.
+	Only string
 	// Batch marks an item of a batch job.
 	Batch bool
 }
@@ -43,6 +46,10 @@
 	Scores []timeline.Score
 	// Done reports the end of the try; it is called exactly once.
 	Done func(Outcome)
+	// Observe takes the load that came with the answer's headers, at the time
+	// when they came; a stream may end much later. It may be nil, and calling
+	// it is optional.
+	Observe func(*upstream.Load)
 }
 
 // Balancer chooses upstreams.
