--- a/online/try.go
+++ b/online/try.go
@@ -98,7 +98,8 @@
 	if err != nil {
 		return ask, nil, err
 	}
-	if !alone && !(t.req.Doc.Quarantine.Enabled && t.losses >= aloneAfter) {
+	suspect := alone || t.req.Doc.Quarantine.Enabled && t.losses >= aloneAfter
+	if !suspect {
 		ask.Exclude = slices.Concat(t.exclude, t.runner.Guard.Avoid(t.req.Doc.Name))
 		return ask, func() {}, nil
 	}
