--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -201,3 +201,14 @@
 		_ = s.Total.RecordValue(end.Sub(due).Microseconds())
 	}
 }
+
+// Hold opens n streams and keeps them until ctx ends.
+func (c *Chat) Hold(ctx context.Context, client *http.Client, n int) {
+	rng := rand.New(rand.NewPCG(c.Seed, 5))
+	var group sync.WaitGroup
+	defer group.Wait()
+	for i := range n {
+		call := c.call(rng, i, time.Now())
+		group.Go(func() { _ = call.stream(ctx, client) })
+	}
+}
--- a/bench/suite/scrape.go
+++ b/bench/suite/scrape.go
@@ -27,32 +27,36 @@
 // wastedTokens are generated tokens that were thrown away.
 func (s *system) wastedTokens() int64 { return s.cost(accounting.WastedTokens) }
 
-// metric sums a counter or gauge over all its labels on one host.
-func metric(h *fleet.Host, name string) float64 {
+// metricPeerBytes counts the bytes of calls between hosts.
+const metricPeerBytes = "comfreyspindle_peer_bytes_total"
+
+// peerBytes returns the bytes that all hosts have sent to peers.
+func (s *system) peerBytes() float64 {
+	sum := 0.0
+	for _, h := range s.Hosts {
+		sum += sentBytes(h)
+	}
+	return sum
+}
+
+// sentBytes returns the bytes that one host has sent to peers.
+func sentBytes(h *fleet.Host) float64 {
 	families, err := h.Node.Metrics().Gather()
 	if err != nil {
 		return 0
 	}
 	sum := 0.0
 	for _, f := range families {
-		if f.GetName() != name {
+		if f.GetName() != metricPeerBytes {
 			continue
 		}
 		for _, m := range f.GetMetric() {
-			sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			for _, l := range m.GetLabel() {
+				if l.GetValue() == "sent" {
+					sum += m.GetCounter().GetValue()
+				}
+			}
 		}
 	}
 	return sum
 }
-
-// metricPeerBytes counts the bytes that a host sends to peers.
-const metricPeerBytes = "comfreyspindle_peer_sent_bytes_total"
-
-// peerBytes returns the bytes that all hosts have sent to peers.
-func (s *system) peerBytes() float64 {
-	sum := 0.0
-	for _, h := range s.Hosts {
-		sum += metric(h, metricPeerBytes)
-	}
-	return sum
-}
--- a/cli/bench/bench.go
+++ b/cli/bench/bench.go
@@ -26,7 +26,7 @@
 		Example: "  spindlebench demo",
 	}
 	root.AddCommand(newDemoCommand(), newRunCommand(), newListCommand(), newCompareCommand(),
-		newPlatformCommand(), newEngineCommand())
+		newPlatformCommand(), newEngineCommand(), newCapacityCommand())
 	return root
 }
 
