limits: fair queue by urgency, shed by expected wait

Cause: the first admission only bounded the running requests; one caller or one class could take all of it, and an overloaded host queued without end.

Change: FairQueue: classes by urgency with a minimum share, callers by weight over tokens (start-time fair queueing), refusal at once with a jittered time to come back, a bounded queue that makes way for urgent requests, a host's part of the concurrency that follows upstreams' reports, and caller limits as shares. The node uses it, fed by the balancer's load reports.

Not measured: real engines.

--- a/node/node.go
+++ b/node/node.go
@@ -58,11 +58,13 @@
 	hosts  *membership.Static
 	// upstreams is the state of upstreams as this host knows it.
 	upstreams membership.UpstreamView
-	config    configPart
-	online    onlinePart
-	batch     batchPart
-	gateway   *httpService
-	admin     *httpService
+	// routes is the built-in balancer; nil when an embedder brings its own.
+	routes  *routing.LoadAware
+	config  configPart
+	online  onlinePart
+	batch   batchPart
+	gateway *httpService
+	admin   *httpService
 
 	tree     *suture.Supervisor
 	stopping atomic.Bool
--- a/node/online.go
+++ b/node/online.go
@@ -76,7 +76,7 @@
 	if n.options.Admission != nil {
 		return n.options.Admission
 	}
-	return limits.NewBound()
+	return n.newFairQueue()
 }
 
 func (n *Node) provisionGateway() error {
--- a/node/routing.go
+++ b/node/routing.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyspindle/comfreyspindle/escrow"
+	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
@@ -11,11 +12,29 @@
 // newLoadAware returns the host's balancer. The account says whether a request
 // may go to another region.
 func (n *Node) newLoadAware(account escrow.Account) *routing.LoadAware {
-	return routing.NewLoadAware(routing.Options{
+	n.routes = routing.NewLoadAware(routing.Options{
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Hosts: n.hosts, Upstreams: n.upstreams,
 		CrossRegion: func(doc *service.Document) bool { return hasRoom(account, doc) },
 		Clock:       n.clock, Seed: xxhash.Sum64String(n.settings.Host) ^ uint64(n.clock.Now().UnixNano()),
 	})
+	return n.routes
+}
+
+// newFairQueue returns the host's admission.
+func (n *Node) newFairQueue() *limits.FairQueue {
+	return limits.NewFairQueue(limits.Options{
+		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Hosts: n.hosts, Upstreams: n.upstreams,
+		Clock: n.clock, Seed: uint64(n.clock.Now().UnixNano()), Reports: n.loadReport,
+	})
+}
+
+// loadReport returns what a service's upstreams reported lately.
+func (n *Node) loadReport(name string) limits.Report {
+	if n.routes == nil {
+		return limits.Report{}
+	}
+	running, waiting, reports := n.routes.ServiceLoad(name)
+	return limits.Report{Running: running, Waiting: waiting, Upstreams: reports}
 }
 
 // hasRoom asks an account for one byte and gives it back.
--- a/routing/loadaware.go
+++ b/routing/loadaware.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
@@ -146,3 +147,27 @@
 	}
 	return out
 }
+
+// maxReportAge is the age up to which a report counts in ServiceLoad.
+const maxReportAge = 5 * time.Second
+
+// ServiceLoad returns the mean running and waiting requests that the upstreams
+// of a service in the host's subset reported lately, and the number of reports.
+func (b *LoadAware) ServiceLoad(name string) (running, waiting float64, reports int) {
+	p := b.pool(name)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.opts.Clock.Now()
+	for _, m := range p.subset {
+		if m.load == nil || now.Sub(m.readAt) > maxReportAge {
+			continue
+		}
+		running += float64(m.load.Running)
+		waiting += float64(m.load.Waiting)
+		reports++
+	}
+	if reports == 0 {
+		return 0, 0, 0
+	}
+	return running / float64(reports), waiting / float64(reports), reports
+}
