timeline, admin: one time line, cost and state over all hosts

Cause: an operator saw only the host that was asked.

The operators' interface asks every host, with the operator's own token, for time line, explain, cost, upstreams and hosts; a host that is away, gone or of unknown address is named with the reason. Jobs are listed, read and cancelled as an operator (config.Identity.Operator). An edit can be checked only, and says what it takes away. The operators' address is bound first, so that membership can spread it.

Not done: calls between hosts over package peer carry no stamp yet.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -12,14 +12,19 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 // maxDocumentBytes bounds a service document.
@@ -32,18 +37,25 @@
 	Lacks []string `json:"lacks,omitempty"`
 }
 
-// Server is the operators' interface. All fields but Token are required.
+// Server is the operators' interface. All fields but TokenSHA256 are required.
 type Server struct {
 	Config  *config.Holder
 	Editor  *config.Editor
 	Hosts   membership.View
 	Events  *timeline.Recorder
 	Metrics prometheus.Gatherer
+	Book    *accounting.Book
+	Jobs    batch.API
+	// Upstreams returns the upstreams as this host sees them.
+	Upstreams func() []routing.Status
 	// Ready returns the host's readiness.
 	Ready func() Readiness
+	Clock clockwork.Clock
 	// TokenSHA256 is the hexadecimal digest of the operators' token; while it
 	// is empty every operator call is refused.
 	TokenSHA256 string
+
+	roster roster
 }
 
 // Handler returns the HTTP handler.
@@ -60,7 +72,13 @@
 	v1.PUT("/services/:name", s.putService)
 	v1.DELETE("/services/:name", s.deleteService)
 	v1.GET("/hosts", s.listHosts)
-	v1.GET("/timeline", s.listEvents)
+	v1.GET("/timeline", s.getTimeline)
+	v1.GET("/explain/:request", s.explain)
+	v1.GET("/cost", s.getCost)
+	v1.GET("/upstreams", s.listUpstreams)
+	v1.GET("/jobs", s.listJobs)
+	v1.GET("/jobs/:id", s.getJob)
+	v1.POST("/jobs/:id/cancel", s.cancelJob)
 	return e
 }
 
@@ -90,12 +108,15 @@
 	status, p := http.StatusInternalServerError, Problem{Message: err.Error()}
 	var he *echo.HTTPError
 	var conflict *config.ConflictError
+	var failed *verdict.Error
 	switch {
 	case errors.As(err, &he):
 		status = he.Code
 		if text, ok := he.Message.(string); ok {
 			p.Message = text
 		}
+	case errors.As(err, &failed):
+		status = failed.Status()
 	case errors.As(err, &conflict):
 		status, p.Current = http.StatusConflict, &conflict.Current
 	}
@@ -141,10 +162,15 @@
 	return c.Blob(http.StatusOK, "application/yaml", text)
 }
 
-// Applied is the answer to an accepted edit.
+// Applied is the answer to an accepted edit, or to one that was only checked.
 type Applied struct {
-	Name       string `json:"name"`
+	Name string `json:"name"`
+	// Generation is the new generation, or the present one after a check.
 	Generation uint64 `json:"generation"`
+	// DryRun says that nothing was changed.
+	DryRun bool `json:"dry_run,omitempty"`
+	// Warnings say what the edit takes away.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 func (s *Server) putService(c echo.Context) error {
@@ -166,29 +192,21 @@
 			return echo.NewHTTPError(http.StatusBadRequest, "based_on is not a generation.")
 		}
 	}
+	applied := Applied{Name: edit.Name}
 	if !edit.Deleted {
-		if _, err := service.Parse(edit.Name, []byte(edit.Text)); err != nil {
+		next, err := service.Parse(edit.Name, []byte(edit.Text))
+		if err != nil {
 			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
 		}
+		current, _ := s.Config.Current().Service(edit.Name)
+		applied.Warnings = Warnings(current, next)
 	}
-	generation, err := s.Editor.Apply(c.Request().Context(), edit)
-	if err != nil {
-		return err
+	if c.QueryParam("dry_run") == "true" {
+		applied.DryRun, applied.Generation = true, s.Config.Current().Generation(edit.Name)
+		return c.JSON(http.StatusOK, applied)
 	}
-	return c.JSON(http.StatusOK, Applied{Name: edit.Name, Generation: generation})
-}
-
-func (s *Server) listHosts(c echo.Context) error {
-	return c.JSON(http.StatusOK, append(s.Hosts.Local(), s.Hosts.Remote()...))
-}
-
-func (s *Server) listEvents(c echo.Context) error {
-	request, job := c.QueryParam("request"), c.QueryParam("job")
-	events := s.Events.Events(func(e *timeline.Event) bool {
-		return (request == "" || e.Request == request) && (job == "" || e.Job == job)
-	})
-	if events == nil {
-		events = []timeline.Event{}
+	if applied.Generation, err = s.Editor.Apply(c.Request().Context(), edit); err != nil {
+		return err
 	}
-	return c.JSON(http.StatusOK, events)
+	return c.JSON(http.StatusOK, applied)
 }
--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,257 @@
+package admin_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/admin"
+	"github.com/comfreyspindle/comfreyspindle/batch"
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/examples"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+const token = "secret"
+
+// jobs is a batch API with one job.
+type jobs struct {
+	batch.API
+	cancelled int
+}
+
+func (j *jobs) Job(_ context.Context, who config.Identity, id string) (batch.Job, error) {
+	if id != "job-1" || !who.Operator {
+		return batch.Job{}, verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no job %s.", id)
+	}
+	return batch.Job{ID: id, Status: batch.StatusInProgress}, nil
+}
+
+func (j *jobs) Cancel(ctx context.Context, who config.Identity, id string) (batch.Job, error) {
+	job, err := j.Job(ctx, who, id)
+	if err == nil {
+		j.cancelled++
+		job.Status = batch.StatusCancelling
+	}
+	return job, err
+}
+
+func (j *jobs) List(_ context.Context, who config.Identity, _ string, _ int) ([]batch.Job, bool, error) {
+	return []batch.Job{{ID: "job-of-" + who.Callers["dispatch-llm"]}}, false, nil
+}
+
+// host is one host's operators' interface.
+type host struct {
+	*admin.Server
+	http *httptest.Server
+	view *membership.Static
+	jobs *jobs
+}
+
+func newHost(t *testing.T, name string, store *platformtest.Store, wrong time.Duration) *host {
+	digest := sha256.Sum256([]byte(token))
+	clock := clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0).Add(wrong))
+	h := &host{jobs: &jobs{}}
+	registry := prometheus.NewRegistry()
+	h.Server = &admin.Server{
+		Config: config.NewHolder(), Editor: config.NewEditor(store, clock), Clock: clock, Jobs: h.jobs,
+		Events: timeline.NewRecorder(name, timeline.NewClock(clock), 100), Metrics: registry, Book: accounting.NewBook(registry),
+		Upstreams: func() []routing.Status {
+			return []routing.Status{{Service: "s", Name: "u-" + name, State: membership.Leaving}}
+		},
+		Ready: func() admin.Readiness { return admin.Readiness{Ready: true} }, TokenSHA256: hex.EncodeToString(digest[:]),
+	}
+	h.http = httptest.NewServer(h.Handler())
+	t.Cleanup(h.http.Close)
+	h.view = membership.NewStatic(membership.Host{
+		Name: name, DataCentre: "dc", OperatorsAddress: h.http.Listener.Addr().String(),
+	})
+	h.Hosts = h.view
+	return h
+}
+
+// newHosts returns hosts that know each other. Their clocks are a minute apart.
+func newHosts(t *testing.T, names ...string) []*host {
+	store := platformtest.NewStore(clockwork.NewRealClock())
+	var hosts []*host
+	for i, name := range names {
+		hosts = append(hosts, newHost(t, name, store, time.Duration(i)*time.Minute))
+	}
+	for _, h := range hosts {
+		var others []membership.Host
+		for _, o := range hosts {
+			if o != h {
+				others = append(others, o.view.Self())
+			}
+		}
+		h.view.Set(others)
+	}
+	return hosts
+}
+
+// call sends a request as an operator and decodes the answer.
+func (h *host) call(t *testing.T, method, path, body string, out any) int {
+	req, err := http.NewRequestWithContext(t.Context(), method, h.http.URL+path, strings.NewReader(body))
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+token)
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	if out != nil {
+		require.NoError(t, json.Unmarshal(text, out), "%s", text)
+	}
+	return res.StatusCode
+}
+
+func TestTimelineOverHosts(t *testing.T) {
+	hosts := newHosts(t, "a", "b", "c")
+	// a's message to b carries a stamp, and b's to c, though their clocks differ.
+	hosts[1].Events.Record(timeline.Event{Request: "other"})
+	hosts[2].Events.Record(timeline.Event{Request: "r", Kind: "1"})
+	hosts[0].Events.Clock().Observe(hosts[2].Events.Clock().Now())
+	hosts[0].Events.Record(timeline.Event{Request: "r", Kind: "2"})
+	hosts[1].Events.Clock().Observe(hosts[0].Events.Clock().Now())
+	hosts[1].Events.Record(timeline.Event{Request: "r", Kind: "3"})
+
+	var story timeline.Story
+	require.Equal(t, 200, hosts[0].call(t, "GET", "/v1/timeline?request=r", "", &story))
+	require.Equal(t, []timeline.Kind{"1", "2", "3"}, kinds(story.Events))
+	require.Empty(t, story.Missing)
+
+	// Follow: only what is new, from every host.
+	hosts[2].Events.Record(timeline.Event{Request: "r", Kind: "4"})
+	places, err := json.Marshal(story.Next)
+	require.NoError(t, err)
+	story = timeline.Story{}
+	hosts[0].call(t, "GET", "/v1/timeline?request=r&places="+string(places), "", &story)
+	require.Equal(t, []timeline.Kind{"4"}, kinds(story.Events))
+	require.Equal(t, 400, hosts[0].call(t, "GET", "/v1/timeline?since=yesterday", "", nil))
+}
+
+func kinds(events []timeline.Event) []timeline.Kind {
+	var out []timeline.Kind
+	for _, e := range events {
+		out = append(out, e.Kind)
+	}
+	return out
+}
+
+// TestAwayHostIsNamed: a host that is cut off, one that left the view, and one
+// without a known address are each named with a reason.
+func TestAwayHostIsNamed(t *testing.T) {
+	hosts := newHosts(t, "a", "b", "c")
+	hosts[0].call(t, "GET", "/v1/hosts", "", nil)
+	hosts[1].http.Close()
+	hosts[0].view.Set([]membership.Host{hosts[1].view.Self(), {Name: "d", DataCentre: "dc"}})
+
+	var story timeline.Story
+	hosts[0].call(t, "GET", "/v1/timeline", "", &story)
+	var names []string
+	for _, m := range story.Missing {
+		names = append(names, m.Host)
+		require.NotEmpty(t, m.Reason)
+	}
+	require.Equal(t, []string{"b", "c", "d"}, names)
+
+	var status []admin.HostStatus
+	hosts[0].call(t, "GET", "/v1/hosts", "", &status)
+	require.Len(t, status, 4)
+	require.True(t, status[0].Ready)
+	require.NotEmpty(t, status[1].Missing)
+	var cost admin.Cost
+	hosts[0].call(t, "GET", "/v1/cost", "", &cost)
+	require.Len(t, cost.Missing, 3)
+}
+
+func TestExplain(t *testing.T) {
+	hosts := newHosts(t, "a", "b")
+	hosts[1].Events.Record(timeline.Event{
+		Request: "r", Kind: "request.sent", Upstream: "u1", Cause: routing.CauseTwo,
+		Scores: []timeline.Score{{Upstream: "u1", Score: 1}, {Upstream: "u2", Score: 2}},
+	})
+	var e admin.Explanation
+	require.Equal(t, 200, hosts[0].call(t, "GET", "/v1/explain/r", "", &e))
+	require.Len(t, e.Choices, 1)
+	require.Equal(t, "u1", e.Choices[0].Upstream)
+	require.Len(t, e.Choices[0].Scores, 2)
+	require.Equal(t, 404, hosts[0].call(t, "GET", "/v1/explain/unknown", "", nil))
+}
+
+func TestCostAddsUp(t *testing.T) {
+	hosts := newHosts(t, "a", "b")
+	hosts[0].Book.Add("s", "c", accounting.AnswerTokens, "", 3)
+	hosts[1].Book.Add("s", "c", accounting.AnswerTokens, "", 4)
+	var cost admin.Cost
+	hosts[0].call(t, "GET", "/v1/cost", "", &cost)
+	require.Len(t, cost.Rows, 1)
+	require.EqualValues(t, 7, cost.Rows[0].Count)
+	var ups admin.Upstreams
+	hosts[0].call(t, "GET", "/v1/upstreams?service=s", "", &ups)
+	require.Len(t, ups.Rows, 2)
+	require.Equal(t, membership.Leaving, ups.Rows[0].State)
+}
+
+func TestJobs(t *testing.T) {
+	h := newHosts(t, "a")[0]
+	var job batch.Job
+	require.Equal(t, 200, h.call(t, "POST", "/v1/jobs/job-1/cancel", "", &job))
+	require.Equal(t, batch.StatusCancelling, job.Status)
+	require.Equal(t, 1, h.jobs.cancelled)
+	require.Equal(t, 404, h.call(t, "GET", "/v1/jobs/none", "", nil))
+	require.Equal(t, 404, h.call(t, "GET", "/v1/jobs?service=none", "", nil))
+	doc, err := service.Parse("kyushu", examples.Kyushu)
+	require.NoError(t, err)
+	doc.Generation = 1
+	h.Config.Apply(doc)
+	var list admin.Jobs
+	require.Equal(t, 200, h.call(t, "GET", "/v1/jobs?service="+doc.Name, "", &list))
+	require.Len(t, list.Jobs, len(doc.Callers))
+}
+
+func TestDryRunChangesNothing(t *testing.T) {
+	h := newHosts(t, "a")[0]
+	doc, err := service.Parse("kyushu", examples.Kyushu)
+	require.NoError(t, err)
+	doc.Generation = 1
+	h.Config.Apply(doc)
+	next := *doc
+	next.Upstreams, next.Generation = nil, 0
+	text, err := service.Marshal(&next)
+	require.NoError(t, err)
+	var applied admin.Applied
+	require.Equal(t, 200, h.call(t, "PUT", "/v1/services/"+doc.Name+"?dry_run=true", string(text), &applied))
+	require.True(t, applied.DryRun)
+	require.NotEmpty(t, applied.Warnings)
+	require.Contains(t, applied.Warnings[0], "last upstream")
+	require.Equal(t, 400, h.call(t, "PUT", "/v1/services/x?dry_run=true", "name: [", nil))
+	require.EqualValues(t, 1, h.Config.Current().Generation(doc.Name))
+}
+
+func TestTokenIsRequired(t *testing.T) {
+	h := newHosts(t, "a")[0]
+	for _, path := range []string{"/v1/hosts", "/v1/timeline", "/v1/cost", "/v1/upstreams", "/v1/jobs", "/v1/explain/r"} {
+		res, err := http.Get(h.http.URL + path)
+		require.NoError(t, err)
+		require.NoError(t, res.Body.Close())
+		require.Equal(t, http.StatusUnauthorized, res.StatusCode, path)
+	}
+}
--- /dev/null
+++ b/admin/fanout.go
@@ -0,0 +1,163 @@
+package admin
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v4"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+)
+
+// Bounds of a collection over hosts.
+const (
+	hostTimeout     = 3 * time.Second
+	concurrentHosts = 32
+	maxHostAnswer   = 32 << 20 // bytes
+	// rememberHosts is how long a host that left the view is still named.
+	rememberHosts = time.Hour
+)
+
+// scopeHost asks a host for its own part only.
+const scopeHost = "host"
+
+// roster remembers the hosts that were in the view lately, so that a host that
+// is away is named as missing.
+type roster struct {
+	mu   sync.Mutex
+	seen map[string]sighting
+}
+
+type sighting struct {
+	host membership.Host
+	at   time.Time
+}
+
+// update takes the hosts in view and returns all that were seen lately, sorted,
+// and whether each is still in view.
+func (r *roster) update(hosts []membership.Host, now time.Time) (all []membership.Host, inView map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen == nil {
+		r.seen = make(map[string]sighting)
+	}
+	inView = make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		inView[h.Name] = true
+		r.seen[h.Name] = sighting{h, now}
+	}
+	for name, s := range r.seen {
+		if now.Sub(s.at) > rememberHosts {
+			delete(r.seen, name)
+			continue
+		}
+		all = append(all, s.host)
+	}
+	slices.SortFunc(all, func(a, b membership.Host) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Name, b.Name))
+	})
+	return all, inView
+}
+
+// Serve follows the view of hosts until ctx ends.
+func (s *Server) Serve(ctx context.Context) error {
+	for {
+		changed := s.Hosts.Changed()
+		s.hosts()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// String names the service in supervisor events.
+func (s *Server) String() string { return "hosts in view" }
+
+func (s *Server) hosts() ([]membership.Host, map[string]bool) {
+	return s.roster.update(append(s.Hosts.Local(), s.Hosts.Remote()...), s.Clock.Now())
+}
+
+// part is the answer of one host.
+type part[T any] struct {
+	host  membership.Host
+	value T
+	err   error
+}
+
+// collect asks every host for its part of an answer; this host's is local.
+func collect[T any](c echo.Context, s *Server, query url.Values, local T) []part[T] {
+	hosts, inView := s.hosts()
+	parts := make([]part[T], len(hosts))
+	query.Set("scope", scopeHost)
+	var group errgroup.Group
+	group.SetLimit(concurrentHosts)
+	for i, h := range hosts {
+		parts[i].host = h
+		if h.Name == s.Hosts.Self().Name {
+			parts[i].value = local
+			continue
+		}
+		if !inView[h.Name] {
+			parts[i].err = errors.New("the host is gone")
+			continue
+		}
+		group.Go(func() error {
+			parts[i].err = fetch(c, h, query, &parts[i].value)
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return parts
+}
+
+// fetch gets one host's part, with the operator's own token.
+func fetch(c echo.Context, h membership.Host, query url.Values, out any) error {
+	if h.OperatorsAddress == "" {
+		return errors.New("the host's operators' address is not known")
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), hostTimeout)
+	defer cancel()
+	target := "http://" + h.OperatorsAddress + c.Request().URL.Path + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", c.Request().Header.Get("Authorization"))
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.New("the host can't be reached")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("the host answered with status %d", res.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(res.Body, maxHostAnswer))
+	if err != nil {
+		return errors.New("the host's answer broke off")
+	}
+	return errors.Wrap(json.Unmarshal(text, out), "the host's answer can't be read")
+}
+
+// missing names the hosts without an answer.
+func missing[T any](parts []part[T]) []timeline.Missing {
+	var out []timeline.Missing
+	for i := range parts {
+		if err := parts[i].err; err != nil {
+			out = append(out, timeline.Missing{Host: parts[i].host.Name, Reason: fmt.Sprint(err)})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/admin/jobs.go
@@ -0,0 +1,85 @@
+package admin
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/batch"
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// Bounds of a list of jobs. Each caller costs reads of the platform's service.
+const (
+	defaultJobs    = 50
+	maxListCallers = 20
+)
+
+// Jobs is a list of jobs.
+type Jobs struct {
+	Jobs []batch.Job `json:"jobs"`
+	// More says that there are older jobs.
+	More bool `json:"more,omitempty"`
+}
+
+func operator() config.Identity { return config.Identity{Operator: true} }
+
+// callersOf returns the callers whose jobs are asked for.
+func (s *Server) callersOf(c echo.Context) ([]string, error) {
+	name := c.QueryParam("service")
+	doc, ok := s.Config.Current().Service(name)
+	if !ok {
+		return nil, echo.NewHTTPError(http.StatusNotFound, "There is no service "+strconv.Quote(name)+"; name one with service.")
+	}
+	if caller := c.QueryParam("caller"); caller != "" {
+		if _, ok := doc.CallerNamed(caller); !ok {
+			return nil, echo.NewHTTPError(http.StatusNotFound, "Service "+name+" has no caller "+caller+".")
+		}
+		return []string{caller}, nil
+	}
+	if len(doc.Callers) > maxListCallers {
+		return nil, echo.NewHTTPError(http.StatusBadRequest, "Service "+name+" has too many callers to list; name one with caller.")
+	}
+	var out []string
+	for _, caller := range doc.Callers {
+		out = append(out, caller.Name)
+	}
+	return out, nil
+}
+
+func (s *Server) listJobs(c echo.Context) error {
+	callers, err := s.callersOf(c)
+	if err != nil {
+		return err
+	}
+	out := Jobs{Jobs: []batch.Job{}}
+	ctx := platform.WithPurpose(c.Request().Context(), platform.PurposeBatch)
+	for _, caller := range callers {
+		who := config.Identity{Callers: map[string]string{c.QueryParam("service"): caller}}
+		jobs, more, err := s.Jobs.List(ctx, who, "", defaultJobs)
+		if err != nil {
+			return err
+		}
+		out.Jobs = append(out.Jobs, jobs...)
+		out.More = out.More || more
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+func (s *Server) getJob(c echo.Context) error {
+	job, err := s.Jobs.Job(c.Request().Context(), operator(), c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, job)
+}
+
+func (s *Server) cancelJob(c echo.Context) error {
+	job, err := s.Jobs.Cancel(c.Request().Context(), operator(), c.Param("id"))
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, job)
+}
--- /dev/null
+++ b/admin/views.go
@@ -0,0 +1,248 @@
+package admin
+
+import (
+	"cmp"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+)
+
+// HostStatus is one host as it sees itself.
+type HostStatus struct {
+	membership.Host
+	Readiness
+	// Generations are the generations in force, by service.
+	Generations map[string]uint64 `json:"generations,omitempty"`
+	// Missing says why the host did not answer; the readiness is not known then.
+	Missing string `json:"missing,omitempty"`
+}
+
+func (s *Server) ownStatus() HostStatus {
+	st := HostStatus{Host: s.Hosts.Self(), Readiness: s.Ready(), Generations: make(map[string]uint64)}
+	snapshot := s.Config.Current()
+	for _, name := range snapshot.Names() {
+		st.Generations[name] = snapshot.Generation(name)
+	}
+	return st
+}
+
+func (s *Server) listHosts(c echo.Context) error {
+	own := s.ownStatus()
+	if c.QueryParam("scope") == scopeHost {
+		return c.JSON(http.StatusOK, own)
+	}
+	out := []HostStatus{}
+	for _, p := range collect(c, s, url.Values{}, own) {
+		if p.err != nil {
+			p.value = HostStatus{Host: p.host, Missing: p.err.Error()}
+		}
+		out = append(out, p.value)
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// Bounds of a time line.
+const (
+	defaultEvents = 1000
+	maxEvents     = 100_000
+)
+
+// query is a request for a time line.
+type query struct {
+	filter timeline.Filter
+	places map[string]uint64
+	limit  int
+}
+
+func parseQuery(c echo.Context) (*query, error) {
+	q := &query{limit: defaultEvents, filter: timeline.Filter{
+		Request: c.QueryParam("request"), Job: c.QueryParam("job"), Host: c.QueryParam("host"),
+	}}
+	var err error
+	if text := c.QueryParam("since"); text != "" {
+		if q.filter.Since, err = time.Parse(time.RFC3339Nano, text); err != nil {
+			return nil, echo.NewHTTPError(http.StatusBadRequest, "since is not a time as in RFC 3339.")
+		}
+	}
+	if text := c.QueryParam("limit"); text != "" {
+		if q.limit, err = strconv.Atoi(text); err != nil || q.limit < 1 || q.limit > maxEvents {
+			return nil, echo.NewHTTPError(http.StatusBadRequest, "limit is not a number from 1 to "+strconv.Itoa(maxEvents)+".")
+		}
+	}
+	if text := c.QueryParam("places"); text != "" {
+		if err := json.Unmarshal([]byte(text), &q.places); err != nil {
+			return nil, echo.NewHTTPError(http.StatusBadRequest, "places can't be read.")
+		}
+	}
+	return q, nil
+}
+
+// page returns this host's part of a time line, the newest events up to the
+// limit.
+func (s *Server) page(q *query) timeline.Page {
+	page := s.Events.After(q.places[s.Hosts.Self().Name], q.filter.Match)
+	if n := len(page.Events); n > q.limit {
+		page.Events = page.Events[n-q.limit:]
+	}
+	return page
+}
+
+func (s *Server) getTimeline(c echo.Context) error {
+	q, err := parseQuery(c)
+	if err != nil {
+		return err
+	}
+	if c.QueryParam("scope") == scopeHost {
+		return c.JSON(http.StatusOK, s.page(q))
+	}
+	return c.JSON(http.StatusOK, s.story(c, q))
+}
+
+// story merges the time lines of all hosts.
+func (s *Server) story(c echo.Context, q *query) *timeline.Story {
+	parts := collect(c, s, c.QueryParams(), s.page(q))
+	story := &timeline.Story{Missing: missing(parts), Next: make(map[string]uint64), Lost: make(map[string]uint64)}
+	rings := make([][]timeline.Event, 0, len(parts))
+	for _, p := range parts {
+		if p.err != nil {
+			// A host that is away goes on where it was.
+			if place, ok := q.places[p.host.Name]; ok {
+				story.Next[p.host.Name] = place
+			}
+			continue
+		}
+		story.Next[p.host.Name] = p.value.Next
+		if p.value.Lost > 0 {
+			story.Lost[p.host.Name] = p.value.Lost
+		}
+		rings = append(rings, p.value.Events)
+	}
+	story.Events, story.Cut = timeline.Merge(rings, q.limit)
+	return story
+}
+
+// Explanation tells why a request went where it went.
+type Explanation struct {
+	Request string `json:"request"`
+	// Choices are the tries of the request, in order.
+	Choices []ExplainedChoice `json:"choices"`
+	// Story is all that is known of the request.
+	Story *timeline.Story `json:"story"`
+}
+
+// ExplainedChoice is one choice of an upstream.
+type ExplainedChoice struct {
+	At       time.Time        `json:"at"`
+	Host     string           `json:"host"`
+	Upstream string           `json:"upstream"`
+	Cause    string           `json:"cause"`
+	Scores   []timeline.Score `json:"scores,omitempty"`
+}
+
+func (s *Server) explain(c echo.Context) error {
+	request := c.Param("request")
+	q := &query{limit: maxEvents, filter: timeline.Filter{Request: request}}
+	if c.QueryParam("scope") == scopeHost {
+		return c.JSON(http.StatusOK, s.page(q))
+	}
+	out := Explanation{Request: request, Story: s.story(c, q), Choices: []ExplainedChoice{}}
+	if len(out.Story.Events) == 0 && len(out.Story.Missing) == 0 {
+		return echo.NewHTTPError(http.StatusNotFound, "No host knows request "+request+"; its events may have been overwritten.")
+	}
+	for _, e := range out.Story.Events {
+		if len(e.Scores) > 0 {
+			out.Choices = append(out.Choices, ExplainedChoice{e.Stamp.Time(), e.Host, e.Upstream, e.Cause, e.Scores})
+		}
+	}
+	return c.JSON(http.StatusOK, out)
+}
+
+// CostRow is one counter of a data centre.
+type CostRow struct {
+	DataCentre string `json:"data_centre"`
+	accounting.Entry
+	// Ceiling is the document's limit, for cross-region bytes; zero has none.
+	Ceiling int64 `json:"ceiling,omitempty"`
+}
+
+// Cost is what a fleet has spent since its hosts started.
+type Cost struct {
+	Rows    []CostRow          `json:"rows"`
+	Missing []timeline.Missing `json:"missing,omitempty"`
+}
+
+func (s *Server) getCost(c echo.Context) error {
+	own := s.Book.Entries()
+	if c.QueryParam("scope") == scopeHost {
+		return c.JSON(http.StatusOK, own)
+	}
+	parts := collect(c, s, url.Values{}, own)
+	sum := make(map[CostRow]int64)
+	for _, p := range parts {
+		for _, e := range p.value {
+			key := CostRow{DataCentre: p.host.DataCentre, Entry: e, Ceiling: s.ceiling(&e)}
+			key.Count = 0
+			sum[key] += e.Count
+		}
+	}
+	out := Cost{Rows: make([]CostRow, 0, len(sum)), Missing: missing(parts)}
+	for row, n := range sum {
+		row.Count = n
+		out.Rows = append(out.Rows, row)
+	}
+	slices.SortFunc(out.Rows, func(x, y CostRow) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Caller, y.Caller), cmp.Compare(x.DataCentre, y.DataCentre),
+			cmp.Compare(x.Kind, y.Kind), cmp.Compare(x.Reason, y.Reason))
+	})
+	return c.JSON(http.StatusOK, out)
+}
+
+func (s *Server) ceiling(e *accounting.Entry) int64 {
+	doc, ok := s.Config.Current().Service(e.Service)
+	if !ok || e.Kind != accounting.CrossRegionBytes {
+		return 0
+	}
+	return doc.Ceilings.CrossRegionBytes
+}
+
+// UpstreamRow is an upstream as one host sees it.
+type UpstreamRow struct {
+	Host string `json:"host"`
+	routing.Status
+}
+
+// Upstreams are the upstreams as all hosts see them.
+type Upstreams struct {
+	Rows    []UpstreamRow      `json:"rows"`
+	Missing []timeline.Missing `json:"missing,omitempty"`
+}
+
+func (s *Server) listUpstreams(c echo.Context) error {
+	own := s.Upstreams()
+	if c.QueryParam("scope") == scopeHost {
+		return c.JSON(http.StatusOK, own)
+	}
+	parts := collect(c, s, url.Values{}, own)
+	out := Upstreams{Rows: []UpstreamRow{}, Missing: missing(parts)}
+	for _, p := range parts {
+		for _, st := range p.value {
+			if name := c.QueryParam("service"); name == "" || name == st.Service {
+				out.Rows = append(out.Rows, UpstreamRow{p.host.Name, st})
+			}
+		}
+	}
+	slices.SortFunc(out.Rows, func(x, y UpstreamRow) int {
+		return cmp.Or(cmp.Compare(x.Service, y.Service), cmp.Compare(x.Name, y.Name), cmp.Compare(x.Host, y.Host))
+	})
+	return c.JSON(http.StatusOK, out)
+}
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -74,7 +74,7 @@
 // load reads a job that the caller may see.
 func (m *Manager) load(ctx context.Context, who config.Identity, id, what, asked string) (*store.Job, error) {
 	job, err := store.Load(ctx, m.o.KV, id)
-	if err == nil && (job.Status == store.StatusAbandoned || job.Caller == "" || who.Callers[job.Service] != job.Caller) {
+	if err == nil && (job.Status == store.StatusAbandoned || job.Caller == "" || !who.May(job.Service, job.Caller)) {
 		err = platform.ErrNotFound
 	}
 	if err != nil {
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -90,6 +90,13 @@
 type Identity struct {
 	// Callers maps the names of services to the caller's name there.
 	Callers map[string]string
+	// Operator may act for every caller.
+	Operator bool
+}
+
+// May reports whether the identity may act for a caller of a service.
+func (i Identity) May(service, caller string) bool {
+	return i.Operator || caller != "" && i.Callers[service] == caller
 }
 
 // Authenticate returns the identity behind an API key. The key's digest finds
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -65,6 +64,8 @@
 	batch   batchPart
 	gateway *httpService
 	admin   *httpService
+	// operators is the operators' interface.
+	operators *admin.Server
 
 	tree     *suture.Supervisor
 	stopping atomic.Bool
@@ -97,7 +98,7 @@
 // provision builds the parts, those that others use first.
 func (n *Node) provision() error {
 	steps := []func() error{
-		n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -122,24 +123,11 @@
 	n.upstreams = membership.NewLocalUpstreams()
 	n.hosts = membership.NewStatic(membership.Host{
 		Name: n.settings.Host, DataCentre: n.settings.DataCentre, Region: n.settings.Region,
-		PeerAddress: n.peers.Address(), Incarnation: uint64(n.clock.Now().UnixNano()),
+		PeerAddress: n.peers.Address(), OperatorsAddress: n.OperatorsAddress(), Incarnation: uint64(n.clock.Now().UnixNano()),
 	})
 	return nil
 }
 
-func (n *Node) provisionAdmin() error {
-	srv := &admin.Server{
-		Config: n.config.holder, Editor: n.config.editor, Hosts: n.hosts, Events: n.events,
-		Metrics: n.registry, Ready: n.readiness, TokenSHA256: n.settings.Operators.TokenSHA256,
-	}
-	l, err := net.Listen("tcp", n.settings.Listen.Operators)
-	if err != nil {
-		return errors.Wrap(err, n.settings.At("listen.operators"))
-	}
-	n.admin = newHTTPService("operators", l, srv.Handler(), n.settings.Gateway)
-	return nil
-}
-
 // readiness says whether the balancer may send requests here.
 func (n *Node) readiness() admin.Readiness {
 	var lacks []string
--- a/node/tree.go
+++ b/node/tree.go
@@ -29,6 +29,7 @@
 	control.Add(n.peers)
 	control.Add(n.config.watcher)
 	control.Add(n.online.guard)
+	control.Add(n.operators)
 	serving := suture.New("serving", spec)
 	serving.Add(n.gateway)
 	serving.Add(n.admin)
--- a/timeline/timeline.go
+++ b/timeline/timeline.go
@@ -114,15 +114,38 @@
 
 // Events returns the kept events that match, oldest first.
 func (r *Recorder) Events(match func(*Event) bool) []Event {
+	return r.After(0, match).Events
+}
+
+// Page is what a ring holds after a place.
+type Page struct {
+	Events []Event `json:"events"`
+	// Next is the place after the newest event, to go on from.
+	Next uint64 `json:"next"`
+	// Lost is the number of events that were overwritten before they could be
+	// read.
+	Lost uint64 `json:"lost,omitempty"`
+}
+
+// After returns the kept events from a place on that match, oldest first. The
+// place zero is the ring's beginning; a place past the end is one of an earlier
+// process of the host, and begins anew.
+func (r *Recorder) After(place uint64, match func(*Event) bool) Page {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []Event
-	n := uint64(len(r.ring))
-	for i := r.next - n; i < r.next; i++ {
+	oldest := r.next - uint64(len(r.ring))
+	page := Page{Next: r.next}
+	if place > r.next {
+		place = 0
+	}
+	if place > 0 && place < oldest {
+		page.Lost = oldest - place
+	}
+	for i := max(place, oldest); i < r.next; i++ {
 		e := &r.ring[i%uint64(cap(r.ring))]
 		if match(e) {
-			out = append(out, *e)
+			page.Events = append(page.Events, *e)
 		}
 	}
-	return out
+	return page
 }
