--- a/batch/store/codec.go
+++ b/batch/store/codec.go
@@ -10,9 +10,12 @@
 // maxDecodedBytes bounds what one value may decompress to.
 const maxDecodedBytes = 64 << 20
 
+// codecConcurrency bounds the values that are coded at one time.
+const codecConcurrency = 4
+
 var (
-	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithWindowSize(1<<20))
-	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecodedBytes))
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(codecConcurrency), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithLowerEncoderMem(true))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(codecConcurrency), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxDecodedBytes))
 )
 
 func compress(text []byte) []byte { return encoder.EncodeAll(text, nil) }
