--- a/batch/run/faults_test.go
+++ b/batch/run/faults_test.go
@@ -1,7 +1,6 @@
 package run_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"sync/atomic"
@@ -102,16 +101,8 @@
 			t.Parallel()
 			s := newSim(t, seed, 3, seed%2 == 0)
 			id := s.accept(simItems).ID
-			for range s.rng.IntN(80) {
-				s.tick()
-			}
-			_, err := store.Update(context.Background(), s.kv, id, nil, func(r *store.Record) error {
-				r.Cancel()
-				r.Settle(s.clock.Now(), s.clock.Now().Add(-simTimes().Term-simTimes().Margin))
-				return nil
-			})
-			require.NoError(t, err)
-			s.watchCancel = id
+			// A tick inside a host's pause is as likely as any other.
+			s.watchCancel, s.cancelAt = id, 1+s.rng.IntN(120)
 			job := s.runToEnd(id)
 			require.Contains(t, []store.Status{store.StatusCancelled, store.StatusCompleted}, job.Status)
 			before := len(s.results)
--- a/batch/run/sim_test.go
+++ b/batch/run/sim_test.go
@@ -37,7 +37,9 @@
 	doc   *service.Document
 	hosts []*simHost
 	depth int
-	quiet bool
+	// stretch multiplies the time between two ticks.
+	stretch time.Duration
+	quiet   bool
 	// runs and starts are the history of each item, by its custom id.
 	starts map[string][]start
 	// results is what a reader has seen.
@@ -48,8 +50,10 @@
 	cancelled time.Time
 	once      bool
 	calls     int
-	// watchCancel is the job whose cancellation is watched.
+	// watchCancel is the job that is cancelled at a tick.
 	watchCancel string
+	cancelAt    int
+	ticks       int
 	// shard is the index shard that announces the job.
 	shard int
 	// aside counts runs that stepped aside, kills the lost hosts.
@@ -84,7 +88,7 @@
 
 func newSim(t *testing.T, seed uint64, hosts int, once bool) *sim {
 	s := &sim{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)), clock: clockwork.NewFakeClock(), once: once,
+		t: t, stretch: 1, rng: rand.New(rand.NewPCG(seed, 7)), clock: clockwork.NewFakeClock(), once: once,
 		starts: make(map[string][]start), results: make(map[string]string), refused: make(map[string]int),
 	}
 	s.kv = platformtest.NewStore(s.clock)
@@ -170,9 +174,15 @@
 	}
 	s.depth++
 	h.inCall = true
+	old := s.stretch
+	if s.rng.IntN(3) == 0 {
+		// Longer than a claim's term.
+		s.stretch = 8
+	}
 	for range s.rng.IntN(60) {
 		s.tick()
 	}
+	s.stretch = old
 	h.inCall = false
 	s.depth--
 }
@@ -197,7 +207,11 @@
 
 // tick moves the time on and lets one host act.
 func (s *sim) tick() {
-	s.clock.Advance(time.Duration(s.rng.IntN(1000)) * time.Millisecond)
+	s.clock.Advance(s.stretch * time.Duration(s.rng.IntN(1000)) * time.Millisecond)
+	s.ticks++
+	if s.ticks == s.cancelAt {
+		s.cancel()
+	}
 	s.noteCancelled()
 	h := s.hosts[s.rng.IntN(len(s.hosts))]
 	if h.dead || h.inCall {
@@ -209,6 +223,16 @@
 	}
 }
 
+// cancel asks for the end of the watched job.
+func (s *sim) cancel() {
+	_, err := store.Update(context.Background(), s.kv, s.watchCancel, nil, func(r *store.Record) error {
+		r.Cancel()
+		r.Settle(s.clock.Now(), s.clock.Now().Add(-simTimes().Term-simTimes().Margin))
+		return nil
+	})
+	require.NoError(s.t, err)
+}
+
 // noteCancelled notes when the watched job is first seen as cancelled.
 func (s *sim) noteCancelled() {
 	if s.watchCancel == "" || !s.cancelled.IsZero() {
@@ -256,6 +280,10 @@
 	if !h.dead {
 		h.worker.Tend(ctx, func(string) bool { return true })
 	}
+	if !h.sim.quiet {
+		// A pause may also fall between a step and the start of an item.
+		h.sim.pauseInside(h)
+	}
 	for !h.dead && len(h.running) < 4 {
 		work, ok := h.worker.Next(simService)
 		if !ok {
