batch/store: fault table of acceptance, resends, retention and garbage

Broken by hand, the tests fail without the renewed announcement after an abandoned acceptance, without the arbiter of resends, without the announcement before the head, and when a running job doesn't keep its file.

--- /dev/null
+++ b/batch/store/accept_test.go
@@ -0,0 +1,292 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/batch/store"
+	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+// stepStore calls a hook around the write with a given number, from 1.
+type stepStore struct {
+	platform.Store
+	at    int
+	seen  int
+	fault func(put func() error) error
+	// dead refuses every later call, as the store of a lost host.
+	dead bool
+}
+
+func (s *stepStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.dead {
+		return platform.Entry{}, platform.ErrUnreachable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *stepStore) Put(ctx context.Context, put platform.Put) (v platform.Version, err error) {
+	if s.dead {
+		return 0, platform.ErrUnreachable
+	}
+	s.seen++
+	if s.seen != s.at {
+		return s.Store.Put(ctx, put)
+	}
+	err = s.fault(func() error { v, err = s.Store.Put(ctx, put); return err })
+	return v, err
+}
+
+type fixture struct {
+	kv    *platformtest.Store
+	clock *clockwork.FakeClock
+	items int
+}
+
+func newFixture() *fixture {
+	clock := clockwork.NewFakeClock()
+	return &fixture{kv: platformtest.NewStore(clock), clock: clock, items: 25}
+}
+
+// submit uploads the file and creates the job as one host does.
+func (f *fixture) submit(kv platform.Store, key string) (job *store.Job, resent bool, err error) {
+	ctx := context.Background()
+	a := &store.Acceptor{KV: kv, Clock: f.clock}
+	o := store.Origin{Service: "svc", Caller: "c", Key: key, Window: time.Hour, Retention: 24 * time.Hour}
+	up, err := a.Begin(ctx, o, 10)
+	if err != nil {
+		return nil, false, err
+	}
+	for i := range f.items {
+		item := &store.Item{CustomID: fmt.Sprint(i), Method: "POST", URL: "/v1/completions", Body: []byte(`{}`)}
+		if err := up.Add(ctx, item); err != nil {
+			return nil, false, err
+		}
+	}
+	file, _, err := up.Accept(ctx, "f")
+	if err != nil {
+		return nil, false, err
+	}
+	return a.Job(ctx, &store.JobRequest{Origin: o, File: file, Endpoint: "/v1/completions", Due: time.Hour})
+}
+
+// check requires one whole, announced job.
+func (f *fixture) check(t *testing.T, job *store.Job) {
+	ctx := context.Background()
+	require.Len(t, f.kv.Keys("batch/job/"), 1)
+	items, announced := 0, 0
+	for n := range job.Segments {
+		segment, err := store.ReadSegment(ctx, f.kv, job.Data, n)
+		require.NoError(t, err)
+		items += len(segment)
+	}
+	require.Equal(t, f.items, items)
+	for shard := range store.Shards {
+		entries, err := store.Active(ctx, f.kv, "svc", shard)
+		require.NoError(t, err)
+		for _, e := range entries {
+			require.Equal(t, job.ID, e.Job)
+			announced++
+		}
+	}
+	require.Equal(t, 1, announced)
+}
+
+// maxSteps is above the number of writes of an acceptance; the table ends at
+// the first step that is not reached.
+const maxSteps = 40
+
+func TestAcceptanceSurvivesEachStep(t *testing.T) {
+	faults := []struct {
+		name string
+		dead bool
+		do   func(put func() error) error
+	}{
+		{"call fails", false, func(func() error) error { return platform.ErrUnreachable }},
+		{"limit", false, func(func() error) error { return platform.ErrLimited }},
+		{"reply lost", false, func(put func() error) error { _ = put(); return platform.ErrUnknown }},
+		{"lost before the write", true, func(func() error) error { return platform.ErrUnreachable }},
+		{"lost after the write", true, func(put func() error) error { _ = put(); return platform.ErrUnknown }},
+	}
+	for _, fault := range faults {
+		for _, key := range []string{"", "key"} {
+			t.Run(fault.name+"/key "+key, func(t *testing.T) {
+				for step := 1; step < maxSteps; step++ {
+					f := newFixture()
+					kv := &stepStore{Store: f.kv, at: step}
+					kv.fault = func(put func() error) error { kv.dead = fault.dead; return fault.do(put) }
+					first, _, err := f.submit(kv, key)
+					if kv.seen < step {
+						require.Greater(t, step, 6)
+						return
+					}
+					accepted := err == nil
+					again, resent, err := f.submit(f.kv, key)
+					require.NoError(t, err, "step %d", step)
+					if accepted {
+						require.Equal(t, first.ID, again.ID)
+						require.True(t, resent)
+						require.Equal(t, first.AcceptedAt.UTC(), again.AcceptedAt.UTC())
+					}
+					f.check(t, again)
+				}
+				t.Fatal("the acceptance has more steps than the table")
+			})
+		}
+	}
+}
+
+// TestTwoHostsAtOnce lets a second host accept the same content inside each
+// write of the first.
+func TestTwoHostsAtOnce(t *testing.T) {
+	for _, key := range []string{"", "key"} {
+		for step := 1; step < maxSteps; step++ {
+			f := newFixture()
+			var other *store.Job
+			kv := &stepStore{Store: f.kv, at: step}
+			kv.fault = func(put func() error) error {
+				var err error
+				other, _, err = f.submit(f.kv, key)
+				require.NoError(t, err)
+				return put()
+			}
+			job, _, err := f.submit(kv, key)
+			if kv.seen < step {
+				break
+			}
+			require.NoError(t, err)
+			require.Equal(t, other.ID, job.ID, "step %d", step)
+			require.Equal(t, other.Run, job.Run)
+			f.check(t, job)
+		}
+	}
+}
+
+func TestResends(t *testing.T) {
+	cases := []struct {
+		name  string
+		key   string
+		after time.Duration
+		same  bool
+	}{
+		{"same key at once", "k", 0, true},
+		{"same key the next day", "k", 23 * time.Hour, true},
+		{"same content inside the window", "", 59 * time.Minute, true},
+		{"same content on another evening", "", 24 * time.Hour, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture()
+			first, resent, err := f.submit(f.kv, c.key)
+			require.NoError(t, err)
+			require.False(t, resent)
+			f.clock.Advance(c.after)
+			second, resent, err := f.submit(f.kv, c.key)
+			require.NoError(t, err)
+			require.Equal(t, c.same, resent)
+			require.Equal(t, c.same, first.ID == second.ID)
+		})
+	}
+}
+
+func TestKeyWithOtherContentIsRefused(t *testing.T) {
+	f := newFixture()
+	_, _, err := f.submit(f.kv, "k")
+	require.NoError(t, err)
+	f.items++
+	_, _, err = f.submit(f.kv, "k")
+	errtest.Is(t, err, store.ErrOtherContent)
+}
+
+// collectAll collects every shard.
+func (f *fixture) collectAll(t *testing.T, retention time.Duration) {
+	c := &store.Collector{KV: f.kv}
+	for shard := range store.Shards {
+		require.NoError(t, c.Collect(context.Background(), "svc", shard, retention, f.clock.Now()))
+	}
+}
+
+// TestGarbageOfAnInterruptedAcceptance loses a host at each step and requires
+// that nothing is left in the end.
+func TestGarbageOfAnInterruptedAcceptance(t *testing.T) {
+	ctx := context.Background()
+	for step := 1; step < maxSteps; step++ {
+		f := newFixture()
+		kv := &stepStore{Store: f.kv, at: step}
+		kv.fault = func(put func() error) error { _ = put(); kv.dead = true; return platform.ErrUnknown }
+		_, _, err := f.submit(kv, "")
+		if kv.seen < step {
+			return
+		}
+		require.Error(t, err)
+		f.clock.Advance(3 * time.Hour)
+		for shard := range store.Shards {
+			entries, err := store.Active(ctx, f.kv, "svc", shard)
+			require.NoError(t, err)
+			for _, e := range entries {
+				_, err := store.Abandon(ctx, f.kv, "svc", e, f.clock.Now())
+				require.NoError(t, err)
+			}
+		}
+		if _, err := store.Load(ctx, f.kv, jobID(f)); err == nil && len(f.kv.Keys("batch/caller/")) > 0 && accepted(t, f) {
+			continue
+		}
+		for range 12 {
+			f.clock.Advance(24 * time.Hour)
+			f.collectAll(t, 24*time.Hour)
+		}
+		require.Empty(t, f.kv.Keys("batch/data/"), "step %d", step)
+		require.Empty(t, f.kv.Keys("batch/file/"), "step %d", step)
+		require.Empty(t, f.kv.Keys("batch/job/"), "step %d", step)
+	}
+}
+
+func jobID(f *fixture) string {
+	keys := f.kv.Keys("batch/job/")
+	if len(keys) == 0 {
+		return ""
+	}
+	return keys[0][len("batch/job/"):]
+}
+
+// accepted reports whether the last step took effect although its reply was lost.
+func accepted(t *testing.T, f *fixture) bool {
+	job, err := store.Load(context.Background(), f.kv, jobID(f))
+	require.NoError(t, err)
+	return job.Status == store.StatusInProgress
+}
+
+// TestLateHeadAfterAbandon lets the collector abandon an acceptance just before
+// its head is written: the job must still be announced and have its data.
+func TestLateHeadAfterAbandon(t *testing.T) {
+	f := newFixture()
+	ctx := context.Background()
+	kv := &stepStore{Store: f.kv}
+	_, _, err := f.submit(kv, "")
+	require.NoError(t, err)
+	last := kv.seen
+	f = newFixture()
+	kv = &stepStore{Store: f.kv, at: last}
+	kv.fault = func(put func() error) error {
+		for shard := range store.Shards {
+			entries, err := store.Active(ctx, f.kv, "svc", shard)
+			require.NoError(t, err)
+			for _, e := range entries {
+				done, err := store.Abandon(ctx, f.kv, "svc", e, f.clock.Now().Add(3*time.Hour))
+				require.NoError(t, err)
+				require.True(t, done)
+			}
+		}
+		return put()
+	}
+	job, _, err := f.submit(kv, "")
+	require.NoError(t, err)
+	f.check(t, job)
+}
