batch/dispatch: slots that don't mistake arrivals for queues, table and property tests

Cause: one waiting request made a replica's slots fall to one; a job of 6,000 items took 41 s on 18 stand-in replicas. Reports lag, and what arrives between two steps of a replica waits only for the next. Change: a queue must last some steps; what was running of late is known; slots grow only as far beyond what reports show; a queue sets a ceiling for a while.

--- /dev/null
+++ b/batch/dispatch/dispatch_test.go
@@ -0,0 +1,193 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyspindle/comfreyspindle/batch/dispatch"
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+var now = time.Date(2026, 1, 1, 18, 0, 0, 0, time.UTC)
+
+func conf(weight float64) *service.Batch {
+	return &service.Batch{ThroughputWeight: weight, TokenInterval: 63 * time.Millisecond, MaxSlots: 64}
+}
+
+// busy is a replica that runs ten items without trouble.
+func busy() dispatch.Replica {
+	return dispatch.Replica{
+		Slots: 10, Batch: 10, BatchPeak: 10, Shown: 10, RaisedAt: now.Add(-time.Second), LoweredAt: now.Add(-time.Minute),
+		Reported: dispatch.Report{At: now.Add(-20 * time.Millisecond), Running: 10, Interval: 5 * time.Millisecond},
+	}
+}
+
+func TestSlots(t *testing.T) {
+	queue := dispatch.Report{At: now, Running: 32, Waiting: 9, Queued: time.Second, Interval: 5 * time.Millisecond}
+	cases := []struct {
+		name   string
+		change func(r *dispatch.Replica)
+		slots  int
+		cause  dispatch.Cause
+	}{
+		{"room for one more", func(*dispatch.Replica) {}, 11, dispatch.CauseRoom},
+		{"free slots", func(r *dispatch.Replica) { r.Batch = 9 }, 10, dispatch.CauseSteady},
+		{"just raised", func(r *dispatch.Replica) { r.RaisedAt = now }, 10, dispatch.CauseSteady},
+		{"effect not shown", func(r *dispatch.Replica) { r.Shown = 7 }, 10, dispatch.CauseSteady},
+		{"all slots", func(r *dispatch.Replica) { r.Slots = 64 }, 64, dispatch.CauseFull},
+		{"leaving", func(r *dispatch.Replica) { r.Leaving = true }, 0, dispatch.CauseLeaving},
+		{"own burst", func(r *dispatch.Replica) { r.Online, r.OnlineUsual = 20, 2 }, 0, dispatch.CauseBurst},
+		{"usual online work", func(r *dispatch.Replica) { r.Online, r.OnlineUsual = 20, 18 }, 11, dispatch.CauseRoom},
+		{"burst elsewhere", func(r *dispatch.Replica) { r.BurstAt = now.Add(-100 * time.Millisecond) }, 0, dispatch.CauseBurst},
+		{"after a burst", func(r *dispatch.Replica) { r.Slots, r.Batch, r.LoweredAt = 0, 0, now.Add(-100*time.Millisecond) }, 0, dispatch.CauseHold},
+		{"online work waits", func(r *dispatch.Replica) { r.Reported = queue }, 0, dispatch.CauseWaiting},
+		{"only batch waits", func(r *dispatch.Replica) { r.Reported, r.BatchPeak = queue, 41 }, 7, dispatch.CauseQueue},
+		{"old report of a queue", func(r *dispatch.Replica) { r.Reported = queue; r.Reported.At = now.Add(-time.Minute) }, 11, dispatch.CauseRoom},
+		{"arrivals of one step", func(r *dispatch.Replica) { r.Reported = queue; r.Reported.Queued = 0 }, 11, dispatch.CauseRoom},
+		{"slow tokens", func(r *dispatch.Replica) { r.Reported.Interval = 62 * time.Millisecond }, 7, dispatch.CauseInterval},
+		{"slow tokens, just lowered", func(r *dispatch.Replica) { r.Reported.Interval, r.LoweredAt = 62*time.Millisecond, now }, 10, dispatch.CauseInterval},
+		{"at the ceiling", func(r *dispatch.Replica) { r.Ceiling, r.CeilingAt = 10, now.Add(-time.Second) }, 10, dispatch.CauseFull},
+		{"old ceiling", func(r *dispatch.Replica) { r.Ceiling, r.CeilingAt = 10, now.Add(-time.Hour) }, 11, dispatch.CauseRoom},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := busy()
+			c.change(&r)
+			plan := dispatch.Slots(&r, conf(0.8), now)
+			require.Equal(t, c.cause, plan.Cause)
+			require.Equal(t, c.slots, plan.Slots)
+		})
+	}
+}
+
+func TestCapacityLeavesRoom(t *testing.T) {
+	for _, c := range []struct {
+		weight float64
+		online int
+		slots  int
+	}{{1, 0, 31}, {0, 0, 23}, {1, 10, 21}, {0, 40, 0}} {
+		r := busy()
+		r.Slots, r.Batch, r.Shown = 31, 31, 31
+		r.Online, r.OnlineUsual = c.online, float64(c.online)
+		f := conf(c.weight)
+		f.Capacity = 32
+		require.Equal(t, c.slots, dispatch.Slots(&r, f, now).Slots, "%+v", c)
+	}
+}
+
+func replicas(t *rapid.T) *dispatch.Replica {
+	ago := func(name string) time.Time {
+		return now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, name)) * time.Millisecond)
+	}
+	n := func(name string) int { return rapid.IntRange(0, 80).Draw(t, name) }
+	return &dispatch.Replica{
+		Slots: n("slots"), Batch: n("batch"), BatchPeak: n("peak"), Shown: n("shown"), Online: n("online"), OnlineUsual: float64(n("usual")),
+		BurstAt: ago("burst"), RaisedAt: ago("raised"), LoweredAt: ago("lowered"), Ceiling: n("ceiling"), CeilingAt: ago("ceilingAt"),
+		Reported: dispatch.Report{
+			At: ago("report"), Running: n("running"), Waiting: n("waiting"),
+			Queued:   time.Duration(n("queued")) * time.Millisecond,
+			Interval: time.Duration(n("interval")) * time.Millisecond,
+		},
+	}
+}
+
+func TestSlotsProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := replicas(t)
+		f := conf(rapid.Float64Range(0, 1).Draw(t, "weight"))
+		p := dispatch.Slots(r, f, now)
+		if p.Slots < 0 || p.Slots > max(f.MaxSlots, r.Slots) || p.Slots > r.Slots+1 {
+			t.Fatalf("from %d to %d slots", r.Slots, p.Slots)
+		}
+		if again := dispatch.Slots(r, f, now); again != p {
+			t.Fatalf("not a function: %v, %v", p, again)
+		}
+		r.BurstAt = now
+		if p := dispatch.Slots(r, f, now); p.Slots != 0 {
+			t.Fatalf("%d slots in a burst", p.Slots)
+		}
+	})
+}
+
+func TestSharesInOrder(t *testing.T) {
+	hour := func(n int) time.Time { return now.Add(time.Duration(n) * time.Hour) }
+	cases := []struct {
+		name  string
+		jobs  []dispatch.Job
+		first string
+		late  []string
+	}{
+		{"earliest due first", []dispatch.Job{{ID: "b", DueAt: hour(2), Remaining: 3600}, {ID: "a", DueAt: hour(1), Remaining: 3600}}, "a", nil},
+		{"what a job holds counts", []dispatch.Job{{ID: "b", DueAt: hour(2), Remaining: 36000}, {ID: "a", DueAt: hour(1), Remaining: 3600, Held: 500}}, "b", nil},
+		{"can't be met", []dispatch.Job{{ID: "a", DueAt: hour(1), Remaining: 72000}}, "a", []string{"a"}},
+		{"a late job leaves the others theirs", []dispatch.Job{{ID: "a", DueAt: hour(1), Remaining: 360000, Held: 600}, {ID: "b", DueAt: hour(2), Remaining: 7200}}, "b", []string{"a"}},
+		{"overdue", []dispatch.Job{{ID: "a", DueAt: hour(-1), Remaining: 10}}, "a", []string{"a"}},
+		{"no work left", []dispatch.Job{{ID: "a", DueAt: hour(-1)}, {ID: "b", DueAt: hour(1), Remaining: 1}}, "b", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			shares := dispatch.Shares(c.jobs, 10, 0.5, now)
+			require.Equal(t, c.first, shares[0].ID)
+			var late []string
+			for _, s := range shares {
+				if s.Late {
+					late = append(late, s.ID)
+				}
+			}
+			require.Equal(t, c.late, late)
+		})
+	}
+}
+
+func TestSharesProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var jobs []dispatch.Job
+		for i := range rapid.IntRange(0, 20).Draw(t, "jobs") {
+			jobs = append(jobs, dispatch.Job{
+				ID: fmt.Sprint(i), DueAt: now.Add(time.Duration(rapid.IntRange(-10, 1000).Draw(t, "due")) * time.Minute),
+				Remaining: rapid.IntRange(0, 100000).Draw(t, "remaining"), Held: rapid.IntRange(0, 500).Draw(t, "held"),
+			})
+		}
+		shares := dispatch.Shares(jobs, rapid.Float64Range(0, 1000).Draw(t, "capacity"), 0.5, now)
+		sum := 0.0
+		for _, s := range shares {
+			if s.Part < 0 {
+				t.Fatalf("share %v", s)
+			}
+			sum += s.Part
+		}
+		if sum > 1.000001 || len(shares) != len(jobs) {
+			t.Fatalf("%d shares add up to %v", len(shares), sum)
+		}
+	})
+}
+
+// BenchmarkDispatch plans 1,000 replicas and 15,000 jobs, as one tick of a
+// dispatcher far above the design size does.
+func BenchmarkDispatch(b *testing.B) {
+	f := conf(0.5)
+	replicas := make([]dispatch.Replica, 1000)
+	for i := range replicas {
+		replicas[i] = busy()
+	}
+	jobs := make([]dispatch.Job, 15000)
+	for i := range jobs {
+		jobs[i] = dispatch.Job{ID: fmt.Sprint(i), DueAt: now.Add(time.Duration(i*7919%86400) * time.Second), Remaining: 3400}
+	}
+	b.Run("slots of 1,000 replicas", func(b *testing.B) {
+		for b.Loop() {
+			for i := range replicas {
+				dispatch.Slots(&replicas[i], f, now)
+			}
+		}
+	})
+	b.Run("shares of 15,000 jobs", func(b *testing.B) {
+		for b.Loop() {
+			dispatch.Shares(jobs, 590, 0.5, now)
+		}
+	})
+}
--- a/batch/dispatch/slots.go
+++ b/batch/dispatch/slots.go
@@ -12,6 +12,10 @@
 	// them.
 	Slots int
 	Batch int
+	// Shown is the number of slots whose effect the load reports show.
+	Shown int
+	// BatchPeak is the largest number of late; load reports lag behind it.
+	BatchPeak int
 	// Online is the host's own online requests in flight there.
 	Online int
 	// OnlineUsual is their usual number, a moving average.
@@ -37,10 +41,16 @@
 	At      time.Time
 	Running int
 	Waiting int
+	// Queued is how long reports have shown that work waits, by the replica's
+	// clock.
+	Queued time.Duration
 	// Interval is the time between tokens of one sequence.
 	Interval time.Duration
 }
 
+// Waits reports whether more work waits than arrives from one step to the next.
+func (r *Report) Waits() bool { return r.Waiting > queueFloor+r.Running/queuePart }
+
 // Cause says why a plan has its number of slots.
 type Cause string
 
@@ -83,9 +93,25 @@
 	intervalLow  = 0.5
 	intervalHigh = 0.95
 	// ceilingTime is how long a replica's slots stay below the number at which
-	// it queued, and ceilingRoom how far below.
-	ceilingTime = 10 * time.Second
-	ceilingRoom = 2
+	// it queued.
+	ceilingTime = 2 * time.Minute
+	// episodeTime is the longest time between two reports of one episode of
+	// queueing.
+	episodeTime = time.Second
+	// lowerTime is the least time between two reductions.
+	lowerTime = 250 * time.Millisecond
+	// growFloor, or one in growPart, is how far slots go beyond those whose
+	// effect the reports show.
+	growFloor = 3
+	growPart  = 4
+	// roomHigh and roomLow bound the part of a full replica that is left free.
+	roomHigh = 0.3
+	roomLow  = 0.05
+	// queueFloor, and one in queuePart of what runs, may wait for the next step.
+	queueFloor = 2
+	queuePart  = 8
+	// queueSteps is the number of steps after which waiting work queues.
+	queueSteps = 3
 )
 
 // between goes from low at weight 0 to high at weight 1.
@@ -101,8 +127,8 @@
 // come back and how much room is left.
 func Slots(r *Replica, conf *service.Batch, now time.Time) Plan {
 	p := Plan{Ceiling: r.Ceiling, CeilingAt: r.CeilingAt}
-	if r.queues(now) && r.Batch > 0 && r.Reported.At.After(r.CeilingAt) {
-		p.Ceiling, p.CeilingAt = max(1, r.Batch-r.Reported.Waiting-ceilingRoom), r.Reported.At
+	if r.queues(now) && r.BatchPeak > 0 && r.Reported.At.After(r.CeilingAt) {
+		p.Ceiling, p.CeilingAt = r.ceiling(conf.ThroughputWeight), r.Reported.At
 	}
 	p.Slots, p.Cause = r.decide(conf, p, now)
 	return p
@@ -119,14 +145,14 @@
 		return 0, CauseBurst
 	case now.Sub(r.BurstAt) < hold:
 		return 0, CauseBurst
-	case r.queues(now) && r.Reported.Running+r.Reported.Waiting > r.Batch:
+	case r.queues(now) && r.Reported.Running+r.Reported.Waiting > r.BatchPeak:
 		return 0, CauseWaiting
 	case r.Slots == 0 && !r.LoweredAt.IsZero() && now.Sub(r.LoweredAt) < hold:
 		return 0, CauseHold
 	case r.queues(now):
-		return r.lower(), CauseQueue
+		return r.lower(now), CauseQueue
 	case r.fresh(now) && r.Reported.Interval > limit:
-		return r.lower(), CauseInterval
+		return r.lower(now), CauseInterval
 	}
 	return r.raise(conf, p, now)
 }
@@ -135,12 +161,27 @@
 	return !r.Reported.At.IsZero() && now.Sub(r.Reported.At) < reportAge
 }
 
-// queues reports whether work waits in the replica.
-func (r *Replica) queues(now time.Time) bool { return r.fresh(now) && r.Reported.Waiting > 0 }
+// queues reports whether work waits in the replica. What arrived since the last
+// step of a replica that batches continuously waits only for the next one.
+func (r *Replica) queues(now time.Time) bool {
+	return r.fresh(now) && r.Reported.Waits() && r.Reported.Queued > queueSteps*r.Reported.Interval
+}
 
-// lower takes a quarter of the slots away, at most once per report.
-func (r *Replica) lower() int {
-	if !r.LoweredAt.Before(r.Reported.At) {
+// ceiling is the number of slots that leaves room for online work in a replica
+// that runs as much as it can.
+func (r *Replica) ceiling(weight float64) int {
+	room := int(float64(r.Reported.Running) * between(roomHigh, roomLow, weight))
+	ceiling := max(1, r.Reported.Running-r.Online-room)
+	if r.Reported.At.Sub(r.CeilingAt) < episodeTime {
+		// Later reports of one episode show the replica as it empties.
+		return max(ceiling, r.Ceiling)
+	}
+	return ceiling
+}
+
+// lower takes a quarter of the slots away, and waits until that shows.
+func (r *Replica) lower(now time.Time) int {
+	if now.Sub(r.LoweredAt) < lowerTime {
 		return r.Slots
 	}
 	return r.Slots - (r.Slots+3)/4
@@ -148,6 +189,10 @@
 
 func (r *Replica) raise(conf *service.Batch, p Plan, now time.Time) (int, Cause) {
 	top := conf.MaxSlots
+	if conf.Capacity > 0 {
+		room := int(float64(conf.Capacity) * between(roomHigh, roomLow, conf.ThroughputWeight))
+		top = min(top, max(0, conf.Capacity-r.Online-room))
+	}
 	if p.Ceiling > 0 && now.Sub(p.CeilingAt) < ceilingTime {
 		top = min(top, p.Ceiling)
 	}
@@ -156,6 +201,8 @@
 		return top, CauseFull
 	case r.Batch < r.Slots:
 		return r.Slots, CauseSteady
+	case r.Slots >= r.Shown+max(growFloor, r.Shown/growPart):
+		return r.Slots, CauseSteady
 	case now.Sub(r.RaisedAt) < durationBetween(raiseSlow, raiseFast, conf.ThroughputWeight):
 		return r.Slots, CauseSteady
 	default:
--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -22,9 +22,13 @@
 	tickBusy = 5 * time.Millisecond
 	tickIdle = 100 * time.Millisecond
 	// loadTime is the age of a load report after which a new one is asked for.
-	loadTime = 250 * time.Millisecond
+	loadTime = 150 * time.Millisecond
 	// usualTime is the time constant of the usual number of online requests.
 	usualTime = 2 * time.Second
+	// peakTime is how long the largest number of running items is remembered.
+	peakTime = time.Second
+	// shownTime is the lag of load reports allowed for.
+	shownTime = 60 * time.Millisecond
 	// busyTime is the least time between two messages about one replica.
 	busyTime = 200 * time.Millisecond
 	// rateTime is the window over which finished items are counted.
@@ -44,6 +48,14 @@
 	polledAt time.Time
 	toldAt   time.Time
 	seenAt   time.Time
+	peakAt   time.Time
+	// reportAt is when the newest report was taken, and idleAt when the newest
+	// one was that showed no queue, both by the replica's clock.
+	reportAt time.Time
+	idleAt   time.Time
+	// pending slots will be shown by the next report that counts.
+	pending int
+	shownAt time.Time
 }
 
 // flight is an item that runs on a replica.
@@ -169,6 +181,9 @@
 	r.state.Online = a.Online
 	r.state.OnlineUsual += (float64(a.Online) - r.state.OnlineUsual) * part
 	r.state.Batch = len(r.running)
+	if r.state.Batch >= r.state.BatchPeak || now.Sub(r.peakAt) > peakTime {
+		r.state.BatchPeak, r.peakAt = r.state.Batch, now
+	}
 	if a.Load != nil {
 		r.report(a.Load, a.ReadAt)
 	}
@@ -178,9 +193,20 @@
 
 // report keeps the newer of two load reports.
 func (r *replica) report(l *upstream.Load, readAt time.Time) {
-	if readAt.After(r.state.Reported.At) {
-		r.state.Reported = dispatch.Report{At: readAt, Running: l.Running, Waiting: l.Waiting, Interval: l.TokenInterval}
+	if readAt.Sub(r.shownAt) >= shownTime {
+		r.state.Shown, r.shownAt = r.pending, readAt
+		r.pending = r.state.Slots
+	}
+	if !readAt.After(r.state.Reported.At) || l.At.Before(r.reportAt) {
+		return
+	}
+	r.reportAt = l.At
+	next := dispatch.Report{At: readAt, Running: l.Running, Waiting: l.Waiting, Interval: l.TokenInterval}
+	if !next.Waits() || r.idleAt.IsZero() {
+		r.idleAt = l.At
 	}
+	next.Queued = l.At.Sub(r.idleAt)
+	r.state.Reported = next
 }
 
 // apply sets the slots and cancels items that have none.
--- a/batch/run/step.go
+++ b/batch/run/step.go
@@ -92,6 +92,13 @@
 	return 0
 }
 
+// lacks returns the number of items that a service lacks.
+func (w *Worker) lacks(want Want) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return want.Items - w.readyOf(want.Service)
+}
+
 // readyOf counts the items of a service that are or can be made ready.
 func (w *Worker) readyOf(service string) int {
 	n := 0
@@ -543,14 +550,24 @@
 
 // claim claims segments of announced jobs until the wanted items are ready.
 func (w *Worker) claim(ctx context.Context, want Want) {
+	if w.lacks(want) <= 0 || !w.lookDue() {
+		return
+	}
 	for _, id := range w.candidates(want.Service) {
-		missing := w.missing(id, []Want{want})
+		missing := w.lacks(want)
 		if missing <= 0 || !w.mayLook() || !w.claimFrom(ctx, id, missing) {
 			return
 		}
 	}
 }
 
+// lookDue reports whether a look is allowed now.
+func (w *Worker) lookDue() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.o.Clock.Now().Before(w.lookAt)
+}
+
 // mayLook limits the reads of jobs that turn out to have nothing to claim.
 func (w *Worker) mayLook() bool {
 	w.mu.Lock()
@@ -733,7 +750,7 @@
 		return true
 	}
 	// The head follows the announcement within moments.
-	j.scanAt = w.o.Clock.Now().Add(w.o.Times.Look)
+	j.scanAt = w.o.Clock.Now().Add(w.o.Times.Look / 4)
 	service, entry := j.service, j.entry
 	w.mu.Unlock()
 	if _, err := store.Abandon(ctx, w.o.KV, service, entry, w.o.Clock.Now()); err != nil {
--- a/batch/run/worker.go
+++ b/batch/run/worker.go
@@ -122,6 +122,7 @@
 	sightings uint64
 	draining  bool
 	lookAt    time.Time
+	late      map[string]latePlan
 }
 
 // job is what a worker knows of one announced job.
@@ -158,7 +159,7 @@
 	if o.Capacity == nil {
 		o.Capacity = func(string) float64 { return 0 }
 	}
-	return &Worker{o: o, jobs: make(map[string]*job)}
+	return &Worker{o: o, jobs: make(map[string]*job), late: make(map[string]latePlan)}
 }
 
 // Announce tells the worker of the jobs that are active in a service. Jobs that
@@ -318,15 +319,30 @@
 
 func isNotFound(err error) bool { return errors.Is(err, platform.ErrNotFound) }
 
+// lateAge is how long a plan of late jobs is used.
+const lateAge = time.Second
+
+// latePlan holds the jobs of a service that are planned to be late.
+type latePlan struct {
+	at   time.Time
+	jobs map[string]bool
+}
+
 // Late reports whether a job is planned to miss its due time, given the jobs
 // that are due before it.
 func (w *Worker) Late(service, id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, s := range w.shares(service, w.o.Clock.Now()) {
-		if s.ID == id {
-			return s.Late
+	now := w.o.Clock.Now()
+	p, ok := w.late[service]
+	if !ok || now.Sub(p.at) > lateAge {
+		p = latePlan{at: now, jobs: make(map[string]bool)}
+		for _, s := range w.shares(service, now) {
+			if s.Late {
+				p.jobs[s.ID] = true
+			}
 		}
+		w.late[service] = p
 	}
-	return false
+	return p.jobs[id]
 }
--- a/service/document.go
+++ b/service/document.go
@@ -171,6 +171,9 @@
 	TokenInterval time.Duration `yaml:"token_interval" default:"63ms" validate:"gt=0"`
 	// MaxSlots bounds the batch items that run on one replica.
 	MaxSlots int `yaml:"max_slots" default:"64" validate:"min=1,max=4096"`
+	// Capacity is the number of sequences that a replica runs at one time
+	// before it queues; zero finds it out from the queues.
+	Capacity int `yaml:"capacity,omitempty" validate:"min=0,max=100000"`
 	// SegmentItems is the number of items in one segment.
 	SegmentItems int `yaml:"segment_items" default:"500" validate:"min=1,max=5000"`
 	// MaxTries bounds the tries of one item that fails by itself.
