Planned stop: answers end their connections while the balancer turns away

Cause: during the balancer's delay kept connections stayed in use, so requests could meet the close of their connection at the end of the delay. Change: Leave marks each answer with Connection: close from the moment readiness goes off; idle connections are not closed before the delay is over; new connections are served until then.

--- a/fleet/online_test.go
+++ b/fleet/online_test.go
@@ -130,3 +130,83 @@
 	require.True(t, whole)
 	require.Equal(t, upstreamtest.Answer("long", 100), text)
 }
+
+// A host is stopped under load by short requests and by streams that outlast
+// the balancer's delay. The callers stand for a balancer: they send to ready
+// hosts and keep connections.
+func TestPlannedStopCutsOffNoRequest(t *testing.T) {
+	for name, keepAlive := range map[string]bool{"kept connections": true, "new connections": false} {
+		t.Run(name, func(t *testing.T) { stopUnderLoad(t, keepAlive) })
+	}
+}
+
+const longStreams = 4
+
+func stopUnderLoad(t *testing.T, keepAlive bool) {
+	f := startSmall(t, upstreamtest.DefaultOptions(), func(s *settings.Settings) { s.Stop.BalancerDelay = 500 * time.Millisecond })
+	_, err := f.AddHost(fleet.Place{DataCentre: "fukuoka-hakata", Region: "fukuoka"}, "second")
+	require.NoError(t, err)
+	require.Eventually(t, f.Hosts[1].Node.Ready, 5*time.Second, time.Millisecond)
+	client := &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, DisableKeepAlives: !keepAlive}}
+	defer client.CloseIdleConnections()
+	stopped := make(chan struct{})
+	var wg sync.WaitGroup
+	var long sync.WaitGroup
+	long.Add(longStreams)
+	for i := range 24 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if i < longStreams {
+				defer long.Done()
+			}
+			for k := 0; ; k++ {
+				select {
+				case <-stopped:
+					return
+				default:
+				}
+				host := f.Hosts[(i+k)%2]
+				if !host.Node.Ready() {
+					host = f.Hosts[1]
+				}
+				prompt, tokens, stream := fmt.Sprintf("stop %d %d", i, k), 2, i%2 == 0
+				if i < longStreams {
+					// Longer than the balancer's delay, and begun before the stop.
+					host, tokens, stream = f.Hosts[0], 250, true
+				}
+				res, body, err := post(client, host, prompt, tokens, stream)
+				if err != nil || res.StatusCode != http.StatusOK {
+					t.Errorf("request failed: %v %s", err, body)
+					return
+				}
+				if text, whole := answerText(body, stream); !whole || text != upstreamtest.Answer(prompt, tokens) {
+					t.Errorf("request was cut: %q", body)
+				}
+				if i < longStreams {
+					return
+				}
+			}
+		}()
+	}
+	// The long streams run before the stop begins.
+	require.Eventually(t, func() bool {
+		running := 0
+		for _, e := range f.Engines {
+			running += e.Load().Running
+		}
+		return running >= longStreams
+	}, 5*time.Second, time.Millisecond)
+	done := make(chan error, 1)
+	go func() { done <- f.Hosts[0].Node.Stop(t.Context()) }()
+	require.Eventually(t, func() bool { return !f.Hosts[0].Node.Ready() }, 5*time.Second, time.Millisecond)
+	res, _, err := post(&http.Client{Transport: &http.Transport{}}, f.Hosts[0], "late", 1, false)
+	require.NoError(t, err, "new connections are served during the balancer's delay")
+	require.Equal(t, http.StatusOK, res.StatusCode)
+	require.True(t, res.Close, "answers end their connections")
+	require.NoError(t, <-done)
+	long.Wait()
+	close(stopped)
+	wg.Wait()
+	require.NoError(t, f.Hosts[1].Node.Stop(t.Context()))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,7 +33,7 @@
 // contextIdentity is the echo context key of the authenticated identity.
 const contextIdentity = "identity"
 
-// Gateway serves callers. All fields but draining are required.
+// Gateway serves callers. All exported fields are required.
 type Gateway struct {
 	Config  *config.Holder
 	Runner  *online.Runner
@@ -41,11 +41,20 @@
 	Limits  settings.Gateway
 	Log     *logrus.Entry
 
+	leaving  atomic.Bool
 	draining atomic.Bool
 }
 
+// Leave makes each answer end its connection, so that the next request of its
+// caller goes to another host. Idle connections stay open: closing one could
+// meet a request on its way.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
 // Drain makes the gateway refuse new requests as not run.
-func (g *Gateway) Drain() { g.draining.Store(true) }
+func (g *Gateway) Drain() {
+	g.Leave()
+	g.draining.Store(true)
+}
 
 // Handler returns the HTTP handler of the callers' interface.
 func (g *Gateway) Handler() http.Handler {
@@ -80,8 +89,10 @@
 
 func (g *Gateway) refuseWhileDraining(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if g.draining.Load() {
+		if g.leaving.Load() {
 			c.Response().Header().Set("Connection", "close")
+		}
+		if g.draining.Load() {
 			return verdict.New(verdict.NotRun, verdict.CodeDraining, "This host is stopping; send the request again.")
 		}
 		return next(c)
--- a/node/tree.go
+++ b/node/tree.go
@@ -56,11 +56,13 @@
 	return err
 }
 
-// Stop stops the node in order: readiness off, wait for the balancer, refuse
-// new requests, finish running ones, then stop all parts. Serve must have been
+// Stop stops the node in order: readiness off and connections closed by their
+// next answer, wait for the balancer while new connections are still served,
+// refuse new requests, finish running ones, then stop all parts. Serve must have been
 // called. The context bounds the whole stop.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
+	n.online.gateway.Leave()
 	n.log.Info("stopping: readiness off")
 	select {
 	case <-n.clock.After(n.settings.Stop.BalancerDelay):
