--- a/admin/admin.go
+++ b/admin/admin.go
@@ -35,6 +35,8 @@
 	Ready bool `json:"ready"`
 	// Lacks names what the host still waits for.
 	Lacks []string `json:"lacks,omitempty"`
+	// Warnings name what keeps no request away but should be known.
+	Warnings []string `json:"warnings,omitempty"`
 }
 
 // Server is the operators' interface. All fields but TokenSHA256 are required.
--- /dev/null
+++ b/config/disk.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/renameio/v2"
+)
+
+// diskFile is the name of the copy in the data folder.
+const diskFile = "documents.json"
+
+// diskCopy is the form of the copy on disk.
+type diskCopy struct {
+	Current time.Time
+	Records []record
+}
+
+// disk keeps the last whole set of a host that has a data folder.
+type disk struct {
+	path string
+	set  *Set
+}
+
+// load takes the copy into the set. A missing copy is no error.
+func (d *disk) load() error {
+	text, err := os.ReadFile(d.path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read copy of documents")
+	}
+	var c diskCopy
+	if err := json.Unmarshal(text, &c); err != nil {
+		return errors.Wrapf(err, "decode %s", d.path)
+	}
+	d.set.apply(c.Records...)
+	d.set.noteComplete(d.set.clock.Now().Sub(c.Current))
+	return nil
+}
+
+// save writes the copy atomically.
+func (d *disk) save() error {
+	if complete, _, _ := d.set.Complete(); !complete {
+		return nil
+	}
+	c := diskCopy{Records: d.set.newer(nil)}
+	d.set.mu.Lock()
+	c.Current = d.set.current
+	d.set.mu.Unlock()
+	text, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(filepath.Dir(d.path), 0o700); err != nil {
+		return errors.Wrap(err, "data_folder")
+	}
+	return errors.Wrap(renameio.WriteFile(d.path, text, 0o600), "write copy of documents")
+}
+
+// savePeriod is the time after which the copy is written without a change, to
+// note that it was still current.
+const savePeriod = time.Minute
+
+// serve writes the copy after each change.
+func (d *disk) serve(ctx context.Context) {
+	for {
+		changed := d.set.changes()
+		if err := d.save(); err != nil {
+			d.set.log.WithError(err).Error("documents not kept on disk")
+		}
+		select {
+		case <-changed:
+		case <-d.set.clock.After(savePeriod):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/config/distributor.go
@@ -0,0 +1,259 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// Times of the distribution.
+const (
+	// heartbeatPeriod is the time between two summaries from the relays, which
+	// take turns.
+	heartbeatPeriod = time.Second
+	// comparePeriod is the mean time between two comparisons with a random peer.
+	comparePeriod = 2 * time.Second
+	// hurryPause is the pause before a further comparison while heartbeats are
+	// missing; it doubles up to maxHurryPause.
+	hurryPause    = 250 * time.Millisecond
+	maxHurryPause = 1500 * time.Millisecond
+	// takeOver is the age of the set at which the first host that is no relay
+	// takes over; takeOverStep is added for each further one in rank.
+	takeOver     = 2500 * time.Millisecond
+	takeOverStep = time.Second
+	// startPatience is how long a host with a copy on disk waits for a word of
+	// peers or the service before it is ready with the copy.
+	startPatience = 3 * time.Second
+	// callTimeout bounds a call to a peer.
+	callTimeout = time.Second
+	// tickPeriod is the time between two looks at what is due.
+	tickPeriod = 100 * time.Millisecond
+)
+
+const (
+	// relays is the number of hosts in a data centre that watch the service.
+	relays = 2
+	// relayKey ranks the hosts.
+	relayKey = "config/relays"
+	// fanout is the number of children of a host in a tree.
+	fanout = 4
+	// compareTries bounds the peers asked in one comparison.
+	compareTries = 3
+	// startPeers is the number of peers that a starting host asks at a time.
+	startPeers = 3
+)
+
+// Options describe the distribution on one host.
+type Options struct {
+	Store platform.Store
+	Set   *Set
+	Hosts membership.View
+	// Peers reaches other hosts; Seeds are the addresses that a starting host
+	// asks before it knows others.
+	Peers peer.Caller
+	Seeds []string
+	// DataFolder keeps the last set; empty on a host without a disk.
+	DataFolder string
+	Clock      clockwork.Clock
+	Log        *logrus.Entry
+	// Seed makes random choices repeatable.
+	Seed uint64
+}
+
+// Distributor brings the documents of the platform's service into force. In
+// each data centre a few relays watch the service and push changes and
+// summaries down trees of hosts. Hosts compare their sets with random peers,
+// which repairs lost deliveries; when the relays fall silent, others take over
+// one after the other.
+type Distributor struct {
+	Options
+	started time.Time
+	disk    *disk
+	workers sync.WaitGroup
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	stopped bool
+	// comparing holds the addresses of comparisons under way.
+	comparing map[string]struct{}
+	// heard is the last time of a summary from a relay that reaches the service.
+	heard time.Time
+	// contact is the last time of a heartbeat, a comparison or a watch.
+	contact time.Time
+}
+
+// NewDistributor returns a Distributor and loads the copy on disk, if any.
+func NewDistributor(o Options) *Distributor {
+	d := &Distributor{Options: o, started: o.Clock.Now(), rnd: rand.New(rand.NewPCG(o.Seed, 1)), comparing: make(map[string]struct{})}
+	if o.DataFolder != "" {
+		d.disk = &disk{path: filepath.Join(o.DataFolder, "config", diskFile), set: o.Set}
+		if err := d.disk.load(); err != nil {
+			o.Log.WithError(err).Warn("copy of documents ignored")
+		}
+	}
+	return d
+}
+
+// String names the service in supervisor events.
+func (d *Distributor) String() string { return "configuration" }
+
+// Register publishes the methods for peers.
+func (d *Distributor) Register(s *peer.Server) error {
+	return s.Register(serviceName, &receiver{d: d})
+}
+
+// Serve distributes documents until ctx ends.
+func (d *Distributor) Serve(ctx context.Context) error {
+	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	d.mu.Lock()
+	d.stopped = false
+	d.mu.Unlock()
+	defer d.stop()
+	d.spawn(func() { d.relay(ctx) })
+	if d.disk != nil {
+		d.spawn(func() { d.disk.serve(ctx) })
+	}
+	d.askPeers(ctx)
+	return d.loop(ctx)
+}
+
+// spawn runs work in the background, unless the distribution has ended.
+func (d *Distributor) spawn(work func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.stopped {
+		d.workers.Go(work)
+	}
+}
+
+// stop waits for all background work.
+func (d *Distributor) stop() {
+	d.mu.Lock()
+	d.stopped = true
+	d.mu.Unlock()
+	d.workers.Wait()
+}
+
+// loop sends heartbeats and comparisons when they are due.
+func (d *Distributor) loop(ctx context.Context) error {
+	ticker := d.Clock.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	nextBeat, nextCompare := d.Clock.Now(), d.Clock.Now().Add(d.jitter(comparePeriod))
+	hurry, lastCompare := hurryPause, time.Time{}
+	for {
+		select {
+		case <-ticker.Chan():
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		now := d.Clock.Now()
+		if !now.Before(nextBeat) {
+			nextBeat = now.Truncate(heartbeatPeriod).Add(heartbeatPeriod)
+			if d.beats(now) {
+				d.push(ctx, nil)
+			}
+		}
+		stale := d.stale()
+		if !stale {
+			hurry = hurryPause
+		}
+		if stale {
+			nextCompare = earlier(nextCompare, lastCompare.Add(hurry))
+		}
+		if now.Before(nextCompare) {
+			continue
+		}
+		lastCompare, nextCompare = now, now.Add(d.jitter(comparePeriod))
+		d.spawn(func() { d.compareRandom(ctx) })
+		if stale {
+			hurry = min(2*hurry, maxHurryPause)
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// beats reports whether it is this host's turn to send a heartbeat: the relays
+// take turns by the clock. One that hears nothing of the others beats always.
+func (d *Distributor) beats(now time.Time) bool {
+	rank := d.rank()
+	turn := int(now.Unix()/int64(heartbeatPeriod/time.Second)) % relays
+	return rank == turn || rank < relays && !d.hearsOthers()
+}
+
+// stale reports whether the host has missed heartbeats, or whether what it
+// hears is old.
+func (d *Distributor) stale() bool {
+	_, confirmed, age := d.Set.Complete()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !confirmed || age > takeOver || d.Clock.Now().Sub(d.contact) > heartbeatPeriod*3/2
+}
+
+// noteContact notes that the host reached a peer or the service.
+func (d *Distributor) noteContact() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.contact = d.Clock.Now()
+}
+
+func (d *Distributor) jitter(t time.Duration) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return t/2 + time.Duration(d.rnd.Int64N(int64(t)))
+}
+
+// rank returns the host's place among the relays of its data centre.
+func (d *Distributor) rank() int {
+	self := d.Hosts.Self().Name
+	local := d.Hosts.Local()
+	for i, h := range membership.Rendezvous(local, relayKey, len(local)) {
+		if h.Name == self {
+			return i
+		}
+	}
+	return len(local)
+}
+
+// Lacks names what keeps the host from being ready.
+func (d *Distributor) Lacks() []string {
+	complete, confirmed, _ := d.Set.Complete()
+	switch {
+	case confirmed:
+		return nil
+	case !complete:
+		return []string{"no whole set of documents: neither the platform's service nor a peer has answered, and there is no copy on disk"}
+	case d.Clock.Now().Sub(d.started) < startPatience:
+		return []string{"the copy of the documents on disk waits for a word of the platform's service or a peer"}
+	default:
+		return nil
+	}
+}
+
+// Warnings tells what an operator should know of the set in force.
+func (d *Distributor) Warnings() []string {
+	complete, confirmed, age := d.Set.Complete()
+	switch {
+	case complete && !confirmed:
+		return []string{fmt.Sprintf("the documents are a copy on disk, %s old", age.Round(time.Second))}
+	case complete && age > takeOver+takeOverStep*relays:
+		return []string{fmt.Sprintf("the documents were last confirmed %s ago", age.Round(time.Second))}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/config/distributor_test.go
@@ -0,0 +1,442 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+var errCut = platform.ErrUnreachable
+
+func TestEditIsInForceUnderFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		// fault happens after the first generation is in force; it returns
+		// the hosts that the next edit must reach during the fault, and what
+		// ends the fault.
+		fault func(r *rig) (reached []*rigHost, heal func())
+	}{
+		{"none", func(r *rig) ([]*rigHost, func()) { return r.hosts, func() {} }},
+		{"pushes to a host are lost", func(r *rig) ([]*rigHost, func()) {
+			a := r.byRank("a")
+			r.faults.Cut(a[0].address(), a[4].address())
+			r.faults.Cut(a[1].address(), a[4].address())
+			return r.hosts, r.faults.Heal
+		}},
+		{"a host hears nobody and is heard by all", func(r *rig) ([]*rigHost, func()) {
+			a := r.byRank("a")
+			for _, h := range a[:4] {
+				r.faults.Cut(h.address(), a[4].address())
+			}
+			return r.byRank("a")[:4], r.faults.Heal
+		}},
+		{"changes are compacted", func(r *rig) ([]*rigHost, func()) {
+			r.store.Compact()
+			return r.hosts, func() {}
+		}},
+		{"watches fail", func(r *rig) ([]*rigHost, func()) {
+			return nil, r.store.AddFault(platformtest.Fault{Op: platformtest.OpWatch, Err: platform.ErrCompacted})
+		}},
+		{"a relay is cut from the platform", func(r *rig) ([]*rigHost, func()) {
+			return r.hosts, r.cutPlatform(r.byRank("a")[0])
+		}},
+		{"a data centre is cut from the platform", func(r *rig) ([]*rigHost, func()) {
+			var heals []func()
+			for _, h := range r.byRank("b") {
+				heals = append(heals, r.cutPlatform(h))
+			}
+			// They learn it from the other data centre, also once they have been
+			// cut for longer than a relay waits.
+			time.Sleep(takeOver + time.Second)
+			return r.hosts, func() {
+				for _, heal := range heals {
+					heal()
+				}
+			}
+		}},
+		{"platform outage", func(r *rig) ([]*rigHost, func()) {
+			r.store.SetOutage(true)
+			return nil, func() { r.store.SetOutage(false) }
+		}},
+		{"a relay is cut from the other hosts", func(r *rig) ([]*rigHost, func()) {
+			r.cutPeers(r.byRank("a")[0])
+			return r.hosts, r.faults.Heal
+		}},
+		{"data centres are cut from each other", func(r *rig) ([]*rigHost, func()) {
+			for _, a := range r.byRank("a") {
+				for _, b := range r.byRank("b") {
+					r.faults.CutBoth(a.address(), b.address())
+				}
+			}
+			return r.hosts, r.faults.Heal
+		}},
+		{"relays are lost", func(r *rig) ([]*rigHost, func()) {
+			for _, h := range r.byRank("a")[:2] {
+				r.remove(h)
+			}
+			return r.hosts, func() {}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, "a", "a", "a", "a", "a", "b", "b")
+			r.inForce(r.edit(), r.hosts...)
+			reached, heal := tc.fault(r)
+			// The editor itself reaches the service.
+			g := r.editThroughOutage()
+			r.inForce(g, reached...)
+			heal()
+			r.inForce(g, r.hosts...)
+			r.inForce(r.edit(), r.hosts...)
+		})
+	}
+}
+
+// editThroughOutage accepts an edit as if the editor alone reached the service.
+func (r *rig) editThroughOutage() uint64 {
+	old, _, err := readStored(r.t.Context(), r.store, "svc")
+	require.NoError(r.t, err)
+	g, err := NewEditor(r.store, clock).Apply(r.t.Context(), Edit{Name: "svc", BasedOn: old.Generation, Text: text(int(old.Generation) + 1)})
+	require.NoError(r.t, err)
+	return g
+}
+
+// Both relays lose the platform at once while others keep it: the next host in
+// rank takes over after takeOver, which leaves half a second of the bound.
+func TestOthersTakeOverFromRelays(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "a", "a", "a", "a", "a")
+	r.inForce(r.edit(), r.hosts...)
+	a := r.byRank("a")
+	r.cutPlatform(a[0])
+	r.cutPlatform(a[1])
+	r.inForce(r.edit(), r.hosts...)
+	r.inForce(r.edit(), r.hosts...)
+}
+
+func TestSilentWatchGapIsFoundByReading(t *testing.T) {
+	t.Parallel()
+	// A service that loses an event without a word: the relay goes on from
+	// a version after it.
+	r := newRig(t, "a")
+	r.inForce(r.edit(), r.hosts...)
+	h := r.hosts[0]
+	records, err := readAll(t.Context(), r.store)
+	require.NoError(t, err)
+	require.Len(t, records, 1)
+	g := r.edit()
+	records, err = readAll(t.Context(), r.store)
+	require.NoError(t, err)
+	h.takeIn(t.Context(), records)
+	require.Equal(t, g, h.generation())
+}
+
+func TestDeletionIsAGeneration(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "a", "a", "a", "b")
+	g := r.edit()
+	r.inForce(g, r.hosts...)
+	old, _, err := readStored(t.Context(), r.store, "svc")
+	require.NoError(t, err)
+	deleted, err := r.editor().Apply(t.Context(), Edit{Name: "svc", BasedOn: g, Deleted: true})
+	require.NoError(t, err)
+	r.inForce(deleted, r.hosts...)
+	for _, h := range r.hosts {
+		h.Set.apply(record{"svc", old})
+		_, ok := h.holder.Current().Service("svc")
+		require.False(t, ok, "a late delivery does not bring a deleted service back")
+	}
+	late := r.add("a", "host-late", "")
+	r.inForce(deleted, late)
+	_, ok := late.holder.Current().Service("svc")
+	require.False(t, ok)
+	r.inForce(r.edit(), r.hosts...)
+}
+
+func TestOlderBackupRestored(t *testing.T) {
+	cases := []struct {
+		name string
+		// edit happens on the restored service before hosts see it.
+		edit bool
+		wipe bool
+	}{{"nothing else", false, false}, {"an edit right after", true, false}, {"an empty service", false, true}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, "a", "a", "a", "b", "b")
+			r.edit()
+			backup := r.store.Snapshot()
+			if tc.wipe {
+				backup = nil
+			}
+			r.edit()
+			g := r.edit()
+			r.inForce(g, r.hosts...)
+			want, lowest := r.hosts[0].holder.Current(), g
+			// The hosts are away while the backup is restored.
+			r.store.SetOutage(true)
+			r.store.Restore(backup)
+			if tc.edit {
+				_, err := NewEditor(r.store, clock).Apply(t.Context(), Edit{Name: "svc", BasedOn: 1, Text: text(77)})
+				require.NoError(t, err)
+				g++
+			}
+			r.store.SetOutage(false)
+			for _, h := range r.hosts {
+				require.GreaterOrEqual(t, h.generation(), lowest)
+			}
+			require.Eventually(t, func() bool {
+				s, _, err := readStored(t.Context(), r.store, "svc")
+				return err == nil && s.Generation == g
+			}, inForceWithin, time.Millisecond)
+			r.inForce(g, r.hosts...)
+			d, ok := r.hosts[0].holder.Current().Service("svc")
+			require.True(t, ok)
+			if tc.edit {
+				require.Equal(t, "77", d.Models[0].Version, "the edit that was accepted last is in force")
+			} else {
+				before, _ := want.Service("svc")
+				require.Equal(t, before.Models, d.Models)
+			}
+			// A new edit goes on from there.
+			require.Equal(t, g+1, r.edit())
+			r.inForce(g+1, r.hosts...)
+		})
+	}
+}
+
+func TestEditorGoesOnFromHeldGeneration(t *testing.T) {
+	r := newRig(t)
+	r.edit()
+	backup := r.store.Snapshot()
+	g := r.edit()
+	set := NewSet(NewHolder(), clock, quiet())
+	records, err := readAll(t.Context(), r.store)
+	require.NoError(t, err)
+	set.apply(records...)
+	r.store.Restore(backup)
+	e := NewEditor(r.store, clock, WithHeld(set))
+	_, err = e.Apply(t.Context(), Edit{Name: "svc", BasedOn: 1, Text: text(9)})
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, g, conflict.Current.Generation)
+	next, err := e.Apply(t.Context(), Edit{Name: "svc", BasedOn: g, Text: text(9)})
+	require.NoError(t, err)
+	require.Equal(t, g+1, next)
+}
+
+func TestStartDuringOutage(t *testing.T) {
+	cases := []struct {
+		name        string
+		peers, disk bool
+		ready       bool
+		generation  uint64
+	}{
+		{"with peers and a stale disk", true, true, true, 2},
+		{"with peers", true, false, true, 2},
+		{"with a disk alone", false, true, true, 1},
+		{"with nothing", false, false, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, "a", "a")
+			r.inForce(r.edit(), r.hosts...)
+			folder := ""
+			if tc.disk {
+				folder = t.TempDir()
+				h := r.add("a", "host-disk", folder)
+				r.inForce(1, h)
+				require.Eventually(t, func() bool {
+					_, err := os.Stat(filepath.Join(folder, "config", diskFile))
+					return err == nil
+				}, 5*time.Second, time.Millisecond)
+				r.remove(h)
+			}
+			r.inForce(r.edit(), r.hosts...)
+			r.store.SetOutage(true)
+			if !tc.peers {
+				for len(r.hosts) > 0 {
+					r.remove(r.hosts[0])
+				}
+			}
+			h := r.add("a", "host-disk", folder)
+			if tc.disk && !tc.peers {
+				require.NotEmpty(t, h.Lacks(), "a copy on disk waits for a better source at first")
+			}
+			require.Eventually(t, func() bool { return (len(h.Lacks()) == 0) == tc.ready && h.generation() == tc.generation },
+				startPatience+3*time.Second, time.Millisecond)
+			switch {
+			case !tc.ready:
+				require.Contains(t, h.Lacks()[0], "no whole set of documents")
+			case !tc.peers:
+				require.Contains(t, h.Warnings()[0], "copy on disk")
+			}
+			r.store.SetOutage(false)
+			r.inForce(2, h)
+			require.Eventually(t, func() bool { return len(h.Lacks()) == 0 }, inForceWithin, time.Millisecond)
+		})
+	}
+}
+
+func TestBrokenDiskCopyIsIgnored(t *testing.T) {
+	r := newRig(t)
+	folder := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(folder, "config"), 0o700))
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "config", diskFile), []byte(`{"Records":[{`), 0o600))
+	r.edit()
+	r.inForce(1, r.add("a", "x", folder))
+}
+
+func TestServiceCallsDoNotGrowWithHosts(t *testing.T) {
+	t.Parallel()
+	for _, n := range []int{3, 24} {
+		r := newRig(t)
+		for i := range n {
+			r.add("a", string(rune('a'+i)), "")
+		}
+		r.inForce(r.edit(), r.hosts...)
+		r.inForce(r.edit(), r.hosts...)
+		// Hosts that were relays among the first few started have called before.
+		r.settle()
+		before := make(map[string]int)
+		for _, h := range r.hosts {
+			before[h.view.Self().Name] = r.store.Calls(h.view.Self().Name, "")
+		}
+		time.Sleep(2 * time.Second)
+		callers, calls := 0, 0
+		for _, h := range r.hosts {
+			if n := r.store.Calls(h.view.Self().Name, "") - before[h.view.Self().Name]; n > 0 {
+				callers++
+				calls += n
+			}
+		}
+		t.Logf("%d hosts: %d of them called the service, %d calls in 2 s", n, callers, calls)
+		require.LessOrEqual(t, callers, relays)
+		require.LessOrEqual(t, calls, relays*4)
+	}
+}
+
+// Members need up to 1330 of the 2048 bytes a second that a host may spend on
+// control (membership.TestTrafficPerHost).
+func TestTrafficPerHost(t *testing.T) {
+	t.Parallel()
+	const limit = 2048 - 1330
+	const seconds = 4
+	r := newRig(t)
+	for i := range 32 {
+		r.add("a", fmt.Sprintf("host-%02d", i), "")
+	}
+	r.inForce(r.edit(), r.hosts...)
+	// Connections carry the types of their messages once.
+	time.Sleep(3 * time.Second)
+	before := make([]float64, len(r.hosts))
+	for i, h := range r.hosts {
+		before[i] = h.bytes()
+	}
+	time.Sleep(seconds * time.Second)
+	most, sum := 0.0, 0.0
+	for i, h := range r.hosts {
+		n := (h.bytes() - before[i]) / seconds
+		most, sum = max(most, n), sum+n
+	}
+	t.Logf("32 hosts: mean %.0f, most %.0f bytes/s sent and received", sum/32, most)
+	require.LessOrEqual(t, most, float64(limit))
+}
+
+// settle waits until only relays watch the service.
+func (r *rig) settle() {
+	time.Sleep(2*watchWait + rankPause)
+}
+
+func TestInForceNamesThoseBehind(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, "a", "a", "b")
+	g := r.edit()
+	r.inForce(g, r.hosts...)
+	cut := r.byRank("b")[0]
+	heal := r.cutPlatform(cut)
+	r.cutPeers(cut)
+	g = r.edit()
+	r.inForce(g, r.byRank("a")...)
+	got := r.byRank("a")[0].InForce(t.Context(), "svc", g)
+	require.Len(t, got.InForce, 2)
+	require.Len(t, got.Behind, 1)
+	require.Equal(t, cut.view.Self().Name, got.Behind[0].Host)
+	require.NotEmpty(t, got.Behind[0].Unreachable)
+	r.faults.Heal()
+	got = r.byRank("a")[0].InForce(t.Context(), "svc", g+1)
+	require.Len(t, got.Behind, 3)
+	heal()
+	r.inForce(g, r.hosts...)
+	require.Empty(t, r.byRank("a")[0].InForce(t.Context(), "svc", g).Behind)
+}
+
+// Whatever the order, number and source of deliveries, no host ever goes to a
+// lower generation, and it ends with the highest.
+func TestNoHolderGoesBack(t *testing.T) {
+	var history []record
+	var s Stored
+	for i := range 6 {
+		s = s.next("svc", Stored{Text: text(i + 1), Deleted: i == 3, Edit: string(rune('a' + i))})
+		history = append(history, record{"svc", s})
+	}
+	var deltas []Delta
+	for i, r := range history {
+		delta, err := encodeDelta(taken{r, history[max(0, i-1)]})
+		require.NoError(t, err)
+		deltas = append(deltas, delta)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		holder := NewHolder()
+		set := NewSet(holder, clock, quiet())
+		highest := uint64(0)
+		deliveries := rapid.SliceOfN(rapid.IntRange(0, len(history)-1), 1, 30).Draw(t, "deliveries")
+		for _, i := range deliveries {
+			held, _ := set.get("svc")
+			how := rapid.IntRange(0, 2).Draw(t, "how")
+			switch how {
+			case 0:
+				set.apply(history[i])
+			case 1:
+				if deltas[i].Base != held.Generation {
+					continue
+				}
+				rec, err := decodeDelta(deltas[i], held)
+				require.NoError(t, err)
+				require.Equal(t, history[i], rec)
+				set.apply(rec)
+			default:
+				d, err := history[i].Document("svc")
+				require.NoError(t, err)
+				holder.Apply(d)
+				set.apply(history[i])
+			}
+			highest = max(highest, history[i].Generation)
+			require.Equal(t, highest, holder.Current().Generation("svc"))
+		}
+	})
+}
+
+func TestSmallEditsAreSmallOnTheWire(t *testing.T) {
+	a := record{"svc", Stored{Generation: 1, Text: text(1)}}
+	b := record{"svc", a.next("svc", Stored{Text: text(2)})}
+	delta, err := encodeDelta(taken{b, a})
+	require.NoError(t, err)
+	t.Logf("a document of %d bytes: delta of %d bytes", len(b.Text), len(delta.Data))
+	require.Less(t, len(delta.Data), 200)
+	back, err := decodeDelta(delta, a)
+	require.NoError(t, err)
+	require.Equal(t, b, back)
+	_, err = decodeDelta(delta, b)
+	require.Error(t, err, "another base is noticed")
+}
--- a/config/editor.go
+++ b/config/editor.go
@@ -2,46 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"slices"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"github.com/oklog/ulid/v2"
 
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
-// Keys in the platform's service.
-const (
-	keyIndex = "config/index"
-	keyDocs  = "config/doc/"
-)
-
-// Stored is a document as the platform's service holds it.
-type Stored struct {
-	Generation uint64    `json:"generation"`
-	Deleted    bool      `json:"deleted,omitempty"`
-	Text       string    `json:"text"`
-	By         string    `json:"by,omitempty"`
-	At         time.Time `json:"at"`
-}
-
-// Document parses the stored text.
-func (s *Stored) Document(name string) (*service.Document, error) {
-	if s.Deleted {
-		return &service.Document{Name: name, Generation: s.Generation, Deleted: true}, nil
-	}
-	d, err := service.Parse(name, []byte(s.Text))
-	if err != nil {
-		return nil, err
-	}
-	d.Generation = s.Generation
-	return d, nil
-}
-
 // ConflictError says that an edit was based on an old generation.
 type ConflictError struct {
 	Name    string
@@ -69,21 +39,44 @@
 type Editor struct {
 	store platform.Store
 	clock clockwork.Clock
+	// held returns the document that this host holds.
+	held func(name string) (Stored, bool)
+	// use returns what runs under a document now.
+	use func(name string) Use
 }
 
+// EditorOption changes an Editor.
+type EditorOption func(*Editor)
+
+// WithHeld lets an Editor go on from a generation that hosts hold when the
+// service was restored from an older backup.
+func WithHeld(set *Set) EditorOption { return func(e *Editor) { e.held = set.held } }
+
+// WithUse lets DryRun compare limits with what runs now.
+func WithUse(use func(name string) Use) EditorOption { return func(e *Editor) { e.use = use } }
+
 // NewEditor returns an Editor.
-func NewEditor(store platform.Store, clock clockwork.Clock) *Editor {
-	return &Editor{store: store, clock: clock}
+func NewEditor(store platform.Store, clock clockwork.Clock, opts ...EditorOption) *Editor {
+	e := &Editor{
+		store: store, clock: clock,
+		held: func(string) (Stored, bool) { return Stored{}, false },
+		use:  func(string) Use { return Use{} },
+	}
+	for _, set := range opts {
+		set(e)
+	}
+	return e
 }
 
 // Apply checks an edit and makes it the next generation. A *ConflictError
-// means that another edit came first.
+// means that another edit came first. After an error marked
+// platform.ErrUnknown the edit may have been accepted.
 func (e *Editor) Apply(ctx context.Context, edit Edit) (uint64, error) {
 	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
 	if err := checkEdit(edit); err != nil {
 		return 0, err
 	}
-	old, version, err := readStored(ctx, e.store, edit.Name)
+	old, version, err := e.current(ctx, edit.Name)
 	if err != nil {
 		return 0, err
 	}
@@ -93,77 +86,76 @@
 	if err := addToIndex(ctx, e.store, edit.Name); err != nil {
 		return 0, err
 	}
-	next := Stored{Generation: old.Generation + 1, Deleted: edit.Deleted, Text: edit.Text, By: edit.By, At: e.clock.Now()}
-	payload, err := json.Marshal(next)
-	if err != nil {
+	// The old generation is archived before it is replaced, so that every
+	// replaced generation is in the history.
+	if err := archive(ctx, e.store, edit.Name, old); err != nil {
 		return 0, err
 	}
-	_, err = platform.Swap(ctx, e.store, platform.Put{Key: keyDocs + edit.Name, Value: payload, If: version})
+	next := old.next(edit.Name, Stored{
+		Deleted: edit.Deleted, Text: edit.Text, By: edit.By, At: e.clock.Now().UTC(), Edit: ulid.Make().String(),
+	})
+	err = writeStored(ctx, e.store, keyDocs+edit.Name, next, version)
 	if errors.Is(err, platform.ErrConflict) {
-		current, _, readErr := readStored(ctx, e.store, edit.Name)
-		return 0, errors.CombineErrors(&ConflictError{Name: edit.Name, BasedOn: edit.BasedOn, Current: current}, readErr)
+		return e.resolve(ctx, edit, next, errors.Is(err, platform.ErrSuperseded))
 	}
-	return next.Generation, err
-}
-
-func checkEdit(edit Edit) error {
-	if edit.Deleted {
-		return nil
-	}
-	d, err := service.Parse(edit.Name, []byte(edit.Text))
 	if err != nil {
-		return err
-	}
-	if d.Name != edit.Name {
-		return errors.Newf("name: the document is for %q, not %q", d.Name, edit.Name)
+		return 0, err
 	}
-	return nil
+	return next.Generation, nil
 }
 
-// readStored returns the stored document, or a zero one that does not exist.
-func readStored(ctx context.Context, store platform.Store, name string) (Stored, platform.Version, error) {
-	var s Stored
-	r, err := platform.Read(ctx, store, keyDocs+name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return s, 0, nil
-	}
+// current returns the newest document, after bringing one that this host holds
+// back into the service where a restore lost it.
+func (e *Editor) current(ctx context.Context, name string) (Stored, platform.Version, error) {
+	s, version, err := readStored(ctx, e.store, name)
 	if err != nil {
-		return s, 0, err
+		return s, version, err
 	}
-	return s, r.Version, errors.Wrapf(json.Unmarshal(r.Payload, &s), "decode document %s", name)
-}
-
-// readIndex returns the names of all services that ever existed.
-func readIndex(ctx context.Context, store platform.Store) ([]string, platform.Version, error) {
-	r, err := platform.Read(ctx, store, keyIndex)
-	if errors.Is(err, platform.ErrNotFound) {
-		return nil, 0, nil
+	held, ok := e.held(name)
+	if !ok || held.Generation < s.Generation || held.Generation == s.Generation && held.Edit == s.Edit {
+		return s, version, nil
 	}
-	if err != nil {
-		return nil, 0, err
+	if err := offer(ctx, e.store, record{name, held}); err != nil {
+		return s, version, err
 	}
-	var names []string
-	return names, r.Version, errors.Wrap(json.Unmarshal(r.Payload, &names), "decode index")
+	return readStored(ctx, e.store, name)
 }
 
-// addToIndex makes sure that the index names the service.
-func addToIndex(ctx context.Context, store platform.Store, name string) error {
-	for {
-		names, version, err := readIndex(ctx, store)
-		if err != nil {
-			return err
-		}
-		at, found := slices.BinarySearch(names, name)
-		if found {
-			return nil
+// resolve tells the outcome of an edit whose write met another version. A
+// write that may have taken effect and been replaced is in the history.
+func (e *Editor) resolve(ctx context.Context, edit Edit, next Stored, superseded bool) (uint64, error) {
+	current, _, err := readStored(ctx, e.store, edit.Name)
+	if err != nil {
+		if superseded {
+			err = errors.Mark(err, platform.ErrUnknown)
 		}
-		payload, err := json.Marshal(slices.Insert(names, at, name))
+		return 0, errors.Wrapf(err, "outcome of the edit of %s", edit.Name)
+	}
+	if superseded {
+		past, _, err := readAt(ctx, e.store, historyKey(edit.Name, next.Generation))
 		if err != nil {
-			return err
+			return 0, errors.Mark(errors.Wrapf(err, "outcome of the edit of %s", edit.Name), platform.ErrUnknown)
 		}
-		_, err = platform.Swap(ctx, store, platform.Put{Key: keyIndex, Value: payload, If: version})
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
-			return err
+		if current.Edit == next.Edit || past.Edit == next.Edit {
+			return next.Generation, nil
+		}
+		if past.Generation > next.Generation {
+			return 0, errors.Wrapf(platform.ErrUnknown, "the history of %s no longer reaches back to the edit", edit.Name)
 		}
 	}
+	return 0, &ConflictError{Name: edit.Name, BasedOn: edit.BasedOn, Current: current}
+}
+
+func checkEdit(edit Edit) error {
+	if edit.Deleted {
+		return nil
+	}
+	d, err := service.Parse(edit.Name, []byte(edit.Text))
+	if err != nil {
+		return err
+	}
+	if d.Name != edit.Name {
+		return errors.Newf("name: the document is for %q, not %q", d.Name, edit.Name)
+	}
+	return nil
 }
--- /dev/null
+++ b/config/history.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pmezard/go-difflib/difflib"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// diffContext is the number of unchanged lines around a change.
+const diffContext = 3
+
+// ErrNoGeneration means that a generation is not, or no longer, in the history.
+var ErrNoGeneration = errors.New("generation not in the history")
+
+// History returns the kept generations of a document, newest first: the
+// present one and up to 32 before it.
+func (e *Editor) History(ctx context.Context, name string) ([]Stored, error) {
+	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	current, _, err := e.current(ctx, name)
+	if err != nil || current.Generation == 0 {
+		return nil, err
+	}
+	out := []Stored{current}
+	for back := uint64(1); back <= historyLength && back < current.Generation; back++ {
+		generation := current.Generation - back
+		s, _, err := readAt(ctx, e.store, historyKey(name, generation))
+		if err != nil {
+			return nil, err
+		}
+		if s.Generation == generation {
+			out = append(out, s)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool { return out[i].Generation > out[j].Generation })
+	return out, nil
+}
+
+// At returns one generation of a document, or ErrNoGeneration.
+func (e *Editor) At(ctx context.Context, name string, generation uint64) (Stored, error) {
+	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	current, _, err := e.current(ctx, name)
+	if err != nil || current.Generation == generation {
+		return current, err
+	}
+	s, _, err := readAt(ctx, e.store, historyKey(name, generation))
+	if err != nil {
+		return s, err
+	}
+	if s.Generation != generation || generation == 0 {
+		return s, errors.Wrapf(ErrNoGeneration, "service %s, generation %d", name, generation)
+	}
+	return s, nil
+}
+
+// Rollback makes the text of an earlier generation the next generation.
+// BasedOn is the present generation that the operator saw.
+func (e *Editor) Rollback(ctx context.Context, name string, to, basedOn uint64, by string) (uint64, error) {
+	old, err := e.At(ctx, name, to)
+	if err != nil {
+		return 0, err
+	}
+	return e.Apply(ctx, Edit{Name: name, BasedOn: basedOn, Text: old.Text, Deleted: old.Deleted, By: by})
+}
+
+// Diff returns the unified difference between two generations of a document.
+func (e *Editor) Diff(ctx context.Context, name string, from, to uint64) (string, error) {
+	a, err := e.At(ctx, name, from)
+	if err != nil {
+		return "", err
+	}
+	b, err := e.At(ctx, name, to)
+	if err != nil {
+		return "", err
+	}
+	return unified(name, a, b, fmt.Sprintf("generation %d", b.Generation))
+}
+
+// Diff returns the unified difference between the present document and the
+// text of an edit that met the conflict.
+func (e *ConflictError) Diff(text string) (string, error) {
+	return unified(e.Name, e.Current, Stored{Text: text}, "edit")
+}
+
+func unified(name string, a, b Stored, label string) (string, error) {
+	return difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+		A: difflib.SplitLines(a.visible()), B: difflib.SplitLines(b.visible()), Context: diffContext,
+		FromFile: fmt.Sprintf("%s generation %d", name, a.Generation), ToFile: name + " " + label,
+	})
+}
+
+// visible returns the text in force, empty for a deleted document.
+func (s *Stored) visible() string {
+	if s.Deleted {
+		return ""
+	}
+	return s.Text
+}
--- /dev/null
+++ b/config/inforce.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"context"
+	"sync"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// maxAsked bounds the hosts that are asked at one time.
+const maxAsked = 32
+
+// HostGeneration is the generation in force on one host.
+type HostGeneration struct {
+	Host       string `json:"host"`
+	DataCentre string `json:"data_centre"`
+	Generation uint64 `json:"generation"`
+	// Unreachable says why the host did not answer; empty if it did.
+	Unreachable string `json:"unreachable,omitempty"`
+}
+
+// InForce says on which hosts a generation is in force.
+type InForce struct {
+	InForce []HostGeneration `json:"in_force"`
+	// Behind are hosts with a lower generation and hosts that did not answer.
+	Behind []HostGeneration `json:"behind"`
+}
+
+// InForce asks all known hosts for the generation of a document in force.
+func (d *Distributor) InForce(ctx context.Context, name string, generation uint64) InForce {
+	hosts := append(d.Hosts.Local(), d.Hosts.Remote()...)
+	answers := make([]HostGeneration, len(hosts))
+	slots := make(chan struct{}, maxAsked)
+	var wg sync.WaitGroup
+	for i, h := range hosts {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			answers[i] = d.ask(ctx, h, name)
+		})
+	}
+	wg.Wait()
+	var out InForce
+	for _, a := range answers {
+		if a.Unreachable == "" && a.Generation >= generation {
+			out.InForce = append(out.InForce, a)
+		} else {
+			out.Behind = append(out.Behind, a)
+		}
+	}
+	return out
+}
+
+func (d *Distributor) ask(ctx context.Context, h membership.Host, name string) HostGeneration {
+	a := HostGeneration{Host: h.Name, DataCentre: h.DataCentre}
+	if self := d.Hosts.Self(); h.Name == self.Name && h.DataCentre == self.DataCentre {
+		a.Generation = d.Set.holder.Current().Generation(name)
+		return a
+	}
+	if err := d.call(ctx, h.PeerAddress, methodGeneration, name, &a.Generation); err != nil {
+		a.Unreachable = err.Error()
+	}
+	return a
+}
--- /dev/null
+++ b/config/relay.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// Times of a relay.
+const (
+	// watchWait bounds the wait of one watch, watchTimeout the whole call: a
+	// watch that hangs in a cut must end soon after it.
+	watchWait    = time.Second
+	watchTimeout = 2 * time.Second
+	// rereadPeriod is the time between two readings of all documents, which
+	// find what a watch has missed.
+	rereadPeriod = 30 * time.Second
+	// retryDelay is the pause after a failed call; a host that is no relay by
+	// rank doubles it up to maxRetryDelay.
+	retryDelay    = 250 * time.Millisecond
+	maxRetryDelay = 30 * time.Second
+	// rankPause is the time between two looks at the host's rank.
+	rankPause = 250 * time.Millisecond
+)
+
+// relay watches the service while it is this host's turn, until ctx ends.
+func (d *Distributor) relay(ctx context.Context) {
+	pause := retryDelay
+	for ctx.Err() == nil {
+		if !d.turn() {
+			pause = retryDelay
+			d.sleep(ctx, rankPause)
+			continue
+		}
+		err := d.follow(ctx)
+		if err == nil || ctx.Err() != nil {
+			continue
+		}
+		d.Log.WithError(err).Debug("configuration watch failed")
+		d.sleep(ctx, d.jitter(pause))
+		if d.rank() < relays {
+			pause = retryDelay
+		} else {
+			pause = min(2*pause, maxRetryDelay)
+		}
+	}
+}
+
+func (d *Distributor) sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-d.Clock.After(t):
+	case <-ctx.Done():
+	}
+}
+
+// turn reports whether this host watches the service: as a relay, or because
+// those before it in rank have been silent for too long.
+func (d *Distributor) turn() bool {
+	rank := d.rank()
+	if rank < relays {
+		return true
+	}
+	_, _, age := d.Set.Complete()
+	return min(age, d.Clock.Now().Sub(d.started)) > takeOver+time.Duration(rank-relays)*takeOverStep
+}
+
+// follow reads all documents and watches them, until an error, or until the
+// next reading is due, or until it is no longer this host's turn.
+func (d *Distributor) follow(ctx context.Context) error {
+	begin, err := d.watch(ctx, platform.Watch{Key: keyDocs, Prefix: true})
+	if err != nil {
+		return err
+	}
+	records, err := readAll(ctx, d.Store)
+	if err != nil {
+		return err
+	}
+	d.takeIn(ctx, records)
+	if err := d.offerBack(ctx, records, true); err != nil {
+		return err
+	}
+	d.Set.confirm(0)
+	d.noteContact()
+	through := begin.Through
+	for end := d.Clock.Now().Add(rereadPeriod); d.Clock.Now().Before(end); {
+		c, err := d.watch(ctx, platform.Watch{Key: keyDocs, Prefix: true, After: through, Wait: watchWait})
+		if err != nil {
+			return err
+		}
+		records := d.decode(c.Events)
+		d.takeIn(ctx, records)
+		if err := d.offerBack(ctx, records, false); err != nil {
+			return err
+		}
+		d.Set.confirm(0)
+		d.noteContact()
+		through = c.Through
+		if d.rank() >= relays && d.hearsOthers() {
+			return nil
+		}
+	}
+	return nil
+}
+
+// hearsOthers reports whether another host that reaches the service sends
+// heartbeats.
+func (d *Distributor) hearsOthers() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.Clock.Now().Sub(d.heard) < heartbeatPeriod*(relays+1)
+}
+
+func (d *Distributor) watch(ctx context.Context, w platform.Watch) (platform.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	return d.Store.Watch(ctx, w)
+}
+
+// takeIn applies records of the service and pushes what is new.
+func (d *Distributor) takeIn(ctx context.Context, records []record) {
+	if changes := d.Set.apply(records...); len(changes) > 0 {
+		d.push(ctx, changes)
+	}
+}
+
+func (d *Distributor) decode(events []platform.Event) []record {
+	var out []record
+	for _, e := range events {
+		name := strings.TrimPrefix(e.Key, keyDocs)
+		if e.Deleted {
+			// The service has lost the document; a deletion by an operator is
+			// a generation.
+			out = append(out, record{Name: name})
+			continue
+		}
+		r, err := platform.RecordOf(e.Entry)
+		if err == nil {
+			var s Stored
+			if err = json.Unmarshal(r.Payload, &s); err == nil {
+				out = append(out, record{name, s})
+				continue
+			}
+		}
+		d.Log.WithError(err).WithField("service", name).Warn("document ignored")
+	}
+	return out
+}
+
+// offerBack offers what the host holds where the service has less; with all
+// set, the records are all that the service has.
+func (d *Distributor) offerBack(ctx context.Context, records []record, all bool) error {
+	stored := make(map[string]record, len(records))
+	for _, r := range records {
+		stored[r.Name] = r
+	}
+	for _, held := range d.Set.newer(nil) {
+		s, seen := stored[held.Name]
+		if !seen && !all || seen && s.Generation > held.Generation ||
+			seen && s.Generation == held.Generation && s.Edit == held.Edit {
+			continue
+		}
+		d.Log.WithField("service", held.Name).Warn("the service holds an older document: offering back")
+		if err := offer(ctx, d.Store, held); err != nil {
+			return errors.Wrapf(err, "offer document %s back", held.Name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/config/rig_test.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+// inForceWithin is the users' bound for an accepted edit.
+const inForceWithin = 3 * time.Second
+
+var clock = clockwork.NewRealClock()
+
+func quiet() *logrus.Entry {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return logrus.NewEntry(l)
+}
+
+// text returns a valid document; the version tells edits apart.
+func text(version int) string {
+	return fmt.Sprintf(`name: svc
+models: [{name: m, version: "%d"}]
+callers: [{name: crews, key_sha256: %s}]
+upstreams:
+  - {name: u1, address: "10.0.0.1:80", data_centre: a, region: r}
+  - {name: u2, address: "10.0.0.%d:80", data_centre: b, region: r}
+classes: [{name: all}]
+`, version, strings.Repeat("ab", 32), version)
+}
+
+// rig is a few hosts over real sockets, with faults between them.
+type rig struct {
+	t      *testing.T
+	store  *platformtest.Store
+	faults *peertest.Faults
+	hosts  []*rigHost
+}
+
+type rigHost struct {
+	*Distributor
+	holder *Holder
+	view   *membership.Static
+	folder string
+	stop   func()
+
+	registry *prometheus.Registry
+}
+
+func newRig(t *testing.T, places ...string) *rig {
+	r := &rig{t: t, store: platformtest.NewStore(clock), faults: peertest.NewFaults()}
+	for i, dc := range places {
+		r.add(dc, fmt.Sprintf("host-%02d", i), "")
+	}
+	return r
+}
+
+func (r *rig) add(dc, name, folder string) *rigHost {
+	registry := prometheus.NewRegistry()
+	metrics := peer.WithMetrics(peer.NewMetrics(registry))
+	c := peer.NewClient(2*time.Second, nil, metrics)
+	s, err := peer.Listen("127.0.0.1:0", nil, metrics)
+	require.NoError(r.t, err)
+	h := &rigHost{holder: NewHolder(), folder: folder, registry: registry}
+	h.view = membership.NewStatic(membership.Host{Name: name, DataCentre: dc, PeerAddress: s.Address()})
+	var seeds []string
+	for _, o := range r.hosts {
+		seeds = append(seeds, o.address())
+	}
+	h.Distributor = NewDistributor(Options{
+		Store: r.store.Host(name), Set: NewSet(h.holder, clock, quiet()), Hosts: h.view,
+		Peers: r.faults.Wrap(s.Address(), c), Seeds: seeds, DataFolder: folder, Clock: clock, Log: quiet(),
+		Seed: uint64(len(r.hosts)),
+	})
+	require.NoError(r.t, h.Register(s))
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() { _ = s.Serve(ctx) }()
+	r.hosts = append(r.hosts, h)
+	r.meet()
+	go func() {
+		defer close(served)
+		_ = h.Serve(ctx)
+	}()
+	h.stop = func() {
+		cancel()
+		<-served
+		c.Close()
+	}
+	r.t.Cleanup(h.stop)
+	return h
+}
+
+func (h *rigHost) address() string { return h.view.Self().PeerAddress }
+
+func (h *rigHost) generation() uint64 { return h.holder.Current().Generation("svc") }
+
+// meet tells all hosts of each other.
+func (r *rig) meet() {
+	for _, h := range r.hosts {
+		var others []membership.Host
+		for _, o := range r.hosts {
+			if o != h {
+				others = append(others, o.view.Self())
+			}
+		}
+		h.view.Set(others)
+	}
+}
+
+// remove stops a host and takes it out of all views.
+func (r *rig) remove(h *rigHost) {
+	h.stop()
+	for i, o := range r.hosts {
+		if o == h {
+			r.hosts = append(r.hosts[:i:i], r.hosts[i+1:]...)
+		}
+	}
+	r.meet()
+}
+
+func (r *rig) editor() *Editor { return NewEditor(r.store.Host("editor"), clock) }
+
+// edit accepts the next generation.
+func (r *rig) edit() uint64 {
+	old, _, err := readStored(r.t.Context(), r.store, "svc")
+	require.NoError(r.t, err)
+	g, err := r.editor().Apply(r.t.Context(), Edit{Name: "svc", BasedOn: old.Generation, Text: text(int(old.Generation) + 1)})
+	require.NoError(r.t, err)
+	return g
+}
+
+// inForce requires a generation on all given hosts within the bound.
+func (r *rig) inForce(generation uint64, hosts ...*rigHost) {
+	r.t.Helper()
+	deadline := time.Now().Add(inForceWithin)
+	for _, h := range hosts {
+		require.Eventually(r.t, func() bool { return h.generation() == generation }, max(time.Until(deadline), time.Millisecond),
+			2*time.Millisecond, "%s has generation %d, not %d", h.view.Self().Name, h.generation(), generation)
+	}
+}
+
+// byRank returns the hosts of a data centre, relays first.
+func (r *rig) byRank(dc string) []*rigHost {
+	var out []*rigHost
+	for _, h := range r.hosts {
+		if h.view.Self().DataCentre == dc {
+			out = append(out, h)
+		}
+	}
+	sorted := make([]*rigHost, len(out))
+	for _, h := range out {
+		sorted[h.rank()] = h
+	}
+	return sorted
+}
+
+func (r *rig) cutPlatform(h *rigHost) (heal func()) {
+	return r.store.AddFault(platformtest.Fault{Host: h.view.Self().Name, Err: errCut})
+}
+
+func (r *rig) cutPeers(h *rigHost) {
+	for _, o := range r.hosts {
+		if o != h {
+			r.faults.CutBoth(h.address(), o.address())
+		}
+	}
+}
+
+// bytes returns the bytes sent to and received from peers.
+func (h *rigHost) bytes() float64 {
+	families, err := h.registry.Gather()
+	if err != nil {
+		return 0
+	}
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() != "comfreyspindle_peer_bytes_total" {
+			continue
+		}
+		for _, m := range f.Metric {
+			sum += m.GetCounter().GetValue()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/config/set.go
@@ -0,0 +1,172 @@
+package config
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// Set is all documents that a host holds, in the form in which hosts pass them
+// on. What can be parsed is in force in a Holder. It is safe for concurrent use.
+type Set struct {
+	holder *Holder
+	clock  clockwork.Clock
+	log    *logrus.Entry
+
+	mu      sync.Mutex
+	records map[string]record
+	// complete says that the set was once the whole set of the service.
+	complete bool
+	// current is the last time at which the set was known to be that of the
+	// service.
+	current time.Time
+	// confirmed says that the service or a peer has confirmed the set since
+	// the process started.
+	confirmed bool
+	changed   chan struct{}
+}
+
+// NewSet returns an empty set that puts documents in force in holder.
+func NewSet(holder *Holder, clock clockwork.Clock, log *logrus.Entry) *Set {
+	return &Set{holder: holder, clock: clock, log: log, records: make(map[string]record), changed: make(chan struct{})}
+}
+
+// taken is a record that was taken, and the one that it replaced.
+type taken struct {
+	record
+	before record
+}
+
+// apply takes the records whose generation is higher than the one held, and
+// returns them.
+func (s *Set) apply(records ...record) []taken {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []taken
+	var docs []*service.Document
+	since := make(map[string]map[string]uint64)
+	for _, r := range records {
+		if r.Generation <= s.records[r.Name].Generation {
+			continue
+		}
+		out = append(out, taken{r, s.records[r.Name]})
+		s.records[r.Name] = r
+		d, err := r.Document(r.Name)
+		if err != nil {
+			s.log.WithError(err).WithField("service", r.Name).Error("document is held but not in force")
+			continue
+		}
+		since[r.Name] = r.Since
+		docs = append(docs, d)
+		s.log.WithFields(logrus.Fields{"service": r.Name, "generation": r.Generation}).Info("document in force")
+	}
+	if len(out) > 0 {
+		s.holder.apply(docs, since)
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	return out
+}
+
+// confirm notes that the set was that of the service some time ago, by word of
+// the service or of a peer.
+func (s *Set) confirm(age time.Duration) {
+	s.noteComplete(age)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmed = true
+}
+
+// confirmAs notes the same if the set still has the given digest.
+func (s *Set) confirmAs(peer Summary) {
+	if peer.Complete && s.state().Digest == peer.Digest {
+		s.confirm(peer.Age)
+	}
+}
+
+// noteComplete notes that the set was whole some time ago.
+func (s *Set) noteComplete(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.complete {
+		s.complete = true
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	if at := s.clock.Now().Add(-age); at.After(s.current) {
+		s.current = at
+	}
+}
+
+// state returns what a host tells peers about its set.
+func (s *Set) state() Summary {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Summary{Digest: s.digest(), Complete: s.complete, Age: s.clock.Now().Sub(s.current)}
+}
+
+// digest sums up names and generations. The caller holds the lock.
+func (s *Set) digest() uint64 {
+	sum := uint64(1)
+	for name, r := range s.records {
+		sum ^= xxhash.Sum64(binary.BigEndian.AppendUint64([]byte(name), r.Generation))
+	}
+	return sum
+}
+
+// generations returns the generation of each document, deleted ones included.
+func (s *Set) generations() map[string]uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]uint64, len(s.records))
+	for name, r := range s.records {
+		out[name] = r.Generation
+	}
+	return out
+}
+
+// newer returns the records of a higher generation than the given ones.
+func (s *Set) newer(than map[string]uint64) []record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []record
+	for name, r := range s.records {
+		if r.Generation > than[name] {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (s *Set) get(name string) (record, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[name]
+	return r, ok
+}
+
+func (s *Set) held(name string) (Stored, bool) {
+	r, ok := s.get(name)
+	return r.Stored, ok
+}
+
+func (s *Set) changes() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Complete reports whether the host holds a whole set, whether the service or a
+// peer has confirmed it since the start, and how long ago it was known to be
+// that of the service.
+func (s *Set) Complete() (complete, confirmed bool, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.complete, s.confirmed, s.clock.Now().Sub(s.current)
+}
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -7,6 +7,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"maps"
 	"sort"
 	"sync"
 
@@ -15,7 +16,10 @@
 
 // Snapshot is an immutable set of documents.
 type Snapshot struct {
-	docs    map[string]*service.Document
+	docs map[string]*service.Document
+	// since holds, by service and upstream, the generation that gave the
+	// upstream its present address.
+	since   map[string]map[string]uint64
 	names   []string
 	byModel map[string]*service.Document
 	keys    map[string][]access
@@ -28,8 +32,8 @@
 	caller  string
 }
 
-func newSnapshot(docs map[string]*service.Document) *Snapshot {
-	s := &Snapshot{docs: docs, byModel: make(map[string]*service.Document), keys: make(map[string][]access)}
+func newSnapshot(docs map[string]*service.Document, since map[string]map[string]uint64) *Snapshot {
+	s := &Snapshot{docs: docs, since: since, byModel: make(map[string]*service.Document), keys: make(map[string][]access)}
 	for name, d := range docs {
 		if !d.Deleted {
 			s.names = append(s.names, name)
@@ -86,6 +90,10 @@
 	return 0
 }
 
+// UpstreamSince returns the generation of the document that gave an upstream
+// its present address; zero while it is unknown.
+func (s *Snapshot) UpstreamSince(service, upstream string) uint64 { return s.since[service][upstream] }
+
 // Identity is what an API key gives access to.
 type Identity struct {
 	// Callers maps the names of services to the caller's name there.
@@ -121,7 +129,7 @@
 
 // NewHolder returns a holder without documents.
 func NewHolder() *Holder {
-	return &Holder{current: newSnapshot(nil), changed: make(chan struct{})}
+	return &Holder{current: newSnapshot(nil, nil), changed: make(chan struct{})}
 }
 
 // Current returns the documents in force.
@@ -140,12 +148,17 @@
 
 // Apply puts the documents in force whose generation is higher than the one in
 // force, and returns how many were.
-func (h *Holder) Apply(docs ...*service.Document) int {
+func (h *Holder) Apply(docs ...*service.Document) int { return h.apply(docs, nil) }
+
+// apply puts documents in force with, by service, what is known of the
+// generations of their upstreams' addresses.
+func (h *Holder) apply(docs []*service.Document, since map[string]map[string]uint64) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	next := make(map[string]*service.Document, len(h.current.docs)+len(docs))
-	for name, d := range h.current.docs {
-		next[name] = d
+	next := maps.Clone(h.current.docs)
+	nextSince := maps.Clone(h.current.since)
+	if next == nil {
+		next, nextSince = make(map[string]*service.Document), make(map[string]map[string]uint64)
 	}
 	applied := 0
 	for _, d := range docs {
@@ -153,12 +166,13 @@
 			continue
 		}
 		next[d.Name] = d
+		nextSince[d.Name] = since[d.Name]
 		applied++
 	}
 	if applied == 0 {
 		return 0
 	}
-	h.current = newSnapshot(next)
+	h.current = newSnapshot(next, nextSince)
 	close(h.changed)
 	h.changed = make(chan struct{})
 	return applied
--- /dev/null
+++ b/config/stored.go
@@ -0,0 +1,224 @@
+package config
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// Keys in the platform's service.
+const (
+	keyIndex   = "config/index"
+	keyDocs    = "config/doc/"
+	keyHistory = "config/history/"
+)
+
+// historyLength is the number of old generations kept for each document.
+const historyLength = 32
+
+// Stored is a document as the platform's service holds it.
+type Stored struct {
+	Generation uint64    `json:"generation"`
+	Deleted    bool      `json:"deleted,omitempty"`
+	Text       string    `json:"text"`
+	By         string    `json:"by,omitempty"`
+	At         time.Time `json:"at"`
+	// Edit identifies the accepted edit, so that its outcome can be told
+	// after a lost reply.
+	Edit string `json:"edit,omitempty"`
+	// Since holds, by upstream, the generation that gave it its address.
+	Since map[string]uint64 `json:"since,omitempty"`
+}
+
+// Document parses the stored text.
+func (s *Stored) Document(name string) (*service.Document, error) {
+	if s.Deleted {
+		return &service.Document{Name: name, Generation: s.Generation, Deleted: true}, nil
+	}
+	d, err := service.Parse(name, []byte(s.Text))
+	if err != nil {
+		return nil, err
+	}
+	d.Generation = s.Generation
+	return d, nil
+}
+
+// addresses returns the address of each upstream, empty for a deleted document.
+func (s *Stored) addresses(name string) map[string]string {
+	out := make(map[string]string)
+	if d, err := s.Document(name); err == nil {
+		for i := range d.Upstreams {
+			out[d.Upstreams[i].Name] = d.Upstreams[i].Address
+		}
+	}
+	return out
+}
+
+// next returns the generation after s with a new text. Upstreams that keep
+// their address keep the generation that gave it to them.
+func (s *Stored) next(name string, n Stored) Stored {
+	n.Generation = s.Generation + 1
+	n.Since = nil
+	old := s.addresses(name)
+	for upstream, address := range n.addresses(name) {
+		since, known := s.Since[upstream]
+		if !known || old[upstream] != address {
+			since = n.Generation
+		}
+		if n.Since == nil {
+			n.Since = make(map[string]uint64)
+		}
+		n.Since[upstream] = since
+	}
+	return n
+}
+
+// record is a document with its name, as hosts hold it and pass it on.
+type record struct {
+	Name string
+	Stored
+}
+
+// readStored returns the stored document, or a zero one that does not exist.
+func readStored(ctx context.Context, store platform.Store, name string) (Stored, platform.Version, error) {
+	return readAt(ctx, store, keyDocs+name)
+}
+
+func readAt(ctx context.Context, store platform.Store, key string) (Stored, platform.Version, error) {
+	var s Stored
+	r, err := platform.Read(ctx, store, key)
+	if errors.Is(err, platform.ErrNotFound) {
+		return s, 0, nil
+	}
+	if err != nil {
+		return s, 0, err
+	}
+	return s, r.Version, errors.Wrapf(json.Unmarshal(r.Payload, &s), "decode %s", key)
+}
+
+// writeStored swaps a document in.
+func writeStored(ctx context.Context, store platform.Store, key string, s Stored, version platform.Version) error {
+	payload, err := json.Marshal(s)
+	if err != nil {
+		return err
+	}
+	_, err = platform.Swap(ctx, store, platform.Put{Key: key, Value: payload, If: version})
+	return err
+}
+
+// historyKey returns the key of an old generation. Keys are used again after
+// historyLength generations.
+func historyKey(name string, generation uint64) string {
+	return keyHistory + name + "/" + strconv.FormatUint(generation%historyLength, 10)
+}
+
+// archive keeps a generation that is about to be replaced.
+func archive(ctx context.Context, store platform.Store, name string, s Stored) error {
+	if s.Generation == 0 {
+		return nil
+	}
+	key := historyKey(name, s.Generation)
+	for {
+		old, version, err := readAt(ctx, store, key)
+		if err != nil {
+			return err
+		}
+		if old.Generation > s.Generation || old.Generation == s.Generation && old.Edit == s.Edit {
+			return nil
+		}
+		err = writeStored(ctx, store, key, s, version)
+		if err == nil || !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+}
+
+// readIndex returns the names of all services that ever existed.
+func readIndex(ctx context.Context, store platform.Store) ([]string, platform.Version, error) {
+	r, err := platform.Read(ctx, store, keyIndex)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, 0, nil
+	}
+	if err != nil {
+		return nil, 0, err
+	}
+	var names []string
+	return names, r.Version, errors.Wrap(json.Unmarshal(r.Payload, &names), "decode index")
+}
+
+// addToIndex makes sure that the index names the service.
+func addToIndex(ctx context.Context, store platform.Store, name string) error {
+	for {
+		names, version, err := readIndex(ctx, store)
+		if err != nil {
+			return err
+		}
+		at, found := slices.BinarySearch(names, name)
+		if found {
+			return nil
+		}
+		payload, err := json.Marshal(slices.Insert(names, at, name))
+		if err != nil {
+			return err
+		}
+		_, err = platform.Swap(ctx, store, platform.Put{Key: keyIndex, Value: payload, If: version})
+		if err == nil || !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+}
+
+// readAll returns all documents that the index names.
+func readAll(ctx context.Context, store platform.Store) ([]record, error) {
+	names, _, err := readIndex(ctx, store)
+	if err != nil {
+		return nil, err
+	}
+	var out []record
+	for _, name := range names {
+		s, version, err := readStored(ctx, store, name)
+		if err != nil {
+			return nil, err
+		}
+		if version != 0 {
+			out = append(out, record{name, s})
+		}
+	}
+	return out, nil
+}
+
+// offer brings a document that hosts hold back into a store that was restored
+// from an older backup. Where the store has an edit that was accepted after
+// the restore, that edit becomes the next generation instead.
+func offer(ctx context.Context, store platform.Store, held record) error {
+	for {
+		current, version, err := readStored(ctx, store, held.Name)
+		if err != nil {
+			return err
+		}
+		next := held.Stored
+		switch {
+		case current.Generation > held.Generation, current.Generation == held.Generation && current.Edit == held.Edit:
+			return nil
+		case current.Generation == held.Generation, current.At.After(held.At):
+			next = held.next(held.Name, current)
+		}
+		if err := addToIndex(ctx, store, held.Name); err != nil {
+			return err
+		}
+		if err := archive(ctx, store, held.Name, held.Stored); err != nil && next.Generation > held.Generation {
+			return err
+		}
+		err = writeStored(ctx, store, keyDocs+held.Name, next, version)
+		if err == nil || !errors.Is(err, platform.ErrConflict) {
+			return err
+		}
+	}
+}
--- a/node/config.go
+++ b/node/config.go
@@ -1,20 +1,29 @@
 package node
 
-import "github.com/comfreyspindle/comfreyspindle/config"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/config"
+)
 
 // configPart holds the documents in force and brings changes in.
 type configPart struct {
-	holder  *config.Holder
-	editor  *config.Editor
-	watcher *config.Watcher
+	holder      *config.Holder
+	editor      *config.Editor
+	distributor *config.Distributor
 }
 
 func (n *Node) provisionConfig() error {
+	log := n.log.WithField("part", "config")
 	holder := config.NewHolder()
+	set := config.NewSet(holder, n.clock, log)
 	n.config = configPart{
-		holder:  holder,
-		editor:  config.NewEditor(n.store, n.clock),
-		watcher: config.NewWatcher(n.store, holder, n.clock, n.log.WithField("part", "config")),
+		holder: holder,
+		editor: config.NewEditor(n.store, n.clock, config.WithHeld(set)),
+		distributor: config.NewDistributor(config.Options{
+			Store: n.store, Set: set, Hosts: n.hosts, Peers: n.dialer, Seeds: n.settings.Peers,
+			DataFolder: n.settings.DataFolder, Clock: n.clock, Log: log, Seed: xxhash.Sum64String(n.settings.Host),
+		}),
 	}
-	return nil
+	return n.config.distributor.Register(n.peers)
 }
--- /dev/null
+++ b/node/membership.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+)
+
+// peerTimeout bounds connection set-up and calls between hosts.
+const peerTimeout = 2 * time.Second
+
+// provisionPeers binds the addresses of this host and makes it a member.
+func (n *Node) provisionPeers() error {
+	conf, err := loadTLS(n.settings)
+	if err != nil {
+		return err
+	}
+	metrics := peer.WithMetrics(peer.NewMetrics(n.registry))
+	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf, metrics); err != nil {
+		return errors.Wrap(err, n.settings.At("listen.peers"))
+	}
+	client := peer.NewClient(peerTimeout, conf, metrics)
+	n.closePeers = client.Close
+	n.dialer = client
+	if n.options.WrapPeers != nil {
+		n.dialer = n.options.WrapPeers(n.peers.Address(), client)
+	}
+	n.hosts, err = membership.NewGossip(membership.Options{
+		Self: membership.Host{
+			Name: n.settings.Host, DataCentre: n.settings.DataCentre, Region: n.settings.Region,
+			PeerAddress: n.peers.Address(), OperatorsAddress: n.OperatorsAddress(),
+			Incarnation: uint64(n.clock.Now().UnixNano()),
+		},
+		Seeds: n.settings.Peers, Caller: n.dialer, Clock: n.clock, Log: n.log.WithField("part", "membership"),
+		Events: n.events, Forget: client.Forget,
+	})
+	if err != nil {
+		return err
+	}
+	n.upstreams = membership.NewSpreadUpstreams(n.hosts, func(k membership.UpstreamKey) uint64 {
+		return n.config.holder.Current().UpstreamSince(k.Service, k.Name)
+	})
+	return n.hosts.Register(n.peers)
+}
+
+// newHints returns the reader of the platform's lists of upstreams.
+func (n *Node) newHints() *membership.HintReader {
+	return &membership.HintReader{
+		Store: n.store, Hosts: n.hosts, Upstreams: n.upstreams, Clock: n.clock,
+		Services: func() []string { return n.config.holder.Current().Names() },
+		Log:      n.log.WithField("part", "membership"),
+	}
+}
+
+// leave tells the other hosts that this one is gone.
+func (n *Node) leave(ctx context.Context) { n.hosts.Leave(ctx) }
--- a/node/node.go
+++ b/node/node.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -39,6 +37,8 @@
 	WrapBalancer func(routing.Balancer) routing.Balancer
 	// Admission replaces the admission of requests; nil takes the built-in one.
 	Admission limits.Admission
+	// WrapPeers wraps the calls of the host at an address; nil changes nothing.
+	WrapPeers func(address string, next peer.Caller) peer.Caller
 }
 
 // Node is one host of the system.
@@ -53,10 +53,12 @@
 	book     *accounting.Book
 
 	peers  *peer.Server
-	dialer *peer.Client
-	hosts  *membership.Static
+	dialer peer.Caller
+	// closePeers closes the connections to peers.
+	closePeers func()
+	hosts      *membership.Gossip
 	// upstreams is the state of upstreams as this host knows it.
-	upstreams membership.UpstreamView
+	upstreams *membership.SpreadUpstreams
 	// routes is the built-in balancer; nil when an embedder brings its own.
 	routes  *routing.LoadAware
 	config  configPart
@@ -109,35 +111,17 @@
 	return nil
 }
 
-const peerTimeout = 2 * time.Second
-
-func (n *Node) provisionPeers() error {
-	conf, err := loadTLS(n.settings)
-	if err != nil {
-		return err
-	}
-	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf); err != nil {
-		return errors.Wrap(err, n.settings.At("listen.peers"))
-	}
-	n.dialer = peer.NewClient(peerTimeout, conf)
-	n.upstreams = membership.NewLocalUpstreams()
-	n.hosts = membership.NewStatic(membership.Host{
-		Name: n.settings.Host, DataCentre: n.settings.DataCentre, Region: n.settings.Region,
-		PeerAddress: n.peers.Address(), OperatorsAddress: n.OperatorsAddress(), Incarnation: uint64(n.clock.Now().UnixNano()),
-	})
-	return nil
-}
-
 // readiness says whether the balancer may send requests here.
 func (n *Node) readiness() admin.Readiness {
-	var lacks []string
+	lacks := n.hosts.Lacks()
 	if n.stopping.Load() {
 		lacks = append(lacks, "the host is stopping")
 	}
+	lacks = append(lacks, n.config.distributor.Lacks()...)
 	if len(n.config.holder.Current().Names()) == 0 {
 		lacks = append(lacks, "no service document is in force")
 	}
-	return admin.Readiness{Ready: len(lacks) == 0, Lacks: lacks}
+	return admin.Readiness{Ready: len(lacks) == 0, Lacks: lacks, Warnings: n.config.distributor.Warnings()}
 }
 
 // Ready reports whether the balancer may send requests here.
--- a/node/tree.go
+++ b/node/tree.go
@@ -27,7 +27,9 @@
 	root := suture.New("spindled", spec)
 	control := suture.New("control", spec)
 	control.Add(n.peers)
-	control.Add(n.config.watcher)
+	control.Add(n.hosts)
+	control.Add(n.newHints())
+	control.Add(n.config.distributor)
 	control.Add(n.online.guard)
 	control.Add(n.operators)
 	serving := suture.New("serving", spec)
@@ -51,6 +53,7 @@
 		"callers": n.CallersAddress(), "peers": n.PeersAddress(), "operators": n.OperatorsAddress(),
 	}).Info("serving")
 	err := n.tree.Serve(ctx)
+	n.closePeers()
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -65,6 +68,7 @@
 	n.stopping.Store(true)
 	n.online.gateway.Leave()
 	n.log.Info("stopping: readiness off")
+	n.hosts.Leaving()
 	select {
 	case <-n.clock.After(n.settings.Stop.BalancerDelay):
 	case <-ctx.Done():
@@ -72,6 +76,7 @@
 	n.online.gateway.Drain()
 	err := n.gateway.shutdown(ctx)
 	n.drainBatch(ctx)
+	n.leave(ctx)
 	n.cancel()
 	<-n.served
 	n.log.Info("stopped")
