batch: cancel, crash and hand-over end to end, calls and memory of the largest job

Cause: a flush cut chunks of segments that weren't due; a host that stopped claimed again what it had released in the same write. Change: only due segments are cut, and further chunks wait while one does; a draining host claims nothing and tells the others of free segments.

--- a/batch/manager.go
+++ b/batch/manager.go
@@ -163,11 +163,13 @@
 // Drain hands over all claims with their progress and waits until that is
 // recorded or ctx ends. Items that run are cancelled.
 func (m *Manager) Drain(ctx context.Context) {
+	jobs := m.worker.Holds()
 	m.worker.Drain()
 	for ctx.Err() == nil && m.worker.State().Held > 0 {
 		m.wakeControl()
 		m.sleep(ctx, controlBusy, nil)
 	}
+	m.tellReleased(ctx, jobs)
 }
 
 // collect removes what has passed its retention, from the shards that this
--- a/batch/peers.go
+++ b/batch/peers.go
@@ -31,6 +31,19 @@
 	Upstream string
 }
 
+// ReleasedArgs tell hosts that segments of jobs are free.
+type ReleasedArgs struct{ Jobs []string }
+
+// ReleasedReply is empty.
+type ReleasedReply struct{}
+
+// Released lets this host look for free segments of jobs at once.
+func (p *peers) Released(args *ReleasedArgs, _ *ReleasedReply) error {
+	p.manager.worker.Look(args.Jobs)
+	p.manager.wakeControl()
+	return nil
+}
+
 // BusyReply is empty.
 type BusyReply struct{}
 
@@ -83,6 +96,28 @@
 	group.Wait()
 }
 
+// tellReleased tells the other hosts of the data centre of free segments.
+func (m *Manager) tellReleased(ctx context.Context, jobs []string) {
+	if len(jobs) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, h := range m.o.Hosts.Local() {
+		if h.Name == m.o.Hosts.Self().Name {
+			continue
+		}
+		group.Go(func() {
+			err := m.o.Peers.Call(ctx, h.PeerAddress, rpcName+".Released", &ReleasedArgs{Jobs: jobs}, &ReleasedReply{})
+			if err != nil {
+				m.o.Log.WithError(err).Debug("host not told of free segments")
+			}
+		})
+	}
+	group.Wait()
+}
+
 // everyone returns the addresses of all known hosts.
 func (m *Manager) everyone() []string {
 	var out []string
--- a/batch/run/sim_test.go
+++ b/batch/run/sim_test.go
@@ -274,7 +274,9 @@
 // act lets a host do one of the things that a host does.
 func (h *simHost) act() {
 	ctx := context.Background()
-	h.announce(ctx)
+	if h.worker.State().Held == 0 || h.sim.rng.IntN(5) == 0 {
+		h.announce(ctx)
+	}
 	h.land()
 	h.worker.Step(ctx, run.Want{Service: simService, Items: 4})
 	if !h.dead {
--- a/batch/run/step.go
+++ b/batch/run/step.go
@@ -81,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j, ok := w.jobs[id]
-	if !ok {
+	if !ok || w.draining || j.stopped {
 		return 0
 	}
 	for _, want := range wants {
@@ -160,7 +160,9 @@
 			w.drop(j, s)
 			continue
 		}
-		w.cut(s)
+		if w.cutDue(s, w.o.Clock.Now()) {
+			w.cut(s)
+		}
 		p.chunks = append(p.chunks, s.chunks...)
 	}
 	w.forget(id, j)
@@ -176,6 +178,21 @@
 	return ns
 }
 
+// cutDue reports whether a segment's results are to be cut into chunks now. While
+// a chunk waits to be written, further ones are cut only when they are large.
+func (w *Worker) cutDue(s *segment, now time.Time) bool {
+	switch {
+	case len(s.results) == 0:
+		return false
+	case s.size >= w.o.Limits.ChunkBytes:
+		return true
+	case len(s.chunks) > 0:
+		return false
+	default:
+		return s.done() || s.ended && len(s.running) == 0 || now.Sub(s.oldest) >= w.o.Times.Flush
+	}
+}
+
 // cut makes chunks of all results of a segment.
 func (w *Worker) cut(s *segment) {
 	for len(s.results) > 0 {
@@ -199,7 +216,9 @@
 		return
 	}
 	for _, s := range j.held {
-		w.cut(s)
+		if s.size >= w.o.Limits.ChunkBytes/4 {
+			w.cut(s)
+		}
 		for _, c := range s.chunks {
 			size := c.Bytes()
 			if size == 0 || w.spilled+size > w.o.Limits.DiskBytes {
--- a/batch/run/worker.go
+++ b/batch/run/worker.go
@@ -66,7 +66,7 @@
 func DefaultTimes() Times {
 	return Times{
 		Term: 15 * time.Minute, Margin: time.Second, Renew: time.Minute, Flush: 20 * time.Second,
-		TakeOver: 4 * time.Minute, Rescan: 20 * time.Second,
+		TakeOver: 4 * time.Minute, Rescan: 5 * time.Second,
 		Look: 500 * time.Millisecond, Tend: 2 * time.Minute, Backoff: 2 * time.Second,
 	}
 }
@@ -234,6 +234,18 @@
 	}
 }
 
+// Look lets the worker look at jobs at once, because segments became free.
+func (w *Worker) Look(jobs []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lookAt = time.Time{}
+	for _, id := range jobs {
+		if j, ok := w.jobs[id]; ok {
+			j.scanAt = time.Time{}
+		}
+	}
+}
+
 // State is a summary of what a worker holds.
 type State struct {
 	// Ready items may start now; Running ones have started.
--- a/bench/load/batch.go
+++ b/bench/load/batch.go
@@ -53,6 +53,11 @@
 
 // Submit sends the input file and creates the job.
 func (j *Job) Submit(ctx context.Context, client *http.Client) (batch.Object, error) {
+	return j.SubmitLines(ctx, client, j.Lines())
+}
+
+// SubmitLines sends an input file of the given lines and creates the job.
+func (j *Job) SubmitLines(ctx context.Context, client *http.Client, lines []byte) (batch.Object, error) {
 	var form bytes.Buffer
 	w := multipart.NewWriter(&form)
 	if err := w.WriteField("purpose", "batch"); err != nil {
@@ -62,7 +67,7 @@
 	if err != nil {
 		return batch.Object{}, err
 	}
-	if _, err := part.Write(j.Lines()); err != nil {
+	if _, err := part.Write(lines); err != nil {
 		return batch.Object{}, err
 	}
 	if err := w.Close(); err != nil {
