spindlectl: services, hosts, upstreams, jobs, time line, explain, cost

Cause: the client could only check a document.

Not done: service history and rollback, which need the editor's history.

--- a/cli/control/control.go
+++ b/cli/control/control.go
@@ -3,13 +3,11 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
+	"io"
 
 	"github.com/spf13/cobra"
 
 	"github.com/comfreyspindle/comfreyspindle/cli"
-	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
 // Main runs the command and returns the exit code.
@@ -17,34 +15,54 @@
 	return cli.Execute(context.Background(), newCommand(), args)
 }
 
+// flags are the flags of every command.
+type flags struct {
+	contexts  string
+	context   string
+	addresses []string
+	tokenFile string
+	output    string
+}
+
 func newCommand() *cobra.Command {
+	f := &flags{}
 	root := &cobra.Command{
 		Use: "spindlectl", Short: "Operate services and hosts",
-		Example: "  spindlectl service check -f service.yaml",
+		Long: "Operate services and hosts. A context names the hosts' operators' addresses and a\n" +
+			"token file; see \"spindlectl context\". Exit codes: 1 failure, 2 usage, 3 conflict,\n" +
+			"4 no host reached, 5 token refused, 6 not found.",
+		Example: "  spindlectl service apply -f service.yaml --wait\n  spindlectl explain 01JD...",
 	}
-	root.AddCommand(newServiceCommand())
+	p := root.PersistentFlags()
+	p.StringVar(&f.contexts, "contexts", defaultContexts(), "file of contexts")
+	p.StringVar(&f.context, "context", "", "context to use instead of the current one")
+	p.StringSliceVar(&f.addresses, "address", nil, "operators' addresses, IP number and port, instead of a context")
+	p.StringVar(&f.tokenFile, "token-file", "", "file with the operators' token, with --address")
+	p.StringVarP(&f.output, "output", "o", "table", "table, json or yaml")
+	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(formats, cobra.ShellCompDirectiveNoFileComp))
+	_ = root.RegisterFlagCompletionFunc("context", f.completeContexts)
+	root.AddCommand(
+		newServiceCommand(f), newContextCommand(f), newHostsCommand(f), newUpstreamsCommand(f), newJobsCommand(f),
+		newJobCommand(f), newTimelineCommand(f), newExplainCommand(f), newCostCommand(f), newReportCommand(f),
+	)
 	return root
 }
 
-func newServiceCommand() *cobra.Command {
-	cmd := &cobra.Command{Use: "service", Short: "Work with service documents"}
-	var path string
-	check := &cobra.Command{
-		Use: "check", Short: "Check a document and change nothing", Args: cobra.NoArgs,
-		Example: "  spindlectl service check -f service.yaml",
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			text, err := os.ReadFile(path)
-			if err != nil {
-				return cli.WithCode(err, cli.ExitUsage)
-			}
-			if _, err := service.Parse(path, text); err != nil {
-				return cli.WithCode(err, cli.ExitUsage)
-			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s: ok\n", path)
-			return nil
-		},
+// run makes the body of a command that talks to the hosts.
+func (f *flags) run(body func(c *client, p *printer, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		p, err := f.printer(cmd.OutOrStdout())
+		if err != nil {
+			return err
+		}
+		c, err := f.client(cmd.Context())
+		if err != nil {
+			return err
+		}
+		return body(c, p, args)
 	}
-	check.Flags().StringVarP(&path, "file", "f", "service.yaml", "service document")
-	cmd.AddCommand(check)
-	return cmd
+}
+
+func (f *flags) printer(w io.Writer) (*printer, error) {
+	return newPrinter(w, f.output)
 }
