--- a/node/routing.go
+++ b/node/routing.go
@@ -17,15 +17,18 @@
 		CrossRegion: func(doc *service.Document) bool { return hasRoom(account, doc) },
 		Clock:       n.clock, Seed: xxhash.Sum64String(n.settings.Host) ^ uint64(n.clock.Now().UnixNano()),
 	})
+	n.registry.MustRegister(n.routes)
 	return n.routes
 }
 
 // newFairQueue returns the host's admission.
 func (n *Node) newFairQueue() *limits.FairQueue {
-	return limits.NewFairQueue(limits.Options{
+	queue := limits.NewFairQueue(limits.Options{
 		DataCentre: n.settings.DataCentre, Region: n.settings.Region, Hosts: n.hosts, Upstreams: n.upstreams,
 		Clock: n.clock, Seed: uint64(n.clock.Now().UnixNano()), Reports: n.loadReport,
 	})
+	n.registry.MustRegister(queue)
+	return queue
 }
 
 // loadReport returns what a service's upstreams reported lately.
