peer: calls and replies carry stamps of the hybrid clock

Cause: events of two hosts were ordered by their physical clocks alone, which are wrong by seconds, so a claim could show after the request that it allowed.

Change: the wire headers of calls and replies carry a stamp, and the receiver moves its clock past it. Hosts without the field still understand each other.

Bytes a message: not measured.

--- a/node/node.go
+++ b/node/node.go
@@ -116,10 +116,10 @@
 	if err != nil {
 		return err
 	}
-	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf); err != nil {
+	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf, peer.WithClock(n.events.Clock())); err != nil {
 		return errors.Wrap(err, n.settings.At("listen.peers"))
 	}
-	n.dialer = peer.NewClient(peerTimeout, conf)
+	n.dialer = peer.NewClient(peerTimeout, conf, peer.WithClock(n.events.Clock()))
 	n.upstreams = membership.NewLocalUpstreams()
 	n.hosts = membership.NewStatic(membership.Host{
 		Name: n.settings.Host, DataCentre: n.settings.DataCentre, Region: n.settings.Region,
--- a/peer/client.go
+++ b/peer/client.go
@@ -18,6 +18,7 @@
 	timeout time.Duration
 	conf    *tls.Config
 	metrics *Metrics
+	stamps  stamper
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -38,7 +39,8 @@
 
 // NewClient returns a Client. The timeout bounds connection set-up and calls.
 func NewClient(timeout time.Duration, conf *tls.Config, opts ...Option) *Client {
-	return &Client{timeout: timeout, conf: conf, metrics: collect(opts).metrics, links: make(map[string]*link)}
+	o := collect(opts)
+	return &Client{timeout: timeout, conf: conf, metrics: o.metrics, stamps: stamper{o.clock}, links: make(map[string]*link)}
 }
 
 // Call implements Caller. At most maxCalls calls run at one time to one peer;
@@ -134,7 +136,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	codec := newClientCodec(raw, c.metrics)
+	codec := newClientCodec(raw, c.metrics, c.stamps)
 	conn := rpc.NewClientWithCodec(codec)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -51,6 +51,7 @@
 	enc     *gob.Encoder
 	buf     *bufio.Writer
 	metrics *Metrics
+	stamps  stamper
 
 	// broken is guarded by the request lock of rpc.Client.
 	broken bool
@@ -60,10 +61,10 @@
 	method  string
 }
 
-func newClientCodec(conn net.Conn, m *Metrics) *clientCodec {
+func newClientCodec(conn net.Conn, m *Metrics, stamps stamper) *clientCodec {
 	c := &countedConn{Conn: conn}
 	buf := bufio.NewWriter(c)
-	return &clientCodec{conn: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, metrics: m}
+	return &clientCodec{conn: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, metrics: m, stamps: stamps}
 }
 
 // WriteRequest implements rpc.ClientCodec. The body is a *request.
@@ -91,7 +92,7 @@
 		return err
 	}
 	req.written.Store(true)
-	if err := c.enc.Encode(r); err != nil {
+	if err := c.enc.Encode(c.stamps.request(r)); err != nil {
 		return err
 	}
 	if err := c.enc.Encode(req.args); err != nil {
@@ -102,9 +103,12 @@
 
 // ReadResponseHeader implements rpc.ClientCodec.
 func (c *clientCodec) ReadResponseHeader(r *rpc.Response) error {
-	if err := c.dec.Decode(r); err != nil {
+	var h responseHeader
+	if err := c.dec.Decode(&h); err != nil {
 		return err
 	}
+	c.stamps.observe(h.Stamp)
+	r.ServiceMethod, r.Seq, r.Error = h.ServiceMethod, h.Seq, h.Error
 	c.method = r.ServiceMethod
 	return nil
 }
@@ -130,6 +134,7 @@
 	enc     *gob.Encoder
 	buf     *bufio.Writer
 	metrics *Metrics
+	stamps  stamper
 	timeout time.Duration
 	known   func(method string) string
 
@@ -144,7 +149,7 @@
 	c := &countedConn{Conn: conn}
 	buf := bufio.NewWriter(c)
 	return &serverCodec{
-		conn: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, metrics: s.metrics, known: s.label,
+		conn: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, metrics: s.metrics, known: s.label, stamps: s.stamps,
 		timeout: replyTimeout, slots: make(chan struct{}, maxCalls), closed: make(chan struct{}),
 	}
 }
@@ -152,9 +157,12 @@
 // ReadRequestHeader implements rpc.ServerCodec. Each header read takes a slot,
 // which the response gives back.
 func (c *serverCodec) ReadRequestHeader(r *rpc.Request) error {
-	if err := c.dec.Decode(r); err != nil {
+	var h requestHeader
+	if err := c.dec.Decode(&h); err != nil {
 		return err
 	}
+	c.stamps.observe(h.Stamp)
+	r.ServiceMethod, r.Seq = h.ServiceMethod, h.Seq
 	c.method = c.known(r.ServiceMethod)
 	select {
 	case c.slots <- struct{}{}:
@@ -190,7 +198,7 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return err
 	}
-	if err := c.enc.Encode(r); err != nil {
+	if err := c.enc.Encode(c.stamps.response(r)); err != nil {
 		return err
 	}
 	if err := c.enc.Encode(body); err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,8 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
 
 // ErrUnreachable means that the method has certainly not run: no byte of the
@@ -26,6 +28,7 @@
 
 type options struct {
 	metrics *Metrics
+	clock   *timeline.Clock
 }
 
 // WithMetrics counts calls and bytes.
--- a/peer/server.go
+++ b/peer/server.go
@@ -25,6 +25,7 @@
 	rpc      *rpc.Server
 	listener net.Listener
 	metrics  *Metrics
+	stamps   stamper
 
 	mu      sync.Mutex
 	conns   map[net.Conn]struct{}
@@ -42,7 +43,7 @@
 	}
 	o := collect(opts)
 	return &Server{
-		rpc: rpc.NewServer(), listener: l, metrics: o.metrics,
+		rpc: rpc.NewServer(), listener: l, metrics: o.metrics, stamps: stamper{o.clock},
 		conns: make(map[net.Conn]struct{}), methods: make(map[string]struct{}),
 	}, nil
 }
