--- a/node/membership.go
+++ b/node/membership.go
@@ -19,11 +19,11 @@
 	if err != nil {
 		return err
 	}
-	metrics := peer.WithMetrics(peer.NewMetrics(n.registry))
-	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf, metrics); err != nil {
+	options := []peer.Option{peer.WithMetrics(peer.NewMetrics(n.registry)), peer.WithClock(n.events.Clock())}
+	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf, options...); err != nil {
 		return errors.Wrap(err, n.settings.At("listen.peers"))
 	}
-	client := peer.NewClient(peerTimeout, conf, metrics)
+	client := peer.NewClient(peerTimeout, conf, options...)
 	n.closePeers = client.Close
 	n.dialer = client
 	if n.options.WrapPeers != nil {
