gateway, online: hardening, cheaper hop, whole events only

Cause: the event scanner looked at a data line before its event was whole, and again with each later read, so a resume could begin at the wrong token; a body could name a field twice, which system and engine may read differently; whole answers went out in chunks; the body and each answer were decoded by reflection; streams counted no prompt tokens. Change: events are looked at once whole; doubled fields are refused; whole answers carry Content-Length; gjson in place of encoding/json; prompt tokens of streams are estimated and marked so. Checked that the stream's fuzz seeds fail with the old look-ahead.

--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -54,7 +55,8 @@
 	req.Path = c.Path()
 	req.Header = http.Header{echo.HeaderContentType: {echo.MIMEApplicationJSON}}
 	req.Stream = root.Get("stream").Bool()
-	req.Tokens = len(body)/bytesPerToken + answerTokens(root)
+	req.PromptTokens = len(body) / bytesPerToken
+	req.Tokens = req.PromptTokens + answerTokens(root)
 	req.Prefix = promptPrefix(root)
 	if err := setOnce(c, req); err != nil {
 		return err
@@ -150,19 +152,50 @@
 	}
 }
 
-// parseObject checks that body is a JSON object.
+// parseObject checks that body is a JSON object that names no field twice which
+// the system reads: it and the engine might each take another one.
 func parseObject(body []byte) (gjson.Result, error) {
-	var object map[string]json.RawMessage
-	if err := json.Unmarshal(body, &object); err != nil {
-		e := verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body is not a JSON object: %v.", err)
-		var syntax *json.SyntaxError
-		if errors.As(err, &syntax) {
-			line := 1 + bytes.Count(body[:min(int64(len(body)), syntax.Offset)], []byte("\n"))
-			return gjson.Result{}, e.WithParam("line " + itoa(line))
+	if !gjson.ValidBytes(body) {
+		return gjson.Result{}, syntaxError(body)
+	}
+	root := gjson.ParseBytes(body)
+	if !root.IsObject() {
+		return gjson.Result{}, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The body is not a JSON object.")
+	}
+	var seen [len(readFields)]bool
+	twice := ""
+	root.ForEach(func(key, _ gjson.Result) bool {
+		if i := slices.Index(readFields[:], key.String()); i >= 0 {
+			if seen[i] {
+				twice = key.String()
+			}
+			seen[i] = true
 		}
-		return gjson.Result{}, e
+		return twice == ""
+	})
+	if twice != "" {
+		return gjson.Result{}, verdict.New(verdict.NotRun, verdict.CodeInvalidRequest, "The field %s is there twice.", twice).WithParam(twice)
+	}
+	return root, nil
+}
+
+// readFields are the fields of a body that the system reads.
+var readFields = [...]string{
+	"model", "stream", "max_tokens", "max_completion_tokens", "messages", "prompt", "n", upstream.FieldResume,
+	"input_file_id", "endpoint", "completion_window", "metadata",
+}
+
+// syntaxError says where a body stops being JSON.
+func syntaxError(body []byte) error {
+	var text json.RawMessage
+	err := json.Unmarshal(body, &text)
+	e := verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body is not JSON: %v.", err)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		line := 1 + bytes.Count(body[:min(int64(len(body)), syntax.Offset)], []byte("\n"))
+		return e.WithParam("line " + itoa(line))
 	}
-	return gjson.ParseBytes(body), nil
+	return e
 }
 
 // field is a rule for one field of a request body.
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,216 @@
+package gateway_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/tidwall/gjson"
+
+	"github.com/comfreyspindle/comfreyspindle/gateway"
+	"github.com/comfreyspindle/comfreyspindle/service"
+)
+
+// counted is an upstream that counts its requests.
+func counted(t testing.TB) (string, *atomic.Int64) {
+	var n atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		n.Add(1)
+		_, _ = io.WriteString(w, shortAnswer)
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String(), &n
+}
+
+func call(h http.Handler, method, path, key, body string, header ...string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+key)
+	for i := 0; i < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	w := &recorder{httptest.NewRecorder()}
+	h.ServeHTTP(w, req)
+	return w.ResponseRecorder
+}
+
+// recorder takes deadlines, as a connection does.
+type recorder struct{ *httptest.ResponseRecorder }
+
+func (*recorder) SetReadDeadline(time.Time) error  { return nil }
+func (*recorder) SetWriteDeadline(time.Time) error { return nil }
+
+func TestBadInputIsRefusedAsNotRun(t *testing.T) {
+	address, runs := counted(t)
+	h := newGateway(t, testDocument(address)).Handler()
+	const chat, text = "/v1/chat/completions", "/v1/completions"
+	message := `"messages":[{"role":"user","content":"a"}]`
+	rows := []struct {
+		name, path, body, param string
+		status                  int
+		header                  []string
+	}{
+		{name: "empty body", path: chat, body: ``, status: 400, param: "line 1"},
+		{name: "broken JSON", path: chat, body: "{\"model\":\"m\",\n\"messages\":[}", status: 400, param: "line 2"},
+		{name: "cut JSON", path: chat, body: `{"model":"m"`, status: 400, param: "line 1"},
+		{name: "two values", path: chat, body: `{} {}`, status: 400, param: "line 1"},
+		{name: "not an object", path: chat, body: `[1]`, status: 400},
+		{name: "no model", path: chat, body: `{` + message + `}`, status: 400, param: "model"},
+		{name: "model of a wrong type", path: chat, body: `{"model":5,` + message + `}`, status: 400, param: "model"},
+		{name: "model twice", path: chat, body: `{"model":"m","model":"n",` + message + `}`, status: 400, param: "model"},
+		{name: "unknown service", path: chat, body: `{"model":"other",` + message + `}`, status: 404, param: "model"},
+		{name: "no messages", path: chat, body: `{"model":"m"}`, status: 400, param: "messages"},
+		{name: "messages of a wrong type", path: chat, body: `{"model":"m","messages":"a"}`, status: 400, param: "messages"},
+		{name: "no message", path: chat, body: `{"model":"m","messages":[]}`, status: 400, param: "messages"},
+		{name: "stream of a wrong type", path: chat, body: `{"model":"m","stream":"yes",` + message + `}`, status: 400, param: "stream"},
+		{name: "no tokens asked", path: chat, body: `{"model":"m","max_tokens":0,` + message + `}`, status: 400, param: "max_tokens"},
+		{name: "part of a token asked", path: chat, body: `{"model":"m","max_tokens":1.5,` + message + `}`, status: 400, param: "max_tokens"},
+		{name: "endless tokens asked", path: chat, body: `{"model":"m","max_tokens":1e300,` + message + `}`, status: 400, param: "max_tokens"},
+		{name: "no prompt", path: text, body: `{"model":"m"}`, status: 400, param: "prompt"},
+		{name: "prompt of a wrong type", path: text, body: `{"model":"m","prompt":{}}`, status: 400, param: "prompt"},
+		{name: "huge body", path: chat, body: `{"model":"m","x":"` + strings.Repeat("x", 2<<20) + `"}`, status: 413},
+		{name: "once without a key", path: chat, body: `{"model":"m",` + message + `}`, status: 400, param: gateway.HeaderIdempotencyKey, header: []string{gateway.HeaderRepeat, "never"}},
+		{
+			name: "key with a broken time", path: chat, body: `{"model":"m",` + message + `}`, status: 400, param: gateway.HeaderKeyTime,
+			header: []string{gateway.HeaderRepeat, "never", gateway.HeaderIdempotencyKey, "k", gateway.HeaderKeyTime, "noon"},
+		},
+		{name: "unknown path", path: "/v1/nothing", body: `{}`, status: 404},
+		{name: "no plain service", path: "/s/chat/x", body: `{}`, status: 400, param: "service"},
+		{name: "unknown plain service", path: "/s/other/x", body: `{}`, status: 404, param: "service"},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			w := call(h, http.MethodPost, row.path, apiKey, row.body, row.header...)
+			requireRefused(t, w, row.status)
+			require.Equal(t, row.param, gjson.Get(w.Body.String(), "error.param").String())
+		})
+	}
+	requireRefused(t, call(h, http.MethodPost, chat, "wrong", `{}`), 401)
+	require.Zero(t, runs.Load())
+	require.Equal(t, 200, call(h, http.MethodPost, chat, apiKey, `{"model":"m",`+message+`}`).Code)
+	require.EqualValues(t, 1, runs.Load())
+}
+
+func requireRefused(t *testing.T, w *httptest.ResponseRecorder, status int) {
+	t.Helper()
+	require.Equal(t, status, w.Code, w.Body.String())
+	require.Equal(t, "not-run", w.Header().Get(gateway.HeaderVerdict))
+	require.Equal(t, "not-run", gjson.Get(w.Body.String(), "error.verdict").String())
+	require.NotEmpty(t, w.Header().Get("X-Request-Id"))
+	require.NotEmpty(t, gjson.Get(w.Body.String(), "error.message").String())
+}
+
+// A caller that sends its body slowly is told so in time, and nothing runs.
+func TestSlowSenderTimesOut(t *testing.T) {
+	address, runs := counted(t)
+	g := newGateway(t, testDocument(address))
+	g.Limits.ReadTimeout = 100 * time.Millisecond
+	srv := httptest.NewServer(g.Handler())
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{\"model\"", apiKey)
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	require.Equal(t, http.StatusBadRequest, res.StatusCode)
+	require.Equal(t, "not-run", res.Header.Get(gateway.HeaderVerdict))
+	require.Zero(t, runs.Load())
+}
+
+// A caller that takes no bytes loses its connection; it doesn't hold the
+// upstream for ever.
+func TestCallerThatTakesNothingIsCutOff(t *testing.T) {
+	ended := make(chan struct{})
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer close(ended)
+		w.Header().Set("Content-Type", "text/event-stream")
+		event := "data: {\"id\":\"x\",\"pad\":\"" + strings.Repeat("x", 64<<10) + "\"}\n\n"
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, event); err != nil {
+				return
+			}
+		}
+	}))
+	defer up.Close()
+	doc := testDocument(up.Listener.Addr().String())
+	doc.Routing.RequestTimeout = 200 * time.Millisecond
+	srv := httptest.NewServer(newGateway(t, doc).Handler())
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	body := `{"model":"m","stream":true,"messages":[{"role":"user","content":"a"}]}`
+	_, err = fmt.Fprintf(conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", apiKey, len(body), body)
+	require.NoError(t, err)
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the upstream's stream goes on")
+	}
+}
+
+func TestIdsAreUnique(t *testing.T) {
+	address, _ := counted(t)
+	seen := make(map[string]bool)
+	for range 2 {
+		h := newGateway(t, testDocument(address)).Handler()
+		for range 2000 {
+			id := call(h, http.MethodGet, "/v1/models", apiKey, "", "X-Request-Id", "mine").Header().Get("X-Request-Id")
+			require.False(t, seen[id])
+			seen[id] = true
+		}
+	}
+}
+
+// FuzzChatBody: a body is either sent on or refused with a 4xx and the verdict
+// not run, and nothing panics.
+func FuzzChatBody(f *testing.F) {
+	for _, seed := range []string{
+		`{"model":"m","messages":[{"role":"user","content":"a"}]}`, `{"model":"m","messages":[]}`, `{`, ``, `null`, `[]`, `"`, `{"model":"m","model":"m"}`,
+		`{"model":"\u006d","messages":[1]}`, `{"model":"m","messages":[{}],"max_tokens":-1}`, "{\"model\":\"m\",\"messages\":[{}]}\x00", `{"model":"m","messages":[{}],"stream":true}`,
+		`{"":{"":{"":[[[[[]]]]]}}}`, `{"model":"m","messages":[{}],"max_tokens":9223372036854775808}`,
+	} {
+		f.Add(seed)
+	}
+	address, runs := counted(f)
+	h := newGateway(f, testDocument(address)).Handler()
+	f.Fuzz(func(t *testing.T, body string) {
+		before := runs.Load()
+		w := call(h, http.MethodPost, "/v1/chat/completions", apiKey, body)
+		if w.Code == http.StatusOK {
+			require.True(t, json.Valid([]byte(body)))
+			return
+		}
+		require.GreaterOrEqual(t, w.Code, 400)
+		require.Less(t, w.Code, 500)
+		require.Equal(t, "not-run", w.Header().Get(gateway.HeaderVerdict))
+		require.Equal(t, before, runs.Load())
+	})
+}
+
+func TestPlainServiceIsPassedThrough(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = fmt.Fprintf(w, "%s %s %s auth=%q", r.Method, r.URL, body, r.Header.Get("Authorization"))
+	}))
+	defer up.Close()
+	doc := testDocument(up.Listener.Addr().String())
+	doc.Kind = service.KindPlain
+	h := newGateway(t, doc).Handler()
+	w := call(h, http.MethodPut, "/s/chat/a/b?c=d", apiKey, "body")
+	require.Equal(t, 200, w.Code)
+	require.Equal(t, `PUT /a/b?c=d body auth=""`, w.Body.String())
+	require.Equal(t, "ran", w.Header().Get(gateway.HeaderVerdict))
+}
--- /dev/null
+++ b/gateway/hop_bench_test.go
@@ -0,0 +1,261 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
+	"github.com/comfreyspindle/comfreyspindle/gateway"
+	"github.com/comfreyspindle/comfreyspindle/ledger"
+	"github.com/comfreyspindle/comfreyspindle/limits"
+	"github.com/comfreyspindle/comfreyspindle/online"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/retry"
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/settings"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+)
+
+const (
+	apiKey       = "key"
+	streamTokens = 500
+)
+
+func testDocument(address string) *service.Document {
+	digest := sha256.Sum256([]byte(apiKey))
+	return &service.Document{
+		Name: "chat", Generation: 1, Kind: service.KindEngine,
+		Models:    []service.Model{{Name: "m"}},
+		Callers:   []service.Caller{{Name: "caller", KeySHA256: hex.EncodeToString(digest[:]), Weight: 1}},
+		Upstreams: []service.Upstream{{Name: "u", Address: address, DataCentre: "a", Region: "a"}},
+		Classes:   []service.Class{{Name: "all", FirstToken: time.Second, Weight: 1}},
+		Routing: service.Routing{
+			Scope: service.ScopeAny, RequestTimeout: time.Minute, RetryBudget: 0.1, MaxTries: 3, Concurrency: 100000, QueueLimit: 1000000,
+		},
+		Quarantine: service.Quarantine{Enabled: true, Duration: time.Hour},
+	}
+}
+
+func testLimits() settings.Gateway {
+	return settings.Gateway{
+		MaxHeaderBytes: 64 << 10, MaxBodyBytes: 1 << 20, MaxFileBytes: 1 << 20, MaxLineBytes: 64 << 10,
+		ReadTimeout: 10 * time.Second, IdleTimeout: time.Minute,
+	}
+}
+
+// newGateway returns a gateway for one service at the given address.
+func newGateway(t testing.TB, doc *service.Document) *gateway.Gateway {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	reg := prometheus.NewRegistry()
+	clock := clockwork.NewRealClock()
+	holder := config.NewHolder()
+	holder.Apply(doc)
+	client := upstream.NewClient(upstream.ClientOptions{DialTimeout: time.Second, IdleConns: 256})
+	t.Cleanup(client.Close)
+	return &gateway.Gateway{
+		Config: holder, Limits: testLimits(), Log: logrus.NewEntry(log),
+		Runner: &online.Runner{
+			Admission: limits.NewBound(), Balancer: routing.NewLeastInFlight("a", "a"), Guard: quarantine.Off{},
+			Ledger: ledger.Unavailable{}, Budgets: retry.NewBudgets(clock), Escrow: escrow.None{}, Book: accounting.NewBook(reg),
+			Client: client, Events: timeline.NewRecorder("h", timeline.NewClock(clock), 1024), Clock: clock,
+			Log: logrus.NewEntry(log), Metrics: online.NewMetrics(reg), Region: "a",
+		},
+	}
+}
+
+const shortAnswer = `{"id":"x","object":"chat.completion","choices":[{"index":0,"message":{"role":"assistant","content":"yes"}}],"usage":{"prompt_tokens":9,"completion_tokens":1}}`
+
+// bareUpstream answers from prepared bytes, so that it costs next to nothing.
+func bareUpstream(b testing.TB) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = l.Close() })
+	short := fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", len(shortAnswer), shortAnswer)
+	head := []byte("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	text := `data: {"id":"x","object":"chat.completion.chunk","created":1,"model":"m","choices":[{"index":0,"delta":{"content":"w1234 "}}]}` + "\n\n"
+	token := fmt.Appendf(nil, "%x\r\n%s\r\n", len(text), text)
+	tail := []byte("e\r\ndata: [DONE]\n\n\r\n0\r\n\r\n")
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveBare(conn, short, head, token, tail)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveBare(conn net.Conn, short, head, token, tail []byte) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		stream, err := readBare(in)
+		if err != nil {
+			return
+		}
+		if !stream {
+			if _, err := conn.Write(short); err != nil {
+				return
+			}
+			continue
+		}
+		parts := append([][]byte{head}, slices.Repeat([][]byte{token}, streamTokens)...)
+		for _, p := range append(parts, tail) {
+			if _, err := conn.Write(p); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// readBare reads a request and reports whether it asks for a stream.
+func readBare(in *bufio.Reader) (bool, error) {
+	length := 0
+	for {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return false, err
+		}
+		if len(line) <= 2 {
+			break
+		}
+		if value, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+			length, _ = strconv.Atoi(strings.TrimSpace(string(value)))
+		}
+	}
+	body, err := in.Peek(length)
+	stream := bytes.Contains(body, []byte(`"stream":true`))
+	_, _ = in.Discard(length)
+	return stream, err
+}
+
+// bareCaller sends prepared requests over one connection.
+type bareCaller struct {
+	conn    net.Conn
+	in      *bufio.Reader
+	request []byte
+	end     []byte
+}
+
+func newBareCaller(b testing.TB, address string, stream bool) *bareCaller {
+	conn, err := net.Dial("tcp", address)
+	require.NoError(b, err)
+	body := fmt.Sprintf(`{"model":"m","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"where does the next round go"}]}`, stream, streamTokens)
+	c := &bareCaller{conn: conn, in: bufio.NewReaderSize(conn, 64<<10), end: []byte("completion_tokens\":1}}")}
+	c.request = fmt.Appendf(nil, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", apiKey, len(body), body)
+	if stream {
+		c.end = []byte("\r\n0\r\n\r\n")
+	}
+	return c
+}
+
+// do sends the request and reads up to the end of its answer.
+func (c *bareCaller) do() error {
+	if err := c.conn.SetDeadline(time.Now().Add(5 * time.Second)); err != nil {
+		return err
+	}
+	if _, err := c.conn.Write(c.request); err != nil {
+		return err
+	}
+	if status, err := c.in.Peek(len("HTTP/1.1 200")); err != nil || !bytes.HasSuffix(status, []byte("200")) {
+		rest, _ := c.in.Peek(c.in.Buffered())
+		return fmt.Errorf("answer %q: %w", rest, err)
+	}
+	var last []byte
+	for {
+		if _, err := c.in.Peek(1); err != nil {
+			return err
+		}
+		p, err := c.in.Peek(c.in.Buffered())
+		if err != nil {
+			return err
+		}
+		last = append(last, p...)
+		_, _ = c.in.Discard(len(p))
+		if bytes.HasSuffix(last, c.end) {
+			return nil
+		}
+		last = append(last[:0], last[max(0, len(last)-len(c.end)):]...)
+	}
+}
+
+func startHop(b testing.TB, upstreamAddress string) string {
+	srv := httptest.NewServer(newGateway(b, testDocument(upstreamAddress)).Handler())
+	b.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// BenchmarkHop compares the way over the gateway with going straight to the
+// upstream. Run it with -cpu 4.
+func BenchmarkHop(b *testing.B) {
+	direct := bareUpstream(b)
+	hop := startHop(b, direct)
+	for _, stream := range []bool{false, true} {
+		for name, address := range map[string]string{"direct": direct, "hop": hop} {
+			kind := map[bool]string{false: "short", true: "stream"}[stream]
+			b.Run(kind+"/load/"+name, func(b *testing.B) { load(b, address, stream) })
+			b.Run(kind+"/single/"+name, func(b *testing.B) { single(b, address, stream) })
+		}
+	}
+}
+
+// load keeps 16 callers for each processor busy.
+func load(b *testing.B, address string, stream bool) {
+	b.SetParallelism(16)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		c := newBareCaller(b, address, stream)
+		defer func() { _ = c.conn.Close() }()
+		for pb.Next() {
+			if err := c.do(); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	rate := float64(b.N) / b.Elapsed().Seconds()
+	if stream {
+		b.ReportMetric(rate*streamTokens, "tokens/s")
+		return
+	}
+	b.ReportMetric(rate, "requests/s")
+}
+
+// single measures the latency of one caller at a time.
+func single(b *testing.B, address string, stream bool) {
+	c := newBareCaller(b, address, stream)
+	defer func() { _ = c.conn.Close() }()
+	took := make([]time.Duration, 0, b.N)
+	for range b.N {
+		start := time.Now()
+		if err := c.do(); err != nil {
+			b.Fatal(err)
+		}
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds()), "median-us")
+}
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -22,6 +22,8 @@
 type responseSink struct {
 	c       echo.Context
 	aborted bool
+	// whole says that the answer is not streamed.
+	whole bool
 }
 
 // Begin implements online.Sink.
@@ -31,6 +33,10 @@
 	for k, v := range forwarded(header) {
 		out[k] = v
 	}
+	if length := header.Get(echo.HeaderContentLength); length != "" {
+		out.Set(echo.HeaderContentLength, length)
+		s.whole = true
+	}
 	out.Set(upstream.HeaderRequestID, id)
 	out.Del(upstream.HeaderLoad)
 	v := verdict.Ran
@@ -47,7 +53,9 @@
 	if _, err := s.c.Response().Write(p); err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCancelled, "The caller has gone.")
 	}
-	s.c.Response().Flush()
+	if !s.whole {
+		s.c.Response().Flush()
+	}
 	return nil
 }
 
--- a/online/answer.go
+++ b/online/answer.go
@@ -75,6 +75,9 @@
 		return err
 	}
 	t.begun = true
+	if t.req.Method != http.MethodHead {
+		res.Header.Set("Content-Length", itoa(buf.Len()))
+	}
 	if err := t.sink.Begin(res.Status, res.Header); err != nil {
 		return err
 	}
--- a/online/online.go
+++ b/online/online.go
@@ -35,6 +35,9 @@
 	EventDone     timeline.Kind = "request.done"
 )
 
+// reasonEstimated marks tokens that no answer stated.
+const reasonEstimated = "estimated"
+
 // Request is one request of a waiting caller.
 type Request struct {
 	ID     string
@@ -49,6 +52,8 @@
 	Stream bool
 	// Tokens is the expected work: prompt tokens and asked tokens.
 	Tokens int
+	// PromptTokens is the part of Tokens that the prompt is estimated at.
+	PromptTokens int
 	// Prefix is the hash of the prompt's beginning, for cache affinity.
 	Prefix uint64
 	// Once marks a request that may run at most once, under Key.
@@ -202,6 +207,9 @@
 func (t *try) answered() {
 	t.runner.count(t.req, accounting.Requests, "", 1)
 	t.runner.count(t.req, accounting.AnswerTokens, "", t.sent.tokens)
+	if t.sent.tokens > 0 {
+		t.runner.count(t.req, accounting.PromptTokens, reasonEstimated, t.req.PromptTokens)
+	}
 }
 
 // end gives the request up. A caller that has got a part of the answer is told
--- a/online/stream.go
+++ b/online/stream.go
@@ -96,34 +96,44 @@
 }
 
 // scan returns the length of the whole events in p that may be passed on, and
-// what they mean.
+// what they mean. It looks at an event only once all of it is there, so that
+// the transcript holds just what is passed on.
 func (s *eventScanner) scan(p []byte) (int, streamState) {
 	passed, line := 0, 0
-	state := streamOpen
 	for {
-		end := bytes.IndexByte(p[line:], '\n')
-		if end < 0 {
+		n := bytes.IndexByte(p[line:], '\n')
+		if n < 0 {
 			return passed, streamOpen
 		}
-		text := bytes.TrimSuffix(p[line:line+end], []byte("\r"))
-		line += end + 1
-		if len(text) == 0 {
-			passed = line
-			if state == streamEnded {
-				return passed, streamEnded
-			}
-			continue
-		}
-		if state == streamEnded {
+		blank := n == 0 || n == 1 && p[line] == '\r'
+		line += n + 1
+		if !blank {
 			continue
 		}
-		state = s.line(text)
+		state := s.event(p[passed:line])
 		if state == streamForeign || state == streamFailed {
 			return passed, state
 		}
+		passed = line
+		if state == streamEnded {
+			return passed, state
+		}
 	}
 }
 
+// event checks the lines of one event.
+func (s *eventScanner) event(p []byte) streamState {
+	for len(p) > 0 {
+		n := bytes.IndexByte(p, '\n')
+		text := bytes.TrimSuffix(p[:n], []byte("\r"))
+		p = p[n+1:]
+		if state := s.line(text); state != streamOpen {
+			return state
+		}
+	}
+	return streamOpen
+}
+
 var (
 	dataField  = []byte("data:")
 	eventField = []byte("event:")
--- /dev/null
+++ b/online/stream_test.go
@@ -0,0 +1,53 @@
+package online
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzEventScanner: however a stream is cut into reads, the same events pass,
+// whole events only, and never any after the end marker.
+func FuzzEventScanner(f *testing.F) {
+	for _, seed := range []string{
+		"data: {\"id\":\"x\",\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n",
+		"data: {\"id\":\"x\"}\r\n\r\ndata: [DONE]\r\n\r\ndata: late\n\n",
+		": ping\n\nevent: error\ndata: {}\n\n", "data:[DONE]\n\n", "\n\n\n", "data: [DONE]", "data: {\"id\":\"01ARZ3NDEKTSV4RRFFQ69G5FAV\"}\n\n",
+		"data: {\"error\":{}}\n\n", "data: {\"choices\":[{\"delta\":{\"content\":\"\\\"\"}}]}\n\n", "data: {\"text\":\"\\\n\n",
+	} {
+		f.Add([]byte(seed), 0)
+		f.Add([]byte(seed), 7)
+	}
+	f.Fuzz(func(t *testing.T, stream []byte, size int) {
+		whole, state, sent := scanAll(stream, len(stream)+1)
+		parts, partsState, partsSent := scanAll(stream, 1+(size&0xff))
+		require.Equal(t, sent, partsSent)
+		require.Equal(t, state, partsState)
+		require.Equal(t, string(whole), string(parts))
+		require.True(t, bytes.HasPrefix(stream, whole))
+		if len(whole) > 0 {
+			require.True(t, strings.HasSuffix(strings.ReplaceAll(string(whole), "\r\n", "\n"), "\n"))
+		}
+	})
+}
+
+// scanAll feeds a stream to a scanner in reads of the given size.
+func scanAll(stream []byte, size int) ([]byte, streamState, transcript) {
+	var sent transcript
+	s := &eventScanner{requestID: "r", sent: &sent}
+	var passed, held []byte
+	for len(stream) > 0 {
+		n := min(size, len(stream))
+		held = append(held, stream[:n]...)
+		stream = stream[n:]
+		used, state := s.scan(held)
+		passed = append(passed, held[:used]...)
+		held = bytes.Clone(held[used:])
+		if state != streamOpen {
+			return passed, state, sent
+		}
+	}
+	return passed, streamOpen, sent
+}
--- a/online/transcript.go
+++ b/online/transcript.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strconv"
 	"strings"
 
@@ -114,14 +113,6 @@
 
 // usageOf returns the token counts that an answer states.
 func usageOf(body []byte) (prompt, answer int64) {
-	var parsed struct {
-		Usage struct {
-			PromptTokens     int64 `json:"prompt_tokens"`
-			CompletionTokens int64 `json:"completion_tokens"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(body, &parsed); err != nil {
-		return 0, 0
-	}
-	return parsed.Usage.PromptTokens, parsed.Usage.CompletionTokens
+	usage := gjson.GetBytes(body, "usage")
+	return usage.Get("prompt_tokens").Int(), usage.Get("completion_tokens").Int()
 }
