escrow: ceilings on bytes between regions, taken in allotments

Cause: the account had no room, so that nothing could cross a region. Change: escrow.Local takes allotments from one counter a service by compare-and-swap, spends without waiting, asks ahead, gives back what lies unused and at a planned stop, and writes off what may have been taken. Spend returns the period and Refund takes it, since a refund must not become room in the next period; the online path is adapted. Unspent bytes are booked by reason. Tests: tables over each call failing, clocks that differ, changed ceilings; a property over random faults, losses and periods. Each was seen to fail with the code broken by hand: no ceiling, given back twice, nonce not looked up, refund of another period, spending what is on its way back, period set back, unknown taken as done. The property alone does not find the spending of what is on its way back; a table row does.

--- a/accounting/accounting.go
+++ b/accounting/accounting.go
@@ -29,6 +29,9 @@
 	WastedRuns Kind = "wasted_runs"
 	// CrossRegionBytes count bytes sent between regions.
 	CrossRegionBytes Kind = "cross_region_bytes"
+	// UnspentBytes count cross-region bytes that were taken from a ceiling and
+	// were neither sent nor given back, with the reason.
+	UnspentBytes Kind = "unspent_bytes"
 )
 
 // Entry is one counter.
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/admin"
 	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
@@ -63,6 +64,7 @@
 	routes  *routing.LoadAware
 	config  configPart
 	online  onlinePart
+	escrow  *escrow.Local
 	batch   batchPart
 	gateway *httpService
 	admin   *httpService
@@ -100,7 +102,7 @@
 // provision builds the parts, those that others use first.
 func (n *Node) provision() error {
 	steps := []func() error{
-		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionEscrow, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/node/online.go
+++ b/node/online.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/gateway"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/limits"
@@ -45,7 +44,7 @@
 	}
 	n.online = onlinePart{balancer: balancer, client: client, guard: guard, runner: &online.Runner{
 		Admission: n.newAdmission(), Balancer: balancer, Guard: guard, Ledger: ledger.Unavailable{},
-		Budgets: retry.NewBudgets(n.clock), Escrow: escrow.None{}, Book: n.book, Region: n.settings.Region,
+		Budgets: retry.NewBudgets(n.clock), Escrow: n.escrow, Book: n.book, Region: n.settings.Region,
 		Client: client, Events: n.events, Clock: n.clock, Log: n.log.WithField("part", "online"),
 		Metrics: online.NewMetrics(n.registry),
 	}}
@@ -68,7 +67,7 @@
 	if n.options.Balancer != nil {
 		return n.options.Balancer
 	}
-	return n.newLoadAware(escrow.None{})
+	return n.newLoadAware(n.escrow)
 }
 
 // newAdmission returns the embedder's admission or the built-in one.
--- a/node/routing.go
+++ b/node/routing.go
@@ -39,9 +39,10 @@
 
 // hasRoom asks an account for one byte and gives it back.
 func hasRoom(account escrow.Account, doc *service.Document) bool {
-	if account.Spend(doc, 1) != nil {
+	period, err := account.Spend(doc, 1)
+	if err != nil {
 		return false
 	}
-	account.Refund(doc, 1)
+	account.Refund(doc, period, 1)
 	return true
 }
--- a/node/tree.go
+++ b/node/tree.go
@@ -30,6 +30,7 @@
 	control.Add(n.hosts)
 	control.Add(n.newHints())
 	control.Add(n.config.distributor)
+	control.Add(n.escrow)
 	control.Add(n.online.guard)
 	control.Add(n.operators)
 	serving := suture.New("serving", spec)
--- a/online/bill.go
+++ b/online/bill.go
@@ -4,6 +4,7 @@
 	"io"
 
 	"github.com/comfreyspindle/comfreyspindle/accounting"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -26,6 +27,9 @@
 	sent    int64
 	read    int64
 	credit  int64
+	// sentIn and creditIn are the periods that sent and credit belong to.
+	sentIn   escrow.Period
+	creditIn escrow.Period
 }
 
 func (r *Runner) bill(req *Request, u *service.Upstream) *bill {
@@ -38,17 +42,18 @@
 		return nil
 	}
 	n := int64(len(body)) + headerBytes
-	if err := b.runner.Escrow.Spend(b.req.Doc, n); err != nil {
+	period, err := b.runner.Escrow.Spend(b.req.Doc, n)
+	if err != nil {
 		return err
 	}
-	b.sent = n
+	b.sent, b.sentIn = n, period
 	return nil
 }
 
 // refund gives the bytes of a request back that was not sent.
 func (b *bill) refund() {
 	if b.sent > 0 {
-		b.runner.Escrow.Refund(b.req.Doc, b.sent)
+		b.runner.Escrow.Refund(b.req.Doc, b.sentIn, b.sent)
 		b.sent = 0
 	}
 }
@@ -70,21 +75,22 @@
 	if b.read == 0 {
 		n += headerBytes
 	}
-	if err := b.runner.Escrow.Spend(b.req.Doc, n); err != nil {
+	period, err := b.runner.Escrow.Spend(b.req.Doc, n)
+	if err != nil {
 		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeCeiling,
 			"The answer was cut: service %s has no room for more bytes between regions.", b.req.Doc.Name)
 	}
 	if b.read == 0 {
 		b.read = headerBytes
 	}
-	b.credit = chargeBytes
+	b.credit, b.creditIn = chargeBytes, period
 	return nil
 }
 
 // close gives unused credit back and books what was used.
 func (b *bill) close() {
 	if b.credit > 0 {
-		b.runner.Escrow.Refund(b.req.Doc, b.credit)
+		b.runner.Escrow.Refund(b.req.Doc, b.creditIn, b.credit)
 		b.credit = 0
 	}
 	b.runner.count(b.req, accounting.CrossRegionBytes, "request", int(b.sent))
