orders: issuers by lease and fencing number, planner with limits

Cause: nothing told engines what to load. Change: a lease record a service and data centre whose fencing number only grows; one term carries out one generation of the document; pure planner with limits on loads, floor, soak and a comparison that stops a rollout. New document fields orders.soak, min_requests, max_error_increase, max_latency_ratio; floor defaults to 0.75 instead of 0.8, which left a data centre of four engines without a step. Conclusion: holds under the faults tried; not yet wired into the node.

--- /dev/null
+++ b/orders/issuer.go
@@ -0,0 +1,276 @@
+package orders
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+)
+
+// Kinds of event.
+const (
+	EventOrdered timeline.Kind = "order.sent"
+	EventTerm    timeline.Kind = "order.term"
+	EventStopped timeline.Kind = "order.rollout_stopped"
+)
+
+const (
+	// interval is the time between two rounds.
+	interval = 5 * time.Second
+	// readTimeout bounds the reading of one engine's state.
+	readTimeout = 2 * time.Second
+)
+
+// Options hold what an Issuer needs; all fields but Errors are required.
+type Options struct {
+	Store  platform.Store
+	Hosts  membership.View
+	Clock  clockwork.Clock
+	Events *timeline.Recorder
+	Log    *logrus.Entry
+	// Documents returns the documents in force.
+	Documents func() []*service.Document
+	// Client sends orders.
+	Client *http.Client
+	// Errors returns the requests and errors of an upstream since the start of
+	// the host; nil when not known.
+	Errors func(service, upstream string) (requests, failed int64)
+}
+
+// Issuer sends orders for the services of which this host holds the lease in
+// its data centre.
+type Issuer struct {
+	opts Options
+
+	mu    sync.Mutex
+	terms map[string]*issuing
+}
+
+// issuing is the state of one service's issuer.
+type issuing struct {
+	lease   lease
+	fencing uint64
+	// issued are the orders of the present term by engine.
+	issued map[string]Target
+	known  map[string]*sighting
+	// stopped is the generation whose rollout stopped.
+	stopped uint64
+}
+
+// sighting is what was first seen of an engine's state.
+type sighting struct {
+	state            upstream.Order
+	since            time.Time
+	requests, failed int64
+}
+
+// New returns an Issuer.
+func New(o Options) *Issuer { return &Issuer{opts: o, terms: make(map[string]*issuing)} }
+
+// String names the issuer in supervisor events.
+func (i *Issuer) String() string { return "orders" }
+
+// Serve runs rounds until ctx ends. It implements suture.Service.
+func (i *Issuer) Serve(ctx context.Context) error {
+	tick := i.opts.Clock.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.Chan():
+			i.Round(ctx)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Round does one round for every service.
+func (i *Issuer) Round(ctx context.Context) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	ctx = platform.WithPurpose(ctx, platform.PurposeOrders)
+	var wg sync.WaitGroup
+	for _, doc := range i.opts.Documents() {
+		if !doc.Orders.Enabled || doc.Kind != service.KindEngine || !i.elected(doc.Name) {
+			continue
+		}
+		s := i.issuing(doc.Name)
+		wg.Go(func() {
+			if err := i.round(ctx, doc, s); err != nil {
+				i.opts.Log.WithError(err).WithField("service", doc.Name).Warn("no orders sent")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// elected reports whether this host is the one to seek a service's lease.
+func (i *Issuer) elected(name string) bool {
+	best := membership.Rendezvous(i.opts.Hosts.Local(), "orders/"+name, 1)
+	return len(best) == 1 && best[0].Name == i.opts.Hosts.Self().Name
+}
+
+func (i *Issuer) issuing(name string) *issuing {
+	s, ok := i.terms[name]
+	if !ok {
+		key := "orders/" + name + "/" + i.opts.Hosts.Self().DataCentre
+		s = &issuing{lease: lease{store: i.opts.Store, key: key}, known: make(map[string]*sighting)}
+		i.terms[name] = s
+	}
+	return s
+}
+
+func (i *Issuer) round(ctx context.Context, doc *service.Document, s *issuing) error {
+	self := i.opts.Hosts.Self()
+	quiet := doc.Orders.Timeout + clockMargin
+	c := candidate{Holder: self.Name, Incarnation: self.Incarnation, Generation: doc.Generation, Quiet: quiet}
+	if err := s.lease.step(ctx, c, i.opts.Clock.Now); err != nil || !s.lease.held {
+		return err
+	}
+	if s.fencing != s.lease.record.Fencing {
+		s.fencing, s.issued = s.lease.record.Fencing, make(map[string]Target)
+		i.opts.Events.Record(timeline.Event{Kind: EventTerm, Service: doc.Name, Cause: "a new term of the issuer"})
+	}
+	engines := i.look(ctx, doc, s)
+	plan := PlanOrders(doc.Orders, Targets(doc), engines, i.opts.Clock.Now())
+	if plan.Stopped && s.stopped != doc.Generation {
+		s.stopped = doc.Generation
+		i.opts.Events.Record(timeline.Event{Kind: EventStopped, Service: doc.Name, Cause: plan.Reason})
+		i.opts.Log.WithField("service", doc.Name).Error("rollout stopped: " + plan.Reason)
+	}
+	if s.stopped == doc.Generation {
+		return nil
+	}
+	return i.carryOut(ctx, doc, s, plan.Steps)
+}
+
+// look reads the states of the engines in this data centre.
+func (i *Issuer) look(ctx context.Context, doc *service.Document, s *issuing) []Engine {
+	var out []Engine
+	var ups []*service.Upstream
+	for j := range doc.Upstreams {
+		if u := &doc.Upstreams[j]; u.DataCentre == i.opts.Hosts.Self().DataCentre {
+			ups = append(ups, u)
+			out = append(out, Engine{Name: u.Name})
+		}
+	}
+	var wg sync.WaitGroup
+	for j, u := range ups {
+		wg.Go(func() {
+			var load upstream.Load
+			e := &out[j]
+			e.Reachable = i.get(ctx, u, upstream.PathOrders, &e.State) == nil
+			if e.Reachable && i.get(ctx, u, upstream.PathLoad, &load) == nil && load.TokenInterval > 0 {
+				e.Sample.TokenInterval, e.Sample.Engines = load.TokenInterval, 1
+			}
+		})
+	}
+	wg.Wait()
+	for j := range out {
+		i.sight(doc, s, &out[j])
+	}
+	return out
+}
+
+// sight notes when an engine was first seen in its state, and what it did
+// since.
+func (i *Issuer) sight(doc *service.Document, s *issuing, e *Engine) {
+	if !e.serving() {
+		return
+	}
+	var requests, failed int64
+	if i.opts.Errors != nil {
+		requests, failed = i.opts.Errors(doc.Name, e.Name)
+	}
+	state := e.State.Order
+	state.Fencing = 0
+	seen, ok := s.known[e.Name]
+	if !ok || seen.state != state {
+		// An engine that was found in its state is not new in it.
+		since := time.Time{}
+		if ok {
+			since = i.opts.Clock.Now()
+		}
+		seen = &sighting{state: state, since: since, requests: requests, failed: failed}
+		s.known[e.Name] = seen
+	}
+	e.Since = seen.since
+	e.Sample.Requests, e.Sample.Errors = requests-seen.requests, failed-seen.failed
+}
+
+// carryOut sends the orders of a plan while the term lasts. It checks the term
+// again before each order.
+func (i *Issuer) carryOut(ctx context.Context, doc *service.Document, s *issuing, steps []Step) error {
+	var failed error
+	quiet := doc.Orders.Timeout + clockMargin
+	for _, step := range steps {
+		u := upstreamNamed(doc, step.Engine)
+		end, ok := s.lease.maySend(i.opts.Clock.Now(), u.ChecksFencing, quiet)
+		if earlier, sent := s.issued[u.Name]; !ok || sent && earlier != step.Target {
+			continue
+		}
+		s.issued[u.Name] = step.Target
+		err := i.send(ctx, u, end.Sub(i.opts.Clock.Now()), upstream.Order{
+			Fencing: s.fencing, Model: step.Target.Model, Version: step.Target.Version, Adapter: step.Target.Adapter,
+		})
+		failed = errors.CombineErrors(failed, err)
+		i.opts.Events.Record(timeline.Event{
+			Kind: EventOrdered, Service: doc.Name, Upstream: u.Name, Cause: step.Target.Model + " " + step.Target.Version,
+		})
+	}
+	return failed
+}
+
+func upstreamNamed(doc *service.Document, name string) *service.Upstream {
+	for i := range doc.Upstreams {
+		if doc.Upstreams[i].Name == name {
+			return &doc.Upstreams[i]
+		}
+	}
+	return &service.Upstream{Name: name}
+}
+
+// send sends one order. Repeating it is harmless, since it states the wanted
+// state.
+func (i *Issuer) send(ctx context.Context, u *service.Upstream, timeout time.Duration, o upstream.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Wrap(err, "encode order")
+	}
+	var state upstream.OrderState
+	return i.exchange(ctx, http.MethodPost, u, upstream.PathOrders, body, timeout, &state)
+}
+
+func (i *Issuer) get(ctx context.Context, u *service.Upstream, path string, into any) error {
+	return i.exchange(ctx, http.MethodGet, u, path, nil, readTimeout, into)
+}
+
+func (i *Issuer) exchange(ctx context.Context, method string, u *service.Upstream, path string, body []byte, timeout time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "order")
+	}
+	res, err := i.opts.Client.Do(req)
+	if err != nil {
+		return errors.Wrapf(err, "upstream %s", u.Name)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return errors.Newf("upstream %s: status %d", u.Name, res.StatusCode)
+	}
+	return errors.Wrapf(json.NewDecoder(res.Body).Decode(into), "upstream %s", u.Name)
+}
--- /dev/null
+++ b/orders/issuer_test.go
@@ -0,0 +1,220 @@
+package orders
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
+)
+
+// rig is two hosts, each of which takes itself for the issuer, before a few
+// stand-in engines.
+type rig struct {
+	clock   *clockwork.FakeClock
+	store   *platformtest.Store
+	engines []*upstreamtest.Engine
+	doc     *service.Document
+	hosts   []*testHost
+}
+
+type testHost struct {
+	*Issuer
+	doc  *service.Document
+	wire *wire
+}
+
+// wire is a RoundTripper that pauses or loses exchanges.
+type wire struct {
+	mu sync.Mutex
+	// pause holds the next read of a state until it is closed; reached is
+	// closed when it holds one.
+	pause, reached chan struct{}
+	// loseReplies loses the answers to orders.
+	loseReplies bool
+}
+
+func (w *wire) RoundTrip(r *http.Request) (*http.Response, error) {
+	w.mu.Lock()
+	pause, reached, lose := w.pause, w.reached, w.loseReplies
+	if r.URL.Path == upstream.PathOrders && r.Method == http.MethodGet && pause != nil {
+		w.pause = nil
+	}
+	w.mu.Unlock()
+	if r.URL.Path == upstream.PathOrders && r.Method == http.MethodGet && pause != nil {
+		close(reached)
+		<-pause
+	}
+	res, err := http.DefaultTransport.RoundTrip(r)
+	if err == nil && lose && r.Method == http.MethodPost {
+		_ = res.Body.Close()
+		return nil, errors.New("reply lost")
+	}
+	return res, err
+}
+
+func newRig(t *testing.T, engines int, checksFencing bool) *rig {
+	clock := clockwork.NewFakeClockAt(start)
+	r := &rig{clock: clock, store: platformtest.NewStore(clock)}
+	r.doc = document([]service.Model{{Name: "m", Version: "2"}}, engines)
+	r.doc.Generation, r.doc.Orders = 1, settings(t)
+	r.doc.Orders.Soak, r.doc.Orders.Floor, r.doc.Orders.ConcurrentLoads = 0, 0, engines
+	for i := range r.doc.Upstreams {
+		o := upstreamtest.DefaultOptions()
+		o.LoadTime, o.ChecksFencing = 0, checksFencing
+		e := upstreamtest.NewEngine(o)
+		t.Cleanup(e.Close)
+		r.engines = append(r.engines, e)
+		r.doc.Upstreams[i].Address, r.doc.Upstreams[i].ChecksFencing = e.Address(), checksFencing
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	for _, name := range []string{"h1", "h2"} {
+		h := &testHost{doc: r.doc, wire: &wire{}}
+		h.Issuer = New(Options{
+			Store: r.store.Host(name), Hosts: membership.NewStatic(membership.Host{Name: name, DataCentre: "a"}),
+			Clock: clock, Log: logrus.NewEntry(log), Events: timeline.NewRecorder(name, timeline.NewClock(clock), 64),
+			Documents: func() []*service.Document { return []*service.Document{h.doc} },
+			Client:    &http.Client{Transport: h.wire},
+		})
+		r.hosts = append(r.hosts, h)
+	}
+	return r
+}
+
+// edit returns a later generation of the document with another version.
+func (r *rig) edit(version string) *service.Document {
+	next := *r.doc
+	next.Generation++
+	next.Models = []service.Model{{Name: "m", Version: version}}
+	return &next
+}
+
+// run does rounds on hosts, some seconds apart.
+func (r *rig) run(t *testing.T, rounds int, hosts ...*testHost) {
+	for range rounds {
+		for _, h := range hosts {
+			h.Round(t.Context())
+		}
+		r.clock.Advance(interval)
+	}
+}
+
+// check verifies what each engine was told: no lower number after a higher one,
+// no two orders of one number that differ, and the wanted version in the end.
+func (r *rig) check(t *testing.T, version string) {
+	for i, e := range r.engines {
+		got := e.Orders()
+		require.NotEmpty(t, got)
+		for j := 1; j < len(got); j++ {
+			require.GreaterOrEqual(t, got[j].Fencing, got[j-1].Fencing, "engine %d: %+v", i, got)
+			if got[j].Fencing == got[j-1].Fencing {
+				require.Equal(t, got[j-1], got[j], "engine %d was given two orders in one term", i)
+			}
+		}
+		require.Equal(t, version, got[len(got)-1].Version, "engine %d", i)
+	}
+}
+
+func bothKinds(t *testing.T, run func(t *testing.T, checksFencing bool)) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("checks fencing %t", checks), func(t *testing.T) { run(t, checks) })
+	}
+}
+
+func TestTwoIssuersAtOnce(t *testing.T) {
+	bothKinds(t, func(t *testing.T, checks bool) {
+		r := newRig(t, 3, checks)
+		r.run(t, 12, r.hosts...)
+		r.check(t, "2")
+		r.doc = r.edit("3")
+		r.hosts[1].doc = r.doc
+		r.run(t, 6, r.hosts...)
+		r.hosts[0].doc = r.doc
+		r.run(t, 40, r.hosts...)
+		r.check(t, "3")
+	})
+}
+
+// TestPausedIssuer pauses the issuer between its plan's reading and its orders,
+// lets its lease lapse and another issuer carry out a newer document.
+func TestPausedIssuer(t *testing.T) {
+	bothKinds(t, func(t *testing.T, checks bool) {
+		r := newRig(t, 3, checks)
+		paused, other := r.hosts[0], r.hosts[1]
+		r.run(t, 12, paused)
+		r.check(t, "2")
+		paused.doc = r.edit("3")
+		r.run(t, 1, paused)
+		pause, reached := make(chan struct{}), make(chan struct{})
+		paused.wire.mu.Lock()
+		paused.wire.pause, paused.wire.reached = pause, reached
+		paused.wire.mu.Unlock()
+		r.clock.Advance(15 * time.Second)
+		woken := make(chan struct{})
+		go func() {
+			defer close(woken)
+			paused.Round(t.Context())
+		}()
+		<-reached
+		r.doc = r.edit("4")
+		r.doc.Generation++
+		other.doc = r.doc
+		r.run(t, 30, other)
+		r.check(t, "4")
+		close(pause)
+		<-woken
+		r.run(t, 3, r.hosts...)
+		r.check(t, "4")
+	})
+}
+
+func TestLostReplyToOrder(t *testing.T) {
+	bothKinds(t, func(t *testing.T, checks bool) {
+		r := newRig(t, 2, checks)
+		r.hosts[0].wire.loseReplies = true
+		r.run(t, 12, r.hosts[0])
+		r.check(t, "2")
+	})
+}
+
+// TestEngineRestarts loses an engine's state; it is ordered again.
+func TestEngineRestarts(t *testing.T) {
+	r := newRig(t, 2, true)
+	r.run(t, 12, r.hosts[0])
+	r.check(t, "2")
+	calls := r.store.Calls("", "")
+	r.run(t, 10, r.hosts[0])
+	renewals := int(10*interval/(r.doc.Orders.Timeout+clockMargin)) + 1
+	require.LessOrEqual(t, r.store.Calls("", "")-calls, 2*renewals)
+	r.engines[0].Kill()
+	r.run(t, 2, r.hosts[0])
+	r.engines[0].Revive()
+	r.run(t, 2, r.hosts[0])
+	r.check(t, "2")
+}
+
+func TestPlatformDownSendsNothing(t *testing.T) {
+	r := newRig(t, 2, false)
+	r.run(t, 12, r.hosts[0])
+	r.store.SetOutage(true)
+	r.hosts[0].doc = r.edit("3")
+	r.run(t, 20, r.hosts[0])
+	r.check(t, "2")
+	r.store.SetOutage(false)
+	r.run(t, 30, r.hosts[0])
+	r.check(t, "3")
+}
--- /dev/null
+++ b/orders/lease.go
@@ -0,0 +1,145 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
+)
+
+// clockMargin bounds how far the clocks of two hosts drift apart during one
+// lease.
+const clockMargin = 2 * time.Second
+
+// term is the record of an issuer's lease. It is never removed, so that the
+// fencing number only grows. It carries out one generation of the document.
+type term struct {
+	Holder      string
+	Incarnation uint64
+	Fencing     uint64
+	Generation  uint64
+	// Lease is how long the term lasts after each write of the record.
+	Lease time.Duration
+	// Renewals counts the writes of the term.
+	Renewals uint64
+}
+
+// candidate is who wants the lease, and for what.
+type candidate struct {
+	Holder      string
+	Incarnation uint64
+	Generation  uint64
+	// Quiet is the time that no order may be under way across a change of
+	// issuer: an order's timeout and the clock margin.
+	Quiet time.Duration
+}
+
+// lease returns how long a term lasts after each write.
+func (c candidate) lease() time.Duration { return 3 * c.Quiet }
+
+// lease is one host's view of a term. Times are of the host's own monotonic
+// clock. It is not safe for concurrent use.
+type lease struct {
+	store platform.Store
+	key   string
+
+	record  term
+	version platform.Version
+	// seen is when the record was first read at its version.
+	seen time.Time
+	// held says that the term is this host's, at least until the time until.
+	held  bool
+	until time.Time
+	// quietUntil is the end of the wait of a new term.
+	quietUntil time.Time
+}
+
+// step takes, renews or begins a term, as far as the record allows it. The
+// times of a term count from before the write that made it, and a candidate
+// counts from after its read, so that two hosts never hold it at one time. A
+// term of which more than two thirds are left needs no call.
+func (l *lease) step(ctx context.Context, c candidate, now func() time.Time) error {
+	if l.held && l.record.Generation == c.Generation && l.until.Sub(now()) > 2*c.Quiet {
+		return nil
+	}
+	if err := l.refresh(ctx, now); err != nil {
+		return err
+	}
+	next, ok := nextTerm(l.record, c, l.held, now().Sub(l.seen))
+	if !ok {
+		l.held = false
+		return nil
+	}
+	payload, err := cbor.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode term")
+	}
+	began := now()
+	v, err := platform.Swap(ctx, l.store, platform.Put{Key: l.key, Value: payload, If: l.version})
+	if err != nil {
+		return err
+	}
+	if next.Fencing != l.record.Fencing {
+		l.quietUntil = now().Add(c.Quiet)
+	}
+	l.record, l.version, l.seen = next, v, now()
+	l.held, l.until = true, began.Add(next.Lease)
+	return nil
+}
+
+// refresh reads the record.
+func (l *lease) refresh(ctx context.Context, now func() time.Time) error {
+	r, err := platform.Read(ctx, l.store, l.key)
+	if errors.Is(err, platform.ErrNotFound) {
+		l.record, l.version, l.held = term{}, 0, false
+		return nil
+	}
+	if err != nil || r.Version == l.version {
+		return err
+	}
+	l.held = false
+	var t term
+	if err := cbor.Unmarshal(r.Payload, &t); err != nil {
+		return errors.Wrapf(err, "decode %q", l.key)
+	}
+	l.record, l.version, l.seen = t, r.Version, now()
+	return nil
+}
+
+// nextTerm returns the record that a candidate writes, if it may. A record of a
+// later generation means that the candidate's document is old. It is pure.
+func nextTerm(t term, c candidate, held bool, unchanged time.Duration) (term, bool) {
+	next := term{
+		Holder: c.Holder, Incarnation: c.Incarnation, Fencing: t.Fencing + 1,
+		Generation: c.Generation, Lease: c.lease(),
+	}
+	switch {
+	case t.Generation > c.Generation:
+		return term{}, false
+	case held && t.Generation == c.Generation:
+		next.Fencing, next.Renewals = t.Fencing, t.Renewals+1
+		return next, true
+	case held, t.Holder == "":
+		return next, true
+	default:
+		return next, unchanged > t.Lease+clockMargin
+	}
+}
+
+// maySend reports whether an order may go out now, and until when it has to
+// have ended. An engine that checks fencing numbers needs no more than the
+// term; for others an order has to end inside the lease, and a new term is
+// quiet first.
+func (l *lease) maySend(now time.Time, checksFencing bool, quiet time.Duration) (time.Time, bool) {
+	end := now.Add(quiet - clockMargin)
+	if !l.held || !now.Before(l.until) {
+		return end, false
+	}
+	if checksFencing {
+		return end, true
+	}
+	return end, !now.Before(l.quietUntil) && l.until.Sub(now) >= quiet
+}
--- /dev/null
+++ b/orders/plan.go
@@ -0,0 +1,249 @@
+// Package orders tells engines which model, version and adapter to load. One
+// issuer for each service and data centre, chosen by lease and fencing number,
+// states the wanted state; see docs/design/orders.md.
+package orders
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
+)
+
+// Target is the wanted state of one engine.
+type Target struct {
+	Model   string
+	Version string
+	Adapter string
+}
+
+// matches reports whether an engine's state is the wanted one.
+func (t Target) matches(s upstream.OrderState) bool {
+	return s.Model == t.Model && s.Version == t.Version && s.Adapter == t.Adapter
+}
+
+// Sample counts what was seen of engines in one state.
+type Sample struct {
+	Requests int64
+	Errors   int64
+	// TokenInterval is the mean time between tokens; zero is not known.
+	TokenInterval time.Duration
+	// Engines is the number of engines that TokenInterval is the mean of.
+	Engines int
+}
+
+// add joins two samples.
+func (s Sample) add(o Sample) Sample {
+	n := s.Engines + o.Engines
+	if n > 0 {
+		sum := s.TokenInterval*time.Duration(s.Engines) + o.TokenInterval*time.Duration(o.Engines)
+		s.TokenInterval = sum / time.Duration(n)
+	}
+	s.Requests += o.Requests
+	s.Errors += o.Errors
+	s.Engines = n
+	return s
+}
+
+func (s Sample) errorRate() float64 {
+	if s.Requests == 0 {
+		return 0
+	}
+	return float64(s.Errors) / float64(s.Requests)
+}
+
+// Engine is what the issuer knows of one engine of its data centre.
+type Engine struct {
+	Name string
+	// Reachable says that State was read in this round.
+	Reachable bool
+	State     upstream.OrderState
+	// Since is when the engine was first seen serving its state.
+	Since  time.Time
+	Sample Sample
+}
+
+func (e *Engine) serving() bool { return e.Reachable && !e.State.Loading }
+
+// Step is one order to send.
+type Step struct {
+	Engine string
+	Target Target
+}
+
+// Plan is what to order now, and why no more.
+type Plan struct {
+	Steps []Step
+	// Left is the number of engines that are not yet in the wanted state.
+	Left int
+	// Stopped says that the rollout stopped because the new state is worse.
+	Stopped bool
+	// Reason says what holds the rest of the orders back.
+	Reason string
+}
+
+// Targets returns the wanted state of every engine of a service. It depends on
+// the document alone, so that all issuers of a generation agree. Engines are
+// ranked for each model by rendezvous hashing; models with a number of replicas
+// take theirs first, the others share the rest.
+func Targets(doc *service.Document) map[string]Target {
+	out := make(map[string]Target, len(doc.Upstreams))
+	var open []*service.Model
+	for i := range doc.Models {
+		m := &doc.Models[i]
+		if m.Replicas == 0 {
+			open = append(open, m)
+			continue
+		}
+		for _, name := range ranked(doc, m, out)[:min(m.Replicas, len(doc.Upstreams)-len(out))] {
+			out[name] = targetOf(m)
+		}
+	}
+	for i, m := range open {
+		rest := ranked(doc, m, out)
+		share := (len(rest) + len(open) - i - 1) / (len(open) - i)
+		for _, name := range rest[:share] {
+			out[name] = targetOf(m)
+		}
+	}
+	return out
+}
+
+func targetOf(m *service.Model) Target {
+	return Target{Model: m.Name, Version: m.Version, Adapter: m.Adapter}
+}
+
+// ranked returns the engines without a target, best for the model first.
+func ranked(doc *service.Document, m *service.Model, taken map[string]Target) []string {
+	var names []string
+	for i := range doc.Upstreams {
+		if _, ok := taken[doc.Upstreams[i].Name]; !ok {
+			names = append(names, doc.Upstreams[i].Name)
+		}
+	}
+	weight := func(name string) uint64 { return xxhash.Sum64String(name + "\x00" + m.Name) }
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(weight(b), weight(a)), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// PlanOrders returns the orders to send now to the engines of one data centre.
+// It is pure.
+func PlanOrders(o service.Orders, targets map[string]Target, engines []Engine, now time.Time) Plan {
+	var pending []Engine
+	serving, loading := 0, 0
+	for _, e := range engines {
+		target, ok := targets[e.Name]
+		switch {
+		case e.serving():
+			serving++
+		case e.Reachable:
+			loading++
+		}
+		if ok && e.Reachable && !target.matches(e.State) {
+			pending = append(pending, e)
+		}
+	}
+	plan := Plan{Left: len(pending)}
+	if reason := worse(o, targets, engines); reason != "" {
+		plan.Stopped, plan.Reason = true, reason
+		return plan
+	}
+	if wait := soaking(o, targets, engines, now); wait > 0 {
+		plan.Reason = fmt.Sprintf("engines in the new state serve for %s more first", wait)
+		return plan
+	}
+	return plan.fill(o, targets, pending, serving, loading, len(engines))
+}
+
+// fill adds orders as far as the limits allow.
+func (p Plan) fill(o service.Orders, targets map[string]Target, pending []Engine, serving, loading, total int) Plan {
+	floor := int(math.Ceil(o.Floor * float64(total)))
+	// Engines that don't serve cost no capacity, so they come first.
+	slices.SortStableFunc(pending, func(a, b Engine) int {
+		return cmp.Or(cmp.Compare(boolInt(a.serving()), boolInt(b.serving())), cmp.Compare(a.Name, b.Name))
+	})
+	for _, e := range pending {
+		cost := boolInt(e.serving())
+		switch {
+		case loading+1 > o.ConcurrentLoads && cost == 1:
+			p.Reason = "as many loads as allowed are running"
+			return p
+		case serving-cost < floor && cost == 1:
+			p.Reason = fmt.Sprintf("%d of %d engines serve, and %d have to", serving, total, floor)
+			return p
+		}
+		serving -= cost
+		loading += cost
+		p.Steps = append(p.Steps, Step{Engine: e.Name, Target: targets[e.Name]})
+	}
+	return p
+}
+
+func boolInt(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// soaking returns how long engines that reached the wanted state last have yet
+// to serve before the next orders, while others are still in another state.
+func soaking(o service.Orders, targets map[string]Target, engines []Engine, now time.Time) time.Duration {
+	var wait time.Duration
+	for i := range engines {
+		e := &engines[i]
+		if target, ok := targets[e.Name]; ok && e.serving() && target.matches(e.State) && !e.Since.IsZero() {
+			wait = max(wait, e.Since.Add(o.Soak).Sub(now))
+		}
+	}
+	return wait
+}
+
+// worse compares the engines in the wanted state with the others of the same
+// model. It returns the reason to stop, or nothing.
+func worse(o service.Orders, targets map[string]Target, engines []Engine) string {
+	type states struct{ wanted, other Sample }
+	byModel := make(map[string]states)
+	for i := range engines {
+		e := &engines[i]
+		target, ok := targets[e.Name]
+		if !ok || !e.serving() {
+			continue
+		}
+		s := byModel[target.Model]
+		if target.matches(e.State) {
+			s.wanted = s.wanted.add(e.Sample)
+		} else {
+			s.other = s.other.add(e.Sample)
+		}
+		byModel[target.Model] = s
+	}
+	for model, s := range byModel {
+		if reason := compare(o, s.wanted, s.other); reason != "" {
+			return model + ": " + reason
+		}
+	}
+	return ""
+}
+
+// compare returns why the new state is worse than the old one. Errors count
+// once enough requests were seen.
+func compare(o service.Orders, next, old Sample) string {
+	if old.Requests >= int64(o.MinRequests) && next.Requests >= int64(o.MinRequests) &&
+		next.errorRate() > old.errorRate()+o.MaxErrorIncrease {
+		return fmt.Sprintf("errors rose from %.3f to %.3f", old.errorRate(), next.errorRate())
+	}
+	limit := time.Duration(float64(old.TokenInterval) * o.MaxLatencyRatio)
+	if old.TokenInterval > 0 && next.TokenInterval > limit {
+		return fmt.Sprintf("time between tokens rose from %s to %s", old.TokenInterval, next.TokenInterval)
+	}
+	return ""
+}
--- a/service/document.go
+++ b/service/document.go
@@ -230,7 +230,18 @@
 	// ConcurrentLoads bounds loads of weights at one time in a data centre.
 	ConcurrentLoads int `yaml:"concurrent_loads" default:"2" validate:"min=1"`
 	// Floor is the part of the replicas that a rollout leaves serving.
-	Floor float64 `yaml:"floor" default:"0.8" validate:"min=0,max=1"`
+	Floor float64 `yaml:"floor" default:"0.75" validate:"min=0,max=1"`
+	// Soak is how long replicas in a new state serve before the next orders.
+	Soak time.Duration `yaml:"soak" default:"30s" validate:"min=0"`
+	// MinRequests is the number of requests in the old and in the new state
+	// before their errors are compared.
+	MinRequests int `yaml:"min_requests" default:"100" validate:"min=1"`
+	// MaxErrorIncrease is the rise of the part of failed requests that stops a
+	// rollout.
+	MaxErrorIncrease float64 `yaml:"max_error_increase" default:"0.01" validate:"min=0,max=1"`
+	// MaxLatencyRatio is the rise of the time between tokens that stops a
+	// rollout.
+	MaxLatencyRatio float64 `yaml:"max_latency_ratio" default:"1.25" validate:"min=1"`
 }
 
 // Answers reports whether the service answers to the model or service name.
