node: orders, with what the online path sees of engines; tests of the parts together

Cause: the issuer was not run by any host, and ledger, escrow and orders had no test through a whole host. Tests: one request to three hosts in two data centres runs once, is refused as not run while the platform's service is away and can be repeated after; a version reaches the engines; bytes cross regions only under a ceiling. Conclusion: all four parts run in a host.

--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/orders"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/routing"
@@ -65,6 +66,7 @@
 	config  configPart
 	online  onlinePart
 	escrow  *escrow.Local
+	orders  *orders.Issuer
 	batch   batchPart
 	gateway *httpService
 	admin   *httpService
@@ -102,7 +104,7 @@
 // provision builds the parts, those that others use first.
 func (n *Node) provision() error {
 	steps := []func() error{
-		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionEscrow, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionEscrow, n.provisionOnline, n.provisionLedger, n.provisionOrders, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- a/node/tree.go
+++ b/node/tree.go
@@ -31,6 +31,7 @@
 	control.Add(n.newHints())
 	control.Add(n.config.distributor)
 	control.Add(n.escrow)
+	control.Add(n.orders)
 	control.Add(n.online.guard)
 	control.Add(n.operators)
 	serving := suture.New("serving", spec)
--- /dev/null
+++ b/orders/outcomes.go
@@ -0,0 +1,69 @@
+package orders
+
+import (
+	"sync"
+
+	"github.com/comfreyspindle/comfreyspindle/routing"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Outcomes counts how the tries of this host ended, by upstream.
+type Outcomes struct {
+	mu     sync.Mutex
+	counts map[upstreamKey]tally
+}
+
+type upstreamKey struct{ service, upstream string }
+
+type tally struct{ requests, failed int64 }
+
+// NewOutcomes returns empty counts.
+func NewOutcomes() *Outcomes { return &Outcomes{counts: make(map[upstreamKey]tally)} }
+
+// Count returns the tries and the failed ones. It serves as Options.Errors.
+func (o *Outcomes) Count(service, upstream string) (requests, failed int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.counts[upstreamKey{service, upstream}]
+	return t.requests, t.failed
+}
+
+// Observe returns a balancer that counts the ends of the tries of another.
+func (o *Outcomes) Observe(b routing.Balancer) routing.Balancer {
+	return &observed{outcomes: o, inner: b}
+}
+
+// add counts a try. A request that was not run says nothing about the engine's
+// state.
+func (o *Outcomes) add(k upstreamKey, err error) {
+	if err != nil && verdict.Of(err) == verdict.NotRun {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.counts[k]
+	t.requests++
+	if err != nil {
+		t.failed++
+	}
+	o.counts[k] = t
+}
+
+type observed struct {
+	outcomes *Outcomes
+	inner    routing.Balancer
+}
+
+// Choose implements routing.Balancer.
+func (b *observed) Choose(ask routing.Ask) (*routing.Choice, error) {
+	c, err := b.inner.Choose(ask)
+	if err != nil {
+		return nil, err
+	}
+	done, key := c.Done, upstreamKey{ask.Doc.Name, c.Upstream.Name}
+	c.Done = func(out routing.Outcome) {
+		b.outcomes.add(key, out.Err)
+		done(out)
+	}
+	return c, nil
+}
