--- a/ledger/service.go
+++ b/ledger/service.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
@@ -27,6 +28,8 @@
 	maxAbandoned = 1 << 16
 	// maxAbandonedPerKey bounds the unsent claims of one key.
 	maxAbandonedPerKey = 16
+	// paceBurst is how many batches of a host may begin at once.
+	paceBurst = 4
 	// maxRequestID bounds the request id that is kept with a claim, in bytes.
 	maxRequestID = 64
 )
@@ -40,6 +43,10 @@
 	Hosts membership.View
 	Peers peer.Caller
 	Clock clockwork.Clock
+	// WritesPerSecond bounds the batches of all shards of this host together.
+	// Claims gather while they wait, so that a lower bound makes larger
+	// batches. Chunks come on top: about one for each 100 claims.
+	WritesPerSecond float64
 }
 
 // Service is the Ledger of one host. It sends claims to the shard's writer in
@@ -47,6 +54,7 @@
 type Service struct {
 	opts   Options
 	health *health
+	pace   *rate.Limiter
 	// abandoned are claims of this host whose requests were not sent and never
 	// will be, by key.
 	abandoned *lru.Cache[digest, []uint64]
@@ -72,6 +80,7 @@
 	}
 	return &Service{
 		opts: o, health: newHealth(o.Store, o.Clock), abandoned: abandoned,
+		pace:    rate.NewLimiter(rate.Limit(o.WritesPerSecond), paceBurst),
 		layouts: make(map[string]int), shards: make(map[shardID]*shard),
 	}
 }
@@ -251,7 +260,10 @@
 	defer s.mu.Unlock()
 	sh, ok := s.shards[id]
 	if !ok {
-		sh = newShard(s.opts.Store, s.opts.Clock, s.health, id.key())
+		sh = &shard{
+			store: s.opts.Store, clock: s.opts.Clock, health: s.health, pace: s.pace,
+			key: id.key(), chunks: newChunkSet(s.opts.Store, id.key()),
+		}
 		s.shards[id] = sh
 	}
 	return sh
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -9,13 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
 
 	"github.com/comfreyspindle/comfreyspindle/platform"
 )
 
 const (
-	// writeInterval is the least time between the beginnings of two batches of
-	// a shard on one host. The first ask after a pause is written at once.
+	// writeInterval is the mean of the least time between the beginnings of two
+	// batches of a shard on one host. The first ask after a pause is written at once.
 	writeInterval = 200 * time.Millisecond
 	// settleDelay is how long settlements wait for a batch that takes them
 	// along.
@@ -48,7 +50,9 @@
 	store  platform.Store
 	clock  clockwork.Clock
 	health *health
-	key    string
+	// pace bounds the batches of all shards of the host.
+	pace *rate.Limiter
+	key  string
 
 	mu          sync.Mutex
 	waiting     []*waitingAsk
@@ -71,10 +75,6 @@
 	began     time.Time
 }
 
-func newShard(store platform.Store, clock clockwork.Clock, h *health, key string) *shard {
-	return &shard{store: store, clock: clock, health: h, key: key, chunks: newChunkSet(store, key)}
-}
-
 // claim queues an ask and waits for its answer.
 func (s *shard) claim(ctx context.Context, a ask) answer {
 	if retryAfter, refusing := s.health.refusing(); refusing {
@@ -131,9 +131,7 @@
 func (s *shard) run() {
 	ctx := platform.WithPurpose(context.Background(), platform.PurposeLedger)
 	for {
-		if wait := writeInterval - s.clock.Since(s.began); wait > 0 && !s.began.IsZero() {
-			s.clock.Sleep(wait)
-		}
+		s.wait()
 		batch, settled, more := s.next()
 		if !more {
 			return
@@ -148,6 +146,34 @@
 	}
 }
 
+// wait waits until the next batch may begin. It comes before the batch is
+// taken off the queue, so that claims gather meanwhile.
+func (s *shard) wait() {
+	// The jitter keeps the writers of two data centres from meeting each time.
+	interval := writeInterval*3/4 + rand.N(writeInterval/2)
+	if s.contended {
+		// Others write too: larger batches, so that the sum of calls stays.
+		interval *= 2
+	}
+	if wait := interval - s.clock.Since(s.began); wait > 0 && !s.began.IsZero() {
+		s.clock.Sleep(wait)
+	}
+	if !s.pending() {
+		return
+	}
+	now := s.clock.Now()
+	if wait := s.pace.ReserveN(now, 1).DelayFrom(now); wait > 0 {
+		s.clock.Sleep(wait)
+	}
+}
+
+// pending reports whether there is something to write.
+func (s *shard) pending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.waiting) > 0 || len(s.settlements) > 0 && !s.flushing
+}
+
 // next takes a batch off the queue. It ends the run when there is none.
 func (s *shard) next() ([]*waitingAsk, []settlement, bool) {
 	s.mu.Lock()
