--- a/node/node.go
+++ b/node/node.go
@@ -14,8 +14,10 @@
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/admin"
 	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/orders"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/routing"
@@ -63,6 +65,8 @@
 	routes  *routing.LoadAware
 	config  configPart
 	online  onlinePart
+	escrow  *escrow.Local
+	orders  *orders.Issuer
 	batch   batchPart
 	gateway *httpService
 	admin   *httpService
@@ -100,7 +104,7 @@
 // provision builds the parts, those that others use first.
 func (n *Node) provision() error {
 	steps := []func() error{
-		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionOnline, n.provisionLedger, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
+		n.bindOperators, n.provisionPeers, n.provisionConfig, n.provisionEscrow, n.provisionOnline, n.provisionLedger, n.provisionOrders, n.provisionBatch, n.provisionGateway, n.provisionAdmin,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
