bench: count goodput over the time of the answers, resumed runs apart

Cause: goodput divided answers by the time of the arrivals and passed 1; a resumed item counted as a wasted run.

--- a/bench/suite/hostloss.go
+++ b/bench/suite/hostloss.go
@@ -56,7 +56,7 @@
 	}
 	runs := 0
 	for _, e := range s.Engines {
-		runs += e.TotalRuns()
+		runs += e.TotalRuns() - int(e.Stats().Resumes)
 	}
 	wasted := runs - j.Items
 	return experiment.Figures{
--- a/bench/suite/overload.go
+++ b/bench/suite/overload.go
@@ -40,8 +40,9 @@
 	length := env.Duration(4 * time.Second)
 	var rejects float64
 	for name, factor := range map[string]float64{"goodput_2x": 2, "goodput_5x": 5} {
+		begin := time.Now()
 		stats := s.run(ctx, s.chat(factor*capacity, env.Seed), length)
-		out[name] = float64(stats.Whole) / length.Seconds() / capacity
+		out[name] = float64(stats.Whole) / time.Since(begin).Seconds() / capacity
 		rejects = max(rejects, millis(load.Percentile(stats.Refusal, 99)))
 		say(env, "%s: goodput %.2f, refused %d in p99 %.1f ms, failed %d", name, out[name], stats.Refused,
 			millis(load.Percentile(stats.Refusal, 99)), stats.Failed)
--- a/upstream/upstreamtest/engine.go
+++ b/upstream/upstreamtest/engine.go
@@ -77,6 +77,7 @@
 	prefills atomic.Int64
 	hits     atomic.Int64
 	crashes  atomic.Int64
+	resumes  atomic.Int64
 }
 
 // NewEngine starts an engine on loopback. The caller closes it.
@@ -168,11 +169,13 @@
 	PrefillTokens int64
 	CachedTokens  int64
 	Crashes       int64
+	// Resumes are runs that went on from tokens produced before.
+	Resumes int64
 }
 
 // Stats returns the counters.
 func (e *Engine) Stats() Stats {
-	return Stats{Tokens: e.tokens.Load(), PrefillTokens: e.prefills.Load(), CachedTokens: e.hits.Load(), Crashes: e.crashes.Load()}
+	return Stats{Tokens: e.tokens.Load(), PrefillTokens: e.prefills.Load(), CachedTokens: e.hits.Load(), Crashes: e.crashes.Load(), Resumes: e.resumes.Load()}
 }
 
 // Load returns the present load, without lag.
--- a/upstream/upstreamtest/steps.go
+++ b/upstream/upstreamtest/steps.go
@@ -132,6 +132,9 @@
 		prefill += computed
 		s.started = true
 		e.runs[s.id]++
+		if s.next > 0 {
+			e.resumes.Add(1)
+		}
 		e.running = append(e.running, s)
 	}
 	return prefill
