--- a/node/config.go
+++ b/node/config.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/comfreyspindle/comfreyspindle/config"
@@ -27,3 +29,8 @@
 	}
 	return n.config.distributor.Register(n.peers)
 }
+
+// InForce asks all known hosts for the generation of a document in force.
+func (n *Node) InForce(ctx context.Context, name string, generation uint64) config.InForce {
+	return n.config.distributor.InForce(ctx, name, generation)
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -58,3 +58,9 @@
 
 // leave tells the other hosts that this one is gone.
 func (n *Node) leave(ctx context.Context) { n.hosts.Leave(ctx) }
+
+// Hosts returns the hosts that this one knows.
+func (n *Node) Hosts() membership.View { return n.hosts }
+
+// Upstreams returns the states of upstreams as this host knows them.
+func (n *Node) Upstreams() *membership.SpreadUpstreams { return n.upstreams }
--- a/node/node.go
+++ b/node/node.go
@@ -124,6 +124,10 @@
 	return admin.Readiness{Ready: len(lacks) == 0, Lacks: lacks, Warnings: n.config.distributor.Warnings()}
 }
 
+// Readiness says whether the balancer may send requests here, and what is
+// lacking.
+func (n *Node) Readiness() admin.Readiness { return n.readiness() }
+
 // Ready reports whether the balancer may send requests here.
 func (n *Node) Ready() bool { return n.readiness().Ready }
 
