--- a/membership/hints.go
+++ b/membership/hints.go
@@ -40,6 +40,10 @@
 	Services func() []string
 	Clock    clockwork.Clock
 	Log      *logrus.Entry
+
+	// read holds the newest version read of each list, so that reading a list
+	// again gives no new hint.
+	read map[string]platform.Version
 }
 
 // String names the service in supervisor events.
@@ -112,6 +116,13 @@
 }
 
 func (r *HintReader) take(e platform.Entry) {
+	if e.Version <= r.read[e.Key] {
+		return
+	}
+	if r.read == nil {
+		r.read = make(map[string]platform.Version)
+	}
+	r.read[e.Key] = e.Version
 	var list []Hint
 	if err := json.Unmarshal(e.Value, &list); err != nil {
 		r.Log.WithError(err).WithField("key", e.Key).Warn("platform's list ignored")
--- a/membership/sim_test.go
+++ b/membership/sim_test.go
@@ -23,7 +23,7 @@
 // sim runs members in virtual time over an in-memory network. It is
 // deterministic.
 type sim struct {
-	t       *testing.T
+	t       testing.TB
 	now     time.Time
 	events  simEvents
 	seq     int
@@ -65,7 +65,7 @@
 	return last
 }
 
-func newSim(t *testing.T, seed uint64) *sim {
+func newSim(t testing.TB, seed uint64) *sim {
 	return &sim{
 		t: t, now: time.Unix(1_000_000_000, 0), rnd: rand.New(rand.NewPCG(seed, 1)),
 		members: make(map[netip.AddrPort]*simMember), cut: func(_, _ *simMember) bool { return false },
