routing: ask quiet upstreams for their load

Cause: an upstream that gets no requests was judged by an old report, and was not seen to leave.

Measured: go test -race ./routing. The cost of polling: not measured. The batch dispatcher asks for load on its own; the two questions could be one.

--- a/node/routing.go
+++ b/node/routing.go
@@ -1,12 +1,19 @@
 package node
 
 import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/upstream"
 )
 
 // newLoadAware returns the host's balancer. The account says whether a request
@@ -49,3 +56,31 @@
 	account.Refund(doc, period, 1)
 	return true
 }
+
+// newPoller returns the poller of quiet upstreams, or nil without the built-in
+// balancer.
+func (n *Node) newPoller(client *upstream.Client) *routing.Poller {
+	if n.routes == nil {
+		return nil
+	}
+	return &routing.Poller{Balancer: n.routes, Fetch: func(ctx context.Context, u *service.Upstream) (*upstream.Load, error) {
+		return fetchLoad(ctx, client, u)
+	}}
+}
+
+// maxLoadBytes bounds a load report.
+const maxLoadBytes = 64 << 10
+
+// fetchLoad asks an upstream for its load.
+func fetchLoad(ctx context.Context, client *upstream.Client, u *service.Upstream) (*upstream.Load, error) {
+	res, err := client.Send(ctx, u, &upstream.Request{Method: http.MethodGet, Path: upstream.PathLoad, Header: http.Header{}})
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.Status != http.StatusOK {
+		return nil, errors.Newf("upstream %s answered with status %d", u.Name, res.Status)
+	}
+	load := &upstream.Load{}
+	return load, json.NewDecoder(io.LimitReader(res.Body, maxLoadBytes)).Decode(load)
+}
--- a/node/tree.go
+++ b/node/tree.go
@@ -34,6 +34,9 @@
 	control.Add(n.orders)
 	control.Add(n.online.guard)
 	control.Add(n.operators)
+	if p := n.newPoller(n.online.client); p != nil {
+		control.Add(p)
+	}
 	serving := suture.New("serving", spec)
 	serving.Add(n.gateway)
 	serving.Add(n.admin)
--- a/routing/pool.go
+++ b/routing/pool.go
@@ -35,6 +35,8 @@
 	mu      sync.Mutex
 	doc     *service.Document
 	changed <-chan struct{}
+	// usedAt is when a request was last routed.
+	usedAt  time.Time
 	members map[string]*member
 	// subset are the members that the host keeps connections to; all holds
 	// every upstream of the document.
@@ -60,6 +62,8 @@
 	tokens float64
 	load   *upstream.Load
 	readAt time.Time
+	// askedAt is when the poller last asked.
+	askedAt time.Time
 	// own is the recent mean of the host's requests, others that of the
 	// reported requests that were not the host's own.
 	own    average
@@ -182,6 +186,7 @@
 // fill makes the snapshot of a choice among the given members.
 func (p *pool) fill(ask *Ask, members []*member) {
 	now := p.opts.Clock.Now()
+	p.usedAt = now
 	s := &p.snapshot
 	candidates := s.Candidates[:0]
 	for _, m := range members {
