spindlectl: service history and rollback, dry run with the difference

Cause: the editor has history, rollback and a dry run with warnings; the client did not offer them, and the operators' interface had warnings of its own.

Change: endpoints and commands over the editor; the interface's own warnings are gone. A dry run compares limits with what the asked host runs now. A rollback is based on the newest generation, so a racing edit is not undone unseen.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -6,9 +6,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -21,15 +19,12 @@
 	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/routing"
-	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
-// maxDocumentBytes bounds a service document.
-const maxDocumentBytes = 1 << 20
-
 // Readiness says whether a host may get requests.
 type Readiness struct {
 	Ready bool `json:"ready"`
@@ -73,6 +68,8 @@
 	v1.GET("/services/:name", s.getService)
 	v1.PUT("/services/:name", s.putService)
 	v1.DELETE("/services/:name", s.deleteService)
+	v1.GET("/services/:name/history", s.serviceHistory)
+	v1.POST("/services/:name/rollback", s.rollbackService)
 	v1.GET("/hosts", s.listHosts)
 	v1.GET("/timeline", s.getTimeline)
 	v1.GET("/explain/:request", s.explain)
@@ -117,6 +114,10 @@
 		if text, ok := he.Message.(string); ok {
 			p.Message = text
 		}
+	case errors.Is(err, config.ErrNoGeneration):
+		status = http.StatusNotFound
+	case errors.Is(err, platform.ErrUnknown):
+		status, p.Message = http.StatusServiceUnavailable, "The edit may have been accepted; look before you repeat it: "+p.Message
 	case errors.As(err, &failed):
 		status = failed.Status()
 	case errors.As(err, &conflict):
@@ -133,82 +134,3 @@
 	}
 	return c.JSON(status, r)
 }
-
-// ServiceSummary is one row of the list of services.
-type ServiceSummary struct {
-	Name       string `json:"name"`
-	Generation uint64 `json:"generation"`
-	Upstreams  int    `json:"upstreams"`
-	Callers    int    `json:"callers"`
-}
-
-func (s *Server) listServices(c echo.Context) error {
-	snapshot := s.Config.Current()
-	out := []ServiceSummary{}
-	for _, name := range snapshot.Names() {
-		d, _ := snapshot.Service(name)
-		out = append(out, ServiceSummary{Name: name, Generation: d.Generation, Upstreams: len(d.Upstreams), Callers: len(d.Callers)})
-	}
-	return c.JSON(http.StatusOK, out)
-}
-
-func (s *Server) getService(c echo.Context) error {
-	d, ok := s.Config.Current().Service(c.Param("name"))
-	if !ok {
-		return echo.NewHTTPError(http.StatusNotFound, "There is no service "+c.Param("name")+".")
-	}
-	text, err := service.Marshal(d)
-	if err != nil {
-		return err
-	}
-	return c.Blob(http.StatusOK, "application/yaml", text)
-}
-
-// Applied is the answer to an accepted edit, or to one that was only checked.
-type Applied struct {
-	Name string `json:"name"`
-	// Generation is the new generation, or the present one after a check.
-	Generation uint64 `json:"generation"`
-	// DryRun says that nothing was changed.
-	DryRun bool `json:"dry_run,omitempty"`
-	// Warnings say what the edit takes away.
-	Warnings []string `json:"warnings,omitempty"`
-}
-
-func (s *Server) putService(c echo.Context) error {
-	text, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxDocumentBytes))
-	if err != nil {
-		return echo.NewHTTPError(http.StatusRequestEntityTooLarge, err.Error())
-	}
-	return s.edit(c, config.Edit{Text: string(text)})
-}
-
-func (s *Server) deleteService(c echo.Context) error { return s.edit(c, config.Edit{Deleted: true}) }
-
-func (s *Server) edit(c echo.Context, edit config.Edit) error {
-	var err error
-	edit.Name = c.Param("name")
-	edit.By = c.QueryParam("by")
-	if text := c.QueryParam("based_on"); text != "" {
-		if edit.BasedOn, err = strconv.ParseUint(text, 10, 64); err != nil {
-			return echo.NewHTTPError(http.StatusBadRequest, "based_on is not a generation.")
-		}
-	}
-	applied := Applied{Name: edit.Name}
-	if !edit.Deleted {
-		next, err := service.Parse(edit.Name, []byte(edit.Text))
-		if err != nil {
-			return echo.NewHTTPError(http.StatusBadRequest, err.Error())
-		}
-		current, _ := s.Config.Current().Service(edit.Name)
-		applied.Warnings = Warnings(current, next)
-	}
-	if c.QueryParam("dry_run") == "true" {
-		applied.DryRun, applied.Generation = true, s.Config.Current().Generation(edit.Name)
-		return c.JSON(http.StatusOK, applied)
-	}
-	if applied.Generation, err = s.Editor.Apply(c.Request().Context(), edit); err != nil {
-		return err
-	}
-	return c.JSON(http.StatusOK, applied)
-}
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -227,23 +227,43 @@
 	require.Len(t, list.Jobs, len(doc.Callers))
 }
 
-func TestDryRunChangesNothing(t *testing.T) {
+func TestEditHistoryAndRollback(t *testing.T) {
 	h := newHosts(t, "a")[0]
 	doc, err := service.Parse("kyushu", examples.Kyushu)
 	require.NoError(t, err)
-	doc.Generation = 1
-	h.Config.Apply(doc)
-	next := *doc
-	next.Upstreams, next.Generation = nil, 0
-	text, err := service.Marshal(&next)
-	require.NoError(t, err)
+	path := "/v1/services/" + doc.Name
+	text := func() string {
+		out, err := service.Marshal(doc)
+		require.NoError(t, err)
+		return string(out)
+	}
 	var applied admin.Applied
-	require.Equal(t, 200, h.call(t, "PUT", "/v1/services/"+doc.Name+"?dry_run=true", string(text), &applied))
+	require.Equal(t, 200, h.call(t, "PUT", path+"?by=ann", text(), &applied))
+	require.EqualValues(t, 1, applied.Generation)
+	all := doc.Upstreams
+	doc.Upstreams = nil
+	applied = admin.Applied{}
+	require.Equal(t, 200, h.call(t, "PUT", path+"?dry_run=true&based_on=1", text(), &applied))
 	require.True(t, applied.DryRun)
-	require.NotEmpty(t, applied.Warnings)
-	require.Contains(t, applied.Warnings[0], "last upstream")
-	require.Equal(t, 400, h.call(t, "PUT", "/v1/services/x?dry_run=true", "name: [", nil))
-	require.EqualValues(t, 1, h.Config.Current().Generation(doc.Name))
+	require.NotEmpty(t, applied.Diff)
+	require.Contains(t, applied.Warnings[0].Message, "last upstream")
+	require.Equal(t, 400, h.call(t, "PUT", path+"?dry_run=true", "name: [", nil))
+	require.Equal(t, 409, h.call(t, "PUT", path, text(), nil), "based on no generation")
+
+	var history []admin.Generation
+	require.Equal(t, 200, h.call(t, "GET", path+"/history", "", &history))
+	require.Len(t, history, 1, "a dry run changes nothing")
+	require.Equal(t, "ann", history[0].By)
+	require.Equal(t, 200, h.call(t, "PUT", path+"?based_on=1", text(), nil))
+	require.Equal(t, 409, h.call(t, "POST", path+"/rollback?to=1&based_on=1", "", nil))
+	applied = admin.Applied{}
+	require.Equal(t, 200, h.call(t, "POST", path+"/rollback?to=1&based_on=2", "", &applied))
+	require.EqualValues(t, 3, applied.Generation, "a rollback is a new generation")
+	h.call(t, "GET", path+"/history", "", &history)
+	require.Equal(t, history[2].Text, history[0].Text)
+	require.Contains(t, history[0].Text, all[0].Name)
+	require.Equal(t, 404, h.call(t, "POST", path+"/rollback?to=9&based_on=3", "", nil))
+	require.Equal(t, 404, h.call(t, "GET", "/v1/services/none/history", "", nil))
 }
 
 func TestTokenIsRequired(t *testing.T) {
--- a/cli/control/control_test.go
+++ b/cli/control/control_test.go
@@ -30,11 +30,11 @@
 	document string
 }
 
-func startOperated(t *testing.T) *operated {
+func startOperated(t *testing.T, hosts int) *operated {
 	doc, err := service.Parse("kyushu", examples.Kyushu)
 	require.NoError(t, err)
 	f, err := fleet.Start(fleet.Spec{
-		Places:    []fleet.Place{{DataCentre: "fukuoka-hakata", Region: "fukuoka", Hosts: 1}},
+		Places:    []fleet.Place{{DataCentre: "fukuoka-hakata", Region: "fukuoka", Hosts: hosts}},
 		Documents: []*service.Document{doc},
 	})
 	require.NoError(t, err)
@@ -76,22 +76,23 @@
 }
 
 func TestServiceCommands(t *testing.T) {
-	o := startOperated(t)
+	o := startOperated(t, 1)
 	require.Contains(t, o.ok(t, "service", "list"), "dispatch-llm")
 	text := o.ok(t, "service", "get", "dispatch-llm")
 	o.write(t, "service.yaml", text)
 	require.Empty(t, o.ok(t, "service", "diff", "-f", o.document))
 
 	edited := strings.Replace(text, "concurrency: 16", "concurrency: 8", 1)
+	edited = strings.Replace(edited, "max_tries: 3", "max_tries: 2", 1)
 	require.NotEqual(t, text, edited)
 	o.write(t, "service.yaml", edited)
 	out, _, code := o.run("service", "diff", "-f", o.document)
 	require.Equal(t, cli.ExitConflict, code)
 	require.Contains(t, out, "concurrency: 8")
 
-	_, errOut, code := o.run("service", "apply", "-f", o.document, "--dry-run")
-	require.Zero(t, code)
-	require.Contains(t, errOut, "routing.concurrency is lowered")
+	out, errOut, code := o.run("service", "apply", "-f", o.document, "--dry-run")
+	require.Zero(t, code, errOut)
+	require.Regexp(t, `(?m)^\+.*concurrency: 8$`, out)
 	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 16", "a dry run changes nothing")
 
 	_, errOut, code = o.run("service", "apply", "-f", o.document, "--wait", "--timeout", "10s")
@@ -102,10 +103,26 @@
 	_, errOut, code = o.run("service", "apply", "-f", o.document)
 	require.Equal(t, cli.ExitConflict, code, "the file is based on the generation before")
 	require.Contains(t, errOut, "--based-on 2")
+
+	o.ok(t, "service", "rollback", "dispatch-llm", "--to", "1", "--wait")
+	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 16")
+	require.Regexp(t, `(?s)\n3 .*\n2 .*\n1 `, o.ok(t, "service", "history", "dispatch-llm"))
+	_, _, code = o.run("service", "rollback", "dispatch-llm", "--to", "9")
+	require.Equal(t, cli.ExitNotFound, code)
+
+	bare := strings.Replace(text, "generation: 1", "generation: 3", 1)
+	at := strings.Index(bare, "upstreams:")
+	require.Positive(t, at)
+	head, tail := bare[:at], bare[at:]
+	_, tail, _ = strings.Cut(tail, "\nclasses:")
+	o.write(t, "service.yaml", head+"upstreams: []\nclasses:"+tail)
+	_, errOut, code = o.run("service", "apply", "-f", o.document, "--dry-run")
+	require.Zero(t, code, errOut)
+	require.Contains(t, errOut, "takes away the last upstream")
 }
 
 func TestExitCodesAndAdvice(t *testing.T) {
-	o := startOperated(t)
+	o := startOperated(t, 1)
 	bad := o.write(t, "bad.yaml", "name: [")
 	cases := []struct {
 		args   []string
@@ -133,7 +150,7 @@
 }
 
 func TestViews(t *testing.T) {
-	o := startOperated(t)
+	o := startOperated(t, 1)
 	o.Hosts[0].Node.Events().Record(timeline.Event{
 		Request: "r-1", Kind: "request.sent", Upstream: "u1", Cause: "lower score",
 		Scores: []timeline.Score{{Upstream: "u1", Score: 1}, {Upstream: "u2", Score: 2.5}},
@@ -161,6 +178,27 @@
 	require.Contains(t, o.ok(t, "__complete", "service", "get", "--context", "kyushu", ""), "dispatch-llm")
 }
 
+// TestLostHostIsNamed: a host that was lost is in every answer that its part is
+// missing from, also after membership has dropped it.
+func TestLostHostIsNamed(t *testing.T) {
+	o := startOperated(t, 3)
+	lost := o.Hosts[2].Settings.Host
+	require.Eventually(t, func() bool {
+		return strings.Count(o.ok(t, "hosts"), " true ") == 3
+	}, 20*time.Second, 20*time.Millisecond, "all hosts see each other")
+	o.Hosts[2].Kill()
+	for _, args := range [][]string{{"timeline"}, {"cost"}, {"upstreams"}} {
+		require.Contains(t, o.ok(t, args...), "missing: "+lost, "%v", args)
+	}
+	require.Eventually(t, func() bool {
+		return strings.Contains(o.ok(t, "timeline"), "missing: "+lost+": the host is gone")
+	}, 20*time.Second, 50*time.Millisecond, "membership drops the host")
+	o.write(t, "service.yaml", o.ok(t, "service", "get", "dispatch-llm"))
+	_, errOut, code := o.run("service", "apply", "-f", o.document, "--wait", "--timeout", "100ms")
+	require.Equal(t, cli.ExitFailure, code)
+	require.Contains(t, errOut, "behind: "+lost)
+}
+
 func TestBehindHostsAreNamed(t *testing.T) {
 	hosts := []admin.HostStatus{
 		{Host: membership.Host{Name: "a"}, Generations: map[string]uint64{"s": 3}},
--- a/cli/control/report_test.go
+++ b/cli/control/report_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestReportIsOneWholePage(t *testing.T) {
-	o := startOperated(t)
+	o := startOperated(t, 1)
 	path := filepath.Join(o.folder, "report.html")
 	o.Hosts[0].Node.Book().Add("dispatch-llm", "crews", "answer_tokens", "", 1)
 	_, errOut, code := o.run("report", "--for", "60ms", "--interval", "20ms", "-f", path)
--- a/cli/control/service.go
+++ b/cli/control/service.go
@@ -26,7 +26,8 @@
 
 func newServiceCommand(f *flags) *cobra.Command {
 	cmd := &cobra.Command{Use: "service", Short: "Work with service documents"}
-	cmd.AddCommand(newCheckCommand(), newApplyCommand(f), newGetCommand(f), newDiffCommand(f), newListCommand(f))
+	cmd.AddCommand(newCheckCommand(), newApplyCommand(f), newGetCommand(f), newDiffCommand(f), newListCommand(f),
+		newHistoryCommand(f), newRollbackCommand(f))
 	return cmd
 }
 
@@ -85,12 +86,16 @@
 	}
 	fileFlag(cmd, &a.path)
 	cmd.Flags().BoolVar(&a.dryRun, "dry-run", false, "check and say what would be taken away; change nothing")
-	cmd.Flags().BoolVar(&a.wait, "wait", false, "wait until the generation is in force on every host")
-	cmd.Flags().DurationVar(&a.timeout, "timeout", 30*time.Second, "bound on --wait")
+	a.waitFlags(cmd)
 	cmd.Flags().Int64Var(&a.basedOn, "based-on", -1, "generation that the edit is based on, instead of the file's")
 	return cmd
 }
 
+func (a *apply) waitFlags(cmd *cobra.Command) {
+	cmd.Flags().BoolVar(&a.wait, "wait", false, "wait until the generation is in force on every host")
+	cmd.Flags().DurationVar(&a.timeout, "timeout", 30*time.Second, "bound on --wait")
+}
+
 func (a *apply) run(c *client, p *printer, _ []string) error {
 	doc, text, err := readDocument(a.path)
 	if err != nil {
@@ -113,8 +118,16 @@
 		return errors.Wrap(err, "the answer can't be read")
 	}
 	for _, w := range applied.Warnings {
-		fmt.Fprintln(a.errOut, "warning:", w)
+		fmt.Fprintf(a.errOut, "warning: %s: %s\n", w.Field, w.Message)
 	}
+	if a.dryRun {
+		p.note("%s", applied.Diff)
+	}
+	return a.finish(c, p, &applied)
+}
+
+// finish prints what was applied, and waits for the hosts if asked.
+func (a *apply) finish(c *client, p *printer, applied *admin.Applied) error {
 	t := table{head: []string{"SERVICE", "GENERATION", "CHANGED"}}
 	t.add(applied.Name, applied.Generation, !applied.DryRun)
 	if err := p.print(applied, &t); err != nil || !a.wait || a.dryRun {
@@ -298,3 +311,61 @@
 	}
 	return names, cobra.ShellCompDirectiveNoFileComp
 }
+
+func newHistoryCommand(f *flags) *cobra.Command {
+	return &cobra.Command{
+		Use: "history NAME", Short: "List the kept generations of a document", Args: cobra.ExactArgs(1),
+		Long:    "List the kept generations of a document, newest first. -o yaml prints their texts.",
+		Example: "  spindlectl service history dispatch-llm", ValidArgsFunction: f.completeServices,
+		RunE: f.run(func(c *client, p *printer, args []string) error {
+			var all []admin.Generation
+			if err := c.get(servicePath(args[0])+"/history", nil, &all); err != nil {
+				return err
+			}
+			t := table{head: []string{"GENERATION", "AT", "BY", "DELETED"}}
+			for _, g := range all {
+				t.add(g.Generation, g.At.Format(time.RFC3339), g.By, g.Deleted)
+			}
+			return p.print(all, &t)
+		}),
+	}
+}
+
+func newRollbackCommand(f *flags) *cobra.Command {
+	a := &apply{}
+	var to uint64
+	cmd := &cobra.Command{
+		Use: "rollback NAME", Short: "Make an earlier text the next generation", Args: cobra.ExactArgs(1),
+		Example: "  spindlectl service rollback dispatch-llm --to 12 --wait", ValidArgsFunction: f.completeServices,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a.errOut = cmd.ErrOrStderr()
+			return f.run(func(c *client, p *printer, args []string) error { return a.rollback(c, p, args[0], to) })(cmd, args)
+		},
+	}
+	cmd.Flags().Uint64Var(&to, "to", 0, "generation whose text comes back, required")
+	_ = cmd.MarkFlagRequired("to")
+	a.waitFlags(cmd)
+	return cmd
+}
+
+// rollback is based on the newest generation of the history, so that an edit
+// that comes meanwhile is not undone unseen.
+func (a *apply) rollback(c *client, p *printer, name string, to uint64) error {
+	var history []admin.Generation
+	if err := c.get(servicePath(name)+"/history", nil, &history); err != nil {
+		return err
+	}
+	query := url.Values{
+		"to": {strconv.FormatUint(to, 10)}, "by": {operatorName()},
+		"based_on": {strconv.FormatUint(history[0].Generation, 10)},
+	}
+	answer, err := c.do(call{method: http.MethodPost, path: servicePath(name) + "/rollback", query: query})
+	if err != nil {
+		return err
+	}
+	var applied admin.Applied
+	if err := json.Unmarshal(answer, &applied); err != nil {
+		return errors.Wrap(err, "the answer can't be read")
+	}
+	return a.finish(c, p, &applied)
+}
--- a/node/routing.go
+++ b/node/routing.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/routing"
@@ -84,3 +85,16 @@
 	load := &upstream.Load{}
 	return load, json.NewDecoder(io.LimitReader(res.Body, maxLoadBytes)).Decode(load)
 }
+
+// use returns what this host sees to run under a document.
+func (n *Node) use(name string) config.Use {
+	use := config.Use{Waiting: n.online.runner.Admission.Waiting(name)}
+	for _, s := range n.upstreamStatuses() {
+		if s.Service != name {
+			continue
+		}
+		use.Running = max(use.Running, s.Online+s.Batch)
+		use.BatchSlots = max(use.BatchSlots, s.Batch)
+	}
+	return use
+}
