--- a/cli/control/report.go
+++ b/cli/control/report.go
@@ -29,6 +29,9 @@
 	plotHeight = 8 * vg.Centimeter
 )
 
+// legendRoom is the part of a plot's height that is added for its legend.
+const legendRoom = 0.3
+
 //go:embed report.html
 var reportText string
 
@@ -201,6 +204,8 @@
 			return "", err
 		}
 	}
+	// Room for the legend above the lines.
+	p.Y.Max += legendRoom * (p.Y.Max - p.Y.Min)
 	canvas := vgsvg.New(plotWidth, plotHeight)
 	p.Draw(draw.New(canvas))
 	var out bytes.Buffer
