--- a/routing/affinity_test.go
+++ b/routing/affinity_test.go
@@ -46,12 +46,12 @@
 
 func (c *cacheIndex) Holds(address string, prefix uint64) bool { return c.holds[address][prefix] }
 
-// withEvents feeds an index with events that come late; one in loss is lost.
-func withEvents(spec modelSpec, lag time.Duration, loss int) modelSpec {
+// withEvents feeds an index with events that come late; a part of them is lost.
+func withEvents(spec modelSpec, lag time.Duration, lost float64) modelSpec {
 	index := &cacheIndex{holds: make(map[string]map[uint64]bool)}
 	spec.balancer = loadAwareWith(func(*model) routing.Cache { return index })
 	spec.event = func(m *model, engine int, prefix uint64, dropped bool) {
-		if loss > 0 && m.choices.IntN(loss) == 0 {
+		if m.choices.Float64() < lost {
 			return
 		}
 		m.after(lag, func() {
@@ -92,17 +92,17 @@
 	cases := []struct {
 		name string
 		lag  time.Duration
-		loss int
+		lost float64
 	}{
 		{"prompt and whole", 0, 0},
 		{"late", 2 * time.Second, 0},
-		{"half lost", 20 * time.Millisecond, 2},
-		{"late and nearly all lost", 2 * time.Second, 10},
+		{"half lost", 20 * time.Millisecond, 0.5},
+		{"late and nearly all lost", 2 * time.Second, 0.9},
 	}
 	for _, seed := range []uint64{1, 2} {
 		none := runModel(affinityModel(seed))
 		for _, c := range cases {
-			m := runModel(withEvents(affinityModel(seed), c.lag, c.loss))
+			m := runModel(withEvents(affinityModel(seed), c.lag, c.lost))
 			t.Logf("seed %d, %s: hit rate %.3f without, %.3f with; p99 %s without, %s with",
 				seed, c.name, none.hitRate(), m.hitRate(), none.quantile(.99), m.quantile(.99))
 			require.GreaterOrEqual(t, m.hitRate(), none.hitRate()-affinityNoise, c.name)
