ledger: a bounded queue refuses at once; settlements and waits in the measurement

Cause: claims beyond what a shard can write waited for their timeout and were then refused as perhaps recorded, each with a settlement to follow; and the measured calls left out settlements. Change: at most four batches of claims wait; the rest is refused as not run, at once, with the time to come back. Tests: TestFullQueue, seen to fail without the bound.

--- a/ledger/chunks_test.go
+++ b/ledger/chunks_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -185,7 +186,8 @@
 	})
 }
 
-// TestCallsPerRequest measures the calls and bytes per claim at steady rates,
+// TestCallsPerRequest measures the calls and bytes per claim, its settlement
+// included, at steady rates,
 // with the default number of shards and calls of 3 ms, in one and in two data
 // centres.
 func TestCallsPerRequest(t *testing.T) {
@@ -206,20 +208,26 @@
 				c := newCluster(t, defaultShards, day)
 				c.store.AddFault(platformtest.Fault{Delay: 3 * time.Millisecond})
 				var wg sync.WaitGroup
+				var waited atomic.Int64
 				for i := range seconds * row.perSecond {
 					wg.Go(func() {
-						claim, err := c.claim(row.hosts[i%len(row.hosts)], fmt.Sprint(i), "01J00000000000000000000000")
+						began, host := time.Now(), row.hosts[i%len(row.hosts)]
+						claim, err := c.claim(host, fmt.Sprint(i), "01J00000000000000000000000")
 						if err != nil || !claim.Won {
 							t.Errorf("%+v %v", claim, err)
 						}
+						waited.Add(int64(time.Since(began)))
+						c.hosts[host].Settle(c.doc, claim, verdict.Ran)
 					})
 					time.Sleep(time.Second / time.Duration(row.perSecond))
 				}
 				wg.Wait()
+				time.Sleep(10 * time.Second)
 				claims := float64(seconds * row.perSecond)
 				calls := float64(c.store.Calls("", "")) / claims
-				t.Logf("%d claims a second in %d data centres: %.4f calls and %.0f bytes written a claim",
-					row.perSecond, len(row.hosts)/2, calls, float64(c.store.BytesWritten())/claims)
+				t.Logf("%d claims a second in %d data centres: %.4f calls and %.0f bytes written a claim, %.0f ms mean wait",
+					row.perSecond, len(row.hosts)/2, calls, float64(c.store.BytesWritten())/claims,
+					time.Duration(waited.Load()).Seconds()*1000/claims)
 				if row.bound {
 					require.LessOrEqual(t, calls, target)
 				}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -327,6 +327,39 @@
 	})
 }
 
+// TestFullQueue asks for more claims at once than a shard can write in time:
+// those beyond are refused at once, the others are made.
+func TestFullQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const asks = 4000
+		c := newCluster(t, 1, day)
+		writer := c.writer("a")
+		_, err := c.claim(writer, "warm", "w")
+		require.NoError(t, err)
+		var wg sync.WaitGroup
+		var won, refused atomic.Int64
+		for i := range asks {
+			wg.Go(func() {
+				start := time.Now()
+				claim, err := c.claim(writer, fmt.Sprint(i), "r")
+				if err == nil && claim.Won {
+					won.Add(1)
+					return
+				}
+				requireNotRun(t, err)
+				if time.Since(start) > 0 {
+					t.Errorf("refused after %s", time.Since(start))
+				}
+				refused.Add(1)
+			})
+		}
+		wg.Wait()
+		require.EqualValues(t, asks, won.Load()+refused.Load())
+		require.Positive(t, refused.Load())
+		require.Greater(t, won.Load(), int64(1000))
+	})
+}
+
 func TestLayoutIsKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 8, day)
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -24,6 +24,11 @@
 	settleDelay = 2 * time.Second
 	// batchAsks bounds the asks in one batch, so that it fits the head.
 	batchAsks = 256
+	// maxWaiting bounds the asks that wait, to fewer than can be written in
+	// claimTimeout.
+	maxWaiting = 4 * batchAsks
+	// fullRetryAfter is the advice while the queue is full.
+	fullRetryAfter = time.Second
 	// maxSettlements bounds the settlements that wait.
 	maxSettlements = 4096
 	// batchTimeout bounds the time of one batch.
@@ -81,10 +86,9 @@
 		return s.refuse(&a, outcomeRefused, retryAfter)
 	}
 	w := &waitingAsk{ask: a, answered: make(chan answer, 1)}
-	s.mu.Lock()
-	s.waiting = append(s.waiting, w)
-	s.start()
-	s.mu.Unlock()
+	if !s.enqueue(w) {
+		return answer{Outcome: outcomeRefused, RetryAfter: fullRetryAfter}
+	}
 	select {
 	case got := <-w.answered:
 		return got
@@ -94,6 +98,18 @@
 	}
 }
 
+// enqueue adds an ask to the queue unless that is full.
+func (s *shard) enqueue(w *waitingAsk) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiting) >= maxWaiting {
+		return false
+	}
+	s.waiting = append(s.waiting, w)
+	s.start()
+	return true
+}
+
 // settle queues a settlement for the next batch.
 func (s *shard) settle(st settlement) { s.requeue([]settlement{st}) }
 
