orders: a planned stop gives the term up

Cause: after a planned stop of the issuer, its engines got no orders until the lease had lapsed and the new term's quiet was over, about 50 s. Change: Serve releases held terms when its context ends; number and generation stay in the record. Tests: TestPlannedStop for both kinds of engine; releases in the property over random pauses. Seen to fail without the release, with the term kept after it, and with the number lost.

--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -31,6 +31,8 @@
 	interval = 5 * time.Second
 	// readTimeout bounds the reading of one engine's state.
 	readTimeout = 2 * time.Second
+	// releaseTimeout bounds the release of terms at a planned stop.
+	releaseTimeout = 2 * time.Second
 )
 
 // Options hold what an Issuer needs; all fields but Errors are required.
@@ -91,11 +93,26 @@
 		case <-tick.Chan():
 			i.Round(ctx)
 		case <-ctx.Done():
+			i.release()
 			return ctx.Err()
 		}
 	}
 }
 
+// release ends the terms of this host at a planned stop. A term that can't be
+// ended lapses.
+func (i *Issuer) release() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	ctx, cancel := context.WithTimeout(platform.WithPurpose(context.Background(), platform.PurposeOrders), releaseTimeout)
+	defer cancel()
+	for name, s := range i.terms {
+		if err := s.lease.release(ctx); err != nil {
+			i.opts.Log.WithError(err).WithField("service", name).Warn("term not released")
+		}
+	}
+}
+
 // Round does one round for every service.
 func (i *Issuer) Round(ctx context.Context) {
 	i.mu.Lock()
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -1,6 +1,7 @@
 package orders
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
@@ -207,6 +209,23 @@
 	r.check(t, "2")
 }
 
+// TestPlannedStop hands the term over: the next issuer need not wait for the
+// lease to lapse, but for its own quiet time.
+func TestPlannedStop(t *testing.T) {
+	bothKinds(t, func(t *testing.T, checks bool) {
+		r := newRig(t, 2, checks)
+		r.run(t, 12, r.hosts[0])
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		errtest.Is(t, r.hosts[0].Serve(ctx), context.Canceled)
+		r.doc = r.edit("3")
+		r.hosts[1].doc = r.doc
+		quiet := r.doc.Orders.Timeout + clockMargin
+		r.run(t, int(quiet/interval)+2, r.hosts[1])
+		r.check(t, "3")
+	})
+}
+
 func TestPlatformDownSendsNothing(t *testing.T) {
 	r := newRig(t, 2, false)
 	r.run(t, 12, r.hosts[0])
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -90,6 +90,21 @@
 	return nil
 }
 
+// release ends a held term, so that another host need not wait for it to lapse.
+// An order that is still under way is covered by the quiet of the next term.
+func (l *lease) release(ctx context.Context) error {
+	if !l.held {
+		return nil
+	}
+	l.held = false
+	payload, err := cbor.Marshal(term{Fencing: l.record.Fencing, Generation: l.record.Generation})
+	if err != nil {
+		return errors.Wrap(err, "encode term")
+	}
+	_, err = platform.Swap(ctx, l.store, platform.Put{Key: l.key, Value: payload, If: l.version})
+	return err
+}
+
 // refresh reads the record.
 func (l *lease) refresh(ctx context.Context, now func() time.Time) error {
 	r, err := platform.Read(ctx, l.store, l.key)
--- a/orders/lease_test.go
+++ b/orders/lease_test.go
@@ -72,7 +72,7 @@
 		var sendings []sending
 		for range rapid.IntRange(10, 80).Draw(rt, "steps") {
 			i := rapid.IntRange(0, len(leases)-1).Draw(rt, "host")
-			switch rapid.IntRange(0, 9).Draw(rt, "kind") {
+			switch rapid.IntRange(0, 11).Draw(rt, "kind") {
 			case 0:
 				f := rapid.SampledFrom([]platformtest.Fault{
 					{LoseReply: true}, {LoseRequest: true}, {Late: true}, {Err: platform.ErrUnreachable},
@@ -87,6 +87,8 @@
 				clock.Advance(time.Duration(rapid.IntRange(0, 60).Draw(rt, "long")) * time.Second)
 			case 5, 6:
 				clock.Advance(time.Duration(rapid.IntRange(0, 8).Draw(rt, "short")) * time.Second)
+			case 7:
+				_ = leases[i].release(context.Background())
 			default:
 				c := candidate{Holder: fmt.Sprint(i), Generation: generations[i], Quiet: quiet}
 				_ = leases[i].step(context.Background(), c, clock.Now)
