batch: keep away from lost and reserved replicas

Change: the dispatcher asks Guard.Avoid before it fills a replica. Conclusion: the test found a real fault; it is unchanged.

--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -240,6 +240,10 @@
 
 // fill starts items in free slots.
 func (d *dispatcher) fill(ctx context.Context, doc *service.Document, r *replica) {
+	if slices.Contains(d.engine.guard.Avoid(doc.Name), r.upstream.Name) {
+		// It was lost and is not back, or a suspect runs there alone.
+		return
+	}
 	if r.alone != nil {
 		if len(r.running) == 0 && r.state.Slots > 0 {
 			work := r.alone
