gateway: pace long bodies, rows of bad input files

Cause: the read deadline of an input file bounded the whole upload, and went on while the file was stored: net/http then cancelled the request. Change: each read has the deadline, and none is left after it.

--- a/fleet/online_test.go
+++ b/fleet/online_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"mime/multipart"
 	"net/http"
 	"strings"
 	"sync"
@@ -210,3 +211,49 @@
 	wg.Wait()
 	require.NoError(t, f.Hosts[1].Node.Stop(t.Context()))
 }
+
+// upload sends an input file for a batch job.
+func upload(t *testing.T, h *fleet.Host, lines string) (*http.Response, string) {
+	var form bytes.Buffer
+	w := multipart.NewWriter(&form)
+	require.NoError(t, w.WriteField("purpose", "batch"))
+	part, err := w.CreateFormFile("file", "in.jsonl")
+	require.NoError(t, err)
+	_, err = io.WriteString(part, lines)
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	req, err := http.NewRequest(http.MethodPost, "http://"+h.Node.CallersAddress()+"/v1/files", &form)
+	require.NoError(t, err)
+	req.Header.Set("Authorization", "Bearer "+examples.KeyRouteDesk)
+	req.Header.Set("Content-Type", w.FormDataContentType())
+	res, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	return res, string(body)
+}
+
+func TestBadInputFilesAreRefused(t *testing.T) {
+	f := startSmall(t, upstreamtest.DefaultOptions(), nil)
+	line := func(id string) string {
+		return fmt.Sprintf(`{"custom_id":%q,"method":"POST","url":"/v1/chat/completions","body":{"model":"dispatch","messages":[{"role":"user","content":"a"}]}}`, id) + "\n"
+	}
+	rows := map[string]struct{ lines, param string }{
+		"broken line in the middle": {line("a") + "{\"custom_id\":\n" + line("b"), "line 2"},
+		"custom_id twice":           {line("a") + line("b") + line("a"), "line 3"},
+		"no custom_id":              {line("a") + line(""), "line 2"},
+		"no object":                 {line("a") + "[]\n", "line 2"},
+		"unknown url":               {line("a") + strings.Replace(line("b"), "/v1/chat", "/v9/chat", 1), "line 2"},
+		"long line":                 {line("a") + line(strings.Repeat("x", 2<<20)), "line 2"},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			res, body := upload(t, f.Hosts[0], row.lines)
+			require.GreaterOrEqual(t, res.StatusCode, 400, body)
+			require.Less(t, res.StatusCode, 500, body)
+			require.Equal(t, "not-run", res.Header.Get("Comfreyspindle-Verdict"))
+			require.Contains(t, body, fmt.Sprintf(`"param":"%s`, row.param))
+		})
+	}
+}
--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -19,10 +19,11 @@
 
 // createFile takes the input file of a batch job.
 func (g *Gateway) createFile(c echo.Context) error {
-	if err := g.limitRead(c); err != nil {
-		return err
+	paced := &pacedBody{
+		ReadCloser: c.Request().Body, wait: g.Limits.ReadTimeout,
+		set: http.NewResponseController(c.Response()).SetReadDeadline,
 	}
-	c.Request().Body = http.MaxBytesReader(c.Response(), c.Request().Body, g.Limits.MaxFileBytes)
+	c.Request().Body = http.MaxBytesReader(c.Response(), paced, g.Limits.MaxFileBytes)
 	parts, err := c.Request().MultipartReader()
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The body is not multipart/form-data.")
@@ -46,6 +47,26 @@
 	}
 }
 
+// pacedBody bounds the wait for each part of a body that may be long.
+type pacedBody struct {
+	io.ReadCloser
+	wait time.Duration
+	set  func(time.Time) error
+}
+
+// Read implements io.Reader. After the end no deadline is left, for it would
+// cancel the request while the file is being stored.
+func (p *pacedBody) Read(b []byte) (int, error) {
+	if err := p.set(time.Now().Add(p.wait)); err != nil {
+		return 0, err
+	}
+	n, err := p.ReadCloser.Read(b)
+	if clearErr := p.set(time.Time{}); clearErr != nil {
+		return n, clearErr
+	}
+	return n, err
+}
+
 func (g *Gateway) getFile(c echo.Context) error {
 	f, err := g.Batches.File(c.Request().Context(), identityOf(c), c.Param("id"))
 	if err != nil {
