--- a/batch/dispatch/dispatch_test.go
+++ b/batch/dispatch/dispatch_test.go
@@ -191,3 +191,13 @@
 		}
 	})
 }
+
+func TestBurst(t *testing.T) {
+	for _, c := range []struct {
+		online int
+		usual  float64
+		want   bool
+	}{{0, 0, false}, {3, 0, false}, {4, 0, true}, {8, 4, false}, {16, 4, true}, {110, 50, false}, {150, 50, true}} {
+		require.Equal(t, c.want, dispatch.Burst(c.online, c.usual), "%+v", c)
+	}
+}
--- a/batch/dispatch/slots.go
+++ b/batch/dispatch/slots.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/service"
@@ -82,6 +83,7 @@
 	// burstFactor and burstFloor tell a burst from the usual online work.
 	burstFactor = 2.0
 	burstFloor  = 4.0
+	burstTotal  = 3.0
 	// raiseSlow and raiseFast bound the time between two added slots.
 	raiseSlow = 60 * time.Millisecond
 	raiseFast = 5 * time.Millisecond
@@ -157,6 +159,14 @@
 	return r.raise(conf, p, now)
 }
 
+// Burst reports whether a host's online requests in flight, over all replicas of
+// a service, are far above their usual number: more than twice it and more than
+// the spread of random arrivals (two standard deviations of a Poisson count).
+// The sum shows a burst long before any single replica does.
+func Burst(online int, usual float64) bool {
+	return float64(online) > burstFactor*usual+2*math.Sqrt(usual)+burstTotal
+}
+
 func (r *Replica) fresh(now time.Time) bool {
 	return !r.Reported.At.IsZero() && now.Sub(r.Reported.At) < reportAge
 }
--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -76,6 +76,9 @@
 	mu       sync.Mutex
 	replicas map[membership.UpstreamKey]*replica
 
+	// usual is used only by tick.
+	usual map[string]*usual
+
 	// rateMu is apart from mu, which is held while the worker is called.
 	rateMu sync.Mutex
 	rates  map[string]*rate
@@ -93,6 +96,7 @@
 	return &dispatcher{
 		manager: m, engine: &engine{client: m.o.Client, guard: m.o.Guard}, wake: make(chan struct{}, 1),
 		replicas: make(map[membership.UpstreamKey]*replica), rates: make(map[string]*rate),
+		usual: make(map[string]*usual),
 	}
 }
 
@@ -126,22 +130,26 @@
 		if !ok || doc.Kind != service.KindEngine || !doc.Batch.Enabled {
 			continue
 		}
+		burst := d.bursts(doc)
 		for i := range doc.Upstreams {
 			u := &doc.Upstreams[i]
 			if u.DataCentre != self.DataCentre {
 				continue
 			}
-			d.tickReplica(ctx, doc, u, membership.Rendezvous(hosts, name+"/"+u.Name, 1))
+			d.tickReplica(ctx, doc, u, membership.Rendezvous(hosts, name+"/"+u.Name, 1), burst)
 		}
 	}
 }
 
-func (d *dispatcher) tickReplica(ctx context.Context, doc *service.Document, u *service.Upstream, owner []membership.Host) {
+func (d *dispatcher) tickReplica(ctx context.Context, doc *service.Document, u *service.Upstream, owner []membership.Host, burst bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	r := d.replica(doc.Name, u)
 	now := d.manager.o.Clock.Now()
 	d.observe(r, now)
+	if burst {
+		r.state.BurstAt = now
+	}
 	if len(owner) == 0 || owner[0].Name != d.manager.o.Hosts.Self().Name {
 		d.apply(r, dispatch.Plan{}, now)
 		d.tellOwner(ctx, r, doc, owner, now)
@@ -155,6 +163,33 @@
 	}
 }
 
+// usual is a moving average of a service's online requests on this host.
+type usual struct {
+	online float64
+	seenAt time.Time
+}
+
+// bursts reports whether this host's online requests of a service burst.
+func (d *dispatcher) bursts(doc *service.Document) bool {
+	total := 0
+	for i := range doc.Upstreams {
+		total += d.manager.o.Observer.Activity(doc.Upstreams[i].Address).Online
+	}
+	u, ok := d.usual[doc.Name]
+	if !ok {
+		u = &usual{}
+		d.usual[doc.Name] = u
+	}
+	now := d.manager.o.Clock.Now()
+	burst := dispatch.Burst(total, u.online)
+	if !u.seenAt.IsZero() {
+		part := min(1, now.Sub(u.seenAt).Seconds()/usualTime.Seconds())
+		u.online += (float64(total) - u.online) * part
+	}
+	u.seenAt = now
+	return burst
+}
+
 func (d *dispatcher) replica(name string, u *service.Upstream) *replica {
 	key := membership.UpstreamKey{Service: name, Name: u.Name}
 	r, ok := d.replicas[key]
