batch: polled jobs are read at most twice a second, claims taken over after 75 s

Change: records read for callers are kept for half a second; an endpoint is checked against the file's head; claims are renewed with each flush, every 20 s, and taken over after 75 s without renewal.

--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -32,7 +32,7 @@
 	if !ok {
 		return Job{}, verdict.New(verdict.NotRun, verdict.CodeUnknownService, "Service %s is gone.", f.Service).WithParam("input_file_id")
 	}
-	if err := m.checkEndpoint(ctx, f, req.Endpoint); err != nil {
+	if err := checkEndpoint(f, req.Endpoint); err != nil {
 		return Job{}, err
 	}
 	due := req.Due
@@ -59,21 +59,36 @@
 
 // checkEndpoint compares the job's endpoint with that of the file's items,
 // which are all alike.
-func (m *Manager) checkEndpoint(ctx context.Context, f *store.File, endpoint string) error {
-	items, err := store.ReadSegment(ctx, m.o.KV, f.Data, 0)
-	if err != nil {
-		return unreadable(err, "file", f.ID)
-	}
-	if items[0].URL == endpoint {
+func checkEndpoint(f *store.File, endpoint string) error {
+	if f.URL == endpoint {
 		return nil
 	}
 	return verdict.New(verdict.NotRun, verdict.CodeInvalidRequest,
-		"The field endpoint must be %s, as in the file.", items[0].URL).WithParam("endpoint")
+		"The field endpoint must be %s, as in the file.", f.URL).WithParam("endpoint")
+}
+
+const (
+	// readJobs and readAge bound the records kept to answer callers, so that
+	// callers that poll cost the platform's service nothing.
+	readJobs = 256
+	readAge  = 500 * time.Millisecond
+)
+
+// read returns a job's record that is at most readAge old.
+func (m *Manager) read(ctx context.Context, id string) (*store.Job, error) {
+	if job, ok := m.reads.Get(id); ok {
+		return job, nil
+	}
+	job, err := store.Load(ctx, m.o.KV, id)
+	if err == nil {
+		m.reads.Add(id, job)
+	}
+	return job, err
 }
 
 // load reads a job that the caller may see.
 func (m *Manager) load(ctx context.Context, who config.Identity, id, what, asked string) (*store.Job, error) {
-	job, err := store.Load(ctx, m.o.KV, id)
+	job, err := m.read(ctx, id)
 	if err == nil && (job.Status == store.StatusAbandoned || job.Caller == "" || !who.May(job.Service, job.Caller)) {
 		err = platform.ErrNotFound
 	}
@@ -118,7 +133,7 @@
 				more = true
 				return false, nil
 			}
-			rec, err := store.Load(ctx, m.o.KV, id)
+			rec, err := m.read(ctx, id)
 			if errors.Is(err, platform.ErrNotFound) || err == nil && rec.Status == store.StatusAbandoned {
 				return true, nil
 			}
@@ -139,7 +154,8 @@
 	ctx = platform.WithPurpose(ctx, platform.PurposeCancel)
 	rec, err := m.load(ctx, who, id, "job", id)
 	if err == nil {
-		rec, err = store.Update(ctx, m.o.KV, id, rec, m.cancelChange)
+		rec, err = store.Update(ctx, m.o.KV, id, nil, m.cancelChange)
+		m.reads.Remove(id)
 	}
 	var final *verdict.Error
 	if errors.As(err, &final) && final.Code == verdict.CodeNotFound {
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/golang-lru/v2/expirable"
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
@@ -56,6 +57,8 @@
 	dispatcher *dispatcher
 	collector  *store.Collector
 	wake       chan struct{}
+	// reads holds records read of late for callers.
+	reads *expirable.LRU[string, *store.Job]
 
 	mu    sync.Mutex
 	index map[string]map[int][]store.ActiveEntry
@@ -67,7 +70,8 @@
 func NewManager(o Options) *Manager {
 	m := &Manager{
 		o: o, acceptor: &store.Acceptor{KV: o.KV, Clock: o.Clock}, collector: &store.Collector{KV: o.KV},
-		wake: make(chan struct{}, 1), index: make(map[string]map[int][]store.ActiveEntry),
+		reads: expirable.NewLRU[string, *store.Job](readJobs, nil, readAge),
+		wake:  make(chan struct{}, 1), index: make(map[string]map[int][]store.ActiveEntry),
 	}
 	left := &departures{hosts: o.Hosts, seen: make(map[string]uint64)}
 	m.worker = run.New(run.Options{
--- a/batch/run/worker.go
+++ b/batch/run/worker.go
@@ -65,8 +65,8 @@
 // DefaultTimes outlast an outage of the platform's service of ten minutes.
 func DefaultTimes() Times {
 	return Times{
-		Term: 15 * time.Minute, Margin: time.Second, Renew: time.Minute, Flush: 20 * time.Second,
-		TakeOver: 4 * time.Minute, Rescan: 5 * time.Second,
+		Term: 15 * time.Minute, Margin: time.Second, Renew: 20 * time.Second, Flush: 20 * time.Second,
+		TakeOver: 75 * time.Second, Rescan: 5 * time.Second,
 		Look: 500 * time.Millisecond, Tend: 2 * time.Minute, Backoff: 2 * time.Second,
 	}
 }
--- a/batch/store/file.go
+++ b/batch/store/file.go
@@ -32,11 +32,13 @@
 
 // FileHead describes an input file. Its creation accepts the file.
 type FileHead struct {
-	ID        string       `json:"id"`
-	Name      string       `json:"name"`
-	Service   string       `json:"service"`
-	Caller    string       `json:"caller"`
-	Digest    string       `json:"digest"`
+	ID      string `json:"id"`
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Caller  string `json:"caller"`
+	Digest  string `json:"digest"`
+	// URL is that of all items.
+	URL       string       `json:"url"`
 	Bytes     int64        `json:"bytes"`
 	Items     int          `json:"items"`
 	CreatedAt time.Time    `json:"created_at"`
@@ -76,6 +78,7 @@
 	segmentItems int
 	data         string
 	digest       hash.Hash
+	url          string
 	text         bytes.Buffer
 	inSegment    int
 	items        int
@@ -104,6 +107,7 @@
 		}
 	}
 	_, _ = w.digest.Write(line)
+	w.url = item.URL
 	w.text.Write(line)
 	w.inSegment++
 	w.items++
@@ -134,7 +138,7 @@
 		}
 	}
 	return &FileHead{
-		Digest: hex.EncodeToString(w.digest.Sum(nil)), Bytes: w.bytes, Items: w.items,
+		Digest: hex.EncodeToString(w.digest.Sum(nil)), URL: w.url, Bytes: w.bytes, Items: w.items,
 		Data: w.data, Segments: w.segments,
 	}, nil
 }
