batch/run: claim from the known record

Change: further segments of a job are claimed without a read where the known record shows free ones.

--- a/batch/run/step.go
+++ b/batch/run/step.go
@@ -680,6 +680,12 @@
 
 // claimFrom looks at one job and reports whether to go on to the next.
 func (w *Worker) claimFrom(ctx context.Context, id string, missing int) bool {
+	if rec, ok := w.knownFree(id); ok && missing > 0 {
+		// A record that has changed meanwhile fails the write and is read then.
+		w.looked()
+		w.write(ctx, &plan{id: id, known: rec, flushes: w.flushesOf(id), claim: missing})
+		return true
+	}
 	rec, err := store.Load(ctx, w.o.KV, id)
 	if isNotFound(err) {
 		return w.unaccepted(ctx, id)
@@ -709,6 +715,23 @@
 	return true
 }
 
+// knownFree returns the newest known record of a job of which this host holds
+// segments, when it has free ones.
+func (w *Worker) knownFree(id string) (*store.Job, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	j, ok := w.jobs[id]
+	if !ok || j.known == nil || len(j.held) == 0 {
+		return nil, false
+	}
+	for n := range j.known.Segments {
+		if j.known.Free(n) {
+			return j.known, true
+		}
+	}
+	return nil, false
+}
+
 // look notes what a record says.
 func (w *Worker) look(id string, rec *store.Job) {
 	w.mu.Lock()
