membership: hosts of several data centres that start together meet within seconds

Cause: a host that had started alone got the table of the one it then asked, but not the other way round, and an update in a small data centre was carried twice only; where one was lost, hosts stayed unknown until the next comparison of tables, up to 45 s. Seen as 29.7 s in TestSameNameIsNotReady's start (fleet).

Change: an admission carries the table's digest and asks for what the admitted host knows; an update goes with at least six messages; tables are compared more often in small data centres; a member asks its seeds often in its first 10 s.

DryRun also takes the running requests that upstreams report (node.use).

--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/examples"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -192,3 +193,36 @@
 		require.Equal(t, membership.Alive, h.Node.Upstreams().State(key))
 	}
 }
+
+func TestDryRunSeesRunningRequests(t *testing.T) {
+	s := startSite(t)
+	const running = 6
+	h := s.Hosts[0]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range running * len(s.doc.Upstreams) {
+		c := client(h, examples.KeyCrews)
+		go func() {
+			_, _ = c.Chat.Completions.New(ctx, chatParams("a long answer", 4000))
+		}()
+	}
+	lower := *s.doc
+	lower.Generation = 0
+	lower.Routing.Concurrency = 1
+	text, err := service.Marshal(&lower)
+	require.NoError(t, err)
+	edit := config.Edit{Name: s.doc.Name, BasedOn: s.doc.Generation, Text: string(text)}
+	require.Eventually(t, func() bool {
+		p, err := h.Node.Editor().DryRun(t.Context(), edit)
+		if err != nil {
+			return false
+		}
+		for _, w := range p.Warnings {
+			if w.Field == "routing.concurrency" {
+				return true
+			}
+		}
+		return false
+	}, 10*time.Second, 5*time.Millisecond)
+	require.Equal(t, s.doc.Generation, h.Node.Config().Current().Generation(s.doc.Name))
+}
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -17,3 +19,32 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N)/members, "us/member-second")
 }
+
+// BenchmarkTableMemory measures the memory of one member that knows the hosts
+// of the design size.
+func BenchmarkTableMemory(b *testing.B) {
+	const local, remote = 250, 1950
+	s := newSim(b, 1)
+	template := s.add("a", "x", 1).self.hostUpdate
+	var bytes uint64
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		m := newMachine(template, nil, s.rnd, s.now)
+		for i := range local + remote {
+			u := template
+			u.Name = fmt.Sprintf("data-centre-host-%d", i)
+			if i >= local {
+				u.DataCentre = fmt.Sprintf("data-centre-%d", i%9)
+			}
+			m.take(s.now, u)
+		}
+		m.view()
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		bytes = after.HeapAlloc - before.HeapAlloc
+		runtime.KeepAlive(m)
+	}
+	b.ReportMetric(float64(bytes), "B/member")
+}
--- a/membership/machine.go
+++ b/membership/machine.go
@@ -26,8 +26,13 @@
 	// joinPatience is how long a member without an answer waits before it
 	// starts alone.
 	joinPatience = 2 * time.Second
-	// digestPeriod is the time between two comparisons of whole tables.
-	digestPeriod = 30 * time.Second
+	// startTime is how long a new member asks its seeds often: those that
+	// start together may not know each other yet.
+	startTime = 10 * time.Second
+	// digestPeriod and digestMemberPeriod for each member make the time between
+	// two comparisons of whole tables, which grow with the members.
+	digestPeriod       = 5 * time.Second
+	digestMemberPeriod = 100 * time.Millisecond
 	// surveyPeriod is the time between two comparisons with another data centre.
 	surveyPeriod = 5 * time.Second
 	// goneMemory is how long a host that is gone is remembered and tried.
@@ -129,7 +134,7 @@
 		remote: make(map[item]*record), claims: newClaims(), queue: newQueue(), probes: make(map[uint32]*probe),
 		started: now, lastTick: now, nextPeriod: now, credited: now, pushCredit: pushBurst,
 	}
-	m.nextDigest = now.Add(m.jitter(digestPeriod))
+	m.nextDigest = now.Add(m.digestPause())
 	m.nextSurvey = now.Add(m.jitter(surveyPeriod))
 	m.joined = len(seeds) == 0
 	return m
@@ -139,6 +144,11 @@
 	return d/2 + time.Duration(m.rnd.Int64N(int64(d)))
 }
 
+// digestPause returns the time to the next comparison of whole tables.
+func (m *machine) digestPause() time.Duration {
+	return m.jitter(digestPeriod + time.Duration(len(m.local))*digestMemberPeriod)
+}
+
 func (m *machine) emit(to netip.AddrPort, msg *message) {
 	m.out = append(m.out, outgoing{to: to, msg: msg})
 }
--- a/membership/machine_test.go
+++ b/membership/machine_test.go
@@ -10,6 +10,7 @@
 )
 
 func TestLostHostIsNoticed(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{2, 3, 8, 32, 128, 250} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			s := newSim(t, uint64(n))
@@ -26,6 +27,7 @@
 }
 
 func TestLostRackIsNoticed(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 3)
 	all := s.warmFleet("a", 64, 1)
 	for _, m := range all[40:] {
@@ -36,6 +38,7 @@
 }
 
 func TestLeavingIsKnownAtOnce(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 4)
 	all := s.warmFleet("a", 64, 1)
 	s.send(all[5], all[5].setLeaving(s.now))
@@ -53,6 +56,7 @@
 }
 
 func TestPausedHostIsKept(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		s := newSim(t, seed)
 		all := s.fleet("a", 16, 1)
@@ -77,6 +81,7 @@
 }
 
 func TestSplitAndHeal(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{2, 8, 64} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			s := newSim(t, uint64(n))
@@ -96,6 +101,7 @@
 }
 
 func TestOneWayCut(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 9)
 	all := s.fleet("a", 8, 1)
 	s.cut = func(from, to *simMember) bool { return from == all[1] && to == all[2] }
@@ -108,6 +114,7 @@
 }
 
 func TestDeafHostIsRemoved(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 10)
 	all := s.fleet("a", 8, 1)
 	s.cut = func(_, to *simMember) bool { return to == all[3] }
@@ -117,6 +124,7 @@
 }
 
 func TestAllHostsReplaced(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 11)
 	all := s.fleet("a", 16, 1)
 	for i := range all {
@@ -129,6 +137,7 @@
 }
 
 func TestSameNameIsRefused(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 12)
 	all := s.fleet("a", 8, 1)
 	for _, seed := range all[:4] {
@@ -143,6 +152,7 @@
 }
 
 func TestLostHostComesBackElsewhere(t *testing.T) {
+	t.Parallel()
 	for name, back := range map[string]time.Duration{"clock ahead": 0, "clock behind": -time.Hour} {
 		t.Run(name, func(t *testing.T) {
 			s := newSim(t, 13)
@@ -156,6 +166,7 @@
 }
 
 func TestHostsStartedTogether(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 14)
 	a := s.add("a", "x", 1)
 	b := s.add("a", "y", 2)
@@ -164,7 +175,30 @@
 	s.until(20*time.Second, func() bool { return s.agree([]*simMember{a, b}) })
 }
 
+// Hosts of three data centres that start within milliseconds know each other
+// soon, whatever the order in which their first messages meet.
+func TestDataCentresStartedTogether(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(40) {
+		s := newSim(t, seed)
+		var all []*simMember
+		for i := range 6 {
+			all = append(all, s.add(string(rune('a'+i/2)), fmt.Sprintf("host-%d", i), 1+i, all...))
+			s.run(time.Duration(s.rnd.Int64N(int64(20 * time.Millisecond))))
+		}
+		s.until(5*time.Second, func() bool {
+			for _, m := range all {
+				if !m.joined || len(m.local) != 1 || len(m.remote) != 4 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 func TestOtherDataCentres(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 15)
 	a := s.fleet("a", 6, 1)
 	b := []*simMember{s.add("b", "b-host-0", 100, a[0])}
@@ -197,6 +231,7 @@
 }
 
 func TestUpstreamClaimsReachAllHosts(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 16)
 	a := s.fleet("a", 24, 1)
 	b := s.fleet("b", 24, 100)
@@ -236,6 +271,7 @@
 
 // The users allow 2 KB a second for all control traffic of a host.
 func TestTrafficPerHost(t *testing.T) {
+	t.Parallel()
 	const limit = 2048
 	const measured = 30 * time.Second
 	const seconds = int(measured / time.Second)
@@ -259,6 +295,7 @@
 // One of 250 hosts is replaced every 5 minutes on an ordinary day; here it is
 // every 10 seconds.
 func TestTrafficUnderReplacement(t *testing.T) {
+	t.Parallel()
 	s := newSim(t, 17)
 	all := s.warmFleet("a", 250, 1)
 	s.run(2 * time.Second)
@@ -288,6 +325,7 @@
 }
 
 func TestMergeIsASemilattice(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		a, b, c := genUpdate(t, "a"), genUpdate(t, "b"), genUpdate(t, "c")
 		require.Equal(t, merge(a, b), merge(b, a))
--- a/membership/queue.go
+++ b/membership/queue.go
@@ -6,8 +6,11 @@
 )
 
 // spreadFactor times the logarithm of the number of members is the number of
-// messages that carry one update.
-const spreadFactor = 1
+// messages that carry one update, at least minSpread.
+const (
+	spreadFactor = 1
+	minSpread    = 6
+)
 
 // item names an update that waits to be spread: a host or a claim.
 type item struct {
@@ -45,7 +48,7 @@
 	}
 	sort.Slice(items, func(a, b int) bool { return q.before(items[a], items[b]) })
 	items = items[:min(n, len(items))]
-	limit := spreadFactor * bits.Len(uint(members))
+	limit := max(minSpread, spreadFactor*bits.Len(uint(members)))
 	for _, i := range items {
 		if q.sent[i] == 0 {
 			q.fresh--
--- a/membership/receive.go
+++ b/membership/receive.go
@@ -25,7 +25,7 @@
 	for _, u := range msg.Hosts {
 		m.take(now, u)
 	}
-	if msg.Kind == kindAdmitted && !m.joined {
+	if msg.Kind == kindAdmitted && !m.joined && dc == m.self.DataCentre {
 		// The others know the table that a joining host gets.
 		m.queue = newQueue()
 	}
@@ -199,20 +199,26 @@
 	msg := m.header(kindAdmitted, dc)
 	m.table(msg, true, dc)
 	msg.Claims = m.claims.all()
+	// A host that started alone may know what this one doesn't.
+	msg.Digest = m.tableDigest()
+	msg.Want = wantTable | wantClaims
 	return msg
 }
 
 // answer gives a sender what it wants.
 func (m *machine) answer(reply, msg *message, dc string) *message {
-	if msg.Want == 0 {
+	if msg.Want == 0 || !m.joined {
+		return reply
+	}
+	if msg.Digest != 0 && msg.Digest == m.tableDigest() {
 		return reply
 	}
 	if reply == nil {
 		reply = m.header(kindNews, dc)
 	}
-	if msg.Want&wantTable != 0 && (msg.Digest == 0 || m.tableDigest() != msg.Digest) {
+	if msg.Want&wantTable != 0 {
 		m.table(reply, dc == m.self.DataCentre, dc)
-	} else if msg.Want&wantRecord != 0 && m.joined {
+	} else if msg.Want&wantRecord != 0 {
 		reply.Hosts = append(reply.Hosts, m.wire(&m.self, dc))
 	}
 	if msg.Want&wantClaims != 0 {
--- a/membership/tick.go
+++ b/membership/tick.go
@@ -174,7 +174,7 @@
 		msg.Hosts = append(msg.Hosts, m.wire(r, m.self.DataCentre))
 	}
 	if !now.Before(m.nextDigest) {
-		m.nextDigest = now.Add(m.jitter(digestPeriod))
+		m.nextDigest = now.Add(m.digestPause())
 		msg.Digest = m.tableDigest()
 	}
 	m.emit(r.Peer, msg)
@@ -234,7 +234,7 @@
 		}
 	}
 	n := joinAsks
-	if m.joined && len(m.local)+len(m.remote) > 0 {
+	if m.joined && len(m.local)+len(m.remote) > 0 && now.Sub(m.started) > startTime {
 		if m.rnd.IntN(seedPeriods) > 0 {
 			return
 		}
--- a/node/config.go
+++ b/node/config.go
@@ -34,3 +34,6 @@
 func (n *Node) InForce(ctx context.Context, name string, generation uint64) config.InForce {
 	return n.config.distributor.InForce(ctx, name, generation)
 }
+
+// Editor returns the editor of documents.
+func (n *Node) Editor() *config.Editor { return n.config.editor }
--- a/node/routing.go
+++ b/node/routing.go
@@ -86,7 +86,8 @@
 	return load, json.NewDecoder(io.LimitReader(res.Body, maxLoadBytes)).Decode(load)
 }
 
-// use returns what this host sees to run under a document.
+// use returns what this host sees to run under a document: its own work and
+// what upstreams report.
 func (n *Node) use(name string) config.Use {
 	use := config.Use{Waiting: n.online.runner.Admission.Waiting(name)}
 	for _, s := range n.upstreamStatuses() {
@@ -94,6 +95,9 @@
 			continue
 		}
 		use.Running = max(use.Running, s.Online+s.Batch)
+		if s.Load != nil {
+			use.Running = max(use.Running, s.Load.Running)
+		}
 		use.BatchSlots = max(use.BatchSlots, s.Batch)
 	}
 	return use
--- a/peer/bench_test.go
+++ b/peer/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -27,3 +28,36 @@
 		}
 	}
 }
+
+// BenchmarkConnectionMemory measures the memory of one open connection, both
+// sides together, stacks included.
+func BenchmarkConnectionMemory(b *testing.B) {
+	const servers = 250
+	var addresses []string
+	for range servers {
+		s, err := peer.Listen("127.0.0.1:0", nil)
+		require.NoError(b, err)
+		require.NoError(b, s.Register("Echo", &Echo{}))
+		go func() { _ = s.Serve(b.Context()) }()
+		addresses = append(addresses, s.Address())
+	}
+	var bytes float64
+	for b.Loop() {
+		c := peer.NewClient(5*time.Second, nil)
+		before := inUse()
+		for _, a := range addresses {
+			var reply string
+			require.NoError(b, c.Call(b.Context(), a, "Echo.Say", "a", &reply))
+		}
+		bytes = float64(inUse()-before) / servers
+		c.Close()
+	}
+	b.ReportMetric(bytes, "B/connection")
+}
+
+func inUse() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc + m.StackInuse
+}
