--- a/cli/bench/run.go
+++ b/cli/bench/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"runtime/debug"
+	"runtime/pprof"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
@@ -30,7 +31,7 @@
 
 func newRunCommand() *cobra.Command {
 	env := &experiment.Env{}
-	var format, commit string
+	var format, commit, profile string
 	cmd := &cobra.Command{
 		Use: "run EXPERIMENT", Short: "Run an experiment with its baselines", Args: cobra.ExactArgs(1),
 		Example: `  spindlebench run mixed
@@ -47,6 +48,11 @@
 				return cli.WithCode(errors.Newf("the output format is table or json, not %q", format), cli.ExitUsage)
 			}
 			env.Progress = progress(cmd)
+			stop, err := startProfile(profile)
+			if err != nil {
+				return cli.WithCode(err, cli.ExitUsage)
+			}
+			defer stop()
 			report, err := experiment.Execute(cmd.Context(), x, env, commitOr(commit))
 			if err != nil {
 				return err
@@ -63,10 +69,30 @@
 	cmd.Flags().Uint64Var(&env.Seed, "seed", 1, "seed of the load")
 	cmd.Flags().Float64Var(&env.Scale, "scale", 1, "factor on the length of the run")
 	cmd.Flags().StringVarP(&format, "output", "o", formatTable, "output format: table or json")
+	cmd.Flags().StringVar(&profile, "cpuprofile", "", "write a CPU profile to this file")
 	cmd.Flags().StringVar(&commit, "commit", "", "commit to name in the report; taken from the build where it is known")
 	return cmd
 }
 
+// startProfile begins a CPU profile and returns the function that ends it. An
+// empty path profiles nothing.
+func startProfile(path string) (stop func(), err error) {
+	if path == "" {
+		return func() {}, nil
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "--cpuprofile")
+	}
+	if err := pprof.StartCPUProfile(f); err != nil {
+		return nil, errors.CombineErrors(err, f.Close())
+	}
+	return func() {
+		pprof.StopCPUProfile()
+		_ = f.Close()
+	}, nil
+}
+
 // progress returns where progress is printed: standard error on a terminal.
 func progress(cmd *cobra.Command) io.Writer {
 	info, err := os.Stderr.Stat()
