--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,12 +109,29 @@
 	}
 }
 
+// Ports of the tests lie below the range from which the system takes ports for
+// outgoing connections, so that none of those takes one first.
+const (
+	firstPort = 20000
+	lastPort  = 32000
+)
+
+var nextPort atomic.Int64
+
 // freeAddress returns a free address on loopback.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return address
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 const operatorToken = "operator"
