Planned stop: wait until the balancer has gone quiet, serve late requests

Change: after the delay the host waits until no request has come for a quarter of it, at most one more delay; late requests are served, not refused.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
@@ -42,6 +43,7 @@
 	Log     *logrus.Entry
 
 	leaving  atomic.Bool
+	arrived  atomic.Int64 // Unix nanoseconds of the newest request
 	draining atomic.Bool
 }
 
@@ -50,6 +52,9 @@
 // meet a request on its way.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
+// Quiet returns how long no request has arrived.
+func (g *Gateway) Quiet() time.Duration { return time.Since(time.Unix(0, g.arrived.Load())) }
+
 // Drain makes the gateway refuse new requests as not run.
 func (g *Gateway) Drain() {
 	g.Leave()
@@ -89,6 +94,7 @@
 
 func (g *Gateway) refuseWhileDraining(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		g.arrived.Store(time.Now().UnixNano())
 		if g.leaving.Load() {
 			c.Response().Header().Set("Connection", "close")
 		}
--- a/node/tree.go
+++ b/node/tree.go
@@ -15,6 +15,8 @@
 	failureDecay     = 30.0 // seconds
 	failureBackoff   = 2 * time.Second
 	stopTimeout      = 10 * time.Second
+	// quietPart divides the balancer's delay: so long must no request come.
+	quietPart = 4
 )
 
 // newTree returns the root supervisor. Control parts and serving parts restart
@@ -67,8 +69,8 @@
 
 // Stop stops the node in order: readiness off and connections closed by their
 // next answer, wait for the balancer while new connections are still served,
-// refuse new requests, finish running ones, then stop all parts. Serve must have been
-// called. The context bounds the whole stop.
+// close the listener, finish running requests, then stop all parts. Serve must
+// have been called. The context bounds the whole stop.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
 	n.online.gateway.Leave()
@@ -78,8 +80,9 @@
 	case <-n.clock.After(n.settings.Stop.BalancerDelay):
 	case <-ctx.Done():
 	}
-	n.online.gateway.Drain()
+	n.awaitQuiet(ctx)
 	err := n.gateway.shutdown(ctx)
+	n.online.gateway.Drain()
 	n.drainBatch(ctx)
 	n.leave(ctx)
 	n.cancel()
@@ -87,3 +90,22 @@
 	n.log.Info("stopped")
 	return err
 }
+
+// awaitQuiet waits until the balancer has sent nothing for a part of its delay:
+// a request on its way must not meet the end of the listener or of an idle
+// connection. A balancer that goes on sending is waited for no longer than
+// another delay.
+func (n *Node) awaitQuiet(ctx context.Context) {
+	delay := n.settings.Stop.BalancerDelay
+	end := n.clock.Now().Add(delay)
+	for ctx.Err() == nil && n.clock.Now().Before(end) {
+		wait := delay/quietPart - n.online.gateway.Quiet()
+		if wait <= 0 {
+			return
+		}
+		select {
+		case <-n.clock.After(wait):
+		case <-ctx.Done():
+		}
+	}
+}
