batch: neighbours of an item that crashes its replica are unharmed

Cause: the loss of a replica counted as a try of each item on it. Change: a replica lost with several items doesn't count as a try; after two an item, or at once a suspect of the quarantine, runs alone on a reserved replica, and no item goes to one that the quarantine avoids. Each run has its own id.

--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -9,6 +9,7 @@
 	"github.com/comfreyspindle/comfreyspindle/batch/dispatch"
 	"github.com/comfreyspindle/comfreyspindle/batch/run"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
@@ -42,8 +43,6 @@
 	state    dispatch.Replica
 	cause    dispatch.Cause
 	running  []*flight
-	// alone is an item that must run without others.
-	alone    *run.Work
 	polling  bool
 	polledAt time.Time
 	toldAt   time.Time
@@ -275,18 +274,10 @@
 
 // fill starts items in free slots.
 func (d *dispatcher) fill(ctx context.Context, doc *service.Document, r *replica) {
-	if slices.Contains(d.engine.guard.Avoid(doc.Name), r.upstream.Name) {
+	if slices.Contains(d.manager.o.Guard.Avoid(doc.Name), r.upstream.Name) {
 		// It was lost and is not back, or a suspect runs there alone.
 		return
 	}
-	if r.alone != nil {
-		if len(r.running) == 0 && r.state.Slots > 0 {
-			work := r.alone
-			r.alone = nil
-			d.launch(ctx, doc, r, work)
-		}
-		return
-	}
 	for len(r.running) < r.state.Slots {
 		work, ok := d.manager.worker.Next(doc.Name)
 		if !ok {
@@ -297,16 +288,50 @@
 			d.manager.worker.Fail(work, err)
 			continue
 		}
-		if alone && len(r.running) > 0 {
-			r.alone = work
-			return
+		if alone || doc.Quarantine.Enabled && work.Losses >= aloneAfter {
+			d.launchAlone(ctx, doc, work)
+			continue
 		}
 		d.launch(ctx, doc, r, work)
-		if alone {
-			r.alone = nil
-			return
+	}
+}
+
+// aloneAfter is the number of replicas lost with an item after which it runs
+// alone.
+const aloneAfter = 2
+
+// launchAlone runs an item that may crash its replica alone on one.
+func (d *dispatcher) launchAlone(ctx context.Context, doc *service.Document, work *run.Work) {
+	work.Alone = true
+	d.flights.Go(func() {
+		ctx, cancel := context.WithTimeout(ctx, doc.Routing.RequestTimeout)
+		defer cancel()
+		go func() {
+			select {
+			case <-work.Stopped:
+				cancel()
+			case <-ctx.Done():
+			}
+		}()
+		o := d.runAlone(ctx, doc, work)
+		d.settle(work, o, false)
+		d.wakeUp()
+	})
+}
+
+func (d *dispatcher) runAlone(ctx context.Context, doc *service.Document, work *run.Work) outcome {
+	fp := quarantine.FingerprintOf(work.Service, work.Item.Body)
+	reserved, err := d.manager.o.Guard.Reserve(ctx, doc, fp)
+	if err != nil {
+		return outcome{err: err}
+	}
+	defer reserved.Release()
+	for i := range doc.Upstreams {
+		if u := doc.Upstreams[i]; u.Name == reserved.Upstream {
+			return d.engine.run(ctx, doc, &u, work, d.manager.worker.MayStart)
 		}
 	}
+	return outcome{}
 }
 
 func (d *dispatcher) launch(ctx context.Context, doc *service.Document, r *replica, work *run.Work) {
@@ -366,6 +391,8 @@
 	case aside || stopped:
 		d.accountWaste(work, o)
 		w.Yield(work, o.partial)
+	case o.lost && !work.Alone:
+		w.Lose(work, o.err)
 	default:
 		w.Fail(work, o.err)
 	}
--- a/batch/engine.go
+++ b/batch/engine.go
@@ -54,6 +54,8 @@
 	partial run.Partial
 	load    *upstream.Load
 	leaving bool
+	// lost says that the replica was lost with the item.
+	lost bool
 }
 
 // check asks the quarantine about an item.
@@ -77,7 +79,9 @@
 	fp := quarantine.FingerprintOf(work.Service, work.Item.Body)
 	e.guard.Started(work.Service, u.Name, fp)
 	o := e.exchange(ctx, u, work, body, streamed)
-	e.guard.Ended(work.Service, u.Name, fp, endOf(ctx, o.err))
+	end := endOf(ctx, o.err)
+	o.lost = end == quarantine.Lost
+	e.guard.Ended(work.Service, u.Name, fp, end)
 	return o
 }
 
--- a/batch/run/items.go
+++ b/batch/run/items.go
@@ -179,6 +179,27 @@
 	s.queue = append(s.queue, work.Index)
 }
 
+// maxLosses bounds the replicas lost with one item among others.
+const maxLosses = 20
+
+// Lose ends a run whose replica was lost while it ran other items as well. The
+// loss may be another item's doing, so it doesn't count as a try.
+func (w *Worker) Lose(work *Work, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.settle(work) {
+		return
+	}
+	s := work.segment
+	if s.losses[work.Index]++; s.once || s.losses[work.Index] >= maxLosses {
+		w.keep(s, work.Index, failure(work.Item.CustomID, err))
+		return
+	}
+	w.waste(s, WasteLost, 1)
+	s.tries[work.Index]--
+	s.queue = append(s.queue, work.Index)
+}
+
 // Reject gives an item back that did not start; it doesn't count as a try.
 func (w *Worker) Reject(work *Work) {
 	w.mu.Lock()
--- a/batch/run/segment.go
+++ b/batch/run/segment.go
@@ -21,9 +21,12 @@
 	termEnd   time.Time
 	renewedAt time.Time
 	// queue holds items that have not ended, next first.
-	queue    []int
-	running  map[int]*Work
-	tries    map[int]int
+	queue   []int
+	running map[int]*Work
+	tries   map[int]int
+	losses  map[int]int
+	// starts counts the runs, so that each has its own id.
+	starts   map[int]int
 	partial  map[int]Partial
 	marked   store.Bitmap
 	begun    store.Bitmap
@@ -85,6 +88,10 @@
 	Once bool
 	// Try counts runs of this item on this host, from 1.
 	Try int
+	// Losses counts the replicas that were lost while they ran this item with
+	// others; Alone says that this run has its replica to itself.
+	Losses int
+	Alone  bool
 	// Partial continues an earlier run.
 	Partial Partial
 	// StartBy is the time after which the item must not start.
@@ -96,10 +103,11 @@
 
 func (w *Worker) newWork(s *segment, i int) *Work {
 	s.tries[i]++
+	s.starts[i]++
 	return &Work{
 		Job: s.job, Service: s.service, Caller: s.caller, Segment: s.n, Index: i,
-		ID:   fmt.Sprintf("%s-%d-%d-%d-%d", s.job, s.n, i, s.epoch, s.tries[i]),
-		Item: s.items[i], Once: s.once, Try: s.tries[i], Partial: s.partial[i],
+		ID:   fmt.Sprintf("%s-%d-%d-%d-%d", s.job, s.n, i, s.epoch, s.starts[i]),
+		Item: s.items[i], Once: s.once, Try: s.tries[i], Losses: s.losses[i], Partial: s.partial[i],
 		StartBy: s.termEnd, Stopped: s.stop, segment: s,
 	}
 }
--- a/batch/run/step.go
+++ b/batch/run/step.go
@@ -578,7 +578,7 @@
 	s := &segment{
 		job: id, service: rec.Service, caller: rec.Caller, run: rec.Run, n: n, epoch: seg.Epoch, once: rec.Once,
 		items: items, termEnd: began.Add(w.o.Times.Term), renewedAt: began,
-		running: make(map[int]*Work), tries: make(map[int]int), partial: make(map[int]Partial),
+		running: make(map[int]*Work), tries: make(map[int]int), losses: make(map[int]int), starts: make(map[int]int), partial: make(map[int]Partial),
 		sequence: seg.NextSequence(seg.Epoch), stop: make(chan struct{}),
 	}
 	for i := range items {
--- a/batch/run/worker.go
+++ b/batch/run/worker.go
@@ -36,6 +36,7 @@
 	WasteClaimLost = "claim lost"
 	WasteCancelled = "job cancelled"
 	WasteFailed    = "item failed"
+	WasteLost      = "replica lost"
 )
 
 // Times bound a worker's claims and writes.
--- a/batch/run/worker_test.go
+++ b/batch/run/worker_test.go
@@ -22,6 +22,7 @@
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 // bench holds one service with real times under a fake clock.
@@ -319,3 +320,34 @@
 	_, completed, _ := b.status(id).Counts()
 	require.Equal(t, 1499, completed)
 }
+
+// TestLossesOfOthersDontCountAsTries loses the replica of an item again and
+// again while it runs with others, then lets it fail by itself.
+func TestLossesOfOthersDontCountAsTries(t *testing.T) {
+	b := newBench(t)
+	id := b.accept(b.kv, 1).ID
+	w := b.worker("a", run.DefaultLimits())
+	b.announce(w)
+	b.step(w, 1)
+	ids := make(map[string]bool)
+	next := func() *run.Work {
+		works := b.begin(w, 1)
+		require.Len(t, works, 1)
+		require.False(t, ids[works[0].ID], "each run has its own id")
+		ids[works[0].ID] = true
+		return works[0]
+	}
+	lost := verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "The replica was lost.")
+	for n := range 5 {
+		work := next()
+		require.Equal(t, n, work.Losses)
+		w.Lose(work, lost)
+	}
+	for range b.doc.Batch.MaxTries {
+		require.Equal(t, store.StatusInProgress, b.status(id).Status)
+		w.Fail(next(), lost)
+	}
+	b.step(w, 1)
+	_, _, failed := b.status(id).Counts()
+	require.Equal(t, 1, failed)
+}
