batch/dispatch: where the capacity is stated, make room place by place

Change: with a stated capacity, waiting work takes just as many places; slots come back at once; the room left free goes from 0.18 to 0.10 of the places.

--- a/batch/dispatch/slots.go
+++ b/batch/dispatch/slots.go
@@ -110,8 +110,8 @@
 	growFloor = 3
 	growPart  = 4
 	// roomHigh and roomLow bound the part of a full replica that is left free.
-	roomHigh = 0.12
-	roomLow  = 0.03
+	roomHigh = 0.18
+	roomLow  = 0.10
 	// othersRise and othersFall are the parts by which a report moves the
 	// moving average of other hosts' work: a rise is followed at once.
 	othersRise = 0.7
@@ -132,11 +132,12 @@
 
 // Slots plans the batch slots of a replica: none at once when online work
 // bursts or waits, fewer when the replica slows down, else one more at a time.
-// The document's weight between throughput and online tail sets how fast slots
+// Where the replica's capacity is stated, work that waits there takes the places
+// of just as many items. The document's weight between throughput and online tail sets how fast slots
 // come back and how much room is left.
 func Slots(r *Replica, conf *service.Batch, now time.Time) Plan {
 	p := Plan{Ceiling: r.Ceiling, CeilingAt: r.CeilingAt}
-	if r.queues(now) && r.BatchPeak > 0 && r.Reported.At.After(r.CeilingAt) {
+	if conf.Capacity == 0 && r.queues(now) && r.BatchPeak > 0 && r.Reported.At.After(r.CeilingAt) {
 		p.Ceiling, p.CeilingAt = r.ceiling(conf.ThroughputWeight), r.Reported.At
 	}
 	p.Slots, p.Cause = r.decide(conf, p, now)
@@ -154,11 +155,11 @@
 		return 0, CauseBurst
 	case now.Sub(r.BurstAt) < hold:
 		return 0, CauseBurst
-	case r.queues(now) && r.Reported.Running+r.Reported.Waiting > r.BatchPeak:
+	case conf.Capacity == 0 && r.queues(now) && r.Reported.Running+r.Reported.Waiting > r.BatchPeak:
 		return 0, CauseWaiting
 	case r.Slots == 0 && !r.LoweredAt.IsZero() && now.Sub(r.LoweredAt) < hold:
 		return 0, CauseHold
-	case r.queues(now):
+	case conf.Capacity == 0 && r.queues(now):
 		return r.lower(now), CauseQueue
 	case r.fresh(now) && r.Reported.Interval > limit:
 		return r.lower(now), CauseInterval
@@ -219,6 +220,15 @@
 	return max(0, places-room, min(r.Batch, places))
 }
 
+// raiseTime is the time between two added slots. Where the capacity is stated
+// there is nothing to find out, and slots come back fast.
+func raiseTime(conf *service.Batch) time.Duration {
+	if conf.Capacity > 0 {
+		return raiseFast
+	}
+	return durationBetween(raiseSlow, raiseFast, conf.ThroughputWeight)
+}
+
 // lower takes a quarter of the slots away, and waits until that shows.
 func (r *Replica) lower(now time.Time) int {
 	if now.Sub(r.LoweredAt) < lowerTime {
@@ -240,9 +250,9 @@
 		return top, CauseFull
 	case r.Batch < r.Slots:
 		return r.Slots, CauseSteady
-	case r.Slots >= r.Shown+max(growFloor, r.Shown/growPart):
+	case conf.Capacity == 0 && r.Slots >= r.Shown+max(growFloor, r.Shown/growPart):
 		return r.Slots, CauseSteady
-	case now.Sub(r.RaisedAt) < durationBetween(raiseSlow, raiseFast, conf.ThroughputWeight):
+	case now.Sub(r.RaisedAt) < raiseTime(conf):
 		return r.Slots, CauseSteady
 	default:
 		return r.Slots + 1, CauseRoom
--- a/bench/suite/mixed.go
+++ b/bench/suite/mixed.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/bench/experiment"
 	"github.com/comfreyspindle/comfreyspindle/bench/load"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
 	"github.com/comfreyspindle/comfreyspindle/service"
+	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
 
 // onlinePart is the part of the capacity that online requests take.
@@ -94,10 +96,21 @@
 	seconds := time.Since(begin).Seconds()
 	total := float64(s.generated()-from) / seconds
 	online := float64(stats.Whole*s.chat(0, 0).Tokens) / seconds
-	say(env, "%s: with batch p95 %.1f ms, batch %.0f tokens/s", s.user.name, p95(stats), total-online)
+	say(env, "%s: with batch p95 %.1f ms, batch %.0f tokens/s, slots given up: %v", s.user.name, p95(stats), total-online, s.slotCauses())
 	return &together{stats: stats, online: online, batch: total - online}, nil
 }
 
+// slotCauses counts why replicas gave all batch slots up.
+func (s *system) slotCauses() map[string]int {
+	causes := make(map[string]int)
+	for _, h := range s.Hosts {
+		for _, e := range h.Node.Events().Events(func(e *timeline.Event) bool { return e.Kind == batch.EventSlots }) {
+			causes[e.Cause]++
+		}
+	}
+	return causes
+}
+
 // ordinary is the baseline in which batch work is sent as online requests, as
 // much as the idle capacity holds.
 func (s *system) ordinary(ctx context.Context, env *experiment.Env, rate, idle float64) (*together, error) {
