--- a/cli/control/control_test.go
+++ b/cli/control/control_test.go
@@ -82,7 +82,7 @@
 	o.write(t, "service.yaml", text)
 	require.Empty(t, o.ok(t, "service", "diff", "-f", o.document))
 
-	edited := strings.Replace(text, "concurrency: 16", "concurrency: 8", 1)
+	edited := strings.Replace(text, "concurrency: 24", "concurrency: 8", 1)
 	edited = strings.Replace(edited, "max_tries: 3", "max_tries: 2", 1)
 	require.NotEqual(t, text, edited)
 	o.write(t, "service.yaml", edited)
@@ -93,7 +93,7 @@
 	out, errOut, code := o.run("service", "apply", "-f", o.document, "--dry-run")
 	require.Zero(t, code, errOut)
 	require.Regexp(t, `(?m)^\+.*concurrency: 8$`, out)
-	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 16", "a dry run changes nothing")
+	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 24", "a dry run changes nothing")
 
 	_, errOut, code = o.run("service", "apply", "-f", o.document, "--wait", "--timeout", "10s")
 	require.Zero(t, code, errOut)
@@ -105,7 +105,7 @@
 	require.Contains(t, errOut, "--based-on 2")
 
 	o.ok(t, "service", "rollback", "dispatch-llm", "--to", "1", "--wait")
-	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 16")
+	require.Contains(t, o.ok(t, "service", "get", "dispatch-llm"), "concurrency: 24")
 	require.Regexp(t, `(?s)\n3 .*\n2 .*\n1 `, o.ok(t, "service", "history", "dispatch-llm"))
 	_, _, code = o.run("service", "rollback", "dispatch-llm", "--to", "9")
 	require.Equal(t, cli.ExitNotFound, code)
