--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// WholeSoFar returns the whole answers so far, also while a load runs.
+func (s *Stats) WholeSoFar() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Whole
+}
+
 // Percentile returns a percentile of a histogram as a duration.
 func Percentile(h *hdrhistogram.Histogram, q float64) time.Duration {
 	return time.Duration(h.ValueAtPercentile(q)) * time.Microsecond
