--- a/bench/capacity/design.go
+++ b/bench/capacity/design.go
@@ -103,6 +103,15 @@
 // At returns the line's value at n, at least zero.
 func (l Line) At(n float64) float64 { return max(0, l.Base+l.Slope*n) }
 
+// Flat returns the line's value at n, but no less than at the largest size that
+// was measured: a cost that falls with n is not taken to fall further.
+func (l Line) Flat(n float64) float64 {
+	if len(l.Points) == 0 {
+		return l.At(n)
+	}
+	return max(l.At(n), l.Points[len(l.Points)-1].Value)
+}
+
 // Row is the cost of one role on the host that carries most of it.
 type Row struct {
 	Role string `json:"role"`
--- a/bench/capacity/plan.go
+++ b/bench/capacity/plan.go
@@ -44,7 +44,7 @@
 func membershipRow(hostsPerPlace float64, s Slopes) Row {
 	return Row{
 		Role: "membership, relay and idle work", State: "hosts of the data centre; states of upstreams",
-		CPU: s.IdleCPU.At(hostsPerPlace), Bytes: s.IdleBytes.At(hostsPerPlace), Traffic: s.IdleTraffic.At(hostsPerPlace),
+		CPU: s.IdleCPU.Flat(hostsPerPlace), Bytes: s.IdleBytes.At(hostsPerPlace), Traffic: s.IdleTraffic.At(hostsPerPlace),
 		Reads:     0,
 		Mechanism: "probes of random peers with piggybacked updates; cost a host does not follow the number of hosts",
 	}
--- a/bench/capacity/plan_test.go
+++ b/bench/capacity/plan_test.go
@@ -49,4 +49,7 @@
 	require.InDelta(t, 2, l.Slope, 1e-9)
 	require.InDelta(t, 21, l.At(10), 1e-9)
 	require.Zero(t, capacity.Line{Base: -5}.At(1))
+	falling := capacity.Fit([]capacity.Point{{N: 1, Value: 3}, {N: 2, Value: 2}})
+	require.InDelta(t, 2, falling.Flat(10), 1e-9)
+	require.InDelta(t, 21, l.Flat(10), 1e-9)
 }
