One way to ask an upstream for its load, one measurement of idle hosts

The balancer's poller and the batch dispatcher each had their own request for a load report; both now call upstream.Client.Load. The control experiment repeated the measurement that capacity's slopes make of idle hosts, and calls it. Names are compared by the library.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -284,16 +284,8 @@
 func (e *engine) load(ctx context.Context, u *service.Upstream) (*upstream.Load, bool) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	res, err := e.client.Send(ctx, u, &upstream.Request{Method: http.MethodGet, Path: upstream.PathLoad, Header: http.Header{}})
-	if err != nil {
-		return nil, false
-	}
-	defer func() { _ = res.Body.Close() }()
-	var l upstream.Load
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxEventBytes)).Decode(&l); err != nil || res.Status != http.StatusOK {
-		return nil, false
-	}
-	return &l, true
+	l, err := e.client.Load(ctx, u)
+	return l, err == nil
 }
 
 // accountWaste counts the tokens that a run which stepped aside threw away.
--- a/bench/experiment/compare.go
+++ b/bench/experiment/compare.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/cockroachdb/errors"
@@ -42,21 +43,10 @@
 		}
 		out = append(out, c)
 	}
-	slices.SortFunc(out, func(x, y Change) int { return compareNames(x.Name, y.Name) })
+	slices.SortFunc(out, func(x, y Change) int { return strings.Compare(x.Name, y.Name) })
 	return out, nil
 }
 
-func compareNames(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
-
 func relative(before, after float64) float64 {
 	if before == after {
 		return 0
--- a/bench/suite/control.go
+++ b/bench/suite/control.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/bench/experiment"
-	"github.com/comfreyspindle/comfreyspindle/fleet"
 )
 
 // control measures what idle hosts spend on control.
@@ -36,29 +35,13 @@
 // controlRun measures idle hosts of one data centre; the figures of the
 // largest run are the experiment's.
 func controlRun(_ context.Context, env *experiment.Env, hosts int, out experiment.Figures) error {
-	u := kyushu()
-	narrow, d := u.onePlace(hosts, 6)
-	before := heapInUse()
-	s, err := narrow.start(fleet.Spec{}, d)
+	o, err := idleRun(env, hosts, env.Duration(8*time.Second))
 	if err != nil {
 		return err
 	}
-	defer s.close()
-	time.Sleep(env.Duration(3 * time.Second))
-	d0, err := processorTime()
-	if err != nil {
-		return err
-	}
-	length := env.Duration(8 * time.Second)
-	sent := s.peerBytesIn(length)
-	d1, err := processorTime()
-	if err != nil {
-		return err
-	}
-	n := float64(hosts)
-	out["cpu_percent_per_node"] = 100 * (d1 - d0).Seconds() / length.Seconds() / n
-	out["rss_mb_per_node"] = float64(heapInUse()-before) / n / (1 << 20)
-	out["bytes_per_s_per_node"] = sent / n
+	out["cpu_percent_per_node"] = 100 * o.cpu
+	out["rss_mb_per_node"] = o.bytes / (1 << 20)
+	out["bytes_per_s_per_node"] = o.traffic
 	say(env, "%d hosts: %.2f%% of a core, %.1f MB, %.0f B/s a host", hosts,
 		out["cpu_percent_per_node"], out["rss_mb_per_node"], out["bytes_per_s_per_node"])
 	return nil
--- a/bench/suite/slopes.go
+++ b/bench/suite/slopes.go
@@ -50,7 +50,7 @@
 func idleSlopes(_ context.Context, env *experiment.Env, s *capacity.Slopes) error {
 	var cpu, memory, traffic, reads []capacity.Point
 	for _, n := range []int{4, 8, 16, 32} {
-		o, err := idleRun(env, n)
+		o, err := idleRun(env, n, env.Duration(5*time.Second))
 		if err != nil {
 			return err
 		}
@@ -73,7 +73,8 @@
 	reads   float64
 }
 
-func idleRun(env *experiment.Env, hosts int) (*idle, error) {
+// idleRun measures idle hosts of one data centre for the given time.
+func idleRun(env *experiment.Env, hosts int, length time.Duration) (*idle, error) {
 	u := kyushu()
 	narrow, d := u.onePlace(hosts, 6)
 	before := heapInUse()
@@ -83,7 +84,6 @@
 	}
 	defer s.close()
 	time.Sleep(env.Duration(3 * time.Second))
-	length := env.Duration(5 * time.Second)
 	cpu0, err := processorTime()
 	if err != nil {
 		return nil, err
--- a/bench/suite/suite.go
+++ b/bench/suite/suite.go
@@ -3,6 +3,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"github.com/comfreyspindle/comfreyspindle/bench/experiment"
 )
@@ -13,12 +14,7 @@
 		mixed(), burst(), overload(), spread(), affinity(), crash(), hostLoss(), outage(),
 		configChange(), control(), overhead(), ledgerCost(), batchCost(), cutOff(), drain(),
 	}
-	slices.SortFunc(all, func(a, b *experiment.Experiment) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b *experiment.Experiment) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
--- a/node/routing.go
+++ b/node/routing.go
@@ -1,13 +1,7 @@
 package node
 
 import (
-	"context"
-	"encoding/json"
-	"io"
-	"net/http"
-
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/escrow"
@@ -64,26 +58,7 @@
 	if n.routes == nil {
 		return nil
 	}
-	return &routing.Poller{Balancer: n.routes, Fetch: func(ctx context.Context, u *service.Upstream) (*upstream.Load, error) {
-		return fetchLoad(ctx, client, u)
-	}}
-}
-
-// maxLoadBytes bounds a load report.
-const maxLoadBytes = 64 << 10
-
-// fetchLoad asks an upstream for its load.
-func fetchLoad(ctx context.Context, client *upstream.Client, u *service.Upstream) (*upstream.Load, error) {
-	res, err := client.Send(ctx, u, &upstream.Request{Method: http.MethodGet, Path: upstream.PathLoad, Header: http.Header{}})
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.Status != http.StatusOK {
-		return nil, errors.Newf("upstream %s answered with status %d", u.Name, res.Status)
-	}
-	load := &upstream.Load{}
-	return load, json.NewDecoder(io.LimitReader(res.Body, maxLoadBytes)).Decode(load)
+	return &routing.Poller{Balancer: n.routes, Fetch: client.Load}
 }
 
 // use returns what this host sees to run under a document: its own work and
