--- a/admin/admin.go
+++ b/admin/admin.go
@@ -19,7 +19,7 @@
 	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -116,7 +116,7 @@
 		}
 	case errors.Is(err, config.ErrNoGeneration):
 		status = http.StatusNotFound
-	case errors.Is(err, platform.ErrUnknown):
+	case errors.Is(err, kv.ErrUnknown):
 		status, p.Message = http.StatusServiceUnavailable, "The edit may have been accepted; look before you repeat it: "+p.Message
 	case errors.As(err, &failed):
 		status = failed.Status()
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -22,7 +22,7 @@
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/examples"
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
@@ -65,7 +65,7 @@
 	jobs *jobs
 }
 
-func newHost(t *testing.T, name string, store *platformtest.Store, wrong time.Duration) *host {
+func newHost(t *testing.T, name string, store *kvtest.Store, wrong time.Duration) *host {
 	digest := sha256.Sum256([]byte(token))
 	clock := clockwork.NewFakeClockAt(time.Unix(1_700_000_000, 0).Add(wrong))
 	h := &host{jobs: &jobs{}}
@@ -89,7 +89,7 @@
 
 // newHosts returns hosts that know each other. Their clocks are a minute apart.
 func newHosts(t *testing.T, names ...string) []*host {
-	store := platformtest.NewStore(clockwork.NewRealClock())
+	store := kvtest.NewStore(clockwork.NewRealClock())
 	var hosts []*host
 	for i, name := range names {
 		hosts = append(hosts, newHost(t, name, store, time.Duration(i)*time.Minute))
--- a/admin/jobs.go
+++ b/admin/jobs.go
@@ -8,7 +8,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/config"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Bounds of a list of jobs. Each caller costs reads of the platform's service.
@@ -55,7 +55,7 @@
 		return err
 	}
 	out := Jobs{Jobs: []batch.Job{}}
-	ctx := platform.WithPurpose(c.Request().Context(), platform.PurposeBatch)
+	ctx := kv.WithPurpose(c.Request().Context(), kv.PurposeBatch)
 	for _, caller := range callers {
 		who := config.Identity{Callers: map[string]string{c.QueryParam("service"): caller}}
 		jobs, more, err := s.Jobs.List(ctx, who, "", defaultJobs)
--- a/batch/files.go
+++ b/batch/files.go
@@ -12,7 +12,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/config"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -30,7 +30,7 @@
 
 // PutFile implements API.
 func (m *Manager) PutFile(ctx context.Context, who config.Identity, name, key string, r io.Reader) (File, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
+	ctx = kv.WithPurpose(ctx, kv.PurposeBatch)
 	u := &upload{manager: m, who: who, key: key}
 	err := store.ReadItems(r, m.o.MaxLineBytes, func(line int, item *store.Item) error { return u.add(ctx, line, item) })
 	if err != nil {
@@ -151,7 +151,7 @@
 func (m *Manager) loadFile(ctx context.Context, who config.Identity, id string) (*store.File, error) {
 	f, err := store.LoadFile(ctx, m.o.KV, id)
 	if err == nil && (f.Data == "" || f.Caller == "" || who.Callers[f.Service] != f.Caller) {
-		err = platform.ErrNotFound
+		err = kv.ErrNotFound
 	}
 	if err != nil {
 		return nil, unreadable(err, "file", id)
@@ -160,7 +160,7 @@
 }
 
 func unreadable(err error, what, id string) error {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no %s %s.", what, id)
 	}
 	return verdict.Wrap(err, verdict.NotRun, verdict.CodePlatformUnavailable, "The platform can't be read now.").WithRetryAfter(retryAdvice)
--- a/batch/jobs.go
+++ b/batch/jobs.go
@@ -8,7 +8,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/config"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -23,7 +23,7 @@
 
 // Create implements API.
 func (m *Manager) Create(ctx context.Context, who config.Identity, req CreateRequest) (Job, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
+	ctx = kv.WithPurpose(ctx, kv.PurposeBatch)
 	f, err := m.loadFile(ctx, who, req.InputFileID)
 	if err != nil {
 		return Job{}, err
@@ -90,7 +90,7 @@
 func (m *Manager) load(ctx context.Context, who config.Identity, id, what, asked string) (*store.Job, error) {
 	job, err := m.read(ctx, id)
 	if err == nil && (job.Status == store.StatusAbandoned || job.Caller == "" || !who.May(job.Service, job.Caller)) {
-		err = platform.ErrNotFound
+		err = kv.ErrNotFound
 	}
 	if err != nil {
 		return nil, unreadable(err, what, asked)
@@ -134,7 +134,7 @@
 				return false, nil
 			}
 			rec, err := m.read(ctx, id)
-			if errors.Is(err, platform.ErrNotFound) || err == nil && rec.Status == store.StatusAbandoned {
+			if errors.Is(err, kv.ErrNotFound) || err == nil && rec.Status == store.StatusAbandoned {
 				return true, nil
 			}
 			if err == nil {
@@ -151,7 +151,7 @@
 
 // Cancel implements API.
 func (m *Manager) Cancel(ctx context.Context, who config.Identity, id string) (Job, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeCancel)
+	ctx = kv.WithPurpose(ctx, kv.PurposeCancel)
 	rec, err := m.load(ctx, who, id, "job", id)
 	if err == nil {
 		rec, err = store.Update(ctx, m.o.KV, id, nil, m.cancelChange)
--- a/batch/manager.go
+++ b/batch/manager.go
@@ -17,7 +17,7 @@
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
@@ -27,7 +27,7 @@
 
 // Options make a Manager. All fields are required.
 type Options struct {
-	KV        platform.Store
+	KV        kv.Store
 	Config    *config.Holder
 	Client    *upstream.Client
 	Observer  routing.Observer
@@ -192,7 +192,7 @@
 	if !ok {
 		return
 	}
-	ctx = platform.WithPurpose(ctx, platform.PurposeOther)
+	ctx = kv.WithPurpose(ctx, kv.PurposeOther)
 	for shard := range store.Shards {
 		if !m.keeps(store.ExpiryRole(name, shard)) {
 			continue
@@ -232,15 +232,15 @@
 
 // watchService reads a service's index, then follows its changes.
 func (m *Manager) watchService(ctx context.Context, name string) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
-	w := platform.Watch{Key: store.ActivePrefix(name), Prefix: true, Wait: watchWait}
+	ctx = kv.WithPurpose(ctx, kv.PurposeBatch)
+	w := kv.Watch{Key: store.ActivePrefix(name), Prefix: true, Wait: watchWait}
 	for ctx.Err() == nil {
 		changes, err := m.o.KV.Watch(ctx, w)
 		if err == nil && w.After == 0 {
 			err = m.readIndex(ctx, name)
 		}
 		if err != nil {
-			if errors.Is(err, platform.ErrCompacted) {
+			if errors.Is(err, kv.ErrCompacted) {
 				w.After = 0
 			}
 			m.sleep(ctx, watchRetry+rand.N(watchRetry), nil)
@@ -263,7 +263,7 @@
 	return nil
 }
 
-func (m *Manager) follow(name string, events []platform.Event) {
+func (m *Manager) follow(name string, events []kv.Event) {
 	for _, e := range events {
 		shard, ok := store.ActiveShard(name, e.Key)
 		if !ok {
--- a/batch/run/sim_test.go
+++ b/batch/run/sim_test.go
@@ -17,8 +17,8 @@
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/batch/run"
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -33,7 +33,7 @@
 	t     *testing.T
 	rng   *rand.Rand
 	clock *clockwork.FakeClock
-	kv    *platformtest.Store
+	kv    *kvtest.Store
 	doc   *service.Document
 	hosts []*simHost
 	depth int
@@ -91,7 +91,7 @@
 		t: t, stretch: 1, rng: rand.New(rand.NewPCG(seed, 7)), clock: clockwork.NewFakeClock(), once: once,
 		starts: make(map[string][]start), results: make(map[string]string), refused: make(map[string]int),
 	}
-	s.kv = platformtest.NewStore(s.clock)
+	s.kv = kvtest.NewStore(s.clock)
 	s.doc = &service.Document{Name: simService, Batch: service.Batch{
 		MaxTries: 3, Retention: 24 * time.Hour, ResendWindow: time.Hour, LateShare: 0.5, SegmentItems: 8,
 	}}
@@ -133,22 +133,22 @@
 	h, s := f.host, f.host.sim
 	s.calls++
 	if h.dead {
-		return platform.ErrUnreachable
+		return kv.ErrUnreachable
 	}
 	if s.quiet {
 		return call()
 	}
 	s.pauseInside(h)
 	if h.dead {
-		return platform.ErrUnreachable
+		return kv.ErrUnreachable
 	}
 	switch n := s.rng.IntN(100); {
 	case n < 4:
 		s.faults++
-		return platform.ErrUnreachable
+		return kv.ErrUnreachable
 	case n < 6 && write:
 		s.faults++
-		return platform.ErrUnknown
+		return kv.ErrUnknown
 	case n < 12 && write:
 		s.faults++
 		err := call()
@@ -156,13 +156,13 @@
 		if err != nil {
 			return err
 		}
-		return platform.ErrUnknown
+		return kv.ErrUnknown
 	}
 	err := call()
 	s.pauseInside(h)
 	if h.dead {
 		// The change took effect, but the host is gone.
-		return platform.ErrUnreachable
+		return kv.ErrUnreachable
 	}
 	return err
 }
@@ -187,22 +187,22 @@
 	s.depth--
 }
 
-func (f *simStore) Get(ctx context.Context, key string) (e platform.Entry, err error) {
+func (f *simStore) Get(ctx context.Context, key string) (e kv.Entry, err error) {
 	err = f.fault(false, func() error { e, err = f.host.sim.kv.Get(ctx, key); return err })
 	return e, err
 }
 
-func (f *simStore) Put(ctx context.Context, put platform.Put) (v platform.Version, err error) {
+func (f *simStore) Put(ctx context.Context, put kv.Put) (v kv.Version, err error) {
 	err = f.fault(true, func() error { v, err = f.host.sim.kv.Put(ctx, put); return err })
 	return v, err
 }
 
-func (f *simStore) Delete(ctx context.Context, key string, v platform.Version) error {
+func (f *simStore) Delete(ctx context.Context, key string, v kv.Version) error {
 	return f.fault(true, func() error { return f.host.sim.kv.Delete(ctx, key, v) })
 }
 
-func (f *simStore) Watch(context.Context, platform.Watch) (platform.Changes, error) {
-	return platform.Changes{}, platform.ErrUnreachable
+func (f *simStore) Watch(context.Context, kv.Watch) (kv.Changes, error) {
+	return kv.Changes{}, kv.ErrUnreachable
 }
 
 // tick moves the time on and lets one host act.
--- a/batch/run/step.go
+++ b/batch/run/step.go
@@ -10,7 +10,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch/dispatch"
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Want says how many items of a service should be ready to start.
@@ -22,7 +22,7 @@
 // Step records what has ended, renews claims and claims segments until the
 // wanted items are ready. It does at most a few calls per job that it touches.
 func (w *Worker) Step(ctx context.Context, wants ...Want) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
+	ctx = kv.WithPurpose(ctx, kv.PurposeBatch)
 	for _, id := range w.due() {
 		w.flush(ctx, id, w.missing(id, wants))
 	}
@@ -667,7 +667,7 @@
 // Tend looks at the announced jobs that this host keeps: it retires ended jobs,
 // ends cancelled ones and abandons those that were never accepted.
 func (w *Worker) Tend(ctx context.Context, keeps func(job string) bool) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeBatch)
+	ctx = kv.WithPurpose(ctx, kv.PurposeBatch)
 	for _, id := range w.toTend(keeps) {
 		if !w.claimFrom(ctx, id, 0) {
 			return
--- a/batch/run/worker.go
+++ b/batch/run/worker.go
@@ -15,7 +15,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
@@ -94,7 +94,7 @@
 
 // Options make a Worker. All fields but Capacity and Gone are required.
 type Options struct {
-	KV     platform.Store
+	KV     kv.Store
 	Clock  clockwork.Clock
 	Owner  store.Owner
 	Events *timeline.Recorder
@@ -335,7 +335,7 @@
 	}
 }
 
-func isNotFound(err error) bool { return errors.Is(err, platform.ErrNotFound) }
+func isNotFound(err error) bool { return errors.Is(err, kv.ErrNotFound) }
 
 // lateAge is how long a plan of late jobs is used.
 const lateAge = time.Second
--- a/batch/run/worker_test.go
+++ b/batch/run/worker_test.go
@@ -18,8 +18,8 @@
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/batch/run"
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -29,13 +29,13 @@
 type bench struct {
 	t     *testing.T
 	clock *clockwork.FakeClock
-	kv    *platformtest.Store
+	kv    *kvtest.Store
 	doc   *service.Document
 }
 
 func newBench(t *testing.T) *bench {
 	clock := clockwork.NewFakeClock()
-	return &bench{t: t, clock: clock, kv: platformtest.NewStore(clock), doc: &service.Document{Name: simService, Batch: service.Batch{
+	return &bench{t: t, clock: clock, kv: kvtest.NewStore(clock), doc: &service.Document{Name: simService, Batch: service.Batch{
 		MaxTries: 3, Retention: 24 * time.Hour, ResendWindow: time.Hour, LateShare: 0.5, SegmentItems: 500,
 	}}}
 }
@@ -53,7 +53,7 @@
 }
 
 // accept streams a file in and creates its job.
-func (b *bench) accept(kv platform.Store, items int) *store.Job {
+func (b *bench) accept(kv kv.Store, items int) *store.Job {
 	ctx := context.Background()
 	a := &store.Acceptor{KV: kv, Clock: b.clock}
 	o := store.Origin{Service: simService, Caller: "c", Window: time.Hour, Retention: 24 * time.Hour}
--- a/batch/store/accept.go
+++ b/batch/store/accept.go
@@ -12,7 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Errors of an acceptance.
@@ -38,7 +38,7 @@
 
 // Acceptor accepts files and jobs.
 type Acceptor struct {
-	KV    platform.Store
+	KV    kv.Store
 	Clock clockwork.Clock
 }
 
@@ -123,7 +123,7 @@
 	}
 	if id != u.intent.ID {
 		u.intent.ID = id
-		if err := addExpiry(ctx, u.kv, u.origin.Service, u.expireAt(), u.intent); err != nil {
+		if err := addExpiry(ctx, u.platform, u.origin.Service, u.expireAt(), u.intent); err != nil {
 			return nil, false, err
 		}
 	}
@@ -132,18 +132,18 @@
 	if head.CreatedAt.Sub(u.begun) > acceptTime {
 		return nil, false, ErrStale
 	}
-	return createFile(ctx, u.kv, head)
+	return createFile(ctx, u.platform, head)
 }
 
-func createFile(ctx context.Context, kv platform.Store, head *FileHead) (*File, bool, error) {
-	version, err := putFile(ctx, kv, head, 0)
+func createFile(ctx context.Context, platform kv.Store, head *FileHead) (*File, bool, error) {
+	version, err := putFile(ctx, platform, head, 0)
 	if err == nil {
 		return &File{FileHead: head, Version: version}, false, nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, kv.ErrConflict) {
 		return nil, false, err
 	}
-	existing, err := LoadFile(ctx, kv, head.ID)
+	existing, err := LoadFile(ctx, platform, head.ID)
 	switch {
 	case err != nil:
 		return nil, false, err
@@ -175,7 +175,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	if job, err := a.accepted(ctx, id, req); err == nil || !errors.Is(err, platform.ErrNotFound) {
+	if job, err := a.accepted(ctx, id, req); err == nil || !errors.Is(err, kv.ErrNotFound) {
 		return job, err == nil, err
 	}
 	begun := a.Clock.Now()
@@ -196,7 +196,7 @@
 		return nil, err
 	}
 	if job.Status == StatusAbandoned {
-		return nil, platform.ErrNotFound
+		return nil, kv.ErrNotFound
 	}
 	if job.Digest != req.File.Digest || job.Endpoint != req.Endpoint {
 		return nil, ErrOtherContent
@@ -248,30 +248,30 @@
 			f.Jobs = append(f.Jobs, job)
 		}
 		_, err = putFile(ctx, a.KV, f.FileHead, f.Version)
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		if err == nil || !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 	}
-	return errors.Mark(errors.Newf("file %s: too many racing writers", file), platform.ErrConflict)
+	return errors.Mark(errors.Newf("file %s: too many racing writers", file), kv.ErrConflict)
 }
 
 // create creates the head, also over the mark of an abandoned acceptance.
 func (a *Acceptor) create(ctx context.Context, r *Record, req *JobRequest) (*Job, bool, error) {
-	var version platform.Version
+	var version kv.Version
 	for range maxSwaps {
 		v, err := putRecord(ctx, a.KV, r, version)
 		if err == nil {
 			return &Job{Record: r, Version: v}, false, nil
 		}
-		if errors.Is(err, platform.ErrUnknown) {
+		if errors.Is(err, kv.ErrUnknown) {
 			return nil, false, errors.Mark(err, ErrMayBeAccepted)
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrConflict) {
 			return nil, false, err
 		}
 		job, err := Load(ctx, a.KV, r.ID)
 		switch {
-		case errors.Is(err, platform.ErrNotFound):
+		case errors.Is(err, kv.ErrNotFound):
 			version = 0
 		case err != nil:
 			return nil, false, err
@@ -288,34 +288,34 @@
 			return job, true, err
 		}
 	}
-	return nil, false, errors.Mark(errors.Newf("job %s: too many racing writers", r.ID), platform.ErrConflict)
+	return nil, false, errors.Mark(errors.Newf("job %s: too many racing writers", r.ID), kv.ErrConflict)
 }
 
 // Abandon marks the acceptance of an announced job that has no head and
 // withdraws it. It reports false when there is a head or it may yet come.
-func Abandon(ctx context.Context, kv platform.Store, service string, e ActiveEntry, now time.Time) (bool, error) {
+func Abandon(ctx context.Context, platform kv.Store, service string, e ActiveEntry, now time.Time) (bool, error) {
 	if now.Sub(e.AddedAt) < abandonAge {
 		return false, nil
 	}
-	if err := markAbandoned(ctx, kv, service, e.Job); err != nil {
+	if err := markAbandoned(ctx, platform, service, e.Job); err != nil {
 		return false, err
 	}
-	job, err := Load(ctx, kv, e.Job)
+	job, err := Load(ctx, platform, e.Job)
 	if err != nil || job.Status != StatusAbandoned {
 		return false, err
 	}
-	return true, Withdraw(ctx, kv, service, e)
+	return true, Withdraw(ctx, platform, service, e)
 }
 
 // markAbandoned creates the mark of an abandoned acceptance unless the job has
 // a head.
-func markAbandoned(ctx context.Context, kv platform.Store, service, id string) error {
+func markAbandoned(ctx context.Context, platform kv.Store, service, id string) error {
 	value, err := encode(&Record{ID: id, Service: service, Status: StatusAbandoned})
 	if err != nil {
 		return err
 	}
-	_, err = platform.Swap(ctx, kv, platform.Put{Key: keyJob + id, Value: value, TTL: abandonedTTL})
-	if errors.Is(err, platform.ErrConflict) {
+	_, err = kv.Swap(ctx, platform, kv.Put{Key: keyJob + id, Value: value, TTL: abandonedTTL})
+	if errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
--- a/batch/store/accept_test.go
+++ b/batch/store/accept_test.go
@@ -11,13 +11,13 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // stepStore calls a hook around the write with a given number, from 1.
 type stepStore struct {
-	platform.Store
+	kv.Store
 	at    int
 	seen  int
 	fault func(put func() error) error
@@ -25,16 +25,16 @@
 	dead bool
 }
 
-func (s *stepStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+func (s *stepStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	if s.dead {
-		return platform.Entry{}, platform.ErrUnreachable
+		return kv.Entry{}, kv.ErrUnreachable
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s *stepStore) Put(ctx context.Context, put platform.Put) (v platform.Version, err error) {
+func (s *stepStore) Put(ctx context.Context, put kv.Put) (v kv.Version, err error) {
 	if s.dead {
-		return 0, platform.ErrUnreachable
+		return 0, kv.ErrUnreachable
 	}
 	s.seen++
 	if s.seen != s.at {
@@ -45,18 +45,18 @@
 }
 
 type fixture struct {
-	kv    *platformtest.Store
+	kv    *kvtest.Store
 	clock *clockwork.FakeClock
 	items int
 }
 
 func newFixture() *fixture {
 	clock := clockwork.NewFakeClock()
-	return &fixture{kv: platformtest.NewStore(clock), clock: clock, items: 25}
+	return &fixture{platform: kvtest.NewStore(clock), clock: clock, items: 25}
 }
 
 // submit uploads the file and creates the job as one host does.
-func (f *fixture) submit(kv platform.Store, key string) (job *store.Job, resent bool, err error) {
+func (f *fixture) submit(platform kv.Store, key string) (job *store.Job, resent bool, err error) {
 	ctx := context.Background()
 	a := &store.Acceptor{KV: kv, Clock: f.clock}
 	o := store.Origin{Service: "svc", Caller: "c", Key: key, Window: time.Hour, Retention: 24 * time.Hour}
@@ -80,16 +80,16 @@
 // check requires one whole, announced job.
 func (f *fixture) check(t *testing.T, job *store.Job) {
 	ctx := context.Background()
-	require.Len(t, f.kv.Keys("batch/job/"), 1)
+	require.Len(t, f.platform.Keys("batch/job/"), 1)
 	items, announced := 0, 0
 	for n := range job.Segments {
-		segment, err := store.ReadSegment(ctx, f.kv, job.Data, n)
+		segment, err := store.ReadSegment(ctx, f.platform, job.Data, n)
 		require.NoError(t, err)
 		items += len(segment)
 	}
 	require.Equal(t, f.items, items)
 	for shard := range store.Shards {
-		entries, err := store.Active(ctx, f.kv, "svc", shard)
+		entries, err := store.Active(ctx, f.platform, "svc", shard)
 		require.NoError(t, err)
 		for _, e := range entries {
 			require.Equal(t, job.ID, e.Job)
@@ -109,26 +109,26 @@
 		dead bool
 		do   func(put func() error) error
 	}{
-		{"call fails", false, func(func() error) error { return platform.ErrUnreachable }},
-		{"limit", false, func(func() error) error { return platform.ErrLimited }},
-		{"reply lost", false, func(put func() error) error { _ = put(); return platform.ErrUnknown }},
-		{"lost before the write", true, func(func() error) error { return platform.ErrUnreachable }},
-		{"lost after the write", true, func(put func() error) error { _ = put(); return platform.ErrUnknown }},
+		{"call fails", false, func(func() error) error { return kv.ErrUnreachable }},
+		{"limit", false, func(func() error) error { return kv.ErrLimited }},
+		{"reply lost", false, func(put func() error) error { _ = put(); return kv.ErrUnknown }},
+		{"lost before the write", true, func(func() error) error { return kv.ErrUnreachable }},
+		{"lost after the write", true, func(put func() error) error { _ = put(); return kv.ErrUnknown }},
 	}
 	for _, fault := range faults {
 		for _, key := range []string{"", "key"} {
 			t.Run(fault.name+"/key "+key, func(t *testing.T) {
 				for step := 1; step < maxSteps; step++ {
 					f := newFixture()
-					kv := &stepStore{Store: f.kv, at: step}
+					kv := &stepStore{Store: f.platform, at: step}
 					kv.fault = func(put func() error) error { kv.dead = fault.dead; return fault.do(put) }
-					first, _, err := f.submit(kv, key)
+					first, _, err := f.submit(platform, key)
 					if kv.seen < step {
 						require.Greater(t, step, 6)
 						return
 					}
 					accepted := err == nil
-					again, resent, err := f.submit(f.kv, key)
+					again, resent, err := f.submit(f.platform, key)
 					require.NoError(t, err, "step %d", step)
 					if accepted {
 						require.Equal(t, first.ID, again.ID)
@@ -150,14 +150,14 @@
 		for step := 1; step < maxSteps; step++ {
 			f := newFixture()
 			var other *store.Job
-			kv := &stepStore{Store: f.kv, at: step}
+			kv := &stepStore{Store: f.platform, at: step}
 			kv.fault = func(put func() error) error {
 				var err error
-				other, _, err = f.submit(f.kv, key)
+				other, _, err = f.submit(f.platform, key)
 				require.NoError(t, err)
 				return put()
 			}
-			job, _, err := f.submit(kv, key)
+			job, _, err := f.submit(platform, key)
 			if kv.seen < step {
 				break
 			}
@@ -184,11 +184,11 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture()
-			first, resent, err := f.submit(f.kv, c.key)
+			first, resent, err := f.submit(f.platform, c.key)
 			require.NoError(t, err)
 			require.False(t, resent)
 			f.clock.Advance(c.after)
-			second, resent, err := f.submit(f.kv, c.key)
+			second, resent, err := f.submit(f.platform, c.key)
 			require.NoError(t, err)
 			require.Equal(t, c.same, resent)
 			require.Equal(t, c.same, first.ID == second.ID)
@@ -198,16 +198,16 @@
 
 func TestKeyWithOtherContentIsRefused(t *testing.T) {
 	f := newFixture()
-	_, _, err := f.submit(f.kv, "k")
+	_, _, err := f.submit(f.platform, "k")
 	require.NoError(t, err)
 	f.items++
-	_, _, err = f.submit(f.kv, "k")
+	_, _, err = f.submit(f.platform, "k")
 	errtest.Is(t, err, store.ErrOtherContent)
 }
 
 // collectAll collects every shard.
 func (f *fixture) collectAll(t *testing.T, retention time.Duration) {
-	c := &store.Collector{KV: f.kv}
+	c := &store.Collector{KV: f.platform}
 	for shard := range store.Shards {
 		require.NoError(t, c.Collect(context.Background(), "svc", shard, retention, f.clock.Now()))
 	}
@@ -219,37 +219,37 @@
 	ctx := context.Background()
 	for step := 1; step < maxSteps; step++ {
 		f := newFixture()
-		kv := &stepStore{Store: f.kv, at: step}
-		kv.fault = func(put func() error) error { _ = put(); kv.dead = true; return platform.ErrUnknown }
-		_, _, err := f.submit(kv, "")
+		kv := &stepStore{Store: f.platform, at: step}
+		kv.fault = func(put func() error) error { _ = put(); kv.dead = true; return kv.ErrUnknown }
+		_, _, err := f.submit(platform, "")
 		if kv.seen < step {
 			return
 		}
 		require.Error(t, err)
 		f.clock.Advance(3 * time.Hour)
 		for shard := range store.Shards {
-			entries, err := store.Active(ctx, f.kv, "svc", shard)
+			entries, err := store.Active(ctx, f.platform, "svc", shard)
 			require.NoError(t, err)
 			for _, e := range entries {
-				_, err := store.Abandon(ctx, f.kv, "svc", e, f.clock.Now())
+				_, err := store.Abandon(ctx, f.platform, "svc", e, f.clock.Now())
 				require.NoError(t, err)
 			}
 		}
-		if _, err := store.Load(ctx, f.kv, jobID(f)); err == nil && len(f.kv.Keys("batch/caller/")) > 0 && accepted(t, f) {
+		if _, err := store.Load(ctx, f.platform, jobID(f)); err == nil && len(f.platform.Keys("batch/caller/")) > 0 && accepted(t, f) {
 			continue
 		}
 		for range 12 {
 			f.clock.Advance(24 * time.Hour)
 			f.collectAll(t, 24*time.Hour)
 		}
-		require.Empty(t, f.kv.Keys("batch/data/"), "step %d", step)
-		require.Empty(t, f.kv.Keys("batch/file/"), "step %d", step)
-		require.Empty(t, f.kv.Keys("batch/job/"), "step %d", step)
+		require.Empty(t, f.platform.Keys("batch/data/"), "step %d", step)
+		require.Empty(t, f.platform.Keys("batch/file/"), "step %d", step)
+		require.Empty(t, f.platform.Keys("batch/job/"), "step %d", step)
 	}
 }
 
 func jobID(f *fixture) string {
-	keys := f.kv.Keys("batch/job/")
+	keys := f.platform.Keys("batch/job/")
 	if len(keys) == 0 {
 		return ""
 	}
@@ -258,7 +258,7 @@
 
 // accepted reports whether the last step took effect although its reply was lost.
 func accepted(t *testing.T, f *fixture) bool {
-	job, err := store.Load(context.Background(), f.kv, jobID(f))
+	job, err := store.Load(context.Background(), f.platform, jobID(f))
 	require.NoError(t, err)
 	return job.Status == store.StatusInProgress
 }
@@ -268,25 +268,25 @@
 func TestLateHeadAfterAbandon(t *testing.T) {
 	f := newFixture()
 	ctx := context.Background()
-	kv := &stepStore{Store: f.kv}
-	_, _, err := f.submit(kv, "")
+	kv := &stepStore{Store: f.platform}
+	_, _, err := f.submit(platform, "")
 	require.NoError(t, err)
 	last := kv.seen
 	f = newFixture()
-	kv = &stepStore{Store: f.kv, at: last}
+	kv = &stepStore{Store: f.platform, at: last}
 	kv.fault = func(put func() error) error {
 		for shard := range store.Shards {
-			entries, err := store.Active(ctx, f.kv, "svc", shard)
+			entries, err := store.Active(ctx, f.platform, "svc", shard)
 			require.NoError(t, err)
 			for _, e := range entries {
-				done, err := store.Abandon(ctx, f.kv, "svc", e, f.clock.Now().Add(3*time.Hour))
+				done, err := store.Abandon(ctx, f.platform, "svc", e, f.clock.Now().Add(3*time.Hour))
 				require.NoError(t, err)
 				require.True(t, done)
 			}
 		}
 		return put()
 	}
-	job, _, err := f.submit(kv, "")
+	job, _, err := f.submit(platform, "")
 	require.NoError(t, err)
 	f.check(t, job)
 }
--- a/batch/store/collect.go
+++ b/batch/store/collect.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Expiry names what may be removed on a day: an upload's data under a file's
@@ -41,12 +41,12 @@
 
 // addExpiry enters e under the day after t. An entry with the same data takes
 // the new id.
-func addExpiry(ctx context.Context, kv platform.Store, service string, t time.Time, e Expiry) error {
+func addExpiry(ctx context.Context, platform kv.Store, service string, t time.Time, e Expiry) error {
 	shard := shardOf(e.Data)
 	if e.Data == "" {
 		shard = shardOf(e.ID)
 	}
-	return change(ctx, kv, expiryKey(service, dayOf(t)+1, shard), 0, func(s *expiryShard) (bool, error) {
+	return change(ctx, platform, expiryKey(service, dayOf(t)+1, shard), 0, func(s *expiryShard) (bool, error) {
 		at := slices.IndexFunc(s.Entries, func(o Expiry) bool { return o.Data == e.Data && (o.ID == e.ID || e.Data != "") })
 		switch {
 		case at >= 0 && s.Entries[at] == e:
@@ -61,16 +61,16 @@
 }
 
 // Retire moves an ended job from the active index to the expiry index.
-func Retire(ctx context.Context, kv platform.Store, r *Record, e ActiveEntry, retention time.Duration) error {
-	if err := addExpiry(ctx, kv, r.Service, r.EndedAt.Add(retention), Expiry{ID: r.ID}); err != nil {
+func Retire(ctx context.Context, platform kv.Store, r *Record, e ActiveEntry, retention time.Duration) error {
+	if err := addExpiry(ctx, platform, r.Service, r.EndedAt.Add(retention), Expiry{ID: r.ID}); err != nil {
 		return err
 	}
-	return Withdraw(ctx, kv, r.Service, e)
+	return Withdraw(ctx, platform, r.Service, e)
 }
 
 // Collector removes what has passed its retention.
 type Collector struct {
-	KV platform.Store
+	KV kv.Store
 }
 
 type cursor struct {
@@ -126,7 +126,7 @@
 }
 
 func ignoreGone(err error) error {
-	if errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) {
+	if errors.Is(err, kv.ErrNotFound) || errors.Is(err, kv.ErrConflict) {
 		return nil
 	}
 	return err
@@ -137,7 +137,7 @@
 		return c.expireJob(ctx, service, e, retention, now)
 	}
 	f, err := LoadFile(ctx, c.KV, e.ID)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return c.abandonUpload(ctx, e)
 	}
 	if err != nil {
@@ -187,7 +187,7 @@
 // acceptance as abandoned, so that a late acceptor has to name its file again.
 func (c *Collector) headOrMark(ctx context.Context, service, id string) (*Job, error) {
 	job, err := Load(ctx, c.KV, id)
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, kv.ErrNotFound) {
 		return job, err
 	}
 	if err := markAbandoned(ctx, c.KV, service, id); err != nil {
@@ -203,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	if _, err := platform.Swap(ctx, c.KV, platform.Put{Key: keyFile + e.ID, Value: value, TTL: abandonedTTL}); err != nil {
+	if _, err := kv.Swap(ctx, c.KV, kv.Put{Key: keyFile + e.ID, Value: value, TTL: abandonedTTL}); err != nil {
 		return err
 	}
 	return c.removeData(ctx, e.Data)
@@ -217,16 +217,16 @@
 
 // removeRun removes keys numbered without gaps.
 func (c *Collector) removeRun(ctx context.Context, key func(n int) string) error {
-	var found []platform.Entry
+	var found []kv.Entry
 	for n := 0; ; n++ {
 		e, err := c.KV.Get(ctx, key(n))
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kv.ErrNotFound) {
 			break
 		}
 		if err != nil {
 			return err
 		}
-		found = append(found, platform.Entry{Key: e.Key, Version: e.Version})
+		found = append(found, kv.Entry{Key: e.Key, Version: e.Version})
 	}
 	for _, e := range slices.Backward(found) {
 		if err := ignoreGone(c.KV.Delete(ctx, e.Key, e.Version)); err != nil {
@@ -238,7 +238,7 @@
 
 func (c *Collector) expireJob(ctx context.Context, service string, e Expiry, retention time.Duration, now time.Time) error {
 	job, err := Load(ctx, c.KV, e.ID)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, kv.ErrNotFound) {
 		return nil
 	}
 	if err != nil {
--- a/batch/store/file.go
+++ b/batch/store/file.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 const (
@@ -27,7 +27,7 @@
 // SegmentRef describes one input segment.
 type SegmentRef struct {
 	Items   int              `json:"n"`
-	Version platform.Version `json:"v"`
+	Version kv.Version `json:"v"`
 }
 
 // FileHead describes an input file. Its creation accepts the file.
@@ -51,12 +51,12 @@
 // File is a file's head at one version.
 type File struct {
 	*FileHead
-	Version platform.Version
+	Version kv.Version
 }
 
 // LoadFile reads a file's head.
-func LoadFile(ctx context.Context, kv platform.Store, id string) (*File, error) {
-	r, err := platform.Read(ctx, kv, keyFile+id)
+func LoadFile(ctx context.Context, platform kv.Store, id string) (*File, error) {
+	r, err := kv.Read(ctx, platform, keyFile+id)
 	if err != nil {
 		return nil, err
 	}
@@ -64,17 +64,17 @@
 	return f, decode(r.Payload, f.FileHead)
 }
 
-func putFile(ctx context.Context, kv platform.Store, f *FileHead, version platform.Version) (platform.Version, error) {
+func putFile(ctx context.Context, platform kv.Store, f *FileHead, version kv.Version) (kv.Version, error) {
 	value, err := encode(f)
 	if err != nil {
 		return 0, err
 	}
-	return platform.Swap(ctx, kv, platform.Put{Key: keyFile + f.ID, Value: value, If: version})
+	return kv.Swap(ctx, platform, kv.Put{Key: keyFile + f.ID, Value: value, If: version})
 }
 
 // Writer cuts items into segments and stores them. It holds one segment.
 type Writer struct {
-	kv           platform.Store
+	platform           kv.Store
 	segmentItems int
 	data         string
 	digest       hash.Hash
@@ -87,8 +87,8 @@
 }
 
 // NewWriter returns a writer under a new data id.
-func NewWriter(kv platform.Store, segmentItems int) *Writer {
-	return &Writer{kv: kv, segmentItems: segmentItems, data: ulid.Make().String(), digest: sha256.New()}
+func NewWriter(platform kv.Store, segmentItems int) *Writer {
+	return &Writer{platform: platform, segmentItems: segmentItems, data: ulid.Make().String(), digest: sha256.New()}
 }
 
 // Data returns the id under which segments are stored.
@@ -120,7 +120,7 @@
 
 func (w *Writer) cut(ctx context.Context) error {
 	value := compress(w.text.Bytes())
-	version, err := platform.Swap(ctx, w.kv, platform.Put{Key: dataKey(w.data, len(w.segments)), Value: value})
+	version, err := kv.Swap(ctx, w.platform, kv.Put{Key: dataKey(w.data, len(w.segments)), Value: value})
 	if err != nil {
 		return err
 	}
@@ -144,8 +144,8 @@
 }
 
 // ReadSegment returns the items of an input segment.
-func ReadSegment(ctx context.Context, kv platform.Store, data string, n int) ([]Item, error) {
-	r, err := platform.Read(ctx, kv, dataKey(data, n))
+func ReadSegment(ctx context.Context, platform kv.Store, data string, n int) ([]Item, error) {
+	r, err := kv.Read(ctx, platform, dataKey(data, n))
 	if err != nil {
 		return nil, errors.Wrapf(err, "input segment %d", n)
 	}
--- a/batch/store/index.go
+++ b/batch/store/index.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 const (
@@ -29,10 +29,10 @@
 // change changes the value under a key by compare-and-swap; an absent key has
 // the zero value. The change reports whether it wants a write, and may be
 // called again after a lost race.
-func change[T any](ctx context.Context, kv platform.Store, key string, ttl time.Duration, f func(*T) (bool, error)) error {
+func change[T any](ctx context.Context, platform kv.Store, key string, ttl time.Duration, f func(*T) (bool, error)) error {
 	for range maxSwaps {
 		var value T
-		version, err := read(ctx, kv, key, &value)
+		version, err := read(ctx, platform, key, &value)
 		if err != nil {
 			return err
 		}
@@ -44,18 +44,18 @@
 		if err != nil {
 			return err
 		}
-		_, err = platform.Swap(ctx, kv, platform.Put{Key: key, Value: text, If: version, TTL: ttl})
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		_, err = kv.Swap(ctx, platform, kv.Put{Key: key, Value: text, If: version, TTL: ttl})
+		if err == nil || !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 	}
-	return errors.Mark(errors.Newf("key %s: too many racing writers", key), platform.ErrConflict)
+	return errors.Mark(errors.Newf("key %s: too many racing writers", key), kv.ErrConflict)
 }
 
 // read decodes the value under a key; an absent key leaves v and has version zero.
-func read[T any](ctx context.Context, kv platform.Store, key string, v *T) (platform.Version, error) {
-	r, err := platform.Read(ctx, kv, key)
-	if errors.Is(err, platform.ErrNotFound) {
+func read[T any](ctx context.Context, platform kv.Store, key string, v *T) (kv.Version, error) {
+	r, err := kv.Read(ctx, platform, key)
+	if errors.Is(err, kv.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
@@ -101,8 +101,8 @@
 
 // Announce adds a job to the active index. With renew it replaces an
 // announcement that is already there.
-func Announce(ctx context.Context, kv platform.Store, service string, e ActiveEntry, renew bool) error {
-	return change(ctx, kv, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
+func Announce(ctx context.Context, platform kv.Store, service string, e ActiveEntry, renew bool) error {
+	return change(ctx, platform, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
 		at := s.find(e.Job)
 		switch {
 		case at >= 0 && (!renew || s.Entries[at].Nonce == e.Nonce):
@@ -119,8 +119,8 @@
 }
 
 // Withdraw removes an announcement, but not a newer one of the same job.
-func Withdraw(ctx context.Context, kv platform.Store, service string, e ActiveEntry) error {
-	return change(ctx, kv, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
+func Withdraw(ctx context.Context, platform kv.Store, service string, e ActiveEntry) error {
+	return change(ctx, platform, activeKey(service, shardOf(e.Job)), 0, func(s *activeShard) (bool, error) {
 		at := s.find(e.Job)
 		if at < 0 || s.Entries[at].Nonce != e.Nonce {
 			return false, nil
@@ -131,15 +131,15 @@
 }
 
 // Active returns the announced jobs of one shard of a service.
-func Active(ctx context.Context, kv platform.Store, service string, shard int) ([]ActiveEntry, error) {
+func Active(ctx context.Context, platform kv.Store, service string, shard int) ([]ActiveEntry, error) {
 	var s activeShard
-	_, err := read(ctx, kv, activeKey(service, shard), &s)
+	_, err := read(ctx, platform, activeKey(service, shard), &s)
 	return s.Entries, err
 }
 
 // ActiveIn decodes a shard that a watch saw.
-func ActiveIn(e platform.Event) ([]ActiveEntry, error) {
-	r, err := platform.RecordOf(e.Entry)
+func ActiveIn(e kv.Event) ([]ActiveEntry, error) {
+	r, err := kv.RecordOf(e.Entry)
 	if err != nil {
 		return nil, err
 	}
@@ -170,8 +170,8 @@
 
 // AddToCaller adds a job to its caller's list. A full page becomes an immutable
 // one. Pages vanish after ttl.
-func AddToCaller(ctx context.Context, kv platform.Store, service, caller, job string, ttl time.Duration) error {
-	return change(ctx, kv, callerKey(service, caller, pageName), ttl, func(p *callerPage) (bool, error) {
+func AddToCaller(ctx context.Context, platform kv.Store, service, caller, job string, ttl time.Duration) error {
+	return change(ctx, platform, callerKey(service, caller, pageName), ttl, func(p *callerPage) (bool, error) {
 		if slices.Contains(p.Jobs, job) {
 			return false, nil
 		}
@@ -181,8 +181,8 @@
 			if err != nil {
 				return false, err
 			}
-			_, err = platform.Swap(ctx, kv, platform.Put{Key: callerKey(service, caller, name), Value: text, TTL: ttl})
-			if err != nil && !errors.Is(err, platform.ErrConflict) {
+			_, err = kv.Swap(ctx, platform, kv.Put{Key: callerKey(service, caller, name), Value: text, TTL: ttl})
+			if err != nil && !errors.Is(err, kv.ErrConflict) {
 				return false, err
 			}
 			*p = callerPage{Older: name, Depth: p.Depth + 1}
@@ -193,11 +193,11 @@
 }
 
 // JobsOf calls take for a caller's jobs, newest first, until it returns false.
-func JobsOf(ctx context.Context, kv platform.Store, service, caller string, take func(job string) (bool, error)) error {
+func JobsOf(ctx context.Context, platform kv.Store, service, caller string, take func(job string) (bool, error)) error {
 	page := pageName
 	for range maxPages {
 		var p callerPage
-		if _, err := read(ctx, kv, callerKey(service, caller, page), &p); err != nil {
+		if _, err := read(ctx, platform, callerKey(service, caller, page), &p); err != nil {
 			return err
 		}
 		for _, job := range slices.Backward(p.Jobs) {
--- a/batch/store/jobs.go
+++ b/batch/store/jobs.go
@@ -5,7 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // maxSwaps bounds the tries of one change against racing writers.
@@ -17,12 +17,12 @@
 // Job is a record at one version.
 type Job struct {
 	*Record
-	Version platform.Version
+	Version kv.Version
 }
 
 // Load reads a job's record.
-func Load(ctx context.Context, kv platform.Store, id string) (*Job, error) {
-	r, err := platform.Read(ctx, kv, keyJob+id)
+func Load(ctx context.Context, platform kv.Store, id string) (*Job, error) {
+	r, err := kv.Read(ctx, platform, keyJob+id)
 	if err != nil {
 		return nil, err
 	}
@@ -33,11 +33,11 @@
 // Update changes a job's record by compare-and-swap, from known when it is not
 // nil. The change may be called again on a newer record, also when an earlier
 // call took effect with its reply lost, so it must be idempotent.
-func Update(ctx context.Context, kv platform.Store, id string, known *Job, change func(*Record) error) (*Job, error) {
+func Update(ctx context.Context, platform kv.Store, id string, known *Job, change func(*Record) error) (*Job, error) {
 	for range maxSwaps {
 		if known == nil {
 			var err error
-			if known, err = Load(ctx, kv, id); err != nil {
+			if known, err = Load(ctx, platform, id); err != nil {
 				return nil, err
 			}
 		}
@@ -48,22 +48,22 @@
 			}
 			return known, err
 		}
-		version, err := putRecord(ctx, kv, next, known.Version)
+		version, err := putRecord(ctx, platform, next, known.Version)
 		if err == nil {
 			return &Job{Record: next, Version: version}, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrConflict) {
 			return known, err
 		}
 		known = nil
 	}
-	return nil, errors.Mark(errors.Newf("job %s: too many racing writers", id), platform.ErrConflict)
+	return nil, errors.Mark(errors.Newf("job %s: too many racing writers", id), kv.ErrConflict)
 }
 
-func putRecord(ctx context.Context, kv platform.Store, r *Record, version platform.Version) (platform.Version, error) {
+func putRecord(ctx context.Context, platform kv.Store, r *Record, version kv.Version) (kv.Version, error) {
 	value, err := encode(r)
 	if err != nil {
 		return 0, err
 	}
-	return platform.Swap(ctx, kv, platform.Put{Key: keyJob + r.ID, Value: value, If: version})
+	return kv.Swap(ctx, platform, kv.Put{Key: keyJob + r.ID, Value: value, If: version})
 }
--- a/batch/store/record.go
+++ b/batch/store/record.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Status is the status of a job, as in the batch format.
@@ -53,7 +53,7 @@
 	Sequence uint32 `json:"s"`
 	Items    int    `json:"n"`
 	// Version is the chunk's version in the platform's service.
-	Version platform.Version `json:"v"`
+	Version kv.Version `json:"v"`
 }
 
 // Segment is the progress of one segment of a job.
--- a/batch/store/record_test.go
+++ b/batch/store/record_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -109,7 +109,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture()
-			w := store.NewWriter(f.kv, 10)
+			w := store.NewWriter(f.platform, 10)
 			body := []byte(`{"p":"` + strings.Repeat("x", c.size) + `"}`)
 			for i := range c.items {
 				require.NoError(t, w.Add(ctx, &store.Item{CustomID: fmt.Sprint(i), Body: body}))
@@ -119,7 +119,7 @@
 			require.Less(t, len(head.Segments), 1500, "the record of the job stays small")
 			n := 0
 			for i := range head.Segments {
-				items, err := store.ReadSegment(ctx, f.kv, head.Data, i)
+				items, err := store.ReadSegment(ctx, f.platform, head.Data, i)
 				require.NoError(t, err)
 				n += len(items)
 			}
@@ -154,7 +154,7 @@
 // finish gives every item of a job a result.
 func finish(t *testing.T, f *fixture, id string) *store.Job {
 	ctx := context.Background()
-	job, err := store.Update(ctx, f.kv, id, nil, func(r *store.Record) error {
+	job, err := store.Update(ctx, f.platform, id, nil, func(r *store.Record) error {
 		for n := range r.Segments {
 			r.Take(n, 0, ownerB, f.clock.Now())
 			r.Take(n, 1, ownerA, f.clock.Now())
@@ -170,12 +170,12 @@
 		c, took, err := store.NewChunk(job.Run, n, 2, 0, results)
 		require.NoError(t, err)
 		require.Len(t, results, took)
-		require.NoError(t, c.Write(ctx, f.kv))
+		require.NoError(t, c.Write(ctx, f.platform))
 		// A chunk that a lost owner left behind.
 		left, _, err := store.NewChunk(job.Run, n, 1, 0, results)
 		require.NoError(t, err)
-		require.NoError(t, left.Write(ctx, f.kv))
-		job, err = store.Update(ctx, f.kv, id, job, func(r *store.Record) error {
+		require.NoError(t, left.Write(ctx, f.platform))
+		job, err = store.Update(ctx, f.platform, id, job, func(r *store.Record) error {
 			if err := r.Apply(&store.Flush{Segment: n, Epoch: 2, Chunk: &c.Ref, Items: c.Items}, ownerA); err != nil {
 				return err
 			}
@@ -189,11 +189,11 @@
 
 func TestResultsInInputOrder(t *testing.T) {
 	f := newFixture()
-	job, _, err := f.submit(f.kv, "")
+	job, _, err := f.submit(f.platform, "")
 	require.NoError(t, err)
 	job = finish(t, f, job.ID)
 	var got []int
-	require.NoError(t, store.ReadResults(context.Background(), f.kv, job.Record, true, func(n int, r *store.ItemResult) error {
+	require.NoError(t, store.ReadResults(context.Background(), f.platform, job.Record, true, func(n int, r *store.ItemResult) error {
 		got = append(got, n*10+r.Index)
 		return nil
 	}))
@@ -205,22 +205,22 @@
 func TestRetention(t *testing.T) {
 	ctx := context.Background()
 	f := newFixture()
-	job, _, err := f.submit(f.kv, "")
+	job, _, err := f.submit(f.platform, "")
 	require.NoError(t, err)
 	job = finish(t, f, job.ID)
 	require.Equal(t, store.StatusCompleted, job.Status)
 	for shard := range store.Shards {
-		entries, err := store.Active(ctx, f.kv, "svc", shard)
+		entries, err := store.Active(ctx, f.platform, "svc", shard)
 		require.NoError(t, err)
 		for _, e := range entries {
-			require.NoError(t, store.Retire(ctx, f.kv, job.Record, e, 24*time.Hour))
+			require.NoError(t, store.Retire(ctx, f.platform, job.Record, e, 24*time.Hour))
 		}
 	}
 	for hour := 1; hour <= 24; hour++ {
 		f.clock.Advance(59 * time.Minute)
 		f.collectAll(t, 24*time.Hour)
 		n := 0
-		require.NoError(t, store.ReadResults(ctx, f.kv, job.Record, false, func(int, *store.ItemResult) error { n++; return nil }))
+		require.NoError(t, store.ReadResults(ctx, f.platform, job.Record, false, func(int, *store.ItemResult) error { n++; return nil }))
 		require.Equal(t, f.items, n, "hour %d", hour)
 	}
 	for range 12 {
@@ -228,14 +228,14 @@
 		f.collectAll(t, 24*time.Hour)
 	}
 	for _, prefix := range []string{"batch/data/", "batch/file/", "batch/job/", "batch/chunk/", "batch/resent/", "batch/caller/"} {
-		require.Empty(t, f.kv.Keys(prefix))
+		require.Empty(t, f.platform.Keys(prefix))
 	}
 }
 
 // TestRunningJobKeepsItsFile lets a job run far beyond its file's retention.
 func TestRunningJobKeepsItsFile(t *testing.T) {
 	f := newFixture()
-	job, _, err := f.submit(f.kv, "")
+	job, _, err := f.submit(f.platform, "")
 	require.NoError(t, err)
 	for range 20 {
 		f.clock.Advance(24 * time.Hour)
@@ -249,13 +249,13 @@
 	f := newFixture()
 	c, _, err := store.NewChunk("run", 0, 1, 0, []store.ItemResult{{Index: 1}})
 	require.NoError(t, err)
-	kv := &stepStore{Store: f.kv, at: 1, fault: func(put func() error) error { _ = put(); return platform.ErrUnreachable }}
-	require.Error(t, c.Write(ctx, kv))
-	require.NoError(t, c.Write(ctx, f.kv), "the same chunk again is the same write")
+	kv := &stepStore{Store: f.platform, at: 1, fault: func(put func() error) error { _ = put(); return kv.ErrUnreachable }}
+	require.Error(t, c.Write(ctx, platform))
+	require.NoError(t, c.Write(ctx, f.platform), "the same chunk again is the same write")
 	other, _, err := store.NewChunk("run", 0, 1, 0, []store.ItemResult{{Index: 2}})
 	require.NoError(t, err)
-	require.Error(t, other.Write(ctx, f.kv))
-	before := f.kv.Keys("batch/chunk/")
+	require.Error(t, other.Write(ctx, f.platform))
+	before := f.platform.Keys("batch/chunk/")
 	require.Len(t, before, 1)
 }
 
@@ -266,9 +266,9 @@
 	require.NoError(t, err)
 	require.NoError(t, c.Spill(t.TempDir()))
 	require.Zero(t, c.Bytes())
-	require.NoError(t, c.Write(ctx, f.kv))
+	require.NoError(t, c.Write(ctx, f.platform))
 	var out bytes.Buffer
-	require.NoError(t, store.ReadChunk(ctx, f.kv, "run", 0, c.Ref, func(r *store.ItemResult) error {
+	require.NoError(t, store.ReadChunk(ctx, f.platform, "run", 0, c.Ref, func(r *store.ItemResult) error {
 		out.WriteString(r.Result.CustomID)
 		return nil
 	}))
--- a/batch/store/results.go
+++ b/batch/store/results.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // ItemResult is the result of one item of a segment.
@@ -71,7 +71,7 @@
 }
 
 // maxChunkBytes leaves room for the nonce below the largest value.
-const maxChunkBytes = platform.MaxValueBytes - 64
+const maxChunkBytes = kv.MaxValueBytes - 64
 
 // NewChunk encodes results, as many from the front as fit into one value, and
 // returns how many that are.
@@ -112,21 +112,21 @@
 
 // Write creates the chunk. Only one owner writes under an epoch, and a chunk's
 // content never changes, so a chunk that exists is the same one.
-func (c *Chunk) Write(ctx context.Context, kv platform.Store) error {
+func (c *Chunk) Write(ctx context.Context, platform kv.Store) error {
 	key := chunkKey(c.Run, c.Ref, c.Segment)
 	value, err := c.load()
 	if err != nil {
 		return err
 	}
-	version, err := platform.Swap(ctx, kv, platform.Put{Key: key, Value: value})
+	version, err := kv.Swap(ctx, platform, kv.Put{Key: key, Value: value})
 	if err == nil {
 		c.Ref.Version = version
 		return nil
 	}
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, kv.ErrConflict) {
 		return err
 	}
-	r, err := platform.Read(ctx, kv, key)
+	r, err := kv.Read(ctx, platform, key)
 	if err != nil {
 		return err
 	}
@@ -138,8 +138,8 @@
 }
 
 // ReadChunk calls take for each result of a chunk.
-func ReadChunk(ctx context.Context, kv platform.Store, run string, segment int, ref ChunkRef, take func(*ItemResult) error) error {
-	r, err := platform.Read(ctx, kv, chunkKey(run, ref, segment))
+func ReadChunk(ctx context.Context, platform kv.Store, run string, segment int, ref ChunkRef, take func(*ItemResult) error) error {
+	r, err := kv.Read(ctx, platform, chunkKey(run, ref, segment))
 	if err != nil {
 		return err
 	}
@@ -164,11 +164,11 @@
 // ReadResults calls take for each result of a job that a record names, segment
 // by segment, and inside a segment in input order if asked. It holds at most
 // one segment's results.
-func ReadResults(ctx context.Context, kv platform.Store, r *Record, inputOrder bool, take func(segment int, item *ItemResult) error) error {
+func ReadResults(ctx context.Context, platform kv.Store, r *Record, inputOrder bool, take func(segment int, item *ItemResult) error) error {
 	for n := range r.Segments {
 		var held []ItemResult
 		for _, ref := range r.Segments[n].Chunks {
-			err := ReadChunk(ctx, kv, r.Run, n, ref, func(item *ItemResult) error {
+			err := ReadChunk(ctx, platform, r.Run, n, ref, func(item *ItemResult) error {
 				if inputOrder {
 					held = append(held, *item)
 					return nil
--- a/bench/suite/cutoff.go
+++ b/bench/suite/cutoff.go
@@ -7,8 +7,8 @@
 	"github.com/comfreyspindle/comfreyspindle/bench/experiment"
 	"github.com/comfreyspindle/comfreyspindle/bench/load"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // cutOff cuts a data centre off from the platform and measures what it still
@@ -38,7 +38,7 @@
 	before := s.run(ctx, chat, length)
 	var heal []func()
 	for _, h := range s.In(place) {
-		heal = append(heal, s.Store.AddFault(platformtest.Fault{Host: h.Settings.Host, Err: platform.ErrUnreachable}))
+		heal = append(heal, s.Store.AddFault(kvtest.Fault{Host: h.Settings.Host, Err: kv.ErrUnreachable}))
 	}
 	say(env, "%s cut off from the platform", place)
 	during := s.run(ctx, chat, length)
--- a/bench/suite/slopes.go
+++ b/bench/suite/slopes.go
@@ -14,7 +14,7 @@
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
@@ -312,9 +312,9 @@
 	sys.run(ctx, chat, settle)
 	chat.Seed++
 	length := env.Duration(4 * time.Second)
-	from := sys.Store.Calls("", platformtest.OpPut)
+	from := sys.Store.Calls("", kvtest.OpPut)
 	sys.run(ctx, chat, length)
-	s.ClaimCalls = float64(sys.Store.Calls("", platformtest.OpPut)-from) / length.Seconds()
+	s.ClaimCalls = float64(sys.Store.Calls("", kvtest.OpPut)-from) / length.Seconds()
 	return nil
 }
 
--- a/cli/bench/standin.go
+++ b/cli/bench/standin.go
@@ -12,7 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/comfreyspindle/comfreyspindle/cli"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
 )
 
@@ -28,8 +28,8 @@
 				return cli.WithCode(errors.Wrap(err, "--listen"), cli.ExitUsage)
 			}
 			fmt.Fprintf(cmd.OutOrStdout(), "platform on %s\n", l.Addr())
-			store := platformtest.NewStore(clockwork.NewRealClock())
-			return serveUntil(cmd.Context(), l, platformtest.Handler(store))
+			store := kvtest.NewStore(clockwork.NewRealClock())
+			return serveUntil(cmd.Context(), l, kvtest.Handler(store))
 		},
 	}
 	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address to bind")
--- a/config/distributor.go
+++ b/config/distributor.go
@@ -13,7 +13,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Times of the distribution.
@@ -55,7 +55,7 @@
 
 // Options describe the distribution on one host.
 type Options struct {
-	Store platform.Store
+	Store kv.Store
 	Set   *Set
 	Hosts membership.View
 	// Peers reaches other hosts; Seeds are the addresses that a starting host
@@ -114,7 +114,7 @@
 
 // Serve distributes documents until ctx ends.
 func (d *Distributor) Serve(ctx context.Context) error {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	d.mu.Lock()
 	d.stopped = false
 	d.mu.Unlock()
--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -10,11 +10,11 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
-var errCut = platform.ErrUnreachable
+var errCut = kv.ErrUnreachable
 
 func TestEditIsInForceUnderFaults(t *testing.T) {
 	cases := []struct {
@@ -43,7 +43,7 @@
 			return r.hosts, func() {}
 		}},
 		{"watches fail", func(r *rig) ([]*rigHost, func()) {
-			return nil, r.store.AddFault(platformtest.Fault{Op: platformtest.OpWatch, Err: platform.ErrCompacted})
+			return nil, r.store.AddFault(kvtest.Fault{Op: kvtest.OpWatch, Err: kv.ErrCompacted})
 		}},
 		{"a relay is cut from the platform", func(r *rig) ([]*rigHost, func()) {
 			return r.hosts, r.cutPlatform(r.byRank("a")[0])
--- a/config/dryrun.go
+++ b/config/dryrun.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -47,7 +47,7 @@
 // DryRun checks an edit like Apply and tells what it would do, but changes
 // nothing.
 func (e *Editor) DryRun(ctx context.Context, edit Edit) (Preview, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	if err := checkEdit(edit); err != nil {
 		return Preview{}, err
 	}
--- a/config/editor.go
+++ b/config/editor.go
@@ -8,7 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/ulid/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -37,7 +37,7 @@
 
 // Editor accepts edits into the platform's service.
 type Editor struct {
-	store platform.Store
+	store kv.Store
 	clock clockwork.Clock
 	// held returns the document that this host holds.
 	held func(name string) (Stored, bool)
@@ -56,7 +56,7 @@
 func WithUse(use func(name string) Use) EditorOption { return func(e *Editor) { e.use = use } }
 
 // NewEditor returns an Editor.
-func NewEditor(store platform.Store, clock clockwork.Clock, opts ...EditorOption) *Editor {
+func NewEditor(store kv.Store, clock clockwork.Clock, opts ...EditorOption) *Editor {
 	e := &Editor{
 		store: store, clock: clock,
 		held: func(string) (Stored, bool) { return Stored{}, false },
@@ -70,9 +70,9 @@
 
 // Apply checks an edit and makes it the next generation. A *ConflictError
 // means that another edit came first. After an error marked
-// platform.ErrUnknown the edit may have been accepted.
+// kv.ErrUnknown the edit may have been accepted.
 func (e *Editor) Apply(ctx context.Context, edit Edit) (uint64, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	if err := checkEdit(edit); err != nil {
 		return 0, err
 	}
@@ -95,8 +95,8 @@
 		Deleted: edit.Deleted, Text: edit.Text, By: edit.By, At: e.clock.Now().UTC(), Edit: ulid.Make().String(),
 	})
 	err = writeStored(ctx, e.store, keyDocs+edit.Name, next, version)
-	if errors.Is(err, platform.ErrConflict) {
-		return e.resolve(ctx, edit, next, errors.Is(err, platform.ErrSuperseded))
+	if errors.Is(err, kv.ErrConflict) {
+		return e.resolve(ctx, edit, next, errors.Is(err, kv.ErrSuperseded))
 	}
 	if err != nil {
 		return 0, err
@@ -106,7 +106,7 @@
 
 // current returns the newest document, after bringing one that this host holds
 // back into the service where a restore lost it.
-func (e *Editor) current(ctx context.Context, name string) (Stored, platform.Version, error) {
+func (e *Editor) current(ctx context.Context, name string) (Stored, kv.Version, error) {
 	s, version, err := readStored(ctx, e.store, name)
 	if err != nil {
 		return s, version, err
@@ -127,20 +127,20 @@
 	current, _, err := readStored(ctx, e.store, edit.Name)
 	if err != nil {
 		if superseded {
-			err = errors.Mark(err, platform.ErrUnknown)
+			err = errors.Mark(err, kv.ErrUnknown)
 		}
 		return 0, errors.Wrapf(err, "outcome of the edit of %s", edit.Name)
 	}
 	if superseded {
 		past, _, err := readAt(ctx, e.store, historyKey(edit.Name, next.Generation))
 		if err != nil {
-			return 0, errors.Mark(errors.Wrapf(err, "outcome of the edit of %s", edit.Name), platform.ErrUnknown)
+			return 0, errors.Mark(errors.Wrapf(err, "outcome of the edit of %s", edit.Name), kv.ErrUnknown)
 		}
 		if current.Edit == next.Edit || past.Edit == next.Edit {
 			return next.Generation, nil
 		}
 		if past.Generation > next.Generation {
-			return 0, errors.Wrapf(platform.ErrUnknown, "the history of %s no longer reaches back to the edit", edit.Name)
+			return 0, errors.Wrapf(kv.ErrUnknown, "the history of %s no longer reaches back to the edit", edit.Name)
 		}
 	}
 	return 0, &ConflictError{Name: edit.Name, BasedOn: edit.BasedOn, Current: current}
--- a/config/editor_test.go
+++ b/config/editor_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -22,7 +22,7 @@
 }
 
 func TestInvalidEditChangesNothing(t *testing.T) {
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	e := NewEditor(s, clock)
 	apply(t, e, 0, text(1))
 	before := s.Snapshot()
@@ -36,7 +36,7 @@
 }
 
 func TestRacingEdits(t *testing.T) {
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	apply(t, NewEditor(s, clock), 0, text(1))
 	const operators = 8
 	errs := make([]error, operators)
@@ -70,25 +70,25 @@
 	const doc = keyDocs + "svc"
 	cases := []struct {
 		name   string
-		fault  platformtest.Fault
+		fault  kvtest.Fault
 		rival  bool
 		accept bool
 		is     error
 	}{
-		{"reply of the swap lost", platformtest.Fault{Op: platformtest.OpPut, Prefix: doc, LoseReply: true, Times: 1}, false, true, nil},
-		{"replaced before the read back", platformtest.Fault{Op: platformtest.OpPut, Prefix: doc, LoseReply: true, Times: 1}, true, true, nil},
-		{"reply of the archive lost", platformtest.Fault{Op: platformtest.OpPut, Prefix: keyHistory, LoseReply: true, Times: 1}, false, true, nil},
-		{"reply of the index lost", platformtest.Fault{Op: platformtest.OpPut, Prefix: keyIndex, LoseReply: true, Times: 1}, false, true, nil},
-		{"never arrived", platformtest.Fault{Op: platformtest.OpPut, Prefix: doc, Err: platform.ErrUnreachable}, false, false, platform.ErrUnreachable},
+		{"reply of the swap lost", kvtest.Fault{Op: kvtest.OpPut, Prefix: doc, LoseReply: true, Times: 1}, false, true, nil},
+		{"replaced before the read back", kvtest.Fault{Op: kvtest.OpPut, Prefix: doc, LoseReply: true, Times: 1}, true, true, nil},
+		{"reply of the archive lost", kvtest.Fault{Op: kvtest.OpPut, Prefix: keyHistory, LoseReply: true, Times: 1}, false, true, nil},
+		{"reply of the index lost", kvtest.Fault{Op: kvtest.OpPut, Prefix: keyIndex, LoseReply: true, Times: 1}, false, true, nil},
+		{"never arrived", kvtest.Fault{Op: kvtest.OpPut, Prefix: doc, Err: kv.ErrUnreachable}, false, false, kv.ErrUnreachable},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			s := platformtest.NewStore(clock)
+			s := kvtest.NewStore(clock)
 			apply(t, NewEditor(s, clock), 0, text(1))
 			s.AddFault(tc.fault)
 			if tc.rival {
 				gate := make(chan struct{})
-				s.AddFault(platformtest.Fault{Host: "op", Op: platformtest.OpGet, Prefix: doc, Skip: 1, Times: 1, Gate: gate})
+				s.AddFault(kvtest.Fault{Host: "op", Op: kvtest.OpGet, Prefix: doc, Skip: 1, Times: 1, Gate: gate})
 				go func() {
 					for {
 						if cur, _, _ := readStored(context.Background(), s, "svc"); cur.Generation == 2 {
@@ -117,16 +117,16 @@
 }
 
 func TestUnknownOutcomeIsSaid(t *testing.T) {
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	apply(t, NewEditor(s, clock), 0, text(1))
-	s.AddFault(platformtest.Fault{Host: "op", Op: platformtest.OpPut, Prefix: keyDocs, LoseReply: true})
-	s.AddFault(platformtest.Fault{Host: "op", Op: platformtest.OpGet, Prefix: keyDocs, Skip: 1, Err: platform.ErrUnreachable})
+	s.AddFault(kvtest.Fault{Host: "op", Op: kvtest.OpPut, Prefix: keyDocs, LoseReply: true})
+	s.AddFault(kvtest.Fault{Host: "op", Op: kvtest.OpGet, Prefix: keyDocs, Skip: 1, Err: kv.ErrUnreachable})
 	_, err := NewEditor(s.Host("op"), clock).Apply(t.Context(), Edit{Name: "svc", BasedOn: 1, Text: text(2)})
-	errtest.Is(t, err, platform.ErrUnknown)
+	errtest.Is(t, err, kv.ErrUnknown)
 }
 
 func TestHistoryRollbackDiff(t *testing.T) {
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	e := NewEditor(s, clock)
 	const edits = historyLength + 10
 	for i := range edits {
@@ -161,7 +161,7 @@
 }
 
 func TestUpstreamSince(t *testing.T) {
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	e := NewEditor(s, clock)
 	apply(t, e, 0, text(1))
 	apply(t, e, 1, text(2))
@@ -180,7 +180,7 @@
 		Running: 10, Waiting: 50, BatchSlots: 8, CrossRegionBytes: 500,
 		Callers: map[string]Rate{"crews": {RequestsPerSecond: 20, TokensPerSecond: 900}},
 	}
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	e := NewEditor(s, clock, WithUse(func(string) Use { return use }))
 	apply(t, e, 0, text(1)+"ceilings: {cross_region_bytes: 1000}\n")
 	before := s.Snapshot()
--- a/config/history.go
+++ b/config/history.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/pmezard/go-difflib/difflib"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // diffContext is the number of unchanged lines around a change.
@@ -20,7 +20,7 @@
 // History returns the kept generations of a document, newest first: the
 // present one and up to 32 before it.
 func (e *Editor) History(ctx context.Context, name string) ([]Stored, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	current, _, err := e.current(ctx, name)
 	if err != nil || current.Generation == 0 {
 		return nil, err
@@ -42,7 +42,7 @@
 
 // At returns one generation of a document, or ErrNoGeneration.
 func (e *Editor) At(ctx context.Context, name string, generation uint64) (Stored, error) {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	current, _, err := e.current(ctx, name)
 	if err != nil || current.Generation == generation {
 		return current, err
--- a/config/relay.go
+++ b/config/relay.go
@@ -8,7 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Times of a relay.
@@ -72,7 +72,7 @@
 // follow reads all documents and watches them, until an error, or until the
 // next reading is due, or until it is no longer this host's turn.
 func (d *Distributor) follow(ctx context.Context) error {
-	begin, err := d.watch(ctx, platform.Watch{Key: keyDocs, Prefix: true})
+	begin, err := d.watch(ctx, kv.Watch{Key: keyDocs, Prefix: true})
 	if err != nil {
 		return err
 	}
@@ -88,7 +88,7 @@
 	d.noteContact()
 	through := begin.Through
 	for end := d.Clock.Now().Add(rereadPeriod); d.Clock.Now().Before(end); {
-		c, err := d.watch(ctx, platform.Watch{Key: keyDocs, Prefix: true, After: through, Wait: watchWait})
+		c, err := d.watch(ctx, kv.Watch{Key: keyDocs, Prefix: true, After: through, Wait: watchWait})
 		if err != nil {
 			return err
 		}
@@ -115,7 +115,7 @@
 	return d.Clock.Now().Sub(d.heard) < heartbeatPeriod*(relays+1)
 }
 
-func (d *Distributor) watch(ctx context.Context, w platform.Watch) (platform.Changes, error) {
+func (d *Distributor) watch(ctx context.Context, w kv.Watch) (kv.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	return d.Store.Watch(ctx, w)
@@ -128,7 +128,7 @@
 	}
 }
 
-func (d *Distributor) decode(events []platform.Event) []record {
+func (d *Distributor) decode(events []kv.Event) []record {
 	var out []record
 	for _, e := range events {
 		name := strings.TrimPrefix(e.Key, keyDocs)
@@ -138,7 +138,7 @@
 			out = append(out, record{Name: name})
 			continue
 		}
-		r, err := platform.RecordOf(e.Entry)
+		r, err := kv.RecordOf(e.Entry)
 		if err == nil {
 			var s Stored
 			if err = json.Unmarshal(r.Payload, &s); err == nil {
--- a/config/rig_test.go
+++ b/config/rig_test.go
@@ -16,7 +16,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // inForceWithin is the users' bound for an accepted edit.
@@ -45,7 +45,7 @@
 // rig is a few hosts over real sockets, with faults between them.
 type rig struct {
 	t      *testing.T
-	store  *platformtest.Store
+	store  *kvtest.Store
 	faults *peertest.Faults
 	hosts  []*rigHost
 }
@@ -61,7 +61,7 @@
 }
 
 func newRig(t *testing.T, places ...string) *rig {
-	r := &rig{t: t, store: platformtest.NewStore(clock), faults: peertest.NewFaults()}
+	r := &rig{t: t, store: kvtest.NewStore(clock), faults: peertest.NewFaults()}
 	for i, dc := range places {
 		r.add(dc, fmt.Sprintf("host-%02d", i), "")
 	}
@@ -169,7 +169,7 @@
 }
 
 func (r *rig) cutPlatform(h *rigHost) (heal func()) {
-	return r.store.AddFault(platformtest.Fault{Host: h.view.Self().Name, Err: errCut})
+	return r.store.AddFault(kvtest.Fault{Host: h.view.Self().Name, Err: errCut})
 }
 
 func (r *rig) cutPeers(h *rigHost) {
--- a/config/stored.go
+++ b/config/stored.go
@@ -9,7 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -87,14 +87,14 @@
 }
 
 // readStored returns the stored document, or a zero one that does not exist.
-func readStored(ctx context.Context, store platform.Store, name string) (Stored, platform.Version, error) {
+func readStored(ctx context.Context, store kv.Store, name string) (Stored, kv.Version, error) {
 	return readAt(ctx, store, keyDocs+name)
 }
 
-func readAt(ctx context.Context, store platform.Store, key string) (Stored, platform.Version, error) {
+func readAt(ctx context.Context, store kv.Store, key string) (Stored, kv.Version, error) {
 	var s Stored
-	r, err := platform.Read(ctx, store, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	r, err := kv.Read(ctx, store, key)
+	if errors.Is(err, kv.ErrNotFound) {
 		return s, 0, nil
 	}
 	if err != nil {
@@ -104,12 +104,12 @@
 }
 
 // writeStored swaps a document in.
-func writeStored(ctx context.Context, store platform.Store, key string, s Stored, version platform.Version) error {
+func writeStored(ctx context.Context, store kv.Store, key string, s Stored, version kv.Version) error {
 	payload, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
-	_, err = platform.Swap(ctx, store, platform.Put{Key: key, Value: payload, If: version})
+	_, err = kv.Swap(ctx, store, kv.Put{Key: key, Value: payload, If: version})
 	return err
 }
 
@@ -120,7 +120,7 @@
 }
 
 // archive keeps a generation that is about to be replaced.
-func archive(ctx context.Context, store platform.Store, name string, s Stored) error {
+func archive(ctx context.Context, store kv.Store, name string, s Stored) error {
 	if s.Generation == 0 {
 		return nil
 	}
@@ -134,16 +134,16 @@
 			return nil
 		}
 		err = writeStored(ctx, store, key, s, version)
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		if err == nil || !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 	}
 }
 
 // readIndex returns the names of all services that ever existed.
-func readIndex(ctx context.Context, store platform.Store) ([]string, platform.Version, error) {
-	r, err := platform.Read(ctx, store, keyIndex)
-	if errors.Is(err, platform.ErrNotFound) {
+func readIndex(ctx context.Context, store kv.Store) ([]string, kv.Version, error) {
+	r, err := kv.Read(ctx, store, keyIndex)
+	if errors.Is(err, kv.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -154,7 +154,7 @@
 }
 
 // addToIndex makes sure that the index names the service.
-func addToIndex(ctx context.Context, store platform.Store, name string) error {
+func addToIndex(ctx context.Context, store kv.Store, name string) error {
 	for {
 		names, version, err := readIndex(ctx, store)
 		if err != nil {
@@ -168,15 +168,15 @@
 		if err != nil {
 			return err
 		}
-		_, err = platform.Swap(ctx, store, platform.Put{Key: keyIndex, Value: payload, If: version})
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		_, err = kv.Swap(ctx, store, kv.Put{Key: keyIndex, Value: payload, If: version})
+		if err == nil || !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 	}
 }
 
 // readAll returns all documents that the index names.
-func readAll(ctx context.Context, store platform.Store) ([]record, error) {
+func readAll(ctx context.Context, store kv.Store) ([]record, error) {
 	names, _, err := readIndex(ctx, store)
 	if err != nil {
 		return nil, err
@@ -197,7 +197,7 @@
 // offer brings a document that hosts hold back into a store that was restored
 // from an older backup. Where the store has an edit that was accepted after
 // the restore, that edit becomes the next generation instead.
-func offer(ctx context.Context, store platform.Store, held record) error {
+func offer(ctx context.Context, store kv.Store, held record) error {
 	for {
 		current, version, err := readStored(ctx, store, held.Name)
 		if err != nil {
@@ -217,7 +217,7 @@
 			return err
 		}
 		err = writeStored(ctx, store, keyDocs+held.Name, next, version)
-		if err == nil || !errors.Is(err, platform.ErrConflict) {
+		if err == nil || !errors.Is(err, kv.ErrConflict) {
 			return err
 		}
 	}
--- a/escrow/counter.go
+++ b/escrow/counter.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 const (
@@ -83,7 +83,7 @@
 
 // swap carries a change out. It returns errLost when it can't tell whether the
 // change took effect.
-func swap(ctx context.Context, store platform.Store, key string, ch change) (grant, error) {
+func swap(ctx context.Context, store kv.Store, key string, ch change) (grant, error) {
 	var doubtful []attempt
 	for range changeTries {
 		c, version, err := read(ctx, store, key)
@@ -107,13 +107,13 @@
 		switch {
 		case err == nil:
 			return done, nil
-		case errors.Is(err, platform.ErrUnknown), errors.Is(err, platform.ErrSuperseded):
+		case errors.Is(err, kv.ErrUnknown), errors.Is(err, kv.ErrSuperseded):
 			doubtful = append(doubtful, attempt{nonce, done})
-		case !errors.Is(err, platform.ErrConflict):
+		case !errors.Is(err, kv.ErrConflict):
 			return grant{}, lostIf(len(doubtful) > 0, err)
 		}
 	}
-	return grant{}, lostIf(len(doubtful) > 0, errors.Wrap(platform.ErrConflict, "escrow counter"))
+	return grant{}, lostIf(len(doubtful) > 0, errors.Wrap(kv.ErrConflict, "escrow counter"))
 }
 
 func lostIf(lost bool, err error) error {
@@ -133,9 +133,9 @@
 	return attempt{}, false
 }
 
-func read(ctx context.Context, store platform.Store, key string) (counter, platform.Version, error) {
-	r, err := platform.Read(ctx, store, key)
-	if errors.Is(err, platform.ErrNotFound) {
+func read(ctx context.Context, store kv.Store, key string) (counter, kv.Version, error) {
+	r, err := kv.Read(ctx, store, key)
+	if errors.Is(err, kv.ErrNotFound) {
 		return counter{}, 0, nil
 	}
 	if err != nil {
@@ -146,11 +146,11 @@
 	return c, r.Version, errors.Wrapf(err, "decode %q", key)
 }
 
-func write(ctx context.Context, store platform.Store, key string, c counter, version platform.Version) error {
+func write(ctx context.Context, store kv.Store, key string, c counter, version kv.Version) error {
 	payload, err := cbor.Marshal(c)
 	if err != nil {
 		return errors.Wrapf(err, "encode %q", key)
 	}
-	_, err = platform.Swap(ctx, store, platform.Put{Key: key, Value: payload, If: version})
+	_, err = kv.Swap(ctx, store, kv.Put{Key: key, Value: payload, If: version})
 	return err
 }
--- a/escrow/local.go
+++ b/escrow/local.go
@@ -10,7 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/accounting"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -34,7 +34,7 @@
 
 // Options hold what a Local needs; all fields are required.
 type Options struct {
-	Store platform.Store
+	Store kv.Store
 	Clock clockwork.Clock
 	Book  *accounting.Book
 	Log   *logrus.Entry
@@ -187,7 +187,7 @@
 }
 
 func (l *Local) context(timeout time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(platform.WithPurpose(context.Background(), platform.PurposeEscrow), timeout)
+	return context.WithTimeout(kv.WithPurpose(context.Background(), kv.PurposeEscrow), timeout)
 }
 
 func key(name string) string { return "escrow/" + name }
--- a/escrow/local_test.go
+++ b/escrow/local_test.go
@@ -17,8 +17,8 @@
 	"github.com/comfreyspindle/comfreyspindle/escrow"
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
 	_ "github.com/comfreyspindle/comfreyspindle/internal/rapidtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -32,7 +32,7 @@
 // rig is a few hosts with accounts over one stand-in store.
 type rig struct {
 	clock *clockwork.FakeClock
-	store *platformtest.Store
+	store *kvtest.Store
 	doc   *service.Document
 	hosts int
 	// spent holds the bytes spent, less refunds, by period.
@@ -42,7 +42,7 @@
 func newRig() *rig {
 	clock := clockwork.NewFakeClockAt(time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC))
 	return &rig{
-		clock: clock, store: platformtest.NewStore(clock), spent: make(map[escrow.Period]int64),
+		clock: clock, store: kvtest.NewStore(clock), spent: make(map[escrow.Period]int64),
 		doc: &service.Document{Name: "s", Ceilings: service.Ceilings{
 			Period: period, CrossRegionBytes: ceiling, Allotment: allotment,
 		}},
@@ -135,17 +135,17 @@
 func TestCounterFaults(t *testing.T) {
 	rows := []struct {
 		name  string
-		fault platformtest.Fault
+		fault kvtest.Fault
 		// lost is the most that may be written off.
 		lost int64
 	}{
-		{"read refused", platformtest.Fault{Op: platformtest.OpGet, Err: platform.ErrUnreachable, Times: 2}, 0},
-		{"write refused", platformtest.Fault{Op: platformtest.OpPut, Err: platform.ErrUnreachable, Times: 2}, 0},
-		{"write limited", platformtest.Fault{Op: platformtest.OpPut, Err: platform.ErrLimited, Times: 2}, 0},
-		{"reply lost", platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 2}, 0},
-		{"request lost", platformtest.Fault{Op: platformtest.OpPut, LoseRequest: true, Times: 2}, 0},
-		{"late", platformtest.Fault{Op: platformtest.OpPut, Late: true, Times: 2}, 0},
-		{"replies lost, reads too", platformtest.Fault{LoseReply: true, Skip: 1, Times: 12}, allotment},
+		{"read refused", kvtest.Fault{Op: kvtest.OpGet, Err: kv.ErrUnreachable, Times: 2}, 0},
+		{"write refused", kvtest.Fault{Op: kvtest.OpPut, Err: kv.ErrUnreachable, Times: 2}, 0},
+		{"write limited", kvtest.Fault{Op: kvtest.OpPut, Err: kv.ErrLimited, Times: 2}, 0},
+		{"reply lost", kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 2}, 0},
+		{"request lost", kvtest.Fault{Op: kvtest.OpPut, LoseRequest: true, Times: 2}, 0},
+		{"late", kvtest.Fault{Op: kvtest.OpPut, Late: true, Times: 2}, 0},
+		{"replies lost, reads too", kvtest.Fault{LoseReply: true, Skip: 1, Times: 12}, allotment},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -169,8 +169,8 @@
 func TestLostReplyIsFoundLater(t *testing.T) {
 	r := newRig()
 	h := r.host(r.clock)
-	r.store.AddFault(platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 1})
-	r.store.AddFault(platformtest.Fault{Op: platformtest.OpGet, Err: platform.ErrUnreachable, Skip: 1, Times: 1})
+	r.store.AddFault(kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 1})
+	r.store.AddFault(kvtest.Fault{Op: kvtest.OpGet, Err: kv.ErrUnreachable, Skip: 1, Times: 1})
 	require.EqualValues(t, ceiling, r.drain(h))
 }
 
@@ -180,13 +180,13 @@
 		// back says that the other host gets what the first did not use.
 		back   bool
 		reason string
-		fault  platformtest.Fault
+		fault  kvtest.Fault
 	}{
-		{"given back", true, "", platformtest.Fault{Prefix: "none"}},
-		{"reply lost", true, "", platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 1}},
-		{"reply lost for good", true, "reply lost", platformtest.Fault{LoseReply: true, Host: "h1"}},
-		{"late", false, "reply lost", platformtest.Fault{Op: platformtest.OpPut, Late: true, Host: "h1"}},
-		{"refused", false, "", platformtest.Fault{Op: platformtest.OpPut, Err: platform.ErrUnreachable, Host: "h1"}},
+		{"given back", true, "", kvtest.Fault{Prefix: "none"}},
+		{"reply lost", true, "", kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 1}},
+		{"reply lost for good", true, "reply lost", kvtest.Fault{LoseReply: true, Host: "h1"}},
+		{"late", false, "reply lost", kvtest.Fault{Op: kvtest.OpPut, Late: true, Host: "h1"}},
+		{"refused", false, "", kvtest.Fault{Op: kvtest.OpPut, Err: kv.ErrUnreachable, Host: "h1"}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -318,15 +318,15 @@
 				r.spent[s.period] -= s.n
 			},
 			"fault": func(rt *rapid.T) {
-				f := rapid.SampledFrom([]platformtest.Fault{
-					{LoseReply: true}, {LoseRequest: true}, {Late: true}, {Err: platform.ErrUnreachable},
+				f := rapid.SampledFrom([]kvtest.Fault{
+					{LoseReply: true}, {LoseRequest: true}, {Late: true}, {Err: kv.ErrUnreachable},
 				}).Draw(rt, "fault")
 				f.Skip, f.Times = rapid.IntRange(0, 3).Draw(rt, "skip"), rapid.IntRange(1, 4).Draw(rt, "times")
-				f.Op = rapid.SampledFrom([]platformtest.Op{"", platformtest.OpPut}).Draw(rt, "op")
+				f.Op = rapid.SampledFrom([]kvtest.Op{"", kvtest.OpPut}).Draw(rt, "op")
 				r.store.AddFault(f)
 			},
 			"cut": func(rt *rapid.T) {
-				c := rapid.SampledFrom([]platformtest.Cut{platformtest.CutNone, platformtest.CutRequests, platformtest.CutReplies})
+				c := rapid.SampledFrom([]kvtest.Cut{kvtest.CutNone, kvtest.CutRequests, kvtest.CutReplies})
 				r.store.SetCut(hosts[draw()].name, c.Draw(rt, "cut"))
 			},
 			"late": func(*rapid.T) { r.store.ReleaseLate() },
--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -14,7 +14,7 @@
 	"github.com/comfreyspindle/comfreyspindle/node"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -154,7 +154,7 @@
 	s := startSite(t)
 	cut := s.In("kagoshima-port")
 	for _, h := range cut {
-		s.Store.SetCut(h.Settings.Host, platformtest.CutRequests)
+		s.Store.SetCut(h.Settings.Host, kvtest.CutRequests)
 		for _, o := range s.Hosts {
 			if o.Settings.DataCentre != h.Settings.DataCentre {
 				s.faults.CutBoth(h.Node.PeersAddress(), o.Node.PeersAddress())
@@ -170,7 +170,7 @@
 	got := s.Hosts[0].Node.InForce(t.Context(), s.doc.Name, s.doc.Generation)
 	require.Len(t, got.Behind, 2)
 	for _, h := range cut {
-		s.Store.SetCut(h.Settings.Host, platformtest.CutNone)
+		s.Store.SetCut(h.Settings.Host, kvtest.CutNone)
 	}
 	s.faults.Heal()
 	s.inForce(s.Hosts...)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,7 +17,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/node"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
@@ -56,8 +56,8 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	Store    *platformtest.Store
-	Platform *platformtest.Server
+	Store    *kvtest.Store
+	Platform *kvtest.Server
 	// Engines are by upstream name.
 	Engines map[string]*upstreamtest.Engine
 	Hosts   []*Host
@@ -74,8 +74,8 @@
 
 // Start starts a fleet and waits until its documents are in force.
 func Start(spec Spec) (*Fleet, error) {
-	f := &Fleet{Store: platformtest.NewStore(clockwork.NewRealClock()), Engines: make(map[string]*upstreamtest.Engine), spec: spec}
-	f.Platform = platformtest.NewServer(f.Store)
+	f := &Fleet{Store: kvtest.NewStore(clockwork.NewRealClock()), Engines: make(map[string]*upstreamtest.Engine), spec: spec}
+	f.Platform = kvtest.NewServer(f.Store)
 	if f.spec.Log == nil {
 		f.spec.Log = logrus.New()
 		f.spec.Log.SetOutput(io.Discard)
--- a/platform/budget.go
+++ b/kv/budget.go
@@ -1,4 +1,4 @@
-package platform
+package kv
 
 import (
 	"container/heap"
--- a/platform/budget_test.go
+++ b/kv/budget_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"context"
@@ -12,29 +12,29 @@
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
 	_ "github.com/comfreyspindle/comfreyspindle/internal/rapidtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // budgetRig is a budget of one write a second over a counted store.
 type budgetRig struct {
 	clock  *clockwork.FakeClock
-	inner  *platformtest.Store
-	budget *platform.Budget
+	inner  *kvtest.Store
+	budget *kv.Budget
 }
 
 func newBudgetRig(queue int) *budgetRig {
 	clock := clockwork.NewFakeClock()
-	inner := platformtest.NewStore(clock)
-	return &budgetRig{clock: clock, inner: inner, budget: platform.NewBudget(inner.Host("h"),
-		platform.BudgetOptions{WritesPerSecond: 1, ReadsPerSecond: 1000, Queue: queue}, clock)}
+	inner := kvtest.NewStore(clock)
+	return &budgetRig{clock: clock, inner: inner, budget: kv.NewBudget(inner.Host("h"),
+		kv.BudgetOptions{WritesPerSecond: 1, ReadsPerSecond: 1000, Queue: queue}, clock)}
 }
 
 // put starts a write under a purpose and returns its outcome.
-func (r *budgetRig) put(ctx context.Context, p platform.Purpose) <-chan error {
+func (r *budgetRig) put(ctx context.Context, p kv.Purpose) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		_, err := r.budget.Put(platform.WithPurpose(ctx, p), platform.Put{Key: p.String()})
+		_, err := r.budget.Put(kv.WithPurpose(ctx, p), kv.Put{Key: p.String()})
 		done <- err
 	}()
 	return done
@@ -47,9 +47,9 @@
 func TestBudgetServesPurposesInOrder(t *testing.T) {
 	r := newBudgetRig(16)
 	ctx := context.Background()
-	require.NoError(t, <-r.put(ctx, platform.PurposeOther))
-	purposes := []platform.Purpose{
-		platform.PurposeBatch, platform.PurposeCancel, platform.PurposeQuarantine, platform.PurposeRecovery, platform.PurposeLedger,
+	require.NoError(t, <-r.put(ctx, kv.PurposeOther))
+	purposes := []kv.Purpose{
+		kv.PurposeBatch, kv.PurposeCancel, kv.PurposeQuarantine, kv.PurposeRecovery, kv.PurposeLedger,
 	}
 	for i, p := range purposes {
 		r.put(ctx, p)
@@ -57,7 +57,7 @@
 	}
 	want := []string{"recovery", "cancel", "ledger", "batch", "quarantine"}
 	for i, key := range want {
-		require.Equal(t, i+1, r.inner.Calls("h", platformtest.OpPut), "more writes than the rate")
+		require.Equal(t, i+1, r.inner.Calls("h", kvtest.OpPut), "more writes than the rate")
 		r.clock.Advance(1100 * time.Millisecond)
 		require.Eventually(t, func() bool {
 			_, err := r.inner.Get(ctx, key)
@@ -69,44 +69,44 @@
 func TestBudgetRefusals(t *testing.T) {
 	rows := []struct {
 		name    string
-		waiting platform.Purpose
-		comes   platform.Purpose
-		refused platform.Purpose
+		waiting kv.Purpose
+		comes   kv.Purpose
+		refused kv.Purpose
 	}{
-		{"full queue refuses its equal", platform.PurposeBatch, platform.PurposeBatch, platform.PurposeBatch},
-		{"full queue refuses a less important call", platform.PurposeLedger, platform.PurposeOther, platform.PurposeOther},
-		{"a more important call evicts", platform.PurposeOther, platform.PurposeRecovery, platform.PurposeOther},
+		{"full queue refuses its equal", kv.PurposeBatch, kv.PurposeBatch, kv.PurposeBatch},
+		{"full queue refuses a less important call", kv.PurposeLedger, kv.PurposeOther, kv.PurposeOther},
+		{"a more important call evicts", kv.PurposeOther, kv.PurposeRecovery, kv.PurposeOther},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			r := newBudgetRig(1)
 			ctx := context.Background()
-			require.NoError(t, <-r.put(ctx, platform.PurposeConfig))
+			require.NoError(t, <-r.put(ctx, kv.PurposeConfig))
 			first := r.put(ctx, row.waiting)
 			r.waitQueued(t, 1)
 			second := r.put(ctx, row.comes)
 			if row.refused == row.waiting && row.waiting != row.comes {
 				first, second = second, first
 			}
-			errtest.Is(t, <-second, platform.ErrLimited)
+			errtest.Is(t, <-second, kv.ErrLimited)
 			r.waitQueued(t, 1)
 			r.clock.Advance(2 * time.Second)
 			require.NoError(t, <-first)
-			require.Equal(t, 2, r.inner.Calls("h", platformtest.OpPut), "a refused call was made")
+			require.Equal(t, 2, r.inner.Calls("h", kvtest.OpPut), "a refused call was made")
 		})
 	}
 }
 
 func TestBudgetEndsWaitWithContext(t *testing.T) {
 	r := newBudgetRig(4)
-	require.NoError(t, <-r.put(context.Background(), platform.PurposeOther))
+	require.NoError(t, <-r.put(context.Background(), kv.PurposeOther))
 	ctx, cancel := context.WithCancel(context.Background())
-	waiting := r.put(ctx, platform.PurposeBatch)
+	waiting := r.put(ctx, kv.PurposeBatch)
 	r.waitQueued(t, 1)
 	cancel()
-	errtest.Is(t, <-waiting, platform.ErrLimited)
+	errtest.Is(t, <-waiting, kv.ErrLimited)
 	r.clock.Advance(time.Hour)
-	require.Equal(t, 1, r.inner.Calls("h", platformtest.OpPut))
+	require.Equal(t, 1, r.inner.Calls("h", kvtest.OpPut))
 }
 
 // TestBudgetNeverExceedsRate drives random arrivals and departures: the calls
@@ -118,16 +118,16 @@
 		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
 			r.clock.Advance(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "ms")) * time.Millisecond)
 			ctx, cancel := context.WithCancel(context.Background())
-			done := r.put(ctx, platform.Purpose(rapid.IntRange(0, 8).Draw(rt, "purpose")))
+			done := r.put(ctx, kv.Purpose(rapid.IntRange(0, 8).Draw(rt, "purpose")))
 			if rapid.Bool().Draw(rt, "leave") {
 				cancel()
-				if err := <-done; err != nil && !errors.Is(err, platform.ErrConflict) {
-					errtest.Is(t, err, platform.ErrLimited)
+				if err := <-done; err != nil && !errors.Is(err, kv.ErrConflict) {
+					errtest.Is(t, err, kv.ErrLimited)
 				}
 			}
 			defer cancel()
 			limit := 1 + r.clock.Since(start).Seconds() + 0.01
-			if made := float64(r.inner.Calls("h", platformtest.OpPut)); made > limit {
+			if made := float64(r.inner.Calls("h", kvtest.OpPut)); made > limit {
 				rt.Fatalf("%v writes in a budget of %v", made, limit)
 			}
 		}
--- a/platform/http_test.go
+++ b/kv/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // flakyServer serves a stand-in store and drops the connection of writes
 // before or after they take effect.
 type flakyServer struct {
-	inner  *platformtest.Store
+	inner  *kvtest.Store
 	server *httptest.Server
 	writes atomic.Int64
 	before atomic.Bool
@@ -29,8 +29,8 @@
 }
 
 func newFlakyServer(t *testing.T) *flakyServer {
-	f := &flakyServer{inner: platformtest.NewStore(clockwork.NewRealClock()), conns: make(chan net.Conn, 16)}
-	backend := platformtest.NewServer(f.inner)
+	f := &flakyServer{inner: kvtest.NewStore(clockwork.NewRealClock()), conns: make(chan net.Conn, 16)}
+	backend := kvtest.NewServer(f.inner)
 	t.Cleanup(backend.Close)
 	f.server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
@@ -57,8 +57,8 @@
 	return f
 }
 
-func (f *flakyServer) store() platform.Store {
-	return platform.NewHTTP("h", []string{f.server.Listener.Addr().String()}, 2*time.Second)
+func (f *flakyServer) store() kv.Store {
+	return kv.NewHTTP("h", []string{f.server.Listener.Addr().String()}, 2*time.Second)
 }
 
 // TestWriteIsNeverResent breaks the reused connection of a write, which is
@@ -70,19 +70,19 @@
 		set   func(f *flakyServer)
 		want  error
 	}{
-		{"dropped before it took effect", []byte("v"), func(f *flakyServer) { f.before.Store(true) }, platform.ErrUnknown},
-		{"dropped after it took effect", []byte("v"), func(f *flakyServer) { f.after.Store(true) }, platform.ErrUnknown},
-		{"empty value, dropped", nil, func(f *flakyServer) { f.after.Store(true) }, platform.ErrUnknown},
+		{"dropped before it took effect", []byte("v"), func(f *flakyServer) { f.before.Store(true) }, kv.ErrUnknown},
+		{"dropped after it took effect", []byte("v"), func(f *flakyServer) { f.after.Store(true) }, kv.ErrUnknown},
+		{"empty value, dropped", nil, func(f *flakyServer) { f.after.Store(true) }, kv.ErrUnknown},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			ctx := context.Background()
 			f := newFlakyServer(t)
 			s := f.store()
-			v, err := s.Put(ctx, platform.Put{Key: "k", Value: []byte("first")})
+			v, err := s.Put(ctx, kv.Put{Key: "k", Value: []byte("first")})
 			require.NoError(t, err)
 			row.set(f)
-			_, err = s.Put(ctx, platform.Put{Key: "k", Value: row.value, If: v})
+			_, err = s.Put(ctx, kv.Put{Key: "k", Value: row.value, If: v})
 			errtest.Is(t, err, row.want)
 			errtest.Is(t, s.Delete(ctx, "k", v), row.want)
 			require.EqualValues(t, 3, f.writes.Load(), "a write reached the service twice")
@@ -96,10 +96,10 @@
 	ctx := context.Background()
 	f := newFlakyServer(t)
 	s := f.store()
-	v, err := f.inner.Put(ctx, platform.Put{Key: "k", Value: []byte("first")})
+	v, err := f.inner.Put(ctx, kv.Put{Key: "k", Value: []byte("first")})
 	require.NoError(t, err)
 	for range 50 {
-		next, err := platform.Swap(ctx, s, platform.Put{Key: "k", Value: []byte("x"), If: v})
+		next, err := kv.Swap(ctx, s, kv.Put{Key: "k", Value: []byte("x"), If: v})
 		require.NoError(t, err)
 		require.Equal(t, v+1, next, "the write took effect more than once")
 		v = next
@@ -111,7 +111,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	require.NoError(t, l.Close())
-	s := platform.NewHTTP("h", []string{l.Addr().String()}, time.Second)
-	_, err = s.Put(context.Background(), platform.Put{Key: "k"})
-	errtest.Is(t, err, platform.ErrUnreachable)
+	s := kv.NewHTTP("h", []string{l.Addr().String()}, time.Second)
+	_, err = s.Put(context.Background(), kv.Put{Key: "k"})
+	errtest.Is(t, err, kv.ErrUnreachable)
 }
--- a/platform/platform.go
+++ b/kv/kv.go
@@ -1,6 +1,6 @@
-// Package platform is the port to the platform's key-value service:
+// Package kv is the port to the platform's key-value service:
 // compare-and-swap on one key, keys with a time to live, and watches.
-package platform
+package kv
 
 import (
 	"context"
--- a/platform/platformtest/contract_test.go
+++ b/kv/kvtest/contract_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package kvtest_test
 
 import (
 	"context"
@@ -11,25 +11,25 @@
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
 	_ "github.com/comfreyspindle/comfreyspindle/internal/rapidtest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 func TestContractInMemory(t *testing.T) {
-	platformtest.Contract(t, func(*testing.T) platform.Store {
-		return platformtest.NewStore(clockwork.NewRealClock()).Host("h")
+	kvtest.Contract(t, func(*testing.T) kv.Store {
+		return kvtest.NewStore(clockwork.NewRealClock()).Host("h")
 	})
 }
 
-func httpStore(t *testing.T) (*platformtest.Store, platform.Store) {
-	s := platformtest.NewStore(clockwork.NewRealClock())
-	srv := platformtest.NewServer(s)
+func httpStore(t *testing.T) (*kvtest.Store, kv.Store) {
+	s := kvtest.NewStore(clockwork.NewRealClock())
+	srv := kvtest.NewServer(s)
 	t.Cleanup(srv.Close)
-	return s, platform.NewHTTP("h", []string{srv.Address()}, 2*time.Second)
+	return s, kv.NewHTTP("h", []string{srv.Address()}, 2*time.Second)
 }
 
 func TestContractHTTP(t *testing.T) {
-	platformtest.Contract(t, func(t *testing.T) platform.Store {
+	kvtest.Contract(t, func(t *testing.T) kv.Store {
 		_, s := httpStore(t)
 		return s
 	})
@@ -39,23 +39,23 @@
 	ctx := context.Background()
 	rows := []struct {
 		name    string
-		fault   platformtest.Fault
+		fault   kvtest.Fault
 		want    error
 		applied bool
 	}{
-		{"refused", platformtest.Fault{Err: platform.ErrUnreachable}, platform.ErrUnreachable, false},
-		{"limited", platformtest.Fault{Err: platform.ErrLimited}, platform.ErrLimited, false},
-		{"reply lost", platformtest.Fault{LoseReply: true}, platform.ErrUnknown, true},
-		{"request lost", platformtest.Fault{LoseRequest: true}, platform.ErrUnknown, false},
-		{"late", platformtest.Fault{Late: true}, platform.ErrUnknown, false},
-		{"slow", platformtest.Fault{Delay: time.Millisecond}, nil, true},
+		{"refused", kvtest.Fault{Err: kv.ErrUnreachable}, kv.ErrUnreachable, false},
+		{"limited", kvtest.Fault{Err: kv.ErrLimited}, kv.ErrLimited, false},
+		{"reply lost", kvtest.Fault{LoseReply: true}, kv.ErrUnknown, true},
+		{"request lost", kvtest.Fault{LoseRequest: true}, kv.ErrUnknown, false},
+		{"late", kvtest.Fault{Late: true}, kv.ErrUnknown, false},
+		{"slow", kvtest.Fault{Delay: time.Millisecond}, nil, true},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			inner, s := httpStore(t)
-			row.fault.Op = platformtest.OpPut
+			row.fault.Op = kvtest.OpPut
 			inner.AddFault(row.fault)
-			_, err := s.Put(ctx, platform.Put{Key: "k"})
+			_, err := s.Put(ctx, kv.Put{Key: "k"})
 			if row.want == nil {
 				require.NoError(t, err)
 			} else {
@@ -70,51 +70,51 @@
 func TestSwapResolvesLostReply(t *testing.T) {
 	ctx := context.Background()
 	inner, s := httpStore(t)
-	inner.AddFault(platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 1})
-	v, err := platform.Swap(ctx, s, platform.Put{Key: "k", Value: []byte("x")})
+	inner.AddFault(kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 1})
+	v, err := kv.Swap(ctx, s, kv.Put{Key: "k", Value: []byte("x")})
 	require.NoError(t, err)
-	r, err := platform.Read(ctx, s, "k")
+	r, err := kv.Read(ctx, s, "k")
 	require.NoError(t, err)
-	require.Equal(t, platform.Record{Payload: []byte("x"), Version: v}, r)
+	require.Equal(t, kv.Record{Payload: []byte("x"), Version: v}, r)
 }
 
 func TestSwapReportsSuperseded(t *testing.T) {
 	ctx := context.Background()
 	inner, s := httpStore(t)
-	inner.AddFault(platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 1})
+	inner.AddFault(kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 1})
 	gate := make(chan struct{})
-	inner.AddFault(platformtest.Fault{Op: platformtest.OpGet, Gate: gate, Times: 1})
+	inner.AddFault(kvtest.Fault{Op: kvtest.OpGet, Gate: gate, Times: 1})
 	done := make(chan error, 1)
 	go func() {
-		_, err := platform.Swap(ctx, s, platform.Put{Key: "k", Value: []byte("x")})
+		_, err := kv.Swap(ctx, s, kv.Put{Key: "k", Value: []byte("x")})
 		done <- err
 	}()
-	require.Eventually(t, func() bool { return inner.Calls("h", platformtest.OpGet) == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return inner.Calls("h", kvtest.OpGet) == 1 }, 5*time.Second, time.Millisecond)
 	e, err := inner.Get(ctx, "k")
 	require.NoError(t, err)
-	_, err = inner.Put(ctx, platform.Put{Key: "k", Value: make([]byte, 32), If: e.Version})
+	_, err = inner.Put(ctx, kv.Put{Key: "k", Value: make([]byte, 32), If: e.Version})
 	require.NoError(t, err)
 	close(gate)
-	errtest.Is(t, <-done, platform.ErrSuperseded)
+	errtest.Is(t, <-done, kv.ErrSuperseded)
 }
 
 func TestOneWayCuts(t *testing.T) {
 	ctx := context.Background()
 	rows := []struct {
-		cut     platformtest.Cut
+		cut     kvtest.Cut
 		applied bool
-	}{{platformtest.CutRequests, false}, {platformtest.CutReplies, true}}
+	}{{kvtest.CutRequests, false}, {kvtest.CutReplies, true}}
 	for _, row := range rows {
 		inner, s := httpStore(t)
 		inner.SetCut("h", row.cut)
-		_, err := s.Put(ctx, platform.Put{Key: "k"})
-		errtest.Is(t, err, platform.ErrUnknown)
+		_, err := s.Put(ctx, kv.Put{Key: "k"})
+		errtest.Is(t, err, kv.ErrUnknown)
 		_, err = s.Get(ctx, "k")
-		errtest.Is(t, err, platform.ErrUnreachable)
+		errtest.Is(t, err, kv.ErrUnreachable)
 		_, err = inner.Host("other").Get(ctx, "k")
 		require.Equal(t, row.applied, err == nil)
-		inner.SetCut("h", platformtest.CutNone)
-		_, err = s.Put(ctx, platform.Put{Key: "healed"})
+		inner.SetCut("h", kvtest.CutNone)
+		_, err = s.Put(ctx, kv.Put{Key: "healed"})
 		require.NoError(t, err)
 	}
 }
@@ -122,22 +122,22 @@
 func TestRateLimits(t *testing.T) {
 	ctx := context.Background()
 	clock := clockwork.NewFakeClock()
-	inner := platformtest.NewStore(clock)
-	inner.SetRateLimits(platformtest.Rate{Writes: 2}, platformtest.Rate{Writes: 3, Reads: 1})
+	inner := kvtest.NewStore(clock)
+	inner.SetRateLimits(kvtest.Rate{Writes: 2}, kvtest.Rate{Writes: 3, Reads: 1})
 	a, b := inner.Host("a"), inner.Host("b")
-	put := func(s platform.Store, key string) error {
-		_, err := s.Put(ctx, platform.Put{Key: key})
+	put := func(s kv.Store, key string) error {
+		_, err := s.Put(ctx, kv.Put{Key: key})
 		return err
 	}
 	require.NoError(t, put(a, "1"))
 	require.NoError(t, put(a, "2"))
-	errtest.Is(t, put(a, "3"), platform.ErrLimited)
+	errtest.Is(t, put(a, "3"), kv.ErrLimited)
 	require.NoError(t, put(b, "4"))
-	errtest.Is(t, put(b, "5"), platform.ErrLimited)
+	errtest.Is(t, put(b, "5"), kv.ErrLimited)
 	_, err := b.Get(ctx, "4")
 	require.NoError(t, err)
 	_, err = a.Get(ctx, "4")
-	errtest.Is(t, err, platform.ErrLimited)
+	errtest.Is(t, err, kv.ErrLimited)
 	clock.Advance(time.Second)
 	require.NoError(t, put(b, "6"))
 }
@@ -145,9 +145,9 @@
 func TestLeasesEndEarlyOrLate(t *testing.T) {
 	ctx := context.Background()
 	clock := clockwork.NewFakeClock()
-	s := platformtest.NewStore(clock)
+	s := kvtest.NewStore(clock)
 	for _, key := range []string{"early", "late", "exact"} {
-		_, err := s.Put(ctx, platform.Put{Key: key, TTL: time.Minute})
+		_, err := s.Put(ctx, kv.Put{Key: key, TTL: time.Minute})
 		require.NoError(t, err)
 	}
 	s.Expire("early")
@@ -164,32 +164,32 @@
 func TestWatchIsCompleteOrCompacted(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		ctx := context.Background()
-		s := platformtest.NewStore(clockwork.NewFakeClock())
-		var written []platform.Version
+		s := kvtest.NewStore(clockwork.NewFakeClock())
+		var written []kv.Version
 		for range rapid.IntRange(1, 30).Draw(rt, "writes") {
 			if rapid.IntRange(0, 9).Draw(rt, "compact") == 0 {
 				s.Compact()
 			}
-			v, err := s.Put(ctx, platform.Put{Key: "k", If: last(written)})
+			v, err := s.Put(ctx, kv.Put{Key: "k", If: last(written)})
 			require.NoError(rt, err)
 			written = append(written, v)
 		}
 		from := rapid.IntRange(0, len(written)-1).Draw(rt, "from")
-		c, err := s.Watch(ctx, platform.Watch{Key: "k", After: written[from]})
+		c, err := s.Watch(ctx, kv.Watch{Key: "k", After: written[from]})
 		if err != nil {
-			errtest.Is(t, err, platform.ErrCompacted)
+			errtest.Is(t, err, kv.ErrCompacted)
 			return
 		}
-		var seen []platform.Version
+		var seen []kv.Version
 		for _, e := range c.Events {
 			seen = append(seen, e.Version)
 		}
-		require.Equal(rt, append([]platform.Version(nil), written[from+1:]...), seen)
+		require.Equal(rt, append([]kv.Version(nil), written[from+1:]...), seen)
 		require.GreaterOrEqual(rt, c.Through, last(written))
 	})
 }
 
-func last(versions []platform.Version) platform.Version {
+func last(versions []kv.Version) kv.Version {
 	if len(versions) == 0 {
 		return 0
 	}
@@ -200,22 +200,22 @@
 	ctx := context.Background()
 	rows := []struct {
 		name  string
-		fault platformtest.Fault
+		fault kvtest.Fault
 		want  error
 	}{
-		{"request lost once", platformtest.Fault{LoseRequest: true, Times: 1}, nil},
-		{"reply lost once", platformtest.Fault{LoseReply: true, Times: 1}, nil},
-		{"late, then written again", platformtest.Fault{Late: true, Times: 1}, nil},
-		{"always lost", platformtest.Fault{LoseRequest: true}, platform.ErrUnknown},
+		{"request lost once", kvtest.Fault{LoseRequest: true, Times: 1}, nil},
+		{"reply lost once", kvtest.Fault{LoseReply: true, Times: 1}, nil},
+		{"late, then written again", kvtest.Fault{Late: true, Times: 1}, nil},
+		{"always lost", kvtest.Fault{LoseRequest: true}, kv.ErrUnknown},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			inner, s := httpStore(t)
-			v, err := inner.Put(ctx, platform.Put{Key: "k", Value: make([]byte, 16)})
+			v, err := inner.Put(ctx, kv.Put{Key: "k", Value: make([]byte, 16)})
 			require.NoError(t, err)
-			row.fault.Op = platformtest.OpPut
+			row.fault.Op = kvtest.OpPut
 			inner.AddFault(row.fault)
-			got, err := platform.Swap(ctx, s, platform.Put{Key: "k", Value: []byte("x"), If: v})
+			got, err := kv.Swap(ctx, s, kv.Put{Key: "k", Value: []byte("x"), If: v})
 			inner.ReleaseLate()
 			if row.want != nil {
 				errtest.Is(t, err, row.want)
--- a/platform/platformtest/faults.go
+++ b/kv/kvtest/faults.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvtest
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Fault is a row of a fault table: what happens to the calls that it matches.
@@ -84,7 +84,7 @@
 
 // Host returns the store as one host reaches it: calls are counted and faults
 // apply.
-func (s *Store) Host(name string) platform.Store { return &hostStore{store: s, host: name} }
+func (s *Store) Host(name string) kv.Store { return &hostStore{store: s, host: name} }
 
 type hostStore struct {
 	store *Store
@@ -98,10 +98,10 @@
 	defer s.mu.Unlock()
 	s.calls[CallKey{Host: h.host, Op: op}]++
 	if s.outage {
-		return Fault{Err: platform.ErrUnreachable}
+		return Fault{Err: kv.ErrUnreachable}
 	}
 	if s.limits.exceeded(s.clock.Now(), h.host, op) {
-		return Fault{Err: platform.ErrLimited}
+		return Fault{Err: kv.ErrLimited}
 	}
 	fault := Fault{}
 	for _, f := range s.faults {
@@ -135,7 +135,7 @@
 		select {
 		case <-h.store.clock.After(f.Delay):
 		case <-ctx.Done():
-			return f, errors.Mark(ctx.Err(), platform.ErrUnreachable)
+			return f, errors.Mark(ctx.Err(), kv.ErrUnreachable)
 		}
 	}
 	if f.Gate != nil {
@@ -150,9 +150,9 @@
 // lossOf is what a caller of op can tell after a loss on the way.
 func lossOf(op Op) error {
 	if op == OpPut || op == OpDelete {
-		return platform.ErrUnknown
+		return kv.ErrUnknown
 	}
-	return platform.ErrUnreachable
+	return kv.ErrUnreachable
 }
 
 // after applies the part of a fault that follows the effect.
@@ -163,28 +163,28 @@
 	return err
 }
 
-// Get implements platform.Store.
-func (h *hostStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+// Get implements kv.Store.
+func (h *hostStore) Get(ctx context.Context, key string) (kv.Entry, error) {
 	f, err := h.before(ctx, OpGet, key)
 	if err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	e, err := h.store.Get(ctx, key)
 	if err := f.after(OpGet, err); err != nil {
-		return platform.Entry{}, err
+		return kv.Entry{}, err
 	}
 	return e, nil
 }
 
-// Put implements platform.Store.
-func (h *hostStore) Put(ctx context.Context, put platform.Put) (platform.Version, error) {
+// Put implements kv.Store.
+func (h *hostStore) Put(ctx context.Context, put kv.Put) (kv.Version, error) {
 	f, err := h.before(ctx, OpPut, put.Key)
 	if err != nil {
 		return 0, err
 	}
 	if f.Late {
 		h.store.hold(func() { _, _ = h.store.Put(context.WithoutCancel(ctx), put) })
-		return 0, errors.Wrap(platform.ErrUnknown, "late")
+		return 0, errors.Wrap(kv.ErrUnknown, "late")
 	}
 	v, err := h.store.Put(ctx, put)
 	if err := f.after(OpPut, err); err != nil {
@@ -193,28 +193,28 @@
 	return v, nil
 }
 
-// Delete implements platform.Store.
-func (h *hostStore) Delete(ctx context.Context, key string, version platform.Version) error {
+// Delete implements kv.Store.
+func (h *hostStore) Delete(ctx context.Context, key string, version kv.Version) error {
 	f, err := h.before(ctx, OpDelete, key)
 	if err != nil {
 		return err
 	}
 	if f.Late {
 		h.store.hold(func() { _ = h.store.Delete(context.WithoutCancel(ctx), key, version) })
-		return errors.Wrap(platform.ErrUnknown, "late")
+		return errors.Wrap(kv.ErrUnknown, "late")
 	}
 	return f.after(OpDelete, h.store.Delete(ctx, key, version))
 }
 
-// Watch implements platform.Store.
-func (h *hostStore) Watch(ctx context.Context, w platform.Watch) (platform.Changes, error) {
+// Watch implements kv.Store.
+func (h *hostStore) Watch(ctx context.Context, w kv.Watch) (kv.Changes, error) {
 	f, err := h.before(ctx, OpWatch, w.Key)
 	if err != nil {
-		return platform.Changes{}, err
+		return kv.Changes{}, err
 	}
 	c, err := h.store.Watch(ctx, w)
 	if err := f.after(OpWatch, err); err != nil {
-		return platform.Changes{}, err
+		return kv.Changes{}, err
 	}
 	return c, nil
 }
--- a/platform/platformtest/history_test.go
+++ b/kv/kvtest/history_test.go
@@ -1,4 +1,4 @@
-package platformtest_test
+package kvtest_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // register is the state of one key: its value, empty when it does not exist.
@@ -42,11 +42,11 @@
 			return []any{now}
 		case in.read:
 			return nil
-		case errors.Is(out.err, platform.ErrUnknown) && in.from == now:
+		case errors.Is(out.err, kv.ErrUnknown) && in.from == now:
 			return []any{now, in.to}
-		case errors.Is(out.err, platform.ErrUnknown):
+		case errors.Is(out.err, kv.ErrUnknown):
 			return []any{now}
-		case errors.Is(out.err, platform.ErrConflict) && in.from != now:
+		case errors.Is(out.err, kv.ErrConflict) && in.from != now:
 			return []any{now}
 		case out.err == nil && in.from == now:
 			return []any{in.to}
@@ -68,7 +68,7 @@
 // that it never returns.
 func (h *history) record(client int, in swapInput, call time.Duration, out swapOutput) {
 	end := time.Since(h.start)
-	if errors.Is(out.err, platform.ErrUnknown) {
+	if errors.Is(out.err, kv.ErrUnknown) {
 		end = time.Hour
 	}
 	h.mu.Lock()
@@ -77,14 +77,14 @@
 }
 
 // contend reads and swaps one key with unique values.
-func contend(client, calls int, s platform.Store, h *history, rng *rand.Rand) {
+func contend(client, calls int, s kv.Store, h *history, rng *rand.Rand) {
 	ctx := context.Background()
-	var e platform.Entry
+	var e kv.Entry
 	for i := range calls {
 		if i%2 == 0 || rng.IntN(4) == 0 {
 			call := time.Since(h.start)
 			got, err := s.Get(ctx, "k")
-			if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			if err != nil && !errors.Is(err, kv.ErrNotFound) {
 				continue
 			}
 			e = got
@@ -93,7 +93,7 @@
 		}
 		in := swapInput{from: register(e.Value), to: register(fmt.Sprintf("%d-%d", client, i))}
 		call := time.Since(h.start)
-		_, err := s.Put(ctx, platform.Put{Key: "k", Value: []byte(in.to), If: e.Version})
+		_, err := s.Put(ctx, kv.Put{Key: "k", Value: []byte(in.to), If: e.Version})
 		h.record(client, in, call, swapOutput{err: err})
 	}
 }
@@ -103,16 +103,16 @@
 func TestSwapHistoryOverHTTP(t *testing.T) {
 	const clients, calls, seeds = 4, 16, 20
 	for seed := range uint64(seeds) {
-		inner := platformtest.NewStore(clockwork.NewRealClock())
-		srv := platformtest.NewServer(inner)
+		inner := kvtest.NewStore(clockwork.NewRealClock())
+		srv := kvtest.NewServer(inner)
 		h := &history{start: time.Now()}
 		var wg sync.WaitGroup
 		for c := range clients {
 			rng := rand.New(rand.NewPCG(seed, uint64(c)))
-			inner.AddFault(platformtest.Fault{Host: fmt.Sprint(c), Op: platformtest.OpPut, Skip: rng.IntN(4), Times: 1, LoseReply: true})
-			inner.AddFault(platformtest.Fault{Host: fmt.Sprint(c), Op: platformtest.OpPut, Skip: rng.IntN(4), Times: 1, Late: true})
-			inner.AddFault(platformtest.Fault{Host: fmt.Sprint(c), Skip: rng.IntN(8), Times: 1, LoseRequest: true})
-			s := platform.NewHTTP(fmt.Sprint(c), []string{srv.Address()}, 5*time.Second)
+			inner.AddFault(kvtest.Fault{Host: fmt.Sprint(c), Op: kvtest.OpPut, Skip: rng.IntN(4), Times: 1, LoseReply: true})
+			inner.AddFault(kvtest.Fault{Host: fmt.Sprint(c), Op: kvtest.OpPut, Skip: rng.IntN(4), Times: 1, Late: true})
+			inner.AddFault(kvtest.Fault{Host: fmt.Sprint(c), Skip: rng.IntN(8), Times: 1, LoseRequest: true})
+			s := kv.NewHTTP(fmt.Sprint(c), []string{srv.Address()}, 5*time.Second)
 			wg.Go(func() {
 				contend(c, calls, s, h, rng)
 				inner.ReleaseLate()
--- a/platform/platformtest/network.go
+++ b/kv/kvtest/network.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvtest
 
 import (
 	"time"
--- a/platform/platformtest/server.go
+++ b/kv/kvtest/server.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvtest
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Server serves a Store over the HTTP form on loopback.
@@ -32,8 +32,8 @@
 func Handler(s *Store) http.Handler {
 	srv := &Server{store: s}
 	mux := http.NewServeMux()
-	mux.HandleFunc(platform.PathKeys, srv.keys)
-	mux.HandleFunc(platform.PathWatch, srv.watch)
+	mux.HandleFunc(kv.PathKeys, srv.keys)
+	mux.HandleFunc(kv.PathWatch, srv.watch)
 	return mux
 }
 
@@ -41,12 +41,12 @@
 func (srv *Server) Address() string { return srv.Listener.Addr().String() }
 
 func (srv *Server) keys(w http.ResponseWriter, r *http.Request) {
-	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), platform.PathKeys))
+	key, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), kv.PathKeys))
 	if err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	store := srv.store.Host(r.Header.Get(platform.HeaderHost))
+	store := srv.store.Host(r.Header.Get(kv.HeaderHost))
 	switch r.Method {
 	case http.MethodGet:
 		e, err := store.Get(r.Context(), key)
@@ -60,7 +60,7 @@
 		v, err := store.Put(r.Context(), put)
 		reply(w, v, nil, err)
 	case http.MethodDelete:
-		v, err := platform.ParseEntityTag(r.Header.Get("If-Match"))
+		v, err := kv.ParseEntityTag(r.Header.Get("If-Match"))
 		if err != nil {
 			w.WriteHeader(http.StatusPreconditionRequired)
 			return
@@ -71,21 +71,21 @@
 	}
 }
 
-func putOf(key string, r *http.Request) (platform.Put, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+1))
+func putOf(key string, r *http.Request) (kv.Put, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, kv.MaxValueBytes+1))
 	if err != nil {
-		return platform.Put{}, err
+		return kv.Put{}, err
 	}
-	put := platform.Put{Key: key, Value: body}
+	put := kv.Put{Key: key, Value: body}
 	if tag := r.Header.Get("If-Match"); tag != "" {
-		if put.If, err = platform.ParseEntityTag(tag); err != nil {
-			return platform.Put{}, err
+		if put.If, err = kv.ParseEntityTag(tag); err != nil {
+			return kv.Put{}, err
 		}
 	}
-	if ms := r.URL.Query().Get(platform.ParamTTL); ms != "" {
+	if ms := r.URL.Query().Get(kv.ParamTTL); ms != "" {
 		n, err := strconv.ParseInt(ms, 10, 64)
 		if err != nil {
-			return platform.Put{}, err
+			return kv.Put{}, err
 		}
 		put.TTL = time.Duration(n) * time.Millisecond
 	}
@@ -94,17 +94,17 @@
 
 func (srv *Server) watch(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	after, err1 := strconv.ParseUint(q.Get(platform.ParamAfter), 10, 64)
-	wait, err2 := strconv.ParseInt(q.Get(platform.ParamWait), 10, 64)
-	prefix, err3 := strconv.ParseBool(q.Get(platform.ParamPrefix))
+	after, err1 := strconv.ParseUint(q.Get(kv.ParamAfter), 10, 64)
+	wait, err2 := strconv.ParseInt(q.Get(kv.ParamWait), 10, 64)
+	prefix, err3 := strconv.ParseBool(q.Get(kv.ParamPrefix))
 	if err := errors.Join(err1, err2, err3); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	store := srv.store.Host(r.Header.Get(platform.HeaderHost))
-	changes, err := store.Watch(r.Context(), platform.Watch{
-		Key: q.Get(platform.ParamKey), Prefix: prefix,
-		After: platform.Version(after), Wait: time.Duration(wait) * time.Millisecond,
+	store := srv.store.Host(r.Header.Get(kv.HeaderHost))
+	changes, err := store.Watch(r.Context(), kv.Watch{
+		Key: q.Get(kv.ParamKey), Prefix: prefix,
+		After: kv.Version(after), Wait: time.Duration(wait) * time.Millisecond,
 	})
 	if err != nil {
 		reply(w, 0, nil, err)
@@ -117,16 +117,16 @@
 	err    error
 	status int
 }{
-	{platform.ErrConflict, http.StatusPreconditionFailed},
-	{platform.ErrNotFound, http.StatusNotFound},
-	{platform.ErrUnreachable, http.StatusServiceUnavailable},
-	{platform.ErrLimited, http.StatusTooManyRequests},
-	{platform.ErrTooLarge, http.StatusRequestEntityTooLarge},
-	{platform.ErrCompacted, http.StatusGone},
+	{kv.ErrConflict, http.StatusPreconditionFailed},
+	{kv.ErrNotFound, http.StatusNotFound},
+	{kv.ErrUnreachable, http.StatusServiceUnavailable},
+	{kv.ErrLimited, http.StatusTooManyRequests},
+	{kv.ErrTooLarge, http.StatusRequestEntityTooLarge},
+	{kv.ErrCompacted, http.StatusGone},
 }
 
-func reply(w http.ResponseWriter, v platform.Version, body []byte, err error) {
-	if errors.Is(err, platform.ErrUnknown) {
+func reply(w http.ResponseWriter, v kv.Version, body []byte, err error) {
+	if errors.Is(err, kv.ErrUnknown) {
 		// Closing the connection without a reply loses it.
 		panic(http.ErrAbortHandler)
 	}
@@ -137,7 +137,7 @@
 		}
 	}
 	if v != 0 {
-		w.Header().Set("ETag", platform.EntityTag(v))
+		w.Header().Set("ETag", kv.EntityTag(v))
 	}
 	_, _ = w.Write(body)
 }
--- a/platform/platformtest/store.go
+++ b/kv/kvtest/store.go
@@ -1,6 +1,6 @@
-// Package platformtest holds a small stand-in for the platform's key-value
-// service, with faults, and the contract test for every platform.Store.
-package platformtest
+// Package kvtest holds a small stand-in for the platform's key-value
+// service, with faults, and the contract test for every kv.Store.
+package kvtest
 
 import (
 	"context"
@@ -12,22 +12,22 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // keptEvents bounds the changes that a watch can still ask for.
 const keptEvents = 4096
 
-// Store is an in-memory key-value service. It implements platform.Store
+// Store is an in-memory key-value service. It implements kv.Store
 // without faults or limits; Host adds both for one calling host.
 type Store struct {
 	clock clockwork.Clock
 
 	mu        sync.Mutex
-	version   platform.Version
+	version   kv.Version
 	entries   map[string]entry
-	log       []platform.Event
-	compacted platform.Version
+	log       []kv.Event
+	compacted kv.Version
 	changed   chan struct{}
 	calls     map[CallKey]int
 	bytes     int64
@@ -42,7 +42,7 @@
 
 type entry struct {
 	value   []byte
-	version platform.Version
+	version kv.Version
 }
 
 // CallKey groups call counts.
@@ -62,7 +62,7 @@
 	OpWatch  Op = "watch"
 )
 
-var _ platform.Store = (*Store)(nil)
+var _ kv.Store = (*Store)(nil)
 
 // NewStore returns an empty store that takes the time from clock.
 func NewStore(clock clockwork.Clock) *Store {
@@ -78,28 +78,28 @@
 	}
 }
 
-// Get implements platform.Store.
-func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+// Get implements kv.Store.
+func (s *Store) Get(_ context.Context, key string) (kv.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok {
-		return platform.Entry{}, errors.Wrapf(platform.ErrNotFound, "get %q", key)
+		return kv.Entry{}, errors.Wrapf(kv.ErrNotFound, "get %q", key)
 	}
-	return platform.Entry{Key: key, Value: append([]byte(nil), e.value...), Version: e.version}, nil
+	return kv.Entry{Key: key, Value: append([]byte(nil), e.value...), Version: e.version}, nil
 }
 
-// Put implements platform.Store.
-func (s *Store) Put(_ context.Context, put platform.Put) (platform.Version, error) {
-	if len(put.Value) > platform.MaxValueBytes {
-		return 0, errors.Wrapf(platform.ErrTooLarge, "put %q", put.Key)
+// Put implements kv.Store.
+func (s *Store) Put(_ context.Context, put kv.Put) (kv.Version, error) {
+	if len(put.Value) > kv.MaxValueBytes {
+		return 0, errors.Wrapf(kv.ErrTooLarge, "put %q", put.Key)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if s.entries[put.Key].version != put.If {
-		return 0, errors.Wrapf(platform.ErrConflict, "put %q", put.Key)
+		return 0, errors.Wrapf(kv.ErrConflict, "put %q", put.Key)
 	}
 	s.version++
 	e := entry{value: append([]byte(nil), put.Value...), version: s.version}
@@ -109,28 +109,28 @@
 	}
 	s.entries[put.Key] = e
 	s.bytes += int64(len(put.Value))
-	s.record(platform.Event{Entry: platform.Entry{Key: put.Key, Value: e.value, Version: e.version}})
+	s.record(kv.Event{Entry: kv.Entry{Key: put.Key, Value: e.value, Version: e.version}})
 	return e.version, nil
 }
 
-// Delete implements platform.Store.
-func (s *Store) Delete(_ context.Context, key string, version platform.Version) error {
+// Delete implements kv.Store.
+func (s *Store) Delete(_ context.Context, key string, version kv.Version) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	e, ok := s.entries[key]
 	if !ok {
-		return errors.Wrapf(platform.ErrNotFound, "delete %q", key)
+		return errors.Wrapf(kv.ErrNotFound, "delete %q", key)
 	}
 	if e.version != version {
-		return errors.Wrapf(platform.ErrConflict, "delete %q", key)
+		return errors.Wrapf(kv.ErrConflict, "delete %q", key)
 	}
 	s.remove(key)
 	return nil
 }
 
-// Watch implements platform.Store.
-func (s *Store) Watch(ctx context.Context, w platform.Watch) (platform.Changes, error) {
+// Watch implements kv.Store.
+func (s *Store) Watch(ctx context.Context, w kv.Watch) (kv.Changes, error) {
 	timeout := s.clock.After(w.Wait)
 	for {
 		changes, changed, expiry, err := s.since(w)
@@ -143,25 +143,25 @@
 		case <-timeout:
 			return changes, nil
 		case <-ctx.Done():
-			return platform.Changes{}, errors.Mark(ctx.Err(), platform.ErrUnreachable)
+			return kv.Changes{}, errors.Mark(ctx.Err(), kv.ErrUnreachable)
 		}
 	}
 }
 
 // since returns the changes, a channel closed at the next one, and one that
 // fires when the next time to live is over.
-func (s *Store) since(w platform.Watch) (platform.Changes, <-chan struct{}, <-chan time.Time, error) {
+func (s *Store) since(w kv.Watch) (kv.Changes, <-chan struct{}, <-chan time.Time, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
 	if w.After == 0 {
-		return platform.Changes{Through: s.version}, nil, nil, nil
+		return kv.Changes{Through: s.version}, nil, nil, nil
 	}
 	if w.After < s.compacted {
-		return platform.Changes{}, nil, nil, errors.Wrapf(platform.ErrCompacted, "watch %q", w.Key)
+		return kv.Changes{}, nil, nil, errors.Wrapf(kv.ErrCompacted, "watch %q", w.Key)
 	}
 	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Version > w.After })
-	changes := platform.Changes{Through: max(s.version, w.After)}
+	changes := kv.Changes{Through: max(s.version, w.After)}
 	for _, e := range s.log[first:] {
 		if e.Key == w.Key || w.Prefix && strings.HasPrefix(e.Key, w.Key) {
 			changes.Events = append(changes.Events, e)
@@ -185,7 +185,7 @@
 }
 
 // record appends an event and wakes the watches. The caller holds the lock.
-func (s *Store) record(e platform.Event) {
+func (s *Store) record(e kv.Event) {
 	s.log = append(s.log, e)
 	if len(s.log) > 2*keptEvents {
 		s.compact(len(s.log) - keptEvents)
@@ -199,7 +199,7 @@
 		return
 	}
 	s.compacted = s.log[n-1].Version
-	s.log = append([]platform.Event(nil), s.log[n:]...)
+	s.log = append([]kv.Event(nil), s.log[n:]...)
 }
 
 // Compact forgets all changes so far, as a service does after a while.
@@ -213,7 +213,7 @@
 	delete(s.entries, key)
 	delete(s.expiring, key)
 	s.version++
-	s.record(platform.Event{Entry: platform.Entry{Key: key, Version: s.version}, Deleted: true})
+	s.record(kv.Event{Entry: kv.Entry{Key: key, Version: s.version}, Deleted: true})
 }
 
 // expire removes keys whose time to live is over. The caller holds the lock.
@@ -268,7 +268,7 @@
 		s.version++
 		delete(s.expiring, key)
 		s.entries[key] = entry{value: value, version: s.version}
-		s.record(platform.Event{Entry: platform.Entry{Key: key, Value: value, Version: s.version}})
+		s.record(kv.Event{Entry: kv.Entry{Key: key, Value: value, Version: s.version}})
 	}
 }
 
--- a/platform/metered_test.go
+++ b/kv/metered_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kv_test
 
 import (
 	"context"
@@ -11,24 +11,24 @@
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 func TestMeteredCounts(t *testing.T) {
 	reg := prometheus.NewRegistry()
-	inner := platformtest.NewStore(clockwork.NewRealClock())
-	m := platform.NewMetered(inner.Host("h"), reg)
-	ctx := platform.WithPurpose(context.Background(), platform.PurposeLedger)
-	v, err := m.Put(ctx, platform.Put{Key: "k", Value: []byte("four")})
+	inner := kvtest.NewStore(clockwork.NewRealClock())
+	m := kv.NewMetered(inner.Host("h"), reg)
+	ctx := kv.WithPurpose(context.Background(), kv.PurposeLedger)
+	v, err := m.Put(ctx, kv.Put{Key: "k", Value: []byte("four")})
 	require.NoError(t, err)
-	_, err = m.Put(ctx, platform.Put{Key: "k"})
+	_, err = m.Put(ctx, kv.Put{Key: "k"})
 	require.Error(t, err)
 	_, err = m.Get(context.Background(), "k")
 	require.NoError(t, err)
 	watched := make(chan error, 1)
 	go func() {
-		_, err := m.Watch(ctx, platform.Watch{Key: "k", After: v, Wait: time.Hour})
+		_, err := m.Watch(ctx, kv.Watch{Key: "k", After: v, Wait: time.Hour})
 		watched <- err
 	}()
 	waiting := func(n string) bool {
--- a/ledger/chunks.go
+++ b/ledger/chunks.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 	lru "github.com/hashicorp/golang-lru/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 const (
@@ -20,14 +20,14 @@
 
 // chunkSet reads and writes a shard's chunks. It is not safe for concurrent use.
 type chunkSet struct {
-	store platform.Store
+	store kv.Store
 	key   string
 	// prefixes holds the sorted digest prefixes of each chunk read so far.
 	prefixes map[uint64][]uint64
 	decoded  *lru.Cache[uint64, []entry]
 }
 
-func newChunkSet(store platform.Store, key string) *chunkSet {
+func newChunkSet(store kv.Store, key string) *chunkSet {
 	cache, err := lru.New[uint64, []entry](cachedChunks)
 	if err != nil {
 		panic(err)
@@ -63,7 +63,7 @@
 	if entries, ok := c.decoded.Get(seq); ok {
 		return entries, nil
 	}
-	r, err := platform.Read(ctx, c.store, c.keyOf(seq))
+	r, err := kv.Read(ctx, c.store, c.keyOf(seq))
 	if err != nil {
 		return nil, err
 	}
@@ -110,30 +110,30 @@
 	for range createTries {
 		seq := h.Next
 		h.Next++
-		v, err := platform.Swap(ctx, c.store, platform.Put{Key: c.keyOf(seq), Value: payload})
+		v, err := kv.Swap(ctx, c.store, kv.Put{Key: c.keyOf(seq), Value: payload})
 		switch {
 		case err == nil:
 			c.remember(seq, entries)
 			return chunkRef{Seq: seq, Version: uint64(v), Newest: newest(entries), Merged: merged}, nil
-		case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrUnknown):
+		case errors.Is(err, kv.ErrConflict), errors.Is(err, kv.ErrUnknown):
 			h.Dead = append(h.Dead, chunkRef{Seq: seq})
 		default:
 			return chunkRef{}, err
 		}
 	}
-	return chunkRef{}, errors.Wrap(platform.ErrConflict, "create chunk")
+	return chunkRef{}, errors.Wrap(kv.ErrConflict, "create chunk")
 }
 
 // remove deletes a dead chunk and reports whether it is gone.
 func (c *chunkSet) remove(ctx context.Context, ref chunkRef) bool {
-	version := platform.Version(ref.Version)
+	version := kv.Version(ref.Version)
 	if version == 0 {
 		e, err := c.store.Get(ctx, c.keyOf(ref.Seq))
 		if err != nil {
-			return errors.Is(err, platform.ErrNotFound)
+			return errors.Is(err, kv.ErrNotFound)
 		}
 		version = e.Version
 	}
 	err := c.store.Delete(ctx, c.keyOf(ref.Seq), version)
-	return err == nil || errors.Is(err, platform.ErrNotFound)
+	return err == nil || errors.Is(err, kv.ErrNotFound)
 }
--- a/ledger/chunks_test.go
+++ b/ledger/chunks_test.go
@@ -16,8 +16,8 @@
 
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -66,7 +66,7 @@
 		for _, key := range c.store.Keys("ledger/s/0") {
 			e, err := c.store.Get(context.Background(), key)
 			require.NoError(t, err)
-			require.Less(t, len(e.Value), platform.MaxValueBytes/2)
+			require.Less(t, len(e.Value), kv.MaxValueBytes/2)
 		}
 	})
 }
@@ -76,14 +76,14 @@
 func TestChunkFaults(t *testing.T) {
 	rows := []struct {
 		name  string
-		fault platformtest.Fault
+		fault kvtest.Fault
 	}{
-		{"creation refused", platformtest.Fault{Op: platformtest.OpPut, Err: platform.ErrUnreachable, Times: 2}},
-		{"creation's reply lost", platformtest.Fault{Op: platformtest.OpPut, LoseReply: true, Times: 2}},
-		{"creation lost", platformtest.Fault{Op: platformtest.OpPut, LoseRequest: true, Times: 2}},
-		{"read refused", platformtest.Fault{Op: platformtest.OpGet, Err: platform.ErrUnreachable, Times: 2}},
-		{"deletion refused", platformtest.Fault{Op: platformtest.OpDelete, Err: platform.ErrUnreachable, Times: 2}},
-		{"deletion's reply lost", platformtest.Fault{Op: platformtest.OpDelete, LoseReply: true, Times: 2}},
+		{"creation refused", kvtest.Fault{Op: kvtest.OpPut, Err: kv.ErrUnreachable, Times: 2}},
+		{"creation's reply lost", kvtest.Fault{Op: kvtest.OpPut, LoseReply: true, Times: 2}},
+		{"creation lost", kvtest.Fault{Op: kvtest.OpPut, LoseRequest: true, Times: 2}},
+		{"read refused", kvtest.Fault{Op: kvtest.OpGet, Err: kv.ErrUnreachable, Times: 2}},
+		{"deletion refused", kvtest.Fault{Op: kvtest.OpDelete, Err: kv.ErrUnreachable, Times: 2}},
+		{"deletion's reply lost", kvtest.Fault{Op: kvtest.OpDelete, LoseReply: true, Times: 2}},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -206,7 +206,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				const seconds = 2
 				c := newCluster(t, defaultShards, day)
-				c.store.AddFault(platformtest.Fault{Delay: 3 * time.Millisecond})
+				c.store.AddFault(kvtest.Fault{Delay: 3 * time.Millisecond})
 				var wg sync.WaitGroup
 				var waited atomic.Int64
 				for i := range seconds * row.perSecond {
@@ -242,9 +242,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		const writes, claims, seconds = 20, 500, 4
 		clock := clockwork.NewRealClock()
-		store := platformtest.NewStore(clock)
-		budget := platform.NewBudget(store.Host("h"), platform.BudgetOptions{
-			WritesPerSecond: writes, ReadsPerSecond: 100, Queue: platform.DefaultQueue,
+		store := kvtest.NewStore(clock)
+		budget := kv.NewBudget(store.Host("h"), kv.BudgetOptions{
+			WritesPerSecond: writes, ReadsPerSecond: 100, Queue: kv.DefaultQueue,
 		}, clock)
 		l := ledger.New(ledger.Options{
 			Store: budget, Hosts: membership.NewStatic(membership.Host{Name: "h"}), Clock: clock, WritesPerSecond: writes / 2,
@@ -259,15 +259,15 @@
 				}
 			})
 			if i%claims == claims/2 {
-				ctx, cancel := context.WithTimeout(platform.WithPurpose(t.Context(), platform.PurposeOther), time.Second)
-				_, err := budget.Put(ctx, platform.Put{Key: fmt.Sprint("other", i)})
+				ctx, cancel := context.WithTimeout(kv.WithPurpose(t.Context(), kv.PurposeOther), time.Second)
+				_, err := budget.Put(ctx, kv.Put{Key: fmt.Sprint("other", i)})
 				cancel()
 				require.NoError(t, err, "another purpose starves")
 			}
 			time.Sleep(time.Second / claims)
 		}
 		wg.Wait()
-		require.LessOrEqual(t, store.Calls("", platformtest.OpPut), writes*(seconds+2))
+		require.LessOrEqual(t, store.Calls("", kvtest.OpPut), writes*(seconds+2))
 		time.Sleep(time.Minute)
 	})
 }
--- a/ledger/cluster_test.go
+++ b/ledger/cluster_test.go
@@ -14,7 +14,7 @@
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -24,7 +24,7 @@
 
 // cluster is a few hosts over one stand-in store, in one process.
 type cluster struct {
-	store *platformtest.Store
+	store *kvtest.Store
 	hosts map[string]*ledger.Service
 	net   *network
 	doc   *service.Document
@@ -33,7 +33,7 @@
 func newCluster(t testing.TB, shards int, window time.Duration) *cluster {
 	clock := clockwork.NewRealClock()
 	c := &cluster{
-		store: platformtest.NewStore(clock), hosts: make(map[string]*ledger.Service),
+		store: kvtest.NewStore(clock), hosts: make(map[string]*ledger.Service),
 		net: &network{receivers: make(map[string]*ledger.Receiver), faults: make(map[string]linkFault)},
 		doc: &service.Document{Name: "s", Once: service.Once{Shards: shards, Window: window}},
 	}
--- a/ledger/health.go
+++ b/ledger/health.go
@@ -9,7 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Delay between probes of a service that could not be used; it doubles, and
@@ -26,7 +26,7 @@
 // are refused at once until a probe has succeeded. No ask waits for a probe.
 type health struct {
 	clock clockwork.Clock
-	store platform.Store
+	store kv.Store
 
 	mu      sync.Mutex
 	suspect bool
@@ -34,7 +34,7 @@
 	armed   bool
 }
 
-func newHealth(store platform.Store, clock clockwork.Clock) *health {
+func newHealth(store kv.Store, clock clockwork.Clock) *health {
 	return &health{clock: clock, store: store}
 }
 
@@ -60,7 +60,7 @@
 // usable reports whether an outcome shows that the service answers. A refusal
 // by the host's own call budget says nothing against it.
 func usable(err error) bool {
-	return err == nil || errors.IsAny(err, platform.ErrNotFound, platform.ErrConflict, platform.ErrLimited)
+	return err == nil || errors.IsAny(err, kv.ErrNotFound, kv.ErrConflict, kv.ErrLimited)
 }
 
 // arm sets the timer for the next probe. The caller holds the lock.
@@ -74,7 +74,7 @@
 }
 
 func (h *health) probe() {
-	ctx, cancel := context.WithTimeout(platform.WithPurpose(context.Background(), platform.PurposeLedger), claimTimeout)
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.Background(), kv.PurposeLedger), claimTimeout)
 	defer cancel()
 	_, err := h.store.Get(ctx, probeKey)
 	h.mu.Lock()
--- a/ledger/history_test.go
+++ b/ledger/history_test.go
@@ -13,8 +13,8 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // claimInput is a claim of one key. Claims that ended with an error were not
@@ -109,12 +109,12 @@
 // draw draws a fault and returns how to begin it, which returns how to end it.
 func (s *schedule) draw() (begin func() (end func())) {
 	host := hostNames[s.rng.IntN(len(hostNames))]
-	faults := []platformtest.Fault{
+	faults := []kvtest.Fault{
 		{LoseReply: true},
 		{LoseRequest: true},
 		{Late: true},
-		{Err: platform.ErrUnreachable},
-		{Err: platform.ErrLimited},
+		{Err: kv.ErrUnreachable},
+		{Err: kv.ErrLimited},
 		{Delay: time.Duration(s.rng.IntN(3000)) * time.Millisecond},
 	}
 	switch s.rng.IntN(10) {
@@ -123,9 +123,9 @@
 	case 1:
 		return s.link(host, linkLosesReplies)
 	case 2:
-		return s.cut(host, platformtest.CutRequests)
+		return s.cut(host, kvtest.CutRequests)
 	case 3:
-		return s.cut(host, platformtest.CutReplies)
+		return s.cut(host, kvtest.CutReplies)
 	case 4:
 		return func() func() {
 			s.c.store.SetOutage(true)
@@ -148,10 +148,10 @@
 	}
 }
 
-func (s *schedule) cut(host string, c platformtest.Cut) func() func() {
+func (s *schedule) cut(host string, c kvtest.Cut) func() func() {
 	return func() func() {
 		s.c.store.SetCut(host, c)
-		return func() { s.c.store.SetCut(host, platformtest.CutNone) }
+		return func() { s.c.store.SetCut(host, kvtest.CutNone) }
 	}
 }
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/ledger"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -23,7 +23,7 @@
 func TestOneKeyManyHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 1, day)
-		c.store.AddFault(platformtest.Fault{Delay: 3 * time.Millisecond})
+		c.store.AddFault(kvtest.Fault{Delay: 3 * time.Millisecond})
 		const keys = 20
 		won := make([]atomic.Int64, keys)
 		var wg sync.WaitGroup
@@ -59,24 +59,24 @@
 func TestFaultAtEachStep(t *testing.T) {
 	steps := []struct {
 		name   string
-		op     platformtest.Op
+		op     kvtest.Op
 		prefix string
 	}{
-		{"layout read", platformtest.OpGet, "ledger/s/layout"},
-		{"layout created", platformtest.OpPut, "ledger/s/layout"},
-		{"head read", platformtest.OpGet, "ledger/s/0"},
-		{"head swapped", platformtest.OpPut, "ledger/s/0"},
+		{"layout read", kvtest.OpGet, "ledger/s/layout"},
+		{"layout created", kvtest.OpPut, "ledger/s/layout"},
+		{"head read", kvtest.OpGet, "ledger/s/0"},
+		{"head swapped", kvtest.OpPut, "ledger/s/0"},
 	}
 	faults := []struct {
 		name  string
-		fault platformtest.Fault
+		fault kvtest.Fault
 	}{
-		{"refused", platformtest.Fault{Err: platform.ErrUnreachable}},
-		{"limited", platformtest.Fault{Err: platform.ErrLimited}},
-		{"request lost", platformtest.Fault{LoseRequest: true}},
-		{"reply lost", platformtest.Fault{LoseReply: true}},
-		{"late", platformtest.Fault{Late: true}},
-		{"slow", platformtest.Fault{Delay: 3 * time.Second}},
+		{"refused", kvtest.Fault{Err: kv.ErrUnreachable}},
+		{"limited", kvtest.Fault{Err: kv.ErrLimited}},
+		{"request lost", kvtest.Fault{LoseRequest: true}},
+		{"reply lost", kvtest.Fault{LoseReply: true}},
+		{"late", kvtest.Fault{Late: true}},
+		{"slow", kvtest.Fault{Delay: 3 * time.Second}},
 	}
 	for _, step := range steps {
 		for _, row := range faults {
@@ -91,7 +91,7 @@
 	}
 }
 
-func repeatAfterFault(t *testing.T, f platformtest.Fault) {
+func repeatAfterFault(t *testing.T, f kvtest.Fault) {
 	c := newCluster(t, 1, day)
 	heal := c.store.AddFault(f)
 	sent := 0
@@ -151,7 +151,7 @@
 		_, err := c.claim(writer, "warm", "w")
 		require.NoError(t, err)
 		gate := make(chan struct{})
-		c.store.AddFault(platformtest.Fault{Host: writer, Op: platformtest.OpPut, Gate: gate, Times: 1})
+		c.store.AddFault(kvtest.Fault{Host: writer, Op: kvtest.OpPut, Gate: gate, Times: 1})
 		type result struct {
 			claim ledger.Claim
 			err   error
@@ -182,8 +182,8 @@
 	}{
 		{"link down", func(c *cluster) { c.net.set(c.writer("a"), linkDown) }},
 		{"link loses replies", func(c *cluster) { c.net.set(c.writer("a"), linkLosesReplies) }},
-		{"writer cut off from the platform", func(c *cluster) { c.store.SetCut(c.writer("a"), platformtest.CutRequests) }},
-		{"platform's replies to the writer lost", func(c *cluster) { c.store.SetCut(c.writer("a"), platformtest.CutReplies) }},
+		{"writer cut off from the platform", func(c *cluster) { c.store.SetCut(c.writer("a"), kvtest.CutRequests) }},
+		{"platform's replies to the writer lost", func(c *cluster) { c.store.SetCut(c.writer("a"), kvtest.CutReplies) }},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
@@ -294,7 +294,7 @@
 		_, err := c.claim(host, "warm", "w")
 		require.NoError(t, err)
 		c.net.set(c.writer("a"), linkLosesReplies)
-		heal := c.store.AddFault(platformtest.Fault{Host: host, Err: platform.ErrUnreachable})
+		heal := c.store.AddFault(kvtest.Fault{Host: host, Err: kv.ErrUnreachable})
 		_, err = c.claim(host, "k", "first")
 		requireNotRun(t, err)
 		heal()
@@ -314,7 +314,7 @@
 		writer := c.writer("a")
 		_, err := c.claim(writer, "warm", "w")
 		require.NoError(t, err)
-		heal := c.store.AddFault(platformtest.Fault{Delay: 1500 * time.Millisecond, Err: platform.ErrUnreachable})
+		heal := c.store.AddFault(kvtest.Fault{Delay: 1500 * time.Millisecond, Err: kv.ErrUnreachable})
 		_, err = c.claim(writer, "first", "r")
 		requireNotRun(t, err)
 		start := time.Now()
--- a/ledger/peer_test.go
+++ b/ledger/peer_test.go
@@ -11,7 +11,7 @@
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -20,7 +20,7 @@
 // of which one or the other is the shard's writer.
 func TestClaimThroughPeers(t *testing.T) {
 	ctx := t.Context()
-	store := platformtest.NewStore(clockwork.NewRealClock())
+	store := kvtest.NewStore(clockwork.NewRealClock())
 	doc := &service.Document{Name: "s", Once: service.Once{Shards: 4, Window: day}}
 	var hosts []membership.Host
 	var servers []*peer.Server
@@ -57,5 +57,5 @@
 		c, err := services[1].Claim(context.Background(), doc, ledger.Key{Service: "s", Caller: "c", Value: "k1"}, "later")
 		return err == nil && c.Ran
 	}, 30*time.Second, 50*time.Millisecond)
-	require.Zero(t, store.Calls("a1", platformtest.OpDelete))
+	require.Zero(t, store.Calls("a1", kvtest.OpDelete))
 }
--- a/ledger/service.go
+++ b/ledger/service.go
@@ -15,7 +15,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -39,7 +39,7 @@
 
 // Options hold what a Service needs; all fields are required.
 type Options struct {
-	Store platform.Store
+	Store kv.Store
 	Hosts membership.View
 	Peers peer.Caller
 	Clock clockwork.Clock
@@ -281,7 +281,7 @@
 		return shardID{}, unavailable(retryAfter)
 	}
 	// A caller that goes away says nothing about the platform's service.
-	ctx = platform.WithPurpose(context.WithoutCancel(ctx), platform.PurposeLedger)
+	ctx = kv.WithPurpose(context.WithoutCancel(ctx), kv.PurposeLedger)
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	l, err := readLayout(ctx, s.opts.Store, doc)
@@ -315,22 +315,22 @@
 
 // readLayout returns a service's layout. The first host writes it, from the
 // document.
-func readLayout(ctx context.Context, store platform.Store, doc *service.Document) (layout, error) {
+func readLayout(ctx context.Context, store kv.Store, doc *service.Document) (layout, error) {
 	key := strings.Join([]string{"ledger", doc.Name, "layout"}, "/")
 	l := layout{Shards: doc.Once.Shards}
-	r, err := platform.Read(ctx, store, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	r, err := kv.Read(ctx, store, key)
+	if errors.Is(err, kv.ErrNotFound) {
 		payload, err := encode(l)
 		if err != nil {
 			return layout{}, err
 		}
-		if _, err = platform.Swap(ctx, store, platform.Put{Key: key, Value: payload}); err == nil {
+		if _, err = kv.Swap(ctx, store, kv.Put{Key: key, Value: payload}); err == nil {
 			return l, nil
 		}
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrConflict) {
 			return layout{}, err
 		}
-		r, err = platform.Read(ctx, store, key)
+		r, err = kv.Read(ctx, store, key)
 		if err != nil {
 			return layout{}, err
 		}
--- a/ledger/shard.go
+++ b/ledger/shard.go
@@ -12,7 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 const (
@@ -52,7 +52,7 @@
 // shard writes claims to one shard, in batches. It needs no lease: the
 // compare-and-swap of the head decides between writers.
 type shard struct {
-	store  platform.Store
+	store  kv.Store
 	clock  clockwork.Clock
 	health *health
 	// pace bounds the batches of all shards of the host.
@@ -70,7 +70,7 @@
 
 	// The fields below belong to the running goroutine.
 	head    head
-	version platform.Version
+	version kv.Version
 	// current says that the copy is taken to be the record.
 	current bool
 	// contended says that other writers change the record too, so that a
@@ -145,7 +145,7 @@
 
 // run writes batches while there is something to write.
 func (s *shard) run() {
-	ctx := platform.WithPurpose(context.Background(), platform.PurposeLedger)
+	ctx := kv.WithPurpose(context.Background(), kv.PurposeLedger)
 	for {
 		s.wait()
 		batch, settled, more := s.next()
@@ -220,8 +220,8 @@
 			s.removeDead(ctx)
 			return
 		}
-		unknown = unknown || errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrSuperseded)
-		if !errors.IsAny(err, platform.ErrConflict, platform.ErrUnknown) {
+		unknown = unknown || errors.Is(err, kv.ErrUnknown) || errors.Is(err, kv.ErrSuperseded)
+		if !errors.IsAny(err, kv.ErrConflict, kv.ErrUnknown) {
 			break
 		}
 	}
@@ -283,11 +283,11 @@
 	if s.current && !s.contended {
 		return nil
 	}
-	r, err := platform.Read(ctx, s.store, s.key)
+	r, err := kv.Read(ctx, s.store, s.key)
 	var h head
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		r = platform.Record{}
+	case errors.Is(err, kv.ErrNotFound):
+		r = kv.Record{}
 	case err != nil:
 		return err
 	default:
@@ -300,7 +300,7 @@
 	return nil
 }
 
-func (s *shard) commit(h head, v platform.Version) {
+func (s *shard) commit(h head, v kv.Version) {
 	s.head, s.version, s.current = h, v, true
 	s.chunks.forget(&h)
 	s.committed.Store(&h)
@@ -312,7 +312,7 @@
 	if err != nil {
 		return err
 	}
-	v, err := platform.Swap(ctx, s.store, platform.Put{Key: s.key, Value: payload, If: s.version})
+	v, err := kv.Swap(ctx, s.store, kv.Put{Key: s.key, Value: payload, If: s.version})
 	if err != nil {
 		return err
 	}
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -13,8 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 type liveMember struct {
@@ -159,12 +159,12 @@
 	require.Len(t, c.all(), maxClaims)
 }
 
-func putOf(list string, version platform.Version) platform.Put {
-	return platform.Put{Key: HintKeys + "svc", Value: []byte(list), If: version}
+func putOf(list string, version kv.Version) kv.Put {
+	return kv.Put{Key: HintKeys + "svc", Value: []byte(list), If: version}
 }
 
 func TestHintsAreReadByRelaysOnly(t *testing.T) {
-	store := platformtest.NewStore(clockwork.NewRealClock())
+	store := kvtest.NewStore(clockwork.NewRealClock())
 	key := UpstreamKey{Service: "svc", Name: "u"}
 	var all []*liveMember
 	var views []*SpreadUpstreams
--- a/membership/hints.go
+++ b/membership/hints.go
@@ -10,7 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // HintKeys is the prefix of the platform's lists of upstreams, one key for
@@ -33,7 +33,7 @@
 // HintReader takes the platform's lists as hints. Only a few hosts of a data
 // centre read them; what they learn is spread like any report.
 type HintReader struct {
-	Store     platform.Store
+	Store     kv.Store
 	Hosts     View
 	Upstreams *SpreadUpstreams
 	// Services returns the names of the services whose lists are read.
@@ -43,7 +43,7 @@
 
 	// read holds the newest version read of each list, so that reading a list
 	// again gives no new hint.
-	read map[string]platform.Version
+	read map[string]kv.Version
 }
 
 // String names the service in supervisor events.
@@ -51,7 +51,7 @@
 
 // Serve reads the lists, while this host is a relay, until ctx ends.
 func (r *HintReader) Serve(ctx context.Context) error {
-	ctx = platform.WithPurpose(ctx, platform.PurposeConfig)
+	ctx = kv.WithPurpose(ctx, kv.PurposeConfig)
 	for ctx.Err() == nil {
 		changed := r.Hosts.Changed()
 		if !r.relay() {
@@ -85,13 +85,13 @@
 // follow reads all lists and then watches them, until an error or until this
 // host is no relay any more.
 func (r *HintReader) follow(ctx context.Context) error {
-	begin, err := r.Store.Watch(ctx, platform.Watch{Key: HintKeys, Prefix: true})
+	begin, err := r.Store.Watch(ctx, kv.Watch{Key: HintKeys, Prefix: true})
 	if err != nil {
 		return err
 	}
 	for _, service := range r.Services() {
 		e, err := r.Store.Get(ctx, HintKeys+service)
-		if errors.Is(err, platform.ErrNotFound) {
+		if errors.Is(err, kv.ErrNotFound) {
 			continue
 		}
 		if err != nil {
@@ -101,7 +101,7 @@
 	}
 	through := begin.Through
 	for r.relay() {
-		c, err := r.Store.Watch(ctx, platform.Watch{Key: HintKeys, Prefix: true, After: through, Wait: hintWait})
+		c, err := r.Store.Watch(ctx, kv.Watch{Key: HintKeys, Prefix: true, After: through, Wait: hintWait})
 		if err != nil {
 			return err
 		}
@@ -115,12 +115,12 @@
 	return nil
 }
 
-func (r *HintReader) take(e platform.Entry) {
+func (r *HintReader) take(e kv.Entry) {
 	if e.Version <= r.read[e.Key] {
 		return
 	}
 	if r.read == nil {
-		r.read = make(map[string]platform.Version)
+		r.read = make(map[string]kv.Version)
 	}
 	r.read[e.Key] = e.Version
 	var list []Hint
--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/orders"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/routing"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
@@ -32,7 +32,7 @@
 	// Log takes the log output; nil makes one from the settings.
 	Log *logrus.Logger
 	// Store replaces the platform's service; nil takes the HTTP adapter.
-	Store platform.Store
+	Store kv.Store
 	// Balancer replaces the choice of upstreams; nil takes the built-in one.
 	Balancer routing.Balancer
 	// WrapBalancer wraps the balancer in use; nil changes nothing.
@@ -51,7 +51,7 @@
 	log      *logrus.Entry
 	registry *prometheus.Registry
 	events   *timeline.Recorder
-	store    platform.Store
+	store    kv.Store
 	book     *accounting.Book
 
 	peers  *peer.Server
--- a/node/platform.go
+++ b/node/platform.go
@@ -4,20 +4,20 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 )
 
 // newStore returns the platform's service within the host's call budget. A nil
 // store takes the HTTP adapter.
-func newStore(store platform.Store, s *settings.Settings, clock clockwork.Clock, reg prometheus.Registerer) platform.Store {
+func newStore(store kv.Store, s *settings.Settings, clock clockwork.Clock, reg prometheus.Registerer) kv.Store {
 	if store == nil {
-		store = platform.NewHTTP(s.Host, s.Platform.Addresses, s.Platform.Timeout)
+		store = kv.NewHTTP(s.Host, s.Platform.Addresses, s.Platform.Timeout)
 	}
-	budget := platform.NewBudget(store, platform.BudgetOptions{
+	budget := kv.NewBudget(store, kv.BudgetOptions{
 		WritesPerSecond: s.Platform.WritesPerSecond,
 		ReadsPerSecond:  s.Platform.ReadsPerSecond,
-		Queue:           platform.DefaultQueue,
+		Queue:           kv.DefaultQueue,
 	}, clock)
-	return platform.NewMetered(budget, reg)
+	return kv.NewMetered(budget, reg)
 }
--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
@@ -37,7 +37,7 @@
 
 // Options hold what an Issuer needs; all fields but Errors are required.
 type Options struct {
-	Store  platform.Store
+	Store  kv.Store
 	Hosts  membership.View
 	Clock  clockwork.Clock
 	Events *timeline.Recorder
@@ -104,7 +104,7 @@
 func (i *Issuer) release() {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ctx, cancel := context.WithTimeout(platform.WithPurpose(context.Background(), platform.PurposeOrders), releaseTimeout)
+	ctx, cancel := context.WithTimeout(kv.WithPurpose(context.Background(), kv.PurposeOrders), releaseTimeout)
 	defer cancel()
 	for name, s := range i.terms {
 		if err := s.lease.release(ctx); err != nil {
@@ -117,7 +117,7 @@
 func (i *Issuer) Round(ctx context.Context) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	ctx = platform.WithPurpose(ctx, platform.PurposeOrders)
+	ctx = kv.WithPurpose(ctx, kv.PurposeOrders)
 	var wg sync.WaitGroup
 	for _, doc := range i.opts.Documents() {
 		if !doc.Orders.Enabled || doc.Kind != service.KindEngine || !i.elected(doc.Name) {
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
@@ -27,7 +27,7 @@
 // stand-in engines.
 type rig struct {
 	clock   *clockwork.FakeClock
-	store   *platformtest.Store
+	store   *kvtest.Store
 	engines []*upstreamtest.Engine
 	doc     *service.Document
 	hosts   []*testHost
@@ -70,7 +70,7 @@
 
 func newRig(t *testing.T, engines int, checksFencing bool) *rig {
 	clock := clockwork.NewFakeClockAt(start)
-	r := &rig{clock: clock, store: platformtest.NewStore(clock)}
+	r := &rig{clock: clock, store: kvtest.NewStore(clock)}
 	r.doc = document([]service.Model{{Name: "m", Version: "2"}}, engines)
 	r.doc.Generation, r.doc.Orders = 1, settings(t)
 	r.doc.Orders.Soak, r.doc.Orders.Floor, r.doc.Orders.ConcurrentLoads = 0, 0, engines
--- a/orders/lease.go
+++ b/orders/lease.go
@@ -7,7 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // clockMargin bounds how far the clocks of two hosts drift apart during one
@@ -43,11 +43,11 @@
 // lease is one host's view of a term. Times are of the host's own monotonic
 // clock. It is not safe for concurrent use.
 type lease struct {
-	store platform.Store
+	store kv.Store
 	key   string
 
 	record  term
-	version platform.Version
+	version kv.Version
 	// seen is when the record was first read at its version.
 	seen time.Time
 	// held says that the term is this host's, at least until the time until.
@@ -78,7 +78,7 @@
 		return errors.Wrap(err, "encode term")
 	}
 	began := now()
-	v, err := platform.Swap(ctx, l.store, platform.Put{Key: l.key, Value: payload, If: l.version})
+	v, err := kv.Swap(ctx, l.store, kv.Put{Key: l.key, Value: payload, If: l.version})
 	if err != nil {
 		return err
 	}
@@ -101,14 +101,14 @@
 	if err != nil {
 		return errors.Wrap(err, "encode term")
 	}
-	_, err = platform.Swap(ctx, l.store, platform.Put{Key: l.key, Value: payload, If: l.version})
+	_, err = kv.Swap(ctx, l.store, kv.Put{Key: l.key, Value: payload, If: l.version})
 	return err
 }
 
 // refresh reads the record.
 func (l *lease) refresh(ctx context.Context, now func() time.Time) error {
-	r, err := platform.Read(ctx, l.store, l.key)
-	if errors.Is(err, platform.ErrNotFound) {
+	r, err := kv.Read(ctx, l.store, l.key)
+	if errors.Is(err, kv.ErrNotFound) {
 		l.record, l.version, l.held = term{}, 0, false
 		return nil
 	}
--- a/orders/lease_test.go
+++ b/orders/lease_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/comfreyspindle/comfreyspindle/platform"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 func TestNextTerm(t *testing.T) {
@@ -62,7 +62,7 @@
 	sent := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		clock := clockwork.NewFakeClockAt(start)
-		store := platformtest.NewStore(clock)
+		store := kvtest.NewStore(clock)
 		leases := make([]*lease, 3)
 		generations := make([]uint64, len(leases))
 		for i := range leases {
@@ -74,8 +74,8 @@
 			i := rapid.IntRange(0, len(leases)-1).Draw(rt, "host")
 			switch rapid.IntRange(0, 11).Draw(rt, "kind") {
 			case 0:
-				f := rapid.SampledFrom([]platformtest.Fault{
-					{LoseReply: true}, {LoseRequest: true}, {Late: true}, {Err: platform.ErrUnreachable},
+				f := rapid.SampledFrom([]kvtest.Fault{
+					{LoseReply: true}, {LoseRequest: true}, {Late: true}, {Err: kv.ErrUnreachable},
 				}).Draw(rt, "fault")
 				f.Times, f.Skip = rapid.IntRange(1, 3).Draw(rt, "times"), rapid.IntRange(0, 2).Draw(rt, "skip")
 				store.AddFault(f)
@@ -151,8 +151,8 @@
 // from before it.
 func TestTermCountsFromBeforeItsWrite(t *testing.T) {
 	clock := clockwork.NewFakeClockAt(start)
-	store := platformtest.NewStore(clock)
-	store.AddFault(platformtest.Fault{Op: platformtest.OpPut, Delay: 20 * time.Second})
+	store := kvtest.NewStore(clock)
+	store.AddFault(kvtest.Fault{Op: kvtest.OpPut, Delay: 20 * time.Second})
 	l := &lease{store: store.Host("h"), key: "k"}
 	c := candidate{Holder: "h", Quiet: 12 * time.Second}
 	done := make(chan error, 1)
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -10,7 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // PeerName is the name under which hosts serve each other's notices.
@@ -140,14 +140,14 @@
 	if w.Store == nil {
 		return
 	}
-	ctx := platform.WithPurpose(context.Background(), platform.PurposeQuarantine)
+	ctx := kv.WithPurpose(context.Background(), kv.PurposeQuarantine)
 	for range maxSwaps {
 		err := w.swapConfirmed(ctx, name)
 		if err == nil {
 			return
 		}
 		w.Log.WithError(err).WithField("service", name).Warn("confirmed requests not written")
-		if !errors.Is(err, platform.ErrConflict) {
+		if !errors.Is(err, kv.ErrConflict) {
 			w.Clock.Sleep(storeBackoff)
 		}
 	}
@@ -155,8 +155,8 @@
 
 func (w *Watch) swapConfirmed(ctx context.Context, name string) error {
 	key := keyConfirmed + name
-	record, err := platform.Read(ctx, w.Store, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	record, err := kv.Read(ctx, w.Store, key)
+	if err != nil && !errors.Is(err, kv.ErrNotFound) {
 		return err
 	}
 	w.merge(name, record.Payload)
@@ -166,7 +166,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode confirmed requests")
 	}
-	_, err = platform.Swap(ctx, w.Store, platform.Put{Key: key, Value: text, If: record.Version})
+	_, err = kv.Swap(ctx, w.Store, kv.Put{Key: key, Value: text, If: record.Version})
 	return err
 }
 
@@ -187,7 +187,7 @@
 // data centre watches the platform's service; the others pull from it, so that
 // a lost notice is made good.
 func (w *Watch) Serve(ctx context.Context) error {
-	ctx = platform.WithPurpose(ctx, platform.PurposeQuarantine)
+	ctx = kv.WithPurpose(ctx, kv.PurposeQuarantine)
 	for ctx.Err() == nil {
 		relay := membership.Rendezvous(w.View.Local(), PeerName, 1)
 		if len(relay) == 0 || relay[0].Name == w.View.Self().Name {
@@ -231,14 +231,14 @@
 		w.pause(ctx, pullInterval)
 		return nil
 	}
-	begin, err := w.Store.Watch(ctx, platform.Watch{Key: keyConfirmed, Prefix: true})
+	begin, err := w.Store.Watch(ctx, kv.Watch{Key: keyConfirmed, Prefix: true})
 	if err != nil {
 		return err
 	}
 	w.readStored(ctx)
 	after := begin.Through
 	for ctx.Err() == nil {
-		changes, err := w.Store.Watch(ctx, platform.Watch{Key: keyConfirmed, Prefix: true, After: after, Wait: watchWait})
+		changes, err := w.Store.Watch(ctx, kv.Watch{Key: keyConfirmed, Prefix: true, After: after, Wait: watchWait})
 		if err != nil {
 			return err
 		}
@@ -257,7 +257,7 @@
 // readStored reads the keys of all services in force.
 func (w *Watch) readStored(ctx context.Context) {
 	for _, name := range w.Services() {
-		record, err := platform.Read(ctx, w.Store, keyConfirmed+name)
+		record, err := kv.Read(ctx, w.Store, keyConfirmed+name)
 		if err == nil {
 			w.merge(name, record.Payload)
 		}
@@ -265,11 +265,11 @@
 }
 
 // stored takes a changed key and passes it on to the data centre.
-func (w *Watch) stored(e platform.Event) {
+func (w *Watch) stored(e kv.Event) {
 	if e.Deleted {
 		return
 	}
-	record, err := platform.RecordOf(e.Entry)
+	record, err := kv.RecordOf(e.Entry)
 	if err != nil {
 		w.Log.WithError(err).Warn("confirmed requests not readable")
 		return
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -12,7 +12,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -52,7 +52,7 @@
 	Services func() []string
 	// Store spreads confirmed requests to other data centres; nil keeps them
 	// in this one.
-	Store  platform.Store
+	Store  kv.Store
 	Events *timeline.Recorder
 	Clock  clockwork.Clock
 	Log    *logrus.Entry
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
-	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
@@ -54,7 +54,7 @@
 	h.dead[upstream] = dead
 }
 
-func startHosts(t *testing.T, dataCentre string, store *platformtest.Store, upstreams int, names ...string) *hosts {
+func startHosts(t *testing.T, dataCentre string, store *kvtest.Store, upstreams int, names ...string) *hosts {
 	h := &hosts{t: t, watches: make(map[string]*quarantine.Watch), dead: make(map[string]bool), doc: &service.Document{
 		Name: "s", Quarantine: service.Quarantine{Enabled: true, Duration: time.Hour}, Routing: service.Routing{RequestTimeout: time.Minute},
 	}}
@@ -110,7 +110,7 @@
 const killer, innocent = quarantine.Fingerprint(1), quarantine.Fingerprint(2)
 
 func TestSuspicionSpreadsBeforeTheAnswer(t *testing.T) {
-	store := platformtest.NewStore(clockwork.NewRealClock())
+	store := kvtest.NewStore(clockwork.NewRealClock())
 	h := startHosts(t, "a", store, 12, "x", "y", "z")
 	far := startHosts(t, "b", store, 12, "v", "w")
 	ctx, cancel := context.WithCancel(t.Context())
