--- a/batch/store/accept_test.go
+++ b/batch/store/accept_test.go
@@ -45,9 +45,9 @@
 }
 
 type fixture struct {
-	kv    *kvtest.Store
-	clock *clockwork.FakeClock
-	items int
+	platform *kvtest.Store
+	clock    *clockwork.FakeClock
+	items    int
 }
 
 func newFixture() *fixture {
--- a/batch/store/file.go
+++ b/batch/store/file.go
@@ -26,7 +26,7 @@
 
 // SegmentRef describes one input segment.
 type SegmentRef struct {
-	Items   int              `json:"n"`
+	Items   int        `json:"n"`
 	Version kv.Version `json:"v"`
 }
 
@@ -74,7 +74,7 @@
 
 // Writer cuts items into segments and stores them. It holds one segment.
 type Writer struct {
-	platform           kv.Store
+	platform     kv.Store
 	segmentItems int
 	data         string
 	digest       hash.Hash
--- a/config/distributor.go
+++ b/config/distributor.go
@@ -11,9 +11,9 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
 // Times of the distribution.
--- a/config/rig_test.go
+++ b/config/rig_test.go
@@ -13,10 +13,10 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
-	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 )
 
 // inForceWithin is the users' bound for an accepted edit.
--- a/fleet/config_test.go
+++ b/fleet/config_test.go
@@ -10,11 +10,11 @@
 	"github.com/comfreyspindle/comfreyspindle/config"
 	"github.com/comfreyspindle/comfreyspindle/examples"
 	"github.com/comfreyspindle/comfreyspindle/fleet"
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/node"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
-	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,8 +16,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/config"
-	"github.com/comfreyspindle/comfreyspindle/node"
 	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
+	"github.com/comfreyspindle/comfreyspindle/node"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 	"github.com/comfreyspindle/comfreyspindle/upstream/upstreamtest"
--- a/ledger/cluster_test.go
+++ b/ledger/cluster_test.go
@@ -11,10 +11,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
+	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
--- a/ledger/service.go
+++ b/ledger/service.go
@@ -13,9 +13,9 @@
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
 
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
--- a/membership/gossip_test.go
+++ b/membership/gossip_test.go
@@ -12,9 +12,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
+	"github.com/comfreyspindle/comfreyspindle/peer"
 )
 
 type liveMember struct {
--- a/orders/issuer.go
+++ b/orders/issuer.go
@@ -12,8 +12,8 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
--- a/orders/issuer_test.go
+++ b/orders/issuer_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
-	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -9,8 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/kv"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
 // PeerName is the name under which hosts serve each other's notices.
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -10,9 +10,9 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
-	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
--- a/quarantine/watch_test.go
+++ b/quarantine/watch_test.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/kv/kvtest"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
