--- a/batch/store/accept_test.go
+++ b/batch/store/accept_test.go
@@ -58,7 +58,7 @@
 // submit uploads the file and creates the job as one host does.
 func (f *fixture) submit(platform kv.Store, key string) (job *store.Job, resent bool, err error) {
 	ctx := context.Background()
-	a := &store.Acceptor{KV: kv, Clock: f.clock}
+	a := &store.Acceptor{KV: platform, Clock: f.clock}
 	o := store.Origin{Service: "svc", Caller: "c", Key: key, Window: time.Hour, Retention: 24 * time.Hour}
 	up, err := a.Begin(ctx, o, 10)
 	if err != nil {
@@ -120,10 +120,10 @@
 			t.Run(fault.name+"/key "+key, func(t *testing.T) {
 				for step := 1; step < maxSteps; step++ {
 					f := newFixture()
-					kv := &stepStore{Store: f.platform, at: step}
-					kv.fault = func(put func() error) error { kv.dead = fault.dead; return fault.do(put) }
-					first, _, err := f.submit(platform, key)
-					if kv.seen < step {
+					steps := &stepStore{Store: f.platform, at: step}
+					steps.fault = func(put func() error) error { steps.dead = fault.dead; return fault.do(put) }
+					first, _, err := f.submit(steps, key)
+					if steps.seen < step {
 						require.Greater(t, step, 6)
 						return
 					}
@@ -150,15 +150,15 @@
 		for step := 1; step < maxSteps; step++ {
 			f := newFixture()
 			var other *store.Job
-			kv := &stepStore{Store: f.platform, at: step}
-			kv.fault = func(put func() error) error {
+			steps := &stepStore{Store: f.platform, at: step}
+			steps.fault = func(put func() error) error {
 				var err error
 				other, _, err = f.submit(f.platform, key)
 				require.NoError(t, err)
 				return put()
 			}
-			job, _, err := f.submit(platform, key)
-			if kv.seen < step {
+			job, _, err := f.submit(steps, key)
+			if steps.seen < step {
 				break
 			}
 			require.NoError(t, err)
@@ -219,10 +219,10 @@
 	ctx := context.Background()
 	for step := 1; step < maxSteps; step++ {
 		f := newFixture()
-		kv := &stepStore{Store: f.platform, at: step}
-		kv.fault = func(put func() error) error { _ = put(); kv.dead = true; return kv.ErrUnknown }
-		_, _, err := f.submit(platform, "")
-		if kv.seen < step {
+		steps := &stepStore{Store: f.platform, at: step}
+		steps.fault = func(put func() error) error { _ = put(); steps.dead = true; return kv.ErrUnknown }
+		_, _, err := f.submit(steps, "")
+		if steps.seen < step {
 			return
 		}
 		require.Error(t, err)
@@ -268,13 +268,13 @@
 func TestLateHeadAfterAbandon(t *testing.T) {
 	f := newFixture()
 	ctx := context.Background()
-	kv := &stepStore{Store: f.platform}
-	_, _, err := f.submit(platform, "")
+	steps := &stepStore{Store: f.platform}
+	_, _, err := f.submit(steps, "")
 	require.NoError(t, err)
-	last := kv.seen
+	last := steps.seen
 	f = newFixture()
-	kv = &stepStore{Store: f.platform, at: last}
-	kv.fault = func(put func() error) error {
+	steps = &stepStore{Store: f.platform, at: last}
+	steps.fault = func(put func() error) error {
 		for shard := range store.Shards {
 			entries, err := store.Active(ctx, f.platform, "svc", shard)
 			require.NoError(t, err)
@@ -286,7 +286,7 @@
 		}
 		return put()
 	}
-	job, _, err := f.submit(platform, "")
+	job, _, err := f.submit(steps, "")
 	require.NoError(t, err)
 	f.check(t, job)
 }
--- a/batch/store/record_test.go
+++ b/batch/store/record_test.go
@@ -249,8 +249,8 @@
 	f := newFixture()
 	c, _, err := store.NewChunk("run", 0, 1, 0, []store.ItemResult{{Index: 1}})
 	require.NoError(t, err)
-	kv := &stepStore{Store: f.platform, at: 1, fault: func(put func() error) error { _ = put(); return kv.ErrUnreachable }}
-	require.Error(t, c.Write(ctx, platform))
+	steps := &stepStore{Store: f.platform, at: 1, fault: func(put func() error) error { _ = put(); return kv.ErrUnreachable }}
+	require.Error(t, c.Write(ctx, steps))
 	require.NoError(t, c.Write(ctx, f.platform), "the same chunk again is the same write")
 	other, _, err := store.NewChunk("run", 0, 1, 0, []store.ItemResult{{Index: 2}})
 	require.NoError(t, err)
