--- a/cli/daemon/daemon.go
+++ b/cli/daemon/daemon.go
@@ -41,6 +41,7 @@
 			return nil
 		},
 	})
+	root.AddCommand(newEdgeCommand(), newStorageCommand())
 	return root
 }
 
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,403 @@
+// Package host assembles one host of the system on the users' platform as a
+// supervisor tree: its record among the hosts, the configuration, the replicas,
+// the broker of places, online requests, batch jobs and the listeners.
+package host
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/jobs"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/slots"
+)
+
+// Times and sizes of a host.
+const (
+	// callTimeout bounds a call to another host; a connection that is silent
+	// for so long is given up.
+	callTimeout = 1500 * time.Millisecond
+	// brokerTimeout is the same for calls to brokers.
+	brokerTimeout = time.Second
+	// idleTimeout closes callers' connections without requests and headerTimeout
+	// those whose headers don't arrive.
+	idleTimeout   = 60 * time.Second
+	headerTimeout = 10 * time.Second
+	// memoryShare is the part of the memory limit at which the collector works
+	// harder.
+	memoryShare = 0.7
+	// settleTime is how long after its start a host looks for jobs without an
+	// owner: leases of an earlier start have lapsed by then.
+	settleTime = 2*leaseTime + time.Second
+	// recoverRetry is the pause before another try to take jobs over.
+	recoverRetry = 700 * time.Millisecond
+)
+
+// Host is one host of the system.
+type Host struct {
+	settings *platform.Settings
+	clock    clockwork.Clock
+	log      *logrus.Entry
+	registry *prometheus.Registry
+	store    txn.Store
+	view     *membership.Static
+
+	peers    *peer.Server
+	calls    *peer.Client
+	polls    *peer.Client
+	presence *Presence
+	config   *Config
+	replicas *Replicas
+	broker   *slots.Broker
+	places   *slots.Client
+	jobs     *jobs.Manager
+	runner   *forward.Runner
+
+	callers, ready, metrics *listener
+
+	stopping atomic.Bool
+	// missed is when the store was first missed, in Unix nanoseconds; 0 while it
+	// answers.
+	missed  atomic.Int64
+	recover chan struct{}
+	tree    *suture.Supervisor
+	cancel  context.CancelFunc
+	served  chan struct{}
+}
+
+// listener is an HTTP server with its bound address.
+type listener struct {
+	name   string
+	bound  net.Listener
+	server *http.Server
+}
+
+// Serve serves until ctx ends.
+func (l *listener) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
+	err := l.server.Serve(l.bound)
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+// String names the service in supervisor events.
+func (l *listener) String() string { return l.name }
+
+func listen(name, address string, h http.Handler) (*listener, error) {
+	bound, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	return &listener{name: name, bound: bound, server: &http.Server{
+		Handler: h, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout,
+	}}, nil
+}
+
+// New provisions a host: it binds all addresses and starts nothing.
+func New(s *platform.Settings, logs io.Writer) (*Host, error) {
+	runtime.GOMAXPROCS(s.Cores)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	clock := clockwork.NewRealClock()
+	reg := prometheus.NewRegistry()
+	h := &Host{
+		settings: s, clock: clock, registry: reg, store: platform.NewStore(s.Store),
+		log:     newLogger(logs, reg).WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
+		recover: make(chan struct{}, 1), served: make(chan struct{}),
+	}
+	h.view = membership.NewStatic(membership.Host{
+		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: s.Peers,
+		OperatorsAddress: s.Metrics, Incarnation: uint64(clock.Now().UnixNano()),
+	})
+	if err := h.provision(); err != nil {
+		return nil, err
+	}
+	h.tree = h.newTree()
+	return h, nil
+}
+
+func (h *Host) provision() error {
+	s := h.settings
+	metrics := peer.NewMetrics(h.registry)
+	h.calls = peer.NewClient(callTimeout, nil, peer.WithMetrics(metrics))
+	h.polls = peer.NewClient(brokerTimeout, nil, peer.WithMetrics(metrics))
+	h.config = &Config{log: h.log, retire: h.retire}
+	h.provisionPresence()
+	h.provisionWork()
+	var err error
+	if h.peers, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics)); err != nil {
+		return err
+	}
+	for name, receiver := range map[string]any{
+		slots.PeerName: h.broker, jobs.PeerName: h.jobs.Peer(), neighbourName: &Neighbour{host: h},
+	} {
+		if err := h.peers.Register(name, receiver); err != nil {
+			return err
+		}
+	}
+	return h.provisionListeners()
+}
+
+func (h *Host) provisionPresence() {
+	h.presence = &Presence{
+		store: h.store, view: h.view, clock: h.clock, log: h.log, lease: max(leaseTime, h.settings.MinLease),
+		ping: func(ctx context.Context, to membership.Host) error {
+			return h.calls.Call(ctx, to.PeerAddress, neighbourName+".Ping", StateArgs{}, new(PingReply))
+		},
+		gone: func(string) { h.wantRecovery() }, back: h.wantRecovery,
+		known: make(map[string]membership.Host), lapsed: make(map[string]struct{}),
+	}
+}
+
+func (h *Host) provisionWork() {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	h.broker = slots.NewBroker(h.clock, rng, h.log)
+	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
+	dials := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "comfreyspindle_upstream_connections_total", Help: "New connections to replicas.",
+	})
+	h.registry.MustRegister(dials)
+	engine := platform.NewEngine(dials.Inc)
+	h.places = &slots.Client{
+		View: h.view, Caller: h.polls, Broker: h.broker, Clock: h.clock, Log: h.log, Learned: h.replicas.learned,
+	}
+	h.places.Init()
+	h.jobs = jobs.NewManager(jobs.Options{
+		Store: h.store, Places: h.places, Upstream: engine, View: h.view, Caller: h.calls, Table: h.config.Table,
+		Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
+	})
+	h.places.Items = h.jobs
+	h.runner = &forward.Runner{
+		Host: h.settings.Host, Places: h.places, Upstream: engine, Clock: h.clock, Log: h.log,
+		Metrics: forward.NewMetrics(h.registry),
+	}
+}
+
+func (h *Host) provisionListeners() (err error) {
+	handler := &platform.Handler{
+		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Draining: h.stopping.Load, Log: h.log,
+	}
+	if h.callers, err = listen("callers", h.settings.Callers, handler.Echo()); err != nil {
+		return err
+	}
+	if h.ready, err = listen("readiness", h.settings.Ready, platform.ReadyEcho(h.isReady)); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
+	h.metrics, err = listen("metrics", h.settings.Metrics, mux)
+	return err
+}
+
+// isReady reports whether the balancer may send requests here.
+func (h *Host) isReady() bool {
+	return !h.stopping.Load() && h.config.Table() != nil && h.replicas.haveRecords()
+}
+
+// storeAway reports whether the store has not answered lately.
+func (h *Host) storeAway() bool { return h.missed.Load() != 0 }
+
+func (h *Host) lost() { h.missed.CompareAndSwap(0, h.clock.Now().UnixNano()) }
+
+func (h *Host) regained() { h.missed.Store(0) }
+
+func (h *Host) wantRecovery() {
+	select {
+	case h.recover <- struct{}{}:
+	default:
+	}
+}
+
+// Restart policy of the supervisors.
+const (
+	failureThreshold = 5
+	failureDecay     = 30.0 // seconds
+	failureBackoff   = time.Second
+)
+
+func (h *Host) newTree() *suture.Supervisor {
+	spec := suture.Spec{
+		EventHook:        func(e suture.Event) { h.log.WithFields(logrus.Fields(e.Map())).Warn("supervisor: " + e.String()) },
+		FailureThreshold: failureThreshold, FailureDecay: failureDecay, FailureBackoff: failureBackoff,
+	}
+	root := suture.New("host", spec)
+	control := suture.New("control", spec)
+	control.Add(h.peers)
+	control.Add(h.presence)
+	for _, w := range h.watchers() {
+		control.Add(w)
+	}
+	control.Add(&asker{host: h, seeds: h.settings.Seeds, clock: h.clock, rng: rand.New(rand.NewPCG(rand.Uint64(), 1)), log: h.log})
+	serving := suture.New("serving", spec)
+	serving.Add(h.places)
+	serving.Add(h.jobs)
+	serving.Add(recovery{h})
+	for _, l := range []*listener{h.callers, h.ready, h.metrics} {
+		serving.Add(l)
+	}
+	root.Add(control)
+	root.Add(serving)
+	return root
+}
+
+func (h *Host) watchers() []*Watcher {
+	base := Watcher{store: h.store, clock: h.clock, log: h.log}
+	config, hosts, replicas := base, base, base
+	config.name, config.prefix = "configuration", platform.OperatorPrefix
+	config.listed, config.changed = h.config.apply, h.config.apply
+	config.lost, config.regained = h.lost, h.regained
+	hosts.name, hosts.prefix, hosts.gather = "hosts", hostPrefix, gatherTime
+	hosts.listed, hosts.changed = h.presence.Replace, h.presence.Apply
+	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
+	replicas.listed, replicas.changed = h.replicas.listed, h.replicas.changed
+	replicas.lost, replicas.regained = h.replicas.lost, func() {}
+	replicas.active = func() bool { return h.places.IsBroker() || h.places.Stale() }
+	return []*Watcher{&config, &hosts, &replicas}
+}
+
+// recovery takes over jobs whose owner is gone.
+type recovery struct{ host *Host }
+
+// Serve looks for such jobs at the start, once earlier leases have lapsed, and
+// whenever a host has gone.
+func (r recovery) Serve(ctx context.Context) error {
+	h := r.host
+	settled := h.clock.After(settleTime)
+	for {
+		for h.jobs.Recover(ctx) != nil && ctx.Err() == nil {
+			h.pause(ctx, recoverRetry)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-settled:
+		case <-h.recover:
+		}
+	}
+}
+
+// String names the service in supervisor events.
+func (recovery) String() string { return "recovery" }
+
+func (h *Host) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-h.clock.After(d):
+	}
+}
+
+// retireRanks is the number of hosts that may report a storage host as empty,
+// one after the other.
+const (
+	retireRanks = 3
+	retireStep  = time.Second
+)
+
+// retire reports that a storage host is empty: nothing is kept there.
+func (h *Host) retire(name string) {
+	ranked := membership.Rendezvous(append(h.view.Local(), h.view.Remote()...), "retire/"+name, retireRanks)
+	for rank, of := range ranked {
+		if of.Name != h.settings.Host {
+			continue
+		}
+		h.clock.AfterFunc(time.Duration(rank)*retireStep, func() { h.reportEmpty(name) })
+	}
+}
+
+func (h *Host) reportEmpty(name string) {
+	req, err := platform.RetireDone(name)
+	if err != nil {
+		h.log.WithError(err).WithField("storage_host", name).Error("storage host not reported as empty")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := h.store.Commit(ctx, req)
+		if err == nil || errors.Is(err, txn.ErrConflict) {
+			h.log.WithField("storage_host", name).Info("storage host is empty")
+			return
+		}
+		h.log.WithError(err).WithField("storage_host", name).Warn("storage host not reported as empty yet")
+		h.pause(ctx, recoverRetry)
+	}
+}
+
+// Serve runs the host until ctx ends or Stop is called.
+func (h *Host) Serve(ctx context.Context) error {
+	ctx, h.cancel = context.WithCancel(ctx)
+	defer close(h.served)
+	h.log.WithFields(logrus.Fields{
+		"callers": h.settings.Callers, "peers": h.settings.Peers, "metrics": h.settings.Metrics, "store": h.settings.Store,
+	}).Info("serving")
+	err := h.tree.Serve(ctx)
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// Times of a planned stop, within the time that the platform gives.
+const (
+	// balancerTime is how long the balancer may still send new connections.
+	balancerTime = 3200 * time.Millisecond
+	// exitMargin is left before the process would be killed.
+	exitMargin = 600 * time.Millisecond
+)
+
+// Stop stops the host in order: readiness off and connections closed by their
+// next answer, jobs handed over, new connections served until the balancer has
+// noticed, running requests finished, then all parts stopped.
+func (h *Host) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, max(h.settings.StopTimeout-exitMargin, balancerTime))
+	defer cancel()
+	h.stopping.Store(true)
+	h.view.SetState(membership.Leaving)
+	h.log.Info("stopping: readiness off")
+	var handed sync.WaitGroup
+	handed.Go(func() {
+		h.jobs.HandOver(ctx)
+		h.presence.Leave(ctx)
+	})
+	h.pause(ctx, balancerTime)
+	err := h.callers.server.Shutdown(ctx)
+	handed.Wait()
+	h.cancel()
+	<-h.served
+	h.log.WithError(err).Info("stopped")
+	return nil
+}
+
+// Reload reads the settings anew and says what would need a restart.
+func (h *Host) Reload(path string) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		h.log.WithError(err).Error("settings not reloaded")
+		return
+	}
+	same := s.Callers == h.settings.Callers && s.Peers == h.settings.Peers && s.Store == h.settings.Store
+	h.log.WithField("addresses_unchanged", same).Info("settings reloaded")
+}
--- /dev/null
+++ b/host/neighbour.go
@@ -0,0 +1,125 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/replica"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// neighbourName is the name under which hosts tell each other what they know.
+const neighbourName = "Host"
+
+// Times of calls to neighbours.
+const (
+	// askInterval is how often a neighbour is asked while the store doesn't
+	// answer.
+	askInterval = 400 * time.Millisecond
+	askTimeout  = 500 * time.Millisecond
+)
+
+// StateArgs say what the asking host has.
+type StateArgs struct{ ConfigVersion int64 }
+
+// StateReply is what a host knows.
+type StateReply struct {
+	// Config is empty when it is no newer than the asking host's.
+	Config   []byte
+	Hosts    []membership.Host
+	Replicas []replica.Replica
+	// HaveReplicas says that Replicas are records, not their absence.
+	HaveReplicas bool
+}
+
+// PingReply is empty.
+type PingReply struct{}
+
+// Neighbour serves the calls of other hosts.
+type Neighbour struct{ host *Host }
+
+// State tells what this host knows.
+func (n *Neighbour) State(args StateArgs, reply *StateReply) error {
+	if text, version := n.host.config.text(); version > args.ConfigVersion {
+		reply.Config = text
+	}
+	reply.Hosts = append(n.host.view.Local(), n.host.view.Remote()...)
+	reply.Replicas, reply.HaveReplicas = n.host.replicas.snapshot(), n.host.replicas.haveRecords()
+	return nil
+}
+
+// Ping answers while the host takes work.
+func (n *Neighbour) Ping(_ StateArgs, _ *PingReply) error {
+	if n.host.stopping.Load() {
+		return verdict.New(verdict.NotRun, verdict.CodeDraining, "The host is stopping.")
+	}
+	return nil
+}
+
+// asker asks neighbours for what the store doesn't tell.
+type asker struct {
+	host  *Host
+	seeds []string
+	clock clockwork.Clock
+	rng   *rand.Rand
+	log   *logrus.Entry
+}
+
+// Serve asks until ctx ends.
+func (a *asker) Serve(ctx context.Context) error {
+	for {
+		if a.host.storeAway() || a.host.config.Table() == nil {
+			a.ask(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.clock.After(askInterval):
+		}
+	}
+}
+
+// String names the service in supervisor events.
+func (a *asker) String() string { return "neighbours" }
+
+// ask asks one host, drawn by lot.
+func (a *asker) ask(ctx context.Context) {
+	view := a.host.view
+	self := view.Self()
+	var addresses []string
+	for _, h := range append(view.Local(), view.Remote()...) {
+		if h.Name != self.Name {
+			addresses = append(addresses, h.PeerAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		addresses = a.seeds
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	address := addresses[a.rng.IntN(len(addresses))]
+	if address == self.PeerAddress {
+		return
+	}
+	_, version := a.host.config.text()
+	var reply StateReply
+	bound, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	if err := a.host.calls.Call(bound, address, neighbourName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
+		a.log.WithError(err).WithField("address", address).Debug("neighbour doesn't answer")
+		return
+	}
+	if len(reply.Config) > 0 {
+		a.host.config.offer(reply.Config, address)
+	}
+	a.host.presence.Learn(reply.Hosts)
+	if reply.HaveReplicas && !a.host.replicas.haveRecords() {
+		a.host.replicas.learned(reply.Replicas)
+	}
+}
--- /dev/null
+++ b/jobs/jobs.go
@@ -0,0 +1,91 @@
+// Package jobs keeps batch jobs in a transactional key-value service and runs
+// their items on places that the brokers have left over. One host owns a job at
+// a time: it runs the items, and every change of the job is a transaction on
+// the job's head, so that a host that has lost the job can't change it.
+package jobs
+
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
+
+// Item is one request of a job.
+type Item struct {
+	ID      string
+	Path    string
+	Headers map[string]string
+	Body    []byte
+}
+
+// Submission is a job as a caller sends it.
+type Submission struct {
+	ID string
+	// Host is the host name of the job's route.
+	Host string
+	// Prefix is the path prefix of the job's route.
+	Prefix    string
+	Items     []Item
+	RunTarget time.Duration
+	Retention time.Duration
+}
+
+// Result is the end of an item.
+type Result struct {
+	ID string
+	// Done is false for an item that was given up.
+	Done   bool
+	Output string
+}
+
+// Page is a part of a job's results, in the order in which they were recorded.
+type Page struct {
+	Total   int
+	Results []Result
+}
+
+// errUnknownJob is for jobs that the store doesn't hold.
+func errUnknownJob() error {
+	return verdict.New(verdict.NotRun, verdict.CodeNotFound, "There is no such job.")
+}
+
+func errUnsure(err error) error {
+	return verdict.Wrap(err, verdict.NotRun, verdict.CodePlatformUnavailable, "The job's record can't be read now.").WithRetryAfter(unsurePause)
+}
+
+// Times of jobs.
+const (
+	// unsurePause is the advice to callers when a record can't be read.
+	unsurePause = 500 * time.Millisecond
+	// flushDelay is how long results gather before they are written.
+	flushDelay = 700 * time.Millisecond
+	// flushMargin makes results of a job that is due this soon go out at once.
+	flushMargin = 2 * time.Second
+	// retryDelay is the pause after a failed write.
+	retryDelay = 150 * time.Millisecond
+	// acceptTimeout bounds the wait for the acceptance to be recorded.
+	acceptTimeout = 3500 * time.Millisecond
+	// runFirstByte and runGap are how long a replica may be silent before an
+	// item goes on elsewhere.
+	runFirstByte = 600 * time.Millisecond
+	runGap       = 700 * time.Millisecond
+	// runPause is the pause of an item after a failed run; it doubles with each
+	// further one, up to maxRunPause.
+	runPause    = 50 * time.Millisecond
+	maxRunPause = 2 * time.Second
+	// spillSlack is the time before an item is due at which other data centres
+	// are asked for a place.
+	spillSlack = 12 * time.Second
+	// peerTimeout bounds calls between hosts, waits for results apart.
+	peerTimeout = 700 * time.Millisecond
+)
+
+// Sizes.
+const (
+	// chunkBytes bounds the value of one key below the store's limit.
+	chunkBytes = 700 << 10
+	// pageBytes bounds the outputs of one page.
+	pageBytes = 900 << 10
+	// flushJobs bounds the jobs of one transaction.
+	flushJobs = 10
+)
--- /dev/null
+++ b/jobs/takeover.go
@@ -0,0 +1,215 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// heir returns the host that takes over the jobs of a host that is gone: one of
+// the same data centre if any is alive.
+func heir(alive []membership.Host, dataCentre, gone string) (membership.Host, bool) {
+	alive = slices.DeleteFunc(slices.Clone(alive), func(h membership.Host) bool { return h.Name == gone })
+	near := slices.DeleteFunc(slices.Clone(alive), func(h membership.Host) bool { return h.DataCentre != dataCentre })
+	for _, of := range [][]membership.Host{near, alive} {
+		if first := membership.Rendezvous(of, "jobs/"+gone, 1); len(first) > 0 {
+			return first[0], true
+		}
+	}
+	return membership.Host{}, false
+}
+
+// Recover reads all jobs, gives up those that other hosts own now, and takes
+// over those that are open and whose owner is gone, where this host is the heir.
+func (m *Manager) Recover(ctx context.Context) error {
+	found, _, err := txn.List(ctx, m.Store, headPrefix)
+	if err != nil {
+		return err
+	}
+	self := m.View.Self()
+	alive := append(m.View.Local(), m.View.Remote()...)
+	var failed error
+	for _, item := range found {
+		head, err := decodeHead(item)
+		if err != nil {
+			m.Log.WithError(err).Warn("unreadable job skipped")
+			continue
+		}
+		if m.keeps(head) {
+			continue
+		}
+		if !m.inherits(head, alive, self) {
+			continue
+		}
+		if err := m.claim(ctx, head.ID, head.Owner, nil); err != nil {
+			failed = errors.CombineErrors(failed, err)
+		}
+	}
+	return failed
+}
+
+// keeps reports whether this host owns the job already. One that another host
+// has taken over is given up.
+func (m *Manager) keeps(head *Head) bool {
+	m.mu.Lock()
+	j, ok := m.jobs[head.ID]
+	if !ok {
+		if head.Owner != m.View.Self().Name {
+			m.owners[head.ID] = head.Owner
+		}
+		m.mu.Unlock()
+		return false
+	}
+	m.mu.Unlock()
+	if head.Owner == j.head.Owner && head.Incarnation == j.head.Incarnation {
+		return true
+	}
+	m.lose(j, "another host owns it")
+	return false
+}
+
+func (m *Manager) inherits(head *Head, alive []membership.Host, self membership.Host) bool {
+	if !head.open() {
+		return false
+	}
+	if head.Owner == self.Name {
+		return head.Incarnation < self.Incarnation
+	}
+	if slices.ContainsFunc(alive, func(h membership.Host) bool { return h.Name == head.Owner }) {
+		return false
+	}
+	next, ok := heir(alive, self.DataCentre, head.Owner)
+	return ok && next.Name == self.Name
+}
+
+// claim makes this host the owner of a job.
+func (m *Manager) claim(ctx context.Context, id, from string, progress []Progress) error {
+	head, rev, err := m.load(ctx, id)
+	if err != nil {
+		return err
+	}
+	self := m.View.Self()
+	if head.Owner != from || !head.open() {
+		return nil
+	}
+	items, err := m.storedItems(ctx, head)
+	if err != nil {
+		return err
+	}
+	var results []Result
+	for n := range head.Starts {
+		chunk, err := m.resultChunk(ctx, id, n)
+		if err != nil {
+			return err
+		}
+		results = append(results, chunk...)
+	}
+	head.Owner, head.Incarnation = self.Name, self.Incarnation
+	head.Write++
+	value, err := cbor.Marshal(head)
+	if err != nil {
+		return errors.Wrap(err, "encode head")
+	}
+	rev, err = m.Store.Commit(ctx, txn.Request{
+		If:     []txn.Condition{{Key: headKey(id), Rev: rev}},
+		Writes: []txn.Write{{Key: headKey(id), Value: value}},
+	})
+	if errors.Is(err, txn.ErrUnknown) {
+		rev, err = m.whose(ctx, head)
+	}
+	if errors.Is(err, txn.ErrConflict) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrapf(err, "take over job %s", id)
+	}
+	j := newJob(*head, rev, items, results)
+	j.resume(progress)
+	m.adopt(j)
+	m.Log.WithFields(logrus.Fields{"job": id, "from": from, "listed": head.Listed, "total": head.Total, "rev": rev}).Info("job taken over")
+	go m.announce(id)
+	return nil
+}
+
+// resume takes what another host had gathered of the items' outputs.
+func (j *job) resume(progress []Progress) {
+	for _, p := range progress {
+		i := slices.IndexFunc(j.items, func(it *item) bool { return it.ID == p.Item })
+		if i >= 0 {
+			j.items[i].texts, j.items[i].lastID, j.items[i].failures = p.Texts, p.LastID, p.Failures
+		}
+	}
+}
+
+// HandOver stops all runs, records what is done and gives the open jobs to
+// other hosts.
+func (m *Manager) HandOver(ctx context.Context) {
+	m.mu.Lock()
+	m.stopping = true
+	for _, stop := range m.runs {
+		stop()
+	}
+	m.mu.Unlock()
+	m.running.Wait()
+	for ctx.Err() == nil {
+		batch, _ := m.collect(true)
+		if len(batch) == 0 {
+			break
+		}
+		if err := m.write(ctx, batch); err != nil {
+			m.Log.WithError(err).Warn("results not recorded before the stop")
+			break
+		}
+	}
+	for _, j := range m.openJobs() {
+		m.handOverJob(ctx, j)
+	}
+}
+
+func (m *Manager) openJobs() []*job {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var open []*job
+	for _, j := range m.jobs {
+		if j.head.open() && !j.lost {
+			open = append(open, j)
+		}
+	}
+	return open
+}
+
+// handOverJob offers a job to its heir. A job that isn't taken is taken over
+// when this host is seen to be gone.
+func (m *Manager) handOverJob(ctx context.Context, j *job) {
+	self := m.View.Self()
+	next, ok := heir(append(m.View.Local(), m.View.Remote()...), self.DataCentre, self.Name)
+	if !ok {
+		return
+	}
+	args := AdoptArgs{ID: j.head.ID, From: self.Name}
+	m.mu.Lock()
+	for _, it := range j.items {
+		if !it.ended && (len(it.texts) > 0 || it.failures > 0) {
+			args.Progress = append(args.Progress, Progress{Item: it.ID, Texts: it.texts, LastID: it.lastID, Failures: it.failures})
+		}
+	}
+	m.mu.Unlock()
+	log := m.Log.WithFields(logrus.Fields{"job": j.head.ID, "to": next.Name})
+	bound, cancel := context.WithTimeout(ctx, 2*peerTimeout)
+	defer cancel()
+	if err := m.Caller.Call(bound, next.PeerAddress, PeerName+".Adopt", args, new(None)); err != nil {
+		log.WithError(err).Warn("job not handed over")
+		return
+	}
+	m.lose(j, "handed over")
+	m.mu.Lock()
+	m.owners[j.head.ID] = next.Name
+	m.mu.Unlock()
+	log.Info("job handed over")
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -115,8 +115,26 @@
 	s.changed = make(chan struct{})
 }
 
+// SetState changes the state of the host itself.
+func (s *Static) SetState(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.self.State = state
+	for i := range s.hosts {
+		if s.hosts[i].Name == s.self.Name {
+			s.hosts[i].State = state
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Self implements View.
-func (s *Static) Self() Host { return s.self }
+func (s *Static) Self() Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.self
+}
 
 // Local implements View.
 func (s *Static) Local() []Host { return s.filter(true) }
--- /dev/null
+++ b/slots/client.go
@@ -0,0 +1,330 @@
+package slots
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/replica"
+)
+
+// PeerName is the name under which a broker serves its calls.
+const PeerName = "Slots"
+
+// Times of calls to brokers.
+const (
+	// nearWait is how long a request waits in its own data centre before others
+	// are tried.
+	nearWait = 30 * time.Millisecond
+	// farWait is how long it waits in another data centre.
+	farWait = 20 * time.Millisecond
+	// callSlack is what a call may take beyond the wait that it asks for.
+	callSlack = 120 * time.Millisecond
+	// pollTimeout bounds a poll.
+	pollTimeout = pollWait + 400*time.Millisecond
+	// suspectTime is how long a broker that didn't answer is passed over.
+	suspectTime = time.Second
+	// restTime is the pause of a poll loop that has nothing to do or failed.
+	restTime = 200 * time.Millisecond
+	// staleTime is how old the last word of a broker may be before the host
+	// reads the replicas' records by itself.
+	staleTime = 1200 * time.Millisecond
+	// maxBrokers bounds the brokers of one data centre that a request tries.
+	maxBrokers = 3
+)
+
+// Caller calls brokers on other hosts.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+	Forget(address string)
+}
+
+// Items is the batch side of a host.
+type Items interface {
+	// Granted takes a place for an item; it is given back when none waits.
+	Granted(g Grant)
+	// Revoked stops the item that runs on a place.
+	Revoked(id GrantID)
+	// Wants says what waits, for the own data centre or for others.
+	Wants(remote bool) []WantMessage
+}
+
+// Refusal says that no place was to be had.
+type Refusal struct {
+	// RetryAfter is when a place is expected.
+	RetryAfter time.Duration
+	// Wait is the expected wait in the own data centre and Replicas the number
+	// of replicas there.
+	Wait     time.Duration
+	Replicas int
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return "no place is free in time" }
+
+// Client is a host's side of the brokers. Its fields are required.
+type Client struct {
+	View   membership.View
+	Caller Caller
+	Broker *Broker
+	Items  Items
+	Clock  clockwork.Clock
+	Log    *logrus.Entry
+	// Learned takes the replicas' records that a broker tells.
+	Learned func([]replica.Replica)
+
+	mu       sync.Mutex
+	holds    map[GrantID]Grant
+	suspects map[string]time.Time
+	version  int64
+	heardAt  time.Time
+	releases map[string]*releaseQueue
+}
+
+// Init makes an empty state.
+func (c *Client) Init() {
+	c.holds = make(map[GrantID]Grant)
+	c.suspects = make(map[string]time.Time)
+	c.releases = make(map[string]*releaseQueue)
+}
+
+// hosts returns the hosts that may be broker of a data centre, best first.
+func (c *Client) hosts(dataCentre string) []membership.Host {
+	var of []membership.Host
+	for _, h := range append(c.View.Local(), c.View.Remote()...) {
+		if h.DataCentre == dataCentre {
+			of = append(of, h)
+		}
+	}
+	return membership.Rendezvous(of, "slots/"+dataCentre, len(of))
+}
+
+// brokers returns the brokers to try, those that lately failed to answer last.
+func (c *Client) brokers(dataCentre string) []membership.Host {
+	of := c.hosts(dataCentre)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	slices.SortStableFunc(of, func(a, b membership.Host) int {
+		return c.suspected(now, a) - c.suspected(now, b)
+	})
+	return of[:min(len(of), maxBrokers)]
+}
+
+func (c *Client) suspected(now time.Time, h membership.Host) int {
+	if now.Before(c.suspects[h.Name]) {
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) suspect(h membership.Host, err error) {
+	c.mu.Lock()
+	now := c.Clock.Now()
+	known := now.Before(c.suspects[h.Name])
+	c.suspects[h.Name] = now.Add(suspectTime)
+	c.mu.Unlock()
+	c.Caller.Forget(h.PeerAddress)
+	if !known {
+		c.Log.WithError(err).WithField("peer", h.Name).Warn("broker doesn't answer")
+	}
+}
+
+// IsBroker reports whether this host is to be the broker of its data centre.
+func (c *Client) IsBroker() bool {
+	of := c.hosts(c.View.Self().DataCentre)
+	return len(of) == 0 || of[0].Name == c.View.Self().Name
+}
+
+// Stale reports whether no broker has told of the replicas lately.
+func (c *Client) Stale() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Sub(c.heardAt) > staleTime
+}
+
+// otherDataCentres returns the data centres besides the host's own, sorted.
+func (c *Client) otherDataCentres() []string {
+	var names []string
+	for _, h := range c.View.Remote() {
+		if !slices.Contains(names, h.DataCentre) {
+			names = append(names, h.DataCentre)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Acquire gets a place: in the own data centre if one is free or soon will be,
+// else in another one, else after a longer wait in the own one.
+func (c *Client) Acquire(ctx context.Context, ask Ask, wait time.Duration) (Grant, error) {
+	own := c.View.Self().DataCentre
+	ask.MaxWait = min(wait, nearWait)
+	g, near := c.ask(ctx, own, ask)
+	if near == nil {
+		return g, nil
+	}
+	ask.MaxWait = min(wait, farWait)
+	for _, dc := range c.otherDataCentres() {
+		if ctx.Err() != nil {
+			return Grant{}, ctx.Err()
+		}
+		if g, err := c.ask(ctx, dc, ask); err == nil {
+			return g, nil
+		}
+	}
+	if wait <= nearWait || ctx.Err() != nil {
+		return Grant{}, near
+	}
+	ask.MaxWait = wait - nearWait
+	if near.Wait > ask.MaxWait || near.Replicas == 0 {
+		return Grant{}, near
+	}
+	if g, near = c.ask(ctx, own, ask); near == nil {
+		return g, nil
+	}
+	return Grant{}, near
+}
+
+// ask asks the brokers of one data centre, in turn, until one answers.
+func (c *Client) ask(ctx context.Context, dataCentre string, ask Ask) (Grant, *Refusal) {
+	for _, h := range c.brokers(dataCentre) {
+		reply, err := c.acquire(ctx, h, ask)
+		if err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			c.suspect(h, err)
+			continue
+		}
+		if !reply.Granted {
+			return Grant{}, &Refusal{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas}
+		}
+		c.mu.Lock()
+		c.holds[reply.Grant.ID] = reply.Grant
+		c.mu.Unlock()
+		return reply.Grant, nil
+	}
+	return Grant{}, &Refusal{RetryAfter: minRetryAfter}
+}
+
+// acquire makes one call. A place that comes after its request has left is
+// given back.
+func (c *Client) acquire(ctx context.Context, h membership.Host, ask Ask) (*AcquireReply, error) {
+	type result struct {
+		reply *AcquireReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply := new(AcquireReply)
+		bound, cancel := context.WithTimeout(context.WithoutCancel(ctx), ask.MaxWait+callSlack)
+		defer cancel()
+		err := c.call(bound, h, "Acquire", ask, reply)
+		done <- result{reply, err}
+	}()
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		go func() {
+			if r := <-done; r.err == nil && r.reply.Granted {
+				c.release(h, r.reply.Grant.ID, Unused)
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
+
+// call calls a broker, which may be the host's own.
+func (c *Client) call(ctx context.Context, h membership.Host, method string, args, reply any) error {
+	if h.Name != c.View.Self().Name {
+		return c.Caller.Call(ctx, h.PeerAddress, PeerName+"."+method, args, reply)
+	}
+	switch args := args.(type) {
+	case Ask:
+		return c.Broker.Acquire(args, reply.(*AcquireReply))
+	case ReleaseArgs:
+		return c.Broker.Release(args, reply.(*Empty))
+	case PollArgs:
+		return c.Broker.Poll(args, reply.(*PollReply))
+	case WantArgs:
+		return c.Broker.Want(args, reply.(*Empty))
+	}
+	return errors.AssertionFailedf("no broker call takes %T", args)
+}
+
+// Release gives a place back.
+func (c *Client) Release(g Grant, outcome Outcome) {
+	c.mu.Lock()
+	delete(c.holds, g.ID)
+	c.mu.Unlock()
+	if of := c.brokers(g.Replica.DataCentre); len(of) > 0 {
+		c.release(of[0], g.ID, outcome)
+	}
+}
+
+// releaseQueue gathers the places that go back to one broker while a call to it
+// is under way.
+type releaseQueue struct {
+	pending []Released
+	running bool
+}
+
+func (c *Client) release(h membership.Host, id GrantID, outcome Outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	q, ok := c.releases[h.Name]
+	if !ok {
+		q = &releaseQueue{}
+		c.releases[h.Name] = q
+	}
+	q.pending = append(q.pending, Released{ID: id, Outcome: outcome})
+	if !q.running {
+		q.running = true
+		go c.drainReleases(h, q)
+	}
+}
+
+// drainReleases sends what has gathered until nothing is left. A call that
+// fails needs no repeat: the next poll says what the host still holds.
+func (c *Client) drainReleases(h membership.Host, q *releaseQueue) {
+	for {
+		c.mu.Lock()
+		batch := q.pending
+		q.pending = nil
+		q.running = len(batch) > 0
+		c.mu.Unlock()
+		if len(batch) == 0 {
+			return
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), callSlack)
+		err := c.call(ctx, h, "Release", ReleaseArgs{Released: batch}, new(Empty))
+		cancel()
+		if err != nil {
+			c.suspect(h, err)
+		}
+	}
+}
+
+// Wanted tells the own broker that items wait.
+func (c *Client) Wanted(ctx context.Context) {
+	of := c.brokers(c.View.Self().DataCentre)
+	if len(of) == 0 {
+		return
+	}
+	for _, w := range c.Items.Wants(false) {
+		bound, cancel := context.WithTimeout(ctx, callSlack)
+		err := c.call(bound, of[0], "Want", WantArgs{Host: c.View.Self().Name, Want: w}, new(Empty))
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			c.suspect(of[0], err)
+		}
+	}
+}
--- /dev/null
+++ b/slots/plan.go
@@ -0,0 +1,212 @@
+package slots
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Plan is what a broker carries out after a change.
+type Plan struct {
+	// Granted are waiters that get a place.
+	Granted []Placement
+	// Batch are places for batch items.
+	Batch []Grant
+	// Revoked are places of batch items that are to be given back.
+	Revoked []Grant
+	// Next is when to plan again though nothing changes; zero is never.
+	Next time.Time
+}
+
+// Placement is a waiter with its grant.
+type Placement struct {
+	Waiter *Waiter
+	Grant  Grant
+}
+
+// Plan gives free places to waiters, asks batch items to leave for those who
+// are left, and gives what is free to batch items.
+func (s *Scheduler) Plan(now time.Time) Plan {
+	var plan Plan
+	s.clearLeaving(now, &plan)
+	for _, p := range s.services {
+		s.placeWaiters(now, p, &plan)
+		s.revoke(now, p, &plan)
+		s.placeBatch(now, p, &plan)
+	}
+	return plan
+}
+
+func (s *Scheduler) placeWaiters(now time.Time, p *pool, plan *Plan) {
+	rest := p.queue[:0]
+	for _, w := range p.queue {
+		at := p.choose(now, w.ask.Avoid, s.rng)
+		if at == nil {
+			rest = append(rest, w)
+			continue
+		}
+		g := s.grant(now, at, Grant{Class: Online, Host: w.ask.Host})
+		plan.Granted = append(plan.Granted, Placement{Waiter: w, Grant: *g})
+	}
+	clear(p.queue[len(rest):])
+	p.queue = rest
+	for _, r := range p.replicas {
+		if len(p.queue) > 0 && r.avoidUntil.After(now) && (plan.Next.IsZero() || r.avoidUntil.Before(plan.Next)) {
+			plan.Next = r.avoidUntil
+		}
+	}
+}
+
+// clearLeaving asks batch items to leave replicas that are leaving: they go on
+// elsewhere, and would be cut off there.
+func (s *Scheduler) clearLeaving(now time.Time, plan *Plan) {
+	for _, g := range s.grants {
+		if g.Class == Batch && !g.place.Ready && now.Sub(g.revoked) >= revokePatience {
+			g.revoked = now
+			plan.Revoked = append(plan.Revoked, g.Grant)
+		}
+	}
+}
+
+// revoke asks for as many places of batch items as requests wait.
+func (s *Scheduler) revoke(now time.Time, p *pool, plan *Plan) {
+	need := len(p.queue)
+	if need == 0 {
+		return
+	}
+	var batch []*held
+	for _, g := range s.grants {
+		switch {
+		case g.Class != Batch || s.services[g.Grant.Replica.Service] != p:
+		case now.Sub(g.revoked) < revokePatience:
+			need--
+		case g.place.Ready && !now.Before(g.place.avoidUntil) && !g.protected(now):
+			batch = append(batch, g)
+		}
+	}
+	slices.SortFunc(batch, func(a, b *held) int { return compareRevocable(now, a, b) })
+	for _, g := range batch[:min(max(need, 0), len(batch))] {
+		g.revoked = now
+		plan.Revoked = append(plan.Revoked, g.Grant)
+	}
+}
+
+// protected reports whether an item would miss its due time if it were stopped.
+func (g *held) protected(now time.Time) bool {
+	left := g.Due.Sub(now)
+	return left > 0 && left < dueMargin
+}
+
+// compareRevocable puts first what loses least: items that are late already,
+// then those due last, then the youngest.
+func compareRevocable(now time.Time, a, b *held) int {
+	late := func(g *held) int {
+		if g.Due.Before(now) {
+			return 0
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(late(a), late(b)), b.Due.Compare(a.Due), b.Since.Compare(a.Since), cmp.Compare(a.ID, b.ID))
+}
+
+// placeBatch gives free places to the hosts whose items are due first. Items
+// that are late come last.
+func (s *Scheduler) placeBatch(now time.Time, p *pool, plan *Plan) {
+	if len(p.queue) > 0 {
+		return
+	}
+	for {
+		host, want := p.mostUrgent(now)
+		if want.Items == 0 {
+			return
+		}
+		at := p.choose(now, nil, s.rng)
+		if at == nil {
+			return
+		}
+		plan.Batch = append(plan.Batch, *s.grant(now, at, Grant{Class: Batch, Host: host, Due: want.Due}))
+		want.Items--
+		p.wants[host] = want
+	}
+}
+
+func (p *pool) mostUrgent(now time.Time) (host string, want Want) {
+	for h, w := range p.wants {
+		if w.Items > 0 && (want.Items == 0 || compareWants(now, h, w, host, want) < 0) {
+			host, want = h, w
+		}
+	}
+	return host, want
+}
+
+func compareWants(now time.Time, ah string, a Want, bh string, b Want) int {
+	late := func(w Want) int {
+		if w.Due.Before(now) {
+			return 1
+		}
+		return 0
+	}
+	return cmp.Or(cmp.Compare(late(a), late(b)), a.Due.Compare(b.Due), cmp.Compare(ah, bh))
+}
+
+// Sync takes what a host holds and wants. Grants of another broker are taken
+// over; grants that the host doesn't know of are free. A partial list leaves
+// out online requests.
+func (s *Scheduler) Sync(now time.Time, host string, holds []Grant, wants []Want, partial bool) {
+	s.seen[host] = now
+	known := make(map[GrantID]struct{}, len(holds))
+	for _, g := range holds {
+		known[g.ID] = struct{}{}
+		if _, ok := s.grants[g.ID]; !ok {
+			s.adopt(host, g)
+		}
+	}
+	for id, g := range s.grants {
+		listed := !partial || g.Class == Batch
+		if _, ok := known[id]; !ok && listed && g.Host == host && now.Sub(g.Since) > adoptPatience {
+			s.Release(now, id, Unused)
+		}
+	}
+	for _, p := range s.services {
+		delete(p.wants, host)
+	}
+	for _, w := range wants {
+		s.pool(w.Service).wants[host] = w
+	}
+}
+
+func (s *Scheduler) adopt(host string, g Grant) {
+	at := s.find(g.Replica.Service, g.Replica.ID)
+	if at == nil || at.Born != g.Replica.Born {
+		return
+	}
+	at.used++
+	g.Host = host
+	s.grants[g.ID] = &held{Grant: g, place: at}
+}
+
+// SetWant takes what a host has waiting for one service.
+func (s *Scheduler) SetWant(host string, w Want) { s.pool(w.Service).wants[host] = w }
+
+// Expire frees the places of hosts that have been silent.
+func (s *Scheduler) Expire(now time.Time) {
+	for id, g := range s.grants {
+		if g.Class == Online && now.Sub(g.Since) > onlineLimit {
+			s.Release(now, id, Unused)
+		}
+	}
+	for host, at := range s.seen {
+		if now.Sub(at) <= hostPatience {
+			continue
+		}
+		delete(s.seen, host)
+		for _, p := range s.services {
+			delete(p.wants, host)
+		}
+		for id, g := range s.grants {
+			if g.Host == host {
+				s.Release(now, id, Unused)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/slots/poll.go
@@ -0,0 +1,133 @@
+package slots
+
+import (
+	"context"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// Serve polls the brokers until ctx ends: the own data centre's always, those
+// of others while items wait for a place or run there.
+func (c *Client) Serve(ctx context.Context) error {
+	loops := make(map[string]struct{})
+	for {
+		changed := c.View.Changed()
+		for _, dc := range append(c.otherDataCentres(), c.View.Self().DataCentre) {
+			if _, ok := loops[dc]; !ok {
+				loops[dc] = struct{}{}
+				go c.poll(ctx, dc)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// String names the service in supervisor events.
+func (c *Client) String() string { return "slots client" }
+
+func (c *Client) poll(ctx context.Context, dataCentre string) {
+	for ctx.Err() == nil {
+		if c.pollOnce(ctx, dataCentre) {
+			continue
+		}
+		select {
+		case <-c.Clock.After(restTime):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// pollOnce makes one poll and reports whether another may follow at once.
+func (c *Client) pollOnce(ctx context.Context, dataCentre string) bool {
+	self := c.View.Self()
+	remote := dataCentre != self.DataCentre
+	holds := c.holdsIn(dataCentre, remote)
+	wants := c.Items.Wants(remote)
+	if remote && len(holds) == 0 && len(wants) == 0 {
+		return false
+	}
+	of := c.brokers(dataCentre)
+	if len(of) == 0 {
+		return false
+	}
+	h := of[0]
+	args := PollArgs{Host: self.Name, Holds: holds, Wants: wants, Partial: remote, Version: c.knownVersion(remote)}
+	var reply PollReply
+	bound, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	if err := c.call(bound, h, "Poll", args, &reply); err != nil {
+		if ctx.Err() == nil {
+			c.suspect(h, err)
+		}
+		return false
+	}
+	c.take(h, reply, remote)
+	return true
+}
+
+// knownVersion returns the version of the replica records to compare with. The
+// records of other data centres' brokers are not taken.
+func (c *Client) knownVersion(remote bool) int64 {
+	if remote {
+		return anyVersion
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.version
+}
+
+// anyVersion asks for no replica records.
+const anyVersion int64 = -1
+
+// holdsIn lists the places that are held in a data centre. Online requests in
+// other data centres are short and left out.
+func (c *Client) holdsIn(dataCentre string, remote bool) []HoldMessage {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	var holds []HoldMessage
+	for _, g := range c.holds {
+		if g.Replica.DataCentre != dataCentre || remote && g.Class == Online {
+			continue
+		}
+		holds = append(holds, HoldMessage{ID: g.ID, Class: g.Class, Replica: g.Replica, Age: max(now.Sub(g.Since), 0), DueIn: g.Due.Sub(now)})
+	}
+	return holds
+}
+
+// take carries out what a broker tells.
+func (c *Client) take(h membership.Host, reply PollReply, remote bool) {
+	c.mu.Lock()
+	now := c.Clock.Now()
+	for i := range reply.Granted {
+		g := &reply.Granted[i]
+		g.Since = now
+		c.holds[g.ID] = *g
+	}
+	fresh := !remote && reply.Version != c.version
+	if !remote {
+		c.version = reply.Version
+	}
+	if h.Name != c.View.Self().Name && !remote {
+		c.heardAt = now
+	}
+	c.mu.Unlock()
+	if fresh && h.Name != c.View.Self().Name {
+		c.Learned(reply.Replicas)
+	}
+	for _, id := range reply.Revoked {
+		c.Items.Revoked(id)
+	}
+	for _, g := range reply.Granted {
+		c.Items.Granted(g)
+	}
+}
+
+// onlineLimit is the age at which a place of an online request is free although
+// its host has said nothing.
+const onlineLimit = 20 * time.Second
--- /dev/null
+++ b/upstream/pool/conn.go
@@ -0,0 +1,93 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// conn is one connection to an upstream. At any time at most one goroutine
+// waits for the next byte: it tells an idle connection that the upstream closes
+// from one that can be used, and the first byte of an answer when it comes.
+type conn struct {
+	raw     net.Conn
+	address string
+	reader  *bufio.Reader
+	// arrived gets the outcome of the wait for the next byte.
+	arrived chan error
+	// written says whether any byte of the present request was taken.
+	written atomic.Bool
+	// expires is when an idle connection is no longer used.
+	expires time.Time
+	// gap bounds the wait of each read; zero is unbounded. It is set while no
+	// goroutine reads.
+	gap time.Duration
+}
+
+func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
+	d := &net.Dialer{Timeout: timeout, KeepAlive: keepAlivePeriod}
+	raw, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to %s", address)
+	}
+	c := &conn{raw: raw, address: address}
+	c.reader = bufio.NewReaderSize(readFunc(c.read), bufferBytes)
+	return c, nil
+}
+
+// readFunc is an io.Reader.
+type readFunc func(p []byte) (int, error)
+
+// Read implements io.Reader.
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
+// read reads within the gap. When that is up it looks once more: a process that
+// was suspended finds both its timer and the data due.
+func (c *conn) read(p []byte) (int, error) {
+	if c.gap <= 0 {
+		return c.raw.Read(p)
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(c.gap))
+	n, err := c.raw.Read(p)
+	if n > 0 || !isTimeout(err) {
+		return n, err
+	}
+	_ = c.raw.SetReadDeadline(time.Now().Add(recheck))
+	n, err = c.raw.Read(p)
+	if n == 0 && isTimeout(err) {
+		return 0, errors.Mark(errors.Wrapf(err, "no data in %v", c.gap), ErrSilent)
+	}
+	return n, err
+}
+
+func isTimeout(err error) bool {
+	var e net.Error
+	return errors.As(err, &e) && e.Timeout()
+}
+
+// Write implements io.Writer and notes that bytes left.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.raw.Write(p)
+	if n > 0 {
+		c.written.Store(true)
+	}
+	return n, err
+}
+
+// await begins to wait for the next byte.
+func (c *conn) await(after func()) {
+	c.arrived = make(chan error, 1)
+	go func() {
+		_, err := c.reader.Peek(1)
+		c.arrived <- err
+		after()
+	}()
+}
+
+// quiet reports whether nothing has arrived, neither bytes nor the end.
+func (c *conn) quiet() bool { return len(c.arrived) == 0 }
+
