Configurations reach hosts whose watch is dead; ends of jobs reach their owner

Change: brokers watch in steps of a second and tell the configuration's version in polls; orphans are taken over only with a settled view; an end asks the owner that the store names, and leaves a mark that all hosts watch.

--- a/host/config.go
+++ b/host/config.go
@@ -18,6 +18,8 @@
 	log *logrus.Entry
 	// retire is called for a storage host that is to be emptied.
 	retire func(host string)
+	// inForce is called with each version that comes into force.
+	inForce func(version int64)
 
 	table atomic.Pointer[route.Table]
 
@@ -56,6 +58,7 @@
 	}
 	c.value = value
 	c.table.Store(table)
+	c.inForce(table.Version)
 	entry := c.log.WithFields(logrus.Fields{"version": table.Version, "from": from})
 	if old != nil {
 		entry = entry.WithField("replaces", old.Version)
--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,7 +145,7 @@
 	metrics := peer.NewMetrics(h.registry)
 	h.calls = peer.NewClient(callTimeout, nil, peer.WithMetrics(metrics))
 	h.polls = peer.NewClient(brokerTimeout, nil, peer.WithMetrics(metrics))
-	h.config = &Config{log: h.log, retire: h.retire}
+	h.config = &Config{log: h.log, retire: h.retire, inForce: func(version int64) { h.broker.SetConfigVersion(version) }}
 	h.provisionPresence()
 	h.provisionWork()
 	var err error
@@ -183,6 +184,7 @@
 	engine := platform.NewEngine(dials.Inc)
 	h.places = &slots.Client{
 		View: h.view, Caller: h.polls, Broker: h.broker, Clock: h.clock, Log: h.log, Learned: h.replicas.learned,
+		ConfigAt: h.configAt,
 	}
 	h.places.Init()
 	h.jobs = jobs.NewManager(jobs.Options{
@@ -269,15 +271,49 @@
 	config.name, config.prefix = "configuration", platform.OperatorPrefix
 	config.listed, config.changed = h.config.apply, h.config.apply
 	config.lost, config.regained = h.lost, h.regained
-	hosts.name, hosts.prefix, hosts.gather = "hosts", hostPrefix, gatherTime
-	hosts.listed, hosts.changed = h.presence.Replace, h.presence.Apply
+	config.wait = h.watchTime
+	hosts.name, hosts.prefix, hosts.gather = "hosts", fleetPrefix, gatherTime
+	hosts.listed = func(ctx context.Context, items []txn.Item) {
+		records, ended := splitFleet(items)
+		h.presence.Replace(ctx, records)
+		h.jobs.Ended(ctx, ended)
+	}
+	hosts.changed = func(ctx context.Context, items []txn.Item) {
+		records, ended := splitFleet(items)
+		h.presence.Apply(ctx, records)
+		h.jobs.Ended(ctx, ended)
+	}
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.listed, replicas.changed = h.replicas.listed, h.replicas.changed
 	replicas.lost, replicas.regained = h.replicas.lost, func() {}
+	replicas.wait = h.watchTime
 	replicas.active = func() bool { return h.places.IsBroker() || h.places.Stale() }
 	return []*Watcher{&config, &hosts, &replicas}
 }
 
+// watchTime is how long one watch waits on this host.
+func (h *Host) watchTime() time.Duration {
+	if h.places.IsBroker() {
+		return brokerWait
+	}
+	return watchWait
+}
+
+// fleetPrefix is the prefix of the records that every host watches.
+const fleetPrefix = "fleet/"
+
+// splitFleet tells the records of hosts from the ends of jobs.
+func splitFleet(items []txn.Item) (records, ended []txn.Item) {
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, hostPrefix) {
+			records = append(records, item)
+			continue
+		}
+		ended = append(ended, item)
+	}
+	return records, ended
+}
+
 // recovery takes over jobs whose owner is gone.
 type recovery struct{ host *Host }
 
@@ -286,14 +322,17 @@
 func (r recovery) Serve(ctx context.Context) error {
 	h := r.host
 	settled := h.clock.After(settleTime)
+	// Before that the view of the hosts isn't whole.
+	whole := false
 	for {
-		for h.jobs.Recover(ctx) != nil && ctx.Err() == nil {
+		for h.jobs.Recover(ctx, whole) != nil && ctx.Err() == nil {
 			h.pause(ctx, recoverRetry)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-settled:
+			whole = true
 		case <-h.recover:
 		}
 	}
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -103,23 +103,33 @@
 	if len(addresses) == 0 {
 		return
 	}
-	address := addresses[a.rng.IntN(len(addresses))]
-	if address == self.PeerAddress {
-		return
+	if address := addresses[a.rng.IntN(len(addresses))]; address != self.PeerAddress {
+		a.host.learnFrom(ctx, address)
 	}
-	_, version := a.host.config.text()
+}
+
+// learnFrom takes what another host knows.
+func (h *Host) learnFrom(ctx context.Context, address string) {
+	_, version := h.config.text()
 	var reply StateReply
 	bound, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	if err := a.host.calls.Call(bound, address, neighbourName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
-		a.log.WithError(err).WithField("address", address).Debug("neighbour doesn't answer")
+	if err := h.calls.Call(bound, address, neighbourName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
+		h.log.WithError(err).WithField("address", address).Warn("neighbour doesn't answer")
 		return
 	}
 	if len(reply.Config) > 0 {
-		a.host.config.offer(reply.Config, address)
+		h.config.offer(reply.Config, address)
 	}
-	a.host.presence.Learn(reply.Hosts)
-	if reply.HaveReplicas && !a.host.replicas.haveRecords() {
-		a.host.replicas.learned(reply.Replicas)
+	h.presence.Learn(reply.Hosts)
+	if reply.HaveReplicas && !h.replicas.haveRecords() {
+		h.replicas.learned(reply.Replicas)
+	}
+}
+
+// configAt fetches the configuration of a broker that has a newer one.
+func (h *Host) configAt(broker membership.Host, version int64) {
+	if _, own := h.config.text(); version > own && broker.Name != h.settings.Host {
+		go h.learnFrom(context.Background(), broker.PeerAddress)
 	}
 }
--- a/host/presence.go
+++ b/host/presence.go
@@ -17,7 +17,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
-const hostPrefix = "hosts/"
+const hostPrefix = fleetPrefix + "hosts/"
 
 // Times of the hosts' records.
 const (
--- a/host/watch.go
+++ b/host/watch.go
@@ -15,6 +15,9 @@
 const (
 	// watchWait is how long one watch waits for a change.
 	watchWait = 25 * time.Second
+	// brokerWait is the same on a broker, which tells its data centre. A watch
+	// that hears nothing while changes are made is found out by the next one.
+	brokerWait = time.Second
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 2 * time.Second
@@ -35,6 +38,8 @@
 	lost, regained func()
 	// active reports whether to watch now; nil watches always.
 	active func() bool
+	// wait returns how long one watch waits; nil is watchWait.
+	wait func() time.Duration
 	// gather is a pause after changes, in which more may come.
 	gather time.Duration
 }
@@ -105,7 +110,11 @@
 		w.listed(ctx, items)
 		return at, nil
 	}
-	changes, err := w.store.Watch(ctx, w.prefix, at, watchWait)
+	wait := watchWait
+	if w.wait != nil {
+		wait = w.wait()
+	}
+	changes, err := w.store.Watch(ctx, w.prefix, at, wait)
 	if err != nil {
 		return 0, err
 	}
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -228,12 +230,19 @@
 	if done, err := m.endOwn(ctx, id); done || err != nil {
 		return err
 	}
-	var reply EndReply
-	if _, err := m.askOwner(ctx, id, "End", EndArgs{ID: id}, &reply, acceptTimeout); err != nil {
-		return err
-	}
-	if reply.Ended {
-		return nil
+	// The first owner may be known wrongly; the second is read from the store.
+	for range 2 {
+		var reply EndReply
+		asked, err := m.askOwner(ctx, id, "End", EndArgs{ID: id}, &reply, acceptTimeout)
+		if err != nil {
+			return err
+		}
+		if reply.Ended {
+			return nil
+		}
+		if asked {
+			m.forgetOwner(id)
+		}
 	}
 	return m.endStored(ctx, id)
 }
@@ -269,6 +278,28 @@
 	}
 }
 
+// Ended takes marks of jobs that were ended without their owner. The owner
+// stops, and removes the mark.
+func (m *Manager) Ended(ctx context.Context, marks []txn.Item) {
+	for _, mark := range marks {
+		id := strings.TrimPrefix(mark.Key, endedPrefix)
+		m.mu.Lock()
+		j, own := m.jobs[id]
+		if own && !mark.Deleted {
+			j.head.Ended = true
+		}
+		m.mu.Unlock()
+		if !own || mark.Deleted {
+			continue
+		}
+		m.stopRuns(j)
+		m.Log.WithFields(logrus.Fields{"job": id, "rev": mark.Rev}).Info("job was ended at another host")
+		if _, err := m.Store.Commit(ctx, txn.Request{Remove: []string{mark.Key}}); err != nil {
+			m.Log.WithError(err).WithField("job", id).Warn("mark of an ended job not removed")
+		}
+	}
+}
+
 // endStored records the end of a job whose owner doesn't answer. The owner
 // meets the change at its next write.
 func (m *Manager) endStored(ctx context.Context, id string) error {
@@ -287,9 +318,10 @@
 		}
 		_, err = m.Store.Commit(ctx, txn.Request{
 			If:     []txn.Condition{{Key: headKey(id), Rev: rev}},
-			Writes: []txn.Write{{Key: headKey(id), Value: value}},
+			Writes: []txn.Write{{Key: headKey(id), Value: value}, {Key: endedPrefix + id}},
 		})
 		if err == nil {
+			m.Log.WithFields(logrus.Fields{"job": id, "owner": head.Owner}).Warn("job ended without its owner")
 			return nil
 		}
 		if !errors.Is(err, txn.ErrConflict) {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -16,6 +16,9 @@
 	headPrefix   = "batch/job/"
 	itemPrefix   = "batch/items/"
 	resultPrefix = "batch/results/"
+	// endedPrefix is that of marks for owners who were not reached when their
+	// job was ended. All hosts watch them.
+	endedPrefix = "fleet/ended/"
 )
 
 func headKey(id string) string          { return headPrefix + id }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -26,8 +26,10 @@
 }
 
 // Recover reads all jobs, gives up those that other hosts own now, and takes
-// over those that are open and whose owner is gone, where this host is the heir.
-func (m *Manager) Recover(ctx context.Context) error {
+// over those of an earlier start of this host. With orphans it also takes over
+// those whose owner is gone and whose heir this host is; the view of the hosts
+// must be whole for that.
+func (m *Manager) Recover(ctx context.Context, orphans bool) error {
 	found, _, err := txn.List(ctx, m.Store, headPrefix)
 	if err != nil {
 		return err
@@ -44,7 +46,7 @@
 		if m.keeps(head) {
 			continue
 		}
-		if !m.inherits(head, alive, self) {
+		if head.Owner != self.Name && !orphans || !m.inherits(head, alive, self) {
 			continue
 		}
 		if err := m.claim(ctx, head.ID, head.Owner, nil); err != nil {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -25,9 +25,11 @@
 	// replicas and version are the records that hosts are told of.
 	replicas []replica.Replica
 	version  int64
-	waiting  map[*Waiter]chan Grant
-	inboxes  map[string]*inbox
-	timer    clockwork.Timer
+	// configVersion is that of the configuration in force here.
+	configVersion int64
+	waiting       map[*Waiter]chan Grant
+	inboxes       map[string]*inbox
+	timer         clockwork.Timer
 }
 
 // inbox holds what a host's next poll is told.
@@ -65,6 +67,17 @@
 	b.plan()
 }
 
+// SetConfigVersion says which configuration is in force here. Hosts hear of it
+// at once.
+func (b *Broker) SetConfigVersion(version int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.configVersion = version
+	for _, in := range b.inboxes {
+		in.signal()
+	}
+}
+
 func (in *inbox) signal() {
 	select {
 	case in.wake <- struct{}{}:
@@ -233,6 +246,8 @@
 	// the host has others.
 	Version  int64
 	Replicas []replica.Replica
+	// ConfigVersion is that of the configuration in force at the broker.
+	ConfigVersion int64
 }
 
 // Poll takes a host's state and waits for something to tell.
@@ -276,6 +291,7 @@
 	reply.Granted, reply.Revoked = in.granted, in.revoked
 	in.granted, in.revoked = nil, nil
 	reply.Version = b.version
+	reply.ConfigVersion = b.configVersion
 	stale := version != b.version && version != anyVersion
 	if stale {
 		reply.Replicas = b.replicas
--- a/slots/client.go
+++ b/slots/client.go
@@ -78,6 +78,8 @@
 	Log    *logrus.Entry
 	// Learned takes the replicas' records that a broker tells.
 	Learned func([]replica.Replica)
+	// ConfigAt is told which configuration is in force at a broker.
+	ConfigAt func(broker membership.Host, version int64)
 
 	mu       sync.Mutex
 	holds    map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -120,6 +120,7 @@
 	if fresh && h.Name != c.View.Self().Name {
 		c.Learned(reply.Replicas)
 	}
+	c.ConfigAt(h, reply.ConfigVersion)
 	for _, id := range reply.Revoked {
 		c.Items.Revoked(id)
 	}
