One writer of results; a broker that the store turns away learns from others

Change: a lock around collecting and recording, recorded() is idempotent; a broker without the store asks the other data centres' brokers; stale grants are dropped; leaving holds for one start of a replica.

--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -35,6 +35,9 @@
 	Replicas []replica.Replica
 	// HaveReplicas says that Replicas are records, not their absence.
 	HaveReplicas bool
+	// Current says that the host reads them from the store and that the store
+	// answers it.
+	Current bool
 }
 
 // PingReply is empty.
@@ -50,6 +53,7 @@
 	}
 	reply.Hosts = append(n.host.view.Local(), n.host.view.Remote()...)
 	reply.Replicas, reply.HaveReplicas = n.host.replicas.snapshot(), n.host.replicas.haveRecords()
+	reply.Current = n.host.places.IsBroker() && n.host.replicas.current() && !n.host.storeAway()
 	return nil
 }
 
@@ -87,12 +91,16 @@
 // String names the service in supervisor events.
 func (a *asker) String() string { return "neighbours" }
 
-// ask asks one host, drawn by lot.
+// ask asks one host, drawn by lot: a broker if the replicas are to be known.
 func (a *asker) ask(ctx context.Context) {
 	view := a.host.view
 	self := view.Self()
 	var addresses []string
-	for _, h := range append(view.Local(), view.Remote()...) {
+	hosts := append(view.Local(), view.Remote()...)
+	if a.host.places.IsBroker() && a.host.replicas.haveRecords() {
+		hosts = a.host.places.OtherBrokers()
+	}
+	for _, h := range hosts {
 		if h.Name != self.Name {
 			addresses = append(addresses, h.PeerAddress)
 		}
@@ -122,7 +130,7 @@
 		h.config.offer(reply.Config, address)
 	}
 	h.presence.Learn(reply.Hosts)
-	if reply.HaveReplicas && !h.replicas.haveRecords() {
+	if reply.Current && h.storeAway() && h.places.IsBroker() || reply.HaveReplicas && !h.replicas.haveRecords() {
 		h.replicas.learned(reply.Replicas)
 	}
 }
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -117,11 +117,18 @@
 func (r *Replicas) learned(all []replica.Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.view.Replace(r.clock.Now(), all)
+	r.view.Adopt(all)
 	r.known = true
 	r.publish()
 }
 
+// current reports whether the store answered this host's last read.
+func (r *Replicas) current() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known && r.lostAt.IsZero()
+}
+
 func (r *Replicas) haveRecords() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -26,6 +26,8 @@
 // flush records what is due and returns how long to wait.
 func (m *Manager) flush(ctx context.Context) time.Duration {
 	m.expire(ctx)
+	m.writing.Lock()
+	defer m.writing.Unlock()
 	batch, wait := m.collect(false)
 	if len(batch) == 0 {
 		return wait
@@ -161,6 +163,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	j := c.job
+	if c.head.Write <= j.head.Write {
+		return
+	}
 	j.rev = rev
 	j.head.Write, j.head.Starts, j.head.Listed, j.head.Ended = c.head.Write, c.head.Starts, c.head.Listed, c.head.Ended
 	j.results = append(j.results, c.fresh...)
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -58,6 +58,9 @@
 	stopping bool
 	running  sync.WaitGroup
 
+	// writing is held while changes are collected and recorded, so that no
+	// result is recorded twice.
+	writing sync.Mutex
 	// dirty wakes the writer, waiting wakes the call to the broker.
 	dirty, waiting chan struct{}
 }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -159,19 +159,26 @@
 	}
 	m.mu.Unlock()
 	m.running.Wait()
+	m.writing.Lock()
+	defer m.writing.Unlock()
+	m.flushAll(ctx)
+	for _, j := range m.openJobs() {
+		m.handOverJob(ctx, j)
+	}
+}
+
+// flushAll records all results. Writing is held.
+func (m *Manager) flushAll(ctx context.Context) {
 	for ctx.Err() == nil {
 		batch, _ := m.collect(true)
 		if len(batch) == 0 {
-			break
+			return
 		}
 		if err := m.write(ctx, batch); err != nil {
 			m.Log.WithError(err).Warn("results not recorded before the stop")
-			break
+			return
 		}
 	}
-	for _, j := range m.openJobs() {
-		m.handOverJob(ctx, j)
-	}
 }
 
 func (m *Manager) openJobs() []*job {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -39,13 +39,16 @@
 	known map[string]Replica
 	// missing holds when the replicas without a record are given up.
 	missing map[string]time.Time
+	// left holds the starts of the replicas that said that they leave. The
+	// store may show an older record again.
+	left map[string]int64
 	// outageEnd is when the store was last seen to be back.
 	outageEnd time.Time
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{known: make(map[string]Replica), missing: make(map[string]time.Time)}
+	return &View{known: make(map[string]Replica), missing: make(map[string]time.Time), left: make(map[string]int64)}
 }
 
 // Outage says that the store was away until now.
@@ -65,6 +68,16 @@
 	}
 }
 
+// Adopt takes a listing of a neighbour whose view is up to date: what it leaves
+// out is gone.
+func (v *View) Adopt(listed []Replica) {
+	clear(v.known)
+	clear(v.missing)
+	for _, r := range listed {
+		v.put(r)
+	}
+}
+
 // Apply takes changes in order.
 func (v *View) Apply(now time.Time, changes []Change) {
 	for _, c := range changes {
@@ -76,7 +89,21 @@
 	}
 }
 
+// put takes a record. Leaving holds until the replica starts again, and a
+// record of an earlier start is out of date.
 func (v *View) put(r Replica) {
+	if r.Born < v.known[r.ID].Born {
+		return
+	}
+	born, leaving := v.left[r.ID]
+	switch {
+	case !r.Ready:
+		v.left[r.ID] = r.Born
+	case leaving && r.Born <= born:
+		r.Ready = false
+	case leaving:
+		delete(v.left, r.ID)
+	}
 	v.known[r.ID] = r
 	delete(v.missing, r.ID)
 }
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -288,7 +288,15 @@
 func (b *Broker) collect(in *inbox, version int64, reply *PollReply) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	reply.Granted, reply.Revoked = in.granted, in.revoked
+	now := b.clock.Now()
+	for _, g := range in.granted {
+		if b.sched.fresh(now, g.ID) {
+			reply.Granted = append(reply.Granted, g)
+			continue
+		}
+		b.sched.Release(now, g.ID, Unused)
+	}
+	reply.Revoked = in.revoked
 	in.granted, in.revoked = nil, nil
 	reply.Version = b.version
 	reply.ConfigVersion = b.configVersion
--- a/slots/client.go
+++ b/slots/client.go
@@ -163,6 +163,17 @@
 	return names
 }
 
+// OtherBrokers returns the brokers of the other data centres.
+func (c *Client) OtherBrokers() []membership.Host {
+	var of []membership.Host
+	for _, dc := range c.otherDataCentres() {
+		if ranked := c.brokers(dc); len(ranked) > 0 {
+			of = append(of, ranked[0])
+		}
+	}
+	return of
+}
+
 // Acquire gets a place: in the own data centre if one is free or soon will be,
 // else in another one, else after a longer wait in the own one.
 func (c *Client) Acquire(ctx context.Context, ask Ask, wait time.Duration) (Grant, error) {
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -96,6 +96,9 @@
 	revokePatience = 150 * time.Millisecond
 	// hostPatience is how long a host may be silent before its places are free.
 	hostPatience = 1500 * time.Millisecond
+	// grantPatience is how long a grant for a batch item may wait for its host's
+	// poll.
+	grantPatience = 600 * time.Millisecond
 	// adoptPatience is how long a grant may be missing from its host's list.
 	adoptPatience = 1500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advice to callers.
@@ -300,6 +303,12 @@
 	g.place.note(now, outcome)
 }
 
+// fresh reports whether a grant may still be handed to its host.
+func (s *Scheduler) fresh(now time.Time, id GrantID) bool {
+	g, ok := s.grants[id]
+	return ok && g.place.Ready && g.revoked.IsZero() && now.Sub(g.Since) <= grantPatience
+}
+
 // ready counts the replicas that take requests.
 func (p *pool) ready() int {
 	n := 0
