A broker that the store turns away yields its role

Change: polls say whether the store answers the broker; a host passes over one that it doesn't, reads by itself meanwhile and gives up a long watch for it.

--- a/host/host.go
+++ b/host/host.go
@@ -169,6 +169,7 @@
 			return h.calls.Call(ctx, to.PeerAddress, neighbourName+".Ping", StateArgs{}, new(PingReply))
 		},
 		gone: func(string) { h.wantRecovery() }, back: h.wantRecovery,
+		lost: h.lost, regained: h.regained,
 		known: make(map[string]membership.Host), lapsed: make(map[string]struct{}),
 	}
 }
@@ -176,6 +177,7 @@
 func (h *Host) provisionWork() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.broker = slots.NewBroker(h.clock, rng, h.log)
+	h.broker.SetCurrent(h.storeAnswers)
 	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
 	dials := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "comfreyspindle_upstream_connections_total", Help: "New connections to replicas.",
@@ -184,7 +186,7 @@
 	engine := platform.NewEngine(dials.Inc)
 	h.places = &slots.Client{
 		View: h.view, Caller: h.polls, Broker: h.broker, Clock: h.clock, Log: h.log, Learned: h.replicas.learned,
-		ConfigAt: h.configAt,
+		ConfigAt: h.configAt, Current: h.storeAnswers,
 	}
 	h.places.Init()
 	h.jobs = jobs.NewManager(jobs.Options{
@@ -222,6 +224,8 @@
 // storeAway reports whether the store has not answered lately.
 func (h *Host) storeAway() bool { return h.missed.Load() != 0 }
 
+func (h *Host) storeAnswers() bool { return !h.storeAway() }
+
 func (h *Host) lost() { h.missed.CompareAndSwap(0, h.clock.Now().UnixNano()) }
 
 func (h *Host) regained() { h.missed.Store(0) }
@@ -291,9 +295,10 @@
 	return []*Watcher{&config, &hosts, &replicas}
 }
 
-// watchTime is how long one watch waits on this host.
+// watchTime is how long one watch waits on this host: one that no broker tells
+// of changes looks more often.
 func (h *Host) watchTime() time.Duration {
-	if h.places.IsBroker() {
+	if h.places.IsBroker() || h.places.Stale() {
 		return brokerWait
 	}
 	return watchWait
--- a/host/presence.go
+++ b/host/presence.go
@@ -51,6 +51,8 @@
 	// own record had lapsed.
 	gone func(name string)
 	back func()
+	// lost and regained tell whether the store answers.
+	lost, regained func()
 
 	mu      sync.Mutex
 	known   map[string]membership.Host
@@ -64,8 +66,12 @@
 	held, before := false, false
 	for {
 		err := p.renew(ctx, &held, &before)
-		if err != nil && ctx.Err() == nil {
-			p.log.WithError(err).Debug("own record not renewed")
+		switch {
+		case err == nil:
+			p.regained()
+		case ctx.Err() == nil:
+			p.lost()
+			p.log.WithError(err).Warn("own record not renewed")
 		}
 		select {
 		case <-ctx.Done():
--- a/host/watch.go
+++ b/host/watch.go
@@ -110,11 +110,7 @@
 		w.listed(ctx, items)
 		return at, nil
 	}
-	wait := watchWait
-	if w.wait != nil {
-		wait = w.wait()
-	}
-	changes, err := w.store.Watch(ctx, w.prefix, at, wait)
+	changes, err := w.await(ctx, at)
 	if err != nil {
 		return 0, err
 	}
@@ -127,5 +123,41 @@
 	return max(changes.At, at), nil
 }
 
+// await makes one call that waits for changes. A long wait is given up when a
+// short one is called for.
+func (w *Watcher) await(ctx context.Context, at txn.Rev) (txn.Changes, error) {
+	if w.wait == nil {
+		return w.store.Watch(ctx, w.prefix, at, watchWait)
+	}
+	wait := w.wait()
+	bound, cancel := context.WithCancel(ctx)
+	defer cancel()
+	hurried := make(chan struct{})
+	if wait > brokerWait {
+		go w.hurry(bound, wait, cancel, hurried)
+	}
+	changes, err := w.store.Watch(bound, w.prefix, at, wait)
+	select {
+	case <-hurried:
+		if err != nil && ctx.Err() == nil {
+			return txn.Changes{At: at}, nil
+		}
+	default:
+	}
+	return changes, err
+}
+
+// hurry cancels a call when a shorter wait is called for.
+func (w *Watcher) hurry(ctx context.Context, wait time.Duration, cancel func(), hurried chan struct{}) {
+	for ctx.Err() == nil {
+		w.sleep(ctx, minRetry)
+		if ctx.Err() == nil && w.wait() < wait {
+			close(hurried)
+			cancel()
+			return
+		}
+	}
+}
+
 // String names the service in supervisor events.
 func (w *Watcher) String() string { return "watch " + w.name }
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -25,6 +25,8 @@
 	// replicas and version are the records that hosts are told of.
 	replicas []replica.Replica
 	version  int64
+	// current reports whether the store answers this host; nil is always.
+	current func() bool
 	// configVersion is that of the configuration in force here.
 	configVersion int64
 	waiting       map[*Waiter]chan Grant
@@ -67,6 +69,10 @@
 	b.plan()
 }
 
+// SetCurrent sets how to learn whether the store answers this host. It must be
+// called before the broker is used.
+func (b *Broker) SetCurrent(current func() bool) { b.current = current }
+
 // SetConfigVersion says which configuration is in force here. Hosts hear of it
 // at once.
 func (b *Broker) SetConfigVersion(version int64) {
@@ -248,6 +254,8 @@
 	Replicas []replica.Replica
 	// ConfigVersion is that of the configuration in force at the broker.
 	ConfigVersion int64
+	// Current says that the store answers the broker.
+	Current bool
 }
 
 // Poll takes a host's state and waits for something to tell.
@@ -300,6 +308,7 @@
 	in.granted, in.revoked = nil, nil
 	reply.Version = b.version
 	reply.ConfigVersion = b.configVersion
+	reply.Current = b.current == nil || b.current()
 	stale := version != b.version && version != anyVersion
 	if stale {
 		reply.Replicas = b.replicas
--- a/slots/client.go
+++ b/slots/client.go
@@ -30,6 +30,9 @@
 	pollTimeout = pollWait + 400*time.Millisecond
 	// suspectTime is how long a broker that didn't answer is passed over.
 	suspectTime = time.Second
+	// outdatedTime is how long a broker that the store doesn't answer is passed
+	// over.
+	outdatedTime = 2 * time.Second
 	// restTime is the pause of a poll loop that has nothing to do or failed.
 	restTime = 200 * time.Millisecond
 	// staleTime is how old the last word of a broker may be before the host
@@ -78,12 +81,17 @@
 	Log    *logrus.Entry
 	// Learned takes the replicas' records that a broker tells.
 	Learned func([]replica.Replica)
+	// Current reports whether the store answers this host.
+	Current func() bool
 	// ConfigAt is told which configuration is in force at a broker.
 	ConfigAt func(broker membership.Host, version int64)
 
 	mu       sync.Mutex
 	holds    map[GrantID]Grant
 	suspects map[string]time.Time
+	// outdated holds until when brokers are passed over that the store doesn't
+	// answer.
+	outdated map[string]time.Time
 	version  int64
 	heardAt  time.Time
 	releases map[string]*releaseQueue
@@ -93,6 +101,7 @@
 func (c *Client) Init() {
 	c.holds = make(map[GrantID]Grant)
 	c.suspects = make(map[string]time.Time)
+	c.outdated = make(map[string]time.Time)
 	c.releases = make(map[string]*releaseQueue)
 }
 
@@ -107,23 +116,25 @@
 	return membership.Rendezvous(of, "slots/"+dataCentre, len(of))
 }
 
-// brokers returns the brokers to try, those that lately failed to answer last.
+// brokers returns the brokers to try: first those that the store answers, last
+// those that lately failed to answer.
 func (c *Client) brokers(dataCentre string) []membership.Host {
 	of := c.hosts(dataCentre)
+	self, current := c.View.Self().Name, c.Current()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	slices.SortStableFunc(of, func(a, b membership.Host) int {
-		return c.suspected(now, a) - c.suspected(now, b)
-	})
-	return of[:min(len(of), maxBrokers)]
-}
-
-func (c *Client) suspected(now time.Time, h membership.Host) int {
-	if now.Before(c.suspects[h.Name]) {
-		return 1
+	doubt := func(h membership.Host) int {
+		switch {
+		case now.Before(c.suspects[h.Name]):
+			return 2
+		case now.Before(c.outdated[h.Name]), h.Name == self && !current:
+			return 1
+		}
+		return 0
 	}
-	return 0
+	slices.SortStableFunc(of, func(a, b membership.Host) int { return doubt(a) - doubt(b) })
+	return of[:min(len(of), maxBrokers)]
 }
 
 func (c *Client) suspect(h membership.Host, err error) {
@@ -140,7 +151,7 @@
 
 // IsBroker reports whether this host is to be the broker of its data centre.
 func (c *Client) IsBroker() bool {
-	of := c.hosts(c.View.Self().DataCentre)
+	of := c.brokers(c.View.Self().DataCentre)
 	return len(of) == 0 || of[0].Name == c.View.Self().Name
 }
 
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -58,6 +58,7 @@
 	h := of[0]
 	args := PollArgs{Host: self.Name, Holds: holds, Wants: wants, Partial: remote, Version: c.knownVersion(remote)}
 	var reply PollReply
+	start := c.Clock.Now()
 	bound, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	if err := c.call(bound, h, "Poll", args, &reply); err != nil {
@@ -67,7 +68,8 @@
 		return false
 	}
 	c.take(h, reply, remote)
-	return true
+	// An empty reply that comes at once must not be asked for in a loop.
+	return len(reply.Granted) > 0 || len(reply.Revoked) > 0 || c.Clock.Now().Sub(start) >= pollWait/2
 }
 
 // knownVersion returns the version of the replica records to compare with. The
@@ -109,15 +111,22 @@
 		g.Since = now
 		c.holds[g.ID] = *g
 	}
-	fresh := !remote && reply.Version != c.version
+	own := h.Name == c.View.Self().Name
+	if !reply.Current && !own {
+		c.outdated[h.Name] = now.Add(outdatedTime)
+	}
+	// The records of a broker that the store doesn't answer are taken only
+	// while this host has no better ones.
+	usable := !remote && !own && (reply.Current || !c.Current())
+	fresh := usable && reply.Version != c.version
 	if !remote {
 		c.version = reply.Version
 	}
-	if h.Name != c.View.Self().Name && !remote {
+	if usable && reply.Current {
 		c.heardAt = now
 	}
 	c.mu.Unlock()
-	if fresh && h.Name != c.View.Self().Name {
+	if fresh {
 		c.Learned(reply.Replicas)
 	}
 	c.ConfigAt(h, reply.ConfigVersion)
