--- a/slots/health.go
+++ b/slots/health.go
@@ -45,15 +45,11 @@
 	}
 }
 
-// backoff returns the pause after the present number of failures. Failures that
-// arrive during a pause don't lengthen it: they belong to the same event.
+// backoff returns the pause after the present number of failures.
 func (r *place) backoff() time.Duration {
 	d := failurePause
-	for range r.failures - brokenRuns {
-		if d >= maxFailurePause {
-			return maxFailurePause
-		}
+	for i := brokenRuns; i < r.failures && d < maxFailurePause; i++ {
 		d *= 2
 	}
-	return d
+	return min(d, maxFailurePause)
 }
--- /dev/null
+++ b/upstream/pool/pool_test.go
@@ -0,0 +1,255 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// script is what a stand-in does on one connection, request by request.
+type script func(t *testing.T, c net.Conn, r *bufio.Reader)
+
+// serve runs the scripts on connections in turn and counts the connections.
+func serve(t *testing.T, scripts ...script) (address string, conns *atomic.Int64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	conns = new(atomic.Int64)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(conns.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				scripts[min(n, len(scripts))-1](t, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), conns
+}
+
+func request(id string) *http.Request {
+	body := "body of " + id
+	return &http.Request{
+		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Opaque: "/p"}, Host: "h", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{"X-Id": {id}}, Body: io.NopCloser(strings.NewReader(body)), ContentLength: int64(len(body)),
+	}
+}
+
+// read takes one request off a connection and returns its id.
+func read(r *bufio.Reader) string {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	return req.Header.Get("X-Id")
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// well answers every request.
+func well(_ *testing.T, c net.Conn, r *bufio.Reader) {
+	for id := read(r); id != ""; id = read(r) {
+		_, _ = io.WriteString(c, answer(id, "of "+id))
+	}
+}
+
+func reset(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func exchange(p *Pool, address, id string) (string, error) {
+	ans, err := p.Send(context.Background(), Exchange{
+		Address: address, Request: request(id), DialTimeout: time.Second, FirstByte: 150 * time.Millisecond, Gap: 150 * time.Millisecond,
+		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == id },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer ans.Close()
+	body, err := io.ReadAll(ans.Body)
+	return string(body), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	address, conns := serve(t, well)
+	p := New(func() {})
+	for i := range 5 {
+		id := fmt.Sprint(i)
+		body, err := exchange(p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "of "+id, body)
+	}
+	require.EqualValues(t, 1, conns.Load())
+}
+
+// Each row is a way in which an exchange fails, with what must be known of it.
+func TestFailures(t *testing.T) {
+	rows := []struct {
+		name   string
+		script script
+		marks  []error
+		// sent says that the request may have reached the upstream.
+		sent bool
+	}{
+		{"closed without an answer", func(_ *testing.T, _ net.Conn, r *bufio.Reader) { read(r) }, []error{ErrBroken}, true},
+		{"reset without an answer", func(_ *testing.T, c net.Conn, r *bufio.Reader) { read(r); reset(c) }, []error{ErrBroken}, true},
+		{"silent", func(_ *testing.T, _ net.Conn, r *bufio.Reader) { read(r); _, _ = r.ReadByte() }, []error{ErrSilent}, true},
+		{"no answer in the protocol", func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			read(r)
+			_, _ = io.WriteString(c, "\x00\x01 nonsense\r\n\r\n")
+		}, []error{ErrBroken}, true},
+		{"answers of others only", func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			read(r)
+			_, _ = io.WriteString(c, strings.Repeat(answer("other", "x"), maxStrays+1))
+			_, _ = r.ReadByte()
+		}, []error{ErrBroken}, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, _ := serve(t, row.script)
+			_, err := exchange(New(func() {}), address, "a")
+			require.Error(t, err)
+			for _, mark := range row.marks {
+				require.True(t, errors.Is(err, mark), "%v", err)
+			}
+			require.Equal(t, !row.sent, errors.Is(err, ErrNotSent), "%v", err)
+		})
+	}
+}
+
+func TestRefusedConnectionMeansNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = exchange(New(func() {}), address, "a")
+	require.True(t, errors.Is(err, ErrConnect) && errors.Is(err, ErrNotSent), "%v", err)
+}
+
+func TestBrokenBodies(t *testing.T) {
+	rows := []struct {
+		name, answer string
+		reset        bool
+		whole        bool
+	}{
+		{"short of its length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nabc", false, false},
+		{"chunks without their end", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, false},
+		{"no length, closed", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc", false, true},
+		{"no length, reset", "HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc", true, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				read(r)
+				_, _ = io.WriteString(c, row.answer)
+				if row.reset {
+					time.Sleep(20 * time.Millisecond)
+					reset(c)
+				}
+			})
+			_, err := exchange(New(func() {}), address, "a")
+			require.Equal(t, row.whole, err == nil, "%v", err)
+		})
+	}
+}
+
+func TestBodyThatFallsSilent(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		read(r)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 10\r\n\r\nabc")
+		_, _ = r.ReadByte()
+	})
+	_, err := exchange(New(func() {}), address, "a")
+	require.True(t, errors.Is(err, ErrSilent), "%v", err)
+}
+
+// A second answer to an earlier request arrives where the next one is due.
+func TestLateAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	address, conns := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		first := read(r)
+		_, _ = io.WriteString(c, answer(first, "of "+first))
+		second := read(r)
+		_, _ = io.WriteString(c, answer(first, "again")+answer(second, "of "+second))
+		_, _ = r.ReadByte()
+	})
+	p := New(func() {})
+	body, err := exchange(p, address, "a")
+	require.NoError(t, err)
+	require.Equal(t, "of a", body)
+	body, err = exchange(p, address, "b")
+	require.NoError(t, err)
+	require.Equal(t, "of b", body)
+	require.EqualValues(t, 1, conns.Load())
+}
+
+// An idle connection that the upstream closes, or on which something arrives
+// unasked, isn't used again.
+func TestIdleConnectionIsDropped(t *testing.T) {
+	for name, after := range map[string]func(net.Conn){
+		"closed":  func(c net.Conn) { _ = c.Close() },
+		"unasked": func(c net.Conn) { _, _ = io.WriteString(c, answer("a", "again")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			address, conns := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				id := read(r)
+				_, _ = io.WriteString(c, answer(id, "of "+id))
+				<-done
+				after(c)
+				_, _ = r.ReadByte()
+			}, well)
+			p := New(func() {})
+			_, err := exchange(p, address, "a")
+			require.NoError(t, err)
+			close(done)
+			require.Eventually(t, func() bool {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				return len(p.idle[address]) == 0
+			}, time.Second, time.Millisecond)
+			body, err := exchange(p, address, "b")
+			require.NoError(t, err)
+			require.Equal(t, "of b", body)
+			require.EqualValues(t, 2, conns.Load())
+		})
+	}
+}
+
+// The caller's leaving ends the exchange, and with it the upstream's work.
+func TestCancelClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	address, _ := serve(t, func(_ *testing.T, _ net.Conn, r *bufio.Reader) {
+		read(r)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	_, err := New(func() {}).Send(ctx, Exchange{Address: address, Request: request("a"), DialTimeout: time.Second})
+	require.Error(t, err)
+	<-closed
+}
+
+func TestIdleTime(t *testing.T) {
+	require.Equal(t, defaultIdle, idleTime(http.Header{}))
+	require.Equal(t, 5*time.Second-idleMargin, idleTime(http.Header{"Keep-Alive": {"timeout=5, max=100"}}))
+}
