--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -240,6 +240,14 @@
 	require.Zero(t, play(plain, 5, stream(strings.NewReader(""))).upstream.sent[0].FirstByte)
 }
 
+// A stream may have no event at all. Its caller gets the replica's headers.
+func TestEmptyStreamIsPassedOn(t *testing.T) {
+	o := play(plain, 5, stream(strings.NewReader("")))
+	require.NoError(t, o.err)
+	require.Equal(t, 1, o.sink.begun)
+	require.Equal(t, http.StatusOK, o.sink.status)
+}
+
 func TestCallerGoneEndsTheRequest(t *testing.T) {
 	o := outcome{
 		upstream: &fakeUpstream{tries: []try{stream(strings.NewReader(events(1, 3)))}},
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -146,6 +146,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			s.begin(ans.Status, ans.Header, -1)
 			return slots.Done, s.pass(ans, s.events.Rest())
 		}
 		if err != nil {
