Only brokers watch the store and look for orphans

Change: brokers tell their data centre of configuration and hosts in polls, and alone look for orphans; the first start looks for none; leases of 6 s, renewed each 2 s; results gather for 1.2 s.

--- a/host/host.go
+++ b/host/host.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -78,11 +79,13 @@
 	stopping atomic.Bool
 	// missed is when the store was first missed, in Unix nanoseconds; 0 while it
 	// answers.
-	missed  atomic.Int64
-	recover chan struct{}
-	tree    *suture.Supervisor
-	cancel  context.CancelFunc
-	served  chan struct{}
+	missed atomic.Int64
+	// hostsSeen is the version of the hosts that the broker told last.
+	hostsSeen atomic.Int64
+	recover   chan struct{}
+	tree      *suture.Supervisor
+	cancel    context.CancelFunc
+	served    chan struct{}
 }
 
 // listener is an HTTP server with its bound address.
@@ -168,7 +171,7 @@
 		ping: func(ctx context.Context, to membership.Host) error {
 			return h.calls.Call(ctx, to.PeerAddress, neighbourName+".Ping", StateArgs{}, new(PingReply))
 		},
-		gone: func(string) { h.wantRecovery() }, back: h.wantRecovery,
+		gone: h.gone, back: h.wantRecovery, changed: func() { h.broker.HostsChanged() },
 		lost: h.lost, regained: h.regained,
 		known: make(map[string]membership.Host), lapsed: make(map[string]struct{}),
 	}
@@ -186,7 +189,7 @@
 	engine := platform.NewEngine(dials.Inc)
 	h.places = &slots.Client{
 		View: h.view, Caller: h.polls, Broker: h.broker, Clock: h.clock, Log: h.log, Learned: h.replicas.learned,
-		ConfigAt: h.configAt, Current: h.storeAnswers,
+		Told: h.told, Current: h.storeAnswers,
 	}
 	h.places.Init()
 	h.jobs = jobs.NewManager(jobs.Options{
@@ -270,12 +273,11 @@
 }
 
 func (h *Host) watchers() []*Watcher {
-	base := Watcher{store: h.store, clock: h.clock, log: h.log}
+	base := Watcher{store: h.store, clock: h.clock, log: h.log, wait: watchWait, active: h.watches}
 	config, hosts, replicas := base, base, base
 	config.name, config.prefix = "configuration", platform.OperatorPrefix
 	config.listed, config.changed = h.config.apply, h.config.apply
 	config.lost, config.regained = h.lost, h.regained
-	config.wait = h.watchTime
 	hosts.name, hosts.prefix, hosts.gather = "hosts", fleetPrefix, gatherTime
 	hosts.listed = func(ctx context.Context, items []txn.Item) {
 		records, ended := splitFleet(items)
@@ -290,19 +292,12 @@
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.listed, replicas.changed = h.replicas.listed, h.replicas.changed
 	replicas.lost, replicas.regained = h.replicas.lost, func() {}
-	replicas.wait = h.watchTime
-	replicas.active = func() bool { return h.places.IsBroker() || h.places.Stale() }
 	return []*Watcher{&config, &hosts, &replicas}
 }
 
-// watchTime is how long one watch waits on this host: one that no broker tells
-// of changes looks more often.
-func (h *Host) watchTime() time.Duration {
-	if h.places.IsBroker() || h.places.Stale() {
-		return brokerWait
-	}
-	return watchWait
-}
+// watches reports whether this host watches the store: a broker does, and a host
+// that no broker tells of changes.
+func (h *Host) watches() bool { return h.places.IsBroker() || h.places.Stale() }
 
 // fleetPrefix is the prefix of the records that every host watches.
 const fleetPrefix = "fleet/"
@@ -319,6 +314,16 @@
 	return records, ended
 }
 
+// gone takes a host that has left. The broker of its data centre looks for its
+// jobs, or any broker when that has no host left.
+func (h *Host) gone(left membership.Host) {
+	same := func(other membership.Host) bool { return other.DataCentre == left.DataCentre }
+	near := slices.ContainsFunc(append(h.view.Local(), h.view.Remote()...), same)
+	if h.places.IsBroker() && (!near || same(h.view.Self())) {
+		h.wantRecovery()
+	}
+}
+
 // recovery takes over jobs whose owner is gone.
 type recovery struct{ host *Host }
 
@@ -329,8 +334,8 @@
 	settled := h.clock.After(settleTime)
 	// Before that the view of the hosts isn't whole.
 	whole := false
-	for {
-		for h.jobs.Recover(ctx, whole) != nil && ctx.Err() == nil {
+	for wanted := !h.settings.FirstStart; ; {
+		for wanted && h.jobs.Recover(ctx, whole && h.places.IsBroker()) != nil && ctx.Err() == nil {
 			h.pause(ctx, recoverRetry)
 		}
 		select {
@@ -338,7 +343,9 @@
 			return ctx.Err()
 		case <-settled:
 			whole = true
+			wanted = h.places.IsBroker() && !h.settings.FirstStart
 		case <-h.recover:
+			wanted = true
 		}
 	}
 }
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/replica"
+	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -112,19 +113,20 @@
 		return
 	}
 	if address := addresses[a.rng.IntN(len(addresses))]; address != self.PeerAddress {
-		a.host.learnFrom(ctx, address)
+		// What goes wrong is logged there; another host is asked next.
+		_, _ = a.host.learnFrom(ctx, address)
 	}
 }
 
 // learnFrom takes what another host knows.
-func (h *Host) learnFrom(ctx context.Context, address string) {
+func (h *Host) learnFrom(ctx context.Context, address string) (StateReply, error) {
 	_, version := h.config.text()
 	var reply StateReply
 	bound, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	if err := h.calls.Call(bound, address, neighbourName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
 		h.log.WithError(err).WithField("address", address).Warn("neighbour doesn't answer")
-		return
+		return reply, err
 	}
 	if len(reply.Config) > 0 {
 		h.config.offer(reply.Config, address)
@@ -133,11 +135,24 @@
 	if reply.Current && h.storeAway() && h.places.IsBroker() || reply.HaveReplicas && !h.replicas.haveRecords() {
 		h.replicas.learned(reply.Replicas)
 	}
+	return reply, nil
 }
 
-// configAt fetches the configuration of a broker that has a newer one.
-func (h *Host) configAt(broker membership.Host, version int64) {
-	if _, own := h.config.text(); version > own && broker.Name != h.settings.Host {
-		go h.learnFrom(context.Background(), broker.PeerAddress)
+// told fetches what a broker knows and this host doesn't.
+func (h *Host) told(broker membership.Host, n slots.Notice) {
+	_, own := h.config.text()
+	hosts := h.hostsSeen.Swap(n.HostsVersion) != n.HostsVersion
+	if n.ConfigVersion <= own && !hosts {
+		return
 	}
+	go func() {
+		reply, err := h.learnFrom(context.Background(), broker.PeerAddress)
+		if err != nil {
+			h.hostsSeen.Store(0)
+			return
+		}
+		if n.Current {
+			h.presence.Adopt(reply.Hosts)
+		}
+	}()
 }
--- a/host/presence.go
+++ b/host/presence.go
@@ -23,9 +23,9 @@
 const (
 	// leaseTime is the lease on a host's record, if the store grants one so
 	// short.
-	leaseTime = 3 * time.Second
+	leaseTime = 6 * time.Second
 	// keepInterval is the interval of renewals.
-	keepInterval = time.Second
+	keepInterval = 2 * time.Second
 	// gatherTime lets changes of other hosts' records gather before they are
 	// read, so that a joint start doesn't cost one call for each pair of hosts.
 	gatherTime = 400 * time.Millisecond
@@ -49,8 +49,10 @@
 	ping func(ctx context.Context, h membership.Host) error
 	// gone is called when a host has left the view, and back when the host's
 	// own record had lapsed.
-	gone func(name string)
-	back func()
+	gone func(h membership.Host)
+	// changed is called when the view may have changed.
+	changed func()
+	back    func()
 	// lost and regained tell whether the store answers.
 	lost, regained func()
 
@@ -199,8 +201,21 @@
 	p.publish()
 }
 
+// Adopt takes the hosts that the broker knows.
+func (p *Presence) Adopt(hosts []membership.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.known)
+	clear(p.lapsed)
+	for _, h := range hosts {
+		p.known[h.Name] = h
+	}
+	p.publish()
+}
+
 // publish sets the view. The lock is held.
 func (p *Presence) publish() {
+	defer p.changed()
 	self := p.view.Self().Name
 	others := slices.Collect(maps.Values(p.known))
 	p.view.Set(slices.DeleteFunc(others, func(h membership.Host) bool { return h.Name == self }))
@@ -240,7 +255,7 @@
 			p.publish()
 			p.mu.Unlock()
 			p.log.WithError(err).WithField("peer", h.Name).Warn("host is gone")
-			p.gone(h.Name)
+			p.gone(h)
 			return
 		}
 		p.mu.Unlock()
--- a/host/watch.go
+++ b/host/watch.go
@@ -13,11 +13,9 @@
 
 // Times of watches.
 const (
-	// watchWait is how long one watch waits for a change.
-	watchWait = 25 * time.Second
-	// brokerWait is the same on a broker, which tells its data centre. A watch
-	// that hears nothing while changes are made is found out by the next one.
-	brokerWait = time.Second
+	// watchWait is how long one watch waits for a change. One that hears nothing
+	// while changes are made is found out by the next.
+	watchWait = 1300 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 2 * time.Second
@@ -38,8 +36,8 @@
 	lost, regained func()
 	// active reports whether to watch now; nil watches always.
 	active func() bool
-	// wait returns how long one watch waits; nil is watchWait.
-	wait func() time.Duration
+	// wait is how long one watch waits for a change.
+	wait time.Duration
 	// gather is a pause after changes, in which more may come.
 	gather time.Duration
 }
@@ -110,7 +108,7 @@
 		w.listed(ctx, items)
 		return at, nil
 	}
-	changes, err := w.await(ctx, at)
+	changes, err := w.store.Watch(ctx, w.prefix, at, w.wait)
 	if err != nil {
 		return 0, err
 	}
@@ -123,41 +121,5 @@
 	return max(changes.At, at), nil
 }
 
-// await makes one call that waits for changes. A long wait is given up when a
-// short one is called for.
-func (w *Watcher) await(ctx context.Context, at txn.Rev) (txn.Changes, error) {
-	if w.wait == nil {
-		return w.store.Watch(ctx, w.prefix, at, watchWait)
-	}
-	wait := w.wait()
-	bound, cancel := context.WithCancel(ctx)
-	defer cancel()
-	hurried := make(chan struct{})
-	if wait > brokerWait {
-		go w.hurry(bound, wait, cancel, hurried)
-	}
-	changes, err := w.store.Watch(bound, w.prefix, at, wait)
-	select {
-	case <-hurried:
-		if err != nil && ctx.Err() == nil {
-			return txn.Changes{At: at}, nil
-		}
-	default:
-	}
-	return changes, err
-}
-
-// hurry cancels a call when a shorter wait is called for.
-func (w *Watcher) hurry(ctx context.Context, wait time.Duration, cancel func(), hurried chan struct{}) {
-	for ctx.Err() == nil {
-		w.sleep(ctx, minRetry)
-		if ctx.Err() == nil && w.wait() < wait {
-			close(hurried)
-			cancel()
-			return
-		}
-	}
-}
-
 // String names the service in supervisor events.
 func (w *Watcher) String() string { return "watch " + w.name }
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -58,7 +58,7 @@
 	// unsurePause is the advice to callers when a record can't be read.
 	unsurePause = 500 * time.Millisecond
 	// flushDelay is how long results gather before they are written.
-	flushDelay = 700 * time.Millisecond
+	flushDelay = 1200 * time.Millisecond
 	// flushMargin makes results of a job that is due this soon go out at once.
 	flushMargin = 2 * time.Second
 	// retryDelay is the pause after a failed write.
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -138,7 +138,7 @@
 	}
 	self := m.View.Self()
 	head := Head{
-		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, Host: s.Host, Prefix: s.Prefix,
+		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Host: s.Host, Prefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
 		Total: len(s.Items), Write: 1,
 	}
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -289,7 +289,11 @@
 			j.head.Ended = true
 		}
 		m.mu.Unlock()
-		if !own || mark.Deleted {
+		if mark.Deleted {
+			continue
+		}
+		if !own {
+			go m.tellOwner(ctx, id)
 			continue
 		}
 		m.stopRuns(j)
@@ -300,6 +304,14 @@
 	}
 }
 
+// tellOwner tells the owner that the store names of the end of its job.
+func (m *Manager) tellOwner(ctx context.Context, id string) {
+	m.forgetOwner(id)
+	var reply EndReply
+	asked, err := m.askOwner(ctx, id, "End", EndArgs{ID: id}, &reply, acceptTimeout)
+	m.Log.WithError(err).WithFields(logrus.Fields{"job": id, "asked": asked, "ended": reply.Ended}).Info("owner told of the end of its job")
+}
+
 // endStored records the end of a job whose owner doesn't answer. The owner
 // meets the change at its next write.
 func (m *Manager) endStored(ctx context.Context, id string) error {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -47,6 +47,8 @@
 	// Write numbers the changes by one owner, so that a write whose answer was
 	// lost is known when it is read back.
 	Write uint64 `cbor:"13,keyasint"`
+	// DataCentre is the owner's.
+	DataCentre string `cbor:"14,keyasint"`
 }
 
 // open reports whether items are left to run.
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -12,7 +12,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
-// heir returns the host that takes over the jobs of a host that is gone: one of
+// heir returns the host that is offered the jobs of a host that stops: one of
 // the same data centre if any is alive.
 func heir(alive []membership.Host, dataCentre, gone string) (membership.Host, bool) {
 	alive = slices.DeleteFunc(slices.Clone(alive), func(h membership.Host) bool { return h.Name == gone })
@@ -27,8 +27,8 @@
 
 // Recover reads all jobs, gives up those that other hosts own now, and takes
 // over those of an earlier start of this host. With orphans it also takes over
-// those whose owner is gone and whose heir this host is; the view of the hosts
-// must be whole for that.
+// those whose owner is gone; one host of a data centre does that, and its view
+// of the hosts must be whole.
 func (m *Manager) Recover(ctx context.Context, orphans bool) error {
 	found, _, err := txn.List(ctx, m.Store, headPrefix)
 	if err != nil {
@@ -46,7 +46,7 @@
 		if m.keeps(head) {
 			continue
 		}
-		if head.Owner != self.Name && !orphans || !m.inherits(head, alive, self) {
+		if head.Owner != self.Name && !orphans || !inherits(head, alive, self) {
 			continue
 		}
 		if err := m.claim(ctx, head.ID, head.Owner, nil); err != nil {
@@ -76,18 +76,21 @@
 	return false
 }
 
-func (m *Manager) inherits(head *Head, alive []membership.Host, self membership.Host) bool {
-	if !head.open() {
+// inherits reports whether this host is to take over a job: one of its own
+// earlier start, or one whose owner is gone from its data centre, or from one
+// that has no host left.
+func inherits(head *Head, alive []membership.Host, self membership.Host) bool {
+	switch {
+	case !head.open():
 		return false
-	}
-	if head.Owner == self.Name {
+	case head.Owner == self.Name:
 		return head.Incarnation < self.Incarnation
-	}
-	if slices.ContainsFunc(alive, func(h membership.Host) bool { return h.Name == head.Owner }) {
+	case slices.ContainsFunc(alive, func(h membership.Host) bool { return h.Name == head.Owner }):
 		return false
+	case head.DataCentre == self.DataCentre:
+		return true
 	}
-	next, ok := heir(alive, self.DataCentre, head.Owner)
-	return ok && next.Name == self.Name
+	return !slices.ContainsFunc(alive, func(h membership.Host) bool { return h.DataCentre == head.DataCentre })
 }
 
 // claim makes this host the owner of a job.
@@ -112,7 +115,7 @@
 		}
 		results = append(results, chunk...)
 	}
-	head.Owner, head.Incarnation = self.Name, self.Incarnation
+	head.Owner, head.Incarnation, head.DataCentre = self.Name, self.Incarnation, self.DataCentre
 	head.Write++
 	value, err := cbor.Marshal(head)
 	if err != nil {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -29,9 +29,11 @@
 	current func() bool
 	// configVersion is that of the configuration in force here.
 	configVersion int64
-	waiting       map[*Waiter]chan Grant
-	inboxes       map[string]*inbox
-	timer         clockwork.Timer
+	// hostsVersion changes with the hosts that are known here.
+	hostsVersion int64
+	waiting      map[*Waiter]chan Grant
+	inboxes      map[string]*inbox
+	timer        clockwork.Timer
 }
 
 // inbox holds what a host's next poll is told.
@@ -44,7 +46,7 @@
 // NewBroker returns a broker without replicas.
 func NewBroker(clock clockwork.Clock, rng *rand.Rand, log *logrus.Entry) *Broker {
 	return &Broker{
-		clock: clock, log: log, sched: NewScheduler(rng), version: int64(rng.Uint64() >> 1),
+		clock: clock, log: log, sched: NewScheduler(rng), version: int64(rng.Uint64() >> 1), hostsVersion: int64(rng.Uint64() >> 1),
 		waiting: make(map[*Waiter]chan Grant), inboxes: make(map[string]*inbox),
 	}
 }
@@ -84,6 +86,16 @@
 	}
 }
 
+// HostsChanged says that this host knows other hosts than before.
+func (b *Broker) HostsChanged() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.hostsVersion++
+	for _, in := range b.inboxes {
+		in.signal()
+	}
+}
+
 func (in *inbox) signal() {
 	select {
 	case in.wake <- struct{}{}:
@@ -252,8 +264,15 @@
 	// the host has others.
 	Version  int64
 	Replicas []replica.Replica
+	Notice   Notice
+}
+
+// Notice says what a broker knows, so that other hosts need not watch the store.
+type Notice struct {
 	// ConfigVersion is that of the configuration in force at the broker.
 	ConfigVersion int64
+	// HostsVersion changes with the hosts that the broker knows.
+	HostsVersion int64
 	// Current says that the store answers the broker.
 	Current bool
 }
@@ -307,8 +326,9 @@
 	reply.Revoked = in.revoked
 	in.granted, in.revoked = nil, nil
 	reply.Version = b.version
-	reply.ConfigVersion = b.configVersion
-	reply.Current = b.current == nil || b.current()
+	reply.Notice = Notice{
+		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.current == nil || b.current(),
+	}
 	stale := version != b.version && version != anyVersion
 	if stale {
 		reply.Replicas = b.replicas
--- a/slots/client.go
+++ b/slots/client.go
@@ -83,8 +83,8 @@
 	Learned func([]replica.Replica)
 	// Current reports whether the store answers this host.
 	Current func() bool
-	// ConfigAt is told which configuration is in force at a broker.
-	ConfigAt func(broker membership.Host, version int64)
+	// Told takes what another host, the broker of the own data centre, knows.
+	Told func(broker membership.Host, n Notice)
 
 	mu       sync.Mutex
 	holds    map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -116,24 +116,26 @@
 	now := c.Clock.Now()
 	c.hold(now, reply.Granted)
 	own := h.Name == c.View.Self().Name && !remote
-	if !reply.Current && !own {
+	if !reply.Notice.Current && !own {
 		c.outdated[h.Name] = now.Add(outdatedTime)
 	}
 	// The records of a broker that the store doesn't answer are taken only
 	// while this host has no better ones.
-	usable := !remote && !own && (reply.Current || !c.Current())
+	usable := !remote && !own && (reply.Notice.Current || !c.Current())
 	fresh := usable && reply.Version != c.version
 	if usable || own {
 		c.version = reply.Version
 	}
-	if usable && reply.Current {
+	if usable && reply.Notice.Current {
 		c.heardAt = now
 	}
 	c.mu.Unlock()
 	if fresh {
 		c.Learned(reply.Replicas)
 	}
-	c.ConfigAt(h, reply.ConfigVersion)
+	if usable {
+		c.Told(h, reply.Notice)
+	}
 	for _, id := range reply.Revoked {
 		c.Items.Revoked(id)
 	}
