--- a/slots/health.go
+++ b/slots/health.go
@@ -39,6 +39,9 @@
 	}
 }
 
+// suspect reports whether the last uses failed: a single request tries it next.
+func (r *place) suspect() bool { return r.failures >= brokenRuns }
+
 func (r *place) pause(now time.Time, d time.Duration) {
 	if until := now.Add(d); until.After(r.avoidUntil) {
 		r.avoidUntil = until
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -342,9 +342,16 @@
 	return best
 }
 
-// compareLoad compares the taken parts of two replicas; any is below none.
+// compareLoad compares the taken parts of two replicas; any is below none, and
+// a suspect comes last.
 func compareLoad(a, b *place) int {
-	if b == nil {
+	switch {
+	case b == nil:
+		return -1
+	case a.suspect() != b.suspect():
+		if a.suspect() {
+			return 1
+		}
 		return -1
 	}
 	return cmp.Compare(a.used*b.Slots, b.used*a.Slots)
@@ -352,7 +359,11 @@
 
 // open reports whether a place may be given.
 func (r *place) open(now time.Time) bool {
-	return r.Ready && r.used < r.Slots && !now.Before(r.avoidUntil)
+	places := r.Slots
+	if r.suspect() {
+		places = 1
+	}
+	return r.Ready && r.used < places && !now.Before(r.avoidUntil)
 }
 
 // String returns the outcome's name in logs.
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -195,6 +195,22 @@
 	}
 }
 
+// A replica that was unreachable may be so still: one request tries it, and only
+// when no other has room.
+func TestSuspectReplicaIsTriedByOne(t *testing.T) {
+	s := newScheduler(2, 4)
+	s.find(service, "r0").note(start, Unreachable)
+	later := start.Add(maxFailurePause)
+	var got []string
+	for range 5 {
+		got = append(got, ask(s, later, 0).Grant.Replica.ID)
+	}
+	require.Equal(t, []string{"r1", "r1", "r1", "r1", "r0"}, got)
+	require.Nil(t, ask(s, later, 0).Grant)
+	s.find(service, "r0").note(later, Done)
+	require.NotNil(t, ask(s, later, 0).Grant)
+}
+
 func TestBackoffIsBounded(t *testing.T) {
 	r := &place{}
 	for range 100 {
