slots: a replica that fails at once draws no more work

Change: the part of failing uses adds to a replica's load, three errors in a row pause it; 500s of batch items, which may be the item's doing, don't count.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -83,7 +83,7 @@
 	}
 	if ans.Status >= http.StatusInternalServerError && s.req.Route.Repeatable() && s.ran < s.req.Route.Attempts {
 		s.drop(ans)
-		return slots.Done, errServer
+		return slots.Errored, errServer
 	}
 	if ans.Status == http.StatusOK && isEvents(ans.Header) {
 		return s.relayEvents(ans)
@@ -108,13 +108,17 @@
 	if len(body) > maxBody {
 		return slots.Done, verdict.New(verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
 	}
+	outcome := slots.Done
+	if ans.Status == http.StatusInternalServerError {
+		outcome = slots.Errored
+	}
 	s.begin(ans.Status, ans.Header, int64(len(body)))
 	if len(body) > 0 {
 		if err := s.sink.Write(body); err != nil {
-			return slots.Done, errors.Mark(err, errCallerGone)
+			return outcome, errors.Mark(err, errCallerGone)
 		}
 	}
-	return slots.Done, nil
+	return outcome, nil
 }
 
 func failureOf(err error) slots.Outcome {
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -237,7 +237,8 @@
 	case ans.Status == http.StatusUnprocessableEntity:
 		return endInvalid, slots.Done, nil
 	case ans.Status == http.StatusInternalServerError:
-		return endFailed, slots.Done, nil
+		// Items that fail wherever they run say nothing of the replica.
+		return endFailed, slots.Unused, nil
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("the replica answered %d", ans.Status)
 	}
--- a/slots/health.go
+++ b/slots/health.go
@@ -1,6 +1,9 @@
 package slots
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Times for which requests are kept away from a replica.
 const (
@@ -16,6 +19,12 @@
 	// brokenRuns is the number of exchanges that must break off in a row: a
 	// single one is lost by replicas that otherwise serve.
 	brokenRuns = 3
+	// errorWeight is the weight of the newest use in the part that fails, and
+	// errorHalfLife how long that part takes to halve without uses.
+	errorWeight   = 0.2
+	errorHalfLife = 3 * time.Second
+	// minErrors is a part of failures that counts as none.
+	minErrors = 0.01
 )
 
 // note takes how the use of a place ended.
@@ -23,14 +32,17 @@
 	switch outcome {
 	case Done:
 		r.failures = 0
+		r.weigh(now, 0)
 	case Full:
 		r.pause(now, fullPause)
 	case Replaced:
 		r.pause(now, replacedPause)
 	case Unreachable:
 		r.failures = max(r.failures+1, brokenRuns)
+		r.weigh(now, 1)
 		r.pause(now, r.backoff())
-	case Failed:
+	case Failed, Errored:
+		r.weigh(now, 1)
 		r.failures++
 		if r.failures >= brokenRuns {
 			r.pause(now, r.backoff())
@@ -39,6 +51,24 @@
 	}
 }
 
+// weigh adds a use to the part that fails.
+func (r *place) weigh(now time.Time, failed float64) {
+	r.errors = (1-errorWeight)*r.errorPart(now) + errorWeight*failed
+	r.errorsAt = now
+}
+
+// errorPart returns the part of the uses that fails.
+func (r *place) errorPart(now time.Time) float64 {
+	if r.errors == 0 {
+		return 0
+	}
+	part := r.errors * math.Exp2(-now.Sub(r.errorsAt).Seconds()/errorHalfLife.Seconds())
+	if part < minErrors {
+		return 0
+	}
+	return part
+}
+
 // suspect reports whether the last uses failed: a single request tries it next.
 func (r *place) suspect() bool { return r.failures >= brokenRuns }
 
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -79,6 +79,8 @@
 	Full
 	// Replaced means that another replica has the address.
 	Replaced
+	// Errored means that the replica answered that it failed.
+	Errored
 )
 
 // Bounds and weights of the decisions.
@@ -136,6 +138,9 @@
 	used int
 	// failures counts failures since the last answer.
 	failures int
+	// errors is the part of failures among the last uses, as of errorsAt.
+	errors   float64
+	errorsAt time.Time
 	// avoidUntil keeps requests away after failures.
 	avoidUntil time.Time
 }
@@ -320,8 +325,8 @@
 	return n
 }
 
-// choose returns the replica with the smallest part of its places taken, or
-// nil when none has a free place. Equal ones are drawn by lot.
+// choose returns the replica with the smallest load, or nil when none has a free
+// place. Equal ones are drawn by lot.
 func (p *pool) choose(now time.Time, avoid []string, rng *rand.Rand) *place {
 	var best *place
 	ties := 0
@@ -329,7 +334,7 @@
 		if !r.open(now) || slices.Contains(avoid, r.ID) {
 			continue
 		}
-		switch c := compareLoad(r, best); {
+		switch c := compareLoad(now, r, best); {
 		case c < 0:
 			best, ties = r, 1
 		case c == 0:
@@ -342,9 +347,9 @@
 	return best
 }
 
-// compareLoad compares the taken parts of two replicas; any is below none, and
-// a suspect comes last.
-func compareLoad(a, b *place) int {
+// compareLoad compares the loads of two replicas; any is below none, and a
+// suspect comes last.
+func compareLoad(now time.Time, a, b *place) int {
 	switch {
 	case b == nil:
 		return -1
@@ -354,7 +359,12 @@
 		}
 		return -1
 	}
-	return cmp.Compare(a.used*b.Slots, b.used*a.Slots)
+	return cmp.Compare(a.load(now), b.load(now))
+}
+
+// load is the taken part of the places and the part of the uses that fail.
+func (r *place) load(now time.Time) float64 {
+	return float64(r.used)/float64(r.Slots) + r.errorPart(now)
 }
 
 // open reports whether a place may be given.
@@ -368,5 +378,5 @@
 
 // String returns the outcome's name in logs.
 func (o Outcome) String() string {
-	return [...]string{"done", "unused", "failed", "unreachable", "full", "replaced"}[min(int(o), 5)]
+	return [...]string{"done", "unused", "failed", "unreachable", "full", "replaced", "errored"}[o]
 }
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -195,6 +195,36 @@
 	}
 }
 
+// A replica that fails at once is always the least loaded one. It must not draw
+// the requests of all others.
+func TestReplicaThatFailsDrawsNoMoreWork(t *testing.T) {
+	for name, part := range map[string]float64{"always": 1, "often": 0.4} {
+		t.Run(name, func(t *testing.T) {
+			s := newScheduler(4, 8)
+			now, failed, asked := start, 0, 0
+			running := map[GrantID]time.Time{}
+			for ; now.Before(start.Add(20 * time.Second)); now = now.Add(50 * time.Millisecond) {
+				for id, end := range running {
+					if !now.Before(end) {
+						s.Release(now, id, Done)
+						delete(running, id)
+					}
+				}
+				asked++
+				g := ask(s, now, 0).Grant
+				require.NotNil(t, g)
+				if g.Replica.ID == "r0" && s.rng.Float64() < part {
+					failed++
+					s.Release(now, g.ID, Errored)
+					continue
+				}
+				running[g.ID] = now.Add(600 * time.Millisecond)
+			}
+			require.Less(t, float64(failed)/float64(asked), 0.06)
+		})
+	}
+}
+
 // A replica that was unreachable may be so still: one request tries it, and only
 // when no other has room.
 func TestSuspectReplicaIsTriedByOne(t *testing.T) {
