host: watches wait as long as the bounds allow

Change: a watch waits 0.55 of the bounds for configurations and leaving replicas, that of hosts 25 s; a host reads the other records once the hosts are listed and no broker tells it.

--- a/host/host.go
+++ b/host/host.go
@@ -273,14 +273,19 @@
 }
 
 func (h *Host) watchers() []*Watcher {
-	base := Watcher{store: h.store, clock: h.clock, log: h.log, wait: watchWait, active: h.watches}
+	base := Watcher{store: h.store, clock: h.clock, log: h.log, wait: watchWait(h.settings), active: h.watches}
 	config, hosts, replicas := base, base, base
 	config.name, config.prefix = "configuration", platform.OperatorPrefix
 	config.listed, config.changed = h.config.apply, h.config.apply
 	config.lost, config.regained = h.lost, h.regained
+	hosts.wait = longWait
+	hosts.active = func() bool { return !h.presence.wasListed() || h.watches() }
 	hosts.name, hosts.prefix, hosts.gather = "hosts", fleetPrefix, gatherTime
 	hosts.listed = func(ctx context.Context, items []txn.Item) {
 		records, ended := splitFleet(items)
+		if !h.presence.wasListed() {
+			h.places.Begin()
+		}
 		h.presence.Replace(ctx, records)
 		h.jobs.Ended(ctx, ended)
 	}
@@ -295,9 +300,21 @@
 	return []*Watcher{&config, &hosts, &replicas}
 }
 
+// watchWait returns how long one watch waits for changes that must be in force
+// in time.
+func watchWait(s *platform.Settings) time.Duration {
+	bound := min(s.ConfigTimeout, s.DrainTimeout)
+	if bound <= 0 {
+		return defaultWait
+	}
+	return time.Duration(watchShare * float64(bound))
+}
+
 // watches reports whether this host watches the store: a broker does, and a host
-// that no broker tells of changes.
-func (h *Host) watches() bool { return h.places.IsBroker() || h.places.Stale() }
+// that no broker tells of changes. Who is broker shows once the hosts are known.
+func (h *Host) watches() bool {
+	return h.presence.wasListed() && (h.places.IsBroker() || h.places.Stale())
+}
 
 // fleetPrefix is the prefix of the records that every host watches.
 const fleetPrefix = "fleet/"
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -77,7 +77,7 @@
 func TestWatcherFollowsChanges(t *testing.T) {
 	store := txntest.NewStore()
 	put(t, store, "p/a", "1")
-	s := watch(t, store, watchWait)
+	s := watch(t, store, defaultWait)
 	require.Eventually(t, func() bool { return s.value("p/a") == "1" }, patience, time.Millisecond)
 	put(t, store, "p/a", "2")
 	require.Eventually(t, func() bool { return s.value("p/a") == "2" }, patience, time.Millisecond)
--- a/host/presence.go
+++ b/host/presence.go
@@ -61,6 +61,7 @@
 	lapsed  map[string]struct{}
 	leaseID txn.Lease
 	leaving bool
+	listed  bool
 }
 
 // Serve keeps the host's record until ctx ends.
@@ -148,6 +149,7 @@
 		listed[strings.TrimPrefix(item.Key, hostPrefix)] = struct{}{}
 	}
 	p.mu.Lock()
+	p.listed = true
 	var missing []string
 	for name := range p.known {
 		if _, ok := listed[name]; !ok {
@@ -161,6 +163,13 @@
 	}
 }
 
+// wasListed reports whether the hosts' records have been listed.
+func (p *Presence) wasListed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed
+}
+
 // Apply takes changes of the hosts' records.
 func (p *Presence) Apply(ctx context.Context, items []txn.Item) {
 	var lapsed []string
--- a/host/watch.go
+++ b/host/watch.go
@@ -13,9 +13,14 @@
 
 // Times of watches.
 const (
-	// watchWait is how long one watch waits for a change. One that hears nothing
-	// while changes are made is found out by the next.
-	watchWait = 1300 * time.Millisecond
+	// longWait is how long a watch waits for a change that may be late.
+	longWait = 25 * time.Second
+	// watchShare is the part of the time in which a change must be in force that
+	// one watch waits. A watch that hears nothing while changes are made is found
+	// out by the next.
+	watchShare = 0.55
+	// defaultWait is the wait when the settings don't bound that time.
+	defaultWait = 1300 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 150 * time.Millisecond
 	maxRetry = 2 * time.Second
--- a/slots/client.go
+++ b/slots/client.go
@@ -162,6 +162,13 @@
 	return c.Clock.Now().Sub(c.heardAt) > staleTime
 }
 
+// Begin gives the broker time to be heard for the first time.
+func (c *Client) Begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.heardAt = c.Clock.Now()
+}
+
 // otherDataCentres returns the data centres besides the host's own, sorted.
 func (c *Client) otherDataCentres() []string {
 	var names []string
