slots: items that stay are no reason to wait

Cause: a request was queued with an expected wait of 0 when batch items that are due soon, and are not stopped, held the places; it waited 240 ms in vain. Change: only items that may be stopped count as leaving.

--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -259,17 +259,17 @@
 	return base + time.Duration(s.rng.Float64()*float64(base))
 }
 
-// expectedWait returns when a new waiter would get a place: batch items leave
-// at once, online requests when they are expected to end.
+// expectedWait returns when a new waiter would get a place: batch items that may
+// be stopped leave at once, online requests when they are expected to end.
 func (s *Scheduler) expectedWait(now time.Time, p *pool) time.Duration {
 	ahead := len(p.queue)
 	var ends []time.Duration
 	for _, g := range s.grants {
 		switch {
-		case g.Replica.Service != "" && s.services[g.Replica.Service] != p:
-		case g.Class == Batch:
+		case s.services[g.Replica.Service] != p:
+		case g.Class == Batch && !g.protected(now):
 			ahead--
-		default:
+		case g.Class == Online:
 			ends = append(ends, max(p.hold-now.Sub(g.Since), 0))
 		}
 	}
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -117,6 +117,15 @@
 	require.Len(t, late.Revoked, 1, "a host that doesn't answer is not waited for")
 }
 
+// Items that are due soon stay, so nobody should wait for their places.
+func TestItemsThatStayAreNoReasonToWait(t *testing.T) {
+	s := newScheduler(1, 2)
+	fillBatch(s, start, "b", dueMargin/2)
+	d := ask(s, start, time.Second)
+	require.Nil(t, d.Waiter)
+	require.Greater(t, d.Wait, time.Second)
+}
+
 func TestWhichBatchItemLeaves(t *testing.T) {
 	due := map[string]time.Duration{"late": -time.Second, "soon": dueMargin - time.Second, "later": dueMargin + time.Second, "last": time.Hour}
 	s := newScheduler(1, len(due))
