--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -104,7 +104,7 @@
 	// adoptPatience is how long a grant may be missing from its host's list.
 	adoptPatience = 1500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the advice to callers.
-	minRetryAfter = 250 * time.Millisecond
+	minRetryAfter = 800 * time.Millisecond
 	maxRetryAfter = 1600 * time.Millisecond
 )
 
@@ -253,10 +253,12 @@
 	return s.retryAfter(s.expectedWait(now, p))
 }
 
-// retryAfter spreads those who return over the time after the expected wait.
+// retryAfter spreads those who return between the expected wait and the longest
+// one that callers take: requests that are refused come in a peak, and a second
+// refusal in the same peak is final.
 func (s *Scheduler) retryAfter(wait time.Duration) time.Duration {
 	base := min(max(wait, minRetryAfter), maxRetryAfter)
-	return base + time.Duration(s.rng.Float64()*float64(base))
+	return base + time.Duration(s.rng.Float64()*float64(maxRetryAfter-base))
 }
 
 // expectedWait returns when a new waiter would get a place: batch items that may
