slots: a broker that stays away is asked less and less; items spill earlier

Cause: a host that is gone stays in the view until its lease ends and its ping fails; each second its data centre lost 150 ms a request and 0.8 s of polls to it. Change: suspicion doubles up to 8 s. Items ask other data centres 16 s before they are due (12 s).

--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -75,7 +75,7 @@
 	maxRunPause = 2 * time.Second
 	// spillSlack is the time before an item is due at which other data centres
 	// are asked for a place.
-	spillSlack = 12 * time.Second
+	spillSlack = 16 * time.Second
 	// peerTimeout bounds calls between hosts, waits for results apart.
 	peerTimeout = 700 * time.Millisecond
 )
--- a/slots/client.go
+++ b/slots/client.go
@@ -28,8 +28,10 @@
 	callSlack = 120 * time.Millisecond
 	// pollTimeout bounds a poll.
 	pollTimeout = pollWait + 400*time.Millisecond
-	// suspectTime is how long a broker that didn't answer is passed over.
-	suspectTime = time.Second
+	// suspectTime is how long a broker that didn't answer is passed over. It
+	// doubles with each further failure, up to maxSuspectTime.
+	suspectTime    = time.Second
+	maxSuspectTime = 8 * time.Second
 	// outdatedTime is how long a broker that the store doesn't answer is passed
 	// over.
 	outdatedTime = 2 * time.Second
@@ -88,7 +90,7 @@
 
 	mu       sync.Mutex
 	holds    map[GrantID]Grant
-	suspects map[string]time.Time
+	suspects map[string]suspicion
 	// outdated holds until when brokers are passed over that the store doesn't
 	// answer.
 	outdated map[string]time.Time
@@ -97,10 +99,16 @@
 	releases map[string]*releaseQueue
 }
 
+// suspicion is about a broker that didn't answer.
+type suspicion struct {
+	until    time.Time
+	failures int
+}
+
 // Init makes an empty state.
 func (c *Client) Init() {
 	c.holds = make(map[GrantID]Grant)
-	c.suspects = make(map[string]time.Time)
+	c.suspects = make(map[string]suspicion)
 	c.outdated = make(map[string]time.Time)
 	c.releases = make(map[string]*releaseQueue)
 }
@@ -126,7 +134,7 @@
 	now := c.Clock.Now()
 	doubt := func(h membership.Host) int {
 		switch {
-		case now.Before(c.suspects[h.Name]):
+		case now.Before(c.suspects[h.Name].until):
 			return 2
 		case now.Before(c.outdated[h.Name]), h.Name == self && !current:
 			return 1
@@ -140,12 +148,27 @@
 func (c *Client) suspect(h membership.Host, err error) {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	known := now.Before(c.suspects[h.Name])
-	c.suspects[h.Name] = now.Add(suspectTime)
+	s := c.suspects[h.Name]
+	if now.Before(s.until) {
+		// Calls that fail together are one failure.
+		c.mu.Unlock()
+		return
+	}
+	s.until = now.Add(min(suspectTime<<min(s.failures, 8), maxSuspectTime))
+	s.failures++
+	c.suspects[h.Name] = s
 	c.mu.Unlock()
 	c.Caller.Forget(h.PeerAddress)
-	if !known {
-		c.Log.WithError(err).WithField("peer", h.Name).Warn("broker doesn't answer")
+	c.Log.WithError(err).WithField("peer", h.Name).WithField("failures", s.failures).Warn("broker doesn't answer")
+}
+
+// trust ends the suspicion about a broker that has answered.
+func (c *Client) trust(h membership.Host) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.suspects[h.Name]; ok {
+		delete(c.suspects, h.Name)
+		c.Log.WithField("peer", h.Name).Info("broker answers again")
 	}
 }
 
@@ -234,6 +257,7 @@
 			c.suspect(h, err)
 			continue
 		}
+		c.trust(h)
 		if !reply.Granted {
 			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas}
 		}
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -159,6 +159,26 @@
 	require.Greater(t, f.calls["Slots.Acquire "+broker.name()], before)
 }
 
+// A host that is gone stays in the view for a while. It must not be asked again
+// and again meanwhile.
+func TestBrokerThatStaysAwayIsAskedLessAndLess(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	f.setDown(broker.name(), true)
+	for range 100 {
+		g, err := other.Acquire(context.Background(), Ask{Host: other.name(), Service: service}, 0)
+		require.NoError(t, err)
+		other.Release(g, Done)
+		f.clock.Advance(100 * time.Millisecond)
+	}
+	require.LessOrEqual(t, f.calls["Slots.Acquire "+broker.name()], 4, "in ten seconds")
+	f.setDown(broker.name(), false)
+	f.clock.Advance(maxSuspectTime)
+	_, err := other.acquire(t)
+	require.NoError(t, err)
+	require.Empty(t, other.suspects)
+}
+
 // A broker that the store turns away hands out replicas that have left. Hosts
 // pass it over, and it passes itself over.
 func TestBrokerWithoutTheStoreYields(t *testing.T) {
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -67,6 +67,7 @@
 		}
 		return false
 	}
+	c.trust(h)
 	c.take(h, reply, remote)
 	// An empty reply that comes at once must not be asked for in a loop.
 	return len(reply.Granted) > 0 || len(reply.Revoked) > 0 || c.Clock.Now().Sub(start) >= pollWait/2
