host: leases of 4 s

Cause: the jobs of a host that was lost for good while the store was down were taken over 17 s later: lease 6 s, two pings, orphans looked for after 13 s. Change: leases of 4 s renewed each 1.3 s, orphans 7 s after the start.

--- a/host/host.go
+++ b/host/host.go
@@ -49,7 +49,7 @@
 	memoryShare = 0.7
 	// settleTime is how long after its start a host looks for jobs without an
 	// owner: leases of an earlier start have lapsed by then.
-	settleTime = 2*leaseTime + time.Second
+	settleTime = leaseTime + 3*time.Second
 	// recoverRetry is the pause before another try to take jobs over.
 	recoverRetry = 700 * time.Millisecond
 )
--- a/host/presence.go
+++ b/host/presence.go
@@ -23,9 +23,9 @@
 const (
 	// leaseTime is the lease on a host's record, if the store grants one so
 	// short.
-	leaseTime = 6 * time.Second
+	leaseTime = 4 * time.Second
 	// keepInterval is the interval of renewals.
-	keepInterval = 2 * time.Second
+	keepInterval = 1300 * time.Millisecond
 	// gatherTime lets changes of other hosts' records gather before they are
 	// read, so that a joint start doesn't cost one call for each pair of hosts.
 	gatherTime = 400 * time.Millisecond
