--- a/forward/forward.go
+++ b/forward/forward.go
@@ -245,7 +245,7 @@
 	entry := s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
 		"ran": s.ran, "not_run": s.notRun, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
-		"held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
+		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
 	})
 	if err != nil {
 		entry.WithError(err).Warn("attempt failed")
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -156,8 +156,8 @@
 	m.mu.Lock()
 	delete(m.runs, g.ID)
 	it.running = false
-	m.settle(it, rt, end)
 	events := len(it.texts)
+	m.settle(it, rt, end)
 	m.mu.Unlock()
 	m.Places.Release(g, outcome)
 	m.Metrics.runs.WithLabelValues(end.String()).Inc()
