--- a/slots/poll.go
+++ b/slots/poll.go
@@ -115,21 +115,37 @@
 // replicas' records.
 func (c *Client) take(h membership.Host, reply PollReply, remote, asked bool) {
 	c.mu.Lock()
-	now := c.Clock.Now()
-	c.hold(now, reply.Granted)
-	own := h.Name == c.View.Self().Name && !remote
-	if !reply.Notice.Current && !own {
-		c.outdated[h.Name] = now.Add(outdatedTime)
+	c.hold(c.Clock.Now(), reply.Granted)
+	c.mu.Unlock()
+	if !remote {
+		c.learn(h, reply, asked)
+	}
+	for _, id := range reply.Revoked {
+		c.Items.Revoked(id)
 	}
-	// The records of a broker that the store doesn't answer are taken only
-	// while this host has no better ones.
-	usable := !remote && !own && (reply.Notice.Current || !c.Current())
+	for _, g := range reply.Granted {
+		c.Items.Granted(g)
+	}
+}
+
+// learn takes what the broker of the own data centre knows. The records of one
+// that the store doesn't answer are taken only while this host has no better
+// ones.
+func (c *Client) learn(h membership.Host, reply PollReply, asked bool) {
+	own := h.Name == c.View.Self().Name
+	usable := !own && (reply.Notice.Current || !c.Current())
+	c.mu.Lock()
+	now := c.Clock.Now()
 	fresh := usable && asked && reply.Version != c.version
 	if asked && (usable || own) {
 		c.version = reply.Version
 	}
-	if usable && reply.Notice.Current {
+	switch {
+	case own:
+	case reply.Notice.Current:
 		c.heardAt = now
+	default:
+		c.outdated[h.Name] = now.Add(outdatedTime)
 	}
 	c.mu.Unlock()
 	if fresh {
@@ -138,14 +154,4 @@
 	if usable {
 		c.Told(h, reply.Notice)
 	}
-	for _, id := range reply.Revoked {
-		c.Items.Revoked(id)
-	}
-	for _, g := range reply.Granted {
-		c.Items.Granted(g)
-	}
 }
-
-// onlineLimit is the age at which a place of an online request is free although
-// its host has said nothing.
-const onlineLimit = 20 * time.Second
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -103,6 +103,9 @@
 	grantPatience = 600 * time.Millisecond
 	// adoptPatience is how long a grant may be missing from its host's list.
 	adoptPatience = 1500 * time.Millisecond
+	// onlineLimit is the age at which a place of an online request is free
+	// although its host has said nothing.
+	onlineLimit = 20 * time.Second
 	// minRetryAfter and maxRetryAfter bound the advice to callers.
 	minRetryAfter = 800 * time.Millisecond
 	maxRetryAfter = 1600 * time.Millisecond
