--- a/slots/poll.go
+++ b/slots/poll.go
@@ -115,7 +115,11 @@
 // replicas' records.
 func (c *Client) take(h membership.Host, reply PollReply, remote, asked bool) {
 	c.mu.Lock()
-	c.hold(c.Clock.Now(), reply.Granted)
+	now := c.Clock.Now()
+	c.hold(now, reply.Granted)
+	if !reply.Notice.Current && h.Name != c.View.Self().Name {
+		c.outdated[h.Name] = now.Add(outdatedTime)
+	}
 	c.mu.Unlock()
 	if !remote {
 		c.learn(h, reply, asked)
@@ -135,17 +139,12 @@
 	own := h.Name == c.View.Self().Name
 	usable := !own && (reply.Notice.Current || !c.Current())
 	c.mu.Lock()
-	now := c.Clock.Now()
 	fresh := usable && asked && reply.Version != c.version
 	if asked && (usable || own) {
 		c.version = reply.Version
 	}
-	switch {
-	case own:
-	case reply.Notice.Current:
-		c.heardAt = now
-	default:
-		c.outdated[h.Name] = now.Add(outdatedTime)
+	if !own && reply.Notice.Current {
+		c.heardAt = c.Clock.Now()
 	}
 	c.mu.Unlock()
 	if fresh {
