--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -25,10 +24,6 @@
 // The whole path on loopback: hosts with all their parts, a store and replicas
 // that speak the platform's protocol.
 
-const fleetConfig = `{"version":1,"services":[{"name":"svc"}],"limits":{"body_bytes":1000000},"routes":[
-{"name":"s","host":"h.example","prefix":"/s/","kind":"streaming","service":"svc","timeout_ms":20000,"slo_ms":10000,"attempts":3,"resumable":true,"gap_target_ms":8000},
-{"name":"b","host":"h.example","prefix":"/b/","kind":"bulk","service":"svc","slo_ms":500,"run_target_ms":18000,"retain_s":60,"attempts":3}]}`
-
 type fleet struct {
 	t        *testing.T
 	store    *txntest.Store
@@ -42,7 +37,7 @@
 	server := httptest.NewServer(platformtest.StoreHandler(f.store))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	f.address = strings.TrimPrefix(server.URL, "http://")
-	f.put(txn.Write{Key: "op/config", Value: []byte(fleetConfig)})
+	f.put(platformtest.Config("svc"))
 	for i := range 2 {
 		r := platformtest.NewReplica(fmt.Sprintf("r%d", i), 8, pause)
 		t.Cleanup(r.Close)
@@ -92,19 +87,8 @@
 	<-h.served
 }
 
-func (f *fleet) call(h *Host, method, path, id, body string) (*http.Response, string, error) {
-	req, err := http.NewRequest(method, "http://"+h.settings.Callers+path, strings.NewReader(body))
-	require.NoError(f.t, err)
-	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Timeout-Ms", "15000")
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, "", err
-	}
-	defer func() { _ = res.Body.Close() }()
-	text, err := io.ReadAll(res.Body)
-	return res, string(text), err
+func call(h *Host, id string) (platformtest.Answer, error) {
+	return platformtest.Call(h.settings.Callers, http.MethodPost, "/s/x", id, "body")
 }
 
 func wholeStream() string {
@@ -116,47 +100,30 @@
 }
 
 func (f *fleet) submit(h *Host, id string, items int) {
-	var m struct {
-		Items []map[string]any `json:"items"`
-	}
-	for i := range items {
-		m.Items = append(m.Items, map[string]any{"id": fmt.Sprintf("%s-%d", id, i), "path": "/b/x", "headers": map[string]string{}, "body": []byte("b"), "tokens": 9})
-	}
-	text, err := json.Marshal(m)
-	require.NoError(f.t, err)
-	res, _, err := f.call(h, http.MethodPost, "/b/"+id, id, string(text))
+	a, err := platformtest.Submit(h.settings.Callers, id, items)
 	require.NoError(f.t, err)
-	require.Equal(f.t, http.StatusAccepted, res.StatusCode)
+	require.Equal(f.t, http.StatusAccepted, a.Status)
 }
 
 // done returns the number of whole results of a job, as a host tells it.
 func (f *fleet) done(h *Host, id string) int {
-	res, text, err := f.call(h, http.MethodGet, "/-/lots/"+id+"?after=0", "read", "")
-	if err != nil || res.StatusCode != http.StatusOK {
+	outputs, err := platformtest.Results(h.settings.Callers, id)
+	if err != nil {
 		return -1
 	}
-	var page struct {
-		Results []struct{ State, Output string } `json:"results"`
-	}
-	require.NoError(f.t, json.Unmarshal([]byte(text), &page))
-	n := 0
-	for _, r := range page.Results {
-		require.Equal(f.t, "done", r.State)
-		require.Equal(f.t, "e1\ne2\ne3\ne4\ne5\ne6\ne7\ne8", r.Output)
-		n++
+	for _, output := range outputs {
+		require.Equal(f.t, "e1\ne2\ne3\ne4\ne5\ne6\ne7\ne8", output)
 	}
-	return n
+	return len(outputs)
 }
 
 func TestStreamsAndJobsAreServed(t *testing.T) {
 	f := newFleet(t, 2*time.Millisecond)
 	a, b := f.start("a"), f.start("b")
 	for i, h := range []*Host{a, b, a} {
-		res, text, err := f.call(h, http.MethodPost, "/s/x", fmt.Sprint("q", i), "body")
+		got, err := call(h, fmt.Sprint("q", i))
 		require.NoError(t, err)
-		require.Equal(t, http.StatusOK, res.StatusCode)
-		require.Equal(t, fmt.Sprint("seal-q", i), res.Header.Get("X-Response-Seal"))
-		require.Equal(t, wholeStream(), text)
+		require.Equal(t, platformtest.Answer{Status: http.StatusOK, Seal: fmt.Sprint("seal-q", i), Body: wholeStream()}, got)
 	}
 	f.submit(a, "job", 12)
 	require.Eventually(t, func() bool { return f.done(b, "job") == 12 }, 20*time.Second, 50*time.Millisecond)
@@ -166,13 +133,13 @@
 	f := newFleet(t, 100*time.Millisecond)
 	a := f.start("a")
 	type result struct {
-		text string
-		err  error
+		platformtest.Answer
+		err error
 	}
 	done := make(chan result, 1)
 	go func() {
-		_, text, err := f.call(a, http.MethodPost, "/s/x", "q", "body")
-		done <- result{text, err}
+		got, err := call(a, "q")
+		done <- result{got, err}
 	}()
 	require.Eventually(t, func() bool {
 		for _, r := range f.replicas {
@@ -186,7 +153,7 @@
 	}, 5*time.Second, 5*time.Millisecond)
 	got := <-done
 	require.NoError(t, got.err)
-	require.Equal(t, wholeStream(), got.text)
+	require.Equal(t, wholeStream(), got.Body)
 }
 
 func TestStoppedHostHandsItsJobOnAndCutsNoStream(t *testing.T) {
@@ -196,9 +163,9 @@
 	f.submit(a, "job", 20)
 	errs := make(chan error, 1)
 	go func() {
-		res, text, err := f.call(a, http.MethodPost, "/s/x", "q", "body")
-		if err == nil && text != wholeStream() {
-			err = errors.Newf("status %d, body %q", res.StatusCode, text)
+		got, err := call(a, "q")
+		if err == nil && got.Body != wholeStream() {
+			err = errors.Newf("got %+v", got)
 		}
 		errs <- err
 	}()
@@ -230,7 +197,7 @@
 		return !a.replicas.view.Snapshot()["r0"].Ready
 	}, 10*time.Second, 5*time.Millisecond)
 	for i := range 20 {
-		_, _, err := f.call(a, http.MethodPost, "/s/x", fmt.Sprint("q", i), "")
+		_, err := call(a, fmt.Sprint("q", i))
 		require.NoError(t, err)
 		begun, _ := f.replicas[0].Ran(fmt.Sprint("q", i))
 		require.Zero(t, begun)
@@ -250,9 +217,9 @@
 	f.hosts["b"] = b
 	t.Cleanup(func() { f.kill("b") })
 	require.Eventually(t, b.isReady, 10*time.Second, 10*time.Millisecond)
-	_, text, err := f.call(b, http.MethodPost, "/s/x", "q", "")
+	got, err := call(b, "q")
 	require.NoError(t, err)
-	require.Equal(t, wholeStream(), text)
+	require.Equal(t, wholeStream(), got.Body)
 }
 
 // fleetLog takes the hosts' logs.
