host: every host that the store turns away hears of leaving replicas

Change: a host that neither the store nor a current broker informs asks the brokers of other data centres.

--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -328,7 +328,7 @@
 
 // Members need up to 1330 of the 2048 bytes a second that a host may spend on
 // control (membership.TestTrafficPerHost).
-func TestTrafficPerHost(t *testing.T) {
+func TestExchangeTrafficPerHost(t *testing.T) {
 	t.Parallel()
 	const limit = 2048 - 1330
 	const seconds = 4
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -61,10 +62,13 @@
 }
 
 // start starts a host and waits until it is ready.
-func (f *fleet) start(name string) *Host {
+func (f *fleet) start(name string) *Host { return f.startAt(name, "dc", f.address) }
+
+// startAt starts a host in a data centre, with a store of its own address.
+func (f *fleet) startAt(name, dataCentre, store string) *Host {
 	s := &platform.Settings{
-		Host: name, DataCentre: "dc", Region: "r", Callers: freeAddress(f.t), Ready: freeAddress(f.t), Peers: freeAddress(f.t),
-		Metrics: freeAddress(f.t), Store: f.address, Cores: 4, StopTimeout: 8 * time.Second, ResultRetention: time.Minute,
+		Host: name, DataCentre: dataCentre, Region: "r", Callers: freeAddress(f.t), Ready: freeAddress(f.t), Peers: freeAddress(f.t),
+		Metrics: freeAddress(f.t), Store: store, Cores: 4, StopTimeout: 8 * time.Second, ResultRetention: time.Minute,
 		ConfigTimeout: 2500 * time.Millisecond, DrainTimeout: 2500 * time.Millisecond,
 	}
 	h, err := New(s, fleetLog)
@@ -204,6 +208,42 @@
 	}
 }
 
+// All hosts of a data centre are turned away by the store, which serves others.
+// Each of them may be asked for places, so each must hear of leaving replicas.
+func TestHostsThatTheStoreTurnsAwayHearOfLeavingReplicas(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	var away atomic.Bool
+	inner := platformtest.StoreHandler(f.store)
+	door := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		inner.ServeHTTP(w, r)
+	}))
+	t.Cleanup(func() { door.CloseClientConnections(); door.Close() })
+	address := strings.TrimPrefix(door.URL, "http://")
+	turned := []*Host{f.startAt("a", "dc", address), f.startAt("b", "dc", address)}
+	f.startAt("c", "other", f.address)
+	for _, h := range turned {
+		require.Eventually(t, func() bool { return len(h.view.Remote()) == 1 }, 10*time.Second, 10*time.Millisecond)
+	}
+	away.Store(true)
+	for _, h := range turned {
+		require.Eventually(t, h.storeAway, 10*time.Second, 10*time.Millisecond)
+	}
+	for _, r := range f.replicas {
+		f.put(r.Record("svc", "dc", "draining", 4))
+		for _, h := range turned {
+			require.Eventually(t, func() bool {
+				h.replicas.mu.Lock()
+				defer h.replicas.mu.Unlock()
+				return !h.replicas.view.Snapshot()[r.ID].Ready
+			}, 10*time.Second, 10*time.Millisecond, "%s at %s", r.ID, h.settings.Host)
+		}
+	}
+}
+
 func TestHostStartsFromItsNeighbourWhileTheStoreIsAway(t *testing.T) {
 	f := newFleet(t, time.Millisecond)
 	a := f.start("a")
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -78,7 +78,7 @@
 // Serve asks until ctx ends.
 func (a *asker) Serve(ctx context.Context) error {
 	for {
-		if a.host.storeAway() || a.host.config.Table() == nil {
+		if a.host.uninformed() || a.host.config.Table() == nil {
 			a.ask(ctx)
 		}
 		select {
@@ -98,7 +98,7 @@
 	self := view.Self()
 	var addresses []string
 	hosts := append(view.Local(), view.Remote()...)
-	if a.host.places.IsBroker() && a.host.replicas.haveRecords() {
+	if a.host.replicas.haveRecords() {
 		hosts = a.host.places.OtherBrokers()
 	}
 	for _, h := range hosts {
@@ -118,6 +118,10 @@
 	}
 }
 
+// uninformed reports whether neither the store nor a broker that it answers has
+// told this host of changes lately.
+func (h *Host) uninformed() bool { return h.storeAway() && h.places.Stale() }
+
 // learnFrom takes what another host knows.
 func (h *Host) learnFrom(ctx context.Context, address string) (StateReply, error) {
 	_, version := h.config.text()
@@ -132,7 +136,7 @@
 		h.config.offer(reply.Config, address)
 	}
 	h.presence.Learn(reply.Hosts)
-	if reply.Current && h.storeAway() && h.places.IsBroker() || reply.HaveReplicas && !h.replicas.haveRecords() {
+	if reply.Current && h.uninformed() || reply.HaveReplicas && !h.replicas.haveRecords() {
 		h.replicas.learned(reply.Replicas)
 	}
 	return reply, nil
