--- a/forward/forward.go
+++ b/forward/forward.go
@@ -137,7 +137,9 @@
 	for {
 		again, err := s.attempt(ctx)
 		if !again {
-			return s.finish(ctx, err)
+			err = s.finish(ctx, err)
+			r.Metrics.count(err)
+			return err
 		}
 		r.Metrics.retried.Inc()
 	}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -1,6 +1,11 @@
 package forward
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/comfreyspindle/comfreyspindle/verdict"
+)
 
 // Metrics are the metrics of online requests.
 type Metrics struct {
@@ -27,5 +32,15 @@
 	return m
 }
 
-// Ended counts the end of a request.
-func (m *Metrics) Ended(outcome string) { m.ended.WithLabelValues(outcome).Inc() }
+// count counts the end of a request: answered, cut, or failed with a verdict.
+func (m *Metrics) count(err error) {
+	outcome := "answered"
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrCut):
+		outcome = "cut"
+	default:
+		outcome = verdict.Of(err).String()
+	}
+	m.ended.WithLabelValues(outcome).Inc()
+}
--- a/route/route.go
+++ b/route/route.go
@@ -87,11 +87,6 @@
 	return r.Targets[0].Service
 }
 
-// Allows reports whether a request of the route may go to a service.
-func (r *Route) Allows(service string) bool {
-	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service })
-}
-
 // Service is what the configuration says of a service.
 type Service struct {
 	Name string
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -47,8 +47,6 @@
 	require.InDelta(t, 9000, got["a"], 200)
 	require.Zero(t, got["c"])
 	require.Equal(t, "a", (&Route{Targets: []Target{{"a", 0}}}).Service("x"))
-	require.True(t, r.Allows("c"))
-	require.False(t, r.Allows("d"))
 }
 
 func TestWhatMayBeRepeated(t *testing.T) {
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -270,13 +270,3 @@
 		}
 	}
 }
-
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		_ = c.raw.Close()
-	}
-	delete(p.idle, address)
-}
