--- a/host/host.go
+++ b/host/host.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -331,89 +330,6 @@
 	return records, ended
 }
 
-// gone takes a host that has left. The broker of its data centre looks for its
-// jobs, or any broker when that has no host left.
-func (h *Host) gone(left membership.Host) {
-	same := func(other membership.Host) bool { return other.DataCentre == left.DataCentre }
-	near := slices.ContainsFunc(append(h.view.Local(), h.view.Remote()...), same)
-	if h.places.IsBroker() && (!near || same(h.view.Self())) {
-		h.wantRecovery()
-	}
-}
-
-// recovery takes over jobs whose owner is gone.
-type recovery struct{ host *Host }
-
-// Serve looks for such jobs at the start, once earlier leases have lapsed, and
-// whenever a host has gone.
-func (r recovery) Serve(ctx context.Context) error {
-	h := r.host
-	settled := h.clock.After(settleTime)
-	// Before that the view of the hosts isn't whole.
-	whole := false
-	for wanted := !h.settings.FirstStart; ; {
-		for wanted && h.jobs.Recover(ctx, whole && h.places.IsBroker()) != nil && ctx.Err() == nil {
-			h.pause(ctx, recoverRetry)
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-settled:
-			whole = true
-			wanted = h.places.IsBroker() && !h.settings.FirstStart
-		case <-h.recover:
-			wanted = true
-		}
-	}
-}
-
-// String names the service in supervisor events.
-func (recovery) String() string { return "recovery" }
-
-func (h *Host) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-h.clock.After(d):
-	}
-}
-
-// retireRanks is the number of hosts that may report a storage host as empty,
-// one after the other.
-const (
-	retireRanks = 3
-	retireStep  = time.Second
-)
-
-// retire reports that a storage host is empty: nothing is kept there.
-func (h *Host) retire(name string) {
-	ranked := membership.Rendezvous(append(h.view.Local(), h.view.Remote()...), "retire/"+name, retireRanks)
-	for rank, of := range ranked {
-		if of.Name != h.settings.Host {
-			continue
-		}
-		h.clock.AfterFunc(time.Duration(rank)*retireStep, func() { h.reportEmpty(name) })
-	}
-}
-
-func (h *Host) reportEmpty(name string) {
-	req, err := platform.RetireDone(name)
-	if err != nil {
-		h.log.WithError(err).WithField("storage_host", name).Error("storage host not reported as empty")
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
-	defer cancel()
-	for ctx.Err() == nil {
-		_, err := h.store.Commit(ctx, req)
-		if err == nil || errors.Is(err, txn.ErrConflict) {
-			h.log.WithField("storage_host", name).Info("storage host is empty")
-			return
-		}
-		h.log.WithError(err).WithField("storage_host", name).Warn("storage host not reported as empty yet")
-		h.pause(ctx, recoverRetry)
-	}
-}
-
 // Serve runs the host until ctx ends or Stop is called.
 func (h *Host) Serve(ctx context.Context) error {
 	ctx, h.cancel = context.WithCancel(ctx)
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -52,7 +52,7 @@
 	if text, version := n.host.config.text(); version > args.ConfigVersion {
 		reply.Config = text
 	}
-	reply.Hosts = append(n.host.view.Local(), n.host.view.Remote()...)
+	reply.Hosts = membership.All(n.host.view)
 	reply.Replicas, reply.HaveReplicas = n.host.replicas.snapshot(), n.host.replicas.haveRecords()
 	reply.Current = n.host.places.IsBroker() && n.host.replicas.current() && !n.host.storeAway()
 	return nil
@@ -97,7 +97,7 @@
 	view := a.host.view
 	self := view.Self()
 	var addresses []string
-	hosts := append(view.Local(), view.Remote()...)
+	hosts := membership.All(view)
 	if a.host.replicas.haveRecords() {
 		hosts = a.host.places.OtherBrokers()
 	}
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -85,7 +86,7 @@
 // read its head. A host that isn't told reads it.
 func (m *Manager) announce(id string) {
 	self := m.View.Self()
-	for _, h := range append(m.View.Local(), m.View.Remote()...) {
+	for _, h := range membership.All(m.View) {
 		if h.Region != self.Region || h.Name == self.Name {
 			continue
 		}
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -111,7 +111,7 @@
 }
 
 func (m *Manager) host(name string) (membership.Host, bool) {
-	for _, h := range append(m.View.Local(), m.View.Remote()...) {
+	for _, h := range membership.All(m.View) {
 		if h.Name == name {
 			return h, true
 		}
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	self := m.View.Self()
-	alive := append(m.View.Local(), m.View.Remote()...)
+	alive := membership.All(m.View)
 	var failed error
 	for _, item := range found {
 		head, err := decodeHead(item)
@@ -200,7 +200,7 @@
 // when this host is seen to be gone.
 func (m *Manager) handOverJob(ctx context.Context, j *job) {
 	self := m.View.Self()
-	next, ok := heir(append(m.View.Local(), m.View.Remote()...), self.DataCentre, self.Name)
+	next, ok := heir(membership.All(m.View), self.DataCentre, self.Name)
 	if !ok {
 		return
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -66,6 +66,9 @@
 	Changed() <-chan struct{}
 }
 
+// All returns the known hosts of all data centres, the host itself included.
+func All(v View) []Host { return append(v.Local(), v.Remote()...) }
+
 // Rendezvous returns the n hosts with the highest weights for key (Thaler and
 // Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996), best
 // first. Hosts that are not alive take no role.
--- a/slots/client.go
+++ b/slots/client.go
@@ -118,7 +118,7 @@
 // hosts returns the hosts that may be broker of a data centre, best first.
 func (c *Client) hosts(dataCentre string) []membership.Host {
 	var of []membership.Host
-	for _, h := range append(c.View.Local(), c.View.Remote()...) {
+	for _, h := range membership.All(c.View) {
 		if h.DataCentre == dataCentre {
 			of = append(of, h)
 		}
