--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -10,18 +10,18 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/porttest"
+
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/bench/load"
@@ -109,31 +109,6 @@
 	}
 }
 
-// Ports of the tests lie below the range from which the system takes ports for
-// outgoing connections, so that none of those takes one first.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort atomic.Int64
-
-// freeAddress returns a free address on loopback.
-func freeAddress(t *testing.T) string {
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		require.NoError(t, l.Close())
-		return address
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 const operatorToken = "operator"
 
 // host is a running daemon.
@@ -161,7 +136,7 @@
 	if testing.Short() {
 		t.Skip("starts processes")
 	}
-	s := &site{t: t, address: freeAddress(t), engines: make(map[string]*process)}
+	s := &site{t: t, address: porttest.Free(t), engines: make(map[string]*process)}
 	s.platform = start(t, "spindlebench", "platform", "--listen", s.address)
 	s.startEngines(engines)
 	for i := range hosts {
@@ -180,7 +155,7 @@
 	doc.Upstreams = doc.Upstreams[:n]
 	for i := range doc.Upstreams {
 		u := &doc.Upstreams[i]
-		u.Address, u.DataCentre, u.Region = freeAddress(s.t), "fukuoka-hakata", "fukuoka"
+		u.Address, u.DataCentre, u.Region = porttest.Free(s.t), "fukuoka-hakata", "fukuoka"
 		s.engines[u.Name] = start(s.t, "spindlebench", "engine", "--listen", u.Address, "--step", "5ms")
 	}
 	s.doc = doc
@@ -188,7 +163,7 @@
 
 func (s *site) addHost(name string) *host {
 	digest := sha256.Sum256([]byte(operatorToken))
-	h := &host{name: name, callers: freeAddress(s.t), peers: freeAddress(s.t), operators: freeAddress(s.t)}
+	h := &host{name: name, callers: porttest.Free(s.t), peers: porttest.Free(s.t), operators: porttest.Free(s.t)}
 	var peers []string
 	for _, other := range s.hosts {
 		peers = append(peers, other.peers)
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/porttest"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/platform"
@@ -53,22 +53,14 @@
 	require.NoError(f.t, err)
 }
 
-// freeAddress returns an address that can be bound.
-func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // start starts a host and waits until it is ready.
 func (f *fleet) start(name string) *Host { return f.startAt(name, "dc", f.address) }
 
 // startAt starts a host in a data centre, with a store of its own address.
 func (f *fleet) startAt(name, dataCentre, store string) *Host {
 	s := &platform.Settings{
-		Host: name, DataCentre: dataCentre, Region: "r", Callers: freeAddress(f.t), Ready: freeAddress(f.t), Peers: freeAddress(f.t),
-		Metrics: freeAddress(f.t), Store: store, Cores: 4, StopTimeout: 8 * time.Second, ResultRetention: time.Minute,
+		Host: name, DataCentre: dataCentre, Region: "r", Callers: porttest.Free(f.t), Ready: porttest.Free(f.t), Peers: porttest.Free(f.t),
+		Metrics: porttest.Free(f.t), Store: store, Cores: 4, StopTimeout: 8 * time.Second, ResultRetention: time.Minute,
 		ConfigTimeout: 2500 * time.Millisecond, DrainTimeout: 2500 * time.Millisecond,
 	}
 	h, err := New(s, fleetLog)
@@ -250,7 +242,7 @@
 	f.store.SetFault(func(string) txntest.Fault { return txntest.Refuse })
 	s := *a.settings
 	s.Host, s.Seeds = "b", []string{a.settings.Peers}
-	s.Callers, s.Ready, s.Peers, s.Metrics = freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
+	s.Callers, s.Ready, s.Peers, s.Metrics = porttest.Free(t), porttest.Free(t), porttest.Free(t), porttest.Free(t)
 	b, err := New(&s, fleetLog)
 	require.NoError(t, err)
 	go func() { _ = b.Serve(context.Background()) }()
