slots: batch items stay out of the peaks

Change: items get no place for 400 ms after some had to leave, and leave one place of each replica free where requests came in the last 10 s.

The new test in slots/load_test.go fails before.

--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -36,6 +36,8 @@
 
 	asked, started, refused int
 	onTime, finished        int
+	// runs counts the places that batch items were given.
+	runs int
 }
 
 type run struct {
@@ -95,6 +97,7 @@
 	for _, g := range plan.Batch {
 		it := l.items[0]
 		l.items = l.items[1:]
+		l.runs++
 		l.ends[g.ID] = &run{at: l.now.Add(it.left), item: it}
 		it.left = 0
 	}
@@ -140,6 +143,7 @@
 			l := play(seed, 32.4, 0.404)
 			require.GreaterOrEqual(t, float64(l.started)/float64(l.asked), 0.97, "online requests that start in time")
 			require.GreaterOrEqual(t, float64(l.onTime)/float64(l.finished+len(l.items)), 0.95, "batch items that are done when due")
+			require.LessOrEqual(t, float64(l.runs)/float64(l.finished), 3.0, "runs of an item: one in each lull of its time")
 		})
 	}
 }
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -51,8 +51,8 @@
 	clear(p.queue[len(rest):])
 	p.queue = rest
 	for _, r := range p.replicas {
-		if len(p.queue) > 0 && r.avoidUntil.After(now) && (plan.Next.IsZero() || r.avoidUntil.Before(plan.Next)) {
-			plan.Next = r.avoidUntil
+		if len(p.queue) > 0 && r.avoidUntil.After(now) {
+			plan.wake(r.avoidUntil)
 		}
 	}
 }
@@ -86,7 +86,7 @@
 	}
 	slices.SortFunc(batch, func(a, b *held) int { return compareRevocable(now, a, b) })
 	for _, g := range batch[:min(max(need, 0), len(batch))] {
-		g.revoked = now
+		g.revoked, p.revokedAt = now, now
 		plan.Revoked = append(plan.Revoked, g.Grant)
 	}
 }
@@ -110,18 +110,23 @@
 }
 
 // placeBatch gives free places to the hosts whose items are due first. Items
-// that are late come last.
+// that are late come last. None are given while requests wait and for some time
+// after items had to leave for them: in a peak they would have to leave again.
 func (s *Scheduler) placeBatch(now time.Time, p *pool, plan *Plan) {
 	if len(p.queue) > 0 {
 		return
 	}
+	if calm := p.revokedAt.Add(revokeCooldown); calm.After(now) {
+		plan.wake(calm)
+		return
+	}
 	for {
 		host, want := p.mostUrgent(now)
 		if want.Items == 0 {
 			return
 		}
 		at := p.choose(now, nil, s.rng)
-		if at == nil {
+		if at == nil || at.used >= p.batchLimit(now, at) {
 			return
 		}
 		plan.Batch = append(plan.Batch, *s.grant(now, at, Grant{Class: Batch, Host: host, Due: want.Due}))
@@ -130,6 +135,22 @@
 	}
 }
 
+// batchLimit is the number of taken places of a replica up to which batch items
+// are added. Where requests come, places are kept for the next ones.
+func (p *pool) batchLimit(now time.Time, r *place) int {
+	if now.Sub(p.askedAt) > reserveWindow {
+		return r.Slots
+	}
+	return max(r.Slots-onlineReserve, 1)
+}
+
+// wake asks for another plan at the given time.
+func (p *Plan) wake(at time.Time) {
+	if p.Next.IsZero() || at.Before(p.Next) {
+		p.Next = at
+	}
+}
+
 func (p *pool) mostUrgent(now time.Time) (host string, want Want) {
 	for h, w := range p.wants {
 		if w.Items > 0 && (want.Items == 0 || compareWants(now, h, w, host, want) < 0) {
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -96,6 +96,14 @@
 	// revokePatience is how long a host has to give a revoked place back before
 	// another is asked for.
 	revokePatience = 150 * time.Millisecond
+	// revokeCooldown is how long batch items get no place after some had to
+	// leave for requests.
+	revokeCooldown = 400 * time.Millisecond
+	// onlineReserve is the number of places of each replica that batch items
+	// leave free.
+	onlineReserve = 1
+	// reserveWindow is how long after the last request places are kept free.
+	reserveWindow = 10 * time.Second
 	// hostPatience is how long a host may be silent before its places are free.
 	hostPatience = 1500 * time.Millisecond
 	// grantPatience is how long a grant for a batch item may wait for its host's
@@ -133,6 +141,10 @@
 	queue    []*Waiter
 	wants    map[string]Want
 	hold     time.Duration
+	// askedAt is when the last request came and revokedAt when batch items last
+	// had to leave for requests.
+	askedAt   time.Time
+	revokedAt time.Time
 }
 
 // place is a replica with the grants on it.
@@ -226,6 +238,7 @@
 // once.
 func (s *Scheduler) Ask(now time.Time, ask Ask) Decision {
 	p := s.pool(ask.Service)
+	p.askedAt = now
 	d := Decision{Replicas: p.ready()}
 	if len(p.queue) == 0 {
 		if at := p.choose(now, ask.Avoid, s.rng); at != nil {
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -117,6 +117,36 @@
 	require.Len(t, late.Revoked, 1, "a host that doesn't answer is not waited for")
 }
 
+// In a peak a place that becomes free is taken by the next request, so an item
+// that got it would have to leave again.
+func TestBatchStaysAwayAfterItHadToLeave(t *testing.T) {
+	s := newScheduler(1, 4)
+	fillBatch(s, start, "b", time.Minute)
+	require.NotNil(t, ask(s, start, time.Second).Waiter)
+	for _, g := range s.Plan(start).Revoked {
+		s.Release(start, g.ID, Unused)
+	}
+	require.Len(t, s.Plan(start).Granted, 1)
+	for id, g := range s.grants {
+		if g.Class == Batch {
+			s.Release(start, id, Done)
+		}
+	}
+	s.SetWant("b", Want{Service: service, Items: 10, Due: start.Add(time.Minute)})
+	plan := s.Plan(start)
+	require.Empty(t, plan.Batch)
+	require.Equal(t, start.Add(revokeCooldown), plan.Next)
+	require.Len(t, s.Plan(plan.Next).Batch, 2, "one place is kept for the next request")
+}
+
+// Places are kept free only where requests come.
+func TestBatchTakesAllPlacesWithoutRequests(t *testing.T) {
+	s := newScheduler(1, 4)
+	require.NotNil(t, ask(s, start, time.Second).Grant)
+	require.Len(t, fillBatch(s, start, "b", time.Minute), 2)
+	require.Len(t, fillBatch(s, start.Add(reserveWindow+1), "b", time.Minute), 1)
+}
+
 // Items that are due soon stay, so nobody should wait for their places.
 func TestItemsThatStayAreNoReasonToWait(t *testing.T) {
 	s := newScheduler(1, 2)
