jobs: one acceptance a job and host, refused at once while the store is away

Changes: submissions of one id share one acceptance; a host that the store does not answer looks once (150 ms) and refuses as not run, to come back in 1.3 s; the host looks for late acceptances, and a host that meets a recorded job asks its owner and takes it over; a connection that could not be made is a call that was not sent; pauses between writes double up to 0.9 s; after a failure one watch a broker probes the store, and hosts without the role leave that to the brokers.

--- a/host/host.go
+++ b/host/host.go
@@ -193,7 +193,7 @@
 	h.places.Init()
 	h.jobs = jobs.NewManager(jobs.Options{
 		Store: h.store, Places: h.places, Upstream: engine, View: h.view, Caller: h.calls, Table: h.config.Table,
-		Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
+		StoreAway: h.storeAway, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
 	})
 	h.places.Items = h.jobs
 	h.runner = &forward.Runner{
@@ -274,6 +274,7 @@
 func (h *Host) watchers() []*Watcher {
 	base := Watcher{store: h.store, clock: h.clock, log: h.log, wait: watchWait(h.settings), active: h.watches}
 	config, hosts, replicas := base, base, base
+	hosts.away, replicas.away = h.storeAway, h.storeAway
 	config.name, config.prefix = "configuration", platform.OperatorPrefix
 	config.listed, config.changed = h.config.apply, h.config.apply
 	config.lost, config.regained = h.lost, h.regained
@@ -310,9 +311,10 @@
 }
 
 // watches reports whether this host watches the store: a broker does, and a host
-// that no broker tells of changes. Who is broker shows once the hosts are known.
+// that the store answers and no broker tells of changes. Who is broker shows once
+// the hosts are known.
 func (h *Host) watches() bool {
-	return h.presence.wasListed() && (h.places.IsBroker() || h.places.Stale())
+	return h.presence.wasListed() && (h.places.IsBroker() || h.places.Stale() && !h.storeAway())
 }
 
 // fleetPrefix is the prefix of the records that every host watches.
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -53,10 +54,15 @@
 }
 
 func watch(t *testing.T, store txn.Store, wait time.Duration) *seen {
+	return watchUnless(t, store, wait, nil)
+}
+
+// watchUnless watches through a watcher that is told whether the store answers.
+func watchUnless(t *testing.T, store txn.Store, wait time.Duration, away func() bool) *seen {
 	s := &seen{values: make(map[string]string)}
 	w := &Watcher{
 		name: "test", store: store, prefix: "p/", clock: clockwork.NewRealClock(), log: quietLog(),
-		listed: s.take, changed: s.take, wait: wait,
+		listed: s.take, changed: s.take, wait: wait, away: away,
 		lost:     func() { s.mu.Lock(); s.lost++; s.mu.Unlock() },
 		regained: func() { s.mu.Lock(); s.back++; s.mu.Unlock() },
 	}
@@ -126,6 +132,25 @@
 	require.Eventually(t, func() bool { _, back := s.counts(); return back == 1 }, patience, time.Millisecond)
 }
 
+// One watch of a host finds out whether the store is back; the others wait for
+// that.
+func TestWatcherDoesNotProbeAStoreThatIsAway(t *testing.T) {
+	store := txntest.NewStore()
+	var away atomic.Bool
+	s := watchUnless(t, store, 5*time.Millisecond, away.Load)
+	put(t, store, "p/a", "1")
+	require.Eventually(t, func() bool { return s.value("p/a") == "1" }, patience, time.Millisecond)
+	away.Store(true)
+	store.SetFault(func(string) txntest.Fault { return txntest.Refuse })
+	require.Eventually(t, func() bool { lost, _ := s.counts(); return lost > 0 }, patience, time.Millisecond)
+	before := store.Calls("watch") + store.Calls("range")
+	time.Sleep(4 * minRetry)
+	require.Equal(t, before, store.Calls("watch")+store.Calls("range"))
+	store.SetFault(nil)
+	away.Store(false)
+	require.Eventually(t, func() bool { _, back := s.counts(); return back == 1 }, patience, time.Millisecond)
+}
+
 // ground is a Presence with stand-ins.
 type ground struct {
 	*Presence
--- a/host/watch.go
+++ b/host/watch.go
@@ -23,7 +23,7 @@
 	defaultWait = 1300 * time.Millisecond
 	// minRetry and maxRetry bound the pause after a failed call.
 	minRetry = 150 * time.Millisecond
-	maxRetry = 2 * time.Second
+	maxRetry = 1200 * time.Millisecond
 )
 
 // Watcher follows the keys with a prefix: a listing, then changes, and another
@@ -41,6 +41,9 @@
 	lost, regained func()
 	// active reports whether to watch now; nil watches always.
 	active func() bool
+	// away reports that the store doesn't answer. After a failed call the watch
+	// goes on once it does; nil finds that out by trying.
+	away func() bool
 	// wait is how long one watch waits for a change.
 	wait time.Duration
 	// gather is a pause after changes, in which more may come.
@@ -59,6 +62,10 @@
 			w.sleep(ctx, minRetry)
 			continue
 		}
+		if retry > 0 && w.away != nil && w.away() {
+			w.sleep(ctx, minRetry)
+			continue
+		}
 		next, err := w.step(ctx, at)
 		if errors.Is(err, txn.ErrCompacted) {
 			w.log.WithField("after", at).Info("changes are no longer known; listing anew")
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -34,8 +34,9 @@
 	}
 	if err := m.write(ctx, batch); err != nil && ctx.Err() == nil {
 		m.Log.WithError(err).WithField("jobs", len(batch)).Warn("results not recorded yet")
-		return retryDelay
+		return m.pause.NextBackOff()
 	}
+	m.pause.Reset()
 	return 0
 }
 
@@ -136,6 +137,7 @@
 		return err
 	}
 	start := m.Clock.Now()
+	pause := newRetryPause()
 	for unknown := false; ; unknown = true {
 		rev, err := m.Store.Commit(ctx, req)
 		switch {
@@ -153,7 +155,7 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-m.Clock.After(retryDelay):
+		case <-m.Clock.After(pause.NextBackOff()):
 		}
 	}
 }
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -61,10 +63,11 @@
 	flushDelay = 1200 * time.Millisecond
 	// flushMargin makes results of a job that is due this soon go out at once.
 	flushMargin = 2 * time.Second
-	// retryDelay is the pause after a failed write.
-	retryDelay = 150 * time.Millisecond
-	// acceptTimeout bounds the wait for the acceptance to be recorded.
-	acceptTimeout = 3500 * time.Millisecond
+	// retryPause is the pause after a failed write. It doubles with each further
+	// one, up to maxRetryPause, and is spread by retrySpread of itself.
+	retryPause    = 150 * time.Millisecond
+	maxRetryPause = 900 * time.Millisecond
+	retrySpread   = 0.2
 	// runFirstByte and runGap are how long a replica may be silent before an
 	// item goes on elsewhere.
 	runFirstByte = 600 * time.Millisecond
@@ -80,6 +83,13 @@
 	peerTimeout = 700 * time.Millisecond
 )
 
+// newRetryPause returns the pauses between tries of one write.
+func newRetryPause() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{
+		InitialInterval: retryPause, Multiplier: 2, MaxInterval: maxRetryPause, RandomizationFactor: retrySpread,
+	}
+}
+
 // Sizes.
 const (
 	// chunkBytes bounds the value of one key below the store's limit.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -103,6 +103,8 @@
 		return p.Body(args.(BodyArgs), reply.(*BodyReply))
 	case "End":
 		return p.End(args.(EndArgs), reply.(*EndReply))
+	case "Owns":
+		return p.Owns(args.(OwnsArgs), reply.(*OwnsReply))
 	case "Adopt":
 		return p.Adopt(args.(AdoptArgs), reply.(*None))
 	default:
@@ -147,7 +149,7 @@
 	h := &testHost{engine: &engine{script: whole}, released: make(chan slots.Outcome, 64)}
 	h.Manager = NewManager(Options{
 		Store: c.store, Places: h, Upstream: h.engine, View: view, Caller: c, Table: func() *route.Table { return table },
-		Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
+		StoreAway: func() bool { return false }, Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -66,6 +66,18 @@
 	return err
 }
 
+// OwnsArgs ask whether the host owns a job.
+type OwnsArgs struct{ ID string }
+
+// OwnsReply answers OwnsArgs.
+type OwnsReply struct{ Owned bool }
+
+// Owns reports whether this host owns a job or is recording its acceptance.
+func (p *Peer) Owns(args OwnsArgs, reply *OwnsReply) error {
+	reply.Owned = p.m.owns(args.ID)
+	return nil
+}
+
 // AnnounceArgs say which host owns a job.
 type AnnounceArgs struct{ ID, Owner string }
 
