The configuration's limits on headers and idle connections; its version in request logs

Cause: header and idle times of http.Server are fixed at its start, so constants stood in for those of the configuration, and header_bytes was not looked at. Lines about a request name the configuration's version.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,6 +23,8 @@
 	ID      string
 	Route   *route.Route
 	Service string
+	// ConfigVersion is the version of the configuration that named the route.
+	ConfigVersion int64
 	// Method, Target, Host, Header and Body go to the replica unchanged. Target
 	// is the path with the query.
 	Method, Target, Host string
@@ -230,7 +232,7 @@
 		return err
 	}
 	s.Log.WithFields(logrus.Fields{
-		"request": s.req.ID, "route": s.req.Route.Name, "service": s.req.Service, "expected_wait": refusal.Wait.String(),
+		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "service": s.req.Service, "expected_wait": refusal.Wait.String(),
 		"replicas": refusal.Replicas, "retry_after": refusal.RetryAfter.String(), "verdict": verdict.NotRun.String(),
 	}).Warn("request refused")
 	return verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "No replica is free in time.").WithRetryAfter(refusal.RetryAfter)
@@ -245,7 +247,7 @@
 func (s *run) log(g slots.Grant, outcome slots.Outcome, err error) {
 	now := s.Clock.Now()
 	entry := s.Log.WithFields(logrus.Fields{
-		"request": s.req.ID, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
+		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
 		"ran": s.ran, "not_run": s.notRun, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
 		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
 	})
--- /dev/null
+++ b/host/connections.go
@@ -0,0 +1,147 @@
+package host
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Bounds for callers' connections while no configuration says otherwise.
+const (
+	// defaultIdleTimeout bounds the time between two requests.
+	defaultIdleTimeout = 60 * time.Second
+	// defaultHeaderTimeout bounds the time to send the headers.
+	defaultHeaderTimeout = 10 * time.Second
+	// maxTimerDelay is how late a timer may be in a process that runs.
+	maxTimerDelay = 500 * time.Millisecond
+)
+
+// connTimeouts bound what a caller's connection may take.
+type connTimeouts struct {
+	// Header bounds the time from the first byte of a request, or from the
+	// connection's start, to the end of the headers.
+	Header time.Duration
+	// Idle bounds the time from an answer to the next request.
+	Idle time.Duration
+}
+
+// boundedListener closes connections that are idle or send headers for too long.
+// The bounds are read anew for each request, since they change with the
+// configuration, which those of http.Server can't.
+type boundedListener struct {
+	net.Listener
+	clock    clockwork.Clock
+	timeouts func() connTimeouts
+}
+
+// Accept implements net.Listener.
+func (l *boundedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &boundedConn{Conn: conn, clock: l.clock, timeouts: l.timeouts}
+	c.enter(readingHeaders)
+	return c, nil
+}
+
+// phase is what a connection is doing.
+type phase uint8
+
+const (
+	// readingHeaders: headers are on their way.
+	readingHeaders phase = iota
+	// serving: a request is being served.
+	serving
+	// idle: nothing has come since the last answer.
+	idle
+)
+
+// boundedConn is a connection of a boundedListener.
+type boundedConn struct {
+	net.Conn
+	clock    clockwork.Clock
+	timeouts func() connTimeouts
+
+	mu    sync.Mutex
+	phase phase
+	timer clockwork.Timer
+}
+
+// Read implements net.Conn. The first bytes after an answer begin a request.
+func (c *boundedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		began := c.phase == idle
+		c.mu.Unlock()
+		if began {
+			c.enter(readingHeaders)
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *boundedConn) Close() error {
+	c.enter(serving)
+	return c.Conn.Close()
+}
+
+// enter begins a phase with its bound.
+func (c *boundedConn) enter(next phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = next
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	var bound time.Duration
+	switch next {
+	case readingHeaders:
+		bound = c.timeouts().Header
+	case idle:
+		bound = c.timeouts().Idle
+	case serving:
+	}
+	if bound > 0 {
+		due := c.clock.Now().Add(bound)
+		c.timer = c.clock.AfterFunc(bound, func() { c.expire(next, due) })
+	}
+}
+
+// expire closes a connection that is still in the phase whose bound has passed.
+// A late call shows that the process stood still: what came meanwhile is not
+// read yet, so the phase begins anew.
+func (c *boundedConn) expire(of phase, due time.Time) {
+	c.mu.Lock()
+	over := c.phase == of && c.timer != nil
+	c.mu.Unlock()
+	switch {
+	case !over:
+	case c.clock.Since(due) > maxTimerDelay:
+		c.enter(of)
+	default:
+		// The peer sees the end; there is nobody else to tell.
+		_ = c.Conn.Close()
+	}
+}
+
+// noteState is the ConnState hook of the server of a boundedListener.
+func noteState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*boundedConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case http.StateActive:
+		c.enter(serving)
+	case http.StateIdle:
+		c.enter(idle)
+	case http.StateNew, http.StateHijacked, http.StateClosed:
+	}
+}
--- a/host/host.go
+++ b/host/host.go
@@ -39,10 +39,6 @@
 	callTimeout = 1500 * time.Millisecond
 	// brokerTimeout is the same for calls to brokers.
 	brokerTimeout = time.Second
-	// idleTimeout closes callers' connections without requests and headerTimeout
-	// those whose headers don't arrive.
-	idleTimeout   = 60 * time.Second
-	headerTimeout = 10 * time.Second
 	// memoryShare is the part of the memory limit at which the collector works
 	// harder.
 	memoryShare = 0.7
@@ -108,14 +104,32 @@
 // String names the service in supervisor events.
 func (l *listener) String() string { return l.name }
 
-func listen(name, address string, h http.Handler) (*listener, error) {
-	bound, err := net.Listen("tcp", address)
+func (h *Host) listen(name, address string, handler http.Handler) (*listener, error) {
+	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	return &listener{name: name, bound: bound, server: &http.Server{
-		Handler: h, IdleTimeout: idleTimeout, ReadHeaderTimeout: headerTimeout,
-	}}, nil
+	return &listener{
+		name:   name,
+		bound:  &boundedListener{Listener: inner, clock: h.clock, timeouts: h.connTimeouts},
+		server: &http.Server{Handler: handler, ConnState: noteState},
+	}, nil
+}
+
+// connTimeouts returns the bounds of the configuration in force.
+func (h *Host) connTimeouts() connTimeouts {
+	t := connTimeouts{Header: defaultHeaderTimeout, Idle: defaultIdleTimeout}
+	table := h.config.Table()
+	if table == nil {
+		return t
+	}
+	if d := table.Limits.HeaderTimeout; d > 0 {
+		t.Header = d
+	}
+	if d := table.Limits.IdleTimeout; d > 0 {
+		t.Idle = d
+	}
+	return t
 }
 
 // New provisions a host: it binds all addresses and starts nothing.
@@ -206,15 +220,15 @@
 	handler := &platform.Handler{
 		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Draining: h.stopping.Load, Log: h.log,
 	}
-	if h.callers, err = listen("callers", h.settings.Callers, handler.Echo()); err != nil {
+	if h.callers, err = h.listen("callers", h.settings.Callers, handler.Echo()); err != nil {
 		return err
 	}
-	if h.ready, err = listen("readiness", h.settings.Ready, platform.ReadyEcho(h.isReady)); err != nil {
+	if h.ready, err = h.listen("readiness", h.settings.Ready, platform.ReadyEcho(h.isReady)); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
-	h.metrics, err = listen("metrics", h.settings.Metrics, mux)
+	h.metrics, err = h.listen("metrics", h.settings.Metrics, mux)
 	return err
 }
 
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -60,6 +60,7 @@
 	CodeNotFound            Code = "not_found"
 	CodeUnknownService      Code = "unknown_service"
 	CodeTooLarge            Code = "too_large"
+	CodeHeadersTooLarge     Code = "headers_too_large"
 	CodeConflict            Code = "conflict"
 	CodeOverloaded          Code = "overloaded"
 	CodeCallerLimit         Code = "caller_limit"
@@ -83,6 +84,7 @@
 	CodeNotFound:            http.StatusNotFound,
 	CodeUnknownService:      http.StatusNotFound,
 	CodeTooLarge:            http.StatusRequestEntityTooLarge,
+	CodeHeadersTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	CodeConflict:            http.StatusConflict,
 	CodeOverloaded:          http.StatusTooManyRequests,
 	CodeCallerLimit:         http.StatusTooManyRequests,
