A fault soak over real processes

e2e/soak runs four hosts as processes on stand-ins of the platform, with a proxy on each link to the store, to replicas and between hosts. A seed draws kills, stops, pauses, hang-ups, delays, one-way cuts, silence, resets, spells of the store (it refuses, loses calls or answers, applies writes late, forgets, ends leases), crashed and leaving replicas and new configurations; they overlap. Callers keep their connections. Checked: whole answers, at most once, true refusals, versions that do not go back, each position of a job's results for good, jobs done after the faults, all hosts serving again, stops in time, no process that ends by itself.

--- a/cli/daemon/platform.go
+++ b/cli/daemon/platform.go
@@ -41,6 +41,11 @@
 }
 
 func serveEdge(ctx context.Context) error {
+	// Signals may come while the host is starting, and would end the process.
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	path := platform.SettingsPath()
 	if path == "" {
 		return cli.WithCode(errors.New("the platform names no settings file"), cli.ExitUsage)
@@ -53,10 +58,6 @@
 	if err != nil {
 		return err
 	}
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	signals, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	served := make(chan error, 1)
 	go func() { served <- h.Serve(ctx) }()
 	for {
--- /dev/null
+++ b/e2e/soak/callers.go
@@ -0,0 +1,179 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+// Load of the callers.
+const (
+	onlineCallers = 8
+	batchCallers  = 3
+	callTimeout   = 4 * time.Second
+	onlinePause   = 15 * time.Millisecond
+	jobPause      = 400 * time.Millisecond
+	readPause     = 250 * time.Millisecond
+	// submitTries are the submissions of one job.
+	submitTries = 3
+	submitPause = 300 * time.Millisecond
+	maxItems    = 8
+)
+
+// callers press on the world.
+type callers struct {
+	world  *World
+	ledger *Ledger
+	seed   uint64
+}
+
+// run sends requests and jobs until one context ends, and reads jobs until the
+// other does.
+func (c *callers) run(sending, reading context.Context) {
+	var all sync.WaitGroup
+	for n := range onlineCallers {
+		all.Go(func() { c.online(sending, n) })
+	}
+	for n := range batchCallers {
+		all.Go(func() { c.batch(sending, reading, n) })
+	}
+	all.Wait()
+}
+
+// newCaller returns a caller that keeps its connections.
+func newCaller() *platformtest.Caller {
+	return &platformtest.Caller{HTTP: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}, Timeout: callTimeout}
+}
+
+func (c *callers) rng(kind string, n int) *rand.Rand {
+	return rand.New(rand.NewPCG(c.seed, uint64(len(kind)*1000+n)))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *callers) online(ctx context.Context, n int) {
+	rng, caller := c.rng("online", n), newCaller()
+	for i := 0; ctx.Err() == nil; i++ {
+		h, id := pick(rng, c.world.hosts), fmt.Sprintf("q-%d-%d", n, i)
+		switch rng.IntN(4) {
+		case 0:
+			c.ledger.limited(id)
+			c.request(caller, h, "/o/x", id)
+		case 1:
+			c.askVersion(caller, h, id, c.world.Version()-rng.IntN(2))
+		default:
+			c.request(caller, h, "/s/x", id)
+		}
+		sleep(ctx, time.Duration(rng.Int64N(int64(2*onlinePause))))
+	}
+}
+
+// request makes a request that every configuration allows and returns whether
+// it was served.
+func (c *callers) request(caller *platformtest.Caller, h *Host, path, id string) {
+	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
+	c.ledger.count(err == nil && a.Status == http.StatusOK)
+	if err != nil {
+		return
+	}
+	if a.Status == http.StatusNotFound {
+		c.ledger.violate("%s: %s answered 404 for %s, which all configurations have", id, h.Name, path)
+	}
+	c.check(h, id, a)
+}
+
+// askVersion asks for a path that only one version of the configuration has.
+func (c *callers) askVersion(caller *platformtest.Caller, h *Host, id string, version int) {
+	at := hostStart{h.Name, h.Starts()}
+	floor := c.ledger.floor(at)
+	a, err := caller.Call(h.Address, http.MethodPost, platformtest.VersionPath(version)+"x", id, "body")
+	if err != nil || h.Starts() != at.start {
+		return
+	}
+	c.check(h, id, a)
+	if a.Status != http.StatusOK {
+		return
+	}
+	if version < floor {
+		c.ledger.violate("%s went back from version %d of the configuration to %d", h.Name, floor, version)
+	}
+	c.ledger.showed(at, version)
+}
+
+// check holds an answer against its promises.
+func (c *callers) check(h *Host, id string, a platformtest.Answer) {
+	switch a.Status {
+	case http.StatusOK:
+		if a.Seal != "seal-"+id || a.Body != wholeStream() {
+			c.ledger.violate("%s: %s answered a success with signature %q and body %q", id, h.Name, a.Seal, a.Body)
+		}
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		c.ledger.refused(id)
+	}
+}
+
+func (c *callers) batch(sending, reading context.Context, n int) {
+	rng, caller := c.rng("batch", n), newCaller()
+	var readers sync.WaitGroup
+	for i := 0; sending.Err() == nil; i++ {
+		id, items := fmt.Sprintf("j-%d-%d", n, i), 1+rng.IntN(maxItems)
+		if c.submit(sending, caller, rng, id, items) {
+			seed := rng.Uint64()
+			readers.Go(func() { c.read(reading, rand.New(rand.NewPCG(seed, 1)), id, items) })
+		}
+		sleep(sending, time.Duration(rng.Int64N(int64(2*jobPause))))
+	}
+	readers.Wait()
+}
+
+// submit sends a job until it is accepted.
+func (c *callers) submit(ctx context.Context, caller *platformtest.Caller, rng *rand.Rand, id string, items int) bool {
+	refused := 0
+	for range submitTries {
+		a, err := caller.Submit(pick(rng, c.world.hosts).Address, id, items)
+		if err == nil && a.Status == http.StatusAccepted {
+			c.ledger.accepted(id, items)
+			return true
+		}
+		if err == nil && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) {
+			refused++
+		}
+		sleep(ctx, submitPause)
+	}
+	if refused == submitTries {
+		for n := range items {
+			c.ledger.refused(platformtest.ItemID(id, n))
+		}
+	}
+	return false
+}
+
+// read reads a job at random hosts until all its results are known.
+func (c *callers) read(ctx context.Context, rng *rand.Rand, id string, items int) {
+	caller := newCaller()
+	defer caller.HTTP.CloseIdleConnections()
+	for known := 0; known < items && ctx.Err() == nil; sleep(ctx, readPause) {
+		known = max(known, c.readOnce(caller, pick(rng, c.world.hosts), id, max(known-rng.IntN(2), 0)))
+	}
+}
+
+func (c *callers) readOnce(caller *platformtest.Caller, h *Host, id string, after int) int {
+	a, err := caller.ResultsAfter(h.Address, id, after)
+	if platformtest.NotFound(err) {
+		c.ledger.violate("job %s: %s answered 404 after it was accepted", id, h.Name)
+	}
+	if err != nil {
+		return 0
+	}
+	return c.ledger.read(id, after, a, h.Name)
+}
--- /dev/null
+++ b/e2e/soak/faults.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+)
+
+// Fault is one disruption of a plan.
+type Fault struct {
+	At   time.Duration
+	Text string
+	run  func(ctx context.Context)
+}
+
+// String describes the fault.
+func (f Fault) String() string { return fmt.Sprintf("%6.2fs %s", f.At.Seconds(), f.Text) }
+
+// Bounds of faults.
+const (
+	meanInterval = 500 * time.Millisecond
+	minSpell     = 300 * time.Millisecond
+	maxSpell     = 5 * time.Second
+	maxDelay     = 400 * time.Millisecond
+	maxDown      = 2 * time.Second
+	drainTime    = 3 * time.Second
+	// signalTime is what a program needs until it takes signals: before that a
+	// hang-up ends any process.
+	signalTime = 100 * time.Millisecond
+	// stopSlack is how much later than the platform's bound a process may end
+	// before that counts as broken.
+	stopSlack = time.Second
+)
+
+// planner draws the faults of a plan.
+type planner struct {
+	world  *World
+	ledger *Ledger
+	rng    *rand.Rand
+}
+
+// Plan draws faults over a time from a seed. They may overlap.
+func Plan(w *World, l *Ledger, seed uint64, length time.Duration) []Fault {
+	p := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 2))}
+	kinds := []func() (string, func(ctx context.Context)){
+		p.kill, p.kill, p.term, p.term, p.pause, p.pause, p.hangup, p.harmStore, p.harmStore, p.forget,
+		p.cutLink, p.cutLink, p.cutLink, p.resetLinks, p.crashReplica, p.drainReplica, p.configure, p.configure,
+	}
+	var plan []Fault
+	for at := p.between(0, 2*meanInterval); at < length; at += p.between(0, 2*meanInterval) {
+		text, run := pick(p.rng, kinds)()
+		plan = append(plan, Fault{At: at, Text: text, run: run})
+	}
+	return plan
+}
+
+func (p *planner) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(p.rng.Int64N(int64(high-low)))
+}
+
+func (p *planner) spell() time.Duration { return p.between(minSpell, maxSpell) }
+
+// kill ends hosts at once, one or all, and starts them again.
+func (p *planner) kill() (string, func(context.Context)) {
+	hosts := []*Host{pick(p.rng, p.world.hosts)}
+	if p.rng.IntN(5) == 0 {
+		hosts = p.world.hosts
+	}
+	down := p.between(0, maxDown)
+	return fmt.Sprintf("kill %d from %s, down %s", len(hosts), hosts[0].Name, down), func(ctx context.Context) {
+		for _, h := range hosts {
+			go func() {
+				h.life.Lock()
+				defer h.life.Unlock()
+				h.Kill()
+				time.Sleep(down)
+				p.restart(h)
+			}()
+		}
+	}
+}
+
+func (p *planner) restart(h *Host) {
+	if err := h.Start(); err != nil {
+		p.ledger.violate("%s not started: %v", h.Name, err)
+	}
+}
+
+// term stops a host by its signal and starts it again.
+func (p *planner) term() (string, func(context.Context)) {
+	h, down := pick(p.rng, p.world.hosts), p.between(0, maxDown)
+	return fmt.Sprintf("stop %s, down %s", h.Name, down), func(context.Context) {
+		h.life.Lock()
+		defer h.life.Unlock()
+		paused := h.pauses.Load()
+		h.Signal(syscall.SIGTERM)
+		if !h.Ended(stopTimeout + stopSlack) {
+			if h.pauses.Load() == paused {
+				p.ledger.violate("%s has not ended %s after its signal", h.Name, stopTimeout+stopSlack)
+			}
+			h.Kill()
+		}
+		time.Sleep(down)
+		p.restart(h)
+	}
+}
+
+// pause lets a host stand still, whatever else happens to it.
+func (p *planner) pause() (string, func(context.Context)) {
+	h, spell := pick(p.rng, p.world.hosts), p.spell()
+	return fmt.Sprintf("pause %s for %s", h.Name, spell), func(ctx context.Context) {
+		h.pauses.Add(1)
+		h.Signal(syscall.SIGSTOP)
+		sleep(ctx, spell)
+		h.Signal(syscall.SIGCONT)
+	}
+}
+
+func (p *planner) hangup() (string, func(context.Context)) {
+	h := pick(p.rng, p.world.hosts)
+	return "hang up " + h.Name, func(ctx context.Context) {
+		sleep(ctx, signalTime-h.Age())
+		h.Signal(syscall.SIGHUP)
+	}
+}
+
+// harmStore lets the store refuse calls, lose them, lose their answers or apply
+// writes late.
+func (p *planner) harmStore() (string, func(context.Context)) {
+	spells := []struct {
+		name  string
+		fault storeFault
+	}{
+		{"refuses", storeFault{fault: txntest.Refuse, share: 1}},
+		{"loses calls", storeFault{fault: txntest.LoseRequest, share: 1}},
+		{"loses answers", storeFault{fault: txntest.LoseAnswer, share: 0.4, writesOnly: true}},
+		{"applies writes late", storeFault{fault: txntest.Late, share: 0.4, writesOnly: true}},
+	}
+	s, spell, seed := pick(p.rng, spells), p.spell(), p.rng.Uint64()
+	lapse := p.rng.IntN(3) == 0
+	return fmt.Sprintf("store %s for %s, leases lapse: %v", s.name, spell, lapse), func(ctx context.Context) {
+		p.world.store.harm(&s.fault, seed)
+		if lapse {
+			p.world.store.lapseAll()
+		}
+		sleep(ctx, spell)
+		p.world.store.ReleaseLate()
+		p.world.store.harm(nil, 0)
+	}
+}
+
+func (p *planner) forget() (string, func(context.Context)) {
+	return "store forgets its history", func(context.Context) { p.world.store.Compact() }
+}
+
+// link draws the connections of a host to the store or another host, or those of
+// a replica.
+func (p *planner) link() (string, func() *Proxy) {
+	if p.rng.IntN(3) == 0 {
+		s := pick(p.rng, p.world.slots)
+		return "replica " + s.name, func() *Proxy { return p.world.proxyOf(s) }
+	}
+	h := pick(p.rng, p.world.hosts)
+	if p.rng.IntN(2) == 0 {
+		return h.Name + " to store", func() *Proxy { return h.store }
+	}
+	others := slices.DeleteFunc(slices.Clone(p.world.hosts), func(o *Host) bool { return o == h })
+	other := pick(p.rng, others)
+	return h.Name + " to " + other.Name, func() *Proxy { return h.links[other.Name] }
+}
+
+// cutLink delays a link, cuts it one way or silences it.
+func (p *planner) cutLink() (string, func(context.Context)) {
+	name, link := p.link()
+	states := []LinkState{
+		{Delay: p.between(0, maxDelay)}, {HoldUp: true}, {HoldDown: true}, {HoldUp: true, HoldDown: true},
+	}
+	state, spell := pick(p.rng, states), p.spell()
+	return fmt.Sprintf("link %s: %+v for %s", name, state, spell), func(ctx context.Context) {
+		l := link()
+		l.Set(state)
+		sleep(ctx, spell)
+		l.Set(LinkState{})
+	}
+}
+
+func (p *planner) resetLinks() (string, func(context.Context)) {
+	name, link := p.link()
+	return "reset link " + name, func(context.Context) { link().Reset() }
+}
+
+// crashReplica ends a replica at once, and another comes in its place.
+func (p *planner) crashReplica() (string, func(context.Context)) {
+	s, down := pick(p.rng, p.world.slots), p.between(0, maxDown)
+	return fmt.Sprintf("replica %s crashes, next in %s", s.name, down), func(context.Context) {
+		p.replace(s, true, down)
+	}
+}
+
+// drainReplica lets a replica leave after it was reported.
+func (p *planner) drainReplica() (string, func(context.Context)) {
+	s := pick(p.rng, p.world.slots)
+	return fmt.Sprintf("replica %s drains", s.name), func(context.Context) {
+		p.replace(s, false, 0)
+	}
+}
+
+func (p *planner) replace(s *slot, crash bool, down time.Duration) {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if err := p.world.StopReplica(s, crash, drainTime); err != nil {
+		p.ledger.violate("replica %s not stopped: %v", s.name, err)
+	}
+	time.Sleep(down)
+	if err := p.world.StartReplica(s); err != nil {
+		p.ledger.violate("replica %s not started: %v", s.name, err)
+	}
+}
+
+func (p *planner) configure() (string, func(context.Context)) {
+	return "next configuration", func(context.Context) {
+		if err := p.world.Configure(); err != nil {
+			p.ledger.violate("configuration not written: %v", err)
+		}
+	}
+}
--- /dev/null
+++ b/e2e/soak/ledger.go
@@ -0,0 +1,186 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+)
+
+// Ledger notes what callers see and which promises are broken.
+type Ledger struct {
+	mu         sync.Mutex
+	violations []string
+	// notRun are requests and items that were refused as not run, and once those
+	// that may run once at most.
+	notRun, once map[string]struct{}
+	jobs         map[string]*jobSeen
+	// inForce is the newest version of the configuration that a start of a host
+	// has shown.
+	inForce        map[hostStart]int
+	Served, Failed int
+}
+
+// jobSeen is what is known of an accepted job.
+type jobSeen struct {
+	items   int
+	results []platformtest.Result
+}
+
+// hostStart is one start of a host.
+type hostStart struct {
+	host  string
+	start int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		notRun: make(map[string]struct{}), once: make(map[string]struct{}),
+		jobs: make(map[string]*jobSeen), inForce: make(map[hostStart]int),
+	}
+}
+
+func (l *Ledger) violate(format string, args ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.violations = append(l.violations, fmt.Sprintf(format, args...))
+}
+
+// Violations returns the broken promises so far.
+func (l *Ledger) Violations() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]string(nil), l.violations...)
+}
+
+// refused notes a promise that a request has not run and never will.
+func (l *Ledger) refused(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.notRun[id] = struct{}{}
+}
+
+// limited notes a request that may run once at most.
+func (l *Ledger) limited(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.once[id] = struct{}{}
+}
+
+func (l *Ledger) count(served bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if served {
+		l.Served++
+		return
+	}
+	l.Failed++
+}
+
+// floor returns the newest version that a start of a host has shown.
+func (l *Ledger) floor(of hostStart) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inForce[of]
+}
+
+// showed notes that a start of a host has a version in force.
+func (l *Ledger) showed(of hostStart, version int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inForce[of] = max(l.inForce[of], version)
+}
+
+// accepted notes a job that is the system's to keep.
+func (l *Ledger) accepted(id string, items int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.jobs[id]; !ok {
+		l.jobs[id] = &jobSeen{items: items}
+	}
+}
+
+// read notes results of a job from a position on and checks that each position
+// keeps its result. It returns the number of positions that are known.
+func (l *Ledger) read(id string, after int, results []platformtest.Result, host string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	j := l.jobs[id]
+	for i, r := range results {
+		at := after + i
+		switch {
+		case at < len(j.results) && j.results[at] != r:
+			l.violations = append(l.violations, fmt.Sprintf("job %s: position %d was %+v, and is %+v at %s", id, at, j.results[at], r, host))
+		case at == len(j.results):
+			l.violations = append(l.violations, j.add(id, r)...)
+		}
+	}
+	return len(j.results)
+}
+
+// add takes the result of a further position and returns what is wrong with it.
+func (j *jobSeen) add(id string, r platformtest.Result) []string {
+	var wrong []string
+	for at, other := range j.results {
+		if other.ID == r.ID {
+			wrong = append(wrong, fmt.Sprintf("job %s: item %s stands at positions %d and %d", id, r.ID, at, len(j.results)))
+		}
+	}
+	if !strings.HasPrefix(r.ID, id+"-") {
+		wrong = append(wrong, fmt.Sprintf("job %s: result of a foreign item %s", id, r.ID))
+	}
+	if !r.Done() || r.Output != wholeOutput() {
+		wrong = append(wrong, fmt.Sprintf("job %s: item %s is %q with output %q", id, r.ID, r.State, r.Output))
+	}
+	j.results = append(j.results, r)
+	return wrong
+}
+
+// open returns the accepted jobs whose results are not all known.
+func (l *Ledger) open() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var ids []string
+	for id, j := range l.jobs {
+		if len(j.results) < j.items {
+			ids = append(ids, fmt.Sprintf("%s (%d of %d)", id, len(j.results), j.items))
+		}
+	}
+	return ids
+}
+
+// CheckRuns compares the promises with what the replicas ran.
+func (l *Ledger) CheckRuns(runs map[string]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.notRun {
+		if runs[id] > 0 {
+			l.violations = append(l.violations, fmt.Sprintf("%s was refused as not run, and ran %d times", id, runs[id]))
+		}
+	}
+	for id := range l.once {
+		if runs[id] > 1 {
+			l.violations = append(l.violations, fmt.Sprintf("%s may run once and ran %d times", id, runs[id]))
+		}
+	}
+}
+
+// wholeOutput is the text of an item's result.
+func wholeOutput() string {
+	var lines []string
+	for n := 1; n <= eventsPerAnswer; n++ {
+		lines = append(lines, fmt.Sprintf("e%d", n))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// wholeStream is the body of an answer.
+func wholeStream() string {
+	var b strings.Builder
+	for n := 1; n <= eventsPerAnswer; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", n, n)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/e2e/soak/process.go
@@ -0,0 +1,108 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Process is one run after another of a program. It is safe for concurrent use.
+type Process struct {
+	program, settingsVariable, settingsPath string
+	args                                    []string
+	log                                     *os.File
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the present run has ended.
+	done chan struct{}
+	// ending says that the run was told to end.
+	ending bool
+	// starts counts the runs, and startedAt is when the present one began.
+	starts    int
+	startedAt time.Time
+	// unasked are ends that nobody asked for.
+	unasked []string
+}
+
+// Start begins a run.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(p.program, p.args...)
+	cmd.Env = append(os.Environ(), p.settingsVariable+"="+p.settingsPath)
+	cmd.Stdout, cmd.Stderr = p.log, p.log
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, "start process")
+	}
+	p.cmd, p.done, p.ending = cmd, make(chan struct{}), false
+	p.starts++
+	p.startedAt = time.Now()
+	go p.reap(cmd, p.done)
+	return nil
+}
+
+func (p *Process) reap(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	if !p.ending {
+		p.unasked = append(p.unasked, errors.Wrap(err, "process ended by itself").Error())
+	}
+	p.mu.Unlock()
+	close(done)
+}
+
+// Signal sends a signal to the present run.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM {
+		p.ending = true
+	}
+	// A run that has ended takes no signal.
+	_ = p.cmd.Process.Signal(s)
+}
+
+// Ended waits until the present run has ended.
+func (p *Process) Ended(limit time.Duration) bool {
+	p.mu.Lock()
+	done := p.done
+	p.mu.Unlock()
+	select {
+	case <-done:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
+// Kill ends the present run at once.
+func (p *Process) Kill() {
+	p.Signal(syscall.SIGKILL)
+	p.Ended(time.Minute)
+}
+
+// Starts returns the number of runs so far.
+func (p *Process) Starts() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.starts
+}
+
+// Age returns how long the present run has lasted.
+func (p *Process) Age() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.startedAt)
+}
+
+// Unasked returns the ends that nobody asked for.
+func (p *Process) Unasked() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.unasked...)
+}
--- /dev/null
+++ b/e2e/soak/proxy.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// LinkState is what a proxy does with the bytes of its connections.
+type LinkState struct {
+	// Delay is added to each piece.
+	Delay time.Duration
+	// HoldUp holds what callers send and HoldDown what the server sends, until
+	// the state changes: nothing is lost, as with packets that are sent again.
+	HoldUp, HoldDown bool
+}
+
+// Proxy carries connections on loopback to one address, and harms them.
+type Proxy struct {
+	listener net.Listener
+
+	mu      sync.Mutex
+	target  string
+	state   LinkState
+	changed chan struct{}
+	conns   map[net.Conn]struct{}
+	closed  bool
+}
+
+// chunk is the size of one piece.
+const chunk = 16 << 10
+
+// NewProxy starts a proxy to an address.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a proxy")
+	}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
+	go p.serve()
+	return p, nil
+}
+
+// Address returns the address of the proxy.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// SetTarget sends new connections to another address.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+// Set changes what happens to the bytes.
+func (p *Proxy) Set(s LinkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state = s
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// Reset resets all connections.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	p.Set(LinkState{})
+	p.Reset()
+}
+
+func (p *Proxy) serve() {
+	for {
+		down, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.carry(down)
+	}
+}
+
+// carry connects both sides. The connection to the server is made once the link
+// lets the caller's bytes through.
+func (p *Proxy) carry(down net.Conn) {
+	if !p.track(down) {
+		return
+	}
+	defer p.drop(down)
+	p.pass(func(s LinkState) bool { return !s.HoldUp })
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	up, err := net.Dial("tcp", target)
+	if err != nil || !p.track(up) {
+		return
+	}
+	defer p.drop(up)
+	var both sync.WaitGroup
+	both.Go(func() { p.pump(up, down, func(s LinkState) bool { return !s.HoldUp }) })
+	both.Go(func() { p.pump(down, up, func(s LinkState) bool { return !s.HoldDown }) })
+	both.Wait()
+}
+
+// pump carries one direction, and its end.
+func (p *Proxy) pump(to, from net.Conn, open func(LinkState) bool) {
+	buf := make([]byte, chunk)
+	for {
+		n, err := from.Read(buf)
+		delay := p.pass(open)
+		time.Sleep(delay)
+		if n > 0 {
+			if _, werr := to.Write(buf[:n]); werr != nil {
+				_ = from.Close()
+				return
+			}
+		}
+		if err != nil {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			return
+		}
+	}
+}
+
+// pass waits until the link lets bytes through and returns its delay.
+func (p *Proxy) pass(open func(LinkState) bool) time.Duration {
+	for {
+		p.mu.Lock()
+		state, changed, closed := p.state, p.changed, p.closed
+		p.mu.Unlock()
+		if closed || open(state) {
+			return state.Delay
+		}
+		<-changed
+	}
+}
+
+func (p *Proxy) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		_ = c.Close()
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Proxy) drop(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	_ = c.Close()
+}
--- /dev/null
+++ b/e2e/soak/soak.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Times of a run, besides its length.
+const (
+	startLimit = 20 * time.Second
+	// healedLimit is how long after the last fault hosts may need until they
+	// serve, and jobsLimit until all accepted jobs are done.
+	healedLimit = 12 * time.Second
+	jobsLimit   = 30 * time.Second
+	// calmRequests are made at each host after the faults, of which minCalm must
+	// be served.
+	calmRequests = 20
+	minCalm      = 19
+)
+
+// Report is what a run showed.
+type Report struct {
+	Seed           uint64
+	Plan           []Fault
+	Violations     []string
+	Served, Failed int
+	Jobs           int
+}
+
+// String describes the report with its plan.
+func (r *Report) String() string {
+	text := fmt.Sprintf("seed %d: %d served, %d not, %d jobs, %d violations\n", r.Seed, r.Served, r.Failed, r.Jobs, len(r.Violations))
+	for _, f := range r.Plan {
+		text += f.String() + "\n"
+	}
+	for _, v := range r.Violations {
+		text += "BROKEN " + v + "\n"
+	}
+	return text
+}
+
+// Run plays the plan of a seed on a world and checks the promises during it and
+// after it.
+func Run(ctx context.Context, w *World, seed uint64, length time.Duration) (*Report, error) {
+	ledger := NewLedger()
+	if err := w.Start(startLimit); err != nil {
+		return nil, err
+	}
+	r := &Report{Seed: seed, Plan: Plan(w, ledger, seed, length)}
+	c := &callers{world: w, ledger: ledger, seed: seed}
+	reading, stop := context.WithCancel(ctx)
+	defer stop()
+	submitting, stopSubmitting := context.WithCancel(reading)
+	defer stopSubmitting()
+	var pressed sync.WaitGroup
+	pressed.Go(func() { c.run(submitting, reading) })
+	playFaults(ctx, r.Plan, length)
+	w.Heal()
+	checkHealed(w, c)
+	stopSubmitting()
+	checkJobs(ledger)
+	stop()
+	pressed.Wait()
+	for _, h := range w.hosts {
+		for _, end := range h.Unasked() {
+			ledger.violate("%s: %s", h.Name, end)
+		}
+	}
+	ledger.CheckRuns(w.Runs())
+	r.Violations, r.Served, r.Failed, r.Jobs = ledger.Violations(), ledger.Served, ledger.Failed, len(ledger.jobs)
+	return r, nil
+}
+
+// playFaults carries out a plan and returns when its time is over and all that
+// it began has ended.
+func playFaults(ctx context.Context, plan []Fault, length time.Duration) {
+	began := time.Now()
+	var all sync.WaitGroup
+	for _, f := range plan {
+		sleep(ctx, f.At-time.Since(began))
+		all.Go(func() { f.run(ctx) })
+	}
+	sleep(ctx, length-time.Since(began))
+	all.Wait()
+}
+
+// checkHealed checks that each host serves nearly all requests again.
+func checkHealed(w *World, c *callers) {
+	for _, h := range w.hosts {
+		h.life.Lock()
+		err := w.awaitServing(h, healedLimit)
+		h.life.Unlock()
+		if err != nil {
+			c.ledger.violate("after the faults: %v", err)
+		}
+	}
+	for _, h := range w.hosts {
+		caller, served := newCaller(), 0
+		for n := range calmRequests {
+			a, err := caller.Call(h.Address, http.MethodPost, "/s/x", fmt.Sprintf("calm-%s-%d", h.Name, n), "body")
+			if err == nil && a.Status == http.StatusOK {
+				served++
+			}
+		}
+		if served < minCalm {
+			c.ledger.violate("after the faults %s serves %d of %d requests", h.Name, served, calmRequests)
+		}
+	}
+}
+
+// checkJobs waits until all accepted jobs are done.
+func checkJobs(l *Ledger) {
+	for end := time.Now().Add(jobsLimit); time.Now().Before(end); time.Sleep(readPause) {
+		if len(l.open()) == 0 {
+			return
+		}
+	}
+	for _, id := range l.open() {
+		l.violate("job %s is not done %s after the faults", id, jobsLimit)
+	}
+}
