jobs: a job whose take-over takes effect late has an owner; records go to possible brokers

A conflict with the former owner's last write was taken for another owner, too. Changes: a take-over is sent again until its outcome is known, as an acceptance is; after a conflict the head is read again; a host that reads an open job whose owner does not know of it takes it over, and leaves it to an owner that has just started. Tests in jobs/accept_test.go fail before.

Change: only the three hosts that may be broker take them, and only when they change. Others are ready once a broker with records has answered.

--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"syscall"
 	"time"
 
@@ -72,16 +73,18 @@
 		hosts = p.world.hosts
 	}
 	down := p.between(0, maxDown)
-	return fmt.Sprintf("kill %d from %s, down %s", len(hosts), hosts[0].Name, down), func(ctx context.Context) {
+	return fmt.Sprintf("kill %d from %s, down %s", len(hosts), hosts[0].Name, down), func(context.Context) {
+		var all sync.WaitGroup
 		for _, h := range hosts {
-			go func() {
+			all.Go(func() {
 				h.life.Lock()
 				defer h.life.Unlock()
 				h.Kill()
 				time.Sleep(down)
 				p.restart(h)
-			}()
+			})
 		}
+		all.Wait()
 	}
 }
 
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -32,6 +32,9 @@
 }{
 	{1, 12 * time.Second, "none: the seed that CI always plays"},
 	{205, 13 * time.Second, "a hang-up signal ended a process that was starting: signals were taken only once the host was built"},
+	{1001, 25 * time.Second, "jobs without an owner: a take-over took effect after its host had taken it for failed"},
+	{1021, 25 * time.Second, "the same, at a hand-over"},
+	{1035, 25 * time.Second, "of the soak itself: a kill came after the faults were said to be over"},
 }
 
 var program string
--- a/host/host.go
+++ b/host/host.go
@@ -234,7 +234,7 @@
 
 // isReady reports whether the balancer may send requests here.
 func (h *Host) isReady() bool {
-	return !h.stopping.Load() && h.config.Table() != nil && h.replicas.haveRecords()
+	return !h.stopping.Load() && h.config.Table() != nil && (h.replicas.haveRecords() || h.places.Informed())
 }
 
 // storeAway reports whether the store has not answered lately.
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -92,12 +92,13 @@
 // String names the service in supervisor events.
 func (a *asker) String() string { return "neighbours" }
 
-// ask asks one host, drawn by lot: a broker if the replicas are to be known.
+// ask asks one host, drawn by lot: one that holds the replicas' records, or a
+// broker of another data centre when this host has older ones.
 func (a *asker) ask(ctx context.Context) {
 	view := a.host.view
 	self := view.Self()
 	var addresses []string
-	hosts := membership.All(view)
+	hosts := a.host.places.Candidates()
 	if a.host.replicas.haveRecords() {
 		hosts = a.host.places.OtherBrokers()
 	}
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -164,8 +164,9 @@
 	return req, nil
 }
 
-// record writes a new job. After a lost answer the same transaction is sent
-// again: at most one of them takes effect, and the head tells whose it was.
+// record writes the head of a job with this host as its owner. After a lost
+// answer the same transaction is sent again: at most one of them takes effect,
+// and the head tells whose it was.
 func (m *Manager) record(ctx context.Context, req txn.Request, head *Head) (txn.Rev, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
@@ -228,40 +229,6 @@
 	m.Log.WithField("job", head.ID).Info("no acceptance has taken effect late")
 }
 
-// ensureOwner takes a job over whose owner doesn't know that its acceptance took
-// effect.
-func (m *Manager) ensureOwner(ctx context.Context, id string) {
-	log := m.Log.WithField("job", id)
-	head, _, err := m.load(ctx, id)
-	if err != nil {
-		log.WithError(err).Warn("owner of an accepted job not read")
-		return
-	}
-	m.mu.Lock()
-	_, owned := m.jobs[id]
-	m.mu.Unlock()
-	if owned || !head.open() {
-		return
-	}
-	self := m.View.Self()
-	if head.Owner != self.Name {
-		owner, ok := m.host(head.Owner)
-		if !ok {
-			// Recovery takes over what a lost host leaves.
-			return
-		}
-		bound, cancel := context.WithTimeout(ctx, peerTimeout)
-		defer cancel()
-		var reply OwnsReply
-		if err := m.Caller.Call(bound, owner.PeerAddress, PeerName+".Owns", OwnsArgs{ID: id}, &reply); err != nil || reply.Owned {
-			return
-		}
-	}
-	if err := m.claim(ctx, id, head.Owner, nil); err != nil {
-		log.WithError(err).Warn("accepted job without an owner not taken over")
-	}
-}
-
 // owns reports whether this host owns a job or is about to.
 func (m *Manager) owns(id string) bool {
 	m.mu.Lock()
--- a/jobs/accept_test.go
+++ b/jobs/accept_test.go
@@ -64,6 +64,75 @@
 	require.Eventually(t, func() bool { return c.owners("job") == 1 }, 5*time.Second, 10*time.Millisecond)
 }
 
+// A take-over takes effect after its host has given up waiting for the answer.
+// The host that offered the job keeps it until the outcome is known.
+func TestTakeOverThatTakesEffectLateHasAnOwner(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a, b := c.hosts["a"], c.hosts["b"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	c.failCommits(txntest.Late, 2)
+	a.HandOver(t.Context())
+	require.Equal(t, 1, c.owners("job"))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	require.Contains(t, b.jobs, "job")
+}
+
+// A last write of the former owner meets the take-over.
+func TestTakeOverThatMeetsALateWrite(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a, b := c.hosts["a"], c.hosts["b"]
+	require.NoError(t, a.Submit(t.Context(), submission(2)))
+	a.runItem()
+	n := 0
+	c.store.SetFault(func(call string) txntest.Fault {
+		if call == "commit" {
+			if n++; n == 1 {
+				go a.record(t)
+				return txntest.LoseRequest
+			}
+		}
+		return txntest.None
+	})
+	require.NoError(t, b.claim(t.Context(), "job", "a", nil))
+	require.Contains(t, b.jobs, "job")
+	require.Len(t, b.jobs["job"].results, 1)
+}
+
+// A host that the store names as owner, and that doesn't know the job, gets it
+// back when the job is read.
+func TestReadingAJobFindsItsOwnerAnew(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	a.mu.Lock()
+	delete(a.jobs, "job")
+	a.mu.Unlock()
+	for _, reader := range []string{"a", "b"} {
+		require.Eventually(t, func() bool {
+			require.Empty(t, c.results(reader, 0))
+			return c.owners("job") == 1
+		}, 5*time.Second, 10*time.Millisecond, "read at %s", reader)
+		for _, h := range c.hosts {
+			h.mu.Lock()
+			delete(h.jobs, "job")
+			h.mu.Unlock()
+		}
+	}
+}
+
+// A host that has just started takes its own jobs by itself.
+func TestJobOfAnEarlierStartIsLeftToItsHost(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(1)))
+	c.add("a", 2, "a", "b")
+	var reply OwnsReply
+	require.NoError(t, c.hosts["a"].Peer().Owns(OwnsArgs{ID: "job", Incarnation: 1}, &reply))
+	require.True(t, reply.Owned)
+	require.NoError(t, c.hosts["a"].Peer().Owns(OwnsArgs{ID: "job", Incarnation: 2}, &reply))
+	require.False(t, reply.Owned)
+}
+
 // owners counts the hosts that own a job.
 func (c *cluster) owners(id string) int {
 	n := 0
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -56,6 +56,8 @@
 	runs   map[slots.GrantID]context.CancelFunc
 	// accepting are the submissions that are being recorded.
 	accepting map[string]*acceptance
+	// searches are the jobs whose owner is being looked for.
+	searches map[string]struct{}
 	// stopping refuses new work.
 	stopping bool
 	running  sync.WaitGroup
@@ -73,7 +75,7 @@
 func NewManager(o Options) *Manager {
 	return &Manager{
 		Options: o, jobs: make(map[string]*job), owners: make(map[string]string),
-		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), dirty: make(chan struct{}, 1), waiting: make(chan struct{}, 1),
+		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), searches: make(map[string]struct{}), dirty: make(chan struct{}, 1), waiting: make(chan struct{}, 1),
 		pause: newRetryPause(),
 	}
 }
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -66,15 +66,20 @@
 	return err
 }
 
-// OwnsArgs ask whether the host owns a job.
-type OwnsArgs struct{ ID string }
+// OwnsArgs ask whether the host owns a job, of which the store says so.
+type OwnsArgs struct {
+	ID string
+	// Incarnation is that of the owner in the job's record.
+	Incarnation uint64
+}
 
 // OwnsReply answers OwnsArgs.
 type OwnsReply struct{ Owned bool }
 
-// Owns reports whether this host owns a job or is recording its acceptance.
+// Owns reports whether this host owns a job or will: its acceptance is being
+// recorded, or the host takes it over from an earlier start of its own.
 func (p *Peer) Owns(args OwnsArgs, reply *OwnsReply) error {
-	reply.Owned = p.m.owns(args.ID)
+	reply.Owned = args.Incarnation < p.m.View.Self().Incarnation || p.m.owns(args.ID)
 	return nil
 }
 
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -141,6 +141,9 @@
 	if err != nil {
 		return Page{}, err
 	}
+	if head.open() {
+		m.findOwner(id)
+	}
 	page := Page{Total: head.Total}
 	if after >= head.Listed {
 		return page, nil
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -76,15 +76,15 @@
 	return false
 }
 
-// inherits reports whether this host is to take over a job: one of its own
-// earlier start, or one whose owner is gone from its data centre, or from one
+// inherits reports whether this host is to take over a job that it doesn't run:
+// its own, or one whose owner is gone from its data centre, or from one
 // that has no host left.
 func inherits(head *Head, alive []membership.Host, self membership.Host) bool {
 	switch {
 	case !head.open():
 		return false
 	case head.Owner == self.Name:
-		return head.Incarnation < self.Incarnation
+		return head.Incarnation <= self.Incarnation
 	case slices.ContainsFunc(alive, func(h membership.Host) bool { return h.Name == head.Owner }):
 		return false
 	case head.DataCentre == self.DataCentre:
@@ -93,13 +93,27 @@
 	return !slices.ContainsFunc(alive, func(h membership.Host) bool { return h.DataCentre == head.DataCentre })
 }
 
-// claim makes this host the owner of a job.
+// claimTries bounds the tries to take a job over whose record changes meanwhile.
+const claimTries = 3
+
+// claim makes this host the owner of a job, unless another host than the given
+// one owns it or nothing is left to run.
 func (m *Manager) claim(ctx context.Context, id, from string, progress []Progress) error {
+	var err error
+	for range claimTries {
+		// A conflict may be a write of the former owner that took effect late.
+		if err = m.claimOnce(ctx, id, from, progress); !errors.Is(err, txn.ErrConflict) {
+			return err
+		}
+	}
+	return err
+}
+
+func (m *Manager) claimOnce(ctx context.Context, id, from string, progress []Progress) error {
 	head, rev, err := m.load(ctx, id)
 	if err != nil {
 		return err
 	}
-	self := m.View.Self()
 	if head.Owner != from || !head.open() {
 		return nil
 	}
@@ -107,30 +121,21 @@
 	if err != nil {
 		return err
 	}
-	var results []Result
-	for n := range head.Starts {
-		chunk, err := m.resultChunk(ctx, id, n)
-		if err != nil {
-			return err
-		}
-		results = append(results, chunk...)
+	results, err := m.allResults(ctx, head)
+	if err != nil {
+		return err
 	}
+	self := m.View.Self()
 	head.Owner, head.Incarnation, head.DataCentre = self.Name, self.Incarnation, self.DataCentre
 	head.Write++
 	value, err := cbor.Marshal(head)
 	if err != nil {
 		return errors.Wrap(err, "encode head")
 	}
-	rev, err = m.Store.Commit(ctx, txn.Request{
+	rev, err = m.record(ctx, txn.Request{
 		If:     []txn.Condition{{Key: headKey(id), Rev: rev}},
 		Writes: []txn.Write{{Key: headKey(id), Value: value}},
-	})
-	if errors.Is(err, txn.ErrUnknown) {
-		rev, err = m.whose(ctx, head)
-	}
-	if errors.Is(err, txn.ErrConflict) {
-		return nil
-	}
+	}, head)
 	if err != nil {
 		return errors.Wrapf(err, "take over job %s", id)
 	}
@@ -142,6 +147,19 @@
 	return nil
 }
 
+// allResults reads all recorded results of a job.
+func (m *Manager) allResults(ctx context.Context, head *Head) ([]Result, error) {
+	var results []Result
+	for n := range head.Starts {
+		chunk, err := m.resultChunk(ctx, head.ID, n)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, chunk...)
+	}
+	return results, nil
+}
+
 // resume takes what another host had gathered of the items' outputs.
 func (j *job) resume(progress []Progress) {
 	for _, p := range progress {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -22,8 +23,11 @@
 
 	mu    sync.Mutex
 	sched *Scheduler
-	// replicas and version are the records that hosts are told of.
+	// replicas, by id in table, and version are the records that hosts are told
+	// of. They are known once there was a listing, which may have been empty.
 	replicas []replica.Replica
+	table    map[string]replica.Replica
+	known    bool
 	version  int64
 	// current reports whether the store answers this host; nil is always.
 	current func() bool
@@ -52,18 +56,23 @@
 }
 
 // SetReplicas takes all replicas; those of the broker's data centre are handed
-// out.
+// out. Records that are the same as before are not told again.
 func (b *Broker) SetReplicas(all []replica.Replica, dataCentre string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	table := make(map[string]replica.Replica, len(all))
 	var own []replica.Replica
 	for _, r := range all {
+		table[r.ID] = r
 		if r.DataCentre == dataCentre {
 			own = append(own, r)
 		}
 	}
+	if b.known && maps.Equal(table, b.table) {
+		return
+	}
 	b.sched.SetReplicas(own)
-	b.replicas = all
+	b.replicas, b.table, b.known = all, table, true
 	b.version++
 	for _, in := range b.inboxes {
 		in.signal()
@@ -269,9 +278,10 @@
 	Granted []Grant
 	Revoked []GrantID
 	// Version is that of the broker's replica records; Replicas is set when
-	// the host has others.
+	// the host has others. Known says that there are records.
 	Version  int64
 	Replicas []replica.Replica
+	Known    bool
 	Notice   Notice
 }
 
@@ -326,7 +336,7 @@
 	reply.Granted = b.handOut(in)
 	reply.Revoked = in.revoked
 	in.revoked = nil
-	reply.Version = b.version
+	reply.Version, reply.Known = b.version, b.known
 	reply.Notice = Notice{
 		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.current == nil || b.current(),
 	}
--- a/slots/client.go
+++ b/slots/client.go
@@ -98,6 +98,8 @@
 	outdated map[string]time.Time
 	version  int64
 	heardAt  time.Time
+	// informed says that a broker with records of replicas has answered.
+	informed bool
 	releases map[string]*releaseQueue
 }
 
@@ -187,6 +189,13 @@
 	return c.Clock.Now().Sub(c.heardAt) > staleTime
 }
 
+// Informed reports whether a broker with records of replicas has ever answered.
+func (c *Client) Informed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.informed
+}
+
 // Begin gives the broker time to be heard for the first time.
 func (c *Client) Begin() {
 	c.mu.Lock()
@@ -217,6 +226,16 @@
 	return of
 }
 
+// Candidates returns the hosts that hold the replicas' records: those that may
+// be the broker of any data centre.
+func (c *Client) Candidates() []membership.Host {
+	var of []membership.Host
+	for _, dc := range append(c.otherDataCentres(), c.View.Self().DataCentre) {
+		of = append(of, c.brokers(dc)...)
+	}
+	return of
+}
+
 // Acquire gets a place: in the own data centre if one is free or soon will be,
 // else in another one, else after a longer wait in the own one.
 func (c *Client) Acquire(ctx context.Context, ask Ask, wait time.Duration) (Grant, error) {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -65,10 +65,13 @@
 }
 
 // newFleet makes two data centres, x and y, of two hosts and two places each.
-func newFleet() *fleet {
+func newFleet() *fleet { return newFleetOf("x1", "x2", "y1", "y2") }
+
+// newFleetOf makes hosts whose data centre is the first letter of their name.
+func newFleetOf(names ...string) *fleet {
 	f := &fleet{clock: clockwork.NewFakeClock(), hosts: make(map[string]*member), down: make(map[string]bool), calls: make(map[string]int)}
 	var all []membership.Host
-	for _, name := range []string{"x1", "x2", "y1", "y2"} {
+	for _, name := range names {
 		all = append(all, membership.Host{Name: name, DataCentre: name[:1], PeerAddress: name})
 	}
 	log := logrus.New()
@@ -311,3 +314,34 @@
 	require.True(t, f.poll(t, other))
 	require.Len(t, other.revoked, 1)
 }
+
+// Only hosts that may have to be the broker take the replicas' records: their
+// size grows with the replicas, and so would that of all hosts together with the
+// product of both.
+func TestRecordsGoToCandidatesOnly(t *testing.T) {
+	f := newFleetOf("x1", "x2", "x3", "x4", "x5", "x6")
+	learned, informed := 0, 0
+	for _, m := range f.hosts {
+		f.poll(t, m)
+		if len(m.learned) > 0 {
+			learned++
+		}
+		if m.Informed() {
+			informed++
+		}
+	}
+	require.Equal(t, maxBrokers-1, learned, "the broker has its own")
+	require.Equal(t, len(f.hosts)-1, informed)
+}
+
+func TestSameRecordsAreNotToldAgain(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	f.poll(t, other)
+	require.Len(t, other.learned, 2)
+	before := broker.broker.version
+	broker.broker.SetReplicas(other.learned, "x")
+	require.Equal(t, before, broker.broker.version)
+	broker.broker.SetReplicas(other.learned[:1], "x")
+	require.Greater(t, broker.broker.version, before)
+}
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -72,10 +73,13 @@
 	return true
 }
 
-// knownVersion returns the version of the replica records to compare with. The
-// records of other data centres' brokers, and of those that the store doesn't
-// answer, are not taken.
+// knownVersion returns the version of the replica records to compare with. They
+// are taken only by hosts that may have to be the broker, and not from brokers of
+// other data centres or those that the store doesn't answer.
 func (c *Client) knownVersion(h membership.Host, remote bool) int64 {
+	if !c.mayBeBroker() {
+		return anyVersion
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if remote || c.Clock.Now().Before(c.outdated[h.Name]) {
@@ -146,6 +150,7 @@
 	if !own && reply.Notice.Current {
 		c.heardAt = c.Clock.Now()
 	}
+	c.informed = c.informed || usable && reply.Known
 	c.mu.Unlock()
 	if fresh {
 		c.Learned(reply.Replicas)
@@ -154,3 +159,11 @@
 		c.Told(h, reply.Notice)
 	}
 }
+
+// mayBeBroker reports whether the host is among those of its data centre that
+// requests ask.
+func (c *Client) mayBeBroker() bool {
+	self := c.View.Self()
+	of := c.hosts(self.DataCentre)
+	return slices.ContainsFunc(of[:min(len(of), maxBrokers)], func(h membership.Host) bool { return h.Name == self.Name })
+}
