Listings go on after refused pages; a refused renewal is no outage at once

Changes: a refused page is asked for again, a granted lease is used again, and three refused renewals in a row are an outage. Tests: kv/txn/list_test.go, host/host_test.go.

--- a/host/host_test.go
+++ b/host/host_test.go
@@ -226,25 +226,50 @@
 func TestOwnRecordIsWrittenAgainAfterItsLease(t *testing.T) {
 	g := newGround(true)
 	ctx := context.Background()
-	held, before := false, false
 	backs := 0
 	g.back = func() { backs++ }
-	require.NoError(t, g.renew(ctx, &held, &before))
-	require.NoError(t, g.renew(ctx, &held, &before))
+	require.NoError(t, g.renew(ctx))
+	require.NoError(t, g.renew(ctx))
 	require.Zero(t, backs)
 	require.NoError(t, g.store.Lapse(g.leaseID))
-	require.NoError(t, g.renew(ctx, &held, &before))
+	require.NoError(t, g.renew(ctx))
 	require.Equal(t, 1, backs, "others may have taken over meanwhile")
 	_, err := g.store.Get(ctx, hostPrefix+"self")
 	require.NoError(t, err)
 	g.Leave(ctx)
 	_, err = g.store.Get(ctx, hostPrefix+"self")
 	require.True(t, errors.Is(err, txn.ErrNotFound))
-	require.NoError(t, g.renew(ctx, &held, &before))
+	require.NoError(t, g.renew(ctx))
 	_, err = g.store.Get(ctx, hostPrefix+"self")
 	require.True(t, errors.Is(err, txn.ErrNotFound), "a host that leaves writes no record")
 }
 
+// A store at its limit refuses some calls: the lease that was granted is used
+// again, and one refusal is no outage.
+func TestRefusedRenewalsAreNoOutageAtOnce(t *testing.T) {
+	g := newGround(true)
+	var lost, back atomic.Int64
+	g.lost, g.regained = func() { lost.Add(1) }, func() { back.Add(1) }
+	refused := 0
+	g.store.SetFault(func(call string) txntest.Fault {
+		if call == "commit" && refused < lostRenewals-1 {
+			refused++
+			return txntest.Refuse
+		}
+		return txntest.None
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = g.Serve(ctx) }()
+	require.Eventually(t, func() bool { return back.Load() > 0 }, patience, time.Millisecond)
+	require.Zero(t, lost.Load())
+	require.Equal(t, 1, g.store.Calls("grant"))
+	g.store.SetFault(func(string) txntest.Fault { return txntest.Refuse })
+	require.Eventually(t, func() bool { return lost.Load() > 0 }, patience, time.Millisecond)
+	cancel()
+	<-done
+}
+
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	var versions []int64
 	c := &Config{log: quietLog(), inForce: func(v int64) { versions = append(versions, v) }}
--- a/host/presence.go
+++ b/host/presence.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -26,6 +27,11 @@
 	leaseTime = 4 * time.Second
 	// keepInterval is the interval of renewals.
 	keepInterval = 1300 * time.Millisecond
+	// lostRenewals is the number of refused renewals in a row after which the
+	// store counts as away: with many hosts it refuses some calls of each.
+	lostRenewals = 3
+	// refusedPause is the mean pause before a refused renewal is tried again.
+	refusedPause = 300 * time.Millisecond
 	// gatherTime lets changes of other hosts' records gather before they are
 	// read, so that a joint start doesn't cost one call for each pair of hosts.
 	gatherTime = 400 * time.Millisecond
@@ -56,6 +62,10 @@
 	// lost and regained tell whether the store answers.
 	lost, regained func()
 
+	// held says that the record stood at the last renewal and before that it ever
+	// did. Only Serve uses them.
+	held, before bool
+
 	mu      sync.Mutex
 	known   map[string]membership.Host
 	lapsed  map[string]struct{}
@@ -66,20 +76,28 @@
 
 // Serve keeps the host's record until ctx ends.
 func (p *Presence) Serve(ctx context.Context) error {
-	held, before := false, false
+	failures := 0
 	for {
-		err := p.renew(ctx, &held, &before)
+		err := p.renew(ctx)
 		switch {
 		case err == nil:
+			failures = 0
 			p.regained()
 		case ctx.Err() == nil:
-			p.lost()
-			p.log.WithError(err).Warn("own record not renewed")
+			failures++
+			p.log.WithError(err).WithField("failures", failures).Warn("own record not renewed")
+			if failures >= lostRenewals || !errors.Is(err, txn.ErrRefused) {
+				p.lost()
+			}
+		}
+		pause := keepInterval
+		if failures > 0 && failures < lostRenewals {
+			pause = refusedPause/2 + rand.N(refusedPause)
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case <-p.clock.After(keepInterval):
+		case <-p.clock.After(pause):
 		}
 	}
 }
@@ -87,43 +105,59 @@
 // String names the service in supervisor events.
 func (p *Presence) String() string { return "presence" }
 
-// renew renews the lease or begins anew. Held says that the record stood at the
-// last look and before that it ever did.
-func (p *Presence) renew(ctx context.Context, held, before *bool) error {
+// renew renews the lease, or writes the record anew.
+func (p *Presence) renew(ctx context.Context) error {
 	p.mu.Lock()
 	lease, leaving := p.leaseID, p.leaving
 	p.mu.Unlock()
 	if leaving {
 		return nil
 	}
-	if *held {
+	if p.held {
 		err := p.store.Keep(ctx, lease)
 		if !errors.Is(err, txn.ErrNoLease) {
 			return err
 		}
-		*held = false
+		p.held, lease = false, 0
+		p.setLease(0)
 		p.log.Warn("own record has lapsed")
 	}
-	lease, err := p.store.Grant(ctx, p.lease)
-	if err != nil {
-		return err
+	if lease == 0 {
+		var err error
+		if lease, err = p.store.Grant(ctx, p.lease); err != nil {
+			return err
+		}
+		p.setLease(lease)
 	}
+	return p.write(ctx, lease)
+}
+
+func (p *Presence) setLease(lease txn.Lease) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaseID = lease
+}
+
+// write writes the host's record with a lease. One that has ended meanwhile is
+// not used again.
+func (p *Presence) write(ctx context.Context, lease txn.Lease) error {
 	self := p.view.Self()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode own record")
 	}
-	if _, err := p.store.Commit(ctx, txn.Request{Writes: []txn.Write{{Key: hostPrefix + self.Name, Value: value, Lease: lease}}}); err != nil {
+	_, err = p.store.Commit(ctx, txn.Request{Writes: []txn.Write{{Key: hostPrefix + self.Name, Value: value, Lease: lease}}})
+	if err != nil {
+		if !errors.Is(err, txn.ErrRefused) {
+			p.setLease(0)
+		}
 		return err
 	}
-	p.mu.Lock()
-	p.leaseID = lease
-	p.mu.Unlock()
-	*held = true
-	if *before {
+	p.held = true
+	if p.before {
 		p.back()
 	}
-	*before = true
+	p.before = true
 	p.log.WithField("lease", lease).Info("own record written")
 	return nil
 }
--- /dev/null
+++ b/kv/txn/list_test.go
@@ -0,0 +1,42 @@
+package txn_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/errtest"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+)
+
+// A service at its limit refuses some pages of each listing.
+func TestListGoesOnAfterARefusedPage(t *testing.T) {
+	s := txntest.NewStore()
+	const keys = 250
+	for i := range keys {
+		_, err := s.Commit(t.Context(), txn.Request{Writes: []txn.Write{{Key: fmt.Sprintf("p/%04d", i)}}})
+		require.NoError(t, err)
+	}
+	n := 0
+	s.SetFault(func(string) txntest.Fault {
+		if n++; n == 2 || n == 4 {
+			return txntest.Refuse
+		}
+		return txntest.None
+	})
+	items, _, err := txn.List(t.Context(), s, "p/")
+	require.NoError(t, err)
+	require.Len(t, items, keys)
+	require.Equal(t, 5, s.Calls("range"), "three pages, two of them twice")
+}
+
+// A listing that is refused at its beginning fails at once: the service is away.
+func TestListFailsAtItsFirstPage(t *testing.T) {
+	s := txntest.NewStore()
+	s.SetFault(func(string) txntest.Fault { return txntest.Refuse })
+	_, _, err := txn.List(t.Context(), s, "p/")
+	errtest.Is(t, err, txn.ErrRefused)
+	require.Equal(t, 1, s.Calls("range"))
+}
--- a/kv/txn/txn.go
+++ b/kv/txn/txn.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 )
 
@@ -103,26 +104,44 @@
 	Revoke(ctx context.Context, lease Lease) error
 }
 
+// Pauses before a page that was refused is asked for again.
+const (
+	pagePause    = 150 * time.Millisecond
+	maxPagePause = time.Second
+	pageTries    = 6
+)
+
 // List returns all keys with a prefix, page by page, and the revision of the
-// first page, from which a watch misses nothing.
+// first page, from which a watch misses nothing. A later page that is refused is
+// asked for again: with many hosts that list at one time, the service refuses
+// some calls of each, and a listing that began anew would never end.
 func List(ctx context.Context, s Store, prefix string) ([]Item, Rev, error) {
-	var (
-		items []Item
-		at    Rev
-		after string
-	)
-	for {
-		page, err := s.Range(ctx, prefix, after)
+	page, err := s.Range(ctx, prefix, "")
+	if err != nil {
+		return nil, 0, err
+	}
+	items, at := page.Items, page.At
+	for page.More && len(page.Items) > 0 {
+		page, err = nextPage(ctx, s, prefix, page.Items[len(page.Items)-1].Key)
 		if err != nil {
 			return nil, 0, err
 		}
-		if at == 0 {
-			at = page.At
-		}
 		items = append(items, page.Items...)
-		if !page.More || len(page.Items) == 0 {
-			return items, at, nil
+	}
+	return items, at, nil
+}
+
+// nextPage asks for a page until it isn't refused.
+func nextPage(ctx context.Context, s Store, prefix, after string) (Page, error) {
+	pause := &backoff.ExponentialBackOff{
+		InitialInterval: pagePause, Multiplier: 2, MaxInterval: maxPagePause, RandomizationFactor: 0.5,
+	}
+	ask := func() (Page, error) {
+		page, err := s.Range(ctx, prefix, after)
+		if err != nil && !errors.Is(err, ErrRefused) {
+			err = backoff.Permanent(err)
 		}
-		after = page.Items[len(page.Items)-1].Key
+		return page, err
 	}
+	return backoff.Retry(ctx, ask, backoff.WithBackOff(pause), backoff.WithMaxTries(pageTries))
 }
