slots: exchanges that break off together are one failure

Change: what breaks off within 100 ms counts once. Also, a call to a broker whose connection broke off is made once more: two brokers would hand out the same places. Tests in slots fail before.

--- a/peer/client.go
+++ b/peer/client.go
@@ -96,12 +96,13 @@
 		return call.Error
 	}
 	l.drop(conn)
+	broken := errors.Mark(call.Error, ErrBroken)
 	// rpc.ErrShutdown alone proves nothing: it also ends calls that were sent
 	// before the connection was closed.
 	if !req.written.Load() {
-		return errors.Mark(call.Error, ErrUnreachable)
+		return errors.Mark(broken, ErrUnreachable)
 	}
-	return call.Error
+	return broken
 }
 
 func (c *Client) link(address string) *link {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -15,6 +15,10 @@
 // call reached a connection to the peer.
 var ErrUnreachable = errors.New("peer unreachable")
 
+// ErrBroken means that the connection broke off during the call. The next call
+// makes another one.
+var ErrBroken = errors.New("connection to peer broke off")
+
 // Caller calls methods of peers.
 type Caller interface {
 	// Call calls a method, "Name.Method", at a peer's address, an IP number
--- a/slots/client.go
+++ b/slots/client.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -323,10 +324,16 @@
 	}
 }
 
-// call calls a broker, which may be the host's own.
+// call calls a broker, which may be the host's own. A connection that breaks off
+// says little of the broker, so the call is made once more: all calls may be
+// repeated, since the next poll tells the broker what the host holds.
 func (c *Client) call(ctx context.Context, h membership.Host, method string, args, reply any) error {
 	if h.Name != c.View.Self().Name {
-		return c.Caller.Call(ctx, h.PeerAddress, PeerName+"."+method, args, reply)
+		err := c.Caller.Call(ctx, h.PeerAddress, PeerName+"."+method, args, reply)
+		if errors.Is(err, peer.ErrBroken) && ctx.Err() == nil {
+			err = c.Caller.Call(ctx, h.PeerAddress, PeerName+"."+method, args, reply)
+		}
+		return err
 	}
 	switch args := args.(type) {
 	case Ask:
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -24,6 +25,8 @@
 	hosts map[string]*member
 	down  map[string]bool
 	calls map[string]int
+	// resets is the number of calls to come whose connections break off.
+	resets int
 }
 
 type member struct {
@@ -47,7 +50,14 @@
 	f.mu.Lock()
 	f.calls[method+" "+address]++
 	down := f.down[address]
+	reset := f.resets > 0
+	if reset {
+		f.resets--
+	}
 	f.mu.Unlock()
+	if reset {
+		return errors.Mark(errors.New("reset"), peer.ErrBroken)
+	}
 	if down {
 		return errors.New("unreachable")
 	}
@@ -345,3 +355,18 @@
 	broker.broker.SetReplicas(other.learned[:1], "x")
 	require.Greater(t, broker.broker.version, before)
 }
+
+// A broker whose connections are reset is asked again and stays the broker: two
+// that hand out the same places would give each of them twice.
+func TestResetConnectionIsNoReasonForAnotherBroker(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	f.resets = 1
+	got, err := other.acquire(t)
+	require.NoError(t, err)
+	require.Equal(t, "rx", got)
+	require.Equal(t, broker.name(), other.brokers("x")[0].Name)
+	f.resets = 2
+	_, _ = other.acquire(t)
+	require.NotEqual(t, broker.name(), other.brokers("x")[0].Name, "one that breaks off again is passed over")
+}
--- a/slots/health.go
+++ b/slots/health.go
@@ -19,6 +19,9 @@
 	// brokenRuns is the number of exchanges that must break off in a row: a
 	// single one is lost by replicas that otherwise serve.
 	brokenRuns = 3
+	// togetherTime is the time within which exchanges that break off have one
+	// cause, as when all connections of a host are reset.
+	togetherTime = 100 * time.Millisecond
 	// errorWeight is the weight of the newest use in the part that fails, and
 	// errorHalfLife how long that part takes to halve without uses.
 	errorWeight   = 0.2
@@ -42,6 +45,12 @@
 		r.weigh(now, 1)
 		r.pause(now, r.backoff())
 	case Failed, Errored:
+		if outcome == Failed {
+			if now.Sub(r.brokenAt) < togetherTime {
+				return
+			}
+			r.brokenAt = now
+		}
 		r.weigh(now, 1)
 		r.failures++
 		if r.failures >= brokenRuns {
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -151,8 +151,10 @@
 type place struct {
 	replica.Replica
 	used int
-	// failures counts failures since the last answer.
+	// failures counts failures since the last answer, and brokenAt is when an
+	// exchange last broke off.
 	failures int
+	brokenAt time.Time
 	// errors is the part of failures among the last uses, as of errorsAt.
 	errors   float64
 	errorsAt time.Time
