jobs: reading a job without an owner costs no further call of the store

Cause: the search for an owner read the job's record again, each time the job was read while its owner was away.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -100,8 +100,7 @@
 		m.accepted(head, rev, s.Items)
 		return nil
 	case errors.Is(err, txn.ErrConflict):
-		m.Log.WithField("job", s.ID).Info("job was accepted before")
-		m.ensureOwner(ctx, s.ID)
+		go m.meetAccepted(s.ID)
 		return nil
 	case verdict.Of(err) != verdict.NotRun:
 		go m.awaitLate(head, s.Items)
@@ -109,6 +108,20 @@
 	return err
 }
 
+// meetAccepted ensures that a job that was accepted before has an owner.
+func (m *Manager) meetAccepted(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	log := m.Log.WithField("job", id)
+	log.Info("job was accepted before")
+	head, _, err := m.load(ctx, id)
+	if err != nil {
+		log.WithError(err).Warn("owner of an accepted job not read")
+		return
+	}
+	m.ensureOwner(ctx, head)
+}
+
 // probe refuses a job while the store is away. Nothing has been sent then whose
 // outcome could be unknown.
 func (m *Manager) probe(ctx context.Context, id string) error {
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -142,7 +142,7 @@
 		return Page{}, err
 	}
 	if head.open() {
-		m.findOwner(id)
+		m.findOwner(head)
 	}
 	page := Page{Total: head.Total}
 	if after >= head.Listed {
