--- a/slots/client.go
+++ b/slots/client.go
@@ -45,6 +45,9 @@
 	staleTime = 1200 * time.Millisecond
 	// maxBrokers bounds the brokers of one data centre that a request tries.
 	maxBrokers = 3
+	// maxHolders bounds the hosts of a data centre that hold the replicas'
+	// records, of which one is the broker.
+	maxHolders = 5
 )
 
 // Caller calls brokers on other hosts.
@@ -130,7 +133,8 @@
 }
 
 // brokers returns the brokers to try: first those that the store answers, last
-// those that lately failed to answer.
+// those that lately failed to answer. Hosts that don't hold the replicas' records
+// come in only when none that does answers.
 func (c *Client) brokers(dataCentre string) []membership.Host {
 	of := c.hosts(dataCentre)
 	self, current := c.View.Self().Name, c.Current()
@@ -146,6 +150,10 @@
 		}
 		return 0
 	}
+	holders := of[:min(len(of), maxHolders)]
+	if slices.ContainsFunc(holders, func(h membership.Host) bool { return doubt(h) < 2 }) {
+		of = holders
+	}
 	slices.SortStableFunc(of, func(a, b membership.Host) int { return doubt(a) - doubt(b) })
 	return of[:min(len(of), maxBrokers)]
 }
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -325,11 +325,11 @@
 	require.Len(t, other.revoked, 1)
 }
 
-// Only hosts that may have to be the broker take the replicas' records: their
-// size grows with the replicas, and so would that of all hosts together with the
-// product of both.
-func TestRecordsGoToCandidatesOnly(t *testing.T) {
-	f := newFleetOf("x1", "x2", "x3", "x4", "x5", "x6")
+// Only some hosts of a data centre hold the replicas' records: their size grows
+// with the replicas, and so would that of all hosts together with the product of
+// both.
+func TestRecordsGoToTheirHoldersOnly(t *testing.T) {
+	f := newFleetOf("x1", "x2", "x3", "x4", "x5", "x6", "x7", "x8")
 	learned, informed := 0, 0
 	for _, m := range f.hosts {
 		f.poll(t, m)
@@ -340,10 +340,38 @@
 			informed++
 		}
 	}
-	require.Equal(t, maxBrokers-1, learned, "the broker has its own")
+	require.Equal(t, maxHolders-1, learned, "the broker has its own")
 	require.Equal(t, len(f.hosts)-1, informed)
 }
 
+// The store is away, so all hosts know of each broker that it is outdated. A host
+// without records must not take its place for that.
+func TestHostWithoutRecordsIsNoBrokerWhileOneWithThemAnswers(t *testing.T) {
+	f := newFleetOf("x1", "x2", "x3", "x4", "x5", "x6", "x7", "x8")
+	holders := f.hosts["x1"].hosts("x")[:maxHolders]
+	for _, m := range f.hosts {
+		m.away = true
+		for _, h := range holders {
+			m.outdated[h.Name] = f.clock.Now().Add(outdatedTime)
+		}
+	}
+	f.setDown(holders[0].Name, true)
+	for _, m := range f.hosts {
+		for range 3 {
+			for _, b := range m.brokers("x") {
+				require.Contains(t, holders, b)
+			}
+			m.suspect(holders[0], errors.New("unreachable"))
+		}
+	}
+	for _, m := range f.hosts {
+		for _, h := range holders {
+			m.suspect(h, errors.New("unreachable"))
+		}
+		require.NotContains(t, holders, m.brokers("x")[0], "none of them answers")
+	}
+}
+
 func TestSameRecordsAreNotToldAgain(t *testing.T) {
 	f := newFleet()
 	broker, other := f.broker("x")
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -74,10 +74,10 @@
 }
 
 // knownVersion returns the version of the replica records to compare with. They
-// are taken only by hosts that may have to be the broker, and not from brokers of
-// other data centres or those that the store doesn't answer.
+// are taken only by the hosts that hold them, and not from brokers of other data
+// centres or those that the store doesn't answer.
 func (c *Client) knownVersion(h membership.Host, remote bool) int64 {
-	if !c.mayBeBroker() {
+	if !c.holdsRecords() {
 		return anyVersion
 	}
 	c.mu.Lock()
@@ -160,10 +160,10 @@
 	}
 }
 
-// mayBeBroker reports whether the host is among those of its data centre that
-// requests ask.
-func (c *Client) mayBeBroker() bool {
+// holdsRecords reports whether the host is among those of its data centre that
+// hold the replicas' records.
+func (c *Client) holdsRecords() bool {
 	self := c.View.Self()
 	of := c.hosts(self.DataCentre)
-	return slices.ContainsFunc(of[:min(len(of), maxBrokers)], func(h membership.Host) bool { return h.Name == self.Name })
+	return slices.ContainsFunc(of[:min(len(of), maxHolders)], func(h membership.Host) bool { return h.Name == self.Name })
 }
