--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -78,8 +78,7 @@
 	}
 }
 
-// request makes a request that every configuration allows and returns whether
-// it was served.
+// request makes a request that every configuration allows.
 func (c *callers) request(caller *platformtest.Caller, h *Host, path, id string) {
 	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
 	c.ledger.count(err == nil && a.Status == http.StatusOK)
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -85,6 +85,8 @@
 	close(a.done)
 }
 
+// recordSubmission records a job, and sees to what is left open when its outcome
+// stays unknown.
 func (m *Manager) recordSubmission(ctx context.Context, s Submission) error {
 	if err := m.probe(ctx, s.ID); err != nil {
 		return err
