slots: the broker keeps the replicas' records once

It kept them as a list and as a map, and made the map anew from a list that its caller had made from a map, at each report of the store. It takes the map now and makes the list for the hosts that ask. TestRecordsSurviveTheReturnOfTheStore had gone idle when same records stopped being told again: it set the same ones. It sets others now, with its assertions as they were. Behaviour is unchanged.

--- a/host/replicas.go
+++ b/host/replicas.go
@@ -110,7 +110,7 @@
 			}
 		})
 	}
-	r.broker.SetReplicas(slices.Collect(maps.Values(r.view.Snapshot())), r.dataCentre)
+	r.broker.SetReplicas(r.view.Snapshot(), r.dataCentre)
 }
 
 // learned takes the records that a neighbour knows.
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,11 +24,9 @@
 
 	mu    sync.Mutex
 	sched *Scheduler
-	// replicas, by id in table, and version are the records that hosts are told
-	// of. They are known once there was a listing, which may have been empty.
-	replicas []replica.Replica
-	table    map[string]replica.Replica
-	known    bool
+	// replicas, by id, and version are the records that hosts are told of; nil
+	// until there was a listing, which may be empty.
+	replicas map[string]replica.Replica
 	version  int64
 	// current reports whether the store answers this host; nil is always.
 	current func() bool
@@ -55,24 +54,22 @@
 	}
 }
 
-// SetReplicas takes all replicas; those of the broker's data centre are handed
+// SetReplicas takes all replicas by id; those of the broker's data centre are handed
 // out. Records that are the same as before are not told again.
-func (b *Broker) SetReplicas(all []replica.Replica, dataCentre string) {
+func (b *Broker) SetReplicas(all map[string]replica.Replica, dataCentre string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	table := make(map[string]replica.Replica, len(all))
+	if b.replicas != nil && maps.Equal(all, b.replicas) {
+		return
+	}
 	var own []replica.Replica
 	for _, r := range all {
-		table[r.ID] = r
 		if r.DataCentre == dataCentre {
 			own = append(own, r)
 		}
 	}
-	if b.known && maps.Equal(table, b.table) {
-		return
-	}
 	b.sched.SetReplicas(own)
-	b.replicas, b.table, b.known = all, table, true
+	b.replicas = all
 	b.version++
 	for _, in := range b.inboxes {
 		in.signal()
@@ -336,13 +333,13 @@
 	reply.Granted = b.handOut(in)
 	reply.Revoked = in.revoked
 	in.revoked = nil
-	reply.Version, reply.Known = b.version, b.known
+	reply.Version, reply.Known = b.version, b.replicas != nil
 	reply.Notice = Notice{
 		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.current == nil || b.current(),
 	}
 	stale := version != b.version && version != anyVersion
 	if stale {
-		reply.Replicas = b.replicas
+		reply.Replicas = slices.Collect(maps.Values(b.replicas))
 	}
 	return len(reply.Granted) > 0 || len(reply.Revoked) > 0 || stale
 }
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -97,14 +97,20 @@
 		}
 		m.Init()
 		m.broker.SetCurrent(m.Current)
-		m.broker.SetReplicas([]replica.Replica{
-			{ID: "rx", Service: service, DataCentre: "x", Slots: 2, Ready: true}, {ID: "ry", Service: service, DataCentre: "y", Slots: 2, Ready: true},
-		}, h.DataCentre)
+		m.broker.SetReplicas(records(2), h.DataCentre)
 		f.hosts[h.Name] = m
 	}
 	return f
 }
 
+// records returns a replica in each data centre.
+func records(slots int) map[string]replica.Replica {
+	return map[string]replica.Replica{
+		"rx": {ID: "rx", Service: service, DataCentre: "x", Slots: slots, Ready: true},
+		"ry": {ID: "ry", Service: service, DataCentre: "y", Slots: slots, Ready: true},
+	}
+}
+
 // broker returns the broker of a data centre and another host of it.
 func (f *fleet) broker(dataCentre string) (broker, other *member) {
 	a, b := f.hosts[dataCentre+"1"], f.hosts[dataCentre+"2"]
@@ -223,7 +229,7 @@
 	require.Len(t, other.learned, 2)
 	broker.away, other.away = true, true
 	f.poll(t, other)
-	broker.broker.SetReplicas(append([]replica.Replica{}, broker.broker.replicas...), "x")
+	broker.broker.SetReplicas(records(3), "x")
 	broker.away = false
 	f.poll(t, other)
 	require.Len(t, other.learned, 2)
@@ -378,9 +384,9 @@
 	f.poll(t, other)
 	require.Len(t, other.learned, 2)
 	before := broker.broker.version
-	broker.broker.SetReplicas(other.learned, "x")
+	broker.broker.SetReplicas(records(2), "x")
 	require.Equal(t, before, broker.broker.version)
-	broker.broker.SetReplicas(other.learned[:1], "x")
+	broker.broker.SetReplicas(records(3), "x")
 	require.Greater(t, broker.broker.version, before)
 }
 
