One pause by the clock, one order of urgency, one lookup of a host's routes

What the change had written again: the pause that ends with its context (host twice and in three loops, slots, and before it config, quarantine and node: internal/wait); "late items come last" in jobs and twice in slots (slots.CompareUrgency); the bounds of connections beside route.Limits; a host's routes with and without its port in Match and HasHost; the settings' wire form as a second struct in platformtest. Simpler: the store's absence is a flag, not a time that nobody read; the soak's planners return a Fault instead of a text and a function; Proxy.SetTarget, which nothing called, is gone. Behaviour is unchanged, no assertion is changed.

--- a/config/relay.go
+++ b/config/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv"
 )
 
@@ -34,7 +35,7 @@
 	for ctx.Err() == nil {
 		if !d.turn() {
 			pause = retryDelay
-			d.sleep(ctx, rankPause)
+			wait.For(ctx, d.Clock, rankPause)
 			continue
 		}
 		err := d.follow(ctx)
@@ -42,7 +43,7 @@
 			continue
 		}
 		d.Log.WithError(err).Debug("configuration watch failed")
-		d.sleep(ctx, d.jitter(pause))
+		wait.For(ctx, d.Clock, d.jitter(pause))
 		if d.rank() < relays {
 			pause = retryDelay
 		} else {
@@ -51,13 +52,6 @@
 	}
 }
 
-func (d *Distributor) sleep(ctx context.Context, t time.Duration) {
-	select {
-	case <-d.Clock.After(t):
-	case <-ctx.Done():
-	}
-}
-
 // turn reports whether this host watches the service: as a relay, or because
 // those before it in rank have been silent for too long.
 func (d *Distributor) turn() bool {
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -48,14 +48,15 @@
 // Plan draws faults over a time from a seed. They may overlap.
 func Plan(w *World, l *Ledger, seed uint64, length time.Duration) []Fault {
 	p := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 2))}
-	kinds := []func() (string, func(ctx context.Context)){
+	kinds := []func() Fault{
 		p.kill, p.kill, p.term, p.term, p.pause, p.pause, p.hangup, p.harmStore, p.harmStore, p.forget,
 		p.cutLink, p.cutLink, p.cutLink, p.resetLinks, p.crashReplica, p.drainReplica, p.configure, p.configure,
 	}
 	var plan []Fault
 	for at := p.between(0, 2*meanInterval); at < length; at += p.between(0, 2*meanInterval) {
-		text, run := pick(p.rng, kinds)()
-		plan = append(plan, Fault{At: at, Text: text, run: run})
+		f := pick(p.rng, kinds)()
+		f.At = at
+		plan = append(plan, f)
 	}
 	return plan
 }
@@ -67,13 +68,13 @@
 func (p *planner) spell() time.Duration { return p.between(minSpell, maxSpell) }
 
 // kill ends hosts at once, one or all, and starts them again.
-func (p *planner) kill() (string, func(context.Context)) {
+func (p *planner) kill() Fault {
 	hosts := []*Host{pick(p.rng, p.world.hosts)}
 	if p.rng.IntN(5) == 0 {
 		hosts = p.world.hosts
 	}
 	down := p.between(0, maxDown)
-	return fmt.Sprintf("kill %d from %s, down %s", len(hosts), hosts[0].Name, down), func(context.Context) {
+	return Fault{Text: fmt.Sprintf("kill %d from %s, down %s", len(hosts), hosts[0].Name, down), run: func(context.Context) {
 		var all sync.WaitGroup
 		for _, h := range hosts {
 			all.Go(func() {
@@ -85,7 +86,7 @@
 			})
 		}
 		all.Wait()
-	}
+	}}
 }
 
 func (p *planner) restart(h *Host) {
@@ -95,9 +96,9 @@
 }
 
 // term stops a host by its signal and starts it again.
-func (p *planner) term() (string, func(context.Context)) {
+func (p *planner) term() Fault {
 	h, down := pick(p.rng, p.world.hosts), p.between(0, maxDown)
-	return fmt.Sprintf("stop %s, down %s", h.Name, down), func(context.Context) {
+	return Fault{Text: fmt.Sprintf("stop %s, down %s", h.Name, down), run: func(context.Context) {
 		h.life.Lock()
 		defer h.life.Unlock()
 		paused := h.pauses.Load()
@@ -110,31 +111,31 @@
 		}
 		time.Sleep(down)
 		p.restart(h)
-	}
+	}}
 }
 
 // pause lets a host stand still, whatever else happens to it.
-func (p *planner) pause() (string, func(context.Context)) {
+func (p *planner) pause() Fault {
 	h, spell := pick(p.rng, p.world.hosts), p.spell()
-	return fmt.Sprintf("pause %s for %s", h.Name, spell), func(ctx context.Context) {
+	return Fault{Text: fmt.Sprintf("pause %s for %s", h.Name, spell), run: func(ctx context.Context) {
 		h.pauses.Add(1)
 		h.Signal(syscall.SIGSTOP)
 		sleep(ctx, spell)
 		h.Signal(syscall.SIGCONT)
-	}
+	}}
 }
 
-func (p *planner) hangup() (string, func(context.Context)) {
+func (p *planner) hangup() Fault {
 	h := pick(p.rng, p.world.hosts)
-	return "hang up " + h.Name, func(ctx context.Context) {
+	return Fault{Text: "hang up " + h.Name, run: func(ctx context.Context) {
 		sleep(ctx, signalTime-h.Age())
 		h.Signal(syscall.SIGHUP)
-	}
+	}}
 }
 
 // harmStore lets the store refuse calls, lose them, lose their answers or apply
 // writes late.
-func (p *planner) harmStore() (string, func(context.Context)) {
+func (p *planner) harmStore() Fault {
 	spells := []struct {
 		name  string
 		fault storeFault
@@ -146,7 +147,7 @@
 	}
 	s, spell, seed := pick(p.rng, spells), p.spell(), p.rng.Uint64()
 	lapse := p.rng.IntN(3) == 0
-	return fmt.Sprintf("store %s for %s, leases lapse: %v", s.name, spell, lapse), func(ctx context.Context) {
+	return Fault{Text: fmt.Sprintf("store %s for %s, leases lapse: %v", s.name, spell, lapse), run: func(ctx context.Context) {
 		p.world.store.harm(&s.fault, seed)
 		if lapse {
 			p.world.store.lapseAll()
@@ -154,11 +155,11 @@
 		sleep(ctx, spell)
 		p.world.store.ReleaseLate()
 		p.world.store.harm(nil, 0)
-	}
+	}}
 }
 
-func (p *planner) forget() (string, func(context.Context)) {
-	return "store forgets its history", func(context.Context) { p.world.store.Compact() }
+func (p *planner) forget() Fault {
+	return Fault{Text: "store forgets its history", run: func(context.Context) { p.world.store.Compact() }}
 }
 
 // link draws the connections of a host to the store or another host, or those of
@@ -178,39 +179,39 @@
 }
 
 // cutLink delays a link, cuts it one way or silences it.
-func (p *planner) cutLink() (string, func(context.Context)) {
+func (p *planner) cutLink() Fault {
 	name, link := p.link()
 	states := []LinkState{
 		{Delay: p.between(0, maxDelay)}, {HoldUp: true}, {HoldDown: true}, {HoldUp: true, HoldDown: true},
 	}
 	state, spell := pick(p.rng, states), p.spell()
-	return fmt.Sprintf("link %s: %+v for %s", name, state, spell), func(ctx context.Context) {
+	return Fault{Text: fmt.Sprintf("link %s: %+v for %s", name, state, spell), run: func(ctx context.Context) {
 		l := link()
 		l.Set(state)
 		sleep(ctx, spell)
 		l.Set(LinkState{})
-	}
+	}}
 }
 
-func (p *planner) resetLinks() (string, func(context.Context)) {
+func (p *planner) resetLinks() Fault {
 	name, link := p.link()
-	return "reset link " + name, func(context.Context) { link().Reset() }
+	return Fault{Text: "reset link " + name, run: func(context.Context) { link().Reset() }}
 }
 
 // crashReplica ends a replica at once, and another comes in its place.
-func (p *planner) crashReplica() (string, func(context.Context)) {
+func (p *planner) crashReplica() Fault {
 	s, down := pick(p.rng, p.world.slots), p.between(0, maxDown)
-	return fmt.Sprintf("replica %s crashes, next in %s", s.name, down), func(context.Context) {
+	return Fault{Text: fmt.Sprintf("replica %s crashes, next in %s", s.name, down), run: func(context.Context) {
 		p.replace(s, true, down)
-	}
+	}}
 }
 
 // drainReplica lets a replica leave after it was reported.
-func (p *planner) drainReplica() (string, func(context.Context)) {
+func (p *planner) drainReplica() Fault {
 	s := pick(p.rng, p.world.slots)
-	return fmt.Sprintf("replica %s drains", s.name), func(context.Context) {
+	return Fault{Text: fmt.Sprintf("replica %s drains", s.name), run: func(context.Context) {
 		p.replace(s, false, 0)
-	}
+	}}
 }
 
 func (p *planner) replace(s *slot, crash bool, down time.Duration) {
@@ -225,10 +226,10 @@
 	}
 }
 
-func (p *planner) configure() (string, func(context.Context)) {
-	return "next configuration", func(context.Context) {
+func (p *planner) configure() Fault {
+	return Fault{Text: "next configuration", run: func(context.Context) {
 		if err := p.world.Configure(); err != nil {
 			p.ledger.violate("configuration not written: %v", err)
 		}
-	}
+	}}
 }
--- a/e2e/soak/proxy.go
+++ b/e2e/soak/proxy.go
@@ -20,9 +20,9 @@
 // Proxy carries connections on loopback to one address, and harms them.
 type Proxy struct {
 	listener net.Listener
+	target   string
 
 	mu      sync.Mutex
-	target  string
 	state   LinkState
 	changed chan struct{}
 	conns   map[net.Conn]struct{}
@@ -46,13 +46,6 @@
 // Address returns the address of the proxy.
 func (p *Proxy) Address() string { return p.listener.Addr().String() }
 
-// SetTarget sends new connections to another address.
-func (p *Proxy) SetTarget(target string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target = target
-}
-
 // Set changes what happens to the bytes.
 func (p *Proxy) Set(s LinkState) {
 	p.mu.Lock()
@@ -102,10 +95,7 @@
 	}
 	defer p.drop(down)
 	p.pass(func(s LinkState) bool { return !s.HoldUp })
-	p.mu.Lock()
-	target := p.target
-	p.mu.Unlock()
-	up, err := net.Dial("tcp", target)
+	up, err := net.Dial("tcp", p.target)
 	if err != nil || !p.track(up) {
 		return
 	}
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -149,14 +149,11 @@
 	h.store = p
 	w.closers = append(w.closers, p.Close, func() { h.files.CloseClientConnections(); h.files.Close() })
 	ip, port := ports.Pair()
-	text, err := platformtest.Settings(&platform.Settings{
+	text := platformtest.Settings(&platform.Settings{
 		Host: h.Name, DataCentre: h.dataCentre, Region: region, Callers: h.Address, Ready: ports.Free(), Peers: h.peers,
 		Store: p.Address(), StopTimeout: stopTimeout, ResultRetention: retention,
 		ConfigTimeout: configTimeout, DrainTimeout: configTimeout,
 	}, ip, port)
-	if err != nil {
-		return err
-	}
 	path := filepath.Join(folder, h.Name+".json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return errors.Wrap(err, "write settings")
--- a/host/connections.go
+++ b/host/connections.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/comfreyspindle/comfreyspindle/route"
 )
 
 // Bounds for callers' connections while no configuration says otherwise.
@@ -19,22 +21,13 @@
 	maxTimerDelay = 500 * time.Millisecond
 )
 
-// connTimeouts bound what a caller's connection may take.
-type connTimeouts struct {
-	// Header bounds the time from the first byte of a request, or from the
-	// connection's start, to the end of the headers.
-	Header time.Duration
-	// Idle bounds the time from an answer to the next request.
-	Idle time.Duration
-}
-
 // boundedListener closes connections that are idle or send headers for too long.
 // The bounds are read anew for each request, since they change with the
 // configuration, which those of http.Server can't.
 type boundedListener struct {
 	net.Listener
-	clock    clockwork.Clock
-	timeouts func() connTimeouts
+	clock  clockwork.Clock
+	limits func() route.Limits
 }
 
 // Accept implements net.Listener.
@@ -43,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &boundedConn{Conn: conn, clock: l.clock, timeouts: l.timeouts}
+	c := &boundedConn{Conn: conn, clock: l.clock, limits: l.limits}
 	c.enter(readingHeaders)
 	return c, nil
 }
@@ -52,7 +45,7 @@
 type phase uint8
 
 const (
-	// readingHeaders: headers are on their way.
+	// readingHeaders: headers are on their way, or due on a new connection.
 	readingHeaders phase = iota
 	// serving: a request is being served.
 	serving
@@ -63,8 +56,8 @@
 // boundedConn is a connection of a boundedListener.
 type boundedConn struct {
 	net.Conn
-	clock    clockwork.Clock
-	timeouts func() connTimeouts
+	clock  clockwork.Clock
+	limits func() route.Limits
 
 	mu    sync.Mutex
 	phase phase
@@ -103,9 +96,9 @@
 	var bound time.Duration
 	switch next {
 	case readingHeaders:
-		bound = c.timeouts().Header
+		bound = c.limits().HeaderTimeout
 	case idle:
-		bound = c.timeouts().Idle
+		bound = c.limits().IdleTimeout
 	case serving:
 	}
 	if bound > 0 {
--- a/host/connections_test.go
+++ b/host/connections_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/route"
 )
 
 const (
@@ -53,8 +55,8 @@
 		Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }),
 		ConnState: noteState, ReadHeaderTimeout: time.Minute,
 	}
-	l := &boundedListener{Listener: inner, clock: b.clock, timeouts: func() connTimeouts {
-		return connTimeouts{Header: testHeader, Idle: time.Duration(b.idle.Load())}
+	l := &boundedListener{Listener: inner, clock: b.clock, limits: func() route.Limits {
+		return route.Limits{HeaderTimeout: testHeader, IdleTimeout: time.Duration(b.idle.Load())}
 	}}
 	go func() { _ = server.Serve(noting{l, b.accepted}) }()
 	t.Cleanup(func() { _ = server.Close() })
--- a/host/host.go
+++ b/host/host.go
@@ -24,11 +24,13 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/jobs"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 )
 
@@ -72,9 +74,8 @@
 	callers, ready, metrics *listener
 
 	stopping atomic.Bool
-	// missed is when the store was first missed, in Unix nanoseconds; 0 while it
-	// answers.
-	missed atomic.Int64
+	// away says that the store has not answered lately.
+	away atomic.Bool
 	// hostsSeen is the version of the hosts that the broker told last.
 	hostsSeen atomic.Int64
 	recover   chan struct{}
@@ -111,25 +112,25 @@
 	}
 	return &listener{
 		name:   name,
-		bound:  &boundedListener{Listener: inner, clock: h.clock, timeouts: h.connTimeouts},
+		bound:  &boundedListener{Listener: inner, clock: h.clock, limits: h.limits},
 		server: &http.Server{Handler: handler, ConnState: noteState},
 	}, nil
 }
 
-// connTimeouts returns the bounds of the configuration in force.
-func (h *Host) connTimeouts() connTimeouts {
-	t := connTimeouts{Header: defaultHeaderTimeout, Idle: defaultIdleTimeout}
-	table := h.config.Table()
-	if table == nil {
-		return t
+// limits returns what the configuration in force allows callers, with times for
+// what it leaves open.
+func (h *Host) limits() route.Limits {
+	var limits route.Limits
+	if table := h.config.Table(); table != nil {
+		limits = table.Limits
 	}
-	if d := table.Limits.HeaderTimeout; d > 0 {
-		t.Header = d
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultHeaderTimeout
 	}
-	if d := table.Limits.IdleTimeout; d > 0 {
-		t.Idle = d
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultIdleTimeout
 	}
-	return t
+	return limits
 }
 
 // New provisions a host: it binds all addresses and starts nothing.
@@ -238,13 +239,13 @@
 }
 
 // storeAway reports whether the store has not answered lately.
-func (h *Host) storeAway() bool { return h.missed.Load() != 0 }
+func (h *Host) storeAway() bool { return h.away.Load() }
 
 func (h *Host) storeAnswers() bool { return !h.storeAway() }
 
-func (h *Host) lost() { h.missed.CompareAndSwap(0, h.clock.Now().UnixNano()) }
+func (h *Host) lost() { h.away.Store(true) }
 
-func (h *Host) regained() { h.missed.Store(0) }
+func (h *Host) regained() { h.away.Store(false) }
 
 func (h *Host) wantRecovery() {
 	select {
@@ -383,7 +384,7 @@
 		h.jobs.HandOver(ctx)
 		h.presence.Leave(ctx)
 	})
-	h.pause(ctx, balancerTime)
+	wait.For(ctx, h.clock, balancerTime)
 	err := h.callers.server.Shutdown(ctx)
 	handed.Wait()
 	h.cancel()
--- a/host/neighbour.go
+++ b/host/neighbour.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/slots"
@@ -81,10 +82,8 @@
 		if a.host.uninformed() || a.host.config.Table() == nil {
 			a.ask(ctx)
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, a.clock, askInterval); ctx.Err() != nil {
 			return ctx.Err()
-		case <-a.clock.After(askInterval):
 		}
 	}
 }
--- a/host/presence.go
+++ b/host/presence.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
@@ -94,10 +95,8 @@
 		if failures > 0 && failures < lostRenewals {
 			pause = refusedPause/2 + rand.N(refusedPause)
 		}
-		select {
-		case <-ctx.Done():
+		if wait.For(ctx, p.clock, pause); ctx.Err() != nil {
 			return ctx.Err()
-		case <-p.clock.After(pause):
 		}
 	}
 }
@@ -305,9 +304,6 @@
 		if failed > 0 {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-p.clock.After(pingInterval):
-		}
+		wait.For(ctx, p.clock, pingInterval)
 	}
 }
--- a/host/recovery.go
+++ b/host/recovery.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/platform"
@@ -34,7 +35,7 @@
 	whole := false
 	for wanted := !h.settings.FirstStart; ; {
 		for wanted && h.jobs.Recover(ctx, whole && h.places.IsBroker()) != nil && ctx.Err() == nil {
-			h.pause(ctx, recoverRetry)
+			wait.For(ctx, h.clock, recoverRetry)
 		}
 		select {
 		case <-ctx.Done():
@@ -51,13 +52,6 @@
 // String names the service in supervisor events.
 func (recovery) String() string { return "recovery" }
 
-func (h *Host) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-h.clock.After(d):
-	}
-}
-
 // retireRanks is the number of hosts that may report a storage host as empty,
 // one after the other.
 const (
@@ -91,6 +85,6 @@
 			return
 		}
 		h.log.WithError(err).WithField("storage_host", name).Warn("storage host not reported as empty yet")
-		h.pause(ctx, recoverRetry)
+		wait.For(ctx, h.clock, recoverRetry)
 	}
 }
--- a/host/watch.go
+++ b/host/watch.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 )
 
@@ -59,11 +60,11 @@
 	for ctx.Err() == nil {
 		if w.active != nil && !w.active() {
 			at = 0
-			w.sleep(ctx, minRetry)
+			wait.For(ctx, w.clock, minRetry)
 			continue
 		}
 		if retry > 0 && w.away != nil && w.away() {
-			w.sleep(ctx, minRetry)
+			wait.For(ctx, w.clock, minRetry)
 			continue
 		}
 		next, err := w.step(ctx, at)
@@ -99,17 +100,10 @@
 		w.lost()
 	}
 	retry = min(max(2*retry, minRetry), maxRetry)
-	w.sleep(ctx, retry)
+	wait.For(ctx, w.clock, retry)
 	return retry
 }
 
-func (w *Watcher) sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-w.clock.After(d):
-	}
-}
-
 // step makes one call.
 func (w *Watcher) step(ctx context.Context, at txn.Rev) (txn.Rev, error) {
 	if at == 0 {
@@ -127,7 +121,7 @@
 	if len(changes.Items) > 0 {
 		w.changed(ctx, changes.Items)
 		if w.gather > 0 {
-			w.sleep(ctx, w.gather)
+			wait.For(ctx, w.clock, w.gather)
 		}
 	}
 	return max(changes.At, at), nil
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -37,7 +37,7 @@
 			byService[service] = w
 		}
 		w.Items++
-		if lessUrgent(w.DueIn, left) {
+		if slots.CompareUrgency(left, w.DueIn) < 0 {
 			w.DueIn = left
 		}
 	}
@@ -48,15 +48,6 @@
 	return wants
 }
 
-// lessUrgent reports whether a is less urgent than b: items that are late come
-// after all others.
-func lessUrgent(a, b time.Duration) bool {
-	if (a < 0) != (b < 0) {
-		return a < 0
-	}
-	return a > b
-}
-
 // pending yields the items that wait for a place with their services. The lock
 // is held.
 func (m *Manager) pending(now time.Time) func(yield func(*item, string) bool) {
@@ -91,7 +82,7 @@
 		if service != g.Replica.Service {
 			continue
 		}
-		if best == nil || lessUrgent(best.job.head.due().Sub(now), it.job.head.due().Sub(now)) {
+		if best == nil || slots.CompareUrgency(it.job.head.due().Sub(now), best.job.head.due().Sub(now)) < 0 {
 			best = it
 		}
 	}
--- a/node/tree.go
+++ b/node/tree.go
@@ -7,6 +7,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 )
 
 // Restart policy of every supervisor.
@@ -76,10 +78,7 @@
 	n.online.gateway.Leave()
 	n.log.Info("stopping: readiness off")
 	n.hosts.Leaving()
-	select {
-	case <-n.clock.After(n.settings.Stop.BalancerDelay):
-	case <-ctx.Done():
-	}
+	wait.For(ctx, n.clock, n.settings.Stop.BalancerDelay)
 	n.awaitQuiet(ctx)
 	err := n.gateway.shutdown(ctx)
 	n.online.gateway.Drain()
@@ -99,13 +98,10 @@
 	delay := n.settings.Stop.BalancerDelay
 	end := n.clock.Now().Add(delay)
 	for ctx.Err() == nil && n.clock.Now().Before(end) {
-		wait := delay/quietPart - n.online.gateway.Quiet()
-		if wait <= 0 {
+		left := delay/quietPart - n.online.gateway.Quiet()
+		if left <= 0 {
 			return
 		}
-		select {
-		case <-n.clock.After(wait):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, n.clock, left)
 	}
 }
--- a/quarantine/spread.go
+++ b/quarantine/spread.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
@@ -194,11 +195,11 @@
 			if w.watchStore(ctx) == nil {
 				continue
 			}
-			w.pause(ctx, storeBackoff)
+			wait.For(ctx, w.Clock, storeBackoff)
 			continue
 		}
 		w.pull(ctx, relay[0])
-		w.pause(ctx, pullInterval)
+		wait.For(ctx, w.Clock, pullInterval)
 	}
 	return ctx.Err()
 }
@@ -206,13 +207,6 @@
 // String names the service in supervisor events.
 func (w *Watch) String() string { return "quarantine" }
 
-func (w *Watch) pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-w.Clock.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (w *Watch) pull(ctx context.Context, from membership.Host) {
 	var notices []Notice
 	if err := w.Caller.Call(ctx, from.PeerAddress, PeerName+".Pull", Ack{}, &notices); err != nil {
@@ -228,7 +222,7 @@
 // the relay, which it checks after each wait.
 func (w *Watch) watchStore(ctx context.Context) error {
 	if w.Store == nil {
-		w.pause(ctx, pullInterval)
+		wait.For(ctx, w.Clock, pullInterval)
 		return nil
 	}
 	begin, err := w.Store.Watch(ctx, kv.Watch{Key: keyConfirmed, Prefix: true})
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/service"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -321,7 +322,7 @@
 		if own+peers == 0 {
 			return
 		}
-		w.pause(ctx, trialPoll)
+		wait.For(ctx, w.Clock, trialPoll)
 	}
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -132,13 +132,7 @@
 // Match returns the route with the longest prefix of the path among those of
 // the host, or nil.
 func (t *Table) Match(host, path string) *Route {
-	of, ok := t.routes[host]
-	if !ok {
-		if name, _, err := net.SplitHostPort(host); err == nil {
-			of = t.routes[name]
-		}
-	}
-	for _, r := range of {
+	for _, r := range t.of(host) {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -147,12 +141,18 @@
 }
 
 // HasHost reports whether any route has the host.
-func (t *Table) HasHost(host string) bool {
-	if len(t.routes[host]) > 0 {
-		return true
+func (t *Table) HasHost(host string) bool { return len(t.of(host)) > 0 }
+
+// of returns the routes of a host, which may be given with its port.
+func (t *Table) of(host string) []*Route {
+	if of, ok := t.routes[host]; ok {
+		return of
 	}
 	name, _, err := net.SplitHostPort(host)
-	return err == nil && len(t.routes[name]) > 0
+	if err != nil {
+		return nil
+	}
+	return t.routes[name]
 }
 
 // ServiceOf returns what the configuration says of a service.
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -97,16 +97,22 @@
 	return left > 0 && left < dueMargin
 }
 
-// compareRevocable puts first what loses least: items that are late already,
-// then those due last, then the youngest.
-func compareRevocable(now time.Time, a, b *held) int {
-	late := func(g *held) int {
-		if g.Due.Before(now) {
-			return 0
+// CompareUrgency compares two times that are left until items are due; the more
+// urgent one is less. Items that are late come after all others.
+func CompareUrgency(a, b time.Duration) int {
+	if late := a < 0; late != (b < 0) {
+		if late {
+			return 1
 		}
-		return 1
+		return -1
 	}
-	return cmp.Or(cmp.Compare(late(a), late(b)), b.Due.Compare(a.Due), b.Since.Compare(a.Since), cmp.Compare(a.ID, b.ID))
+	return cmp.Compare(a, b)
+}
+
+// compareRevocable puts first what loses least: the least urgent items, then the
+// youngest.
+func compareRevocable(now time.Time, a, b *held) int {
+	return cmp.Or(CompareUrgency(b.Due.Sub(now), a.Due.Sub(now)), b.Since.Compare(a.Since), cmp.Compare(a.ID, b.ID))
 }
 
 // placeBatch gives free places to the hosts whose items are due first. Items
@@ -161,13 +167,7 @@
 }
 
 func compareWants(now time.Time, ah string, a Want, bh string, b Want) int {
-	late := func(w Want) int {
-		if w.Due.Before(now) {
-			return 1
-		}
-		return 0
-	}
-	return cmp.Or(cmp.Compare(late(a), late(b)), a.Due.Compare(b.Due), cmp.Compare(ah, bh))
+	return cmp.Or(CompareUrgency(a.Due.Sub(now), b.Due.Sub(now)), cmp.Compare(ah, bh))
 }
 
 // Sync takes what a host holds and wants. Grants of another broker are taken
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
@@ -37,10 +38,7 @@
 		if c.pollOnce(ctx, dataCentre) {
 			rest = shortRest
 		}
-		select {
-		case <-c.Clock.After(rest):
-		case <-ctx.Done():
-		}
+		wait.For(ctx, c.Clock, rest)
 	}
 }
 
