--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/jobs/backlog"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -80,6 +81,8 @@
 
 // accept records a job and releases the submissions that wait for it.
 func (m *Manager) accept(ctx context.Context, s Submission, a *acceptance) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	a.err = m.recordSubmission(ctx, s)
 	m.mu.Lock()
 	delete(m.accepting, s.ID)
@@ -94,22 +97,80 @@
 		return err
 	}
 	head := m.newHead(&s)
-	req, err := newJobRequest(head, s.Items)
+	for {
+		permit, err := m.backlog.Admit(ctx, m.backlogRequest(&s))
+		if errors.Is(err, backlog.ErrAccepted) {
+			go m.ensureAcceptedOwner(s.ID)
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		rev, err := m.commitAcceptance(ctx, head, s.Items, permit)
+		switch {
+		case err == nil:
+			m.startAccepted(head, rev, s.Items)
+			return nil
+		case errors.Is(err, errPermitOutdated):
+			continue
+		case errors.Is(err, txn.ErrConflict):
+			go m.ensureAcceptedOwner(s.ID)
+			return nil
+		case verdict.Of(err) != verdict.NotRun:
+			go m.awaitLateWrite(head, s.Items)
+		}
+		return err
+	}
+}
+
+// errPermitOutdated means that a job is not recorded and needs a new permit:
+// another host changed the route's backlog record. Late copies of the transaction
+// can't take effect either.
+var errPermitOutdated = errors.New("backlog record has changed")
+
+// commitAcceptance commits the transaction that records a job. It returns
+// txn.ErrConflict if the job is already recorded.
+func (m *Manager) commitAcceptance(ctx context.Context, head *Head, items []Item, permit backlog.Permit) (txn.Rev, error) {
+	req, err := newJobRequest(head, items, permit)
 	if err != nil {
-		return verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The job can't be recorded.")
+		return 0, verdict.Wrap(err, verdict.NotRun, verdict.CodeInvalidRequest, "The job can't be recorded.")
 	}
 	rev, err := m.commitAsOwner(ctx, req, head)
-	switch {
-	case err == nil:
-		m.startAccepted(head, rev, s.Items)
-		return nil
-	case errors.Is(err, txn.ErrConflict):
-		go m.ensureAcceptedOwner(s.ID)
-		return nil
-	case verdict.Of(err) != verdict.NotRun:
-		go m.awaitLateWrite(head, s.Items)
+	if err == nil {
+		m.backlog.Accepted(permit, rev)
+		return rev, nil
 	}
-	return err
+	m.backlog.Failed(permit, err)
+	if errors.Is(err, txn.ErrConflict) && permit.Limited() {
+		recorded, readErr := m.isRecorded(ctx, head.ID, err)
+		switch {
+		case readErr != nil:
+			return 0, errNotRecorded(readErr)
+		case !recorded:
+			return 0, errPermitOutdated
+		}
+	}
+	return 0, err
+}
+
+// isRecorded reports whether a job is recorded, after a conflict.
+func (m *Manager) isRecorded(ctx context.Context, id string, err error) (bool, error) {
+	var conflict *txn.ConflictError
+	if errors.As(err, &conflict) {
+		if item, ok := conflict.Item(headKey(id)); ok {
+			return item.Rev != 0, nil
+		}
+	}
+	return m.isStored(ctx, id)
+}
+
+// isStored reads whether a job is recorded.
+func (m *Manager) isStored(ctx context.Context, id string) (bool, error) {
+	_, err := m.Store.Get(ctx, headKey(id))
+	if errors.Is(err, txn.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil, err
 }
 
 // ensureAcceptedOwner ensures that a job that was already accepted has an owner.
@@ -149,7 +210,7 @@
 	return &Head{
 		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, RouteHost: s.Host, RoutePrefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
-		ItemCount: len(s.Items), WriteSeq: 1,
+		ItemCount: len(s.Items), WriteSeq: 1, Tokens: s.tokens(), WaitingTokens: s.tokens(),
 	}
 }
 
@@ -159,15 +220,12 @@
 	go m.announce(head.ID)
 }
 
-// newJobRequest returns the transaction that creates a job's records.
-func newJobRequest(head *Head, items []Item) (txn.Request, error) {
+// newJobRequest returns the transaction that creates a job's records with a permit.
+func newJobRequest(head *Head, items []Item, permit backlog.Permit) (txn.Request, error) {
 	chunks, err := encodeItems(items)
 	if err != nil {
 		return txn.Request{}, err
 	}
-	if len(chunks)+1 > txn.MaxEntries {
-		return txn.Request{}, errors.New("job needs more chunks than one transaction can write")
-	}
 	head.ItemChunks = len(chunks)
 	req := txn.Request{If: []txn.Condition{{Key: headKey(head.ID)}}}
 	value, err := cbor.Marshal(head)
@@ -178,15 +236,18 @@
 	for n, chunk := range chunks {
 		req.Writes = append(req.Writes, txn.Write{Key: itemKey(head.ID, n), Value: chunk})
 	}
+	permit.AddTo(&req)
+	if len(req.If)+len(req.Writes) > txn.MaxEntries {
+		return txn.Request{}, errors.New("job needs more chunks than one transaction can write")
+	}
 	return req, nil
 }
 
 // commitAsOwner commits a transaction that writes a head record with this host as
-// the owner. If the reply is lost, the same transaction is sent again: at most one
-// of the copies takes effect, and the stored head record shows whether one did.
+// the owner. If the reply is lost, the same transaction is sent again until ctx
+// ends: at most one of the copies takes effect, and the stored head record shows
+// whether one did.
 func (m *Manager) commitAsOwner(ctx context.Context, req txn.Request, head *Head) (txn.Rev, error) {
-	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
-	defer cancel()
 	pause := newWriteBackOff()
 	unknown := false
 	for {
@@ -211,10 +272,13 @@
 }
 
 // confirmOwnWrite returns the revision of head if the store holds it: an earlier
-// copy of the transaction has then taken effect. Otherwise another host has
-// written the record, and it returns txn.ErrConflict.
+// copy of the transaction has then taken effect. Otherwise another condition of it
+// no longer holds, and it returns txn.ErrConflict.
 func (m *Manager) confirmOwnWrite(ctx context.Context, head *Head) (txn.Rev, error) {
 	found, err := m.Store.Get(ctx, headKey(head.ID))
+	if errors.Is(err, txn.ErrNotFound) {
+		return 0, txn.ErrConflict
+	}
 	if err != nil {
 		return 0, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTimeout, "It is not known whether the job was recorded.")
 	}
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -107,10 +107,24 @@
 	if len(c.results) > 0 {
 		c.head.ChunkStarts = append(slices.Clone(j.head.ChunkStarts), j.head.ResultCount)
 		c.head.ResultCount += len(c.results)
+		c.head.WaitingTokens -= j.tokensOf(c.results)
 	}
 	return c
 }
 
+// tokensOf returns the tokens of the items that have the given results.
+func (j *job) tokensOf(results []Result) int64 {
+	tokens := make(map[string]int64, len(j.items))
+	for _, it := range j.items {
+		tokens[it.ID] = it.Tokens
+	}
+	var sum int64
+	for _, r := range results {
+		sum += tokens[r.ID]
+	}
+	return sum
+}
+
 // changesRequest returns the transaction that records several changes.
 func changesRequest(batch []change) (txn.Request, error) {
 	var req txn.Request
@@ -176,6 +190,7 @@
 	}
 	j.rev = rev
 	j.head.WriteSeq, j.head.ChunkStarts, j.head.ResultCount, j.head.Ended = c.head.WriteSeq, c.head.ChunkStarts, c.head.ResultCount, c.head.Ended
+	j.head.WaitingTokens = c.head.WaitingTokens
 	j.recorded = append(j.recorded, c.results...)
 	j.unrecorded = j.unrecorded[len(c.results):]
 	j.unrecordedSince = m.Clock.Now()
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -19,6 +19,9 @@
 	Path    string
 	Headers map[string]string
 	Body    []byte
+	// Tokens is the number of tokens of the prompt and the maximum number of output
+	// tokens together.
+	Tokens int64
 }
 
 // Submission is a job as submitted by a caller.
@@ -33,6 +36,15 @@
 	Retention time.Duration
 }
 
+// tokens returns the tokens of all items.
+func (s *Submission) tokens() int64 {
+	var sum int64
+	for _, it := range s.Items {
+		sum += it.Tokens
+	}
+	return sum
+}
+
 // Result is the result of one item.
 type Result struct {
 	ID string
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -35,6 +35,8 @@
 	hosts       map[string]*testHost
 	mu          sync.Mutex
 	unreachable map[string]bool
+	// maxWaitingTokens is the limit of the route; zero means none.
+	maxWaitingTokens int64
 }
 
 type testHost struct {
@@ -146,12 +148,15 @@
 		}
 	}
 	view.Set(others)
-	table := route.NewTable(1, route.Limits{}, []*route.Route{{
-		Host: "h", Prefix: "/p/", Kind: route.Batch, MaxAttempts: 2, Targets: []route.Target{{Service: "svc", Weight: 1}},
-	}}, nil)
+	table := func() *route.Table {
+		return route.NewTable(1, route.Limits{}, []*route.Route{{
+			Host: "h", Prefix: "/p/", Kind: route.Batch, MaxAttempts: 2, Targets: []route.Target{{Service: "svc", Weight: 1}},
+			MaxWaitingTokens: c.maxWaitingTokens,
+		}}, nil)
+	}
 	h := &testHost{replicas: &fakeReplicas{answer: answerInFull}, released: make(chan slots.Outcome, 64)}
 	h.Manager = NewManager(Options{
-		Store: c.store, Slots: h, Upstream: h.replicas, View: view, Peers: c, Table: func() *route.Table { return table },
+		Store: c.store, Slots: h, Upstream: h.replicas, View: view, Peers: c, Table: table,
 		StoreUnavailable: func() bool { return false }, Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	c.mu.Lock()
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/jobs/backlog"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/route"
@@ -67,6 +68,9 @@
 	stopping   bool
 	activeRuns sync.WaitGroup
 
+	// backlog bounds the tokens that wait on a route.
+	backlog *backlog.Limiter
+
 	// writeMu is held while changes are collected and recorded, so that no
 	// result is recorded twice.
 	writeMu sync.Mutex
@@ -79,11 +83,13 @@
 
 // NewManager returns a Manager that owns no jobs.
 func NewManager(o Options) *Manager {
-	return &Manager{
+	m := &Manager{
 		Options: o, jobs: make(map[string]*job), cachedOwners: make(map[string]string),
 		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), ownerSearches: make(map[string]struct{}), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
 		writeBackOff: newWriteBackOff(),
 	}
+	m.backlog = m.newLimiter()
+	return m
 }
 
 // job is a job that this host owns.
--- a/jobs/metrics.go
+++ b/jobs/metrics.go
@@ -1,16 +1,22 @@
 package jobs
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/comfreyspindle/comfreyspindle/jobs/backlog"
+)
 
 // Metrics are the metrics of batch jobs.
 type Metrics struct {
-	runs  *prometheus.CounterVec
-	flush prometheus.Histogram
+	runs    *prometheus.CounterVec
+	flush   prometheus.Histogram
+	backlog *backlog.Metrics
 }
 
 // NewMetrics registers the metrics.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		backlog: backlog.NewMetrics(reg),
 		runs: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "comfreyspindle_jobs_runs_total", Help: "Runs of items by how they ended.",
 		}, []string{"end"}),
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -51,6 +51,10 @@
 	WriteSeq uint64 `cbor:"13,keyasint"`
 	// DataCentre is the data centre of the owner.
 	DataCentre string `cbor:"14,keyasint"`
+	// Tokens are the tokens of all items, WaitingTokens those of the items without a
+	// recorded result.
+	Tokens        int64 `cbor:"15,keyasint"`
+	WaitingTokens int64 `cbor:"16,keyasint"`
 }
 
 // open reports whether the job has items left to run.
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -133,6 +133,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode head record")
 	}
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
 	rev, err = m.commitAsOwner(ctx, txn.Request{
 		If:     []txn.Condition{{Key: headKey(id), Rev: rev}},
 		Writes: []txn.Write{{Key: headKey(id), Value: value}},
--- a/kv/txn/txn.go
+++ b/kv/txn/txn.go
@@ -34,6 +34,30 @@
 	ErrUnknown = errors.New("outcome unknown")
 )
 
+// ConflictError is the error of a transaction with a condition that does not hold.
+// It matches ErrConflict.
+type ConflictError struct {
+	// Items are the keys of the conditions as they were when the transaction failed.
+	// Keys that don't exist may be missing.
+	Items []Item
+}
+
+// Error returns the text of ErrConflict.
+func (e *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Is reports whether target is ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict } //nolint:errorlint // the interface of errors.Is asks for the identity
+
+// Item returns the state of a key. It reports false if the error does not tell it.
+func (e *ConflictError) Item(key string) (Item, bool) {
+	for _, item := range e.Items {
+		if item.Key == key {
+			return item, true
+		}
+	}
+	return Item{}, false
+}
+
 // Lease is the ID of a lease. Zero means no lease.
 type Lease int64
 
@@ -102,7 +126,7 @@
 	// Watch waits up to wait for changes, after the revision after, of keys that
 	// have the prefix.
 	Watch(ctx context.Context, prefix string, after Rev, wait time.Duration) (Changes, error)
-	// Commit executes a transaction and returns its revision.
+	// Commit executes a transaction and returns its revision, or a ConflictError.
 	Commit(ctx context.Context, req Request) (Rev, error)
 	// Grant creates a lease that expires after ttl unless it is renewed.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
--- a/kv/txn/txntest/contract.go
+++ b/kv/txn/txntest/contract.go
@@ -41,6 +41,13 @@
 			Writes: []txn.Write{{Key: "a", Value: []byte("2")}},
 		})
 		errtest.Is(t, err, txn.ErrConflict)
+		var conflict *txn.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		current, ok := conflict.Item("a")
+		require.True(t, ok)
+		require.Equal(t, txn.Item{Key: "a", Value: []byte("1"), Rev: rev}, current)
+		absent, _ := conflict.Item("b")
+		require.Zero(t, absent.Rev)
 		item, err := s.Get(ctx, "a")
 		require.NoError(t, err)
 		require.Equal(t, []byte("1"), item.Value)
--- a/kv/txn/txntest/store.go
+++ b/kv/txn/txntest/store.go
@@ -221,7 +221,13 @@
 		}
 	}
 	if !s.conditionsHold(req) {
-		return txn.ErrConflict
+		conflict := &txn.ConflictError{}
+		for _, c := range req.If {
+			if item, ok := s.items[c.Key]; ok {
+				conflict.Items = append(conflict.Items, item)
+			}
+		}
+		return conflict
 	}
 	return nil
 }
--- a/route/route.go
+++ b/route/route.go
@@ -63,6 +63,9 @@
 	// time for which its unfinished items are retried, both from its first
 	// submission.
 	RunTarget, Retention time.Duration
+	// MaxWaitingTokens bounds the tokens of items that wait on a batch route, over
+	// all hosts; zero means no bound.
+	MaxWaitingTokens int64
 }
 
 // Repeatable reports whether a request may be sent again even if it may have
