--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"io"
 	"net/http"
 	"time"
@@ -51,6 +52,9 @@
 	// FirstByteTimeout bounds the wait for the response and GapTimeout the wait
 	// for each further piece of it; zero is unbounded.
 	FirstByteTimeout, GapTimeout time.Duration
+	// GiveUp is called each time that one of the time-outs has passed, and reports
+	// whether to end the attempt; nil ends it the first time.
+	GiveUp func() bool
 }
 
 // Response is a replica's response.
@@ -142,6 +146,9 @@
 	mayHaveRunCount, notRunCount int
 	// avoid holds the ids of the replicas that failed or refused an attempt.
 	avoid []string
+	// reserved is the slot for the next attempt, if it was acquired before the
+	// present one was given up.
+	reserved *slots.Grant
 }
 
 // Run runs a request and relays its response. An error before the response has
@@ -150,6 +157,7 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	s := &requestState{Runner: r, req: req, sink: sink}
+	defer s.releaseReserved()
 	for {
 		retry, err := s.attempt(ctx)
 		if !retry {
@@ -186,11 +194,11 @@
 // attempt sends the request to one replica and reports whether to retry it on
 // another one.
 func (s *requestState) attempt(ctx context.Context) (retry bool, err error) {
-	g, err := s.Slots.Acquire(ctx, s.acquireArgs(), s.slotTimeout())
+	g, err := s.acquire(ctx)
 	if err != nil {
 		return false, s.refusalError(err)
 	}
-	res, err := s.Upstream.Send(ctx, s.req, s.sendArgs(g))
+	res, err := s.Upstream.Send(ctx, s.req, s.sendArgs(ctx, g))
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
 	}
@@ -209,6 +217,36 @@
 	return s.mayRetry(ctx) && !errors.Is(err, errCallerDisconnected), err
 }
 
+// acquire returns the slot that is reserved for the next attempt, or acquires one.
+func (s *requestState) acquire(ctx context.Context) (slots.Grant, error) {
+	if s.reserved == nil {
+		return s.Slots.Acquire(ctx, s.acquireArgs(), s.slotTimeout())
+	}
+	g := *s.reserved
+	s.reserved = nil
+	return g, nil
+}
+
+// reserve acquires a slot of another replica than the silent one, if one is free
+// now. Without one the attempt goes on: the replica may only be slow, and a
+// response that was given up could not be continued.
+func (s *requestState) reserve(ctx context.Context, silent slots.Grant) bool {
+	args := s.acquireArgs()
+	args.Avoid = append(slices.Clone(s.avoid), silent.Replica.ID)
+	g, err := s.Slots.Acquire(ctx, args, 0)
+	if err != nil {
+		return ctx.Err() != nil
+	}
+	s.reserved = &g
+	return true
+}
+
+func (s *requestState) releaseReserved() {
+	if s.reserved != nil {
+		s.Slots.Release(*s.reserved, slots.Unused)
+	}
+}
+
 func (s *requestState) acquireArgs() slots.AcquireArgs {
 	args := slots.AcquireArgs{Request: s.req.ID, Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid}
 	if s.begun {
@@ -231,7 +269,7 @@
 
 // sendArgs returns the arguments of the next attempt. Time-outs for the replica
 // are set only if a further attempt could follow.
-func (s *requestState) sendArgs(g slots.Grant) SendArgs {
+func (s *requestState) sendArgs(ctx context.Context, g slots.Grant) SendArgs {
 	args := SendArgs{Replica: g.Replica, TimeLeft: s.req.Deadline.Sub(s.Clock.Now()), LastEventID: s.req.LastEventID}
 	if s.events.LastID != "" {
 		args.LastEventID = s.events.LastID
@@ -239,6 +277,7 @@
 	if s.req.Route.Repeatable() && s.mayHaveRunCount+1 < s.req.Route.MaxAttempts {
 		args.FirstByteTimeout = max(minFirstByteTimeout, s.req.Route.Objective/2)
 		args.GapTimeout = s.req.Route.MaxGap / 2
+		args.GiveUp = func() bool { return s.reserve(ctx, g) }
 	}
 	return args
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -34,10 +34,15 @@
 type fakeUpstream struct {
 	attempts []scriptedAttempt
 	sent     []SendArgs
+	// onSend is called with the arguments of each attempt; it may be nil.
+	onSend func(SendArgs)
 }
 
 func (f *fakeUpstream) Send(_ context.Context, _ *Request, s SendArgs) (*Response, error) {
 	f.sent = append(f.sent, s)
+	if f.onSend != nil {
+		f.onSend(s)
+	}
 	t := f.attempts[min(len(f.sent), len(f.attempts))-1]
 	if t.err != nil {
 		return nil, t.err
@@ -233,6 +238,53 @@
 	require.Equal(t, []slots.Outcome{slots.Unreachable, slots.Done}, o.slots.outcomes)
 }
 
+// silentReader pauses after its first part: it asks whether to give the attempt up,
+// as a connection does, and goes on if not.
+type silentReader struct {
+	io.Reader
+	pauses int
+	giveUp func() bool
+	rest   io.Reader
+}
+
+func (r *silentReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 || r.rest == nil {
+		return n, err
+	}
+	for range r.pauses {
+		if r.giveUp == nil || r.giveUp() {
+			return 0, errSilent
+		}
+	}
+	r.Reader, r.rest = r.rest, nil
+	return r.Reader.Read(p)
+}
+
+// A replica pauses within a stream while no other has a free slot. The stream must
+// not be given up: it could not be continued anywhere.
+func TestPausingStreamIsKeptUntilAnotherReplicaIsFree(t *testing.T) {
+	for _, row := range []struct {
+		name           string
+		replicas, sent int
+		outcomes       []slots.Outcome
+	}{
+		{"no free slot", 1, 1, []slots.Outcome{slots.Done}},
+		{"a free slot", 2, 2, []slots.Outcome{slots.Unreachable, slots.Done}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			body := &silentReader{Reader: strings.NewReader(events(1, 2)), pauses: 2, rest: strings.NewReader(events(3, 4))}
+			upstream := &fakeUpstream{attempts: []scriptedAttempt{stream(body), stream(strings.NewReader(events(3, 4)))}}
+			upstream.onSend = func(args SendArgs) { body.giveUp = args.GiveUp }
+			o := scriptResult{upstream: upstream, slots: &fakeSlots{left: row.replicas}, sink: &recordingSink{}}.run(resumable)
+			require.NoError(t, o.err)
+			require.Equal(t, events(1, 4), o.sink.body.String())
+			require.Len(t, o.upstream.sent, row.sent)
+			require.Equal(t, row.outcomes, o.slots.outcomes)
+		})
+	}
+}
+
 func TestResponseTimeoutsAreSetOnlyIfARetryIsPossible(t *testing.T) {
 	o := runScript(resumable, 5, stream(failAfter(events(1, 1), errBroken)), stream(strings.NewReader(events(2, 2))))
 	require.NotZero(t, o.upstream.sent[0].FirstByteTimeout)
--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -26,6 +26,9 @@
 	// gap bounds the wait of each read; zero is unbounded. It is set while no
 	// goroutine reads.
 	gap time.Duration
+	// giveUp decides whether a read that found nothing within the gap fails; nil
+	// always lets it fail. It is set with gap.
+	giveUp func() bool
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -45,12 +48,22 @@
 // Read implements io.Reader.
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
-// read reads within the gap. When that is up it looks once more: a process that
-// was suspended finds both its timer and the data due.
+// read reads within the gap, or longer as long as giveUp returns false.
 func (c *conn) read(p []byte) (int, error) {
 	if c.gap <= 0 {
 		return c.raw.Read(p)
 	}
+	for {
+		n, err := c.readWithinGap(p)
+		if !errors.Is(err, ErrSilent) || c.giveUp == nil || c.giveUp() {
+			return n, err
+		}
+	}
+}
+
+// readWithinGap reads within the gap. When that is up it looks once more: a process
+// that was suspended finds both its timer and the data due.
+func (c *conn) readWithinGap(p []byte) (int, error) {
 	_ = c.raw.SetReadDeadline(time.Now().Add(c.gap))
 	n, err := c.raw.Read(p)
 	if n > 0 || !isTimeout(err) {
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -56,6 +56,9 @@
 	DialTimeout, FirstByte time.Duration
 	// Gap bounds the wait for each further piece; zero is unbounded.
 	Gap time.Duration
+	// GiveUp is called each time that FirstByte or Gap has passed without data, and
+	// reports whether to end the exchange. Nil ends it the first time.
+	GiveUp func() bool
 	// Mine reports whether an answer belongs to the request. Others are
 	// skipped.
 	Mine func(*http.Response) bool
@@ -109,7 +112,7 @@
 		}
 		return nil, err
 	}
-	c.gap = x.Gap
+	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: res.Body,
 		pool: p, conn: c, res: res, stop: stop,
@@ -127,7 +130,7 @@
 		return nil, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
 	}
 	whole := err == nil
-	if err := c.first(x.FirstByte); err != nil {
+	if err := c.awaitFirst(x); err != nil {
 		return nil, err
 	}
 	for range maxStrays {
@@ -159,6 +162,16 @@
 	return nil
 }
 
+// awaitFirst waits for the first byte of an answer until it is given up.
+func (c *conn) awaitFirst(x Exchange) error {
+	for {
+		err := c.first(x.FirstByte)
+		if !errors.Is(err, ErrSilent) || x.GiveUp == nil || x.GiveUp() {
+			return err
+		}
+	}
+}
+
 // recheck is how long a wait that has timed out looks for data that arrived
 // while the process was suspended.
 const recheck = 10 * time.Millisecond
@@ -201,7 +214,7 @@
 		return
 	}
 	_ = c.raw.SetReadDeadline(time.Time{})
-	c.gap = 0
+	c.gap, c.giveUp = 0, nil
 	c.expires = time.Now().Add(idleTime(a.Header))
 	a.pool.put(c)
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -101,6 +101,36 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// An upstream is silent before its answer and again within it, each time for longer
+// than the time-out. The exchange goes on as long as it isn't given up.
+func TestSilentExchangeGoesOnUntilItIsGivenUp(t *testing.T) {
+	const timeout = 30 * time.Millisecond
+	pause := make(chan struct{})
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		id := read(r)
+		whole := answer(id, "of "+id)
+		<-pause
+		_, _ = io.WriteString(c, whole[:len(whole)-1])
+		<-pause
+		_, _ = io.WriteString(c, whole[len(whole)-1:])
+	})
+	asked := 0
+	ans, err := New(func() {}).Send(t.Context(), Exchange{
+		Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout, Gap: timeout,
+		GiveUp: func() bool {
+			asked++
+			pause <- struct{}{}
+			return false
+		},
+	})
+	require.NoError(t, err)
+	defer ans.Close()
+	body, err := io.ReadAll(ans.Body)
+	require.NoError(t, err)
+	require.Equal(t, "of a", string(body))
+	require.Equal(t, 2, asked)
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
