--- a/forward/forward.go
+++ b/forward/forward.go
@@ -5,9 +5,9 @@
 
 import (
 	"context"
-	"slices"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
