--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -211,6 +211,7 @@
 		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, RouteHost: s.Host, RoutePrefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
 		ItemCount: len(s.Items), WriteSeq: 1, Tokens: s.tokens(), WaitingTokens: s.tokens(),
+		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(),
 	}
 }
 
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -75,6 +75,7 @@
 	)
 	for _, j := range ready[:min(len(ready), maxFlushJobs)] {
 		c := j.nextChange()
+		c.head.MeanRunMs = m.meanRunTimes[j.head.route()].Milliseconds()
 		for _, r := range c.results {
 			size += len(r.Output)
 		}
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -63,6 +63,8 @@
 	// ownerSearches are the jobs for which a check of the owner is under way or
 	// ended less than ownerSearchInterval ago.
 	ownerSearches map[string]struct{}
+	// meanRunTimes holds the mean run time of finished items by route.
+	meanRunTimes map[routeKey]time.Duration
 	// stopping is set while the host shuts down. No job is accepted and no item
 	// starts after that.
 	stopping   bool
@@ -85,7 +87,7 @@
 func NewManager(o Options) *Manager {
 	m := &Manager{
 		Options: o, jobs: make(map[string]*job), cachedOwners: make(map[string]string),
-		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), ownerSearches: make(map[string]struct{}), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
+		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), ownerSearches: make(map[string]struct{}), meanRunTimes: make(map[routeKey]time.Duration), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
 		writeBackOff: newWriteBackOff(),
 	}
 	m.backlog = m.newLimiter()
@@ -125,6 +127,8 @@
 	// the last of them.
 	eventData   []string
 	lastEventID string
+	// ran is how long the item has run so far.
+	ran time.Duration
 	// failures counts responses with status 500. consecutiveFailures counts
 	// failed runs of any kind and determines the delay before the next run.
 	failures, consecutiveFailures int
@@ -159,6 +163,7 @@
 		m.jobs[j.head.ID] = j
 	}
 	delete(m.cachedOwners, j.head.ID)
+	m.learnRunTime(&j.head)
 	m.mu.Unlock()
 	signal(m.demandChanged)
 }
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -55,6 +55,9 @@
 	// recorded result.
 	Tokens        int64 `cbor:"15,keyasint"`
 	WaitingTokens int64 `cbor:"16,keyasint"`
+	// MeanRunMs is the mean run time of the route's items in milliseconds, as the
+	// owner knew it at its last write; 0 if unknown.
+	MeanRunMs int64 `cbor:"17,keyasint"`
 }
 
 // open reports whether the job has items left to run.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -27,7 +27,7 @@
 	now := m.Clock.Now()
 	byService := make(map[string]*slots.DemandMessage)
 	for it, service := range m.waitingItems(now) {
-		left := it.job.head.due().Sub(now)
+		left := m.timeLeft(it, now)
 		if remote && left > remoteDemandWindow {
 			continue
 		}
@@ -83,7 +83,7 @@
 		if service != g.Replica.Service {
 			continue
 		}
-		if mostUrgent == nil || slots.CompareUrgency(it.job.head.due().Sub(now), mostUrgent.job.head.due().Sub(now)) < 0 {
+		if mostUrgent == nil || slots.CompareUrgency(m.timeLeft(it, now), m.timeLeft(mostUrgent, now)) < 0 {
 			mostUrgent = it
 		}
 	}
@@ -142,6 +142,7 @@
 
 // run runs an item once on a granted slot and releases the slot.
 func (m *Manager) run(ctx context.Context, g slots.Grant, it *item, rt *route.Route) {
+	start := m.Clock.Now()
 	end, outcome, err := m.runOnReplica(ctx, g, it, rt)
 	if ctx.Err() != nil && end != endDone {
 		end, outcome = endStopped, slots.Unused
@@ -150,6 +151,7 @@
 	delete(m.runs, g.ID)
 	it.running = false
 	events := len(it.eventData)
+	it.ran += m.Clock.Now().Sub(start)
 	m.applyRunEnd(it, rt, end)
 	m.mu.Unlock()
 	m.Slots.Release(g, outcome)
@@ -170,6 +172,7 @@
 func (m *Manager) applyRunEnd(it *item, rt *route.Route, end runEnd) {
 	switch end {
 	case endDone:
+		m.recordRunTime(it.job.head.route(), it.ran)
 		m.setResult(it, Result{ID: it.ID, Done: true, Output: strings.Join(it.eventData, "\n")})
 		return
 	case endInvalid:
@@ -177,7 +180,7 @@
 		return
 	case endFailed:
 		it.failures++
-		it.eventData, it.lastEventID = nil, ""
+		it.eventData, it.lastEventID, it.ran = nil, "", 0
 		if it.failures >= rt.MaxAttempts {
 			m.setResult(it, Result{ID: it.ID})
 			return
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -169,6 +169,7 @@
 		i := slices.IndexFunc(j.items, func(it *item) bool { return it.ID == p.Item })
 		if i >= 0 {
 			j.items[i].eventData, j.items[i].lastEventID, j.items[i].failures = p.Texts, p.LastID, p.Failures
+			j.items[i].ran = p.Ran
 		}
 	}
 }
@@ -229,7 +230,7 @@
 	m.mu.Lock()
 	for _, it := range j.items {
 		if !it.hasResult && (len(it.eventData) > 0 || it.failures > 0) {
-			args.Progress = append(args.Progress, Progress{Item: it.ID, Texts: it.eventData, LastID: it.lastEventID, Failures: it.failures})
+			args.Progress = append(args.Progress, Progress{Item: it.ID, Texts: it.eventData, LastID: it.lastEventID, Failures: it.failures, Ran: it.ran})
 		}
 	}
 	m.mu.Unlock()
