--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -215,6 +215,15 @@
 	}
 }
 
+// A response that is larger than what is buffered has run; another replica would only
+// run the request again.
+func TestTooLargeResponseIsNotRepeated(t *testing.T) {
+	o := runScript(idempotent, 5, ok(strings.NewReader(strings.Repeat("x", maxBufferedBytes+1))))
+	require.Len(t, o.upstream.sent, 1)
+	require.Equal(t, verdict.Ran, verdict.Of(o.err))
+	require.Equal(t, verdict.CodeIncomplete, verdict.As(o.err).Code)
+}
+
 func TestTruncatedStreamReturnsErrTruncated(t *testing.T) {
 	for name, o := range map[string]scriptResult{
 		"can't be resumed":        runScript(notResumable, 5, stream(failAfter(events(1, 2), errBroken))),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -28,6 +28,7 @@
 	errNotVerified        = errors.New("response is not signed by the replica")
 	errReplicaFailed      = errors.New("replica failed to run the request")
 	errCallerDisconnected = errors.New("caller disconnected")
+	errTooLarge           = errors.New("response is larger than what is buffered")
 )
 
 // handleSendError releases the slot of an attempt without a response and
@@ -111,7 +112,7 @@
 		return readErrorOutcome(err), errors.Wrap(err, "read response body")
 	}
 	if len(body) > maxBufferedBytes {
-		return slots.Done, verdict.New(verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
+		return slots.Done, verdict.Wrap(errTooLarge, verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
 	}
 	outcome := slots.Done
 	if res.Status == http.StatusInternalServerError {
