--- a/slots/plan.go
+++ b/slots/plan.go
@@ -187,6 +187,9 @@
 		if _, ok := s.grants[g.ID]; !ok {
 			s.adopt(host, g)
 		}
+		if present, ok := s.grants[g.ID]; ok {
+			present.listedAt = now
+		}
 	}
 	for id, g := range s.grants {
 		listed := !partial || g.Class == Batch
@@ -217,11 +220,12 @@
 // SetDemand sets the demand of a host for one service.
 func (s *Scheduler) SetDemand(host string, w Demand) { s.pool(w.Service).demands[host] = w }
 
-// Expire releases the grants of hosts that have not polled within hostTimeout
-// and those of online requests older than onlineGrantTTL.
+// Expire releases the grants of hosts that have not polled within hostTimeout,
+// and those of online requests that were neither made nor listed within
+// onlineGrantTTL: hosts of other data centres don't list them.
 func (s *Scheduler) Expire(now time.Time) {
 	for id, g := range s.grants {
-		if g.Class == Online && now.Sub(g.Since) > onlineGrantTTL {
+		if g.Class == Online && now.Sub(g.Since) > onlineGrantTTL && now.Sub(g.listedAt) > onlineGrantTTL {
 			s.Release(now, id, Unused)
 		}
 	}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -183,6 +183,8 @@
 	Grant
 	replicaState *replicaState
 	revokedAt    time.Time
+	// listedAt is when its host last listed the grant.
+	listedAt time.Time
 }
 
 // NewScheduler returns a scheduler without replicas.
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -197,6 +197,24 @@
 	require.False(t, s.deliverable(start, granted[0].ID), "an undelivered grant is dropped")
 }
 
+// A stream runs for longer than onlineGrantTTL. Its slot stays in use as long as its
+// host lists it, and is free once it doesn't.
+func TestLongStreamKeepsItsSlot(t *testing.T) {
+	s := newScheduler(1, 1)
+	g := *acquire(s, start, 0).Grant
+	now := start
+	for now.Sub(start) < 2*onlineGrantTTL {
+		now = now.Add(pollWait)
+		s.Sync(now, "h", []Grant{g}, nil, false)
+		s.Expire(now)
+	}
+	require.NotNil(t, acquire(s, now, time.Second).Waiter)
+	require.Empty(t, s.Plan(now).Granted)
+	now = now.Add(pollWait)
+	s.Sync(now, "h", nil, nil, false)
+	require.Len(t, s.Plan(now).Granted, 1)
+}
+
 func TestUndeliveredBatchGrantExpires(t *testing.T) {
 	s := newScheduler(1, 1)
 	g := fillBatch(s, start, "b", time.Minute)[0]
