--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -290,6 +290,8 @@
 	if !stored.sameWrite(head) {
 		return 0, txn.ErrConflict
 	}
+	// Another host may have recorded the end of the job since.
+	head.Ended = stored.Ended
 	return found.Rev, nil
 }
 
@@ -308,7 +310,7 @@
 		if err != nil || !stored.sameWrite(head) {
 			return
 		}
-		m.startAccepted(head, found.Rev, items)
+		m.startAccepted(stored, found.Rev, items)
 		return
 	}
 	m.Log.WithField("job", head.ID).Info("unconfirmed acceptance of job has not taken effect")
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -102,7 +102,7 @@
 }
 
 func (j *job) nextChange() change {
-	c := change{job: j, head: j.head, results: slices.Clone(j.unrecorded)}
+	c := change{job: j, head: j.head, results: slices.Clone(firstChunk(j.unrecorded))}
 	c.head.WriteSeq++
 	c.head.Ended = j.head.Ended || j.endRequested
 	if len(c.results) > 0 {
@@ -113,6 +113,19 @@
 	return c
 }
 
+// firstChunk returns the results at the beginning of a list whose outputs total at
+// most maxChunkBytes, and at least one.
+func firstChunk(results []Result) []Result {
+	size := 0
+	for i, r := range results {
+		size += len(r.Output)
+		if i > 0 && size > maxChunkBytes {
+			return results[:i]
+		}
+	}
+	return results
+}
+
 // tokensOf returns the tokens of the items that have the given results.
 func (j *job) tokensOf(results []Result) int64 {
 	tokens := make(map[string]int64, len(j.items))
@@ -244,7 +257,12 @@
 func (m *Manager) reconcile(c change, head *Head, rev txn.Rev) {
 	switch {
 	case head.sameWrite(&c.head):
+		// Another host may have recorded the end of the job since.
+		c.head.Ended = head.Ended
 		m.applyChange(c, rev)
+		if head.Ended {
+			m.cancelRuns(c.job)
+		}
 	case head.Owner != c.head.Owner || head.Incarnation != c.head.Incarnation:
 		m.disown(c.job, "another host owns the job")
 	default:
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -71,6 +71,11 @@
 	return verdict.Wrap(err, verdict.NotRun, verdict.CodePlatformUnavailable, "The job's record can't be read now.").WithRetryAfter(retryAfter)
 }
 
+// errEndUnknown returns the error for the end of a job that may still be recorded.
+func errEndUnknown(err error) error {
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTimeout, "It is not known whether the end of the job was recorded.")
+}
+
 // Timeouts, delays and other durations.
 const (
 	// retryAfter is the Retry-After sent to callers when a head record can't be
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -280,7 +280,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return false, errStoreUnavailable(ctx.Err())
+			return false, errEndUnknown(ctx.Err())
 		}
 	}
 }
@@ -343,6 +343,9 @@
 			m.Log.WithFields(logrus.Fields{"job": id, "owner": head.Owner}).Warn("job ended in the store; its owner did not answer")
 			return nil
 		}
+		if errors.Is(err, txn.ErrUnknown) {
+			return errEndUnknown(err)
+		}
 		if !errors.Is(err, txn.ErrConflict) {
 			return errStoreUnavailable(err)
 		}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -87,8 +87,17 @@
 	return h, nil
 }
 
-// encodeItems encodes items into chunks whose bodies total at most
-// maxChunkBytes, unless a single body is larger.
+// size returns about the number of bytes of the encoded item.
+func (it *Item) size() int {
+	size := len(it.ID) + len(it.Path) + len(it.Body)
+	for name, value := range it.Headers {
+		size += len(name) + len(value)
+	}
+	return size
+}
+
+// encodeItems encodes items into chunks of about maxChunkBytes at most, unless a
+// single item is larger.
 func encodeItems(items []Item) ([][]byte, error) {
 	var (
 		chunks [][]byte
@@ -102,13 +111,13 @@
 		return errors.Wrap(err, "encode items")
 	}
 	for _, it := range items {
-		if size > 0 && size+len(it.Body) > maxChunkBytes {
+		if size > 0 && size+it.size() > maxChunkBytes {
 			if err := encodeChunk(); err != nil {
 				return nil, err
 			}
 		}
 		chunk = append(chunk, it)
-		size += len(it.Body)
+		size += it.size()
 	}
 	return chunks, encodeChunk()
 }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -43,7 +43,7 @@
 			m.Log.WithError(err).Warn("cannot decode head record of job; job skipped")
 			continue
 		}
-		if m.stillOwns(head) {
+		if m.stillOwns(head, item.Rev) {
 			continue
 		}
 		if head.Owner != self.Name && !orphans || !shouldTakeOver(head, members, self) {
@@ -57,8 +57,9 @@
 }
 
 // stillOwns reports whether this host owns the job and runs it already. A job that
-// another host has taken over is disowned.
-func (m *Manager) stillOwns(head *Head) bool {
+// another host has taken over is disowned. A head record of an earlier revision than
+// this host's own last write says nothing about the present owner.
+func (m *Manager) stillOwns(head *Head, rev txn.Rev) bool {
 	m.mu.Lock()
 	j, ok := m.jobs[head.ID]
 	if !ok {
@@ -68,8 +69,9 @@
 		m.mu.Unlock()
 		return false
 	}
+	outdated := rev < j.rev
 	m.mu.Unlock()
-	if head.Owner == j.head.Owner && head.Incarnation == j.head.Incarnation {
+	if outdated || head.Owner == j.head.Owner && head.Incarnation == j.head.Incarnation {
 		return true
 	}
 	m.disown(j, "another host owns the job")
