--- a/quarantine/sync.go
+++ b/quarantine/sync.go
@@ -127,7 +127,7 @@
 
 // forEachPeer calls do for the peers in this data centre, at most
 // maxConcurrentCalls at a time, and waits for all calls. After ctx has ended it
-// starts at most one further call.
+// starts no further call.
 func (d *Detector) forEachPeer(ctx context.Context, do func(context.Context, membership.Host)) {
 	var wg sync.WaitGroup
 	sem := make(chan struct{}, maxConcurrentCalls)
@@ -136,15 +136,13 @@
 		case sem <- struct{}{}:
 		case <-ctx.Done():
 		}
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			do(ctx, h)
-			<-sem
-		}()
 		if ctx.Err() != nil {
 			break
 		}
+		wg.Go(func() {
+			do(ctx, h)
+			<-sem
+		})
 	}
 	wg.Wait()
 }
