--- a/slots/client.go
+++ b/slots/client.go
@@ -114,7 +114,10 @@
 	// receivedRecords is set once a broker that has replica records has
 	// replied.
 	receivedRecords bool
-	releaseQueues   map[string]*releaseQueue
+	// reported holds the other data centres whose brokers know of demand or grants
+	// of this host.
+	reported      map[string]bool
+	releaseQueues map[string]*releaseQueue
 }
 
 // suspicion describes the failures of a broker that did not answer.
@@ -129,6 +132,7 @@
 	c.suspects = make(map[string]suspicion)
 	c.outdatedUntil = make(map[string]time.Time)
 	c.releaseQueues = make(map[string]*releaseQueue)
+	c.reported = make(map[string]bool)
 }
 
 // rankedHosts returns the hosts that may be the broker of a data centre, in the
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -257,6 +257,42 @@
 	}
 }
 
+// The host's last item for another data centre has found a slot elsewhere. The broker
+// there must hear of it, or it keeps granting slots to the host.
+func TestEndOfRemoteDemandIsReported(t *testing.T) {
+	f := newFleet()
+	m := f.hosts["x1"]
+	broker, _ := f.broker("y")
+	demandAt := func() int {
+		broker.broker.mu.Lock()
+		defer broker.broker.mu.Unlock()
+		return broker.broker.sched.pool(service).demands[m.name()].Items
+	}
+	poll := func() {
+		done := make(chan struct{})
+		go func() { defer close(done); m.pollOnce(context.Background(), "y") }()
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+				f.clock.Advance(pollWait)
+			}
+		}
+	}
+	for range 2 {
+		_, err := broker.acquire(t)
+		require.NoError(t, err)
+	}
+	m.demand = []DemandMessage{{Service: service, Items: 5, DueIn: time.Minute}}
+	poll()
+	require.Equal(t, 5, demandAt())
+	m.demand = nil
+	poll()
+	require.Zero(t, demandAt())
+	require.False(t, m.pollOnce(context.Background(), "y"), "nothing more to report")
+}
+
 // A poll without updates must wait for pollWait, also at the host's own broker,
 // whose records the host does not receive.
 func TestPollWithoutUpdatesWaits(t *testing.T) {
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -48,7 +48,8 @@
 	remote := dataCentre != self.DataCentre
 	grants := c.grantsIn(dataCentre, remote)
 	demands := c.BatchItems.Demand(remote)
-	if remote && len(grants) == 0 && len(demands) == 0 {
+	idle := remote && len(grants) == 0 && len(demands) == 0
+	if idle && !c.isReported(dataCentre) {
 		return false
 	}
 	ranked := c.brokers(dataCentre)
@@ -67,10 +68,25 @@
 		return false
 	}
 	c.clearSuspicion(h)
+	c.setReported(dataCentre, remote && !idle)
 	c.applyReply(h, reply, remote, args.Version != skipRecords)
 	return true
 }
 
+// isReported reports whether the broker of another data centre has to be told that
+// the host has neither demand nor grants there any more.
+func (c *Client) isReported(dataCentre string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reported[dataCentre]
+}
+
+func (c *Client) setReported(dataCentre string, reported bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reported[dataCentre] = reported
+}
+
 // knownVersion returns the version of the replica records to send in a poll.
 // Records are received only by the hosts that keep them, and neither from
 // brokers of other data centres nor from those that the store does not answer.
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -133,7 +133,6 @@
 // Waiter is a queued request.
 type Waiter struct {
 	args    AcquireArgs
-	since   time.Time
 	startBy time.Time
 }
 
@@ -271,7 +270,7 @@
 		d.RetryAfter = s.retryAfter(d.Wait)
 		return d
 	}
-	d.Waiter = &Waiter{args: args, since: now, startBy: now.Add(args.MaxWait)}
+	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait)}
 	p.queue = append(p.queue, d.Waiter)
 	slices.SortStableFunc(p.queue, compareWaiters)
 	return d
