--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -145,7 +145,8 @@
 		recorded, readErr := m.isRecorded(ctx, head.ID, err)
 		switch {
 		case readErr != nil:
-			return 0, errNotRecorded(readErr)
+			// The conflict may be that the job is recorded already.
+			return 0, verdict.Wrap(readErr, verdict.MayHaveRun, verdict.CodeTimeout, "It is not known whether the job was recorded.")
 		case !recorded:
 			return 0, errPermitOutdated
 		}
--- a/jobs/backlog_test.go
+++ b/jobs/backlog_test.go
@@ -137,6 +137,23 @@
 	require.NoError(t, c.hosts["b"].Submit(t.Context(), largeSubmission("j3", 1)))
 }
 
+// The acceptance conflicts, and the store can't be read to find out why: the job may be
+// recorded already, so the caller must not be told that it is not.
+func TestUnexplainedConflictIsNotReportedAsNotRun(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	c.maxWaitingTokens = 10 * itemTokens
+	a, b := c.hosts["a"], c.hosts["b"]
+	require.NoError(t, a.Submit(t.Context(), largeSubmission("j1", 1)))
+	require.NoError(t, b.Submit(t.Context(), largeSubmission("j2", 5)), "more than the share of b, so the record changes")
+	c.store.SetFault(func(call string) txntest.Fault {
+		if call == "get" {
+			return txntest.Refuse
+		}
+		return txntest.None
+	})
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(a.Submit(t.Context(), largeSubmission("j3", 1))))
+}
+
 // Jobs arrive at all hosts at once, five times as many as the limit allows.
 func TestBurstKeepsTheLimit(t *testing.T) {
 	const fitting = 12
