--- a/forward/forward.go
+++ b/forward/forward.go
@@ -17,6 +17,7 @@
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -64,7 +65,9 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
-	Body   io.Reader
+	// Framing is how the end of the body is shown.
+	Framing pool.Framing
+	Body    io.Reader
 	// NotRun means that the replica states that it has not run the request.
 	// Misdirected means that the request reached another replica than the one
 	// it was meant for.
@@ -209,7 +212,7 @@
 	outcome, err := s.relay(res)
 	res.Close()
 	s.Slots.Release(g, outcome)
-	s.logAttempt(g, outcome, err)
+	s.logResponse(g, res, outcome, err)
 	if err == nil {
 		return false, nil
 	}
@@ -301,13 +304,29 @@
 		s.mayHaveRunCount < s.req.Route.MaxAttempts && s.notRunCount < maxNotRunAttempts && (s.mayHaveRunCount == 0 || s.req.Route.Repeatable())
 }
 
+// logResponse logs the end of an attempt that had a response.
+func (s *requestState) logResponse(g slots.Grant, res *Response, outcome slots.Outcome, err error) {
+	entry := s.attemptEntry(g, outcome).WithFields(logrus.Fields{
+		"framing": string(res.Framing), "partial_event_bytes": len(s.events.Remainder()),
+	})
+	logAttemptEnd(entry, err)
+}
+
+// logAttempt logs the end of an attempt that had no response to relay.
 func (s *requestState) logAttempt(g slots.Grant, outcome slots.Outcome, err error) {
+	logAttemptEnd(s.attemptEntry(g, outcome), err)
+}
+
+func (s *requestState) attemptEntry(g slots.Grant, outcome slots.Outcome) *logrus.Entry {
 	now := s.Clock.Now()
-	entry := s.Log.WithFields(logrus.Fields{
+	return s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
 		"ran": s.mayHaveRunCount, "not_run": s.notRunCount, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
 		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
 	})
+}
+
+func logAttemptEnd(entry *logrus.Entry, err error) {
 	if err != nil {
 		entry.WithError(err).Warn("attempt failed")
 		return
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -64,10 +64,26 @@
 	Mine func(*http.Response) bool
 }
 
+// Framing is how an answer shows where its body ends.
+type Framing string
+
+// Values of Framing.
+const (
+	// FramingLength is a Content-Length header.
+	FramingLength Framing = "length"
+	// FramingChunked is the chunked transfer coding.
+	FramingChunked Framing = "chunked"
+	// FramingClose is the end of the connection: a body that was cut short by an
+	// orderly close can't be told from a complete one.
+	FramingClose Framing = "close"
+)
+
 // Answer is an upstream's answer. The caller closes it.
 type Answer struct {
 	Status int
 	Header http.Header
+	// Framing is how the end of the body is shown.
+	Framing Framing
 	// Length is the length of the body, or -1 when it isn't stated.
 	Length int64
 	Body   io.Reader
@@ -114,11 +130,21 @@
 	}
 	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
-		Status: res.StatusCode, Header: res.Header, Length: res.ContentLength, Body: res.Body,
+		Status: res.StatusCode, Header: res.Header, Framing: framingOf(res), Length: res.ContentLength, Body: res.Body,
 		pool: p, conn: c, res: res, stop: stop,
 	}, nil
 }
 
+func framingOf(res *http.Response) Framing {
+	switch {
+	case res.ContentLength >= 0:
+		return FramingLength
+	case len(res.TransferEncoding) > 0:
+		return FramingChunked
+	}
+	return FramingClose
+}
+
 func (p *Pool) exchange(c *conn, x Exchange) (*http.Response, error) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(c, bufferBytes)
@@ -224,7 +250,7 @@
 
 // drained reports whether the body has been read to its end.
 func (a *Answer) drained() bool {
-	if a.res.ContentLength < 0 && len(a.res.TransferEncoding) == 0 {
+	if a.Framing == FramingClose {
 		return false
 	}
 	a.conn.gap = drainTimeout
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -283,3 +283,22 @@
 	require.Equal(t, defaultIdle, idleTime(http.Header{}))
 	require.Equal(t, 5*time.Second-idleMargin, idleTime(http.Header{"Keep-Alive": {"timeout=5, max=100"}}))
 }
+
+func TestFraming(t *testing.T) {
+	rows := map[Framing]string{
+		FramingLength:  "Content-Length: 2\r\n\r\nxy",
+		FramingChunked: "Transfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n",
+		FramingClose:   "\r\nxy",
+	}
+	for framing, response := range rows {
+		t.Run(string(framing), func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+read(r)+"\r\n"+response)
+			})
+			ans, err := New(func() {}).Send(t.Context(), Exchange{Address: address, Request: request("a"), DialTimeout: time.Second})
+			require.NoError(t, err)
+			defer ans.Close()
+			require.Equal(t, framing, ans.Framing)
+		})
+	}
+}
