forward: failing test of a stream that ends within an event

The test fails in all six rows on this code: relayEventStream reports success at the end of the body and sends the partial event.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -238,6 +238,35 @@
 	}
 }
 
+// A body without length or chunks ends with its connection, also when the replica fails.
+func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
+	const partial = "id: 3\nda"
+	rows := []struct {
+		name     string
+		route    *route.Route
+		attempts []scriptedAttempt
+		sent     int
+		body     string
+		complete bool
+	}{
+		{"resumed", resumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2) + partial)), stream(strings.NewReader(events(3, 4)))}, 2, events(1, 4), true},
+		{"resumed from the start", resumable, []scriptedAttempt{stream(strings.NewReader("id: 1")), stream(strings.NewReader(events(1, 2)))}, 2, events(1, 2), true},
+		{"before its blank line", resumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2) + "id: 3\ndata: e3\n")), stream(strings.NewReader(events(3, 4)))}, 2, events(1, 4), true},
+		{"at each replica", resumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2) + partial)), stream(strings.NewReader(partial))}, 2, events(1, 2), false},
+		{"can't be resumed", notResumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2) + partial))}, 1, events(1, 2), false},
+		{"can't be resumed, first event", notResumable, []scriptedAttempt{stream(strings.NewReader("id: 1"))}, 1, "", false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			o := runScript(row.route, 5, row.attempts...)
+			require.Equal(t, row.complete, o.err == nil, "%v", o.err)
+			require.Equal(t, row.body, o.sink.body.String())
+			require.Len(t, o.upstream.sent, row.sent)
+			require.Equal(t, slots.Failed, o.slots.outcomes[0])
+		})
+	}
+}
+
 func TestResumedStreamAvoidsFailedReplicaAndIsQueuedFirst(t *testing.T) {
 	o := runScript(resumable, 5, stream(failAfter(events(1, 2), errSilent)), stream(strings.NewReader(events(3, 3))))
 	require.NoError(t, o.err)
