forward: a stream that ends within an event is not complete

Cause: a response may come with neither a length nor chunks, and then ends with its connection, also when its replica fails. relayEventStream took the end of the body for the end of the stream and even sent the rest of a partial event. Class: an end signal that doesn't depend on the sender being finished is taken as proof of completeness.

Ruled out: an error lost in the pool (TestBrokenBodies: cut lengths, cut chunks and resets all give errors). A stream that ends between two events can't be told from a complete one by anyone.

Batch items had the check already; both use EventParser.CheckEnd now.

--- a/forward/events.go
+++ b/forward/events.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+
+	"github.com/cockroachdb/errors"
 )
 
 // EventParser splits a stream of server-sent events (text/event-stream) at the
@@ -30,6 +32,14 @@
 // Remainder returns the input after the last complete event.
 func (e *EventParser) Remainder() []byte { return e.pending }
 
+// CheckEnd returns an error if the input ends within an event.
+func (e *EventParser) CheckEnd() error {
+	if n := len(e.pending); n > 0 {
+		return errors.Wrapf(errEndsWithinEvent, "%d bytes of a partial event", n)
+	}
+	return nil
+}
+
 // lastEventEnd returns the index after the last blank line in p, or -1 if there
 // is none.
 func lastEventEnd(p []byte) int {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -29,6 +29,7 @@
 	errReplicaFailed      = errors.New("replica failed to run the request")
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.New("response is larger than what is buffered")
+	errEndsWithinEvent    = errors.New("event stream ends within an event")
 )
 
 // handleSendError releases the slot of an attempt without a response and
@@ -160,8 +161,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			s.begin(res.Status, res.Header, -1)
-			return slots.Done, s.writeToCaller(res, s.events.Remainder())
+			return s.endEventStream(res)
 		}
 		if err != nil {
 			return readErrorOutcome(err), errors.Wrap(err, "read event stream")
@@ -169,6 +169,17 @@
 	}
 }
 
+// endEventStream checks a stream whose body has ended. The end of the body alone
+// doesn't show that the stream is complete: a close-delimited body also ends when
+// its replica fails.
+func (s *requestState) endEventStream(res *Response) (slots.Outcome, error) {
+	if err := s.events.CheckEnd(); err != nil {
+		return slots.Failed, err
+	}
+	s.begin(res.Status, res.Header, -1)
+	return slots.Done, nil
+}
+
 func (s *requestState) writeToCaller(res *Response, p []byte) error {
 	if len(p) == 0 {
 		return nil
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -264,8 +264,8 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if len(events.Remainder()) > 0 {
-				return endBroken, slots.Failed, errors.New("response ends in the middle of an event")
+			if err := events.CheckEnd(); err != nil {
+				return endBroken, slots.Failed, err
 			}
 			return endDone, slots.Done, nil
 		}
