soak: replicas send close-delimited responses and truncate some

One response in three ends with its connection, and a fault of its own lets a replica end some responses within an event. Its random numbers are its own, so that the known seeds keep all their other faults.

--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 )
 
 // Fault is one disruption of a plan.
@@ -25,11 +27,13 @@
 // Bounds of faults.
 const (
 	meanInterval = 500 * time.Millisecond
-	minSpell     = 300 * time.Millisecond
-	maxSpell     = 5 * time.Second
-	maxDelay     = 400 * time.Millisecond
-	maxDown      = 2 * time.Second
-	drainTime    = 3 * time.Second
+	// meanResponseInterval is that of faults of replicas' responses.
+	meanResponseInterval = 2 * time.Second
+	minSpell             = 300 * time.Millisecond
+	maxSpell             = 5 * time.Second
+	maxDelay             = 400 * time.Millisecond
+	maxDown              = 2 * time.Second
+	drainTime            = 3 * time.Second
 	// signalTime is what a program needs until it takes signals: before that a
 	// hang-up ends any process.
 	signalTime = 100 * time.Millisecond
@@ -52,8 +56,19 @@
 		p.kill, p.kill, p.term, p.term, p.pause, p.pause, p.hangup, p.harmStore, p.harmStore, p.forget,
 		p.cutLink, p.cutLink, p.cutLink, p.resetLinks, p.crashReplica, p.drainReplica, p.configure, p.configure,
 	}
+	plan := p.draw(kinds, length, meanInterval)
+	// Faults of replicas' responses have random numbers of their own, so that the
+	// plans of known seeds keep all their other faults.
+	responses := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 3))}
+	plan = append(plan, responses.draw([]func() Fault{responses.truncate}, length, meanResponseInterval)...)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// draw draws faults of the given kinds at random times.
+func (p *planner) draw(kinds []func() Fault, length, interval time.Duration) []Fault {
 	var plan []Fault
-	for at := p.between(0, 2*meanInterval); at < length; at += p.between(0, 2*meanInterval) {
+	for at := p.between(0, 2*interval); at < length; at += p.between(0, 2*interval) {
 		f := pick(p.rng, kinds)()
 		f.At = at
 		plan = append(plan, f)
@@ -206,6 +221,18 @@
 	}}
 }
 
+// truncate lets a replica break off some of its responses within an event, by an
+// orderly end of the connection.
+func (p *planner) truncate() Fault {
+	s, every, spell := pick(p.rng, p.world.slots), 2+p.rng.IntN(8), p.spell()
+	return Fault{Text: fmt.Sprintf("replica %s truncates each response %d for %s", s.name, every, spell), run: func(ctx context.Context) {
+		r := p.world.replicaOf(s)
+		r.SetFraming(platformtest.ResponseFraming{CloseDelimitedEvery: closeDelimitedEvery, TruncateEvery: every})
+		sleep(ctx, spell)
+		r.SetFraming(platformtest.ResponseFraming{CloseDelimitedEvery: closeDelimitedEvery})
+	}}
+}
+
 // drainReplica lets a replica leave after it was reported.
 func (p *planner) drainReplica() Fault {
 	s := pick(p.rng, p.world.slots)
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -31,8 +31,10 @@
 	// eventsPerAnswer are made one every eventPause.
 	eventsPerAnswer = 6
 	eventPause      = 8 * time.Millisecond
-	serviceName     = "svc"
-	region          = "r"
+	// closeDelimitedEvery selects the responses that end with their connection.
+	closeDelimitedEvery = 3
+	serviceName         = "svc"
+	region              = "r"
 )
 
 var dataCentres = []string{"east", "west"}
@@ -257,6 +259,7 @@
 		return err
 	}
 	r.AdvertisedAddress = p.Address()
+	r.SetFraming(platformtest.ResponseFraming{CloseDelimitedEvery: closeDelimitedEvery})
 	s.replica, s.proxy = r, p
 	w.closers = append(w.closers, r.Close, p.Close)
 	w.mu.Unlock()
@@ -286,6 +289,13 @@
 	return s.proxy
 }
 
+// replicaOf returns the present replica of a slot.
+func (w *World) replicaOf(s *slot) *platformtest.Replica {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return s.replica
+}
+
 // Runs returns how often each request or item began at any replica.
 func (w *World) Runs() map[string]int {
 	w.mu.Lock()
