forward: events whose lines end with LF and CRLF in a mix

A blank line after a line with the other line end, and a further blank line after an event, were not taken for the end of an event, so that a complete stream would be reported as one that ends within an event.

--- a/forward/events.go
+++ b/forward/events.go
@@ -41,15 +41,19 @@
 }
 
 // lastEventEnd returns the index after the last blank line in p, or -1 if there
-// is none.
+// is none. As the event stream format allows, lines end with LF or CRLF, in any
+// mix.
 func lastEventEnd(p []byte) int {
-	end := -1
-	for _, blankLine := range [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")} {
-		if i := bytes.LastIndex(p, blankLine); i >= 0 && i+len(blankLine) > end {
-			end = i + len(blankLine)
+	for end := len(p); ; {
+		end = bytes.LastIndexByte(p[:end], '\n')
+		if end < 0 {
+			return -1
+		}
+		before := bytes.TrimSuffix(p[:end], []byte("\r"))
+		if len(before) == 0 || bytes.HasSuffix(before, []byte("\n")) {
+			return end + 1
 		}
 	}
-	return end
 }
 
 // recordLastID sets LastID from the id fields of complete events.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -362,6 +362,22 @@
 	}
 }
 
+func TestEventParserAcceptsAnyMixOfLineEnds(t *testing.T) {
+	for _, text := range []string{
+		"id: 1\ndata: x\n\n", "id: 1\r\ndata: x\r\n\r\n", "id: 1\ndata: x\n\r\n", "id: 1\r\ndata: x\r\n\n",
+		"\nid: 1\ndata: x\n\n\n", "id: 1\ndata: x\n\n\r\n",
+	} {
+		for i := range len(text) {
+			var e EventParser
+			out := string(e.Feed([]byte(text[:i])))
+			out += string(e.Feed([]byte(text[i:])))
+			require.Equal(t, text, out, "split at %d", i)
+			require.Equal(t, "1", e.LastID)
+			require.NoError(t, e.CheckEnd())
+		}
+	}
+}
+
 func TestEventData(t *testing.T) {
 	require.Equal(t, []string{"a\nb", "", "c"}, EventData([]byte("id: 1\ndata: a\ndata: b\n\nid: 2\ndata:\n\n: note\n\r\ndata:c\r\n\r\n")))
 }
