forward: a close-delimited stream without any event is not complete

The same cause at the beginning of a stream: a replica that fails after its headers ends a close-delimited response like a complete one. Such a response is retried where the request may run again, and otherwise fails visibly. A resumed stream may be empty: its last event may have been received before. Batch items share the check; there an item could have been done with an empty output. The test failed before (all three parts but the last).

--- a/forward/events.go
+++ b/forward/events.go
@@ -4,12 +4,16 @@
 	"bytes"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
 // EventParser splits a stream of server-sent events (text/event-stream) at the
 // boundaries of events. It takes input in pieces of any size.
 type EventParser struct {
 	pending []byte
+	// received means that the present body has brought any byte.
+	received bool
 	// LastID is the last id field in a complete event; empty if there was none.
 	LastID string
 }
@@ -18,6 +22,7 @@
 // complete event, without those that it returned before. It returns nil if no
 // event was completed. The result is valid until the next call.
 func (e *EventParser) Feed(p []byte) []byte {
+	e.received = e.received || len(p) > 0
 	e.pending = append(e.pending, p...)
 	end := lastEventEnd(e.pending)
 	if end < 0 {
@@ -32,14 +37,24 @@
 // Remainder returns the input after the last complete event.
 func (e *EventParser) Remainder() []byte { return e.pending }
 
-// CheckEnd returns an error if the input ends within an event.
-func (e *EventParser) CheckEnd() error {
+// CheckEnd returns an error if a body that has ended is not a complete stream: it
+// ends within an event, or it is close-delimited and empty. A resumed stream may
+// be empty, if its last event was received before.
+func (e *EventParser) CheckEnd(framing pool.Framing, resumed bool) error {
 	if n := len(e.pending); n > 0 {
 		return errors.Wrapf(errEndsWithinEvent, "%d bytes of a partial event", n)
 	}
+	if framing == pool.FramingClose && !e.received && !resumed {
+		return errNoEvent
+	}
 	return nil
 }
 
+// Reset discards a partial event and prepares for the next body of the stream.
+func (e *EventParser) Reset() {
+	e.pending, e.received = nil, false
+}
+
 // lastEventEnd returns the index after the last blank line in p, or -1 if there
 // is none. As the event stream format allows, lines end with LF or CRLF, in any
 // mix.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -4,6 +4,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -273,10 +274,7 @@
 // sendArgs returns the arguments of the next attempt. Time-outs for the replica
 // are set only if a further attempt could follow.
 func (s *requestState) sendArgs(ctx context.Context, g slots.Grant) SendArgs {
-	args := SendArgs{Replica: g.Replica, TimeLeft: s.req.Deadline.Sub(s.Clock.Now()), LastEventID: s.req.LastEventID}
-	if s.events.LastID != "" {
-		args.LastEventID = s.events.LastID
-	}
+	args := SendArgs{Replica: g.Replica, TimeLeft: s.req.Deadline.Sub(s.Clock.Now()), LastEventID: s.lastEventID()}
 	if s.req.Route.Repeatable() && s.mayHaveRunCount+1 < s.req.Route.MaxAttempts {
 		args.FirstByteTimeout = max(minFirstByteTimeout, s.req.Route.Objective/2)
 		args.GapTimeout = s.req.Route.MaxGap / 2
@@ -285,6 +283,12 @@
 	return args
 }
 
+// lastEventID returns the id of the last event that the caller has received, or
+// an empty string.
+func (s *requestState) lastEventID() string {
+	return cmp.Or(s.events.LastID, s.req.LastEventID)
+}
+
 // refusalError returns the error of a request that is refused a slot.
 func (s *requestState) refusalError(err error) error {
 	var refusal *slots.RefusedError
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -331,6 +331,27 @@
 	require.Zero(t, runScript(notResumable, 5, stream(strings.NewReader(""))).upstream.sent[0].FirstByteTimeout)
 }
 
+// A replica that fails after the headers of a close-delimited stream ends it like a
+// complete one without events.
+func TestCloseDelimitedStreamWithoutEventsIsNotComplete(t *testing.T) {
+	empty := func() scriptedAttempt {
+		a := stream(strings.NewReader(""))
+		a.response.Framing = pool.FramingClose
+		return a
+	}
+	o := runScript(resumable, 5, empty(), stream(strings.NewReader(events(1, 2))))
+	require.NoError(t, o.err)
+	require.Equal(t, events(1, 2), o.sink.body.String())
+
+	o = runScript(notResumable, 5, empty())
+	require.Error(t, o.err)
+	require.Zero(t, o.sink.begun)
+
+	o = runScript(resumable, 5, stream(failAfter(events(1, 2), errBroken)), empty())
+	require.NoError(t, o.err, "all events were received before")
+	require.Equal(t, events(1, 2), o.sink.body.String())
+}
+
 // The caller of a stream without events still gets the replica's status and
 // headers.
 func TestEmptyStreamIsRelayed(t *testing.T) {
@@ -373,7 +394,7 @@
 			out += string(e.Feed([]byte(text[i:])))
 			require.Equal(t, text, out, "split at %d", i)
 			require.Equal(t, "1", e.LastID)
-			require.NoError(t, e.CheckEnd())
+			require.NoError(t, e.CheckEnd(pool.FramingClose, false))
 		}
 	}
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -30,6 +30,7 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.New("response is larger than what is buffered")
 	errEndsWithinEvent    = errors.New("event stream ends within an event")
+	errNoEvent            = errors.New("connection ends before the first event of a stream")
 )
 
 // handleSendError releases the slot of an attempt without a response and
@@ -151,7 +152,7 @@
 // relayEventStream sends complete events as they arrive, so that another
 // replica can resume the stream after the last one.
 func (s *requestState) relayEventStream(res *Response) (slots.Outcome, error) {
-	s.events.pending = nil
+	s.events.Reset()
 	buf := make([]byte, relayBufferBytes)
 	for {
 		n, err := res.Body.Read(buf)
@@ -173,7 +174,7 @@
 // doesn't show that the stream is complete: a close-delimited body also ends when
 // its replica fails.
 func (s *requestState) endEventStream(res *Response) (slots.Outcome, error) {
-	if err := s.events.CheckEnd(); err != nil {
+	if err := s.events.CheckEnd(res.Framing, s.lastEventID() != ""); err != nil {
 		return slots.Failed, err
 	}
 	s.begin(res.Status, res.Header, -1)
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -255,6 +255,7 @@
 // readEvents reads the events of a response and adds them to the item's output.
 func (m *Manager) readEvents(ans *forward.Response, it *item) (runEnd, slots.Outcome, error) {
 	var events forward.EventParser
+	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := ans.Body.Read(buf)
@@ -264,7 +265,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			if err := events.CheckEnd(); err != nil {
+			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
 			return endDone, slots.Done, nil
