--- a/forward/forward.go
+++ b/forward/forward.go
@@ -38,7 +38,10 @@
 	// LastEventID is the id of the last event that the caller has received
 	// before this request; the stream resumes after it. Empty is the beginning.
 	LastEventID string
-	Arrived     time.Time
+	// Resumes is the ID of the request that brought the first event of the stream,
+	// if the caller resumes one.
+	Resumes string
+	Arrived time.Time
 	// Deadline is when the response must be complete.
 	Deadline time.Time
 }
@@ -325,6 +328,7 @@
 	now := s.Clock.Now()
 	return s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
+		"software_version": g.Replica.SoftwareVersion, "resumes": s.req.Resumes,
 		"ran": s.mayHaveRunCount, "not_run": s.notRunCount, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
 		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
 	})
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -47,7 +47,7 @@
 		}
 		changes = append(changes, c)
 		if c.Replica != nil {
-			r.log.WithFields(logrus.Fields{"replica": c.ID, "address": c.Replica.Address, "ready": c.Replica.Ready, "born": c.Replica.Born, "rev": item.Rev}).Info("replica record updated")
+			r.log.WithFields(logrus.Fields{"replica": c.ID, "address": c.Replica.Address, "ready": c.Replica.Ready, "born": c.Replica.Born, "software_version": c.Replica.SoftwareVersion, "rev": item.Rev}).Info("replica record updated")
 		} else {
 			r.log.WithFields(logrus.Fields{"replica": c.ID, "rev": item.Rev}).Info("replica record deleted")
 		}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -20,6 +20,9 @@
 	Ready bool
 	// Born is when it started, in milliseconds of Unix time.
 	Born int64
+	// SoftwareVersion is the version of its software. Replicas of several versions
+	// may serve in one service; their outputs can't be joined.
+	SoftwareVersion string
 }
 
 // Change is a new record of a replica. A nil Replica means that the record was
