--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -34,20 +34,32 @@
 }
 
 func newFleet(t *testing.T, eventInterval time.Duration) *fleet {
+	f := newEmptyFleet(t)
+	for i := range 2 {
+		f.addReplica(fmt.Sprintf("r%d", i), "", eventInterval)
+	}
+	return f
+}
+
+// newEmptyFleet returns a fleet without replicas.
+func newEmptyFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, store: txntest.NewStore(), hosts: make(map[string]*Host)}
 	server := httptest.NewServer(platformtest.StoreHandler(f.store))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	f.address = strings.TrimPrefix(server.URL, "http://")
 	f.put(platformtest.Config("svc"))
-	for i := range 2 {
-		r := platformtest.NewReplica(fmt.Sprintf("r%d", i), 8, eventInterval)
-		t.Cleanup(r.Close)
-		f.replicas = append(f.replicas, r)
-		f.put(r.Record("svc", "dc", "ready", 4))
-	}
 	return f
 }
 
+// addReplica starts a replica and writes its record.
+func (f *fleet) addReplica(id, softwareVersion string, eventInterval time.Duration) {
+	r := platformtest.NewReplica(id, 8, eventInterval)
+	r.SetSoftwareVersion(softwareVersion)
+	f.t.Cleanup(r.Close)
+	f.replicas = append(f.replicas, r)
+	f.put(r.Record("svc", "dc", "ready", 4))
+}
+
 func (f *fleet) put(w txn.Write) {
 	_, err := f.store.Commit(context.Background(), txn.Request{Writes: []txn.Write{w}})
 	require.NoError(f.t, err)
