slots, forward: a response is resumed only by the software version that began it

Replicas of several versions may serve in one service, and what two of them write doesn't fit together; the host took any replica of the service. Class: a continuation is placed by service, though more than the service decides who may continue.

A request that resumes a stream is pinned to the version of the replica that began it. The scheduler grants it slots of that version only, revokes items there for it, counts only those replicas in the expected wait, and refuses it at once if none is left; a waiter that is pinned doesn't hold up requests that other replicas can serve. In another data centre it may wait as long as in its own if only that has its version.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -151,6 +151,11 @@
 	// mayHaveRunCount counts the attempts that may have run the request, and
 	// notRunCount those that did not.
 	mayHaveRunCount, notRunCount int
+	// replica is that of the present attempt.
+	replica replica.Replica
+	// softwareVersion is that of the replica that began the response. No other
+	// version may resume it.
+	softwareVersion string
 	// avoid holds the ids of the replicas that failed or refused an attempt.
 	avoid []string
 	// reserved is the slot for the next attempt, if it was acquired before the
@@ -205,6 +210,7 @@
 	if err != nil {
 		return false, s.refusalError(err)
 	}
+	s.replica = g.Replica
 	res, err := s.Upstream.Send(ctx, s.req, s.sendArgs(ctx, g))
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
@@ -260,6 +266,7 @@
 		// Resuming a response comes before requests whose callers have received
 		// nothing yet.
 		args.Priority = -1
+		args.Pinned, args.SoftwareVersion = true, s.softwareVersion
 	}
 	return args
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -144,7 +144,7 @@
 	if s.begun {
 		return
 	}
-	s.begun = true
+	s.begun, s.softwareVersion = true, s.replica.SoftwareVersion
 	s.sink.Begin(status, header, length)
 	s.Metrics.firstByte.Observe(s.Clock.Now().Sub(s.req.Arrived).Seconds())
 }
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -170,7 +170,8 @@
 	// Wait is the expected wait of a refused request, and RetryAfter is when to
 	// send it again.
 	Wait, RetryAfter time.Duration
-	// Replicas is the number of ready replicas of the service.
+	// Replicas is the number of ready replicas of the service whose software may
+	// run the request.
 	Replicas int
 }
 
--- a/slots/client.go
+++ b/slots/client.go
@@ -75,8 +75,8 @@
 type RefusedError struct {
 	// RetryAfter is when a free slot is expected.
 	RetryAfter time.Duration
-	// Wait is the expected wait in the host's own data centre, and Replicas the
-	// number of ready replicas there.
+	// Wait is the expected wait in the data centre that refused last, and Replicas
+	// the number of ready replicas there whose software may run the request.
 	Wait     time.Duration
 	Replicas int
 }
@@ -269,35 +269,41 @@
 }
 
 // Acquire acquires a slot. It first requests one in the host's own data centre
-// for at most localWait, then in each other one for at most remoteWait, then in
-// the own one again for the rest of the wait.
+// for at most localWait, then in each other one for at most remoteWait, then for
+// the rest of the wait in the own one again. If that has no replica for a pinned
+// request, the rest of the wait is spent where there is one.
 func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
 	own := c.View.Self().DataCentre
 	args.MaxWait = min(wait, localWait)
-	g, localRefusal := c.acquireFrom(ctx, own, args)
-	if localRefusal == nil {
+	g, refusal := c.acquireFrom(ctx, own, args)
+	if refusal == nil {
 		return g, nil
 	}
+	waitIn := own
 	args.MaxWait = min(wait, remoteWait)
 	for _, dc := range c.otherDataCentres() {
 		if ctx.Err() != nil {
 			return Grant{}, ctx.Err()
 		}
-		if g, err := c.acquireFrom(ctx, dc, args); err == nil {
+		g, remoteRefusal := c.acquireFrom(ctx, dc, args)
+		if remoteRefusal == nil {
 			return g, nil
 		}
+		if args.Pinned && refusal.Replicas == 0 && remoteRefusal.Replicas > 0 {
+			waitIn, refusal = dc, remoteRefusal
+		}
 	}
 	if wait <= localWait || ctx.Err() != nil {
-		return Grant{}, localRefusal
+		return Grant{}, refusal
 	}
 	args.MaxWait = wait - localWait
-	if localRefusal.Wait > args.MaxWait || localRefusal.Replicas == 0 {
-		return Grant{}, localRefusal
+	if refusal.Wait > args.MaxWait || refusal.Replicas == 0 {
+		return Grant{}, refusal
 	}
-	if g, localRefusal = c.acquireFrom(ctx, own, args); localRefusal == nil {
+	if g, refusal = c.acquireFrom(ctx, waitIn, args); refusal == nil {
 		return g, nil
 	}
-	return Grant{}, localRefusal
+	return Grant{}, refusal
 }
 
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -40,7 +40,7 @@
 func (s *Scheduler) grantWaiters(now time.Time, p *pool, plan *Plan) {
 	remaining := p.queue[:0]
 	for _, w := range p.queue {
-		target := p.choose(now, w.args.Avoid, s.rng)
+		target := p.choose(now, w.args.allows, s.rng)
 		if target == nil {
 			remaining = append(remaining, w)
 			continue
@@ -68,28 +68,44 @@
 	}
 }
 
-// revoke revokes as many grants of batch items as requests wait, less those
-// that are already being revoked.
+// revoke revokes one grant of a batch item for each request that waits, unless one
+// that the request may use is already being revoked.
 func (s *Scheduler) revoke(now time.Time, p *pool, plan *Plan) {
-	need := len(p.queue)
-	if need == 0 {
+	if len(p.queue) == 0 {
 		return
 	}
-	var batch []*grantState
+	var pending, revocable []*grantState
 	for _, g := range s.grants {
 		switch {
 		case g.Class != Batch || s.services[g.Replica.Service] != p:
 		case now.Sub(g.revokedAt) < revokeTimeout:
-			need--
+			pending = append(pending, g)
 		case g.replicaState.Ready && !now.Before(g.replicaState.avoidUntil) && !g.protected(now):
-			batch = append(batch, g)
+			revocable = append(revocable, g)
 		}
 	}
-	slices.SortFunc(batch, func(a, b *grantState) int { return compareRevocable(now, a, b) })
-	for _, g := range batch[:min(max(need, 0), len(batch))] {
-		g.revokedAt, p.lastRevokedAt = now, now
-		plan.Revoked = append(plan.Revoked, g.Grant)
+	slices.SortFunc(revocable, func(a, b *grantState) int { return compareRevocable(now, a, b) })
+	for _, w := range p.queue {
+		if takeFirst(&pending, &w.args) != nil {
+			continue
+		}
+		if g := takeFirst(&revocable, &w.args); g != nil {
+			g.revokedAt, p.lastRevokedAt = now, now
+			plan.Revoked = append(plan.Revoked, g.Grant)
+		}
+	}
+}
+
+// takeFirst removes and returns the first grant on a replica whose software may
+// run the request, or nil if there is none.
+func takeFirst(grants *[]*grantState, args *AcquireArgs) *grantState {
+	i := slices.IndexFunc(*grants, func(g *grantState) bool { return args.matchesVersion(g.replicaState) })
+	if i < 0 {
+		return nil
 	}
+	g := (*grants)[i]
+	*grants = slices.Delete(*grants, i, i+1)
+	return g
 }
 
 // protected reports whether the item would miss its due time if it were
@@ -134,7 +150,7 @@
 		if demand.Items == 0 {
 			return
 		}
-		target := p.choose(now, nil, s.rng)
+		target := p.choose(now, func(*replicaState) bool { return true }, s.rng)
 		if target == nil || target.used >= p.batchLimit(now, target) {
 			return
 		}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -58,6 +58,20 @@
 	Priority int
 	// Avoid holds the IDs of replicas that the request must not be sent to.
 	Avoid []string
+	// Pinned restricts the request to replicas of SoftwareVersion, since it resumes
+	// a stream that such a replica began.
+	Pinned          bool
+	SoftwareVersion string
+}
+
+// matchesVersion reports whether the replica's software may run the request.
+func (a *AcquireArgs) matchesVersion(r *replicaState) bool {
+	return !a.Pinned || r.SoftwareVersion == a.SoftwareVersion
+}
+
+// allows reports whether the request may be sent to the replica.
+func (a *AcquireArgs) allows(r *replicaState) bool {
+	return a.matchesVersion(r) && !slices.Contains(a.Avoid, r.ID)
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -215,7 +229,7 @@
 	}
 	for _, r := range replicas {
 		state, ok := previous[r.ID]
-		if !ok || state.Born != r.Born || state.Service != r.Service {
+		if !ok || state.Born != r.Born || state.Service != r.Service || state.SoftwareVersion != r.SoftwareVersion {
 			state = &replicaState{}
 		}
 		state.Replica = r
@@ -249,7 +263,8 @@
 	// Wait is the expected wait, and RetryAfter is when a refused request
 	// should be sent again.
 	Wait, RetryAfter time.Duration
-	// Replicas is the number of ready replicas of the service.
+	// Replicas is the number of ready replicas of the service whose software may
+	// run the request.
 	Replicas int
 }
 
@@ -258,14 +273,12 @@
 func (s *Scheduler) Acquire(now time.Time, args AcquireArgs) Decision {
 	p := s.pool(args.Service)
 	p.lastRequestAt = now
-	d := Decision{Replicas: p.countReady()}
-	if len(p.queue) == 0 {
-		if target := p.choose(now, args.Avoid, s.rng); target != nil {
-			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host})
-			return d
-		}
+	d := Decision{Replicas: p.countReady(&args)}
+	if target := p.choose(now, args.allows, s.rng); target != nil && !p.hasWaiterFor(target) {
+		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host})
+		return d
 	}
-	d.Wait = s.expectedWait(now, p)
+	d.Wait = s.expectedWait(now, p, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait {
 		d.RetryAfter = s.retryAfter(d.Wait)
 		return d
@@ -285,7 +298,7 @@
 func (s *Scheduler) RemoveWaiter(now time.Time, w *Waiter) time.Duration {
 	p := s.pool(w.args.Service)
 	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
-	return s.retryAfter(s.expectedWait(now, p))
+	return s.retryAfter(s.expectedWait(now, p, &w.args))
 }
 
 // retryAfter returns a random delay between the expected wait and the longest
@@ -298,13 +311,14 @@
 
 // expectedWait returns when a new waiter would get a slot, assuming that batch
 // items which may be stopped release theirs at once and online requests theirs
-// after the average service time.
-func (s *Scheduler) expectedWait(now time.Time, p *pool) time.Duration {
-	ahead := len(p.queue)
+// after the average service time. Only replicas that may run the request count,
+// and the waiters that may take one of them.
+func (s *Scheduler) expectedWait(now time.Time, p *pool, args *AcquireArgs) time.Duration {
+	ahead := p.countAhead(args)
 	var ends []time.Duration
 	for _, g := range s.grants {
 		switch {
-		case s.services[g.Replica.Service] != p:
+		case s.services[g.Replica.Service] != p || !args.matchesVersion(g.replicaState):
 		case g.Class == Batch && !g.protected(now):
 			ahead--
 		case g.Class == Online:
@@ -322,6 +336,23 @@
 	return rounds + ends[ahead%len(ends)]
 }
 
+// hasWaiterFor reports whether a waiter may be sent to the replica.
+func (p *pool) hasWaiterFor(r *replicaState) bool {
+	return slices.ContainsFunc(p.queue, func(w *Waiter) bool { return w.args.allows(r) })
+}
+
+// countAhead returns the number of waiters that may get the slots for which a new
+// waiter would wait.
+func (p *pool) countAhead(args *AcquireArgs) int {
+	n := 0
+	for _, w := range p.queue {
+		if !args.Pinned || !w.args.Pinned || w.args.SoftwareVersion == args.SoftwareVersion {
+			n++
+		}
+	}
+	return n
+}
+
 // grant assigns a slot of the replica.
 func (s *Scheduler) grant(now time.Time, target *replicaState, g Grant) *Grant {
 	s.nextID++
@@ -352,24 +383,25 @@
 	return ok && g.replicaState.Ready && g.revokedAt.IsZero() && now.Sub(g.Since) <= grantDeliveryTimeout
 }
 
-// countReady returns the number of replicas that accept requests.
-func (p *pool) countReady() int {
+// countReady returns the number of replicas that accept requests and whose
+// software may run this one.
+func (p *pool) countReady(args *AcquireArgs) int {
 	n := 0
 	for _, r := range p.replicas {
-		if r.Ready {
+		if r.Ready && args.matchesVersion(r) {
 			n++
 		}
 	}
 	return n
 }
 
-// choose returns the replica with the lowest load among those with a free slot,
-// or nil if there is none. Ties are broken at random.
-func (p *pool) choose(now time.Time, avoid []string, rng *rand.Rand) *replicaState {
+// choose returns the replica with the lowest load among those with a free slot
+// that are allowed, or nil if there is none. Ties are broken at random.
+func (p *pool) choose(now time.Time, allowed func(*replicaState) bool, rng *rand.Rand) *replicaState {
 	var best *replicaState
 	ties := 0
 	for _, r := range p.replicas {
-		if !r.available(now) || slices.Contains(avoid, r.ID) {
+		if !r.available(now) || !allowed(r) {
 			continue
 		}
 		switch c := compareLoad(now, r, best); {
