slots, forward: a stream that its caller resumes goes on at its software version

No host knew where a stream of another host had begun, and the header Resumes was not read.

The broker of a data centre grants each stream its slot and so knows the version; it remembers it by the request that began the stream for 30 s. A host that is asked to resume one asks its broker, and if that is not certain all hosts that may be brokers. While a service has one version there is nothing to remember elsewhere; once it has several, the broker copies its streams to the host that would take its place, 20 ms together in one call. The host that runs a stream tells its own broker if a later attempt or another data centre's grant began it. A stream that nobody knows is refused as not run while the service has several versions or had them within 30 s, and runs anywhere otherwise.

Weighed: the version in each host by broadcast (calls grow with the square of the hosts), a key in the store for each stream (calls grow with requests, and the store may be away), the replica's signature (its form is the replica's own).

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -89,11 +89,17 @@
 	Send(ctx context.Context, req *Request, s SendArgs) (*Response, error)
 }
 
-// SlotClient acquires and releases slots of replicas. Acquire returns a
-// *slots.RefusedError if the request is refused a slot.
+// SlotClient acquires and releases slots of replicas, and knows which software
+// version began a stream. Acquire returns a *slots.RefusedError if the request is
+// refused a slot.
 type SlotClient interface {
 	Acquire(ctx context.Context, args slots.AcquireArgs, wait time.Duration) (slots.Grant, error)
 	Release(g slots.Grant, outcome slots.Outcome)
+	// StreamVersion returns the software version that may resume a stream, or
+	// slots.ErrVersionUnknown.
+	StreamVersion(ctx context.Context, service, stream string) (string, error)
+	// StreamBegan reports that the first event of a stream has arrived.
+	StreamBegan(stream string, g slots.Grant, firstAttempt bool)
 }
 
 // Sink receives the response for the caller.
@@ -151,10 +157,11 @@
 	// mayHaveRunCount counts the attempts that may have run the request, and
 	// notRunCount those that did not.
 	mayHaveRunCount, notRunCount int
-	// replica is that of the present attempt.
-	replica replica.Replica
-	// softwareVersion is that of the replica that began the response. No other
-	// version may resume it.
+	// grant is that of the present attempt.
+	grant slots.Grant
+	// pinned means that only replicas of softwareVersion may run the request: such a
+	// replica began the stream.
+	pinned          bool
 	softwareVersion string
 	// avoid holds the ids of the replicas that failed or refused an attempt.
 	avoid []string
@@ -170,15 +177,51 @@
 	defer cancel()
 	s := &requestState{Runner: r, req: req, sink: sink}
 	defer s.releaseReserved()
+	err := s.pinResumed(ctx)
+	if err == nil {
+		err = s.attemptAll(ctx)
+	}
+	err = s.callerError(ctx, err)
+	r.Metrics.countRequest(err)
+	return err
+}
+
+// attemptAll makes attempts until one is not to be retried.
+func (s *requestState) attemptAll(ctx context.Context) error {
 	for {
 		retry, err := s.attempt(ctx)
 		if !retry {
-			err = s.callerError(ctx, err)
-			r.Metrics.countRequest(err)
 			return err
 		}
-		r.Metrics.retries.Inc()
+		s.Metrics.retries.Inc()
+	}
+}
+
+// stream returns the ID of the request that begins the stream, or an empty string
+// if the caller can't resume it.
+func (s *requestState) stream() string {
+	switch {
+	case !s.req.Route.Resumable:
+		return ""
+	case s.req.LastEventID != "":
+		return s.req.Resumes
 	}
+	return s.req.ID
+}
+
+// pinResumed restricts a stream that the caller resumes to the software version that
+// began it. The events of two versions don't fit together, and replicas don't check
+// this.
+func (s *requestState) pinResumed(ctx context.Context) error {
+	if !s.req.Route.Resumable || s.req.LastEventID == "" {
+		return nil
+	}
+	version, err := s.Slots.StreamVersion(ctx, s.req.Service, s.stream())
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeNoUpstream, "The software version that began the stream is not known.").WithRetryAfter(defaultRetryAfter)
+	}
+	s.pinned, s.softwareVersion = true, version
+	return nil
 }
 
 // callerError returns what Run returns if the last attempt ended with err.
@@ -210,7 +253,7 @@
 	if err != nil {
 		return false, s.refusalError(err)
 	}
-	s.replica = g.Replica
+	s.grant = g
 	res, err := s.Upstream.Send(ctx, s.req, s.sendArgs(ctx, g))
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
@@ -261,12 +304,14 @@
 }
 
 func (s *requestState) acquireArgs() slots.AcquireArgs {
-	args := slots.AcquireArgs{Request: s.req.ID, Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid}
+	args := slots.AcquireArgs{
+		Request: s.req.ID, Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid,
+		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.stream(),
+	}
 	if s.begun {
 		// Resuming a response comes before requests whose callers have received
 		// nothing yet.
 		args.Priority = -1
-		args.Pinned, args.SoftwareVersion = true, s.softwareVersion
 	}
 	return args
 }
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -57,6 +57,15 @@
 	left     int
 	acquires []slots.AcquireArgs
 	outcomes []slots.Outcome
+	// version and versionErr are what StreamVersion returns.
+	version    string
+	versionErr error
+	began      []beganStream
+}
+
+type beganStream struct {
+	stream, softwareVersion string
+	firstAttempt            bool
 }
 
 func (f *fakeSlots) Acquire(_ context.Context, args slots.AcquireArgs, _ time.Duration) (slots.Grant, error) {
@@ -65,7 +74,16 @@
 		return slots.Grant{}, &slots.RefusedError{RetryAfter: 700 * time.Millisecond}
 	}
 	f.left--
-	return slots.Grant{Replica: replica.Replica{ID: fmt.Sprintf("r%d", len(f.acquires))}}, nil
+	id := fmt.Sprintf("r%d", len(f.acquires))
+	return slots.Grant{Replica: replica.Replica{ID: id, SoftwareVersion: "version of " + id}}, nil
+}
+
+func (f *fakeSlots) StreamVersion(context.Context, string, string) (string, error) {
+	return f.version, f.versionErr
+}
+
+func (f *fakeSlots) StreamBegan(stream string, g slots.Grant, firstAttempt bool) {
+	f.began = append(f.began, beganStream{stream, g.Replica.SoftwareVersion, firstAttempt})
 }
 
 func (f *fakeSlots) Release(_ slots.Grant, o slots.Outcome) { f.outcomes = append(f.outcomes, o) }
@@ -149,14 +167,19 @@
 }
 
 func (o scriptResult) run(rt *route.Route) scriptResult {
+	return o.runRequest(&Request{ID: "q", Route: rt})
+}
+
+func (o scriptResult) runRequest(req *Request) scriptResult {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := &Runner{
 		Slots: o.slots, Upstream: o.upstream, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
-	now := time.Now()
-	o.err = r.Run(context.Background(), &Request{ID: "q", Route: rt, Arrived: now, Deadline: now.Add(time.Minute)}, o.sink)
+	req.Arrived = time.Now()
+	req.Deadline = req.Arrived.Add(time.Minute)
+	o.err = r.Run(context.Background(), req, o.sink)
 	return o
 }
 
@@ -267,6 +290,48 @@
 	}
 }
 
+func TestStreamWhoseSoftwareVersionIsNotKnownIsNotResumed(t *testing.T) {
+	o := scriptResult{upstream: &fakeUpstream{}, slots: &fakeSlots{left: 5, versionErr: slots.ErrVersionUnknown}, sink: &recordingSink{}}
+	o = o.runRequest(&Request{ID: "q", Route: resumable, LastEventID: "3", Resumes: "p"})
+	require.Equal(t, verdict.NotRun, verdict.Of(o.err))
+	require.Empty(t, o.upstream.sent)
+	require.Empty(t, o.slots.acquires)
+}
+
+func TestResumedStreamIsPinnedToItsSoftwareVersion(t *testing.T) {
+	o := scriptResult{
+		upstream: &fakeUpstream{attempts: []scriptedAttempt{notRun(503), stream(failAfter(events(4, 5), errBroken)), stream(strings.NewReader(events(6, 6)))}},
+		slots:    &fakeSlots{left: 5, version: "v1"}, sink: &recordingSink{},
+	}.runRequest(&Request{ID: "q", Route: resumable, LastEventID: "3", Resumes: "p"})
+	require.NoError(t, o.err)
+	require.Len(t, o.slots.acquires, 3)
+	for _, args := range o.slots.acquires {
+		require.True(t, args.Pinned)
+		require.Equal(t, "v1", args.SoftwareVersion)
+		require.Equal(t, "p", args.Stream)
+	}
+	require.Empty(t, o.slots.began, "the stream began with another request")
+}
+
+func TestBeganStreamIsReported(t *testing.T) {
+	rows := []struct {
+		name     string
+		route    *route.Route
+		attempts []scriptedAttempt
+		began    []beganStream
+	}{
+		{"first attempt", resumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2)))}, []beganStream{{"q", "version of r1", true}}},
+		{"second attempt", resumable, []scriptedAttempt{{err: errBroken}, stream(strings.NewReader(events(1, 2)))}, []beganStream{{"q", "version of r2", false}}},
+		{"resumed", resumable, []scriptedAttempt{stream(failAfter(events(1, 1), errBroken)), stream(strings.NewReader(events(2, 2)))}, []beganStream{{"q", "version of r1", true}}},
+		{"can't be resumed", notResumable, []scriptedAttempt{stream(strings.NewReader(events(1, 2)))}, nil},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			require.Equal(t, row.began, runScript(row.route, 5, row.attempts...).slots.began)
+		})
+	}
+}
+
 func TestResumedStreamAvoidsFailedReplicaAndIsQueuedFirst(t *testing.T) {
 	o := runScript(resumable, 5, stream(failAfter(events(1, 2), errSilent)), stream(strings.NewReader(events(3, 3))))
 	require.NoError(t, o.err)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -144,11 +144,25 @@
 	if s.begun {
 		return
 	}
-	s.begun, s.softwareVersion = true, s.replica.SoftwareVersion
+	s.begun = true
+	s.pinToGrant()
 	s.sink.Begin(status, header, length)
 	s.Metrics.firstByte.Observe(s.Clock.Now().Sub(s.req.Arrived).Seconds())
 }
 
+// pinToGrant restricts the rest of the response to the software version of the
+// replica that has begun it.
+func (s *requestState) pinToGrant() {
+	if s.pinned {
+		return
+	}
+	s.pinned, s.softwareVersion = true, s.grant.Replica.SoftwareVersion
+	if stream := s.stream(); stream != "" {
+		firstAttempt := s.mayHaveRunCount+s.notRunCount == 1
+		s.Slots.StreamBegan(stream, s.grant, firstAttempt)
+	}
+}
+
 // relayEventStream sends complete events as they arrive, so that another
 // replica can resume the stream after the last one.
 func (s *requestState) relayEventStream(res *Response) (slots.Outcome, error) {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -41,6 +41,14 @@
 	waiting       map[*Waiter]chan Grant
 	updatesByHost map[string]*pendingUpdates
 	timer         clockwork.Timer
+
+	// streams holds the software versions of streams, versions those of services.
+	streams  *streamVersions
+	versions versionHistory
+	// uncopied holds the streams that no other host knows of; uncopiedChanged
+	// signals new ones.
+	uncopied        []StreamVersion
+	uncopiedChanged chan struct{}
 }
 
 // pendingUpdates holds what the next poll of a host returns.
@@ -55,6 +63,7 @@
 	return &Broker{
 		clock: clock, log: log, sched: NewScheduler(rng), version: int64(rng.Uint64() >> 1), hostsVersion: int64(rng.Uint64() >> 1),
 		waiting: make(map[*Waiter]chan Grant), updatesByHost: make(map[string]*pendingUpdates),
+		streams: newStreamVersions(), uncopiedChanged: make(chan struct{}, 1),
 	}
 }
 
@@ -76,6 +85,7 @@
 	b.sched.SetReplicas(own)
 	b.replicas = all
 	b.version++
+	b.updateVersions()
 	for _, updates := range b.updatesByHost {
 		updates.signal()
 	}
@@ -130,6 +140,7 @@
 	now := b.clock.Now()
 	plan := b.sched.Plan(now)
 	for _, p := range plan.Granted {
+		b.recordGrant(&p.Waiter.args, &p.Grant)
 		b.waiting[p.Waiter] <- p.Grant
 		delete(b.waiting, p.Waiter)
 	}
@@ -182,6 +193,9 @@
 	d := b.sched.Acquire(b.clock.Now(), args)
 	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas}
 	if d.Waiter == nil {
+		if d.Grant != nil {
+			b.recordGrant(&args, d.Grant)
+		}
 		b.mu.Unlock()
 		reply.setGrant(d.Grant)
 		return nil
--- a/slots/client.go
+++ b/slots/client.go
@@ -383,6 +383,10 @@
 		return c.Broker.Poll(args, reply.(*PollReply))
 	case WantArgs:
 		return c.Broker.Want(args, reply.(*Empty))
+	case StreamVersionArgs:
+		return c.Broker.StreamVersion(args, reply.(*StreamVersionReply))
+	case RecordStreamsArgs:
+		return c.Broker.RecordStreams(args, reply.(*Empty))
 	}
 	return errors.AssertionFailedf("no broker method takes arguments of type %T", args)
 }
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,6 +71,10 @@
 		return b.Poll(args, reply.(*PollReply))
 	case WantArgs:
 		return b.Want(args, reply.(*Empty))
+	case StreamVersionArgs:
+		return b.StreamVersion(args, reply.(*StreamVersionReply))
+	case RecordStreamsArgs:
+		return b.RecordStreams(args, reply.(*Empty))
 	default:
 		return b.Release(args.(ReleaseArgs), reply.(*Empty))
 	}
@@ -122,6 +127,29 @@
 	return b, a
 }
 
+// brokerOf returns the broker of a data centre.
+func (f *fleet) brokerOf(dataCentre string) *member {
+	for _, m := range f.hosts {
+		if m.View.Self().DataCentre == dataCentre && m.IsBroker() {
+			return m
+		}
+	}
+	return nil
+}
+
+// count returns the number of calls of a method.
+func (f *fleet) count(method string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for call, calls := range f.calls {
+		if strings.HasPrefix(call, method+" ") {
+			n += calls
+		}
+	}
+	return n
+}
+
 func (m *member) name() string { return m.View.Self().Name }
 
 func (m *member) acquire(t *testing.T) (string, error) {
--- a/slots/pinned_test.go
+++ b/slots/pinned_test.go
@@ -81,14 +81,7 @@
 // request waits for it there.
 func TestPinnedRequestWaitsWhereItsVersionServes(t *testing.T) {
 	f := newFleet()
-	for _, m := range f.hosts {
-		mixed := records(1)
-		for id, r := range mixed {
-			r.SoftwareVersion = id
-			mixed[id] = r
-		}
-		m.broker.SetReplicas(mixed, m.View.Self().DataCentre)
-	}
+	f.setVersions("rx", "ry")
 	_, other := f.broker("x")
 	args := AcquireArgs{Host: other.name(), Service: service, Pinned: true, SoftwareVersion: "ry"}
 	busy, err := other.Acquire(context.Background(), args, 0)
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -12,6 +12,7 @@
 // Serve polls the brokers until ctx ends: always that of the own data centre,
 // and those of other data centres while items wait for a slot or run there.
 func (c *Client) Serve(ctx context.Context) error {
+	go c.copyStreams(ctx)
 	loops := make(map[string]struct{})
 	for {
 		changed := c.View.Changed()
--- /dev/null
+++ b/slots/resume.go
@@ -0,0 +1,126 @@
+package slots
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+const (
+	// streamLookUpTimeout bounds the question to all brokers for a stream.
+	streamLookUpTimeout = 100 * time.Millisecond
+	// streamCopyDelay collects the streams that are copied in one call.
+	streamCopyDelay = 20 * time.Millisecond
+)
+
+// ErrVersionUnknown means that it is not known which software version began a
+// stream, and that replicas of several versions serve.
+var ErrVersionUnknown = errors.New("software version of the stream is not known")
+
+// StreamVersion returns the software version that may resume a stream. It asks the
+// broker of the own data centre, and only if that is not certain all others. An
+// error is ErrVersionUnknown.
+func (c *Client) StreamVersion(ctx context.Context, service, stream string) (string, error) {
+	args := StreamVersionArgs{Service: service, Stream: stream}
+	if version, ok := c.Broker.streams.lookUp(stream); ok {
+		return version, nil
+	}
+	var own StreamVersionReply
+	for _, h := range c.brokers(c.View.Self().DataCentre) {
+		reply, err := c.askStreamVersion(ctx, h, args)
+		if err == nil {
+			own = reply
+			break
+		}
+	}
+	if own.Confidence != Certain {
+		own = own.merge(c.askAllStreamVersion(ctx, args))
+	}
+	if own.Confidence == Probable || own.Confidence == Certain {
+		return own.SoftwareVersion, nil
+	}
+	return "", errors.Wrapf(ErrVersionUnknown, "stream %q of service %s", stream, service)
+}
+
+// askAllStreamVersion asks all hosts that may be brokers at the same time.
+func (c *Client) askAllStreamVersion(ctx context.Context, args StreamVersionArgs) StreamVersionReply {
+	var (
+		mu     sync.Mutex
+		merged StreamVersionReply
+		asked  sync.WaitGroup
+	)
+	for _, h := range c.RecordHolders() {
+		asked.Go(func() {
+			reply, err := c.askStreamVersion(ctx, h, args)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			merged = merged.merge(reply)
+		})
+	}
+	asked.Wait()
+	return merged
+}
+
+func (c *Client) askStreamVersion(ctx context.Context, h membership.Host, args StreamVersionArgs) (StreamVersionReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, streamLookUpTimeout)
+	defer cancel()
+	var reply StreamVersionReply
+	err := c.call(ctx, h, "StreamVersion", args, &reply)
+	if err != nil {
+		c.Log.WithError(err).WithField("peer", h.Name).WithField("stream", args.Stream).Debug("can't ask for the software version of a stream")
+	}
+	return reply, err
+}
+
+// StreamBegan remembers the software version of the replica that has sent the
+// first event of a stream. The broker of the own data centre knows it from its
+// grant, unless an earlier attempt of the request was granted another replica or
+// the grant is from another data centre; then it is told.
+func (c *Client) StreamBegan(stream string, g Grant, firstAttempt bool) {
+	v := StreamVersion{Stream: stream, SoftwareVersion: g.Replica.SoftwareVersion}
+	c.Broker.streams.record(c.Clock.Now(), v)
+	if own := c.View.Self().DataCentre; !firstAttempt || g.Replica.DataCentre != own {
+		go c.sendStreams(context.Background(), RecordStreamsArgs{Streams: []StreamVersion{v}})
+	}
+}
+
+// sendStreams sends streams to the broker of the own data centre or, if they are
+// copies, to the host that takes over if this one fails. A failure is not
+// repeated: other hosts may know the streams too.
+func (c *Client) sendStreams(ctx context.Context, args RecordStreamsArgs) {
+	for _, h := range c.brokers(c.View.Self().DataCentre) {
+		if args.Copy && h.Name == c.View.Self().Name {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(ctx, callMargin)
+		defer cancel()
+		if err := c.call(ctx, h, "RecordStreams", args, new(Empty)); err != nil {
+			c.Log.WithError(err).WithField("peer", h.Name).WithField("streams", len(args.Streams)).Info("can't send the software versions of streams")
+		}
+		return
+	}
+}
+
+// copyStreams sends the streams that this host granted as a broker to another
+// host, so that they can still be resumed if this one fails.
+func (c *Client) copyStreams(ctx context.Context) {
+	for {
+		select {
+		case <-c.Broker.uncopiedChanged:
+		case <-ctx.Done():
+			return
+		}
+		wait.For(ctx, c.Clock, streamCopyDelay)
+		if streams := c.Broker.takeUncopied(); len(streams) > 0 {
+			c.sendStreams(ctx, RecordStreamsArgs{Streams: streams, Copy: true})
+		}
+	}
+}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -62,6 +62,9 @@
 	// a stream that such a replica began.
 	Pinned          bool
 	SoftwareVersion string
+	// Stream is the ID of the request that begins the stream, if its caller may
+	// resume it; empty otherwise.
+	Stream string
 }
 
 // matchesVersion reports whether the replica's software may run the request.
