jobs: an item goes on only at its software version

An item knows the version of the replicas that sent its events, also after it was handed over to another host, and starts again on any other. Among items that are equally urgent the one that needs not start again gets the slot. Ruled out: waiting for a replica of the version: items are due, and the versions that are being replaced get fewer.

--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -173,8 +173,11 @@
 	return s
 }
 
-func (h *testHost) grantSlot() slots.Outcome {
-	h.Granted(slots.Grant{ID: slots.GrantID(time.Now().UnixNano()), Replica: replica.Replica{ID: "r", Service: "svc"}})
+func (h *testHost) grantSlot() slots.Outcome { return h.grantSlotOf("") }
+
+// grantSlotOf grants a slot of a replica of the given software version.
+func (h *testHost) grantSlotOf(version string) slots.Outcome {
+	h.Granted(slots.Grant{ID: slots.GrantID(time.Now().UnixNano()), Replica: replica.Replica{ID: "r", Service: "svc", SoftwareVersion: version}})
 	return <-h.released
 }
 
@@ -319,6 +322,54 @@
 	require.Equal(t, output, c.results("a", 0)[0].Output)
 }
 
+// answerPartly sends events 1 and 2 and breaks off.
+func answerPartly(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+	return answer(http.StatusOK, io.MultiReader(strings.NewReader(events(1, 2)), failingReader{})), nil
+}
+
+func TestItemStartsAgainOnAnotherSoftwareVersion(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	a.replicas.answer = answerPartly
+	a.grantSlotOf("v1")
+	require.Eventually(t, func() bool { return len(a.Demand(false)) > 0 }, time.Second, time.Millisecond)
+	a.replicas.answer = answerInFull
+	require.Equal(t, slots.Done, a.grantSlotOf("v2"))
+	require.Empty(t, a.replicas.sent[1].LastEventID)
+	a.flushNow(t)
+	require.Equal(t, output, c.results("a", 0)[0].Output)
+}
+
+func TestSlotGoesToAnItemOfItsSoftwareVersion(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(context.Background(), submission(2)))
+	a.replicas.answer = answerPartly
+	a.grantSlotOf("v1")
+	a.grantSlotOf("v2")
+	require.Eventually(t, func() bool {
+		demand := a.Demand(false)
+		return len(demand) > 0 && demand[0].Items == 2
+	}, time.Second, time.Millisecond)
+	a.replicas.answer = answerInFull
+	a.grantSlotOf("v2")
+	a.grantSlotOf("v1")
+	require.Equal(t, "2", a.replicas.sent[2].LastEventID)
+	require.Equal(t, "2", a.replicas.sent[3].LastEventID)
+}
+
+func TestHandOverTransfersTheSoftwareVersion(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a, b := c.hosts["a"], c.hosts["b"]
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	a.replicas.answer = answerPartly
+	a.grantSlotOf("v1")
+	a.HandOver(context.Background())
+	b.grantSlotOf("v2")
+	require.Empty(t, b.replicas.sent[0].LastEventID)
+}
+
 func TestRunEndDecidesWhetherAnItemIsGivenUp(t *testing.T) {
 	status := func(code int) func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
 		return func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
@@ -438,9 +489,7 @@
 	a, b := c.hosts["a"], c.hosts["b"]
 	require.NoError(t, a.Submit(context.Background(), submission(2)))
 	a.grantSlot()
-	a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
-		return answer(http.StatusOK, io.MultiReader(strings.NewReader(events(1, 2)), failingReader{})), nil
-	}
+	a.replicas.answer = answerPartly
 	a.grantSlot()
 	a.HandOver(context.Background())
 	require.Empty(t, a.jobs)
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -119,14 +119,15 @@
 }
 
 // Progress is the state of a partly run item: the data of the events received so
-// far, the id of the last event, the number of failed runs, and how long it has
-// run.
+// far, the id of the last event, the software version of the replicas that sent
+// them, the number of failed runs, and how long it has run.
 type Progress struct {
-	Item     string
-	Texts    []string
-	LastID   string
-	Failures int
-	Ran      time.Duration
+	Item            string
+	Texts           []string
+	LastID          string
+	SoftwareVersion string
+	Failures        int
+	Ran             time.Duration
 }
 
 // AdoptArgs are the arguments of Peer.Adopt.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
@@ -77,22 +78,13 @@
 // service, or releases the slot if there is none.
 func (m *Manager) Granted(g slots.Grant) {
 	m.mu.Lock()
-	now := m.Clock.Now()
-	var mostUrgent *item
-	for it, service := range m.waitingItems(now) {
-		if service != g.Replica.Service {
-			continue
-		}
-		if mostUrgent == nil || slots.CompareUrgency(m.timeLeft(it, now), m.timeLeft(mostUrgent, now)) < 0 {
-			mostUrgent = it
-		}
-	}
+	mostUrgent := m.mostUrgentFor(g.Replica)
 	if mostUrgent == nil {
 		m.mu.Unlock()
 		m.Slots.Release(g, slots.Unused)
 		return
 	}
-	mostUrgent.running = true
+	mostUrgent.startOn(g.Replica)
 	ctx, cancel := context.WithCancel(context.Background())
 	mostUrgent.cancelRun = cancel
 	m.runs[g.ID] = cancel
@@ -106,6 +98,50 @@
 	}()
 }
 
+// mostUrgentFor returns the most urgent waiting item of the replica's service, or
+// nil. Among equals it prefers one that does not have to start again there. m.mu
+// must be held.
+func (m *Manager) mostUrgentFor(r replica.Replica) *item {
+	now := m.Clock.Now()
+	var best *item
+	for it, service := range m.waitingItems(now) {
+		if service != r.Service {
+			continue
+		}
+		if best == nil {
+			best = it
+			continue
+		}
+		switch c := slots.CompareUrgency(m.timeLeft(it, now), m.timeLeft(best, now)); {
+		case c < 0, c == 0 && it.continuesOn(r) && !best.continuesOn(r):
+			best = it
+		}
+	}
+	return best
+}
+
+// continuesOn reports whether the replica can go on after the events received so
+// far. Events of two software versions don't fit together, and replicas don't
+// check this.
+func (it *item) continuesOn(r replica.Replica) bool {
+	return it.lastEventID == "" || it.softwareVersion == r.SoftwareVersion
+}
+
+// startOn marks the item as running on a replica. If that can't go on after the
+// events received so far, the item starts again.
+func (it *item) startOn(r replica.Replica) {
+	it.running = true
+	if !it.continuesOn(r) {
+		it.discardEvents()
+	}
+	it.softwareVersion = r.SoftwareVersion
+}
+
+// discardEvents lets the next run start from the beginning.
+func (it *item) discardEvents() {
+	it.eventData, it.lastEventID, it.ran = nil, "", 0
+}
+
 // Revoked implements slots.BatchItems. It cancels the run; the item waits again.
 func (m *Manager) Revoked(id slots.GrantID) {
 	m.mu.Lock()
@@ -180,7 +216,7 @@
 		return
 	case endFailed:
 		it.failures++
-		it.eventData, it.lastEventID, it.ran = nil, "", 0
+		it.discardEvents()
 		if it.failures >= rt.MaxAttempts {
 			m.setResult(it, Result{ID: it.ID})
 			return
