soak: replicas of two software versions, and callers that resume streams

Both versions serve at any time, and each place for a replica alternates between them. A caller whose stream breaks off takes it up at other hosts, naming the request that began it, and everything that it has received must come from one version; so must the output of each item.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -22,6 +23,10 @@
 	// submitTries are the submissions of one job.
 	submitTries = 3
 	submitPause = 300 * time.Millisecond
+	// resumablePath is that of streams that may be resumed.
+	resumablePath = "/s/x"
+	// resumeTries are the attempts to resume one stream.
+	resumeTries = 2
 	maxItems    = 8
 )
 
@@ -68,21 +73,25 @@
 		switch rng.IntN(4) {
 		case 0:
 			c.ledger.limited(id)
-			c.request(caller, h, "/o/x", id)
+			c.request(caller, rng, h, "/o/x", id)
 		case 1:
 			c.askVersion(caller, h, id, c.world.Version()-rng.IntN(2))
 		default:
-			c.request(caller, h, "/s/x", id)
+			c.request(caller, rng, h, resumablePath, id)
 		}
 		sleep(ctx, time.Duration(rng.Int64N(int64(2*onlinePause))))
 	}
 }
 
-// request makes a request that every configuration allows.
-func (c *callers) request(caller *platformtest.Caller, h *Host, path, id string) {
+// request makes a request that every configuration allows. A stream that breaks off
+// is resumed.
+func (c *callers) request(caller *platformtest.Caller, rng *rand.Rand, h *Host, path, id string) {
 	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
 	c.ledger.count(err == nil && a.Status == http.StatusOK)
 	if err != nil {
+		if path == resumablePath {
+			c.resume(caller, rng, id, a.Body)
+		}
 		return
 	}
 	if a.Status == http.StatusNotFound {
@@ -91,6 +100,45 @@
 	c.check(h, id, a)
 }
 
+// resume takes up a stream after its last complete event, at hosts drawn at random.
+// The whole of it must come from one software version.
+func (c *callers) resume(caller *platformtest.Caller, rng *rand.Rand, origin, received string) {
+	received = completeEvents(received)
+	for n := range resumeTries {
+		last := strings.Count(received, "id: ")
+		if last == 0 {
+			return
+		}
+		h, id := pick(rng, c.world.hosts), fmt.Sprintf("%s-r%d", origin, n)
+		a, err := caller.Resume(h.Address, resumablePath, id, "body", origin, last)
+		if err == nil && a.Status != http.StatusOK {
+			c.check(h, id, a)
+			continue
+		}
+		received += completeEvents(a.Body)
+		if !isPartOfStream(received) {
+			c.ledger.violate("%s: %s resumed %s as %q", id, h.Name, origin, received)
+		}
+		if err == nil {
+			if !isWholeStream(received) {
+				c.ledger.violate("%s: %s ended %s as complete with %q", id, h.Name, origin, received)
+			}
+			c.ledger.countResumed(true)
+			return
+		}
+	}
+	c.ledger.countResumed(false)
+}
+
+// completeEvents returns the events of a stream up to the last complete one.
+func completeEvents(text string) string {
+	const end = "\n\n"
+	if i := strings.LastIndex(text, end); i >= 0 {
+		return text[:i+len(end)]
+	}
+	return ""
+}
+
 // askVersion asks for a path that only one version of the configuration has.
 func (c *callers) askVersion(caller *platformtest.Caller, h *Host, id string, version int) {
 	at := hostStart{h.Name, h.Starts()}
@@ -113,7 +161,7 @@
 func (c *callers) check(h *Host, id string, a platformtest.Response) {
 	switch a.Status {
 	case http.StatusOK:
-		if a.Seal != "seal-"+id || a.Body != wholeStream() {
+		if a.Seal != "seal-"+id || !isWholeStream(a.Body) {
 			c.ledger.violate("%s: %s answered a success with signature %q and body %q", id, h.Name, a.Seal, a.Body)
 		}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 
@@ -20,6 +21,9 @@
 	// has shown.
 	inForce        map[hostStart]int
 	Served, Failed int
+	// Resumed are the streams that callers resumed to their end, and NotResumed
+	// those that they tried to.
+	Resumed, NotResumed int
 }
 
 // jobSeen is what is known of an accepted job.
@@ -79,6 +83,17 @@
 	l.Failed++
 }
 
+// countResumed counts a stream that its caller tried to resume.
+func (l *Ledger) countResumed(whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if whole {
+		l.Resumed++
+		return
+	}
+	l.NotResumed++
+}
+
 // floor returns the newest version that a start of a host has shown.
 func (l *Ledger) floor(of hostStart) int {
 	l.mu.Lock()
@@ -131,7 +146,7 @@
 	if !strings.HasPrefix(r.ID, id+"-") {
 		wrong = append(wrong, fmt.Sprintf("job %s: result of a foreign item %s", id, r.ID))
 	}
-	if !r.Done() || r.Output != wholeOutput() {
+	if !r.Done() || !isWholeOutput(r.Output) {
 		wrong = append(wrong, fmt.Sprintf("job %s: item %s is %q with output %q", id, r.ID, r.State, r.Output))
 	}
 	j.results = append(j.results, r)
@@ -167,20 +182,35 @@
 	}
 }
 
-// wholeOutput is the text of an item's result.
-func wholeOutput() string {
+// isWholeOutput reports whether a text is the output of an item that replicas of one
+// software version made.
+func isWholeOutput(text string) bool {
+	return slices.ContainsFunc(softwareVersions, func(version string) bool { return text == wholeOutput(version) })
+}
+
+func wholeOutput(version string) string {
 	var lines []string
 	for n := 1; n <= eventsPerAnswer; n++ {
-		lines = append(lines, fmt.Sprintf("e%d", n))
+		lines = append(lines, fmt.Sprintf("%se%d", version, n))
 	}
 	return strings.Join(lines, "\n")
 }
 
-// wholeStream is the body of an answer.
-func wholeStream() string {
+// isWholeStream reports whether a text is the body of a response that replicas of one
+// software version made.
+func isWholeStream(text string) bool {
+	return isPartOfStream(text) && strings.Count(text, "id: ") == eventsPerAnswer
+}
+
+// isPartOfStream reports whether a text is the beginning of such a body.
+func isPartOfStream(text string) bool {
+	return slices.ContainsFunc(softwareVersions, func(version string) bool { return strings.HasPrefix(wholeStream(version), text) })
+}
+
+func wholeStream(version string) string {
 	var b strings.Builder
 	for n := 1; n <= eventsPerAnswer; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", n, n)
+		fmt.Fprintf(&b, "id: %d\ndata: %se%d\n\n", n, version, n)
 	}
 	return b.String()
 }
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -27,12 +27,14 @@
 	Plan           []Fault
 	Violations     []string
 	Served, Failed int
-	Jobs           int
+	// Resumed and NotResumed count the streams that callers tried to resume.
+	Resumed, NotResumed int
+	Jobs                int
 }
 
 // String describes the report with its plan.
 func (r *Report) String() string {
-	text := fmt.Sprintf("seed %d: %d served, %d not, %d jobs, %d violations\n", r.Seed, r.Served, r.Failed, r.Jobs, len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %d violations\n", r.Seed, r.Served, r.Failed, r.Resumed, r.NotResumed, r.Jobs, len(r.Violations))
 	for _, f := range r.Plan {
 		text += f.String() + "\n"
 	}
@@ -71,6 +73,7 @@
 	}
 	ledger.CheckRuns(w.Runs())
 	r.Violations, r.Served, r.Failed, r.Jobs = ledger.Violations(), ledger.Served, ledger.Failed, len(ledger.jobs)
+	r.Resumed, r.NotResumed = ledger.Resumed, ledger.NotResumed
 	return r, nil
 }
 
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -39,6 +39,9 @@
 
 var dataCentres = []string{"east", "west"}
 
+// softwareVersions are those of the replicas; both serve at any time.
+var softwareVersions = []string{"v1", "v2"}
+
 // Bounds of the platform's settings.
 const (
 	stopTimeout   = 8 * time.Second
@@ -66,6 +69,7 @@
 // slot is a place for replicas, one after another, behind one proxy each.
 type slot struct {
 	name, dataCentre string
+	number           int
 	replica          *platformtest.Replica
 	proxy            *Proxy
 	starts           int
@@ -109,7 +113,7 @@
 	}
 	for _, dc := range dataCentres {
 		for n := range replicasPerCentre {
-			s := &slot{name: fmt.Sprintf("%s-%d", dc, n), dataCentre: dc}
+			s := &slot{name: fmt.Sprintf("%s-%d", dc, n), dataCentre: dc, number: n}
 			w.slots = append(w.slots, s)
 			if err := w.StartReplica(s); err != nil {
 				return err
@@ -259,6 +263,7 @@
 		return err
 	}
 	r.AdvertisedAddress = p.Address()
+	r.SetSoftwareVersion(softwareVersions[(s.number+s.starts)%len(softwareVersions)])
 	r.SetFraming(platformtest.ResponseFraming{CloseDelimitedEvery: closeDelimitedEvery})
 	s.replica, s.proxy = r, p
 	w.closers = append(w.closers, r.Close, p.Close)
