--- a/forward/forward.go
+++ b/forward/forward.go
@@ -46,6 +46,19 @@
 	Deadline time.Time
 }
 
+// Stream returns the ID of the request that brings the first event of the stream:
+// this one, or the one that it resumes. It is empty if the caller can't resume the
+// stream, or does not say which request began it.
+func (r *Request) Stream() string {
+	switch {
+	case !r.Route.Resumable:
+		return ""
+	case r.LastEventID != "":
+		return r.Resumes
+	}
+	return r.ID
+}
+
 // SendArgs describes one attempt to run a request on a replica.
 type SendArgs struct {
 	Replica replica.Replica
@@ -197,18 +210,6 @@
 	}
 }
 
-// stream returns the ID of the request that begins the stream, or an empty string
-// if the caller can't resume it.
-func (s *requestState) stream() string {
-	switch {
-	case !s.req.Route.Resumable:
-		return ""
-	case s.req.LastEventID != "":
-		return s.req.Resumes
-	}
-	return s.req.ID
-}
-
 // pinResumed restricts a stream that the caller resumes to the software version that
 // began it. The events of two versions don't fit together, and replicas don't check
 // this.
@@ -216,7 +217,7 @@
 	if !s.req.Route.Resumable || s.req.LastEventID == "" {
 		return nil
 	}
-	version, err := s.Slots.StreamVersion(ctx, s.req.Service, s.stream())
+	version, err := s.Slots.StreamVersion(ctx, s.req.Service, s.req.Stream())
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeNoUpstream, "The software version that began the stream is not known.").WithRetryAfter(defaultRetryAfter)
 	}
@@ -306,7 +307,7 @@
 func (s *requestState) acquireArgs() slots.AcquireArgs {
 	args := slots.AcquireArgs{
 		Request: s.req.ID, Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid,
-		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.stream(),
+		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.req.Stream(),
 	}
 	if s.begun {
 		// Resuming a response comes before requests whose callers have received
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -157,7 +157,7 @@
 		return
 	}
 	s.pinned, s.softwareVersion = true, s.grant.Replica.SoftwareVersion
-	if stream := s.stream(); stream != "" {
+	if stream := s.req.Stream(); stream != "" {
 		firstAttempt := s.mayHaveRunCount+s.notRunCount == 1
 		s.Slots.StreamBegan(stream, s.grant, firstAttempt)
 	}
