batch: an item under which replicas crashed is still owed

Report from a system like ours: after a burst of crashes a sound item was never placed again.

In our own batch interface it could: an item was given up after 20 failures of replicas that it shared, after max tries alone, and at once when the quarantine had confirmed it, although a replica that crashes by itself during the trial confirms any item. A replica's failure is no try any more; the item waits longer each time, up to 30 s, and one that the quarantine refuses waits too. TestItemUnderWhichReplicasCrashedIsStillOwed (batch/run) failed before.

In TestSharedReplicaFailuresAreNotTries the clock advances over the new delay.

--- a/batch/dispatcher.go
+++ b/batch/dispatcher.go
@@ -216,7 +216,7 @@
 		}
 		alone, err := d.runner.checkQuarantine(attempt)
 		if err != nil {
-			d.manager.worker.Fail(attempt, err)
+			d.postpone(attempt, err)
 			continue
 		}
 		if alone || doc.Quarantine.Enabled && attempt.ReplicaFailures >= aloneThreshold {
--- a/batch/engine.go
+++ b/batch/engine.go
@@ -53,6 +53,8 @@
 	// false, if the item was not permitted to start.
 	err     error
 	started bool
+	// postponed reports that the quarantine doesn't let the item start now.
+	postponed bool
 	// partial is the output up to the end of the attempt, earlier attempts
 	// included.
 	partial run.Partial
--- a/batch/flight.go
+++ b/batch/flight.go
@@ -4,6 +4,8 @@
 	"context"
 	"slices"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/comfreyspindle/comfreyspindle/batch/run"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
@@ -48,7 +50,7 @@
 	fp := quarantine.FingerprintOf(attempt.Service, attempt.Item.Body)
 	reserved, err := d.manager.o.Guard.Reserve(ctx, doc, fp)
 	if err != nil {
-		return outcome{err: err}
+		return outcome{err: err, postponed: true}
 	}
 	defer reserved.Release()
 	for i := range doc.Upstreams {
@@ -102,6 +104,12 @@
 	d.wakeUp()
 }
 
+// postpone lets an item wait that the quarantine doesn't let start now.
+func (d *dispatcher) postpone(attempt *run.Attempt, err error) {
+	d.manager.o.Log.WithError(err).WithFields(logrus.Fields{"job": attempt.Job, "item": attempt.Item.CustomID}).Info("item postponed")
+	d.manager.worker.Postpone(attempt)
+}
+
 // endAttempt passes the outcome of an attempt to the worker.
 func (d *dispatcher) endAttempt(attempt *run.Attempt, o outcome, preempted bool) {
 	w := d.manager.worker
@@ -116,10 +124,12 @@
 		w.Finish(attempt, o.result)
 	case !o.started && o.err == nil:
 		w.Requeue(attempt)
+	case o.postponed:
+		d.postpone(attempt, o.err)
 	case preempted || stopped:
 		d.countWastedTokens(attempt, o)
 		w.Preempt(attempt, o.partial)
-	case o.replicaFailed && !attempt.Alone:
+	case o.replicaFailed:
 		w.FailWithReplica(attempt, o.err)
 	default:
 		w.Fail(attempt, o.err)
--- a/batch/run/claim.go
+++ b/batch/run/claim.go
@@ -91,7 +91,7 @@
 	s := &segment{
 		job: id, service: rec.Service, caller: rec.Caller, run: rec.Run, number: n, epoch: seg.Epoch, once: rec.Once,
 		items: items, leaseEnd: writeStart.Add(w.o.Timing.LeaseDuration), renewedAt: writeStart,
-		running: make(map[int]*Attempt), tries: make(map[int]int), replicaFailures: make(map[int]int), attempts: make(map[int]int), partials: make(map[int]Partial),
+		running: make(map[int]*Attempt), tries: make(map[int]int), replicaFailures: make(map[int]int), notBefore: make(map[int]time.Time), attempts: make(map[int]int), partials: make(map[int]Partial),
 		nextSequence: seg.NextSequence(seg.Epoch), stopped: make(chan struct{}),
 	}
 	for i := range items {
--- a/batch/run/items.go
+++ b/batch/run/items.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/accounting"
 	"github.com/comfreyspindle/comfreyspindle/batch/store"
@@ -35,7 +36,7 @@
 
 // Next returns an attempt to run the next item of a service, in order of the
 // jobs' due times. The caller must end the attempt with exactly one of Finish,
-// Fail, FailWithReplica, Preempt and Requeue.
+// Fail, FailWithReplica, Postpone, Preempt and Requeue.
 func (w *Worker) Next(service string) (*Attempt, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -43,7 +44,7 @@
 		if !w.mayStart(s) {
 			continue
 		}
-		if i, ok := s.nextItem(); ok {
+		if i, ok := s.nextItem(w.o.Clock.Now()); ok {
 			attempt := w.newAttempt(s, i)
 			s.running[i] = attempt
 			return attempt, true
@@ -70,9 +71,9 @@
 }
 
 // nextItem removes and returns the first item in the queue that may start.
-func (s *segment) nextItem() (int, bool) {
+func (s *segment) nextItem(now time.Time) (int, bool) {
 	for at, i := range s.queue {
-		if s.once && !s.marked.Has(i) {
+		if s.once && !s.marked.Has(i) || now.Before(s.notBefore[i]) {
 			continue
 		}
 		s.queue = slices.Delete(s.queue, at, at+1)
@@ -165,9 +166,8 @@
 	return &store.Result{CustomID: id, Error: &store.ItemError{Code: e.Code, Message: e.Message, Verdict: e.Verdict}}
 }
 
-// Fail ends an attempt without a result. The item is tried again unless it is
-// quarantined, has used all its tries, or may run at most once and may have
-// run.
+// Fail ends an attempt without a result. The item is tried again unless it has used
+// all its tries, or may run at most once and may have run.
 func (w *Worker) Fail(attempt *Attempt, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -179,7 +179,7 @@
 	if doc, ok := w.o.Document(s.service); ok {
 		maxTries = doc.Batch.MaxTries
 	}
-	final := verdict.As(err).Code == verdict.CodeQuarantined || s.tries[attempt.Index] >= maxTries || s.once && v != verdict.NotRun
+	final := s.tries[attempt.Index] >= maxTries || s.once && v != verdict.NotRun
 	if final {
 		w.bufferResult(s, attempt.Index, failedResult(attempt.Item.CustomID, err))
 		return
@@ -190,13 +190,17 @@
 	s.queue = append(s.queue, attempt.Index)
 }
 
-// maxReplicaFailures is the number of replica failures after which an item
-// fails, if the replicas ran other items as well.
-const maxReplicaFailures = 20
+// Delays before an item runs again after its replica failed. They double with each
+// further failure, so that an item that does crash its replicas harms few of them.
+const (
+	replicaFailureDelay    = 100 * time.Millisecond
+	maxReplicaFailureDelay = 30 * time.Second
+)
 
-// FailWithReplica ends an attempt whose replica failed while it also ran other
-// items. Any of those may have caused the failure, so the attempt doesn't count
-// as a try.
+// FailWithReplica ends an attempt whose replica failed. The replica may have failed
+// by itself or for another item, so the attempt doesn't count as a try, and the
+// item stays owed however often that happens. An item that may run at most once
+// ends.
 func (w *Worker) FailWithReplica(attempt *Attempt, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -204,12 +208,33 @@
 		return
 	}
 	s := attempt.segment
-	if s.replicaFailures[attempt.Index]++; s.once || s.replicaFailures[attempt.Index] >= maxReplicaFailures {
+	if s.once {
 		w.bufferResult(s, attempt.Index, failedResult(attempt.Item.CustomID, err))
 		return
 	}
 	w.countWasted(s, WasteReplicaFailed, 1)
+	delay := replicaFailureDelay
+	for n := 0; n < s.replicaFailures[attempt.Index] && delay < maxReplicaFailureDelay; n++ {
+		delay *= 2
+	}
+	s.replicaFailures[attempt.Index]++
+	w.postpone(attempt, min(delay, maxReplicaFailureDelay))
+}
+
+// Postpone returns an item that can't start now to the end of the queue for a
+// while. The attempt doesn't count as a try.
+func (w *Worker) Postpone(attempt *Attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.endAttempt(attempt) {
+		w.postpone(attempt, maxReplicaFailureDelay)
+	}
+}
+
+func (w *Worker) postpone(attempt *Attempt, delay time.Duration) {
+	s := attempt.segment
 	s.tries[attempt.Index]--
+	s.notBefore[attempt.Index] = w.o.Clock.Now().Add(delay)
 	s.queue = append(s.queue, attempt.Index)
 }
 
--- a/batch/run/segment.go
+++ b/batch/run/segment.go
@@ -27,6 +27,8 @@
 	running         map[int]*Attempt
 	tries           map[int]int
 	replicaFailures map[int]int
+	// notBefore holds when a postponed item may start.
+	notBefore map[int]time.Time
 	// attempts counts the attempts at each item, so that each attempt has its
 	// own id. Unlike tries it is never decremented.
 	attempts map[int]int
@@ -100,8 +102,8 @@
 	// Try counts the tries of the item since this host claimed its segment,
 	// from 1.
 	Try int
-	// ReplicaFailures counts the replicas that failed while they ran this item
-	// together with others. Alone reports whether this attempt has its replica
+	// ReplicaFailures counts the replicas that failed while they ran this item.
+	// Alone reports whether this attempt has its replica
 	// to itself.
 	ReplicaFailures int
 	Alone           bool
--- a/batch/run/worker_test.go
+++ b/batch/run/worker_test.go
@@ -335,9 +335,31 @@
 	require.Equal(t, 1499, completed)
 }
 
+func TestItemUnderWhichReplicasCrashedIsStillOwed(t *testing.T) {
+	b := newTestService(t)
+	id := b.accept(b.kv, 1).ID
+	w := b.worker("a", run.DefaultLimits())
+	b.announce(w)
+	for range 50 {
+		b.step(w, 1)
+		attempts := b.startItems(w, 1)
+		require.Len(t, attempts, 1)
+		w.FailWithReplica(attempts[0], verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "The replica was lost."))
+		require.Empty(t, b.startItems(w, 1), "not at once")
+		b.clock.Advance(time.Minute)
+	}
+	b.step(w, 1)
+	require.Equal(t, store.StatusInProgress, b.status(id).Status)
+	b.finish(w, b.startItems(w, 1))
+	b.clock.Advance(time.Minute)
+	b.step(w, 1)
+	_, completed, failed := b.status(id).Counts()
+	require.Equal(t, 1, completed)
+	require.Zero(t, failed)
+}
+
 // TestSharedReplicaFailuresAreNotTries fails the replica of an item several
-// times while it runs with other items; only later failures of the item alone
-// count as tries.
+// times; only failures of the item itself count as tries.
 func TestSharedReplicaFailuresAreNotTries(t *testing.T) {
 	b := newTestService(t)
 	id := b.accept(b.kv, 1).ID
@@ -357,6 +379,8 @@
 		attempt := next()
 		require.Equal(t, n, attempt.ReplicaFailures)
 		w.FailWithReplica(attempt, lost)
+		b.clock.Advance(time.Minute)
+		b.step(w, 1)
 	}
 	for range b.doc.Batch.MaxTries {
 		require.Equal(t, store.StatusInProgress, b.status(id).Status)
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -327,6 +327,26 @@
 	return answer(http.StatusOK, io.MultiReader(strings.NewReader(events(1, 2)), failingReader{})), nil
 }
 
+func TestItemUnderWhichReplicasCrashedIsStillOwed(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	clock := clockwork.NewFakeClock()
+	a.Clock = clock
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+		return nil, errors.Mark(errors.New("reset"), pool.ErrBroken)
+	}
+	for range 50 {
+		require.Equal(t, slots.Failed, a.grantSlot())
+		clock.Advance(maxRunRetryDelay)
+		require.Len(t, a.Demand(false), 1)
+	}
+	a.replicas.answer = answerInFull
+	require.Equal(t, slots.Done, a.grantSlot())
+	a.flushNow(t)
+	require.Equal(t, output, c.results("a", 0)[0].Output)
+}
+
 func TestItemStartsAgainOnAnotherSoftwareVersion(t *testing.T) {
 	c := newCluster(t, "a")
 	a := c.hosts["a"]
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -302,6 +302,21 @@
 
 // A replica that was unreachable may still be so. One request tries it, and
 // only when no other replica has a free slot.
+// All replicas crash again and again under the same batch item, then all is calm.
+func TestItemIsPlacedSoonAfterABurstOfCrashes(t *testing.T) {
+	s := newScheduler(3, 4)
+	now := start
+	for range 60 {
+		s.SetDemand("h", Demand{Service: service, Items: 1, Due: now.Add(time.Hour)})
+		for _, g := range s.Plan(now).Batch {
+			s.Release(now, g.ID, Failed)
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+	s.SetDemand("h", Demand{Service: service, Items: 1, Due: now.Add(time.Hour)})
+	require.Len(t, s.Plan(now.Add(maxFailureCooldown)).Batch, 1)
+}
+
 func TestSuspectReplicaGetsOneRequest(t *testing.T) {
 	s := newScheduler(2, 4)
 	s.find(service, "r0").recordOutcome(start, Unreachable)
