upstream/pool: bytes without end in a head, or in an answer to another request, end the exchange

An answer to another request was skipped without a bound, until the deadline. The informational answers ended before as well.

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -29,6 +29,9 @@
 	// giveUp decides whether a read that found nothing within the gap fails; nil
 	// always lets it fail. It is set with gap.
 	giveUp func() bool
+	// limited bounds the bytes that may still be read by left.
+	limited bool
+	left    int
 }
 
 func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
@@ -48,8 +51,24 @@
 // Read implements io.Reader.
 func (f readFunc) Read(p []byte) (int, error) { return f(p) }
 
-// read reads within the gap, or longer as long as giveUp returns false.
+// errHeadTooLong means that the bound of an answer's headers was reached.
+var errHeadTooLong = errors.Newf("no end of the headers within %d bytes", maxHeadBytes)
+
+// read reads at most as much as the limit allows.
 func (c *conn) read(p []byte) (int, error) {
+	if !c.limited {
+		return c.readPiece(p)
+	}
+	if c.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.readPiece(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// readPiece reads within the gap, or longer as long as giveUp returns false.
+func (c *conn) readPiece(p []byte) (int, error) {
 	if c.gap <= 0 {
 		return c.raw.Read(p)
 	}
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -30,8 +30,12 @@
 	// idleMargin is how much earlier than the upstream's idle timeout a
 	// connection is given up.
 	idleMargin = 500 * time.Millisecond
-	// maxStrays bounds the answers to other requests that one exchange skips.
-	maxStrays = 3
+	// maxStrays bounds the answers to other requests that one exchange skips, and
+	// maxStrayBytes the body of each.
+	maxStrays     = 3
+	maxStrayBytes = 1 << 20
+	// maxHeadBytes bounds the status line and the headers of an answer.
+	maxHeadBytes = 64 << 10
 )
 
 // Errors of an exchange, to be tested with errors.Is.
@@ -54,6 +58,9 @@
 	// DialTimeout bounds the set-up of a connection and FirstByte the wait for
 	// an answer; zero is unbounded.
 	DialTimeout, FirstByte time.Duration
+	// HeadTimeout bounds the time from the first byte of an answer to the end of its
+	// headers; zero is unbounded.
+	HeadTimeout time.Duration
 	// Gap bounds the wait for each further piece; zero is unbounded.
 	Gap time.Duration
 	// GiveUp is called each time that FirstByte or Gap has passed without data, and
@@ -160,7 +167,7 @@
 		return nil, err
 	}
 	for range maxStrays {
-		res, err := http.ReadResponse(c.reader, x.Request)
+		res, err := c.readHead(x)
 		if err != nil {
 			return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
 		}
@@ -176,10 +183,26 @@
 	return nil, errors.Mark(errors.New("only answers to other requests arrived"), ErrBroken)
 }
 
+// readHead reads the status line and the headers of an answer, within the bounds of
+// their size and time: an upstream in trouble may send bytes without end.
+func (c *conn) readHead(x Exchange) (*http.Response, error) {
+	if x.HeadTimeout > 0 {
+		timer := time.AfterFunc(x.HeadTimeout, func() { _ = c.raw.Close() })
+		defer timer.Stop()
+	}
+	c.limited, c.left = true, maxHeadBytes
+	defer func() { c.limited = false }()
+	return http.ReadResponse(c.reader, x.Request)
+}
+
 // skip reads over an answer that isn't the request's and waits for the next.
 func skip(c *conn, res *http.Response, timeout time.Duration) error {
 	c.gap = timeout
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+	n, err := io.CopyN(io.Discard, res.Body, maxStrayBytes)
+	if n == maxStrayBytes {
+		return errors.Mark(errors.Newf("an answer to another request has more than %d bytes", maxStrayBytes), ErrBroken)
+	}
+	if !errors.Is(err, io.EOF) {
 		return errors.Mark(errors.Wrap(err, "skip an answer to another request"), ErrBroken)
 	}
 	if _, err := c.reader.Peek(1); err != nil {
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -284,6 +284,60 @@
 	require.Equal(t, 5*time.Second-idleMargin, idleTime(http.Header{"Keep-Alive": {"timeout=5, max=100"}}))
 }
 
+// endless writes its first text once and the second one until the connection closes.
+func endless(first, again string) script {
+	return func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		read(r)
+		_, err := io.WriteString(c, first)
+		block := strings.Repeat(again, 1+4096/len(again))
+		for err == nil {
+			_, err = io.WriteString(c, block)
+		}
+	}
+}
+
+func TestEndlessBytesEndTheExchange(t *testing.T) {
+	rows := []struct {
+		name  string
+		reply script
+	}{
+		{"no answer at all", endless("", "x")},
+		{"lines that are no answer", endless("", "x\n")},
+		{"status line", endless("HTTP/1.1 200 ", "x")},
+		{"header line", endless("HTTP/1.1 200 OK\r\nX-Id: ", "a")},
+		{"header lines", endless("HTTP/1.1 200 OK\r\n", "X-Id: a\r\n")},
+		{"informational answers", endless("", "HTTP/1.1 102 Processing\r\n\r\n")},
+		{"answer to another request", endless("HTTP/1.1 200 OK\r\nX-Id: b\r\n\r\n", "x")},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, _ := serve(t, row.reply)
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			_, err := New(func() {}).Send(ctx, Exchange{
+				Address: address, Request: request("a"), DialTimeout: time.Second,
+				Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+			})
+			require.Error(t, err)
+			require.NoError(t, ctx.Err(), "ended by the bound, not by the deadline")
+		})
+	}
+}
+
+func TestHeadThatNeverEndsIsGivenUp(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		read(r)
+		for _, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "); err == nil; _, err = io.WriteString(c, "a") {
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := New(func() {}).Send(ctx, Exchange{Address: address, Request: request("a"), DialTimeout: time.Second, HeadTimeout: 100 * time.Millisecond})
+	require.True(t, errors.Is(err, ErrBroken), "%v", err)
+	require.NoError(t, ctx.Err())
+}
+
 func TestFraming(t *testing.T) {
 	rows := map[Framing]string{
 		FramingLength:  "Content-Length: 2\r\n\r\nxy",
