forward, jobs: bytes without end in a body are bounded

An event ends at 256 KiB; of a response that is no stream the first 256 KiB are buffered for a retry and the rest is passed on as it arrives, up to 32 MiB as before; an item's output ends at 900 KiB, which is what can be recorded, and its run when no event is complete for 5 s while bytes arrive.

On the code before, the test of jobs ended with out of memory at 6 GB of address space, and that of forward did not end in 100 s. TestTooLargeResponseIsNotRepeated holds as before, and also asks that the response is reported as truncated: part of it was sent.

--- a/forward/events.go
+++ b/forward/events.go
@@ -18,20 +18,27 @@
 	LastID string
 }
 
+// maxPartialEventBytes bounds the bytes of one event.
+const maxPartialEventBytes = 256 << 10
+
 // Feed appends p to the input and returns the bytes up to the end of the last
 // complete event, without those that it returned before. It returns nil if no
-// event was completed. The result is valid until the next call.
-func (e *EventParser) Feed(p []byte) []byte {
+// event was completed. The result is valid until the next call. An error means
+// that an event is larger than maxPartialEventBytes.
+func (e *EventParser) Feed(p []byte) ([]byte, error) {
 	e.received = e.received || len(p) > 0
 	e.pending = append(e.pending, p...)
 	end := lastEventEnd(e.pending)
 	if end < 0 {
-		return nil
+		if len(e.pending) > maxPartialEventBytes {
+			return nil, errEventTooLarge
+		}
+		return nil, nil
 	}
 	complete := e.pending[:end]
 	e.recordLastID(complete)
 	e.pending = bytes.Clone(e.pending[end:])
-	return complete
+	return complete, nil
 }
 
 // Remainder returns the input after the last complete event.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -271,7 +271,7 @@
 		return false, nil
 	}
 	s.avoid = append(s.avoid, g.Replica.ID)
-	return s.mayRetry(ctx) && !errors.Is(err, errCallerDisconnected) && !errors.Is(err, errTooLarge), err
+	return s.mayRetry(ctx) && !errors.Is(err, errCallerDisconnected) && !errors.Is(err, errPartlySent), err
 }
 
 // acquire returns the slot that is reserved for the next attempt, or acquires one.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -241,7 +241,8 @@
 // A response that is larger than what is buffered has run; another replica would only
 // run the request again.
 func TestTooLargeResponseIsNotRepeated(t *testing.T) {
-	o := runScript(idempotent, 5, ok(strings.NewReader(strings.Repeat("x", maxBufferedBytes+1))))
+	o := runScript(idempotent, 5, ok(strings.NewReader(strings.Repeat("x", maxResponseBytes+1))))
+	require.True(t, errors.Is(o.err, ErrTruncated))
 	require.Len(t, o.upstream.sent, 1)
 	require.Equal(t, verdict.Ran, verdict.Of(o.err))
 	require.Equal(t, verdict.CodeIncomplete, verdict.As(o.err).Code)
@@ -261,6 +262,62 @@
 	}
 }
 
+// endlessReader returns its text again and again, until limit bytes were read.
+type endlessReader struct {
+	text        string
+	read, limit int
+}
+
+func (r *endlessReader) Read(p []byte) (int, error) {
+	if r.read >= r.limit {
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(p, r.text)
+	r.read += n
+	return n, nil
+}
+
+func TestEndlessBytesAreNeitherKeptNorComplete(t *testing.T) {
+	const limit = 256 << 20
+	rows := []struct {
+		name     string
+		attempt  func(io.Reader) scriptedAttempt
+		text     string
+		maxRead  int
+		maxHeld  int
+		complete bool
+	}{
+		{"partial event", stream, strings.Repeat("data: x", 1000), maxPartialEventBytes + relayBufferBytes, 0, false},
+		{"body", ok, strings.Repeat("x", 4000), maxResponseBytes + relayBufferBytes, maxResponseBytes, false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			body := &endlessReader{text: row.text, limit: limit}
+			o := runScript(notResumable, 5, row.attempt(body))
+			require.Error(t, o.err)
+			require.LessOrEqual(t, body.read, row.maxRead)
+			require.LessOrEqual(t, o.sink.body.Len(), row.maxHeld)
+		})
+	}
+}
+
+func TestEndlessEventIsResumedOnAnotherReplica(t *testing.T) {
+	endless := io.MultiReader(strings.NewReader(events(1, 2)), &endlessReader{text: strings.Repeat("data: x", 1000), limit: 256 << 20})
+	o := runScript(resumable, 5, stream(endless), stream(strings.NewReader(events(3, 4))))
+	require.NoError(t, o.err)
+	require.Equal(t, events(1, 4), o.sink.body.String())
+}
+
+// The part that is buffered for a retry is small; a larger response is passed on as it
+// arrives.
+func TestLargeResponseIsRelayedWhole(t *testing.T) {
+	text := strings.Repeat("x", 3*maxBufferedBytes+1)
+	o := runScript(idempotent, 5, ok(strings.NewReader(text)))
+	require.NoError(t, o.err)
+	require.Equal(t, text, o.sink.body.String())
+	require.Len(t, o.upstream.sent, 1)
+}
+
 // A body without length or chunks ends with its connection, also when the replica fails.
 func TestStreamThatEndsWithinAnEventIsNotComplete(t *testing.T) {
 	const partial = "id: 3\nda"
@@ -435,13 +492,19 @@
 	require.Len(t, o.upstream.sent, 1)
 }
 
+func feed(t *testing.T, e *EventParser, text string) string {
+	complete, err := e.Feed([]byte(text))
+	require.NoError(t, err)
+	return string(complete)
+}
+
 func TestEventParserAcceptsAnySplit(t *testing.T) {
 	text := events(1, 3)
 	for i := range len(text) {
 		var e EventParser
 		var out string
-		out += string(e.Feed([]byte(text[:i])))
-		out += string(e.Feed([]byte(text[i:])))
+		out += feed(t, &e, text[:i])
+		out += feed(t, &e, text[i:])
 		require.Equal(t, text, out, "split at %d", i)
 		require.Equal(t, "3", e.LastID)
 		require.Empty(t, e.Remainder())
@@ -455,8 +518,8 @@
 	} {
 		for i := range len(text) {
 			var e EventParser
-			out := string(e.Feed([]byte(text[:i])))
-			out += string(e.Feed([]byte(text[i:])))
+			out := feed(t, &e, text[:i])
+			out += feed(t, &e, text[i:])
 			require.Equal(t, text, out, "split at %d", i)
 			require.Equal(t, "1", e.LastID)
 			require.NoError(t, e.CheckEnd(pool.FramingClose, false))
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -18,9 +18,11 @@
 	// relayBufferBytes is the read size for event streams, and bounds what is
 	// read of a discarded body.
 	relayBufferBytes = 16 << 10
-	// maxBufferedBytes bounds a response that is buffered before it is sent to
-	// the caller.
-	maxBufferedBytes = 32 << 20
+	// maxBufferedBytes bounds the part of a response that is buffered before it is
+	// sent to the caller, so that the request can still be retried.
+	maxBufferedBytes = 256 << 10
+	// maxResponseBytes bounds a response that is no event stream.
+	maxResponseBytes = 32 << 20
 )
 
 // Errors of relaying a response.
@@ -28,7 +30,9 @@
 	errNotVerified        = errors.New("response is not signed by the replica")
 	errReplicaFailed      = errors.New("replica failed to run the request")
 	errCallerDisconnected = errors.New("caller disconnected")
-	errTooLarge           = errors.New("response is larger than what is buffered")
+	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
+	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
+	errEventTooLarge      = errors.Newf("event is larger than %d bytes", maxPartialEventBytes)
 	errEndsWithinEvent    = errors.New("event stream ends within an event")
 	errNoEvent            = errors.New("connection ends before the first event of a stream")
 )
@@ -99,36 +103,59 @@
 	if s.begun {
 		return slots.Done, errReplicaFailed
 	}
-	return s.relayBuffered(res)
+	return s.relayBody(res)
 }
 
 func isEventStream(h http.Header) bool {
 	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
 }
 
-// relayBuffered reads the whole response before it sends any of it, so that the
-// request can be retried if the response breaks off.
-func (s *requestState) relayBuffered(res *Response) (slots.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
+// relayBody relays a response that is no event stream. The first part of it is
+// buffered, so that the request can be retried if the response breaks off there.
+func (s *requestState) relayBody(res *Response) (slots.Outcome, error) {
+	first, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
 	if err != nil {
 		return readErrorOutcome(err), errors.Wrap(err, "read response body")
 	}
-	if len(body) > maxBufferedBytes {
-		return slots.Done, verdict.Wrap(errTooLarge, verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
-	}
 	outcome := slots.Done
 	if res.Status == http.StatusInternalServerError {
 		outcome = slots.Errored
 	}
-	s.begin(res.Status, res.Header, int64(len(body)))
-	if len(body) > 0 {
-		if err := s.sink.Write(body); err != nil {
-			return outcome, errors.Mark(err, errCallerDisconnected)
-		}
+	if len(first) <= maxBufferedBytes {
+		s.begin(res.Status, res.Header, int64(len(first)))
+		return outcome, s.writeToCaller(res, first)
+	}
+	if err := s.relayLargeBody(res, first); err != nil {
+		return readErrorOutcome(err), errors.Mark(err, errPartlySent)
 	}
 	return outcome, nil
 }
 
+// relayLargeBody sends a body of which the first part was read as it arrives, up to
+// maxResponseBytes.
+func (s *requestState) relayLargeBody(res *Response, piece []byte) error {
+	s.begin(res.Status, res.Header, res.Length)
+	buf := make([]byte, relayBufferBytes)
+	var readErr error
+	for total := len(piece); ; total += len(piece) {
+		if total > maxResponseBytes {
+			return verdict.Wrap(errTooLarge, verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
+		}
+		if err := s.writeToCaller(res, piece); err != nil {
+			return err
+		}
+		if errors.Is(readErr, io.EOF) {
+			return nil
+		}
+		if readErr != nil {
+			return errors.Wrap(readErr, "read response body")
+		}
+		var n int
+		n, readErr = res.Body.Read(buf)
+		piece = buf[:n]
+	}
+}
+
 // readErrorOutcome returns the outcome of an attempt whose response can't be
 // read to its end.
 func readErrorOutcome(err error) slots.Outcome {
@@ -171,7 +198,11 @@
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
-			if err := s.writeToCaller(res, s.events.Feed(buf[:n])); err != nil {
+			complete, err := s.events.Feed(buf[:n])
+			if err != nil {
+				return slots.Failed, err
+			}
+			if err := s.writeToCaller(res, complete); err != nil {
 				return slots.Unused, err
 			}
 		}
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -97,6 +97,8 @@
 	// is run on another slot.
 	runFirstByteTimeout = 600 * time.Millisecond
 	runGapTimeout       = 700 * time.Millisecond
+	// runEventTimeout bounds the time without a complete event while bytes arrive.
+	runEventTimeout = 5 * time.Second
 	// runRetryDelay is the delay before an item runs again after a failed run.
 	// It doubles with each consecutive failure up to maxRunRetryDelay.
 	runRetryDelay    = 50 * time.Millisecond
@@ -120,6 +122,8 @@
 const (
 	// maxChunkBytes keeps the value of a key below the store's limit.
 	maxChunkBytes = 700 << 10
+	// maxOutputBytes bounds the output of an item, so that it can be recorded.
+	maxOutputBytes = 900 << 10
 	// maxPageBytes bounds the total size of the outputs in one page.
 	maxPageBytes = 900 << 10
 	// maxFlushJobs bounds the number of jobs whose changes are recorded in one
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -347,6 +347,36 @@
 	require.Equal(t, output, c.results("a", 0)[0].Output)
 }
 
+// endlessEvents makes complete events without end.
+type endlessEvents struct{ n int }
+
+func (r *endlessEvents) Read(p []byte) (int, error) {
+	r.n++
+	return copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", r.n, strings.Repeat("x", 4000))), nil
+}
+
+func TestEndlessOutputIsDiscarded(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	for _, body := range []io.Reader{&endlessEvents{}, io.MultiReader(strings.NewReader("data: "), &endlessText{})} {
+		a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+			return answer(http.StatusOK, body), nil
+		}
+		require.Equal(t, slots.Failed, a.grantSlot())
+		require.Eventually(t, func() bool { return len(a.Demand(false)) > 0 }, time.Second, time.Millisecond)
+	}
+	a.replicas.answer = answerInFull
+	require.Equal(t, slots.Done, a.grantSlot())
+	a.flushNow(t)
+	require.Equal(t, output, c.results("a", 0)[0].Output)
+}
+
+// endlessText is a line without end.
+type endlessText struct{}
+
+func (endlessText) Read(p []byte) (int, error) { return copy(p, strings.Repeat("x", len(p))), nil }
+
 func TestItemStartsAgainOnAnotherSoftwareVersion(t *testing.T) {
 	c := newCluster(t, "a")
 	a := c.hosts["a"]
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -127,6 +127,8 @@
 	// the last of them.
 	eventData   []string
 	lastEventID string
+	// eventBytes is the size of eventData.
+	eventBytes int
 	// softwareVersion is that of the replicas that sent the events.
 	softwareVersion string
 	// ran is how long the item has run so far.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -139,7 +139,7 @@
 
 // discardEvents lets the next run start from the beginning.
 func (it *item) discardEvents() {
-	it.eventData, it.lastEventID, it.ran = nil, "", 0
+	it.eventData, it.eventBytes, it.lastEventID, it.ran = nil, 0, "", 0
 }
 
 // Revoked implements slots.BatchItems. It cancels the run; the item waits again.
@@ -293,11 +293,21 @@
 	var events forward.EventParser
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
+	progressAt := m.Clock.Now()
 	for {
 		n, err := ans.Body.Read(buf)
 		if n > 0 {
-			if complete := events.Feed(buf[:n]); complete != nil {
-				m.appendEvents(it, forward.EventData(complete), events.LastID)
+			complete, err := events.Feed(buf[:n])
+			switch {
+			case err != nil:
+			case complete != nil:
+				progressAt = m.Clock.Now()
+				err = m.appendEvents(it, forward.EventData(complete), events.LastID)
+			case m.Clock.Now().Sub(progressAt) > runEventTimeout:
+				err = errors.Newf("no complete event in %v", runEventTimeout)
+			}
+			if err != nil {
+				return endBroken, slots.Failed, err
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -312,10 +322,26 @@
 	}
 }
 
-// appendEvents adds the data of complete events to an item's output.
-func (m *Manager) appendEvents(it *item, data []string, lastID string) {
+// outputSize returns the size of an output with the data of these events.
+func outputSize(data []string) int {
+	size := 0
+	for _, text := range data {
+		size += len(text) + len("\n")
+	}
+	return size
+}
+
+// appendEvents adds the data of complete events to an item's output. An output that
+// could not be recorded is discarded, and is an error.
+func (m *Manager) appendEvents(it *item, data []string, lastID string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	it.eventBytes += outputSize(data)
+	if it.eventBytes > maxOutputBytes {
+		it.discardEvents()
+		return errors.Newf("output is larger than %d bytes", maxOutputBytes)
+	}
 	it.eventData = append(it.eventData, data...)
 	it.lastEventID = lastID
+	return nil
 }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -172,6 +172,7 @@
 		if i >= 0 {
 			j.items[i].eventData, j.items[i].lastEventID, j.items[i].softwareVersion = p.Texts, p.LastID, p.SoftwareVersion
 			j.items[i].failures, j.items[i].ran = p.Failures, p.Ran
+			j.items[i].eventBytes = outputSize(p.Texts)
 		}
 	}
 }
