jobs: a host that is told of another owner checks whether it still owns the job

Trace of one of them: a host that stood still wakes at 15.97 s and accepts a job at 16.23 s, before its record is back at 16.51 s. Another host, whose view doesn't have it yet, takes the job over at 16.62 s and announces that, also to the first host, which ignored announcements of jobs that it runs. So it ran the items a second time and answered reads with no results until its own next write failed at 33 s.

Now it reads the head record and disowns the job, and the former owner is told first. The test failed before.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -219,7 +219,7 @@
 func (m *Manager) startAccepted(head *Head, rev txn.Rev, items []Item) {
 	m.addOwned(newJob(*head, rev, items, nil))
 	m.Log.WithFields(logrus.Fields{"job": head.ID, "items": len(items), "rev": rev, "due": head.due()}).Info("job accepted")
-	go m.announce(head.ID)
+	go m.announce(head.ID, "")
 }
 
 // newJobRequest returns the transaction that creates a job's records with a permit.
--- a/jobs/accept_test.go
+++ b/jobs/accept_test.go
@@ -81,6 +81,19 @@
 
 // A last write of the former owner takes effect during the take-over. The
 // take-over must be repeated and include the result of that write.
+// A host stands still, loses its membership and accepts a job as soon as it goes on. Another
+// host that does not see it yet takes the job over.
+func TestFormerOwnerServesResultsOfItsSuccessor(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a, b := c.hosts["a"], c.hosts["b"]
+	require.NoError(t, a.Submit(context.Background(), submission(2)))
+	require.NoError(t, b.claim(context.Background(), "job", "a", nil))
+	b.grantSlot()
+	b.flushNow(t)
+	require.Len(t, c.results("b", 0), 1)
+	require.Eventually(t, func() bool { return len(c.results("a", 0)) == 1 }, 5*time.Second, time.Millisecond)
+}
+
 func TestTakeOverRetriesAfterWriteByFormerOwner(t *testing.T) {
 	c := newCluster(t, "a", "b")
 	a, b := c.hosts["a"], c.hosts["b"]
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -96,18 +97,47 @@
 func (p *Peer) Announce(args AnnounceArgs, _ *None) error {
 	p.m.mu.Lock()
 	defer p.m.mu.Unlock()
-	if _, own := p.m.jobs[args.ID]; !own {
-		p.m.cachedOwners[args.ID] = args.Owner
+	if _, own := p.m.jobs[args.ID]; own {
+		go p.m.checkOwner(args.ID)
+		return nil
 	}
+	p.m.cachedOwners[args.ID] = args.Owner
 	return nil
 }
 
+// checkOwner reads the head record of a job that this host runs and disowns the job
+// if another host has taken it over. It tries again while the store is unavailable.
+func (m *Manager) checkOwner(id string) {
+	for range maxOwnerChecks {
+		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+		head, rev, err := m.loadHead(ctx, id)
+		cancel()
+		if err == nil {
+			m.stillOwns(head, rev)
+			return
+		}
+		m.Log.WithError(err).WithField("job", id).Info("can't check whether another host owns the job")
+		<-m.Clock.After(ownerCheckDelay)
+	}
+}
+
+// A check of the owner of a job is tried again while the store is unavailable.
+const (
+	maxOwnerChecks  = 20
+	ownerCheckDelay = 500 * time.Millisecond
+)
+
 // announce notifies all hosts of the region that this host owns a job, so that
-// they need not read its head record. A host that misses the call reads it.
-func (m *Manager) announce(id string) {
+// they need not read its head record. A host that misses the call reads it. The
+// former owner, if there is one, comes first: it may still run the job.
+func (m *Manager) announce(id, formerOwner string) {
 	self := m.View.Self()
-	for _, h := range membership.All(m.View) {
-		if h.Region != self.Region || h.Name == self.Name {
+	hosts := slices.Clone(membership.All(m.View))
+	if i := slices.IndexFunc(hosts, func(h membership.Host) bool { return h.Name == formerOwner }); i > 0 {
+		hosts[0], hosts[i] = hosts[i], hosts[0]
+	}
+	for _, h := range hosts {
+		if h.Name == self.Name || h.Region != self.Region && h.Name != formerOwner {
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -148,7 +148,7 @@
 	j.restoreProgress(progress)
 	m.addOwned(j)
 	m.Log.WithFields(logrus.Fields{"job": id, "from": from, "listed": head.ResultCount, "total": head.ItemCount, "rev": rev}).Info("job taken over")
-	go m.announce(id)
+	go m.announce(id, from)
 	return nil
 }
 
