A replica that says in a response that it leaves gets nothing more (Server-Leaving)

The header was not read.

The replica client is the one way to replicas (requests, streams, items), so it reads the header of each head that arrives, whatever becomes of the body, and sends nothing to a replica that is known to leave: that counts as not sent, and the request is placed elsewhere. The word is one more source of replica.View, merged by the rule that was there: only a later start ends it (table test). Requests for slots name the replicas that the host lately found to leave, so that nothing waits for them, and with none left the caller is told at once when to come back. The broker hears of it with the release of a slot, without a call of its own, and passes it on with the replica records. One log line when a host first believes it, and a gauge by source.

slots/client_test.go read a map of its own without its lock, which the race detector found once.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -83,10 +83,21 @@
 	}
 }
 
+// call makes a request and notes which replicas the host says to be leaving.
+func (c *callers) call(caller *platformtest.Caller, h *Host, path, id string) (platformtest.Response, error) {
+	before := h.run()
+	c.ledger.sends(id, before)
+	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
+	if a.Leaving && h.run() == before {
+		c.ledger.saysLeaving(before, a.Replica)
+	}
+	return a, err
+}
+
 // request makes a request that every configuration allows. A stream that breaks off
 // is resumed.
 func (c *callers) request(caller *platformtest.Caller, rng *rand.Rand, h *Host, path, id string) {
-	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
+	a, err := c.call(caller, h, path, id)
 	c.ledger.count(err == nil && a.Status == http.StatusOK)
 	if err != nil {
 		if path == resumablePath {
@@ -143,7 +154,7 @@
 func (c *callers) askVersion(caller *platformtest.Caller, h *Host, id string, version int) {
 	at := hostStart{h.Name, h.Starts()}
 	floor := c.ledger.floor(at)
-	a, err := caller.Call(h.Address, http.MethodPost, platformtest.VersionPath(version)+"x", id, "body")
+	a, err := c.call(caller, h, platformtest.VersionPath(version)+"x", id)
 	if err != nil || h.Starts() != at.start {
 		return
 	}
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -34,6 +34,8 @@
 	maxDelay             = 400 * time.Millisecond
 	maxDown              = 2 * time.Second
 	drainTime            = 3 * time.Second
+	// leaveTime is how long a replica says that it leaves before it ends.
+	leaveTime = 2 * configTimeout
 	// signalTime is what a program needs until it takes signals: before that a
 	// hang-up ends any process.
 	signalTime = 100 * time.Millisecond
@@ -60,7 +62,7 @@
 	// Faults of replicas' responses have random numbers of their own, so that the
 	// plans of known seeds keep all their other faults.
 	responses := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 3))}
-	plan = append(plan, responses.draw([]func() Fault{responses.truncate}, length, meanResponseInterval)...)
+	plan = append(plan, responses.draw([]func() Fault{responses.truncate, responses.leave}, length, meanResponseInterval)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -233,6 +235,17 @@
 	}}
 }
 
+// leave lets a replica say in its responses that it leaves, while its record says that
+// it is ready, and ends it.
+func (p *planner) leave() Fault {
+	s := pick(p.rng, p.world.slots)
+	return Fault{Text: fmt.Sprintf("replica %s leaves, which only its responses say", s.name), run: func(ctx context.Context) {
+		p.world.replicaOf(s).SetLeaving(true)
+		sleep(ctx, leaveTime)
+		p.replace(s, true, 0)
+	}}
+}
+
 // drainReplica lets a replica leave after it was reported.
 func (p *planner) drainReplica() Fault {
 	s := pick(p.rng, p.world.slots)
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 )
@@ -19,7 +20,11 @@
 	jobs         map[string]*jobSeen
 	// inForce is the newest version of the configuration that a start of a host
 	// has shown.
-	inForce        map[hostStart]int
+	inForce map[hostStart]int
+	// sent are the requests of callers by ID, and leaving is when a run of a host
+	// passed on a response whose replica said that it leaves.
+	sent           map[string]sentRequest
+	leaving        map[leavingSeen]time.Time
 	Served, Failed int
 	// Resumed are the streams that callers resumed to their end, and NotResumed
 	// those that they tried to.
@@ -38,11 +43,30 @@
 	start int
 }
 
+// sentRequest is where and when a caller sent a request.
+type sentRequest struct {
+	to hostRun
+	at time.Time
+}
+
+// hostRun is a time in which a host runs without a restart or a pause.
+type hostRun struct {
+	hostStart
+	pauses int64
+}
+
+// leavingSeen is a replica that a host knows to be leaving.
+type leavingSeen struct {
+	host    hostRun
+	replica string
+}
+
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
 	return &Ledger{
 		notRun: make(map[string]struct{}), once: make(map[string]struct{}),
 		jobs: make(map[string]*jobSeen), inForce: make(map[hostStart]int),
+		sent: make(map[string]sentRequest), leaving: make(map[leavingSeen]time.Time),
 	}
 }
 
@@ -108,6 +132,42 @@
 	l.inForce[of] = max(l.inForce[of], version)
 }
 
+// sends notes a request that a caller sends.
+func (l *Ledger) sends(id string, to hostRun) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id] = sentRequest{to, time.Now()}
+}
+
+// saysLeaving notes that a host has passed on that a replica leaves.
+func (l *Ledger) saysLeaving(host hostRun, replica string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	seen := leavingSeen{host, replica}
+	if _, ok := l.leaving[seen]; !ok {
+		l.leaving[seen] = time.Now()
+	}
+}
+
+// CheckLeaving checks that no request that was sent later than the limit after a host
+// passed on that a replica leaves has reached that replica from that host.
+func (l *Ledger) CheckLeaving(runsByReplica map[string][]string, limit time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for replica, ids := range runsByReplica {
+		for _, id := range ids {
+			request, ok := l.sent[id]
+			if !ok {
+				continue
+			}
+			at, ok := l.leaving[leavingSeen{request.to, replica}]
+			if late := request.at.Sub(at); ok && late > limit {
+				l.violations = append(l.violations, fmt.Sprintf("%s reached replica %s from %s %s after that had passed on that it leaves", id, replica, request.to.host, late))
+			}
+		}
+	}
+}
+
 // accepted notes a job that is the system's to keep.
 func (l *Ledger) accepted(id string, items int) {
 	l.mu.Lock()
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -6,11 +6,13 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -277,6 +279,7 @@
 	r, p := s.replica, s.proxy
 	w.mu.Unlock()
 	if !crash {
+		r.SetLeaving(true)
 		if err := w.put(r.Record(serviceName, s.dataCentre, "draining", slotsPerReplica)); err != nil {
 			return err
 		}
@@ -301,16 +304,30 @@
 	return s.replica
 }
 
-// Runs returns how often each request or item began at any replica.
-func (w *World) Runs() map[string]int {
+// RunsByReplica returns the IDs of the requests and items that each replica has run.
+func (w *World) RunsByReplica() map[string][]string {
+	runs := make(map[string][]string)
+	for _, r := range w.allReplicas() {
+		runs[r.ID] = slices.Collect(maps.Keys(r.Runs()))
+	}
+	return runs
+}
+
+// allReplicas returns the replicas that serve and those that did.
+func (w *World) allReplicas() []*platformtest.Replica {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	all := append([]*platformtest.Replica(nil), w.retired...)
+	all := slices.Clone(w.retired)
 	for _, s := range w.slots {
 		all = append(all, s.replica)
 	}
+	return all
+}
+
+// Runs returns how often each request or item began at any replica.
+func (w *World) Runs() map[string]int {
 	runs := make(map[string]int)
-	for _, r := range all {
+	for _, r := range w.allReplicas() {
 		for id, n := range r.Runs() {
 			runs[id] += n
 		}
@@ -356,3 +373,8 @@
 }
 
 func pick[T any](rng *rand.Rand, of []T) T { return of[rng.IntN(len(of))] }
+
+// run returns the present run of the host.
+func (h *Host) run() hostRun {
+	return hostRun{hostStart{h.Name, h.Starts()}, h.pauses.Load()}
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -155,6 +155,10 @@
 	defaultRetryAfter = 300 * time.Millisecond
 )
 
+// ErrReplicaLeaving means that the replica is leaving and that nothing was sent to
+// it; pool.ErrNotSent holds too.
+var ErrReplicaLeaving = errors.Mark(errors.New("replica is leaving"), pool.ErrNotSent)
+
 // ErrTruncated means that part of the response was sent to the caller and the
 // rest can't be delivered.
 var ErrTruncated = errors.New("response truncated")
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -248,6 +248,15 @@
 	require.Equal(t, verdict.CodeIncomplete, verdict.As(o.err).Code)
 }
 
+// The grants of slots may be older than the word that their replicas leave.
+func TestRequestIsPlacedElsewhereIfItsReplicaLeaves(t *testing.T) {
+	o := runScript(atMostOnce, 5, scriptedAttempt{err: ErrReplicaLeaving}, ok(strings.NewReader("x")))
+	require.NoError(t, o.err)
+	require.Equal(t, "x", o.sink.body.String())
+	require.Equal(t, []string{"r1"}, o.slots.acquires[1].Avoid)
+	require.Equal(t, slots.Unused, o.slots.outcomes[0])
+}
+
 func TestTruncatedStreamReturnsErrTruncated(t *testing.T) {
 	for name, o := range map[string]scriptResult{
 		"can't be resumed":        runScript(notResumable, 5, stream(failAfter(events(1, 2), errBroken))),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -55,7 +55,7 @@
 	} else {
 		s.mayHaveRunCount++
 	}
-	if outcome != slots.Unused {
+	if outcome != slots.Unused || errors.Is(err, ErrReplicaLeaving) {
 		s.avoid = append(s.avoid, g.Replica.ID)
 	}
 	s.logAttempt(g, outcome, err)
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -133,7 +133,7 @@
 	for i, h := range []*Host{a, b, a} {
 		got, err := call(h, fmt.Sprint("q", i))
 		require.NoError(t, err)
-		require.Equal(t, platformtest.Response{Status: http.StatusOK, Seal: fmt.Sprint("seal-q", i), Body: completeStream()}, got)
+		require.Equal(t, platformtest.Response{Status: http.StatusOK, Seal: fmt.Sprint("seal-q", i), Body: completeStream(), Replica: got.Replica}, got)
 	}
 	f.submit(a, "job", 12)
 	require.Eventually(t, func() bool { return f.countResults(b, "job") == 12 }, 20*time.Second, 50*time.Millisecond)
--- a/host/host.go
+++ b/host/host.go
@@ -31,6 +31,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 )
@@ -205,10 +206,17 @@
 		Name: "comfreyspindle_upstream_connections_total", Help: "New connections to replicas.",
 	})
 	h.registry.MustRegister(dials)
-	engine := platform.NewReplicaClient(dials.Inc)
+	for _, source := range replica.Sources() {
+		h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "comfreyspindle_replicas_leaving", Help: "Replicas that are leaving, by what this host has it from.",
+			ConstLabels: prometheus.Labels{"source": string(source)},
+		}, func() float64 { return float64(h.replicas.countLeaving(source)) }))
+	}
+	h.broker.SetOnLeaving(func(r replica.Replica) { h.replicas.markLeaving(r, replica.FromPeer) })
+	engine := platform.NewReplicaClient(dials.Inc, h.replicas)
 	h.slotClient = &slots.Client{
 		View: h.view, Peers: h.brokerClient, Broker: h.broker, Clock: h.clock, Log: h.log, OnReplicas: h.replicas.replaceFromPeer,
-		OnNotice: h.handleNotice, StoreAvailable: h.storeAvailable,
+		OnNotice: h.handleNotice, StoreAvailable: h.storeAvailable, Leaving: h.replicas,
 	}
 	h.slotClient.Init()
 	h.jobs = jobs.NewManager(jobs.Options{
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -36,6 +36,46 @@
 	return &Replicas{broker: broker, dataCentre: dataCentre, clock: clock, log: log, view: replica.NewView()}
 }
 
+// IsLeaving reports whether a replica is known to be leaving.
+func (r *Replicas) IsLeaving(of replica.Replica) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.IsLeaving(of)
+}
+
+// RecentlyLeaving returns the replicas of a service that were lately found to be
+// leaving.
+func (r *Replicas) RecentlyLeaving(service string) []replica.Incarnation {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.RecentlyLeaving(r.clock.Now(), service)
+}
+
+// SaysLeaving records that a replica said in a response to this host that it is
+// leaving.
+func (r *Replicas) SaysLeaving(of replica.Replica) { r.markLeaving(of, replica.FromResponse) }
+
+func (r *Replicas) markLeaving(of replica.Replica, source replica.Source) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if !r.view.MarkLeaving(now, of, source) {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"replica": of.ID, "service": of.Service, "source": string(source), "age": now.Sub(time.UnixMilli(of.Born)).Round(time.Millisecond).String(),
+	}).Info("replica is leaving")
+	if r.loaded {
+		r.publish()
+	}
+}
+
+func (r *Replicas) countLeaving(source replica.Source) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.CountLeaving()[source]
+}
+
 // decode converts records to changes. An unreadable record counts as a deleted
 // one.
 func (r *Replicas) decode(items []txn.Item) []replica.Change {
@@ -120,7 +160,7 @@
 func (r *Replicas) replaceFromPeer(all []replica.Replica) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.view.ReplaceFromPeer(all)
+	r.view.ReplaceFromPeer(r.clock.Now(), all)
 	r.loaded = true
 	r.publish()
 }
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -44,16 +44,16 @@
 	// missingUntil holds the time at which a replica without a record is
 	// removed.
 	missingUntil map[string]time.Time
-	// leavingBorn holds the start times of the replicas that announced to
-	// leave. The store may return an older record afterwards.
-	leavingBorn map[string]int64
+	// leaving holds the replicas that announced to leave, by ID. The store may
+	// return an older record afterwards.
+	leaving map[string]leavingMark
 	// outageEnd is when the store was last found available again.
 	outageEnd time.Time
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{replicas: make(map[string]Replica), missingUntil: make(map[string]time.Time), leavingBorn: make(map[string]int64)}
+	return &View{replicas: make(map[string]Replica), missingUntil: make(map[string]time.Time), leaving: make(map[string]leavingMark)}
 }
 
 // SetOutageEnd records that the store was unavailable until now.
@@ -64,7 +64,7 @@
 	seen := make(map[string]struct{}, len(listed))
 	for _, r := range listed {
 		seen[r.ID] = struct{}{}
-		v.put(r)
+		v.put(now, r)
 	}
 	for id := range v.replicas {
 		if _, ok := seen[id]; !ok {
@@ -75,11 +75,11 @@
 
 // ReplaceFromPeer replaces the view by the listing of a peer whose view is up
 // to date. Replicas that it leaves out are removed at once.
-func (v *View) ReplaceFromPeer(listed []Replica) {
+func (v *View) ReplaceFromPeer(now time.Time, listed []Replica) {
 	clear(v.replicas)
 	clear(v.missingUntil)
 	for _, r := range listed {
-		v.put(r)
+		v.put(now, r)
 	}
 }
 
@@ -90,25 +90,20 @@
 			v.remove(now, c.ID)
 			continue
 		}
-		v.put(*c.Replica)
+		v.put(now, *c.Replica)
 	}
 }
 
 // put applies a record. A replica that is leaving stays so until it starts
 // again, and a record of an earlier start is ignored.
-func (v *View) put(r Replica) {
+func (v *View) put(now time.Time, r Replica) {
 	if r.Born < v.replicas[r.ID].Born {
 		return
 	}
-	born, leaving := v.leavingBorn[r.ID]
-	switch {
-	case !r.Ready:
-		v.leavingBorn[r.ID] = r.Born
-	case leaving && r.Born <= born:
-		r.Ready = false
-	case leaving:
-		delete(v.leavingBorn, r.ID)
+	if !r.Ready {
+		v.MarkLeaving(now, r, FromRecord)
 	}
+	r.Ready = !v.IsLeaving(r)
 	v.replicas[r.ID] = r
 	delete(v.missingUntil, r.ID)
 }
--- a/replica/replica_test.go
+++ b/replica/replica_test.go
@@ -61,6 +61,64 @@
 	v := NewView()
 	v.Replace(now, []Replica{ready("a", 1)})
 	v.SetOutageEnd(now)
-	v.ReplaceFromPeer([]Replica{ready("b", 1)})
+	v.ReplaceFromPeer(now, []Replica{ready("b", 1)})
 	require.Equal(t, map[string]Replica{"b": ready("b", 1)}, v.Snapshot())
 }
+
+// Each row applies words about replica a in order; ready is what the view says then of
+// the incarnation born at 5.
+func TestLeavingIsMergedFromAllSources(t *testing.T) {
+	mark := func(born int64) func(*View) {
+		return func(v *View) { v.MarkLeaving(now, leaving("a", born), FromResponse) }
+	}
+	record := func(r Replica) func(*View) { return func(v *View) { v.Apply(now, change(r)) } }
+	removed := func(v *View) { v.Apply(now, []Change{{ID: "a"}}) }
+	fromPeer := func(r Replica) func(*View) { return func(v *View) { v.ReplaceFromPeer(now, []Replica{r}) } }
+	rows := []struct {
+		name    string
+		words   []func(*View)
+		leaving bool
+	}{
+		{"ready record", []func(*View){record(ready("a", 5))}, false},
+		{"response", []func(*View){record(ready("a", 5)), mark(5)}, true},
+		{"response before any record", []func(*View){mark(5)}, true},
+		{"response, then an older record", []func(*View){mark(5), record(ready("a", 5))}, true},
+		{"response, then the listing of a peer that has not heard", []func(*View){mark(5), fromPeer(ready("a", 5))}, true},
+		{"response, record removed and written again", []func(*View){record(ready("a", 5)), mark(5), removed, record(ready("a", 5))}, true},
+		{"response of the former incarnation", []func(*View){record(ready("a", 4)), mark(4), record(ready("a", 5))}, false},
+		{"response of the former incarnation comes late", []func(*View){record(ready("a", 5)), mark(4)}, false},
+		{"record", []func(*View){record(leaving("a", 5)), record(ready("a", 5))}, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			v := NewView()
+			for _, word := range row.words {
+				word(v)
+			}
+			require.Equal(t, row.leaving, v.IsLeaving(ready("a", 5)))
+			if r, ok := v.Snapshot()["a"]; ok {
+				require.Equal(t, row.leaving, !r.Ready)
+			}
+		})
+	}
+}
+
+func TestLeavingReplicasAreCountedBySource(t *testing.T) {
+	v := NewView()
+	v.Replace(now, []Replica{ready("a", 1), ready("b", 1), leaving("c", 1), ready("d", 1)})
+	require.True(t, v.MarkLeaving(now, ready("a", 1), FromResponse))
+	require.False(t, v.MarkLeaving(now, ready("a", 1), FromPeer), "known already")
+	v.MarkLeaving(now, ready("b", 1), FromPeer)
+	require.Equal(t, map[Source]int{FromResponse: 1, FromPeer: 1, FromRecord: 1}, v.CountLeaving())
+	v.Apply(now, change(ready("a", 2)))
+	require.Equal(t, map[Source]int{FromPeer: 1, FromRecord: 1}, v.CountLeaving())
+}
+
+func TestOldLeavingMarksAreDropped(t *testing.T) {
+	v := NewView()
+	v.MarkLeaving(now, ready("a", 1), FromResponse)
+	require.Equal(t, []Incarnation{{"a", 1}}, v.RecentlyLeaving(now, ""))
+	require.Empty(t, v.RecentlyLeaving(now.Add(recentLeaving), ""))
+	v.MarkLeaving(now.Add(2*leavingRetention), ready("b", 1), FromResponse)
+	require.False(t, v.IsLeaving(ready("a", 1)))
+}
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -34,6 +34,9 @@
 	// storeAvailable reports whether the store answers this host; nil counts as
 	// true.
 	storeAvailable func() bool
+	// onLeaving is called with each replica that a host has found to be leaving; nil
+	// has no effect.
+	onLeaving func(replica.Replica)
 	// configVersion is the version of the configuration in force on this host.
 	configVersion int64
 	// hostsVersion changes whenever the set of known hosts changes.
@@ -96,6 +99,10 @@
 // this host. It must be called before the broker is used.
 func (b *Broker) SetStoreAvailable(storeAvailable func() bool) { b.storeAvailable = storeAvailable }
 
+// SetOnLeaving sets the function that is called with each replica that a host has
+// found to be leaving. It must be called before the broker is used.
+func (b *Broker) SetOnLeaving(onLeaving func(replica.Replica)) { b.onLeaving = onLeaving }
+
 // SetConfigVersion sets the version of the configuration in force on this host
 // and ends waiting polls, so that other hosts see it at once.
 func (b *Broker) SetConfigVersion(version int64) {
@@ -181,8 +188,8 @@
 	// Wait is the expected wait of a refused request, and RetryAfter is when to
 	// send it again.
 	Wait, RetryAfter time.Duration
-	// Replicas is the number of ready replicas of the service whose software may
-	// run the request.
+	// Replicas is the number of ready replicas of the service that may run the
+	// request.
 	Replicas int
 }
 
@@ -246,6 +253,8 @@
 type Released struct {
 	ID      GrantID
 	Outcome Outcome
+	// Leaving reports that the host has found the replica to be leaving.
+	Leaving bool
 }
 
 // ReleaseArgs is the argument of Release.
@@ -256,14 +265,27 @@
 
 // Release frees the slots of grants that have ended.
 func (b *Broker) Release(args ReleaseArgs, _ *Empty) error {
+	for _, r := range b.release(args.Released) {
+		b.onLeaving(r)
+	}
+	return nil
+}
+
+// release frees the slots of grants and returns the replicas that were found to be
+// leaving.
+func (b *Broker) release(ended []Released) []replica.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
-	for _, r := range args.Released {
+	var leaving []replica.Replica
+	for _, r := range ended {
+		if g, ok := b.sched.grants[r.ID]; ok && r.Leaving && b.onLeaving != nil {
+			leaving = append(leaving, g.Replica)
+		}
 		b.sched.Release(now, r.ID, r.Outcome)
 	}
 	b.plan()
-	return nil
+	return leaving
 }
 
 // DemandMessage is a Demand as sent between hosts. It holds the time left until
--- a/slots/client.go
+++ b/slots/client.go
@@ -71,12 +71,20 @@
 	Demand(remote bool) []DemandMessage
 }
 
+// LeavingReplicas knows which replicas this host has found to be leaving. The
+// brokers may not know of them yet.
+type LeavingReplicas interface {
+	IsLeaving(r replica.Replica) bool
+	// RecentlyLeaving returns those of a service that were found lately.
+	RecentlyLeaving(service string) []replica.Incarnation
+}
+
 // RefusedError reports that no slot could be acquired in time.
 type RefusedError struct {
 	// RetryAfter is when a free slot is expected.
 	RetryAfter time.Duration
 	// Wait is the expected wait in the data centre that refused last, and Replicas
-	// the number of ready replicas there whose software may run the request.
+	// the number of ready replicas there that may run the request.
 	Wait     time.Duration
 	Replicas int
 }
@@ -97,6 +105,8 @@
 	OnReplicas func([]replica.Replica)
 	// StoreAvailable reports whether the store answers this host.
 	StoreAvailable func() bool
+	// Leaving knows which replicas are leaving.
+	Leaving LeavingReplicas
 	// OnNotice receives the notice of the broker of the own data centre, when
 	// that is another host.
 	OnNotice func(broker membership.Host, n Notice)
@@ -274,6 +284,7 @@
 // request, the rest of the wait is spent where there is one.
 func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
 	own := c.View.Self().DataCentre
+	args.Leaving = c.Leaving.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
 	g, refusal := c.acquireFrom(ctx, own, args)
 	if refusal == nil {
@@ -356,7 +367,7 @@
 	case <-ctx.Done():
 		go func() {
 			if r := <-done; r.err == nil && r.reply.Granted {
-				c.release(h, r.reply.Grant.ID, Unused)
+				c.release(h, r.reply.Grant, Unused)
 			}
 		}()
 		return nil, ctx.Err()
@@ -397,7 +408,7 @@
 	delete(c.grants, g.ID)
 	c.mu.Unlock()
 	if ranked := c.brokers(g.Replica.DataCentre); len(ranked) > 0 {
-		c.release(ranked[0], g.ID, outcome)
+		c.release(ranked[0], g, outcome)
 	}
 }
 
@@ -409,7 +420,8 @@
 }
 
 // release queues an ended grant and starts sending unless that is in progress.
-func (c *Client) release(h membership.Host, id GrantID, outcome Outcome) {
+func (c *Client) release(h membership.Host, g Grant, outcome Outcome) {
+	released := Released{ID: g.ID, Outcome: outcome, Leaving: c.Leaving.IsLeaving(g.Replica)}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q, ok := c.releaseQueues[h.Name]
@@ -417,7 +429,7 @@
 		q = &releaseQueue{}
 		c.releaseQueues[h.Name] = q
 	}
-	q.pending = append(q.pending, Released{ID: id, Outcome: outcome})
+	q.pending = append(q.pending, released)
 	if !q.running {
 		q.running = true
 		go c.sendReleases(h, q)
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -40,6 +41,19 @@
 	granted  []Grant
 	revoked  []GrantID
 	received []replica.Replica
+	leaving  leavingIDs
+}
+
+// leavingIDs are the IDs of the replicas that a host has found to be leaving.
+type leavingIDs []string
+
+func (l *leavingIDs) IsLeaving(r replica.Replica) bool { return slices.Contains(*l, r.ID) }
+func (l *leavingIDs) RecentlyLeaving(string) []replica.Incarnation {
+	var leaving []replica.Incarnation
+	for _, id := range *l {
+		leaving = append(leaving, replica.Incarnation{ID: id})
+	}
+	return leaving
 }
 
 func (m *member) Granted(g Grant)             { m.granted = append(m.granted, g) }
@@ -100,7 +114,7 @@
 		m.Client = &Client{
 			View: view, Peers: f, Broker: m.broker, BatchItems: m, Clock: f.clock, Log: logrus.NewEntry(log),
 			OnReplicas: func(all []replica.Replica) { m.received = all }, StoreAvailable: func() bool { return !m.storeUnavailable },
-			OnNotice: func(membership.Host, Notice) {},
+			OnNotice: func(membership.Host, Notice) {}, Leaving: &m.leaving,
 		}
 		m.Init()
 		m.broker.SetStoreAvailable(m.StoreAvailable)
@@ -137,6 +151,13 @@
 	return nil
 }
 
+// callsOf returns the number of calls of a method to an address, as in "Slots.Poll x1".
+func (f *fleet) callsOf(call string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[call]
+}
+
 // count returns the number of calls of a method.
 func (f *fleet) count(method string) int {
 	f.mu.Lock()
@@ -197,15 +218,15 @@
 	id, err := other.acquire(t)
 	require.NoError(t, err)
 	require.Equal(t, "rx", id, "the next host becomes the broker")
-	before := f.calls["Slots.Acquire "+broker.name()]
+	before := f.callsOf("Slots.Acquire " + broker.name())
 	_, err = other.acquire(t)
 	require.NoError(t, err)
-	require.Equal(t, before, f.calls["Slots.Acquire "+broker.name()], "it is not called again at once")
+	require.Equal(t, before, f.callsOf("Slots.Acquire "+broker.name()), "it is not called again at once")
 	f.setDown(broker.name(), false)
 	f.clock.Advance(suspectCooldown + 1)
 	_, err = other.acquire(t)
 	require.NoError(t, err)
-	require.Greater(t, f.calls["Slots.Acquire "+broker.name()], before)
+	require.Greater(t, f.callsOf("Slots.Acquire "+broker.name()), before)
 }
 
 // An unreachable host stays in the membership view for a while. It must not be
@@ -221,7 +242,7 @@
 		}
 		f.clock.Advance(100 * time.Millisecond)
 	}
-	require.LessOrEqual(t, f.calls["Slots.Acquire "+broker.name()], 4, "in ten seconds")
+	require.LessOrEqual(t, f.callsOf("Slots.Acquire "+broker.name()), 4, "in ten seconds")
 	f.setDown(broker.name(), false)
 	f.clock.Advance(maxSuspectCooldown)
 	_, err := other.acquire(t)
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -148,6 +148,10 @@
 		c.BatchItems.Revoked(id)
 	}
 	for _, g := range reply.Granted {
+		if c.Leaving.IsLeaving(g.Replica) {
+			c.Release(g, Unused)
+			continue
+		}
 		c.BatchItems.Granted(g)
 	}
 }
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -58,6 +58,8 @@
 	Priority int
 	// Avoid holds the IDs of replicas that the request must not be sent to.
 	Avoid []string
+	// Leaving holds the replicas that the host has found to be leaving.
+	Leaving []replica.Incarnation
 	// Pinned restricts the request to replicas of SoftwareVersion, since it resumes
 	// a stream that such a replica began.
 	Pinned          bool
@@ -74,7 +76,11 @@
 
 // allows reports whether the request may be sent to the replica.
 func (a *AcquireArgs) allows(r *replicaState) bool {
-	return a.matchesVersion(r) && !slices.Contains(a.Avoid, r.ID)
+	return a.matchesVersion(r) && !slices.Contains(a.Avoid, r.ID) && !a.isLeaving(r)
+}
+
+func (a *AcquireArgs) isLeaving(r *replicaState) bool {
+	return slices.ContainsFunc(a.Leaving, func(l replica.Incarnation) bool { return l.ID == r.ID && r.Born <= l.Born })
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -266,8 +272,8 @@
 	// Wait is the expected wait, and RetryAfter is when a refused request
 	// should be sent again.
 	Wait, RetryAfter time.Duration
-	// Replicas is the number of ready replicas of the service whose software may
-	// run the request.
+	// Replicas is the number of ready replicas of the service that may run the
+	// request.
 	Replicas int
 }
 
@@ -386,12 +392,12 @@
 	return ok && g.replicaState.Ready && g.revokedAt.IsZero() && now.Sub(g.Since) <= grantDeliveryTimeout
 }
 
-// countReady returns the number of replicas that accept requests and whose
-// software may run this one.
+// countReady returns the number of replicas that accept requests and may run this
+// one.
 func (p *pool) countReady(args *AcquireArgs) int {
 	n := 0
 	for _, r := range p.replicas {
-		if r.Ready && args.matchesVersion(r) {
+		if r.Ready && args.allows(r) {
 			n++
 		}
 	}
