--- a/slots/leaving_test.go
+++ b/slots/leaving_test.go
@@ -54,7 +54,7 @@
 		{ID: 1, Class: Batch, Replica: replica.Replica{ID: "rx", DataCentre: "x"}},
 		{ID: 2, Class: Batch, Replica: replica.Replica{ID: "ry", DataCentre: "y"}},
 	}
-	other.applyReply(broker.View.Self(), PollReply{Granted: granted}, false, false)
+	other.applyReply(broker.View.Self(), PollReply{Granted: granted, Notice: Notice{Current: true}}, false, false)
 	require.Len(t, other.granted, 1)
 	require.Equal(t, "ry", other.granted[0].Replica.ID)
 	require.Eventually(t, func() bool { return f.count("Slots.Release") == 1 }, 5*time.Second, time.Millisecond)
