jobs: a former owner is told of a take-over also if it comes back after it

Trace: the take-over (16.539 s) came before the other host's record was back in the view of the new owner, so that there was nobody to tell; the host that came back had compared its jobs with the store 30 ms earlier, when it wrote its record. The new owner now looks for the former one for 10 s. The test failed before.

--- a/jobs/accept_test.go
+++ b/jobs/accept_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
@@ -94,6 +95,23 @@
 	require.Eventually(t, func() bool { return len(c.results("a", 0)) == 1 }, 5*time.Second, time.Millisecond)
 }
 
+// The same, and the new owner sees the former one only after the take-over.
+func TestFormerOwnerIsToldOnceItIsBack(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	a, b := c.hosts["a"], c.hosts["b"]
+	view := b.View.(*membership.Static)
+	view.Set(nil)
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	require.NoError(t, b.claim(context.Background(), "job", "a", nil))
+	time.Sleep(ownerCheckDelay / 2)
+	view.Set([]membership.Host{member("a", 1)})
+	require.Eventually(t, func() bool {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return len(a.jobs) == 0
+	}, 5*time.Second, time.Millisecond)
+}
+
 func TestTakeOverRetriesAfterWriteByFormerOwner(t *testing.T) {
 	c := newCluster(t, "a", "b")
 	a, b := c.hosts["a"], c.hosts["b"]
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -121,7 +120,8 @@
 	}
 }
 
-// A check of the owner of a job is tried again while the store is unavailable.
+// A check of the owner of a job is tried again while the store is unavailable, and
+// a former owner is looked for as long.
 const (
 	maxOwnerChecks  = 20
 	ownerCheckDelay = 500 * time.Millisecond
@@ -132,20 +132,37 @@
 // former owner, if there is one, comes first: it may still run the job.
 func (m *Manager) announce(id, formerOwner string) {
 	self := m.View.Self()
-	hosts := slices.Clone(membership.All(m.View))
-	if i := slices.IndexFunc(hosts, func(h membership.Host) bool { return h.Name == formerOwner }); i > 0 {
-		hosts[0], hosts[i] = hosts[i], hosts[0]
+	if formerOwner != "" && formerOwner != self.Name {
+		go m.announceToFormerOwner(id, formerOwner)
 	}
-	for _, h := range hosts {
-		if h.Name == self.Name || h.Region != self.Region && h.Name != formerOwner {
-			continue
+	for _, h := range membership.All(m.View) {
+		if h.Region == self.Region && h.Name != self.Name && h.Name != formerOwner {
+			m.announceTo(h, id)
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
-		if err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", AnnounceArgs{ID: id, Owner: self.Name}, new(None)); err != nil {
-			m.Log.WithError(err).WithField("job", id).WithField("peer", h.Name).Debug("cannot announce job owner to peer")
+	}
+}
+
+// announceToFormerOwner notifies the former owner once it is in the view: a host that
+// stood still may come back, with a view of its own, just when its jobs are taken
+// over.
+func (m *Manager) announceToFormerOwner(id, formerOwner string) {
+	for range maxOwnerChecks {
+		if h, ok := m.findHost(formerOwner); ok && m.announceTo(h, id) {
+			return
 		}
-		cancel()
+		<-m.Clock.After(ownerCheckDelay)
+	}
+}
+
+// announceTo notifies one host and reports whether it answered.
+func (m *Manager) announceTo(h membership.Host, id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", AnnounceArgs{ID: id, Owner: m.View.Self().Name}, new(None))
+	if err != nil {
+		m.Log.WithError(err).WithField("job", id).WithField("peer", h.Name).Debug("cannot announce job owner to peer")
 	}
+	return err == nil
 }
 
 // Progress is the state of a partly run item: the data of the events received so
