--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -462,8 +462,7 @@
 	require.Zero(t, runScript(notResumable, 5, stream(strings.NewReader(""))).upstream.sent[0].FirstByteTimeout)
 }
 
-// A replica that fails after the headers of a close-delimited stream ends it like a
-// complete one without events.
+// A replica that fails after the headers ends such a stream like a complete one.
 func TestCloseDelimitedStreamWithoutEventsIsNotComplete(t *testing.T) {
 	empty := func() scriptedAttempt {
 		a := stream(strings.NewReader(""))
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -62,9 +62,11 @@
 	if !r.view.MarkLeaving(now, of, source) {
 		return
 	}
-	r.log.WithFields(logrus.Fields{
-		"replica": of.ID, "service": of.Service, "source": string(source), "age": now.Sub(time.UnixMilli(of.Born)).Round(time.Millisecond).String(),
-	}).Info("replica is leaving")
+	entry := r.log.WithFields(logrus.Fields{"replica": of.ID, "service": of.Service, "source": string(source)})
+	if of.Born > 0 {
+		entry = entry.WithField("age", now.Sub(time.UnixMilli(of.Born)).Round(time.Millisecond).String())
+	}
+	entry.Info("replica is leaving")
 	if r.loaded {
 		r.publish()
 	}
