forward, jobs: outcomes of large responses and of items on leaving replicas

Found in the read-through: a caller that left in the middle of a large response, or a response over the limit, counted as a failure of the replica; and so did an item that was not sent because its replica leaves.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -519,6 +519,21 @@
 	}
 }
 
+func TestLargeResponseThatEndsEarlyIsReported(t *testing.T) {
+	large := strings.Repeat("x", 2*maxBufferedBytes)
+	o := runScript(idempotent, 5, ok(failAfter(large, errBroken)))
+	require.True(t, errors.Is(o.err, ErrTruncated))
+	require.Len(t, o.upstream.sent, 1, "part of it was sent")
+	require.Equal(t, []slots.Outcome{slots.Failed}, o.slots.outcomes)
+
+	o = scriptResult{
+		upstream: &fakeUpstream{attempts: []scriptedAttempt{ok(strings.NewReader(large))}},
+		slots:    &fakeSlots{left: 5}, sink: &recordingSink{err: errors.New("closed")},
+	}.run(idempotent)
+	require.Error(t, o.err)
+	require.Equal(t, []slots.Outcome{slots.Done}, o.slots.outcomes, "the caller left")
+}
+
 func TestEventParserAcceptsAnyMixOfLineEnds(t *testing.T) {
 	for _, text := range []string{
 		"id: 1\ndata: x\n\n", "id: 1\r\ndata: x\r\n\r\n", "id: 1\ndata: x\n\r\n", "id: 1\r\ndata: x\r\n\n",
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -125,34 +125,38 @@
 		s.begin(res.Status, res.Header, int64(len(first)))
 		return outcome, s.writeToCaller(res, first)
 	}
-	if err := s.relayLargeBody(res, first); err != nil {
-		return readErrorOutcome(err), errors.Mark(err, errPartlySent)
+	readErr, err := s.relayLargeBody(res, first)
+	if readErr != nil {
+		return readErrorOutcome(readErr), errors.Mark(errors.Wrap(readErr, "read response body"), errPartlySent)
+	}
+	if err != nil {
+		return outcome, errors.Mark(err, errPartlySent)
 	}
 	return outcome, nil
 }
 
 // relayLargeBody sends a body of which the first part was read as it arrives, up to
-// maxResponseBytes.
-func (s *requestState) relayLargeBody(res *Response, piece []byte) error {
+// maxResponseBytes. It returns an error of reading the body apart from any other.
+func (s *requestState) relayLargeBody(res *Response, first []byte) (readErr, err error) {
 	s.begin(res.Status, res.Header, res.Length)
+	if err := s.writeToCaller(res, first); err != nil {
+		return nil, err
+	}
 	buf := make([]byte, relayBufferBytes)
-	var readErr error
-	for total := len(piece); ; total += len(piece) {
-		if total > maxResponseBytes {
-			return verdict.Wrap(errTooLarge, verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
+	for total := len(first); ; {
+		n, readErr := res.Body.Read(buf)
+		if total += n; total > maxResponseBytes {
+			return nil, verdict.Wrap(errTooLarge, verdict.Ran, verdict.CodeIncomplete, "The answer is too large.")
 		}
-		if err := s.writeToCaller(res, piece); err != nil {
-			return err
+		if err := s.writeToCaller(res, buf[:n]); err != nil {
+			return nil, err
 		}
 		if errors.Is(readErr, io.EOF) {
-			return nil
+			return nil, nil
 		}
 		if readErr != nil {
-			return errors.Wrap(readErr, "read response body")
+			return readErr, nil
 		}
-		var n int
-		n, readErr = res.Body.Read(buf)
-		piece = buf[:n]
 	}
 }
 
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -258,6 +258,9 @@
 		req.Header.Set(name, value)
 	}
 	ans, err := m.Upstream.Send(ctx, req, forward.SendArgs{Replica: g.Replica, LastEventID: it.lastEventID, FirstByteTimeout: runFirstByteTimeout, GapTimeout: runGapTimeout})
+	if errors.Is(err, forward.ErrReplicaLeaving) {
+		return endRejected, slots.Unused, err
+	}
 	if err != nil {
 		return endBroken, outcomeOf(err), err
 	}
