slots, forward: streams that callers resume come before new requests

With one of twelve replicas of the version and 60 new requests waiting 0 of 8 resumed streams were served (the test failed so); now all 8 are, and the new ones as well. The callers have received part of the stream, so it is worth more to end it than to begin another; a host's own resumption had that place before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -313,8 +313,8 @@
 		Request: s.req.ID, Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid,
 		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.req.Stream(),
 	}
-	if s.begun {
-		// Resuming a response comes before requests whose callers have received
+	if s.pinned {
+		// Resuming a stream comes before requests whose callers have received
 		// nothing yet.
 		args.Priority = -1
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -375,6 +375,7 @@
 		require.True(t, args.Pinned)
 		require.Equal(t, "v1", args.SoftwareVersion)
 		require.Equal(t, "p", args.Stream)
+		require.Equal(t, -1, args.Priority, "it comes before requests whose callers have received nothing yet")
 	}
 	require.Empty(t, o.slots.began, "the stream began with another request")
 }
--- a/slots/pinned_test.go
+++ b/slots/pinned_test.go
@@ -63,6 +63,50 @@
 	require.Equal(t, pinned, granted[0].Waiter)
 }
 
+// One of twelve replicas has the version of the resumed streams, and all are full.
+func TestResumedStreamsAreServedInABurst(t *testing.T) {
+	versions := []string{"v1"}
+	for range 11 {
+		versions = append(versions, "v2")
+	}
+	s := newScheduler(0, 0)
+	var all []replica.Replica
+	for i, version := range versions {
+		all = append(all, replica.Replica{ID: string(rune('a' + i)), Service: service, Slots: 8, Ready: true, SoftwareVersion: version})
+	}
+	s.SetReplicas(all)
+	now := start
+	var grants []*Grant
+	for range 12 * 8 {
+		grants = append(grants, acquire(s, now, 0).Grant)
+	}
+	now = now.Add(initialServiceTime / 2)
+	const wait = initialServiceTime
+	fresh, resumed := 0, 0
+	for range 60 {
+		if s.Acquire(now, AcquireArgs{Service: service, MaxWait: wait}).Waiter != nil {
+			fresh++
+		}
+	}
+	for range 8 {
+		if s.Acquire(now, AcquireArgs{Service: service, MaxWait: wait, Priority: -1, Pinned: true, SoftwareVersion: "v1"}).Waiter != nil {
+			resumed++
+		}
+	}
+	require.Equal(t, 60, fresh)
+	require.Equal(t, 8, resumed, "waiters that come later are not ahead")
+	granted := 0
+	for _, g := range grants {
+		s.Release(now, g.ID, Done)
+		for _, p := range s.Plan(now).Granted {
+			if p.Waiter.args.Pinned {
+				granted++
+			}
+		}
+	}
+	require.Equal(t, 8, granted)
+}
+
 func TestItemsGiveWayToPinnedRequestOnItsVersionOnly(t *testing.T) {
 	s := newMixedScheduler(2, "v1", "v2")
 	fillBatch(s, start, "h", time.Hour)
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -312,11 +312,14 @@
 }
 
 // countAhead returns the number of waiters that may get the slots for which a new
-// waiter would wait.
+// waiter would wait. Pinned requests come first.
 func (p *pool) countAhead(args *AcquireArgs) int {
+	if !args.Pinned {
+		return len(p.queue)
+	}
 	n := 0
 	for _, w := range p.queue {
-		if !args.Pinned || !w.args.Pinned || w.args.SoftwareVersion == args.SoftwareVersion {
+		if w.args.Pinned && w.args.SoftwareVersion == args.SoftwareVersion {
 			n++
 		}
 	}
