--- a/limits/bound.go
+++ b/limits/bound.go
@@ -26,11 +26,11 @@
 		return nil, newOverloadedError(req)
 	}
 	b.running[name]++
-	return func() {
+	return sync.OnceFunc(func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		b.running[name]--
-	}, nil
+	}), nil
 }
 
 // Waiting implements Admission. RunningLimit has no queue, so it is always 0.
