--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -297,8 +297,10 @@
 // headers named in Connection.
 func forwardedHeaders(h http.Header) http.Header {
 	out := h.Clone()
-	for _, named := range strings.Split(h.Get("Connection"), ",") {
-		out.Del(strings.TrimSpace(named))
+	for _, line := range h.Values("Connection") {
+		for named := range strings.SplitSeq(line, ",") {
+			out.Del(strings.TrimSpace(named))
+		}
 	}
 	for _, name := range strippedHeaders {
 		out.Del(name)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -203,6 +203,34 @@
 	})
 }
 
+func TestHeadersNamedInAnyConnectionLineAreNotForwarded(t *testing.T) {
+	var got http.Header
+	up := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got = r.Header }))
+	defer up.Close()
+	doc := testDocument(up.Listener.Addr().String())
+	doc.Kind = service.KindPlain
+	h := newGateway(t, doc).Handler()
+	r := httptest.NewRequest(http.MethodPost, "/s/chat/a", strings.NewReader("body"))
+	r.Header = http.Header{
+		"Authorization": {"Bearer " + apiKey}, "Connection": {"X-First", "X-Second, X-Third"},
+		"X-First": {"1"}, "X-Second": {"2"}, "X-Third": {"3"}, "X-Kept": {"4"},
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	require.Equal(t, 200, w.Code)
+	require.Equal(t, "4", got.Get("X-Kept"))
+	for _, name := range []string{"X-First", "X-Second", "X-Third"} {
+		require.Empty(t, got.Get(name), name)
+	}
+}
+
+func TestListOfModelsHasAVerdict(t *testing.T) {
+	address, _ := startCountingUpstream(t)
+	w := call(newGateway(t, testDocument(address)).Handler(), http.MethodGet, "/v1/models", apiKey, "")
+	require.Equal(t, 200, w.Code)
+	require.Equal(t, "ran", w.Header().Get(gateway.HeaderVerdict))
+}
+
 func TestPlainServiceRequestIsForwarded(t *testing.T) {
 	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -4,6 +4,8 @@
 	"net/http"
 
 	"github.com/labstack/echo/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 type modelList struct {
@@ -31,5 +33,6 @@
 			list.Data = append(list.Data, model{ID: m.Name, Object: "model", OwnedBy: name})
 		}
 	}
+	c.Response().Header().Set(HeaderVerdict, verdict.Ran.String())
 	return c.JSON(http.StatusOK, list)
 }
