--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -215,9 +215,9 @@
 		"Authorization": {"Bearer " + apiKey}, "Connection": {"X-First", "X-Second, X-Third"},
 		"X-First": {"1"}, "X-Second": {"2"}, "X-Third": {"3"}, "X-Kept": {"4"},
 	}
-	w := httptest.NewRecorder()
+	w := &deadlineRecorder{httptest.NewRecorder()}
 	h.ServeHTTP(w, r)
-	require.Equal(t, 200, w.Code)
+	require.Equal(t, 200, w.Code, w.Body.String())
 	require.Equal(t, "4", got.Get("X-Kept"))
 	for _, name := range []string{"X-First", "X-Second", "X-Third"} {
 		require.Empty(t, got.Get(name), name)
