online: a stream with tool calls beside an empty content can't be resumed

An event with an empty content was left before its tool calls were seen, so that such a stream could be resumed from its text alone. The test failed before.

--- a/online/stream_test.go
+++ b/online/stream_test.go
@@ -51,3 +51,20 @@
 	}
 	return passed, streamOpen, delivered
 }
+
+func TestResponseWithToolCallsCannotBeResumed(t *testing.T) {
+	rows := map[string]bool{
+		`{"choices":[{"delta":{"content":"b"}}]}`:                             true,
+		`{"choices":[{"delta":{"content":""}}]}`:                              true,
+		`{"choices":[{"delta":{"content":"","tool_calls":[{"index":0}]}}]}`:   false,
+		`{"choices":[{"delta":{"tool_calls":[{"index":0}]}}]}`:                false,
+		`{"choices":[{"delta":{"content":null,"tool_calls":[{"index":0}]}}]}`: false,
+		`{"choices":[{"delta":{"content":"","reasoning_content":"so"}}]}`:     false,
+	}
+	for event, resumable := range rows {
+		var delivered transcript
+		delivered.add([]byte(`{"choices":[{"delta":{"content":"a"}}]}`))
+		delivered.add([]byte(event))
+		require.Equal(t, resumable, delivered.resumable(), event)
+	}
+}
--- a/online/transcript.go
+++ b/online/transcript.go
@@ -20,8 +20,6 @@
 	// resumeDisabled means that the response can't be resumed from text and
 	// tokens.
 	resumeDisabled bool
-	// resumed means that the response was resumed.
-	resumed bool
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
@@ -51,6 +49,7 @@
 	rest := data[i+n:]
 	end := bytes.IndexByte(rest, '"')
 	if end <= 0 {
+		t.addParsed(data)
 		return
 	}
 	t.tokens++
@@ -97,7 +96,6 @@
 // resumeBody returns the request's body extended by what the caller has
 // received.
 func (t *transcript) resumeBody(body []byte) ([]byte, error) {
-	t.resumed = true
 	out, err := sjson.SetBytes(body, upstream.FieldResume, upstream.Resume{Text: string(t.text), Tokens: t.tokens})
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer can't be resumed.")
