jobs: all records of an expired job are removed

Keys beyond one transaction stayed in the store for good. They are removed in further transactions, the head record in the first.

--- a/jobs/faults_test.go
+++ b/jobs/faults_test.go
@@ -160,3 +160,22 @@
 	require.Equal(t, 1, a.jobs["job"].head.ResultCount)
 	require.True(t, a.jobs["job"].head.Ended)
 }
+
+func TestAllRecordsOfAnExpiredJobAreRemoved(t *testing.T) {
+	const chunks = 3 * txn.MaxEntries
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	j := a.jobs["job"]
+	for n := range chunks {
+		_, err := c.store.Commit(t.Context(), txn.Request{Writes: []txn.Write{{Key: resultKey("job", n), Value: []byte("x")}}})
+		require.NoError(t, err)
+		j.head.ChunkStarts = append(j.head.ChunkStarts, n)
+	}
+	a.removeRecords(t.Context(), j)
+	for _, prefix := range []string{headPrefix, itemPrefix, resultPrefix} {
+		left, _, err := txn.List(t.Context(), c.store, prefix)
+		require.NoError(t, err)
+		require.Empty(t, left, prefix)
+	}
+}
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -332,20 +332,22 @@
 	}
 }
 
-// removeRecords deletes the records of an expired job. If that fails, unused keys
-// remain in the store, with no effect on results.
+// removeRecords deletes the records of an expired job, the head record first. If
+// that fails, unused keys remain in the store, with no effect on results.
 func (m *Manager) removeRecords(ctx context.Context, j *job) {
-	req := txn.Request{If: []txn.Condition{{Key: headKey(j.head.ID), Rev: j.rev}}, Remove: []string{headKey(j.head.ID)}}
+	keys := []string{headKey(j.head.ID)}
 	for n := range j.head.ItemChunks {
-		req.Remove = append(req.Remove, itemKey(j.head.ID, n))
+		keys = append(keys, itemKey(j.head.ID, n))
 	}
 	for n := range j.head.ChunkStarts {
-		req.Remove = append(req.Remove, resultKey(j.head.ID, n))
+		keys = append(keys, resultKey(j.head.ID, n))
 	}
-	if len(req.Remove) >= txn.MaxEntries {
-		req.Remove = req.Remove[:txn.MaxEntries-1]
-	}
-	if _, err := m.Store.Commit(ctx, req); err != nil {
-		m.Log.WithError(err).WithField("job", j.head.ID).Warn("cannot remove records of expired job")
+	condition := []txn.Condition{{Key: headKey(j.head.ID), Rev: j.rev}}
+	for batch := range slices.Chunk(keys, txn.MaxEntries-1) {
+		if _, err := m.Store.Commit(ctx, txn.Request{If: condition, Remove: batch}); err != nil {
+			m.Log.WithError(err).WithField("job", j.head.ID).Warn("cannot remove records of expired job")
+			return
+		}
+		condition = nil
 	}
 }
