upstream/pool: the end of an earlier wait keeps an idle connection

Cause: the goroutine that waits for the first byte of an answer drops the connection if it is idle. If it runs on only after the whole answer was read, the connection is idle again, and a sound one was closed. It costs a new connection, no answer. A wait is told from a later one now. The new test can't be built on the code before, whose drop knows no wait.

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -110,13 +110,15 @@
 	return n, err
 }
 
-// await begins to wait for the next byte.
-func (c *conn) await(after func()) {
-	c.arrived = make(chan error, 1)
+// await begins to wait for the next byte. After it or the end has arrived, it calls
+// after with the channel of this wait, by which a later wait can be told from it.
+func (c *conn) await(after func(arrived chan error)) {
+	arrived := make(chan error, 1)
+	c.arrived = arrived
 	go func() {
 		_, err := c.reader.Peek(1)
-		c.arrived <- err
-		after()
+		arrived <- err
+		after(arrived)
 	}()
 }
 
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -122,7 +122,7 @@
 			return nil, errors.Mark(errors.Mark(err, ErrConnect), ErrNotSent)
 		}
 		p.dials()
-		c.await(func() { p.lost(c) })
+		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
@@ -315,17 +315,18 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.await(func() { p.lost(c) })
+	c.await(func(arrived chan error) { p.lost(c, arrived) })
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
-// lost drops an idle connection on which something arrived.
-func (p *Pool) lost(c *conn) {
+// lost drops an idle connection on which something arrived. A wait that ended with
+// the answer of an exchange says nothing about the connection once it is idle again.
+func (p *Pool) lost(c *conn, arrived chan error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	of := p.idle[c.address]
 	for i, other := range of {
-		if other == c {
+		if other == c && c.arrived == arrived {
 			p.idle[c.address] = append(of[:i:i], of[i+1:]...)
 			_ = c.raw.Close()
 			return
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -101,6 +101,20 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// The goroutine that waited for an answer may run on after the connection is idle again.
+func TestEndOfAnEarlierWaitKeepsAnIdleConnection(t *testing.T) {
+	earlier, present := make(chan error, 1), make(chan error, 1)
+	raw, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	c := &conn{raw: raw, address: "a", arrived: present}
+	p := New(func() {})
+	p.idle["a"] = []*conn{c}
+	p.lost(c, earlier)
+	require.Len(t, p.idle["a"], 1)
+	p.lost(c, present)
+	require.Empty(t, p.idle["a"])
+}
+
 // An upstream is silent before its answer and again within it, each time for longer
 // than the time-out. The exchange goes on as long as it isn't given up.
 func TestSilentExchangeGoesOnUntilItIsGivenUp(t *testing.T) {
