slots: a broker that the store doesn't answer is not certain of a version from its records

Found in the last read of the diff: a broker that is cut off from the store may know one software version of a service for long while another serves already. It called a stream that it did not know certain to be of that version, so that no other host was asked and events of two versions could be joined. It calls that probable now, and a host that knows better outweighs it. The test failed before.

--- a/host/leaving_test.go
+++ b/host/leaving_test.go
@@ -66,7 +66,7 @@
 	require.Equal(t, runs, total(f.replicas[0]))
 }
 
-// The other host of the data centre hears of it through the broker.
+// The other host of the data centre learns it from the broker.
 func TestOtherHostsHearThatAReplicaLeaves(t *testing.T) {
 	f := newFleet(t, time.Millisecond)
 	a, b := f.start("a"), f.start("b")
--- a/slots/stream_broker.go
+++ b/slots/stream_broker.go
@@ -55,6 +55,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	*reply = b.versions.only(b.clock.Now(), args.Service)
+	if reply.Confidence == Certain && b.storeAvailable != nil && !b.storeAvailable() {
+		// The records may be out of date: another version may serve by now.
+		reply.Confidence = Probable
+	}
 	return nil
 }
 
--- a/slots/streams_test.go
+++ b/slots/streams_test.go
@@ -143,6 +143,34 @@
 	}
 }
 
+// A broker that is cut off from the store has not seen the second version, at which the
+// stream began.
+func TestBrokerWithoutStoreIsNotCertainOfAVersion(t *testing.T) {
+	f := newFleet()
+	f.setVersions("v1", "v1")
+	f.clock.Advance(2 * streamRetention)
+	outdated, _ := f.broker("x")
+	outdated.storeUnavailable = true
+	all := records(1)
+	for id, r := range all {
+		r.SoftwareVersion = "v2"
+		all[id] = r
+	}
+	for _, m := range f.hosts {
+		if m != outdated {
+			m.broker.SetReplicas(all, m.View.Self().DataCentre)
+		}
+	}
+	current, _ := f.broker("y")
+	current.broker.streams.record(f.clock.Now(), StreamVersion{"s", "v2"})
+	var reply StreamVersionReply
+	require.NoError(t, outdated.broker.StreamVersion(StreamVersionArgs{Service: service, Stream: "s"}, &reply))
+	require.Equal(t, StreamVersionReply{"v1", Probable}, reply)
+	version, err := outdated.StreamVersion(context.Background(), service, "s")
+	require.NoError(t, err)
+	require.Equal(t, "v2", version)
+}
+
 // A service has one version while a stream begins, then another one comes.
 func TestEarlierStreamsAreCopiedWhenAVersionIsAdded(t *testing.T) {
 	f := newFleet()
