platform, replica, host: rate limits of replicas are read, remembered and logged

Nothing showed that a replica named a limit, and which broker granted a request. A host now reads Server-Limit from each response, logs a change, and counts limited replicas; lines of requests and items name the broker.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -384,7 +384,7 @@
 func (s *requestState) attemptEntry(g slots.Grant, outcome slots.Outcome) *logrus.Entry {
 	now := s.Clock.Now()
 	return s.Log.WithFields(logrus.Fields{
-		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address,
+		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address, "broker": g.Broker,
 		"software_version": g.Replica.SoftwareVersion, "resumes": s.req.Resumes,
 		"ran": s.mayHaveRunCount, "not_run": s.notRunCount, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
 		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
--- a/host/host.go
+++ b/host/host.go
@@ -212,8 +212,11 @@
 			ConstLabels: prometheus.Labels{"source": string(source)},
 		}, func() float64 { return float64(h.replicas.countLeaving(source)) }))
 	}
+	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "comfreyspindle_replicas_rate_limited", Help: "Replicas of which this host knows that they limit the rate of requests.",
+	}, func() float64 { return float64(h.replicas.countRateLimited()) }))
 	h.broker.SetOnLeaving(func(r replica.Replica) { h.replicas.markLeaving(r, replica.FromPeer) })
-	engine := platform.NewReplicaClient(dials.Inc, h.replicas)
+	engine := platform.NewReplicaClient(dials.Inc, h.replicas, h.log)
 	h.slotClient = &slots.Client{
 		View: h.view, Peers: h.brokerClient, Broker: h.broker, Clock: h.clock, Log: h.log, OnReplicas: h.replicas.replaceFromPeer,
 		OnNotice: h.handleNotice, StoreAvailable: h.storeAvailable, Leaving: h.replicas,
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// SaysRateLimit records what a response of a replica to this host says about the
+// replica's rate limit.
+func (r *Replicas) SaysRateLimit(of replica.Replica, l replica.RateLimit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l.At = r.clock.Now()
+	if r.view.ObserveRateLimit(of, l) {
+		r.logRateLimit(of, l, replica.FromResponse)
+	}
+}
+
+func (r *Replicas) logRateLimit(of replica.Replica, l replica.RateLimit, source replica.Source) {
+	entry := r.log.WithFields(logrus.Fields{"replica": of.ID, "service": of.Service, "source": string(source)})
+	if !l.Limited {
+		entry.Info("replica has no rate limit any more")
+		return
+	}
+	entry.WithField("per_second", l.PerSecond).Info("replica has a rate limit")
+}
+
+func (r *Replicas) countRateLimited() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.CountRateLimited()
+}
+
 func (r *Replicas) countLeaving(source replica.Source) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -193,7 +193,7 @@
 	m.Slots.Release(g, outcome)
 	m.Metrics.runs.WithLabelValues(end.String()).Inc()
 	entry := m.Log.WithFields(logrus.Fields{
-		"job": it.job.head.ID, "item": it.ID, "replica": g.Replica.ID, "software_version": g.Replica.SoftwareVersion, "end": end.String(),
+		"job": it.job.head.ID, "item": it.ID, "replica": g.Replica.ID, "broker": g.Broker, "software_version": g.Replica.SoftwareVersion, "end": end.String(),
 		"events": events, "held_ms": m.Clock.Now().Sub(g.Since).Milliseconds(),
 	})
 	if err != nil && end != endStopped {
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -47,13 +47,18 @@
 	// leaving holds the replicas that announced to leave, by ID. The store may
 	// return an older record afterwards.
 	leaving map[string]leavingMark
+	// rateLimits holds the replicas that have ever named a rate limit, by ID.
+	rateLimits map[string]rateLimitMark
 	// outageEnd is when the store was last found available again.
 	outageEnd time.Time
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{replicas: make(map[string]Replica), missingUntil: make(map[string]time.Time), leaving: make(map[string]leavingMark)}
+	return &View{
+		replicas: make(map[string]Replica), missingUntil: make(map[string]time.Time),
+		leaving: make(map[string]leavingMark), rateLimits: make(map[string]rateLimitMark),
+	}
 }
 
 // SetOutageEnd records that the store was unavailable until now.
--- a/slots/client.go
+++ b/slots/client.go
@@ -338,6 +338,7 @@
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
 		reply.Grant.Since = c.Clock.Now()
+		reply.Grant.Broker = h.Name
 		c.mu.Lock()
 		c.grants[reply.Grant.ID] = reply.Grant
 		c.mu.Unlock()
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -124,9 +124,10 @@
 
 // addGrants records new grants. Since becomes a time of this host, as the
 // broker's clock may differ. The lock is held.
-func (c *Client) addGrants(now time.Time, granted []Grant) {
+func (c *Client) addGrants(now time.Time, broker string, granted []Grant) {
 	for i := range granted {
 		granted[i].Since = now
+		granted[i].Broker = broker
 		c.grants[granted[i].ID] = granted[i]
 	}
 }
@@ -136,7 +137,7 @@
 func (c *Client) applyReply(h membership.Host, reply PollReply, remote, withRecords bool) {
 	c.mu.Lock()
 	now := c.Clock.Now()
-	c.addGrants(now, reply.Granted)
+	c.addGrants(now, h.Name, reply.Granted)
 	if !reply.Notice.Current && h.Name != c.View.Self().Name {
 		c.outdatedUntil[h.Name] = now.Add(outdatedCooldown)
 	}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -42,6 +42,8 @@
 	Due time.Time
 	// Since is when the slot was granted.
 	Since time.Time
+	// Broker is the name of the host that granted it, for logs. The client sets it.
+	Broker string
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
