slots, host: replicas get no more requests than their rate limit

Cause: brokers grant slots by the requests in progress alone. A response's word about the rate, which belongs to all hosts together, reached no place that decides.

Change: the broker keeps a token bucket for each replica with a limit, and grants, revocations, the expected wait and refusals go by it. Hosts tell the broker when a response changes what they know; a grant says what the broker knew, so that a host that knows better tells it first and doesn't use the grant.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -357,7 +357,7 @@
 	}
 	s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "service": s.req.Service, "expected_wait": refusal.Wait.String(),
-		"replicas": refusal.Replicas, "retry_after": refusal.RetryAfter.String(), "verdict": verdict.NotRun.String(),
+		"replicas": refusal.Replicas, "rate_limited": refusal.RateLimited, "retry_after": refusal.RetryAfter.String(), "verdict": verdict.NotRun.String(),
 	}).Warn("request refused")
 	return verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "No replica is free in time.").WithRetryAfter(refusal.RetryAfter)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -219,9 +219,11 @@
 	engine := platform.NewReplicaClient(dials.Inc, h.replicas, h.log)
 	h.slotClient = &slots.Client{
 		View: h.view, Peers: h.brokerClient, Broker: h.broker, Clock: h.clock, Log: h.log, OnReplicas: h.replicas.replaceFromPeer,
-		OnNotice: h.handleNotice, StoreAvailable: h.storeAvailable, Leaving: h.replicas,
+		OnNotice: h.handleNotice, StoreAvailable: h.storeAvailable, Replicas: h.replicas,
 	}
 	h.slotClient.Init()
+	h.broker.SetIsBroker(h.slotClient.IsBroker)
+	h.replicas.onRateLimit = h.slotClient.ReportRateLimit
 	h.jobs = jobs.NewManager(jobs.Options{
 		Store: h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
 		StoreUnavailable: h.storeUnavailable, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
--- a/host/ratelimit_test.go
+++ b/host/ratelimit_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
@@ -17,6 +19,8 @@
 const (
 	rateWindow = 4 * time.Second
 	rateSlack  = 5
+	// callInterval is the time between the requests of callInTurn.
+	callInterval = 10 * time.Millisecond
 )
 
 // limitAll sets the rate limit that all replicas name.
@@ -41,18 +45,33 @@
 	}
 }
 
+// callUrgently makes a request that is refused unless it can start soon.
+func callUrgently(h *Host, id string) (platformtest.Response, error) {
+	return platformtest.Call(h.settings.Callers, http.MethodPost, "/f/x", id, "body")
+}
+
 // callInTurn makes requests to the hosts in turn and returns the number of those that
 // were served. The others must be refused as not run.
 func (f *fleet) callInTurn(prefix string, n int, hosts ...*Host) (served int) {
 	f.t.Helper()
+	var wg sync.WaitGroup
+	statuses := make([]int, n)
 	for i := range n {
-		got, err := call(hosts[i%len(hosts)], fmt.Sprint(prefix, i))
-		require.NoError(f.t, err)
-		if got.Status == http.StatusOK {
+		wg.Go(func() {
+			got, err := callUrgently(hosts[i%len(hosts)], fmt.Sprint(prefix, i))
+			if assert.NoError(f.t, err) {
+				statuses[i] = got.Status
+			}
+		})
+		time.Sleep(callInterval)
+	}
+	wg.Wait()
+	for _, status := range statuses {
+		if status == http.StatusOK {
 			served++
 			continue
 		}
-		require.Equal(f.t, http.StatusServiceUnavailable, got.Status)
+		require.Equal(f.t, http.StatusServiceUnavailable, status)
 	}
 	return served
 }
@@ -116,7 +135,7 @@
 	}
 	for _, h := range hosts {
 		require.Eventually(t, func() bool {
-			got, err := platformtest.Call(h.settings.Callers, http.MethodPost, "/s/x", fmt.Sprint(time.Now().UnixNano()), "body")
+			got, err := callUrgently(h, fmt.Sprint(time.Now().UnixNano()))
 			require.NoError(t, err)
 			return got.Status == http.StatusOK && h.replicas.countRateLimited() == 0
 		}, 10*time.Second, 10*time.Millisecond)
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -27,6 +27,9 @@
 	mu     sync.Mutex
 	view   *replica.View
 	loaded bool
+	// onRateLimit is called when a response changes what this host knows of a
+	// replica's rate limit.
+	onRateLimit func(replica.Replica, replica.RateLimit)
 	// unavailableSince is the time of the first failed read of the store; zero
 	// while reads succeed.
 	unavailableSince time.Time
@@ -75,12 +78,40 @@
 // SaysRateLimit records what a response of a replica to this host says about the
 // replica's rate limit.
 func (r *Replicas) SaysRateLimit(of replica.Replica, l replica.RateLimit) {
+	l.At = r.clock.Now()
+	if r.observeRateLimit(of, l, replica.FromResponse) {
+		r.onRateLimit(of, l)
+	}
+}
+
+// LearnRateLimit records what a broker knows of a replica's rate limit.
+func (r *Replicas) LearnRateLimit(of replica.Replica, l replica.RateLimit) {
+	r.observeRateLimit(of, l, replica.FromPeer)
+}
+
+func (r *Replicas) observeRateLimit(of replica.Replica, l replica.RateLimit, source replica.Source) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	l.At = r.clock.Now()
-	if r.view.ObserveRateLimit(of, l) {
-		r.logRateLimit(of, l, replica.FromResponse)
+	if !r.view.ObserveRateLimit(of, l) {
+		return false
 	}
+	r.logRateLimit(of, l, source)
+	return true
+}
+
+// RateLimit returns the last word of a replica about its rate limit that this host
+// knows of.
+func (r *Replicas) RateLimit(of replica.Replica) replica.RateLimit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.RateLimit(of)
+}
+
+// RateLimits returns the last words of all replicas that ever named a rate limit.
+func (r *Replicas) RateLimits() map[replica.Replica]replica.RateLimit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.RateLimits()
 }
 
 func (r *Replicas) logRateLimit(of replica.Replica, l replica.RateLimit, source replica.Source) {
--- a/replica/ratelimit.go
+++ b/replica/ratelimit.go
@@ -61,6 +61,15 @@
 	return mark.limit
 }
 
+// RateLimits returns the last words of all replicas that ever named a rate limit.
+func (v *View) RateLimits() map[Replica]RateLimit {
+	limits := make(map[Replica]RateLimit, len(v.rateLimits))
+	for _, mark := range v.rateLimits {
+		limits[mark.replica] = mark.limit
+	}
+	return limits
+}
+
 // CountRateLimited returns the number of replicas that have named a rate limit and
 // not taken it back.
 func (v *View) CountRateLimited() int {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -17,6 +17,9 @@
 // change of the replica records or of the notice.
 const pollWait = 400 * time.Millisecond
 
+// isBrokerInterval is the time after which a broker checks its role again.
+const isBrokerInterval = 50 * time.Millisecond
+
 // Broker serves the decisions of a Scheduler to the hosts. It is safe for
 // concurrent use. Its exported methods with two arguments are served by
 // net/rpc.
@@ -34,6 +37,10 @@
 	// storeAvailable reports whether the store answers this host; nil counts as
 	// true.
 	storeAvailable func() bool
+	// isBroker reports whether this host is the broker of its data centre; nil counts
+	// as true. It was last called at isBrokerAt.
+	isBroker   func() bool
+	isBrokerAt time.Time
 	// onLeaving is called with each replica that a host has found to be leaving; nil
 	// has no effect.
 	onLeaving func(replica.Replica)
@@ -99,6 +106,24 @@
 // this host. It must be called before the broker is used.
 func (b *Broker) SetStoreAvailable(storeAvailable func() bool) { b.storeAvailable = storeAvailable }
 
+// SetIsBroker sets the function that reports whether this host is the broker of its
+// data centre. It must be called before the broker is used.
+func (b *Broker) SetIsBroker(isBroker func() bool) { b.isBroker = isBroker }
+
+// updateRateShare sets the fraction of the replicas' rate limits that this host grants.
+// The lock is held.
+func (b *Broker) updateRateShare(now time.Time) {
+	if b.isBroker == nil || now.Sub(b.isBrokerAt) < isBrokerInterval || !b.sched.hasRateLimits() {
+		return
+	}
+	b.isBrokerAt = now
+	share := standbyRateShare
+	if b.isBroker() {
+		share = 1
+	}
+	b.sched.SetRateShare(now, share)
+}
+
 // SetOnLeaving sets the function that is called with each replica that a host has
 // found to be leaving. It must be called before the broker is used.
 func (b *Broker) SetOnLeaving(onLeaving func(replica.Replica)) { b.onLeaving = onLeaving }
@@ -145,6 +170,7 @@
 // plan applies what the scheduler decides. The lock is held.
 func (b *Broker) plan() {
 	now := b.clock.Now()
+	b.updateRateShare(now)
 	plan := b.sched.Plan(now)
 	for _, p := range plan.Granted {
 		b.recordGrant(&p.Waiter.args, &p.Grant)
@@ -189,16 +215,19 @@
 	// send it again.
 	Wait, RetryAfter time.Duration
 	// Replicas is the number of ready replicas of the service that may run the
-	// request.
-	Replicas int
+	// request, and RateLimited is the number of those that only their rate limit
+	// keeps from it.
+	Replicas, RateLimited int
 }
 
 // Acquire grants a slot to an online request or refuses it. It waits for a free
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
 	b.mu.Lock()
-	d := b.sched.Acquire(b.clock.Now(), args)
-	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas}
+	now := b.clock.Now()
+	b.updateRateShare(now)
+	d := b.sched.Acquire(now, args)
+	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited}
 	if d.Waiter == nil {
 		if d.Grant != nil {
 			b.recordGrant(&args, d.Grant)
@@ -372,6 +401,7 @@
 	released := false
 	for _, g := range updates.granted {
 		if b.sched.deliverable(now, g.ID) {
+			g.RateLimit = newRateLimitMessage(now, b.sched.grants[g.ID].replicaState.budget.limit)
 			out = append(out, g)
 			continue
 		}
--- a/slots/client.go
+++ b/slots/client.go
@@ -71,22 +71,30 @@
 	Demand(remote bool) []DemandMessage
 }
 
-// LeavingReplicas knows which replicas this host has found to be leaving. The
-// brokers may not know of them yet.
-type LeavingReplicas interface {
+// ReplicaStates knows what replicas have said to this host. The brokers may not know
+// it yet.
+type ReplicaStates interface {
 	IsLeaving(r replica.Replica) bool
-	// RecentlyLeaving returns those of a service that were found lately.
+	// RecentlyLeaving returns the replicas of a service that were lately found to be
+	// leaving.
 	RecentlyLeaving(service string) []replica.Incarnation
+	// RateLimit returns the last word of a replica about its rate limit, and
+	// RateLimits those of all replicas that ever named one.
+	RateLimit(r replica.Replica) replica.RateLimit
+	RateLimits() map[replica.Replica]replica.RateLimit
+	// LearnRateLimit records what a broker knows.
+	LearnRateLimit(r replica.Replica, l replica.RateLimit)
 }
 
 // RefusedError reports that no slot could be acquired in time.
 type RefusedError struct {
 	// RetryAfter is when a free slot is expected.
 	RetryAfter time.Duration
-	// Wait is the expected wait in the data centre that refused last, and Replicas
-	// the number of ready replicas there that may run the request.
-	Wait     time.Duration
-	Replicas int
+	// Wait is the expected wait in the data centre that refused last, Replicas the
+	// number of ready replicas there that may run the request, and RateLimited the
+	// number of those that only their rate limit keeps from it.
+	Wait                  time.Duration
+	Replicas, RateLimited int
 }
 
 // Error implements error.
@@ -105,8 +113,8 @@
 	OnReplicas func([]replica.Replica)
 	// StoreAvailable reports whether the store answers this host.
 	StoreAvailable func() bool
-	// Leaving knows which replicas are leaving.
-	Leaving LeavingReplicas
+	// Replicas knows what replicas have said to this host.
+	Replicas ReplicaStates
 	// OnNotice receives the notice of the broker of the own data centre, when
 	// that is another host.
 	OnNotice func(broker membership.Host, n Notice)
@@ -284,7 +292,7 @@
 // request, the rest of the wait is spent where there is one.
 func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
 	own := c.View.Self().DataCentre
-	args.Leaving = c.Leaving.RecentlyLeaving(args.Service)
+	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
 	g, refusal := c.acquireFrom(ctx, own, args)
 	if refusal == nil {
@@ -321,7 +329,7 @@
 // until one answers.
 func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args AcquireArgs) (Grant, *RefusedError) {
 	for _, h := range c.brokers(dataCentre) {
-		reply, err := c.callAcquire(ctx, h, args)
+		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
 		if err != nil {
 			if ctx.Err() != nil {
 				break
@@ -334,7 +342,7 @@
 			continue
 		}
 		if !reply.Granted {
-			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas}
+			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited}
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
 		reply.Grant.Since = c.Clock.Now()
@@ -347,6 +355,25 @@
 	return Grant{}, &RefusedError{RetryAfter: minRetryAfter}
 }
 
+// acquireWithinRateLimits requests a slot from a broker. If the broker grants one of a
+// replica without knowing of its rate limit, it is told and asked once more.
+func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args AcquireArgs) (*AcquireReply, error) {
+	reply, err := c.callAcquire(ctx, h, args)
+	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
+		return reply, err
+	}
+	c.release(h, reply.Grant, Unused)
+	if err := c.reportRateLimits(ctx, h, dataCentre); err != nil {
+		return nil, err
+	}
+	reply, err = c.callAcquire(ctx, h, args)
+	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
+		return reply, err
+	}
+	c.release(h, reply.Grant, Unused)
+	return &AcquireReply{RetryAfter: minRetryAfter, Replicas: reply.Replicas}, nil
+}
+
 // callAcquire makes one call to a broker. If ctx ends first, a slot that the
 // broker still grants is released.
 func (c *Client) callAcquire(ctx context.Context, h membership.Host, args AcquireArgs) (*AcquireReply, error) {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -41,21 +41,43 @@
 	granted  []Grant
 	revoked  []GrantID
 	received []replica.Replica
-	leaving  leavingIDs
+	states   states
 }
 
-// leavingIDs are the IDs of the replicas that a host has found to be leaving.
-type leavingIDs []string
+// states holds what replicas have said to a host.
+type states struct {
+	leaving []string
+	mu      sync.Mutex
+	view    *replica.View
+}
 
-func (l *leavingIDs) IsLeaving(r replica.Replica) bool { return slices.Contains(*l, r.ID) }
-func (l *leavingIDs) RecentlyLeaving(string) []replica.Incarnation {
+func (s *states) IsLeaving(r replica.Replica) bool { return slices.Contains(s.leaving, r.ID) }
+func (s *states) RecentlyLeaving(string) []replica.Incarnation {
 	var leaving []replica.Incarnation
-	for _, id := range *l {
+	for _, id := range s.leaving {
 		leaving = append(leaving, replica.Incarnation{ID: id})
 	}
 	return leaving
 }
 
+func (s *states) RateLimit(r replica.Replica) replica.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.RateLimit(r)
+}
+
+func (s *states) RateLimits() map[replica.Replica]replica.RateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.RateLimits()
+}
+
+func (s *states) LearnRateLimit(r replica.Replica, l replica.RateLimit) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.ObserveRateLimit(r, l)
+}
+
 func (m *member) Granted(g Grant)             { m.granted = append(m.granted, g) }
 func (m *member) Revoked(id GrantID)          { m.revoked = append(m.revoked, id) }
 func (m *member) Demand(bool) []DemandMessage { return m.demand }
@@ -109,15 +131,17 @@
 	log.SetOutput(io.Discard)
 	for i, h := range all {
 		m := &member{broker: NewBroker(f.clock, rand.New(rand.NewPCG(uint64(i), 1)), logrus.NewEntry(log))}
+		m.states.view = replica.NewView()
 		view := membership.NewStatic(h)
 		view.Set(append(append([]membership.Host{}, all[:i]...), all[i+1:]...))
 		m.Client = &Client{
 			View: view, Peers: f, Broker: m.broker, BatchItems: m, Clock: f.clock, Log: logrus.NewEntry(log),
 			OnReplicas: func(all []replica.Replica) { m.received = all }, StoreAvailable: func() bool { return !m.storeUnavailable },
-			OnNotice: func(membership.Host, Notice) {}, Leaving: &m.leaving,
+			OnNotice: func(membership.Host, Notice) {}, Replicas: &m.states,
 		}
 		m.Init()
 		m.broker.SetStoreAvailable(m.StoreAvailable)
+		m.broker.SetIsBroker(m.IsBroker)
 		m.broker.SetReplicas(records(2), h.DataCentre)
 		f.hosts[h.Name] = m
 	}
--- a/slots/leaving_test.go
+++ b/slots/leaving_test.go
@@ -40,7 +40,7 @@
 	broker.broker.SetOnLeaving(func(r replica.Replica) { heard <- r })
 	g, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service}, 0)
 	require.NoError(t, err)
-	other.leaving = leavingIDs{g.Replica.ID}
+	other.states.leaving = []string{g.Replica.ID}
 	other.Release(g, Done)
 	require.Equal(t, g.Replica.ID, (<-heard).ID)
 	require.Equal(t, 1, f.count("Slots.Release"), "no call of its own")
@@ -49,7 +49,7 @@
 func TestItemIsNotStartedOnALeavingReplica(t *testing.T) {
 	f := newFleet()
 	broker, other := f.broker("x")
-	other.leaving = leavingIDs{"rx"}
+	other.states.leaving = []string{"rx"}
 	granted := []Grant{
 		{ID: 1, Class: Batch, Replica: replica.Replica{ID: "rx", DataCentre: "x"}},
 		{ID: 2, Class: Batch, Replica: replica.Replica{ID: "ry", DataCentre: "y"}},
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -112,6 +112,13 @@
 // simulate runs the load with the given mean rates per second.
 func simulate(seed uint64, onlineRate, jobRate float64) *loadModel {
 	l := &loadModel{s: newScheduler(6, 8), rng: rand.New(rand.NewPCG(seed, 3)), now: start, active: make(map[GrantID]*activeRun)}
+	l.run(onlineRate, jobRate)
+	return l
+}
+
+// run plays the bursts of requests and the jobs, and then the time in which the last
+// items are due.
+func (l *loadModel) run(onlineRate, jobRate float64) {
 	for ; l.now.Before(start.Add(runLength + batchDue)); l.now = l.now.Add(tick) {
 		at := l.now.Sub(start)
 		rate := 0.383 * onlineRate
@@ -131,7 +138,6 @@
 		}
 		l.step()
 	}
-	return l
 }
 
 // Under the peak load batch items use the lulls and are revoked in the bursts,
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -50,9 +50,19 @@
 	}
 	clear(p.queue[len(remaining):])
 	p.queue = remaining
-	for _, r := range p.replicas {
-		if len(p.queue) > 0 && r.avoidUntil.After(now) {
-			plan.replanAt(r.avoidUntil)
+	if len(p.queue) > 0 {
+		plan.replanForRequests(now, p)
+	}
+}
+
+// replanForRequests requests another plan when a replica may be used again.
+func (p *Plan) replanForRequests(now time.Time, of *pool) {
+	for _, r := range of.replicas {
+		switch {
+		case r.avoidUntil.After(now):
+			p.replanAt(r.avoidUntil)
+		case r.hasFreeSlot(now) && !r.budget.allows(now, 1):
+			p.replanAt(now.Add(r.budget.wait(now, 1)))
 		}
 	}
 }
@@ -85,6 +95,7 @@
 		}
 	}
 	slices.SortFunc(revocable, func(a, b *grantState) int { return compareRevocable(now, a, b) })
+	revocable = withinRateLimits(now, revocable, pending)
 	for _, w := range p.queue {
 		if takeFirst(&pending, &w.args) != nil {
 			continue
@@ -96,6 +107,19 @@
 	}
 }
 
+// withinRateLimits returns the grants whose slots may be granted to requests once they
+// are released, beside those that are pending.
+func withinRateLimits(now time.Time, revocable, pending []*grantState) []*grantState {
+	planned := make(map[*replicaState]int)
+	for _, g := range pending {
+		planned[g.replicaState]++
+	}
+	return slices.DeleteFunc(revocable, func(g *grantState) bool {
+		planned[g.replicaState]++
+		return !g.replicaState.budget.allows(now, planned[g.replicaState])
+	})
+}
+
 // takeFirst removes and returns the first grant on a replica whose software may
 // run the request, or nil if there is none.
 func takeFirst(grants *[]*grantState, args *AcquireArgs) *grantState {
@@ -150,8 +174,9 @@
 		if demand.Items == 0 {
 			return
 		}
-		target := p.choose(now, func(*replicaState) bool { return true }, s.rng)
+		target := p.choose(now, func(r *replicaState) bool { return p.allowsBatch(now, r) }, s.rng)
 		if target == nil || target.used >= p.batchLimit(now, target) {
+			plan.replanForBatch(now, p)
 			return
 		}
 		plan.Batch = append(plan.Batch, *s.grant(now, target, Grant{Class: Batch, Host: host, Due: demand.Due}))
@@ -160,14 +185,40 @@
 	}
 }
 
+// allowsBatch reports whether the replica's rate limit allows a batch item. One whose
+// slots are used up must not hide those without a limit.
+func (p *pool) allowsBatch(now time.Time, r *replicaState) bool {
+	return !r.budget.limited() || r.used < p.batchLimit(now, r) && r.budget.allows(now, p.batchTokens(now, r))
+}
+
 // batchLimit returns the number of used slots of a replica up to which batch
 // items are added. Services with recent requests keep onlineReserve slots of
 // each replica free for the next ones.
 func (p *pool) batchLimit(now time.Time, r *replicaState) int {
+	return max(r.Slots-p.onlineReserve(now), 1)
+}
+
+// batchTokens returns the number of requests that a replica's rate limit has to allow
+// before one is granted to a batch item.
+func (p *pool) batchTokens(now time.Time, r *replicaState) int {
+	return r.budget.batchTokens(p.onlineReserve(now))
+}
+
+func (p *pool) onlineReserve(now time.Time) int {
 	if now.Sub(p.lastRequestAt) > reserveWindow {
-		return r.Slots
+		return 0
+	}
+	return onlineReserve
+}
+
+// replanForBatch requests another plan when a rate limit allows the next batch item.
+func (p *Plan) replanForBatch(now time.Time, of *pool) {
+	for _, r := range of.replicas {
+		n := of.batchTokens(now, r)
+		if r.hasFreeSlot(now) && r.used < of.batchLimit(now, r) && !r.budget.allows(now, n) {
+			p.replanAt(now.Add(r.budget.wait(now, n)))
+		}
 	}
-	return max(r.Slots-onlineReserve, 1)
 }
 
 // replanAt requests another plan at the given time at the latest.
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -149,7 +149,12 @@
 		c.BatchItems.Revoked(id)
 	}
 	for _, g := range reply.Granted {
-		if c.Leaving.IsLeaving(g.Replica) {
+		if c.Replicas.IsLeaving(g.Replica) {
+			c.Release(g, Unused)
+			continue
+		}
+		if !c.reconcileRateLimit(h, g) {
+			c.ReportRateLimit(g.Replica, c.Replicas.RateLimit(g.Replica))
 			c.Release(g, Unused)
 			continue
 		}
--- a/slots/release.go
+++ b/slots/release.go
@@ -16,14 +16,19 @@
 }
 
 // ReleaseArgs is the argument of Release.
-type ReleaseArgs struct{ Released []Released }
+type ReleaseArgs struct {
+	Released []Released
+	// RateLimits holds what replicas have said to the host.
+	RateLimits []RateLimitReport
+}
 
 // Empty is an empty reply.
 type Empty struct{}
 
-// Release frees the slots of grants that have ended.
+// Release frees the slots of grants that have ended, and applies what replicas have said
+// about their rate limits.
 func (b *Broker) Release(args ReleaseArgs, _ *Empty) error {
-	for _, r := range b.release(args.Released) {
+	for _, r := range b.release(args) {
 		b.onLeaving(r)
 	}
 	return nil
@@ -31,12 +36,15 @@
 
 // release frees the slots of grants and returns the replicas that were found to be
 // leaving.
-func (b *Broker) release(ended []Released) []replica.Replica {
+func (b *Broker) release(args ReleaseArgs) []replica.Replica {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
 	var leaving []replica.Replica
-	for _, r := range ended {
+	for _, report := range args.RateLimits {
+		b.sched.ObserveRateLimit(now, report.Replica, report.RateLimit.rateLimit(now))
+	}
+	for _, r := range args.Released {
 		if g, ok := b.sched.grants[r.ID]; ok && r.Leaving && b.onLeaving != nil {
 			leaving = append(leaving, g.Replica)
 		}
@@ -56,16 +64,23 @@
 	}
 }
 
-// releaseQueue collects the ended grants for one broker while a call to it is
-// in progress.
+// releaseQueue collects what one broker is to be told while a call to it is in
+// progress: the ended grants, and what replicas have said about their rate limits.
 type releaseQueue struct {
-	pending []Released
-	running bool
+	pending    []Released
+	rateLimits []RateLimitReport
+	running    bool
 }
 
-// release queues an ended grant and starts sending unless that is in progress.
+// release queues an ended grant.
 func (c *Client) release(h membership.Host, g Grant, outcome Outcome) {
-	released := Released{ID: g.ID, Outcome: outcome, Leaving: c.Leaving.IsLeaving(g.Replica)}
+	released := Released{ID: g.ID, Outcome: outcome, Leaving: c.Replicas.IsLeaving(g.Replica)}
+	c.queue(h, func(q *releaseQueue) { q.pending = append(q.pending, released) })
+}
+
+// queue adds to what a broker is to be told and starts sending unless that is in
+// progress.
+func (c *Client) queue(h membership.Host, add func(*releaseQueue)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	q, ok := c.releaseQueues[h.Name]
@@ -73,30 +88,38 @@
 		q = &releaseQueue{}
 		c.releaseQueues[h.Name] = q
 	}
-	q.pending = append(q.pending, released)
+	add(q)
 	if !q.running {
 		q.running = true
 		go c.sendReleases(h, q)
 	}
 }
 
-// sendReleases sends the queued releases until none are left. A failed call is
-// not repeated: the next poll reports which grants the host still uses.
+// sendReleases sends what is queued until nothing is left. A failed call is not
+// repeated: the next poll reports which grants the host still uses, and the next grant
+// shows that the broker doesn't know a rate limit.
 func (c *Client) sendReleases(h membership.Host, q *releaseQueue) {
 	for {
-		c.mu.Lock()
-		released := q.pending
-		q.pending = nil
-		q.running = len(released) > 0
-		c.mu.Unlock()
-		if len(released) == 0 {
+		args, ok := c.takeQueued(q)
+		if !ok {
 			return
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callMargin)
-		err := c.call(ctx, h, "Release", ReleaseArgs{Released: released}, new(Empty))
+		err := c.call(ctx, h, "Release", args, new(Empty))
 		cancel()
 		if err != nil {
 			c.suspect(h, err)
 		}
 	}
 }
+
+// takeQueued empties a queue. It returns false, and the queue is no longer running, if
+// it was empty.
+func (c *Client) takeQueued(q *releaseQueue) (ReleaseArgs, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	args := ReleaseArgs{Released: q.pending, RateLimits: q.rateLimits}
+	q.pending, q.rateLimits = nil, nil
+	q.running = len(args.Released)+len(args.RateLimits) > 0
+	return args, q.running
+}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -42,6 +42,8 @@
 	Due time.Time
 	// Since is when the slot was granted.
 	Since time.Time
+	// RateLimit is what the broker knew of the replica's rate limit.
+	RateLimit RateLimitMessage
 	// Broker is the name of the host that granted it, for logs. The client sets it.
 	Broker string
 }
@@ -130,6 +132,8 @@
 	grants   map[GrantID]*grantState
 	lastPoll map[string]time.Time
 	nextID   GrantID
+	// rateShare is the fraction of the replicas' rate limits that is granted here.
+	rateShare float64
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -160,6 +164,7 @@
 	errorRateAt time.Time
 	// avoidUntil is the end of the cooldown.
 	avoidUntil time.Time
+	budget     rateBudget
 }
 
 // grantState is a grant with its replica and the time at which it was last
@@ -176,7 +181,7 @@
 func NewScheduler(rng *rand.Rand) *Scheduler {
 	return &Scheduler{
 		rng: rng, services: make(map[string]*pool), grants: make(map[GrantID]*grantState),
-		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()),
+		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()), rateShare: 1,
 	}
 }
 
@@ -236,8 +241,9 @@
 	// should be sent again.
 	Wait, RetryAfter time.Duration
 	// Replicas is the number of ready replicas of the service that may run the
-	// request.
-	Replicas int
+	// request, and RateLimited is the number of those that have a free slot but
+	// whose rate limit is used up.
+	Replicas, RateLimited int
 }
 
 // Acquire decides on a request. One that is expected to wait longer than it may
@@ -250,6 +256,7 @@
 		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host})
 		return d
 	}
+	d.RateLimited = p.countRateLimited(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait {
 		d.RetryAfter = s.retryAfter(d.Wait)
@@ -287,25 +294,72 @@
 // and the waiters that may take one of them.
 func (s *Scheduler) expectedWait(now time.Time, p *pool, args *AcquireArgs) time.Duration {
 	ahead := p.countAhead(args)
-	var ends []time.Duration
-	for _, g := range s.grants {
-		switch {
-		case s.services[g.Replica.Service] != p || !args.matchesVersion(g.replicaState):
-		case g.Class == Batch && !g.protected(now):
+	var waits []time.Duration
+	for _, start := range s.expectedStarts(now, p, args) {
+		if start.atOnce {
 			ahead--
-		case g.Class == Online:
-			ends = append(ends, max(p.serviceTime-now.Sub(g.Since), 0))
+			continue
 		}
+		waits = append(waits, start.wait)
 	}
 	if ahead < 0 {
 		return 0
 	}
-	if len(ends) == 0 {
+	if len(waits) == 0 {
 		return maxRetryAfter
 	}
-	slices.Sort(ends)
-	rounds := time.Duration(ahead/len(ends)) * p.serviceTime
-	return rounds + ends[ahead%len(ends)]
+	slices.Sort(waits)
+	rounds := time.Duration(ahead/len(waits)) * p.serviceTime
+	return rounds + waits[ahead%len(waits)]
+}
+
+// expectedStart is a slot that is expected to become free, atOnce or after a wait.
+type expectedStart struct {
+	atOnce bool
+	wait   time.Duration
+}
+
+// expectedStarts returns the slots that become free within one average service time.
+// Those of a replica with a rate limit wait until the limit allows a request.
+func (s *Scheduler) expectedStarts(now time.Time, p *pool, args *AcquireArgs) []expectedStart {
+	var starts []expectedStart
+	limited := make(map[*replicaState][]time.Duration)
+	for _, g := range s.grants {
+		if s.services[g.Replica.Service] != p || !args.matchesVersion(g.replicaState) || g.Class == Batch && g.protected(now) {
+			continue
+		}
+		start := expectedStart{atOnce: g.Class == Batch}
+		if g.Class == Online {
+			start.wait = max(p.serviceTime-now.Sub(g.Since), 0)
+		}
+		if g.replicaState.budget.limited() {
+			limited[g.replicaState] = append(limited[g.replicaState], start.wait)
+			continue
+		}
+		starts = append(starts, start)
+	}
+	for _, r := range p.replicas {
+		if r.budget.limited() && r.Ready && args.allows(r) {
+			free := make([]time.Duration, max(r.Slots-r.used, 0))
+			starts = append(starts, r.rateLimitedStarts(now, append(free, limited[r]...), p.serviceTime)...)
+		}
+	}
+	return starts
+}
+
+// rateLimitedStarts returns the starts that the rate limit allows in the slots that
+// become free after slotWaits, within a time.
+func (r *replicaState) rateLimitedStarts(now time.Time, slotWaits []time.Duration, within time.Duration) []expectedStart {
+	slices.Sort(slotWaits)
+	var starts []expectedStart
+	for i, wait := range slotWaits {
+		wait = max(wait, r.budget.wait(now, i+1))
+		if wait > within {
+			break
+		}
+		starts = append(starts, expectedStart{atOnce: wait == 0, wait: wait})
+	}
+	return starts
 }
 
 // hasWaiterFor reports whether a waiter may be sent to the replica.
@@ -333,6 +387,8 @@
 	s.nextID++
 	g.ID, g.Replica, g.Since = s.nextID, target.Replica, now
 	target.used++
+	target.budget.take(now)
+	g.RateLimit = newRateLimitMessage(now, target.budget.limit)
 	s.grants[g.ID] = &grantState{Grant: g, replicaState: target}
 	return &g
 }
@@ -407,13 +463,20 @@
 	return cmp.Compare(a.load(now), b.load(now))
 }
 
-// load is the sum of the fraction of slots in use and the error rate.
+// load is the sum of the error rate and the fraction in use of the slots or of the rate
+// limit, whichever is greater.
 func (r *replicaState) load(now time.Time) float64 {
-	return float64(r.used)/float64(r.Slots) + r.currentErrorRate(now)
+	return max(float64(r.used)/float64(r.Slots), r.budget.used(now)) + r.currentErrorRate(now)
 }
 
 // available reports whether the replica has a slot to grant.
 func (r *replicaState) available(now time.Time) bool {
+	return r.hasFreeSlot(now) && r.budget.allows(now, 1)
+}
+
+// hasFreeSlot reports whether the replica has a slot to grant if its rate limit allows
+// it.
+func (r *replicaState) hasFreeSlot(now time.Time) bool {
 	limit := r.Slots
 	if r.suspect() {
 		limit = 1
