slots: items prefer replicas with a rate limit, online requests save them for bursts

Change: the load by which a replica is chosen counts a rate limit in favour of items and against online requests, unless its burst is full, when nothing more can be saved.

--- a/slots/plan.go
+++ b/slots/plan.go
@@ -40,7 +40,7 @@
 func (s *Scheduler) grantWaiters(now time.Time, p *pool, plan *Plan) {
 	remaining := p.queue[:0]
 	for _, w := range p.queue {
-		target := p.choose(now, w.args.allows, s.rng)
+		target := p.choose(now, Online, w.args.allows, s.rng)
 		if target == nil {
 			remaining = append(remaining, w)
 			continue
@@ -174,7 +174,7 @@
 		if demand.Items == 0 {
 			return
 		}
-		target := p.choose(now, func(r *replicaState) bool { return p.allowsBatch(now, r) }, s.rng)
+		target := p.choose(now, Batch, func(r *replicaState) bool { return p.allowsBatch(now, r) }, s.rng)
 		if target == nil || target.used >= p.batchLimit(now, target) {
 			plan.replanForBatch(now, p)
 			return
--- a/slots/ratelimit.go
+++ b/slots/ratelimit.go
@@ -15,6 +15,10 @@
 	minRateLimit = 0.2
 	// rateLimitBurst is the time whose requests may be granted at once.
 	rateLimitBurst = time.Second
+	// rateLimitPreference is how much less load a replica with a rate limit counts as
+	// having for batch items, and how much more for online requests: as much as all its
+	// slots.
+	rateLimitPreference = 1.0
 	// standbyRateShare is the fraction of a replica's rate limit that a host grants
 	// while another one is the broker of the data centre. Hosts that can't reach the
 	// broker request slots from it, and the sum has to stay near the limit.
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -252,7 +252,7 @@
 	p := s.pool(args.Service)
 	p.lastRequestAt = now
 	d := Decision{Replicas: p.countReady(&args)}
-	if target := p.choose(now, args.allows, s.rng); target != nil && !p.hasWaiterFor(target) {
+	if target := p.choose(now, Online, args.allows, s.rng); target != nil && !p.hasWaiterFor(target) {
 		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host})
 		return d
 	}
@@ -428,14 +428,14 @@
 
 // choose returns the replica with the lowest load among those with a free slot
 // that are allowed, or nil if there is none. Ties are broken at random.
-func (p *pool) choose(now time.Time, allowed func(*replicaState) bool, rng *rand.Rand) *replicaState {
+func (p *pool) choose(now time.Time, class Class, allowed func(*replicaState) bool, rng *rand.Rand) *replicaState {
 	var best *replicaState
 	ties := 0
 	for _, r := range p.replicas {
 		if !r.available(now) || !allowed(r) {
 			continue
 		}
-		switch c := compareLoad(now, r, best); {
+		switch c := compareLoad(now, class, r, best); {
 		case c < 0:
 			best, ties = r, 1
 		case c == 0:
@@ -450,7 +450,7 @@
 
 // compareLoad orders replicas by load, with suspect ones last. Any replica
 // comes before nil.
-func compareLoad(now time.Time, a, b *replicaState) int {
+func compareLoad(now time.Time, class Class, a, b *replicaState) int {
 	switch {
 	case b == nil:
 		return -1
@@ -460,13 +460,23 @@
 		}
 		return -1
 	}
-	return cmp.Compare(a.load(now), b.load(now))
+	return cmp.Compare(a.load(now, class), b.load(now, class))
 }
 
 // load is the sum of the error rate and the fraction in use of the slots or of the rate
-// limit, whichever is greater.
-func (r *replicaState) load(now time.Time) float64 {
-	return max(float64(r.used)/float64(r.Slots), r.budget.used(now)) + r.currentErrorRate(now)
+// limit, whichever is greater. Replicas with a rate limit have slots to spare but few
+// requests a second. They suit batch items, which hold a slot for seconds, and what
+// online requests leave of them is saved for bursts until the burst is full.
+func (r *replicaState) load(now time.Time, class Class) float64 {
+	rateUsed := r.budget.used(now)
+	load := max(float64(r.used)/float64(r.Slots), rateUsed) + r.currentErrorRate(now)
+	switch {
+	case !r.budget.limited(), class == Online && rateUsed == 0:
+		return load
+	case class == Batch:
+		return load - rateLimitPreference
+	}
+	return load + rateLimitPreference
 }
 
 // available reports whether the replica has a slot to grant.
