slots: a broker without replica records is passed over, and its empty set is not taken

Noticed by reading (slots/poll.go:17): a host that has just started and is first in the order of brokers answers polls before it has listed the replicas. The others took its empty set for the records of the service, and requests to it were refused.

Now such a broker answers a request for a slot as one that isn't the broker, so that the next host is asked, and only a reply that says that it has records replaces records.

--- a/slots/broker.go
+++ b/slots/broker.go
@@ -208,8 +208,8 @@
 type AcquireReply struct {
 	Granted bool
 	Grant   Grant
-	// Moved reports that this host stopped being the broker while the request
-	// waited.
+	// Moved reports that this host is not the broker yet, since it has no replica
+	// records, or stopped being it while the request waited.
 	Moved bool
 	// Wait is the expected wait of a refused request, and RetryAfter is when to
 	// send it again.
@@ -224,6 +224,11 @@
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
 	b.mu.Lock()
+	if b.replicas == nil {
+		b.mu.Unlock()
+		reply.Moved = true
+		return nil
+	}
 	now := b.clock.Now()
 	b.updateRateShare(now)
 	d := b.sched.Acquire(now, args)
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -195,6 +195,14 @@
 	return n
 }
 
+// forgetRecords lets a host begin without replica records.
+func (m *member) forgetRecords() {
+	m.broker.mu.Lock()
+	defer m.broker.mu.Unlock()
+	m.broker.replicas = nil
+	m.broker.sched.SetReplicas(nil)
+}
+
 func (m *member) name() string { return m.View.Self().Name }
 
 func (m *member) acquire(t *testing.T) (string, error) {
@@ -516,3 +524,16 @@
 	_, _ = other.acquire(t)
 	require.NotEqual(t, broker.name(), other.brokers("x")[0].Name, "a second reset in one call makes it suspect")
 }
+
+// The broker has just started: it has no replica records yet, and the store answers it.
+func TestBrokerWithoutRecordsIsPassedOver(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	broker.forgetRecords()
+	g, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service}, 0)
+	require.NoError(t, err)
+	require.Equal(t, other.name(), g.Broker)
+	other.received = []replica.Replica{{ID: "rx"}}
+	other.applyReply(broker.View.Self(), PollReply{Version: 7, Notice: Notice{Current: true}}, false, true)
+	require.Len(t, other.received, 1, "the records of this host stay")
+}
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -169,8 +169,8 @@
 	own := h.Name == c.View.Self().Name
 	usable := !own && (reply.Notice.Current || !c.StoreAvailable())
 	c.mu.Lock()
-	changed := usable && withRecords && reply.Version != c.version
-	if withRecords && (usable || own) {
+	changed := usable && withRecords && reply.Known && reply.Version != c.version
+	if withRecords && reply.Known && (usable || own) {
 		c.version = reply.Version
 	}
 	if !own && reply.Notice.Current {
