host: a starting host takes replica records from a peer only if they are up to date

A host without records takes others only if it can't read the store itself. A line is logged when records are taken.

--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -219,23 +218,14 @@
 // state of draining replicas through its peers.
 func TestHostsRejectedByTheStoreReceiveDrainingReplicas(t *testing.T) {
 	f := newFleet(t, time.Millisecond)
-	var rejecting atomic.Bool
-	inner := platformtest.StoreHandler(f.store)
-	proxy := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if rejecting.Load() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		inner.ServeHTTP(w, r)
-	}))
-	t.Cleanup(func() { proxy.CloseClientConnections(); proxy.Close() })
-	address := strings.TrimPrefix(proxy.URL, "http://")
+	proxy := &storeProxy{}
+	address := proxy.start(f)
 	rejected := []*Host{f.startAt("a", "dc", address), f.startAt("b", "dc", address)}
 	f.startAt("c", "other", f.address)
 	for _, h := range rejected {
 		require.Eventually(t, func() bool { return len(h.view.Remote()) == 1 }, 10*time.Second, 10*time.Millisecond)
 	}
-	rejecting.Store(true)
+	proxy.rejecting.Store(true)
 	for _, h := range rejected {
 		require.Eventually(t, h.storeUnavailable, 10*time.Second, 10*time.Millisecond)
 	}
--- a/host/peer.go
+++ b/host/peer.go
@@ -41,6 +41,9 @@
 	// HaveReplicas reports that Replicas comes from the replica records. If
 	// false, an empty Replicas doesn't mean that there are none.
 	HaveReplicas bool
+	// ReplicasCurrent reports that the records come from the store, or from a broker
+	// that the store answered, and were up to date lately.
+	ReplicasCurrent bool
 	// Current reports that the host is the broker of its data centre, has the
 	// replica records, and can reach the store.
 	Current bool
@@ -60,6 +63,7 @@
 	}
 	reply.Hosts = membership.All(p.host.view)
 	reply.Replicas, reply.HaveReplicas = p.host.replicas.snapshot(), p.host.replicas.haveRecords()
+	reply.ReplicasCurrent = p.host.replicasCurrent()
 	reply.Current = p.host.slotClient.IsBroker() && p.host.replicas.isCurrent() && !p.host.storeUnavailable()
 	return nil
 }
@@ -131,9 +135,18 @@
 // stale.
 func (h *Host) lacksUpdates() bool { return h.storeUnavailable() && h.slotClient.RecordsStale() }
 
+// replicasCurrent reports whether the replica records of this host were up to date
+// lately.
+func (h *Host) replicasCurrent() bool {
+	watching := h.slotClient.IsBroker() && h.replicas.isCurrent() && !h.storeUnavailable()
+	return watching || h.replicas.haveRecords() && h.slotClient.ReceivesRecords()
+}
+
 // fetchState fetches a peer's state and applies what this host lacks: a newer
 // configuration, unknown hosts, and the replica records if this host has none,
-// or if its own may be stale and the peer's are current.
+// or if its own may be stale and the peer's are current. Records that are not up to
+// date may name replicas that have left, so a host without any takes them only if it
+// can't read the store.
 func (h *Host) fetchState(ctx context.Context, address string) (StateReply, error) {
 	_, version := h.config.current()
 	var reply StateReply
@@ -147,7 +160,11 @@
 		h.config.setIfNewer(reply.Config, address)
 	}
 	h.presence.AddFromPeer(reply.Hosts)
-	if reply.Current && h.lacksUpdates() || reply.HaveReplicas && !h.replicas.haveRecords() {
+	usable := reply.HaveReplicas && (reply.ReplicasCurrent || h.storeUnavailable())
+	if reply.Current && h.lacksUpdates() || usable && !h.replicas.haveRecords() {
+		h.log.WithFields(logrus.Fields{
+			"address": address, "replicas": len(reply.Replicas), "current": reply.ReplicasCurrent,
+		}).Info("replica records taken from peer")
 		h.replicas.replaceFromPeer(reply.Replicas)
 	}
 	return reply, nil
--- a/slots/client.go
+++ b/slots/client.go
@@ -129,6 +129,9 @@
 	// lastUpdate is when a broker with an available store last replied.
 	version    int64
 	lastUpdate time.Time
+	// recordsAt is when a broker with an available store last replied that this host
+	// has its records, or sent them.
+	recordsAt time.Time
 	// receivedRecords is set once a broker that has replica records has
 	// replied.
 	receivedRecords bool
@@ -236,6 +239,14 @@
 	return c.Clock.Now().Sub(c.lastUpdate) > recordsStaleTimeout
 }
 
+// ReceivesRecords reports whether this host keeps the replica records and a broker with
+// an available store has updated them within recordsStaleTimeout.
+func (c *Client) ReceivesRecords() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Clock.Now().Sub(c.recordsAt) <= recordsStaleTimeout
+}
+
 // ReceivedRecords reports whether a broker that has replica records has ever
 // replied.
 func (c *Client) ReceivedRecords() bool {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -536,4 +536,7 @@
 	other.received = []replica.Replica{{ID: "rx"}}
 	other.applyReply(broker.View.Self(), PollReply{Version: 7, Notice: Notice{Current: true}}, false, true)
 	require.Len(t, other.received, 1, "the records of this host stay")
+	require.False(t, other.ReceivesRecords())
+	other.applyReply(broker.View.Self(), PollReply{Version: 8, Known: true, Notice: Notice{Current: true}}, false, true)
+	require.True(t, other.ReceivesRecords())
 }
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -168,22 +168,31 @@
 func (c *Client) applyRecords(h membership.Host, reply PollReply, withRecords bool) {
 	own := h.Name == c.View.Self().Name
 	usable := !own && (reply.Notice.Current || !c.StoreAvailable())
+	if c.updateVersion(reply, own, usable, withRecords && reply.Known) {
+		c.OnReplicas(reply.Replicas)
+	}
+	if usable {
+		c.OnNotice(h, reply.Notice)
+	}
+}
+
+// updateVersion records which replica records this host has and when it got them, and
+// reports whether those of the reply are new.
+func (c *Client) updateVersion(reply PollReply, own, usable, withRecords bool) bool {
 	c.mu.Lock()
-	changed := usable && withRecords && reply.Known && reply.Version != c.version
-	if withRecords && reply.Known && (usable || own) {
+	defer c.mu.Unlock()
+	changed := usable && withRecords && reply.Version != c.version
+	if withRecords && (usable || own) {
 		c.version = reply.Version
 	}
 	if !own && reply.Notice.Current {
 		c.lastUpdate = c.Clock.Now()
+		if withRecords {
+			c.recordsAt = c.lastUpdate
+		}
 	}
 	c.receivedRecords = c.receivedRecords || usable && reply.Known
-	c.mu.Unlock()
-	if changed {
-		c.OnReplicas(reply.Replicas)
-	}
-	if usable {
-		c.OnNotice(h, reply.Notice)
-	}
+	return changed
 }
 
 // isRecordHolder reports whether this host is one of those in its data centre
