soak: replicas name rate limits, and what they get is counted

A replica names a limit of 0.5 to 8 requests a second for 5 to 10 s; from what callers and replicas see, requests of hosts that had passed on the limit are counted against it. The known seeds keep all their other faults.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -83,14 +83,21 @@
 	}
 }
 
-// call makes a request and notes which replicas the host says to be leaving.
+// call makes a request and notes which replicas the host says to be leaving or to have a
+// rate limit.
 func (c *callers) call(caller *platformtest.Caller, h *Host, path, id string) (platformtest.Response, error) {
 	before := h.run()
 	c.ledger.sends(id, before)
 	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
-	if a.Leaving && h.run() == before {
+	if h.run() != before {
+		return a, err
+	}
+	if a.Leaving {
 		c.ledger.saysLeaving(before, a.Replica)
 	}
+	if a.RateLimited {
+		c.ledger.saysRateLimit(before, a.Replica)
+	}
 	return a, err
 }
 
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -29,11 +29,16 @@
 	meanInterval = 500 * time.Millisecond
 	// meanResponseInterval is that of faults of replicas' responses.
 	meanResponseInterval = 2 * time.Second
-	minSpell             = 300 * time.Millisecond
-	maxSpell             = 5 * time.Second
-	maxDelay             = 400 * time.Millisecond
-	maxDown              = 2 * time.Second
-	drainTime            = 3 * time.Second
+	// meanRateLimitInterval is that of rate limits, which last for minRateLimitSpell
+	// to maxRateLimitSpell.
+	meanRateLimitInterval = 3 * time.Second
+	minRateLimitSpell     = 5 * time.Second
+	maxRateLimitSpell     = 10 * time.Second
+	minSpell              = 300 * time.Millisecond
+	maxSpell              = 5 * time.Second
+	maxDelay              = 400 * time.Millisecond
+	maxDown               = 2 * time.Second
+	drainTime             = 3 * time.Second
 	// leaveTime is how long a replica says that it leaves before it ends.
 	leaveTime = 2 * configTimeout
 	// signalTime is what a program needs until it takes signals: before that a
@@ -63,6 +68,8 @@
 	// plans of known seeds keep all their other faults.
 	responses := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 3))}
 	plan = append(plan, responses.draw([]func() Fault{responses.truncate, responses.leave}, length, meanResponseInterval)...)
+	limits := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 4))}
+	plan = append(plan, limits.draw([]func() Fault{limits.limitRate}, length, meanRateLimitInterval)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -246,6 +253,21 @@
 	}}
 }
 
+// limitRate lets a replica name a rate limit in its responses.
+func (p *planner) limitRate() Fault {
+	s, spell, perSecond := pick(p.rng, p.world.slots), p.between(minRateLimitSpell, maxRateLimitSpell), 0.5+7.5*p.rng.Float64()
+	return Fault{Text: fmt.Sprintf("replica %s takes %.1f requests a second for %s", s.name, perSecond, spell), run: func(ctx context.Context) {
+		r := p.world.replicaOf(s)
+		if !r.SetRateLimit(perSecond) {
+			return
+		}
+		from := time.Now()
+		sleep(ctx, spell)
+		r.EndRateLimit()
+		p.ledger.limitedRate(rateLimit{replica: r.ID, perSecond: perSecond, from: from, to: time.Now()})
+	}}
+}
+
 // drainReplica lets a replica leave after it was reported.
 func (p *planner) drainReplica() Fault {
 	s := pick(p.rng, p.world.slots)
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -23,8 +23,12 @@
 	inForce map[hostStart]int
 	// sent are the requests of callers by ID, and leaving is when a run of a host
 	// passed on a response whose replica said that it leaves.
-	sent           map[string]sentRequest
-	leaving        map[leavingSeen]time.Time
+	sent    map[string]sentRequest
+	leaving map[saidTo]time.Time
+	// rateLimited is when a run of a host first passed on a response whose replica
+	// named a rate limit, and rateLimits are the limits that replicas named.
+	rateLimited    map[saidTo]time.Time
+	rateLimits     []rateLimit
 	Served, Failed int
 	// Resumed are the streams that callers resumed to their end, and NotResumed
 	// those that they tried to.
@@ -55,8 +59,8 @@
 	pauses int64
 }
 
-// leavingSeen is a replica that a host knows to be leaving.
-type leavingSeen struct {
+// saidTo is a run of a host to which a replica has said something.
+type saidTo struct {
 	host    hostRun
 	replica string
 }
@@ -66,7 +70,7 @@
 	return &Ledger{
 		notRun: make(map[string]struct{}), once: make(map[string]struct{}),
 		jobs: make(map[string]*jobSeen), inForce: make(map[hostStart]int),
-		sent: make(map[string]sentRequest), leaving: make(map[leavingSeen]time.Time),
+		sent: make(map[string]sentRequest), leaving: make(map[saidTo]time.Time), rateLimited: make(map[saidTo]time.Time),
 	}
 }
 
@@ -143,7 +147,7 @@
 func (l *Ledger) saysLeaving(host hostRun, replica string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	seen := leavingSeen{host, replica}
+	seen := saidTo{host, replica}
 	if _, ok := l.leaving[seen]; !ok {
 		l.leaving[seen] = time.Now()
 	}
@@ -160,7 +164,7 @@
 			if !ok {
 				continue
 			}
-			at, ok := l.leaving[leavingSeen{request.to, replica}]
+			at, ok := l.leaving[saidTo{request.to, replica}]
 			if late := request.at.Sub(at); ok && late > limit {
 				l.violations = append(l.violations, fmt.Sprintf("%s reached replica %s from %s %s after that had passed on that it leaves", id, replica, request.to.host, late))
 			}
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -73,6 +73,7 @@
 	}
 	ledger.CheckRuns(w.Runs())
 	ledger.CheckLeaving(w.RunsByReplica(), configTimeout)
+	ledger.CheckRateLimits(w.StartsByReplica())
 	r.Violations, r.Served, r.Failed, r.Jobs = ledger.Violations(), ledger.Served, ledger.Failed, len(ledger.jobs)
 	r.Resumed, r.NotResumed = ledger.Resumed, ledger.NotResumed
 	return r, nil
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -313,6 +313,15 @@
 	return runs
 }
 
+// StartsByReplica returns when each request and item began at each replica.
+func (w *World) StartsByReplica() map[string][]platformtest.Start {
+	starts := make(map[string][]platformtest.Start)
+	for _, r := range w.allReplicas() {
+		starts[r.ID] = r.Starts()
+	}
+	return starts
+}
+
 // allReplicas returns the replicas that serve and those that did.
 func (w *World) allReplicas() []*platformtest.Replica {
 	w.mu.Lock()
--- a/host/ratelimit_test.go
+++ b/host/ratelimit_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -26,7 +25,7 @@
 // limitAll sets the rate limit that all replicas name.
 func (f *fleet) limitAll(perSecond float64) {
 	for _, r := range f.replicas {
-		r.SetRateLimit(strconv.FormatFloat(perSecond, 'f', -1, 64))
+		r.SetRateLimit(perSecond)
 	}
 }
 
@@ -34,10 +33,10 @@
 func (f *fleet) requireWithinRateLimit(perSecond float64) {
 	f.t.Helper()
 	for _, r := range f.replicas {
-		starts := r.StartTimes()
+		starts := r.Starts()
 		first := 0
-		for i, at := range starts {
-			for at.Sub(starts[first]) > rateWindow {
+		for i, start := range starts {
+			for start.At.Sub(starts[first].At) > rateWindow {
 				first++
 			}
 			require.LessOrEqual(f.t, float64(i+1-first), 1.5*perSecond*rateWindow.Seconds()+rateSlack, "requests of replica %s in %v", r.ID, rateWindow)
@@ -131,7 +130,7 @@
 	f.waitForHosts(hosts...)
 	f.callInTurn("limited", 40, hosts...)
 	for _, r := range f.replicas {
-		r.SetRateLimit("")
+		r.EndRateLimit()
 	}
 	for _, h := range hosts {
 		require.Eventually(t, func() bool {
