peer: a panic in a method called by a peer ends that call alone

Of the operators' reports (one malformed message or unexpected error took a whole process down): net/rpc runs each call in a goroutine without recovery, so that a panic in any of the methods that hosts call ended the process, and with it all its streams.

The server reads the headers itself and lets net/rpc serve single calls in goroutines that recover: the caller gets an error that doesn't say that the method hasn't run, the log gets the stack, other calls on the connection go on. The broker's lock is released by a deferred call, so that a panic can't leave it held.

Panics of callers' requests were recovered already (net/http), those of supervised services too (suture); goroutines that these start are not covered.

--- a/host/host.go
+++ b/host/host.go
@@ -172,7 +172,7 @@
 	h.provisionPresence()
 	h.provisionWork()
 	var err error
-	if h.peerServer, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics)); err != nil {
+	if h.peerServer, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics), peer.WithLog(h.log)); err != nil {
 		return err
 	}
 	for name, receiver := range map[string]any{
--- a/node/membership.go
+++ b/node/membership.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	options := []peer.Option{peer.WithMetrics(peer.NewMetrics(n.registry)), peer.WithClock(n.events.Clock())}
+	options := []peer.Option{peer.WithMetrics(peer.NewMetrics(n.registry)), peer.WithClock(n.events.Clock()), peer.WithLog(n.log)}
 	if n.peers, err = peer.Listen(n.settings.Listen.Peers, conf, options...); err != nil {
 		return errors.Wrap(err, n.settings.At("listen.peers"))
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -145,6 +145,8 @@
 	// methodLabel returns the metrics label of a method.
 	methodLabel func(method string) string
 
+	// writing is held while a response is written.
+	writing   sync.Mutex
 	inFlight  chan struct{}
 	closed    chan struct{}
 	closeOnce sync.Once
@@ -193,6 +195,8 @@
 // WriteResponse implements rpc.ServerCodec.
 func (c *serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	defer func() { <-c.inFlight }()
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	before := c.conn.written.Load()
 	err := c.write(r, body)
 	if err != nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
@@ -34,13 +35,17 @@
 type options struct {
 	metrics *Metrics
 	clock   *timeline.Clock
+	log     *logrus.Entry
 }
 
 // WithMetrics counts the messages and bytes of calls in m.
 func WithMetrics(m *Metrics) Option { return func(o *options) { o.metrics = m } }
 
+// WithLog logs to an entry in place of the standard logger.
+func WithLog(log *logrus.Entry) Option { return func(o *options) { o.log = log } }
+
 func applyOptions(opts []Option) options {
-	var o options
+	o := options{log: logrus.NewEntry(logrus.StandardLogger())}
 	for _, set := range opts {
 		set(&o)
 	}
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -23,6 +23,9 @@
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
 )
 
+// maxCalls is the maximum number of concurrent calls on one connection.
+const maxCalls = 64
+
 type Echo struct {
 	running, maxRunning atomic.Int64
 	started             chan struct{}
@@ -34,6 +37,8 @@
 	return nil
 }
 
+func (e *Echo) Panic(string, *string) error { panic("unexpected") }
+
 func (e *Echo) Fail(string, *string) error { return errors.New("refused") }
 
 func (e *Echo) Hold(text string, reply *string) error {
@@ -75,6 +80,46 @@
 	require.False(t, errors.Is(err, peer.ErrUnreachable))
 }
 
+// Calls on the same connection are in progress before and after the one that panics.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	s, e, _ := serve(t, "127.0.0.1:0", nil)
+	c := newClient(t, 5*time.Second, nil)
+	var reply string
+	held := make(chan error, 1)
+	go func() {
+		var reply string
+		held <- c.Call(t.Context(), s.Address(), "Echo.Hold", "a", &reply)
+	}()
+	<-e.started
+	for range 2 * maxCalls {
+		err := c.Call(t.Context(), s.Address(), "Echo.Panic", "a", &reply)
+		require.ErrorContains(t, err, "panicked")
+		require.False(t, errors.Is(err, peer.ErrUnreachable), "it may have run")
+	}
+	require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "b", &reply))
+	require.Equal(t, "b", reply)
+	close(e.release)
+	require.NoError(t, <-held)
+}
+
+func TestMalformedCallsDoNotHarmOthers(t *testing.T) {
+	s, _, _ := serve(t, "127.0.0.1:0", nil)
+	c := newClient(t, 5*time.Second, nil)
+	var reply string
+	require.Error(t, c.Call(t.Context(), s.Address(), "Echo.Say", struct{ N int }{1}, &reply), "arguments of another type")
+	require.Error(t, c.Call(t.Context(), s.Address(), "Echo.Missing", "a", &reply))
+	require.Error(t, c.Call(t.Context(), s.Address(), "nothing", "a", &reply))
+	for _, garbage := range []string{"\x00", "\xff\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n"} {
+		conn, err := net.Dial("tcp", s.Address())
+		require.NoError(t, err)
+		_, err = conn.Write([]byte(garbage))
+		require.NoError(t, err)
+		require.NoError(t, conn.Close())
+	}
+	require.NoError(t, c.Call(t.Context(), s.Address(), "Echo.Say", "b", &reply))
+	require.Equal(t, "b", reply)
+}
+
 func TestCallRejectsHostName(t *testing.T) {
 	c := newClient(t, time.Second, nil)
 	var reply string
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // Limits of a server.
@@ -27,6 +28,7 @@
 	listener net.Listener
 	metrics  *Metrics
 	stamps   stamper
+	log      *logrus.Entry
 
 	mu      sync.Mutex
 	conns   map[net.Conn]struct{}
@@ -45,7 +47,7 @@
 	}
 	o := applyOptions(opts)
 	return &Server{
-		rpc: rpc.NewServer(), listener: l, metrics: o.metrics, stamps: stamper{o.clock},
+		rpc: rpc.NewServer(), listener: l, metrics: o.metrics, stamps: stamper{o.clock}, log: o.log,
 		conns: make(map[net.Conn]struct{}), methods: make(map[string]struct{}),
 	}, nil
 }
@@ -107,13 +109,6 @@
 	return true
 }
 
-func (s *Server) serveConn(conn net.Conn) {
-	s.rpc.ServeCodec(newServerCodec(s, conn))
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, conn)
-}
-
 func (s *Server) close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -223,40 +223,48 @@
 // Acquire grants a slot to an online request or refuses it. It waits for a free
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	waiter, granted := b.decide(&args, reply)
+	if waiter == nil {
+		return nil
+	}
+	timer := b.clock.NewTimer(args.MaxWait)
+	defer timer.Stop()
+	select {
+	case g, ok := <-granted:
+		reply.Moved = !ok
+		if ok {
+			reply.setGrant(&g)
+		}
+	case <-timer.Chan():
+		b.endWait(waiter, granted, reply)
+	}
+	return nil
+}
+
+// decide decides on a request for a slot. A request that has to wait gets a waiter and
+// the channel on which its grant arrives.
+func (b *Broker) decide(args *AcquireArgs, reply *AcquireReply) (*Waiter, chan Grant) {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	if b.replicas == nil {
-		b.mu.Unlock()
 		reply.Moved = true
-		return nil
+		return nil, nil
 	}
 	now := b.clock.Now()
 	b.updateRateShare(now)
-	d := b.sched.Acquire(now, args)
+	d := b.sched.Acquire(now, *args)
 	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited}
 	if d.Waiter == nil {
 		if d.Grant != nil {
-			b.recordGrant(&args, d.Grant)
+			b.recordGrant(args, d.Grant)
 		}
-		b.mu.Unlock()
 		reply.setGrant(d.Grant)
-		return nil
+		return nil, nil
 	}
 	granted := make(chan Grant, 1)
 	b.waiting[d.Waiter] = granted
 	b.plan()
-	b.mu.Unlock()
-	timer := b.clock.NewTimer(args.MaxWait)
-	defer timer.Stop()
-	select {
-	case g, ok := <-granted:
-		reply.Moved = !ok
-		if ok {
-			reply.setGrant(&g)
-		}
-	case <-timer.Chan():
-		b.endWait(d.Waiter, granted, reply)
-	}
-	return nil
+	return d.Waiter, granted
 }
 
 // setGrant sets the grant; nil leaves the reply a refusal.
