--- a/host/start_test.go
+++ b/host/start_test.go
@@ -47,7 +47,7 @@
 	require.Eventually(t, b.replicas.haveRecords, 10*time.Second, 10*time.Millisecond)
 	toPeer.rejecting.Store(true)
 	require.Eventually(t, b.storeUnavailable, 10*time.Second, 10*time.Millisecond)
-	_, err := f.store.Commit(context.Background(), txn.Request{Remove: []string{"servers/r0"}})
+	_, err := f.store.Commit(context.Background(), txn.Request{Remove: []string{f.replicas[0].Record("svc", "dc", "ready", 0).Key}})
 	require.NoError(t, err)
 	s := *b.settings
 	s.Host, s.DataCentre, s.Seeds, s.Store = "a", "dc", []string{b.settings.Peers}, toStarting.start(f)
