forward, jobs: a stream that sends bytes but no events is given up like a silent one

An online stream whose replica sent a byte or a comment now and then went on until its deadline instead of going on elsewhere, and an item that got comments only never ended its run: it held its slot and missed its due time.

Progress is now an event with data. An online stream without any for the longest pause of its route is given up once another replica has a slot for it, an item after 5 s, as with partial events before. A slow stream is not cut: pieces of an event count for nothing, but the bound is the route's own, and without a free slot the stream goes on.

TestStreamThatSendsBytesButNoEventsIsResumed and TestItemWhoseReplicaSendsNoEventsStartsAgain failed before (the second ran without end); TestSlowStreamIsNotGivenUp passed before too.

--- a/forward/events.go
+++ b/forward/events.go
@@ -16,6 +16,9 @@
 	received bool
 	// LastID is the last id field in a complete event; empty if there was none.
 	LastID string
+	// DataLines counts the data lines of all complete events. A stream that sends
+	// other bytes only makes no progress.
+	DataLines int
 }
 
 // maxPartialEventBytes bounds the bytes of one event.
@@ -36,7 +39,7 @@
 		return nil, nil
 	}
 	complete := e.pending[:end]
-	e.recordLastID(complete)
+	e.recordFields(complete)
 	e.pending = bytes.Clone(e.pending[end:])
 	return complete, nil
 }
@@ -78,12 +81,16 @@
 	}
 }
 
-// recordLastID sets LastID from the id fields of complete events.
-func (e *EventParser) recordLastID(p []byte) {
+// recordFields sets LastID from the id fields of complete events, and counts their data
+// lines.
+func (e *EventParser) recordFields(p []byte) {
 	for line := range bytes.Lines(p) {
 		if value, ok := fieldValue(line, "id"); ok {
 			e.LastID = value
 		}
+		if _, ok := fieldValue(line, "data"); ok {
+			e.DataLines++
+		}
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -182,6 +182,9 @@
 	softwareVersion string
 	// avoid holds the ids of the replicas that failed or refused an attempt.
 	avoid []string
+	// giveUp reports whether to end the present attempt while its replica is silent;
+	// nil if no other attempt could follow.
+	giveUp func() bool
 	// reserved is the slot for the next attempt, if it was acquired before the
 	// present one was given up.
 	reserved *slots.Grant
@@ -259,7 +262,9 @@
 		return false, s.refusalError(err)
 	}
 	s.grant = g
-	res, err := s.Upstream.Send(ctx, s.req, s.sendArgs(ctx, g))
+	args := s.sendArgs(ctx, g)
+	s.giveUp = args.GiveUp
+	res, err := s.Upstream.Send(ctx, s.req, args)
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
 	}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -158,7 +158,9 @@
 	upstream *fakeUpstream
 	slots    *fakeSlots
 	sink     *recordingSink
-	err      error
+	// clock is a real one if it is nil.
+	clock clockwork.Clock
+	err   error
 }
 
 func runScript(rt *route.Route, replicas int, attempts ...scriptedAttempt) scriptResult {
@@ -173,11 +175,14 @@
 func (o scriptResult) runRequest(req *Request) scriptResult {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
+	if o.clock == nil {
+		o.clock = clockwork.NewRealClock()
+	}
 	r := &Runner{
-		Slots: o.slots, Upstream: o.upstream, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log),
+		Slots: o.slots, Upstream: o.upstream, Clock: o.clock, Log: logrus.NewEntry(log),
 		Metrics: NewMetrics(prometheus.NewRegistry()),
 	}
-	req.Arrived = time.Now()
+	req.Arrived = o.clock.Now()
 	req.Deadline = req.Arrived.Add(time.Minute)
 	o.err = r.Run(context.Background(), req, o.sink)
 	return o
@@ -455,6 +460,57 @@
 	}
 }
 
+// slowReader reads pieces, one in each interval, and the last one again and again.
+type slowReader struct {
+	clock    *clockwork.FakeClock
+	interval time.Duration
+	pieces   []string
+	reads    int
+}
+
+// maxSlowReads bounds the reads of a stream that should have ended.
+const maxSlowReads = 1000
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.reads++; r.reads > maxSlowReads || len(r.pieces) == 0 {
+		return 0, io.EOF
+	}
+	r.clock.Advance(r.interval)
+	n := copy(p, r.pieces[0])
+	if len(r.pieces) > 1 || r.pieces[0] == "" {
+		r.pieces = r.pieces[1:]
+	}
+	return n, nil
+}
+
+func TestStreamThatSendsBytesButNoEventsIsResumed(t *testing.T) {
+	for name, piece := range map[string]string{"partial event": "d", "comments": ": wait\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			body := &slowReader{clock: clock, interval: resumable.MaxGap / 4, pieces: []string{events(1, 2), piece}}
+			upstream := &fakeUpstream{attempts: []scriptedAttempt{stream(body), stream(strings.NewReader(events(3, 4)))}}
+			o := scriptResult{upstream: upstream, slots: &fakeSlots{left: 5}, sink: &recordingSink{}, clock: clock}.run(resumable)
+			require.NoError(t, o.err)
+			require.Equal(t, events(1, 4), strings.ReplaceAll(o.sink.body.String(), ": wait\n\n", ""))
+			require.Less(t, body.reads, 10)
+		})
+	}
+}
+
+func TestSlowStreamIsNotGivenUp(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	var pieces []string
+	for n := range 12 {
+		event := events(n+1, n+1)
+		pieces = append(pieces, event[:5], event[5:9], event[9:])
+	}
+	body := &slowReader{clock: clock, interval: resumable.MaxGap * 3 / 10, pieces: append(pieces, "")}
+	o := scriptResult{upstream: &fakeUpstream{attempts: []scriptedAttempt{stream(body)}}, slots: &fakeSlots{left: 5}, sink: &recordingSink{}, clock: clock}.run(resumable)
+	require.NoError(t, o.err)
+	require.Equal(t, events(1, 12), o.sink.body.String())
+	require.Len(t, o.upstream.sent, 1)
+}
+
 func TestResponseTimeoutsAreSetOnlyIfARetryIsPossible(t *testing.T) {
 	o := runScript(resumable, 5, stream(failAfter(events(1, 1), errBroken)), stream(strings.NewReader(events(2, 2))))
 	require.NotZero(t, o.upstream.sent[0].FirstByteTimeout)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -34,6 +35,7 @@
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
 	errEventTooLarge      = errors.Newf("event is larger than %d bytes", maxPartialEventBytes)
 	errEndsWithinEvent    = errors.New("event stream ends within an event")
+	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
 	errNoEvent            = errors.New("connection ends before the first event of a stream")
 )
 
@@ -199,6 +201,7 @@
 func (s *requestState) relayEventStream(res *Response) (slots.Outcome, error) {
 	s.events.Reset()
 	buf := make([]byte, relayBufferBytes)
+	progress := progress{dataLines: s.events.DataLines, at: s.Clock.Now()}
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
@@ -206,6 +209,9 @@
 			if err != nil {
 				return slots.Failed, err
 			}
+			if s.isStalled(&progress) {
+				return slots.Unreachable, errNoProgress
+			}
 			if err := s.writeToCaller(res, complete); err != nil {
 				return slots.Unused, err
 			}
@@ -219,6 +225,27 @@
 	}
 }
 
+// progress is when a stream last brought data.
+type progress struct {
+	dataLines int
+	at        time.Time
+}
+
+// isStalled reports whether to give up a stream that has brought bytes but no data for
+// the longest pause that its route allows.
+func (s *requestState) isStalled(p *progress) bool {
+	now := s.Clock.Now()
+	if s.events.DataLines > p.dataLines {
+		p.dataLines, p.at = s.events.DataLines, now
+		return false
+	}
+	if s.giveUp == nil || s.req.Route.MaxGap <= 0 || now.Sub(p.at) <= s.req.Route.MaxGap {
+		return false
+	}
+	p.at = now
+	return s.giveUp()
+}
+
 // endEventStream checks a stream whose body has ended. The end of the body alone
 // doesn't show that the stream is complete: a close-delimited body also ends when
 // its replica fails.
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -97,7 +97,7 @@
 	// is run on another slot.
 	runFirstByteTimeout = 600 * time.Millisecond
 	runGapTimeout       = 700 * time.Millisecond
-	// runEventTimeout bounds the time without a complete event while bytes arrive.
+	// runEventTimeout bounds the time without an event with data while bytes arrive.
 	runEventTimeout = 5 * time.Second
 	// runRetryDelay is the delay before an item runs again after a failed run.
 	// It doubles with each consecutive failure up to maxRunRetryDelay.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -372,6 +372,27 @@
 	require.Equal(t, output, c.results("a", 0)[0].Output)
 }
 
+// A replica sends comments and never another event.
+func TestItemWhoseReplicaSendsNoEventsStartsAgain(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(context.Background(), submission(1)))
+	clock := clockwork.NewFakeClock()
+	a.Clock = clock
+	a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+		return answer(http.StatusOK, &commentReader{clock}), nil
+	}
+	require.Equal(t, slots.Failed, a.grantSlot())
+}
+
+// commentReader sends a comment each second.
+type commentReader struct{ clock *clockwork.FakeClock }
+
+func (r *commentReader) Read(p []byte) (int, error) {
+	r.clock.Advance(time.Second)
+	return copy(p, ": wait\n\n"), nil
+}
+
 // endlessText is a line without end.
 type endlessText struct{}
 
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -296,18 +296,18 @@
 	var events forward.EventParser
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
-	progressAt := m.Clock.Now()
+	dataLines, progressAt := 0, m.Clock.Now()
 	for {
 		n, err := ans.Body.Read(buf)
 		if n > 0 {
 			complete, err := events.Feed(buf[:n])
 			switch {
 			case err != nil:
-			case complete != nil:
-				progressAt = m.Clock.Now()
+			case events.DataLines > dataLines:
+				dataLines, progressAt = events.DataLines, m.Clock.Now()
 				err = m.appendEvents(it, forward.EventData(complete), events.LastID)
 			case m.Clock.Now().Sub(progressAt) > runEventTimeout:
-				err = errors.Newf("no complete event in %v", runEventTimeout)
+				err = errors.Newf("no event with data in %v", runEventTimeout)
 			}
 			if err != nil {
 				return endBroken, slots.Failed, err
