config: a starting host waits for a newer word than the old documents of a peer

In its first 3 s, as with a copy on disk, a host now counts only documents as confirmed that equalled those in the store up to 4.5 s ago. During an outage of the store hosts start with what peers have, after those 3 s.

TestStartingHostIsNotReadyWithTheOldDocumentsOfAPeer failed before.

--- a/config/distributor.go
+++ b/config/distributor.go
@@ -33,9 +33,12 @@
 	// takeOverAgeStep longer.
 	takeOverAge     = 2500 * time.Millisecond
 	takeOverAgeStep = time.Second
-	// startTimeout is how long a host that has a copy on disk waits for the
-	// store or a peer to confirm a set. After that the host is ready with the
-	// copy.
+	// maxConfirmedAge is the age of a set up to which it counts as lately confirmed
+	// by the store.
+	maxConfirmedAge = takeOverAge + relayCount*takeOverAgeStep
+	// startTimeout is how long a host that has a copy on disk, or the old set of a
+	// peer, waits for a set that the store confirmed lately. After that the host is
+	// ready with what it has.
 	startTimeout = 3 * time.Second
 	// callTimeout bounds a call to a peer.
 	callTimeout = time.Second
@@ -249,13 +252,16 @@
 
 // Lacks returns the reasons why the host is not ready.
 func (d *Distributor) Lacks() []string {
-	complete, confirmed, _ := d.Set.Complete()
+	complete, confirmed, age := d.Set.Complete()
+	starting := d.Clock.Now().Sub(d.started) < startTimeout
 	switch {
-	case confirmed:
+	case confirmed && (age <= maxConfirmedAge || !starting):
 		return nil
+	case confirmed:
+		return []string{fmt.Sprintf("the documents of a peer, last confirmed %s ago, wait for a newer word of the platform's service or a peer", age.Round(time.Second))}
 	case !complete:
 		return []string{"no whole set of documents: neither the platform's service nor a peer has answered, and there is no copy on disk"}
-	case d.Clock.Now().Sub(d.started) < startTimeout:
+	case starting:
 		return []string{"the copy of the documents on disk waits for a word of the platform's service or a peer"}
 	default:
 		return nil
@@ -269,7 +275,7 @@
 	switch {
 	case complete && !confirmed:
 		return []string{fmt.Sprintf("the documents are a copy on disk, %s old", age.Round(time.Second))}
-	case complete && age > takeOverAge+takeOverAgeStep*relayCount:
+	case complete && age > maxConfirmedAge:
 		return []string{fmt.Sprintf("the documents were last confirmed %s ago", age.Round(time.Second))}
 	default:
 		return nil
--- a/config/distributor_test.go
+++ b/config/distributor_test.go
@@ -290,6 +290,34 @@
 	}
 }
 
+// The only peer of the starting host has been cut off from the store for a while, and a
+// document was edited since.
+func TestStartingHostIsNotReadyWithTheOldDocumentsOfAPeer(t *testing.T) {
+	r := newCluster(t, "a")
+	old := r.hosts[0]
+	r.requireInForce(r.edit(), old)
+	r.cutFromStore(old)
+	require.Eventually(t, func() bool { return old.Set.ages(time.Minute) }, 5*time.Second, time.Millisecond, "calls to the store have ended")
+	newest := r.edit()
+	heal := r.store.AddFault(kvtest.Fault{Host: "starting", Err: errUnreachable})
+	h := r.add("a", "starting", "")
+	require.Eventually(t, func() bool { return h.generation() == newest-1 }, startTimeout, time.Millisecond, "the documents of the peer")
+	require.NotEmpty(t, h.Lacks())
+	heal()
+	require.Eventually(t, func() bool { return len(h.Lacks()) == 0 }, startTimeout+inForceTimeout, time.Millisecond)
+	require.Equal(t, newest, h.generation())
+}
+
+// ages lets a set be as old as given, and reports whether it stays so for a while.
+func (s *Set) ages(age time.Duration) bool {
+	s.mu.Lock()
+	s.current = clock.Now().Add(-age)
+	s.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	_, _, now := s.Complete()
+	return now >= age
+}
+
 func TestCorruptDiskCopyIsIgnored(t *testing.T) {
 	r := newCluster(t)
 	folder := t.TempDir()
