--- /dev/null
+++ b/slots/acquire.go
@@ -0,0 +1,252 @@
+package slots
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/replica"
+)
+
+// AcquireArgs is the argument of Acquire, a request for a slot for an online
+// request.
+type AcquireArgs struct {
+	// Request is the ID of the request, for logs.
+	Request string
+	Host    string
+	Service string
+	// MaxWait is how long the request may wait for a slot.
+	MaxWait time.Duration
+	// Priority orders waiting requests, lower values first; 0 is the highest
+	// priority of a route.
+	Priority int
+	// Avoid holds the IDs of replicas that the request must not be sent to.
+	Avoid []string
+	// Leaving holds the replicas that the host has found to be leaving.
+	Leaving []replica.Incarnation
+	// Pinned restricts the request to replicas of SoftwareVersion, since it resumes
+	// a stream that such a replica began.
+	Pinned          bool
+	SoftwareVersion string
+	// Stream is the ID of the request that begins the stream, if its caller may
+	// resume it; empty otherwise.
+	Stream string
+}
+
+// matchesVersion reports whether the replica's software may run the request.
+func (a *AcquireArgs) matchesVersion(r *replicaState) bool {
+	return !a.Pinned || r.SoftwareVersion == a.SoftwareVersion
+}
+
+// allows reports whether the request may be sent to the replica.
+func (a *AcquireArgs) allows(r *replicaState) bool {
+	return a.matchesVersion(r) && !slices.Contains(a.Avoid, r.ID) && !a.isLeaving(r)
+}
+
+func (a *AcquireArgs) isLeaving(r *replicaState) bool {
+	return slices.ContainsFunc(a.Leaving, func(l replica.Incarnation) bool { return l.ID == r.ID && r.Born <= l.Born })
+}
+
+// AcquireReply is the reply to Acquire.
+type AcquireReply struct {
+	Granted bool
+	Grant   Grant
+	// Moved reports that this host is not the broker yet, since it has no replica
+	// records, or stopped being it while the request waited.
+	Moved bool
+	// Wait is the expected wait of a refused request, and RetryAfter is when to
+	// send it again.
+	Wait, RetryAfter time.Duration
+	// Replicas is the number of ready replicas of the service that may run the
+	// request, and RateLimited is the number of those that only their rate limit
+	// keeps from it.
+	Replicas, RateLimited int
+}
+
+// Acquire grants a slot to an online request or refuses it. It waits for a free
+// slot for at most args.MaxWait.
+func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	waiter, granted := b.decide(&args, reply)
+	if waiter == nil {
+		return nil
+	}
+	timer := b.clock.NewTimer(args.MaxWait)
+	defer timer.Stop()
+	select {
+	case g, ok := <-granted:
+		reply.Moved = !ok
+		if ok {
+			reply.setGrant(&g)
+		}
+	case <-timer.Chan():
+		b.endWait(waiter, granted, reply)
+	}
+	return nil
+}
+
+// decide decides on a request for a slot. A request that has to wait gets a waiter and
+// the channel on which its grant arrives.
+func (b *Broker) decide(args *AcquireArgs, reply *AcquireReply) (*Waiter, chan Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.replicas == nil {
+		reply.Moved = true
+		return nil, nil
+	}
+	now := b.clock.Now()
+	b.updateRateShare(now)
+	d := b.sched.Acquire(now, *args)
+	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited}
+	if d.Waiter == nil {
+		if d.Grant != nil {
+			b.recordGrant(args, d.Grant)
+		}
+		reply.setGrant(d.Grant)
+		return nil, nil
+	}
+	granted := make(chan Grant, 1)
+	b.waiting[d.Waiter] = granted
+	b.plan()
+	return d.Waiter, granted
+}
+
+// setGrant sets the grant; nil leaves the reply a refusal.
+func (r *AcquireReply) setGrant(g *Grant) {
+	if g != nil {
+		r.Granted, r.Grant = true, *g
+	}
+}
+
+// endWait removes a waiter whose time is up, unless it was granted a slot
+// meanwhile.
+func (b *Broker) endWait(w *Waiter, granted chan Grant, reply *AcquireReply) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	select {
+	case g, ok := <-granted:
+		reply.Moved = !ok
+		if ok {
+			reply.setGrant(&g)
+		}
+	default:
+		delete(b.waiting, w)
+		reply.RetryAfter = b.sched.RemoveWaiter(b.clock.Now(), w)
+	}
+}
+
+// Acquire acquires a slot. It first requests one in the host's own data centre
+// for at most localWait, then in each other one for at most remoteWait, then for
+// the rest of the wait in the own one again. If that has no replica for a pinned
+// request, the rest of the wait is spent where there is one.
+func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
+	own := c.View.Self().DataCentre
+	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
+	args.MaxWait = min(wait, localWait)
+	g, refusal := c.acquireFrom(ctx, own, args)
+	if refusal == nil {
+		return g, nil
+	}
+	waitIn := own
+	args.MaxWait = min(wait, remoteWait)
+	for _, dc := range c.otherDataCentres() {
+		if ctx.Err() != nil {
+			return Grant{}, ctx.Err()
+		}
+		g, remoteRefusal := c.acquireFrom(ctx, dc, args)
+		if remoteRefusal == nil {
+			return g, nil
+		}
+		if args.Pinned && refusal.Replicas == 0 && remoteRefusal.Replicas > 0 {
+			waitIn, refusal = dc, remoteRefusal
+		}
+	}
+	if wait <= localWait || ctx.Err() != nil {
+		return Grant{}, refusal
+	}
+	args.MaxWait = wait - localWait
+	if refusal.Wait > args.MaxWait || refusal.Replicas == 0 {
+		return Grant{}, refusal
+	}
+	if g, refusal = c.acquireFrom(ctx, waitIn, args); refusal == nil {
+		return g, nil
+	}
+	return Grant{}, refusal
+}
+
+// acquireFrom requests a slot from the brokers of one data centre, in turn,
+// until one answers.
+func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args AcquireArgs) (Grant, *RefusedError) {
+	for _, h := range c.brokers(dataCentre) {
+		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
+		if err != nil {
+			if ctx.Err() != nil {
+				break
+			}
+			c.suspect(h, err)
+			continue
+		}
+		c.clearSuspicion(h)
+		if reply.Moved {
+			continue
+		}
+		if !reply.Granted {
+			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited}
+		}
+		// The broker's clock may differ, so Since becomes a time of this host.
+		reply.Grant.Since = c.Clock.Now()
+		reply.Grant.Broker = h.Name
+		c.mu.Lock()
+		c.grants[reply.Grant.ID] = reply.Grant
+		c.mu.Unlock()
+		return reply.Grant, nil
+	}
+	return Grant{}, &RefusedError{RetryAfter: minRetryAfter}
+}
+
+// acquireWithinRateLimits requests a slot from a broker. If the broker grants one of a
+// replica without knowing of its rate limit, it is told and asked once more.
+func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args AcquireArgs) (*AcquireReply, error) {
+	reply, err := c.callAcquire(ctx, h, args)
+	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
+		return reply, err
+	}
+	c.release(h, reply.Grant, Unused)
+	if err := c.reportRateLimits(ctx, h, dataCentre); err != nil {
+		return nil, err
+	}
+	reply, err = c.callAcquire(ctx, h, args)
+	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
+		return reply, err
+	}
+	c.release(h, reply.Grant, Unused)
+	return &AcquireReply{RetryAfter: minRetryAfter, Replicas: reply.Replicas}, nil
+}
+
+// callAcquire makes one call to a broker. If ctx ends first, a slot that the
+// broker still grants is released.
+func (c *Client) callAcquire(ctx context.Context, h membership.Host, args AcquireArgs) (*AcquireReply, error) {
+	type result struct {
+		reply *AcquireReply
+		err   error
+	}
+	done := make(chan result, 1)
+	go func() {
+		reply := new(AcquireReply)
+		callCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), args.MaxWait+callMargin)
+		defer cancel()
+		err := c.call(callCtx, h, "Acquire", args, reply)
+		done <- result{reply, err}
+	}()
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		go func() {
+			if r := <-done; r.err == nil && r.reply.Granted {
+				c.release(h, r.reply.Grant, Unused)
+			}
+		}()
+		return nil, ctx.Err()
+	}
+}
