slots: a rate limit beyond all numbers of requests limits nothing

Noticed while reading the diff: a limit of 1e300 requests a second, which the decoder accepts, gave a token bucket of negative size, and the replica no request at all. Higher limits than a million a second count as that. TestRateLimitBeyondAllRequestsLimitsNothing failed before.

--- a/slots/ratelimit.go
+++ b/slots/ratelimit.go
@@ -13,6 +13,9 @@
 	// minRateLimit, in requests a second, is granted on replicas that name a lower
 	// limit: only a response can say that the limit has ended.
 	minRateLimit = 0.2
+	// maxRateLimit, in requests a second, stands for any higher limit: more requests
+	// never reach one replica.
+	maxRateLimit = 1e6
 	// rateLimitBurst is the time whose requests may be granted at once.
 	rateLimitBurst = time.Second
 	// rateLimitPreference is how much less load a replica with a rate limit counts as
@@ -56,7 +59,7 @@
 	if !b.limited() {
 		return
 	}
-	perSecond := max(b.limit.PerSecond*share, minRateLimit)
+	perSecond := min(max(b.limit.PerSecond*share, minRateLimit), maxRateLimit)
 	b.bucket.SetLimitAt(now, rate.Limit(perSecond))
 	b.bucket.SetBurstAt(now, int(math.Ceil(perSecond*rateLimitBurst.Seconds())))
 }
--- a/slots/ratelimit_test.go
+++ b/slots/ratelimit_test.go
@@ -54,6 +54,12 @@
 	}
 }
 
+func TestRateLimitBeyondAllRequestsLimitsNothing(t *testing.T) {
+	s := newScheduler(1, 8)
+	limitReplica(s, "r0", start, 1e300)
+	require.Equal(t, 1000, countGrants(s, start.Add(time.Second), time.Second))
+}
+
 func TestRateLimitOfABrokerEnds(t *testing.T) {
 	s := newScheduler(1, 8)
 	limitReplica(s, "r0", start, 1)
