--- a/host/replicas.go
+++ b/host/replicas.go
@@ -99,7 +99,7 @@
 	return true
 }
 
-// RateLimit returns the last word of a replica about its rate limit that this host
+// RateLimit returns the last observation of a replica's rate limit that this host
 // knows of.
 func (r *Replicas) RateLimit(of replica.Replica) replica.RateLimit {
 	r.mu.Lock()
@@ -107,7 +107,8 @@
 	return r.view.RateLimit(of)
 }
 
-// RateLimits returns the last words of all replicas that ever named a rate limit.
+// RateLimits returns the last observations of all replicas that ever named a rate
+// limit.
 func (r *Replicas) RateLimits() map[replica.Replica]replica.RateLimit {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/replica/ratelimit.go
+++ b/replica/ratelimit.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// rateLimitRetention is how long a rate limit is remembered without another word of
-// its replica.
+// rateLimitRetention is how long a rate limit is remembered without another
+// response of its replica.
 const rateLimitRetention = time.Hour
 
 // RateLimit is what a response of a replica says about the requests that the replica
@@ -22,14 +22,15 @@
 	return l.Limited == other.Limited && l.PerSecond == other.PerSecond
 }
 
-// rateLimitMark is the last word of an incarnation of a replica about its rate limit.
+// rateLimitMark is the last observation of the rate limit of one incarnation of a
+// replica.
 type rateLimitMark struct {
 	replica Replica
 	limit   RateLimit
 }
 
 // ObserveRateLimit records what a replica says about its rate limit and reports
-// whether that is new. The latest word counts. A replica that never named a limit is
+// whether that is new. The latest observation counts. A replica that never named a limit is
 // not recorded.
 func (v *View) ObserveRateLimit(r Replica, l RateLimit) bool {
 	known, ok := v.rateLimits[r.ID]
@@ -61,7 +62,8 @@
 	return mark.limit
 }
 
-// RateLimits returns the last words of all replicas that ever named a rate limit.
+// RateLimits returns the last observations of all replicas that ever named a rate
+// limit.
 func (v *View) RateLimits() map[Replica]RateLimit {
 	limits := make(map[Replica]RateLimit, len(v.rateLimits))
 	for _, mark := range v.rateLimits {
--- a/replica/ratelimit_test.go
+++ b/replica/ratelimit_test.go
@@ -7,10 +7,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Each row applies words about the rate limit of replica a; limit is what the view says
+// Each row applies observations of the rate limit of replica a; limit is what the view says
 // then of the incarnation born at 5.
-func TestLatestWordAboutARateLimitCounts(t *testing.T) {
-	type word struct {
+func TestLatestObservationOfARateLimitCounts(t *testing.T) {
+	type observation struct {
 		born    int64
 		after   time.Duration
 		limit   RateLimit
@@ -18,29 +18,29 @@
 	}
 	two, three := RateLimit{Limited: true, PerSecond: 2}, RateLimit{Limited: true, PerSecond: 3}
 	rows := []struct {
-		name  string
-		words []word
-		limit RateLimit
+		name         string
+		observations []observation
+		limit        RateLimit
 	}{
 		{"nothing said", nil, RateLimit{}},
-		{"never limited", []word{{5, 0, RateLimit{}, false}}, RateLimit{}},
-		{"limited", []word{{5, 0, two, true}, {5, 1, two, false}}, two},
-		{"another limit", []word{{5, 0, two, true}, {5, 1, three, true}}, three},
-		{"older word comes late", []word{{5, 1, two, true}, {5, 0, RateLimit{}, false}}, two},
-		{"no limit any more", []word{{5, 0, two, true}, {5, 1, RateLimit{}, true}}, RateLimit{}},
-		{"limited again", []word{{5, 0, two, true}, {5, 1, RateLimit{}, true}, {5, 2, two, true}}, two},
-		{"former incarnation", []word{{4, 0, two, true}}, RateLimit{}},
-		{"started again without limit", []word{{4, 1, two, true}, {5, 0, RateLimit{}, false}}, RateLimit{}},
-		{"started again with a limit", []word{{4, 1, two, true}, {5, 0, two, true}}, two},
-		{"former incarnation comes late", []word{{5, 0, two, true}, {4, 1, three, false}}, two},
+		{"never limited", []observation{{5, 0, RateLimit{}, false}}, RateLimit{}},
+		{"limited", []observation{{5, 0, two, true}, {5, 1, two, false}}, two},
+		{"another limit", []observation{{5, 0, two, true}, {5, 1, three, true}}, three},
+		{"older observation comes late", []observation{{5, 1, two, true}, {5, 0, RateLimit{}, false}}, two},
+		{"no limit any more", []observation{{5, 0, two, true}, {5, 1, RateLimit{}, true}}, RateLimit{}},
+		{"limited again", []observation{{5, 0, two, true}, {5, 1, RateLimit{}, true}, {5, 2, two, true}}, two},
+		{"former incarnation", []observation{{4, 0, two, true}}, RateLimit{}},
+		{"started again without limit", []observation{{4, 1, two, true}, {5, 0, RateLimit{}, false}}, RateLimit{}},
+		{"started again with a limit", []observation{{4, 1, two, true}, {5, 0, two, true}}, two},
+		{"former incarnation comes late", []observation{{5, 0, two, true}, {4, 1, three, false}}, two},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
 			v := NewView()
-			for i, w := range row.words {
-				l := w.limit
-				l.At = now.Add(w.after)
-				require.Equal(t, w.changed, v.ObserveRateLimit(ready("a", w.born), l), "word %d", i)
+			for i, o := range row.observations {
+				l := o.limit
+				l.At = now.Add(o.after)
+				require.Equal(t, o.changed, v.ObserveRateLimit(ready("a", o.born), l), "observation %d", i)
 			}
 			require.True(t, row.limit.Equal(v.RateLimit(ready("a", 5))), "%+v", v.RateLimit(ready("a", 5)))
 		})
--- a/slots/client.go
+++ b/slots/client.go
@@ -78,7 +78,7 @@
 	// RecentlyLeaving returns the replicas of a service that were lately found to be
 	// leaving.
 	RecentlyLeaving(service string) []replica.Incarnation
-	// RateLimit returns the last word of a replica about its rate limit, and
+	// RateLimit returns the last observation of a replica's rate limit, and
 	// RateLimits those of all replicas that ever named one.
 	RateLimit(r replica.Replica) replica.RateLimit
 	RateLimits() map[replica.Replica]replica.RateLimit
--- a/slots/ratelimit.go
+++ b/slots/ratelimit.go
@@ -31,13 +31,13 @@
 // rateBudget is the part of a replica's rate limit that this broker may grant. The zero
 // value has no limit.
 type rateBudget struct {
-	// limit is the last word of the replica that the broker knows of.
+	// limit is the last observation that the broker knows of.
 	limit replica.RateLimit
 	// bucket is nil while there is no limit. A grant takes a token.
 	bucket *rate.Limiter
 }
 
-// observe applies a word of the replica unless a later one is known. Nothing is granted
+// observe applies an observation unless a later one is known. Nothing is granted
 // at once under a limit that is new: the replica has had requests in the last second.
 func (b *rateBudget) observe(now time.Time, l replica.RateLimit, share float64) {
 	if l.At.Before(b.limit.At) {
--- a/slots/ratelimit_client.go
+++ b/slots/ratelimit_client.go
@@ -38,7 +38,7 @@
 }
 
 // reconcileRateLimit compares what the broker that granted a slot knew of the replica's
-// rate limit with what this host knows. The later word counts for both. It reports
+// rate limit with what this host knows. The later observation counts. It reports
 // whether the grant may be used: not if the broker doesn't know that there is a limit.
 func (c *Client) reconcileRateLimit(h membership.Host, g Grant) bool {
 	now := c.Clock.Now()
--- a/slots/ratelimit_test.go
+++ b/slots/ratelimit_test.go
@@ -65,7 +65,7 @@
 	limitReplica(s, "r0", start, 1)
 	r := s.find(service, "r0").Replica
 	s.ObserveRateLimit(start, r, replica.RateLimit{At: start.Add(-time.Second)})
-	require.True(t, s.hasRateLimits(), "an earlier word")
+	require.True(t, s.hasRateLimits(), "an earlier observation")
 	other := r
 	other.Born = 7
 	s.ObserveRateLimit(start, other, replica.RateLimit{At: start.Add(time.Second)})
@@ -132,7 +132,7 @@
 	args := AcquireArgs{Host: other.name(), Service: service}
 	g, err := other.Acquire(context.Background(), args, 0)
 	require.NoError(t, err)
-	require.Equal(t, "ry", g.Replica.ID, "the limit of rx counts from its first word")
+	require.Equal(t, "ry", g.Replica.ID, "the limit of rx counts from its first observation")
 	f.clock.Advance(time.Second)
 	g, err = other.Acquire(context.Background(), args, 0)
 	require.NoError(t, err)
