--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/customer"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
@@ -28,6 +29,9 @@
 	ID      string
 	Route   *route.Route
 	Service string
+	// Customer is the customer whose request it is; nil if the configuration has no
+	// customers or the route is public.
+	Customer *customer.Customer
 	// ConfigVersion is the version of the configuration that Route belongs to.
 	ConfigVersion int64
 	// Method, Target, Host, Header and Body are those of the caller's HTTP
@@ -338,6 +342,9 @@
 		Request: s.req.ID, Content: s.req.content(), Host: s.Host, Service: s.req.Service, Priority: s.req.Route.Priority, Avoid: s.avoid,
 		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.req.Stream(),
 	}
+	if c := s.req.Customer; c != nil {
+		args.Customer, args.CustomerPriority = c.Name, c.Priority
+	}
 	if s.pinned {
 		// Resuming a stream comes before requests whose callers have received
 		// nothing yet.
--- a/route/route.go
+++ b/route/route.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
 )
 
 // Kind determines whether requests may be repeated and how a response is
@@ -66,6 +68,8 @@
 	// MaxWaitingTokens bounds the tokens of items that wait on a batch route, over
 	// all hosts; zero means no bound.
 	MaxWaitingTokens int64
+	// Public reports that requests need no key, though the configuration has customers.
+	Public bool
 }
 
 // Repeatable reports whether a request may be sent again even if it may have
@@ -116,7 +120,9 @@
 type Table struct {
 	Version int64
 	Limits  Limits
-	routes  map[string][]*Route
+	// Customers holds the customers; it is empty if requests carry no keys.
+	Customers *customer.Directory
+	routes    map[string][]*Route
 	// services holds the services by name.
 	services map[string]Service
 }
--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -24,6 +24,11 @@
 	// Priority orders waiting requests, lower values first; 0 is the highest
 	// priority of a route.
 	Priority int
+	// Customer is the name of the customer whose request it is, and CustomerPriority that
+	// customer's priority, which goes before Priority. Customer is empty if the
+	// configuration has no customers or the route is public.
+	Customer         string
+	CustomerPriority int
 	// Avoid holds the IDs of replicas that the request must not be sent to.
 	Avoid []string
 	// Leaving holds the replicas that the host has found to be leaving.
