--- a/customer/customer.go
+++ b/customer/customer.go
@@ -21,21 +21,3 @@
 	Priority int
 	Quota    Quota
 }
-
-// Directory holds the customers of one version of the configuration. It is immutable.
-// A nil Directory has no customers.
-type Directory struct {
-	byName map[string]*Customer
-}
-
-// Empty reports whether the configuration has no customers: then requests carry no keys.
-func (d *Directory) Empty() bool { return d == nil || len(d.byName) == 0 }
-
-// ByName returns a customer.
-func (d *Directory) ByName(name string) (*Customer, bool) {
-	if d == nil {
-		return nil, false
-	}
-	c, ok := d.byName[name]
-	return c, ok
-}
