slots: waiting requests are ordered by the customer's priority before the route's

Cause: a customer's priority takes precedence over that of the route. Change: compareWaiters puts requests that resume a stream first, then compares the customers' priorities, the routes' priorities and the latest useful starts. Without customers all have priority 0, so the order is as before.

--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -286,9 +286,23 @@
 	return d
 }
 
-// compareWaiters orders by priority, then by the latest useful start.
+// compareWaiters orders requests that resume a stream first, then by the customer's
+// priority, the route's priority and the latest useful start.
 func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(cmp.Compare(a.args.Priority, b.args.Priority), a.startBy.Compare(b.startBy))
+	return cmp.Or(
+		cmp.Compare(a.args.resumedRank(), b.args.resumedRank()),
+		cmp.Compare(a.args.CustomerPriority, b.args.CustomerPriority),
+		cmp.Compare(a.args.Priority, b.args.Priority),
+		a.startBy.Compare(b.startBy),
+	)
+}
+
+// resumedRank returns 0 for requests that resume a stream and 1 for all others.
+func (a *AcquireArgs) resumedRank() int {
+	if a.Pinned {
+		return 0
+	}
+	return 1
 }
 
 // RemoveWaiter removes a waiter from the queue and returns when to retry.
--- a/slots/scheduler_test.go
+++ b/slots/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,29 @@
 	require.Equal(t, []string{"resumed", "urgent", "patient", "low"}, order)
 }
 
+// A customer's priority goes before that of the route, and neither goes before streams
+// whose callers have received a part.
+func TestQueueIsOrderedByCustomersPriorityFirst(t *testing.T) {
+	waiters := map[string]AcquireArgs{
+		"1 resumed of the lowest priority": {Pinned: true, Priority: -1, CustomerPriority: 9},
+		"2 high customer, high route":      {CustomerPriority: 0, Priority: 0},
+		"3 high customer, low route":       {CustomerPriority: 0, Priority: 5},
+		"4 low customer, high route":       {CustomerPriority: 1, Priority: 0},
+		"5 low customer, low route":        {CustomerPriority: 1, Priority: 5},
+	}
+	var queue []*Waiter
+	for id, args := range waiters {
+		args.Request = id
+		queue = append(queue, &Waiter{args: args, startBy: start})
+	}
+	slices.SortStableFunc(queue, compareWaiters)
+	var order []string
+	for _, w := range queue {
+		order = append(order, w.args.Request)
+	}
+	require.True(t, slices.IsSorted(order), "%v", order)
+}
+
 func TestBatchGrantsAreRevokedForOnlineRequests(t *testing.T) {
 	s := newScheduler(1, 4)
 	require.Len(t, fillBatch(s, start, "b", time.Minute), 4, "batch items use all free slots")
