platform, jobs: requests carry customers' keys, and jobs belong to customers

Cause: deployments with customers have to know whose a request or a job is. Change: - platform decodes customers and public routes, field by field, so that a fault takes only its customer out of force; host logs each fault once per version. - Requests are checked after their route is found and before their body is read. Handler.KeysUsable is asked before the table is read, so that it can't hold for a newer table than the one that is used. Host.keysUsable returns true for now. - A 401 to a request with a body ends the connection: net/http reads the body first otherwise. Full duplex was tried: the server panics with "invalid concurrent Body.Read call" (TestKeysStayOnTheHost). - Replicas get the customer's name in place of what the caller sent, for online requests and items, also if the customer is gone from the configuration. - jobs.Access says which jobs a call may reach; the owner of a job decides. The customer is in the head record and in announcements. Two customers that submit under one ID don't share an acceptance, and a lost reply doesn't confirm the other's job. - jobs/backlog bounds a queue, which is a route's or a customer's on a route.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -32,6 +32,9 @@
 	// Customer is the customer whose request it is; nil if the configuration has no
 	// customers or the route is public.
 	Customer *customer.Customer
+	// HasCustomers reports that the configuration has customers. Replicas then get the
+	// customer's name and nothing of what the caller sent to be identified.
+	HasCustomers bool
 	// ConfigVersion is the version of the configuration that Route belongs to.
 	ConfigVersion int64
 	// Method, Target, Host, Header and Body are those of the caller's HTTP
@@ -70,6 +73,14 @@
 	return r.ID
 }
 
+// customerName returns the name of the customer for logs, or an empty string.
+func (r *Request) customerName() string {
+	if r.Customer == nil {
+		return ""
+	}
+	return r.Customer.Name
+}
+
 // content returns what of the request may crash replicas.
 func (r *Request) content() quarantine.Content {
 	c := quarantine.Content{Fingerprint: r.Fingerprint}
@@ -420,7 +431,7 @@
 	now := s.Clock.Now()
 	return s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "fingerprint": s.req.Fingerprint.String(), "prompt_parts": s.req.PromptParts, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "replica": g.Replica.ID, "address": g.Replica.Address, "broker": g.Broker,
-		"software_version": g.Replica.SoftwareVersion, "resumes": s.req.Resumes,
+		"software_version": g.Replica.SoftwareVersion, "resumes": s.req.Resumes, "customer": s.req.customerName(),
 		"ran": s.mayHaveRunCount, "not_run": s.notRunCount, "outcome": outcome.String(), "after_ms": now.Sub(s.req.Arrived).Milliseconds(),
 		"waited_ms": g.Since.Sub(s.req.Arrived).Milliseconds(), "held_ms": now.Sub(g.Since).Milliseconds(), "last_event": s.events.LastID,
 	})
--- a/host/config.go
+++ b/host/config.go
@@ -46,7 +46,7 @@
 // setIfNewer decodes a configuration and puts it in force if its version is
 // newer than the current one. The log says where it came from.
 func (c *Config) setIfNewer(value []byte, from string) {
-	table, err := platform.DecodeConfig(value)
+	table, faults, err := platform.DecodeConfig(value)
 	if err != nil {
 		c.log.WithError(err).WithField("from", from).Error("can't decode configuration")
 		return
@@ -65,6 +65,9 @@
 		entry = entry.WithField("replaces", previous.Version)
 	}
 	entry.Info("configuration in force")
+	for _, f := range faults {
+		c.log.WithFields(logrus.Fields{"version": table.Version, "field": f.Field, "value": f.Value, "reason": f.Reason}).Error("fault in the configuration, part of it is left out")
+	}
 }
 
 // current returns the encoded configuration in force and its version, or nil
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -30,6 +30,8 @@
 	address  string
 	replicas []*platformtest.Replica
 	hosts    map[string]*Host
+	// logs receives the logs of the hosts.
+	logs io.Writer
 }
 
 func newFleet(t *testing.T, eventInterval time.Duration) *fleet {
@@ -42,7 +44,7 @@
 
 // newEmptyFleet returns a fleet without replicas.
 func newEmptyFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, store: txntest.NewStore(), hosts: make(map[string]*Host)}
+	f := &fleet{t: t, logs: fleetLog, store: txntest.NewStore(), hosts: make(map[string]*Host)}
 	server := httptest.NewServer(platformtest.StoreHandler(f.store))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	f.address = strings.TrimPrefix(server.URL, "http://")
@@ -80,7 +82,7 @@
 
 // serve starts a host with settings and waits until it is ready.
 func (f *fleet) serve(s *platform.Settings) *Host {
-	h, err := New(s, fleetLog)
+	h, err := New(s, f.logs)
 	require.NoError(f.t, err)
 	go func() { _ = h.Serve(context.Background()) }()
 	f.hosts[s.Host] = h
--- a/host/host.go
+++ b/host/host.go
@@ -240,6 +240,7 @@
 func (h *Host) provisionListeners() (err error) {
 	handler := &platform.Handler{
 		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Draining: h.stopping.Load, Log: h.log,
+		KeysUsable: h.keysUsable,
 	}
 	if h.callers, err = h.listen("callers", h.settings.Callers, handler.Echo()); err != nil {
 		return err
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -32,6 +32,8 @@
 // acceptance is a submission that is being recorded.
 type acceptance struct {
 	done chan struct{}
+	// customer is the customer that submits the job.
+	customer string
 	// err may be read once done is closed.
 	err error
 }
@@ -43,25 +45,34 @@
 	if m.isStopping() {
 		return verdict.New(verdict.NotRun, verdict.CodeDraining, "The host is stopping.").WithRetryAfter(retryAfter)
 	}
-	m.mu.Lock()
-	if m.isKnownLocked(s.ID) {
+	for {
+		m.mu.Lock()
+		if customer, known := m.customerOfLocked(s.ID); known {
+			m.mu.Unlock()
+			if !s.Access.allows(customer) {
+				return errUnknownJob()
+			}
+			return nil
+		}
+		a, joined := m.accepting[s.ID]
+		if !joined {
+			a = &acceptance{done: make(chan struct{}), customer: s.Access.Customer}
+			m.accepting[s.ID] = a
+		}
 		m.mu.Unlock()
-		return nil
-	}
-	a, joined := m.accepting[s.ID]
-	if !joined {
-		a = &acceptance{done: make(chan struct{})}
-		m.accepting[s.ID] = a
-	}
-	m.mu.Unlock()
-	if !joined {
-		go m.accept(context.WithoutCancel(ctx), s, a)
-	}
-	select {
-	case <-a.done:
-		return a.err
-	case <-ctx.Done():
-		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeCancelled, "The caller has left.")
+		if !joined {
+			go m.accept(context.WithoutCancel(ctx), s, a)
+		}
+		select {
+		case <-a.done:
+			if a.customer == s.Access.Customer {
+				return a.err
+			}
+			// Another customer's submission has ended. If it is recorded, the next pass
+			// finds that out.
+		case <-ctx.Done():
+			return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, verdict.CodeCancelled, "The caller has left.")
+		}
 	}
 }
 
@@ -71,12 +82,14 @@
 	return m.stopping
 }
 
-// isKnownLocked reports whether the job is known to be accepted. m.mu must be
-// held.
-func (m *Manager) isKnownLocked(id string) bool {
-	_, owned := m.jobs[id]
-	_, cached := m.cachedOwners[id]
-	return owned || cached
+// customerOfLocked reports whether the job is known to be accepted, and whose it is. m.mu
+// must be held.
+func (m *Manager) customerOfLocked(id string) (customer string, known bool) {
+	if j, owned := m.jobs[id]; owned {
+		return j.head.Customer, true
+	}
+	owner, cached := m.cachedOwners[id]
+	return owner.customer, cached
 }
 
 // accept records a job and releases the submissions that wait for it.
@@ -100,8 +113,7 @@
 	for {
 		permit, err := m.backlog.Admit(ctx, m.backlogRequest(&s))
 		if errors.Is(err, backlog.ErrAccepted) {
-			go m.ensureAcceptedOwner(s.ID)
-			return nil
+			return m.resolveAccepted(ctx, &s)
 		}
 		if err != nil {
 			return err
@@ -114,8 +126,7 @@
 		case errors.Is(err, errPermitOutdated):
 			continue
 		case errors.Is(err, txn.ErrConflict):
-			go m.ensureAcceptedOwner(s.ID)
-			return nil
+			return m.resolveAccepted(ctx, &s)
 		case verdict.Of(err) != verdict.NotRun:
 			go m.awaitLateWrite(head, s.Items)
 		}
@@ -174,6 +185,25 @@
 	return err == nil, err
 }
 
+// resolveAccepted returns the outcome of the submission of a job that is recorded already,
+// maybe by another customer.
+func (m *Manager) resolveAccepted(ctx context.Context, s *Submission) error {
+	if !s.Access.Restricted {
+		go m.ensureAcceptedOwner(s.ID)
+		return nil
+	}
+	head, _, err := m.loadHead(ctx, s.ID)
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTimeout, "It is not known whose job was recorded.")
+	}
+	if !s.Access.allows(head.Customer) {
+		return errUnknownJob()
+	}
+	m.Log.WithField("job", s.ID).Info("job is already accepted")
+	m.ensureOwnerAsync(head)
+	return nil
+}
+
 // ensureAcceptedOwner ensures that a job that was already accepted has an owner.
 func (m *Manager) ensureAcceptedOwner(id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
@@ -212,14 +242,14 @@
 		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, RouteHost: s.Host, RoutePrefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
 		ItemCount: len(s.Items), WriteSeq: 1, Tokens: s.tokens(), WaitingTokens: s.tokens(),
-		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(),
+		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(), Customer: s.Access.Customer,
 	}
 }
 
 func (m *Manager) startAccepted(head *Head, rev txn.Rev, items []Item) {
 	m.addOwned(newJob(*head, rev, items, nil))
-	m.Log.WithFields(logrus.Fields{"job": head.ID, "items": len(items), "rev": rev, "due": head.due()}).Info("job accepted")
-	go m.announce(head.ID, "")
+	m.Log.WithFields(logrus.Fields{"job": head.ID, "customer": head.Customer, "items": len(items), "rev": rev, "due": head.due()}).Info("job accepted")
+	go m.announce(head.ID, head.Customer, "")
 }
 
 // newJobRequest returns the transaction that creates a job's records with a permit.
--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -11,7 +11,7 @@
 // newLimiter returns the limiter of the tokens that wait on a route.
 func (m *Manager) newLimiter() *backlog.Limiter {
 	return backlog.NewLimiter(backlog.Options{
-		Store: m.Store, Clock: m.Clock, Log: m.Log, Metrics: m.Metrics.backlog, Jobs: m.routeJobs, IsAccepted: m.isStored,
+		Store: m.Store, Clock: m.Clock, Log: m.Log, Metrics: m.Metrics.backlog, Jobs: m.queueJobs, IsAccepted: m.isStored,
 		Self: func() backlog.Host { return backlogHost(m.View.Self()) },
 		Hosts: func() []backlog.Host {
 			var hosts []backlog.Host
@@ -31,7 +31,7 @@
 
 // backlogRequest returns the request to accept a job under the limit in force.
 func (m *Manager) backlogRequest(s *Submission) backlog.Request {
-	r := backlog.Request{JobID: s.ID, RouteHost: s.Host, RoutePrefix: s.Prefix, Tokens: s.tokens()}
+	r := backlog.Request{JobID: s.ID, Queue: backlog.Queue{RouteHost: s.Host, RoutePrefix: s.Prefix, Customer: s.Access.Customer}, Tokens: s.tokens()}
 	table := m.Table()
 	if table == nil {
 		return r
@@ -42,8 +42,8 @@
 	return r
 }
 
-// routeJobs reads the jobs of a route from their head records.
-func (m *Manager) routeJobs(ctx context.Context, routeHost, routePrefix string) ([]backlog.Job, error) {
+// queueJobs reads the jobs of a queue from their head records.
+func (m *Manager) queueJobs(ctx context.Context, q backlog.Queue) ([]backlog.Job, error) {
 	found, _, err := txn.List(ctx, m.Store, headPrefix)
 	if err != nil {
 		return nil, err
@@ -55,7 +55,7 @@
 			m.Log.WithError(err).Warn("cannot decode head record of job; its tokens are not counted")
 			continue
 		}
-		if head.RouteHost != routeHost || head.RoutePrefix != routePrefix {
+		if head.RouteHost != q.RouteHost || head.RoutePrefix != q.RoutePrefix || q.Customer != "" && q.Customer != head.Customer {
 			continue
 		}
 		j := backlog.Job{ID: head.ID, Created: head.created(), Finished: head.Tokens - head.WaitingTokens}
--- a/jobs/backlog/backlog.go
+++ b/jobs/backlog/backlog.go
@@ -1,7 +1,7 @@
-// Package backlog bounds the tokens of batch items that wait on a route, summed
-// over all hosts.
+// Package backlog bounds the tokens of batch items that wait in a queue, that of a route
+// or, with customers, that of one customer on a route, summed over all hosts.
 //
-// The hosts share one record for each route in the store. While there is ample
+// The hosts share one record for each queue in the store. While there is ample
 // room, the record gives each host a share of it, and a host accepts jobs within
 // its share in transactions that require the record to be unchanged. A host whose
 // share doesn't suffice withdraws all shares by writing the record anew, counts the
@@ -23,7 +23,17 @@
 	Incarnation uint64
 }
 
-// Record is the state of one route that the hosts share.
+// Queue is what has a limit of waiting tokens of its own.
+type Queue struct {
+	RouteHost, RoutePrefix string
+	// Customer is the customer whose jobs wait; empty stands for all jobs of the route.
+	Customer string
+}
+
+// route returns the route in the form of logs and metrics.
+func (q Queue) route() string { return q.RouteHost + q.RoutePrefix }
+
+// Record is the state of one queue that the hosts share.
 type Record struct {
 	RouteHost   string `cbor:"1,keyasint"`
 	RoutePrefix string `cbor:"2,keyasint"`
@@ -34,6 +44,8 @@
 	// Shares are the tokens that each host may add while the record keeps its
 	// revision. Without shares, each acceptance writes the record.
 	Shares []Share `cbor:"5,keyasint"`
+	// Customer is that of the queue.
+	Customer string `cbor:"6,keyasint,omitempty"`
 }
 
 // Share is the part of the room that one run of a host may use.
@@ -69,14 +81,14 @@
 	Waiting, Finished int64
 }
 
-// Count is the sum over the jobs of a route.
+// Count is the sum over the jobs of a queue.
 type Count struct {
 	Waiting, Finished int64
 	// Oldest is when the oldest of the jobs was accepted.
 	Oldest time.Time
 }
 
-// Sum adds up the jobs of a route.
+// Sum adds up the jobs of a queue.
 func Sum(jobs []Job) Count {
 	var c Count
 	for _, j := range jobs {
--- a/jobs/backlog/limiter.go
+++ b/jobs/backlog/limiter.go
@@ -41,9 +41,9 @@
 	// one.
 	Self  func() Host
 	Hosts func() []Host
-	// Jobs reads the jobs of a route from the store. Those accepted at any revision
+	// Jobs reads the jobs of a queue from the store. Those accepted at any revision
 	// before the call must be among them.
-	Jobs func(ctx context.Context, routeHost, routePrefix string) ([]Job, error)
+	Jobs func(ctx context.Context, q Queue) ([]Job, error)
 	// IsAccepted reads from the store whether a job is accepted.
 	IsAccepted func(ctx context.Context, jobID string) (bool, error)
 
@@ -57,9 +57,9 @@
 	Options
 
 	mu sync.Mutex
-	// known holds the last known record of each route, by key.
+	// known holds the last known record of each queue, by key.
 	known map[string]knownRecord
-	// counts holds the last count of each route, by key.
+	// counts holds the last count of each queue, by key.
 	counts map[string]timedCount
 }
 
@@ -86,18 +86,23 @@
 
 // Request asks for the acceptance of a job.
 type Request struct {
-	JobID                  string
-	RouteHost, RoutePrefix string
+	JobID string
+	Queue
 	// Tokens are the tokens of all items of the job.
 	Tokens int64
-	// Limit is the largest number of tokens that may wait on the route, by the
+	// Limit is the largest number of tokens that may wait in the queue, by the
 	// configuration of version ConfigVersion. Zero means no limit.
 	Limit         int64
 	ConfigVersion int64
 }
 
-func (r *Request) key() string {
-	return fmt.Sprintf("%s%016x", recordPrefix, xxhash.Sum64String(r.RouteHost+r.RoutePrefix))
+// key returns the key of the queue's record.
+func (q *Queue) key() string {
+	name := q.route()
+	if q.Customer != "" {
+		name += "\x00" + q.Customer
+	}
+	return fmt.Sprintf("%s%016x", recordPrefix, xxhash.Sum64String(name))
 }
 
 // Permit allows the acceptance of one job. AddTo adds it to the transaction that
@@ -112,7 +117,7 @@
 	value []byte
 }
 
-// Limited reports whether the job's route has a limit.
+// Limited reports whether the job's queue has a limit.
 func (p *Permit) Limited() bool { return p.key != "" }
 
 // AddTo adds the permit's conditions and writes to a transaction.
@@ -176,7 +181,7 @@
 	return permit, false, err
 }
 
-// load returns the record of the request's route, with the limit of the newer of
+// load returns the record of the request's queue, with the limit of the newer of
 // the two configurations, the record's and the request's.
 func (l *Limiter) load(ctx context.Context, req Request) (knownRecord, error) {
 	key := req.key()
@@ -193,7 +198,7 @@
 	if present.ConfigVersion < req.ConfigVersion || present.rev == 0 {
 		present.ConfigVersion, present.Limit = req.ConfigVersion, req.Limit
 	}
-	present.RouteHost, present.RoutePrefix = req.RouteHost, req.RoutePrefix
+	present.RouteHost, present.RoutePrefix, present.Customer = req.RouteHost, req.RoutePrefix, req.Customer
 	return present, nil
 }
 
@@ -263,7 +268,7 @@
 		l.learnConflict(key, err)
 		return knownRecord{}, err
 	}
-	l.Log.WithFields(logrus.Fields{"route": req.RouteHost + req.RoutePrefix, "rev": next.rev}).Info("shares of the room for waiting tokens withdrawn")
+	l.Log.WithFields(logrus.Fields{"route": req.route(), "customer": req.Customer, "rev": next.rev}).Info("shares of the room for waiting tokens withdrawn")
 	l.store(key, next)
 	return next, nil
 }
@@ -296,7 +301,7 @@
 		return Permit{}, l.refuseUnlessAccepted(ctx, req, count, present)
 	}
 	start := l.Clock.Now()
-	jobs, err := l.Jobs(ctx, req.RouteHost, req.RoutePrefix)
+	jobs, err := l.Jobs(ctx, req.Queue)
 	if err != nil {
 		return Permit{}, errStore(err)
 	}
@@ -309,6 +314,10 @@
 	l.storeCount(req, count)
 	l.Metrics.observe(req, count.Waiting, present.Limit)
 	if !fits(present.Limit, count.Waiting, req.Tokens) {
+		if req.Customer != "" {
+			// The job may be recorded without a customer: then it is not in this queue.
+			return Permit{}, l.refuseUnlessAccepted(ctx, req, count, present)
+		}
 		return Permit{}, l.refuse(req, count, present)
 	}
 	next := plan(present.Record, count.Waiting, req.Tokens, l.Hosts())
@@ -319,7 +328,7 @@
 	return Permit{key: req.key(), rev: present.rev, tokens: req.Tokens, next: &next, value: value}, nil
 }
 
-// recentCount returns the last count of a route unless it is older than countTTL.
+// recentCount returns the last count of a queue unless it is older than countTTL.
 func (l *Limiter) recentCount(req Request) (timedCount, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -352,7 +361,7 @@
 	after := retryAfter(count.Count, present.Limit, req.Tokens, now, rand.Float64())
 	l.Metrics.refused.Inc()
 	l.Log.WithFields(logrus.Fields{
-		"job": req.JobID, "route": req.RouteHost + req.RoutePrefix, "tokens": req.Tokens, "waiting": count.Waiting,
+		"job": req.JobID, "route": req.route(), "customer": req.Customer, "tokens": req.Tokens, "waiting": count.Waiting,
 		"limit": present.Limit, "config_version": present.ConfigVersion, "rev": present.rev, "age_ms": now.Sub(count.at).Milliseconds(), "retry_after": after.String(),
 	}).Info("job refused: too many tokens wait on its route")
 	return verdict.New(verdict.NotRun, verdict.CodeOverloaded, "The job's %d tokens exceed the limit of %d: %d tokens wait on the route.",
--- a/jobs/backlog/limiter_test.go
+++ b/jobs/backlog/limiter_test.go
@@ -50,7 +50,7 @@
 	log.SetOutput(io.Discard)
 	return NewLimiter(Options{
 		Store: w.store, Self: func() Host { return self }, Hosts: func() []Host { return w.hosts }, Clock: w.clock,
-		Jobs:       func(ctx context.Context, _, _ string) ([]Job, error) { return w.jobs(ctx) },
+		Jobs:       func(ctx context.Context, _ Queue) ([]Job, error) { return w.jobs(ctx) },
 		IsAccepted: w.isAccepted, Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 }
@@ -84,7 +84,7 @@
 }
 
 func request(id string, tokens, limit int64) Request {
-	return Request{JobID: id, RouteHost: "h", RoutePrefix: "/p/", Tokens: tokens, Limit: limit, ConfigVersion: 1}
+	return Request{JobID: id, Queue: Queue{RouteHost: "h", RoutePrefix: "/p/"}, Tokens: tokens, Limit: limit, ConfigVersion: 1}
 }
 
 // transaction returns the transaction that records a job with a permit.
--- a/jobs/backlog/metrics.go
+++ b/jobs/backlog/metrics.go
@@ -25,8 +25,12 @@
 	return m
 }
 
+// observe sets the gauges of a route. Queues of customers have none: there may be thousands.
 func (m *Metrics) observe(req Request, waiting, limit int64) {
-	route := req.RouteHost + req.RoutePrefix
+	if req.Customer != "" {
+		return
+	}
+	route := req.route()
 	m.waiting.WithLabelValues(route).Set(float64(waiting))
 	m.limit.WithLabelValues(route).Set(float64(limit))
 }
--- a/jobs/backlog_test.go
+++ b/jobs/backlog_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/jobs/backlog"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -54,7 +55,7 @@
 	require.NoError(t, b.Submit(t.Context(), largeSubmission("j3", 1)), "an item has finished")
 	requireOverLimit(t, a.Submit(t.Context(), largeSubmission("j4", 2)))
 	go b.flushNowEventually(t)
-	require.NoError(t, b.End(t.Context(), "j2"))
+	require.NoError(t, b.End(t.Context(), Access{}, "j2"))
 	waitForNewCount()
 	require.NoError(t, a.Submit(t.Context(), largeSubmission("j4", 2)), "a job was ended")
 }
@@ -115,7 +116,7 @@
 					require.NoError(t, err)
 				}
 			}
-			jobs, err := a.routeJobs(t.Context(), "h", "/p/")
+			jobs, err := a.queueJobs(t.Context(), backlog.Queue{RouteHost: "h", RoutePrefix: "/p/"})
 			require.NoError(t, err)
 			require.Len(t, jobs, 4)
 		})
--- a/jobs/faults_test.go
+++ b/jobs/faults_test.go
@@ -37,7 +37,7 @@
 		require.NoError(t, err)
 		require.Less(t, len(item.Value), maxChunkBytes+maxChunkBytes/10)
 	}
-	page, err := a.Results(t.Context(), "job", 0, 0)
+	page, err := a.Results(t.Context(), Access{}, "job", 0, 0)
 	require.NoError(t, err)
 	require.NotEmpty(t, page.Results)
 }
@@ -83,11 +83,11 @@
 		require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(1)))
 		c.setUnreachable("a", true)
 		c.failCommits(fault, 1)
-		err := c.hosts["b"].End(t.Context(), "job")
+		err := c.hosts["b"].End(t.Context(), Access{}, "job")
 		require.Error(t, err)
 		require.Equal(t, verdict.MayHaveRun, verdict.Of(err))
 		c.store.SetFault(nil)
-		require.NoError(t, c.hosts["b"].End(t.Context(), "job"))
+		require.NoError(t, c.hosts["b"].End(t.Context(), Access{}, "job"))
 	}
 }
 
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -34,6 +34,8 @@
 	Items     []Item
 	RunTarget time.Duration
 	Retention time.Duration
+	// Access says whose job it is, and that no other customer's job is meant.
+	Access Access
 }
 
 // tokens returns the tokens of all items.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -192,7 +192,7 @@
 }
 
 func (c *cluster) results(host string, after int) []Result {
-	page, err := c.hosts[host].Results(context.Background(), "job", after, 0)
+	page, err := c.hosts[host].Results(context.Background(), Access{}, "job", after, 0)
 	require.NoError(c.t, err)
 	return page.Results
 }
@@ -216,7 +216,7 @@
 	}
 	c.setUnreachable("a", true)
 	require.Len(t, c.results("b", 1), 1, "read from the store while the owner is unreachable")
-	_, err := c.hosts["b"].Results(context.Background(), "other", 0, 0)
+	_, err := c.hosts["b"].Results(context.Background(), Access{}, "other", 0, 0)
 	require.Equal(t, verdict.CodeNotFound, verdict.As(err).Code)
 }
 
@@ -496,9 +496,9 @@
 	a := c.hosts["a"]
 	go func() { _ = a.Serve(ctx) }()
 	require.NoError(t, a.Submit(ctx, submission(2)))
-	require.NoError(t, c.hosts["b"].End(ctx, "job"))
+	require.NoError(t, c.hosts["b"].End(ctx, Access{}, "job"))
 	require.Equal(t, slots.Unused, a.grantSlot(), "nothing is left to run")
-	require.NoError(t, c.hosts["b"].End(ctx, "job"), "ending an ended job succeeds")
+	require.NoError(t, c.hosts["b"].End(ctx, Access{}, "job"), "ending an ended job succeeds")
 	head, _, err := a.loadHead(ctx, "job")
 	require.NoError(t, err)
 	require.True(t, head.Ended)
@@ -512,7 +512,7 @@
 	a := c.hosts["a"]
 	require.NoError(t, a.Submit(ctx, submission(2)))
 	c.setUnreachable("a", true)
-	require.NoError(t, c.hosts["b"].End(ctx, "job"))
+	require.NoError(t, c.hosts["b"].End(ctx, Access{}, "job"))
 	marks, _, err := txn.List(ctx, c.store, endMarkPrefix)
 	require.NoError(t, err)
 	require.Len(t, marks, 1)
@@ -533,7 +533,7 @@
 	go func() { _ = c.hosts["b"].Serve(ctx) }()
 	c.hosts["a"].disown(c.hosts["a"].jobs["job"], "test")
 	require.NoError(t, c.hosts["d"].Peer().Announce(AnnounceArgs{ID: "job", Owner: "a"}, new(None)))
-	require.NoError(t, c.hosts["d"].End(ctx, "job"))
+	require.NoError(t, c.hosts["d"].End(ctx, Access{}, "job"))
 	require.Empty(t, c.hosts["b"].Demand(false))
 	marks, _, err := txn.List(ctx, c.store, endMarkPrefix)
 	require.NoError(t, err)
@@ -607,11 +607,11 @@
 	require.NoError(t, c.hosts["a"].Submit(ctx, submission(3)))
 	for _, ownerUnreachable := range []bool{false, true} {
 		c.setUnreachable("a", ownerUnreachable)
-		body, err := c.hosts["b"].Body(ctx, "job", "i2")
+		body, err := c.hosts["b"].Body(ctx, Access{}, "job", "i2")
 		require.NoError(t, err)
 		require.Equal(t, "body 2", string(body))
 	}
-	_, err := c.hosts["a"].Body(ctx, "job", "none")
+	_, err := c.hosts["a"].Body(ctx, Access{}, "job", "none")
 	require.Equal(t, verdict.CodeNotFound, verdict.As(err).Code)
 }
 
@@ -619,7 +619,7 @@
 	c := newCluster(t, "a", "b")
 	require.NoError(t, c.hosts["a"].Submit(context.Background(), submission(1)))
 	c.store.SetFault(func(string) txntest.Fault { return txntest.Refuse })
-	_, err := c.hosts["b"].Results(context.Background(), "unknown", 0, 0)
+	_, err := c.hosts["b"].Results(context.Background(), Access{}, "unknown", 0, 0)
 	require.Equal(t, verdict.CodePlatformUnavailable, verdict.As(err).Code)
 }
 
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -56,7 +56,7 @@
 	jobs map[string]*job
 	// cachedOwners maps jobs of other hosts to their last known owner. An entry
 	// may be out of date.
-	cachedOwners map[string]string
+	cachedOwners map[string]cachedOwner
 	runs         map[slots.GrantID]context.CancelFunc
 	// accepting holds the submissions that are being recorded, by job.
 	accepting map[string]*acceptance
@@ -86,7 +86,7 @@
 // NewManager returns a Manager that owns no jobs.
 func NewManager(o Options) *Manager {
 	m := &Manager{
-		Options: o, jobs: make(map[string]*job), cachedOwners: make(map[string]string),
+		Options: o, jobs: make(map[string]*job), cachedOwners: make(map[string]cachedOwner),
 		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), ownerSearches: make(map[string]struct{}), meanRunTimes: make(map[routeKey]time.Duration), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
 		writeBackOff: newWriteBackOff(),
 	}
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -20,9 +20,10 @@
 // ReadArgs are the arguments of Peer.Read: results from position After on,
 // waiting up to Wait for the first.
 type ReadArgs struct {
-	ID    string
-	After int
-	Wait  time.Duration
+	ID     string
+	Access Access
+	After  int
+	Wait   time.Duration
 }
 
 // ReadReply is the reply of Peer.Read. Page is valid if Owned is set.
@@ -33,7 +34,7 @@
 
 // Read returns results of a job that this host owns.
 func (p *Peer) Read(args ReadArgs, reply *ReadReply) error {
-	reply.Page, reply.Owned = p.m.localResults(context.Background(), args.ID, args.After, args.Wait)
+	reply.Page, reply.Owned = p.m.localResults(context.Background(), args.Access, args.ID, args.After, args.Wait)
 	if !reply.Owned {
 		p.m.removeCachedOwner(args.ID)
 	}
@@ -41,7 +42,10 @@
 }
 
 // BodyArgs are the arguments of Peer.Body.
-type BodyArgs struct{ ID, Item string }
+type BodyArgs struct {
+	ID, Item string
+	Access   Access
+}
 
 // BodyReply is the reply of Peer.Body. Body is valid if Found is set.
 type BodyReply struct {
@@ -51,19 +55,22 @@
 
 // Body returns the request body of an item of a job that this host owns.
 func (p *Peer) Body(args BodyArgs, reply *BodyReply) error {
-	reply.Body, reply.Found = p.m.localBody(args.ID, args.Item)
+	reply.Body, reply.Found = p.m.localBody(args.Access, args.ID, args.Item)
 	return nil
 }
 
 // EndArgs are the arguments of Peer.End.
-type EndArgs struct{ ID string }
+type EndArgs struct {
+	ID     string
+	Access Access
+}
 
 // EndReply is the reply of Peer.End. Ended is set once the end is recorded.
 type EndReply struct{ Ended bool }
 
 // End ends a job that this host owns.
 func (p *Peer) End(args EndArgs, reply *EndReply) (err error) {
-	reply.Ended, err = p.m.endLocal(context.Background(), args.ID)
+	reply.Ended, err = p.m.endLocal(context.Background(), args.Access, args.ID)
 	return err
 }
 
@@ -87,7 +94,7 @@
 }
 
 // AnnounceArgs are the arguments of Peer.Announce.
-type AnnounceArgs struct{ ID, Owner string }
+type AnnounceArgs struct{ ID, Owner, Customer string }
 
 // None is the reply of methods that return nothing.
 type None struct{}
@@ -100,7 +107,7 @@
 		go p.m.checkOwner(args.ID)
 		return nil
 	}
-	p.m.cachedOwners[args.ID] = args.Owner
+	p.m.cachedOwners[args.ID] = cachedOwner{args.Owner, args.Customer}
 	return nil
 }
 
@@ -130,14 +137,14 @@
 // announce notifies all hosts of the region that this host owns a job, so that
 // they need not read its head record. A host that misses the call reads it. The
 // former owner, if there is one, comes first: it may still run the job.
-func (m *Manager) announce(id, formerOwner string) {
+func (m *Manager) announce(id, customer, formerOwner string) {
 	self := m.View.Self()
 	if formerOwner != "" && formerOwner != self.Name {
-		go m.announceToFormerOwner(id, formerOwner)
+		go m.announceToFormerOwner(id, customer, formerOwner)
 	}
 	for _, h := range membership.All(m.View) {
 		if h.Region == self.Region && h.Name != self.Name && h.Name != formerOwner {
-			m.announceTo(h, id)
+			m.announceTo(h, id, customer)
 		}
 	}
 }
@@ -145,9 +152,9 @@
 // announceToFormerOwner notifies the former owner once it is in the view: a host that
 // stood still may come back, with a view of its own, just when its jobs are taken
 // over.
-func (m *Manager) announceToFormerOwner(id, formerOwner string) {
+func (m *Manager) announceToFormerOwner(id, customer, formerOwner string) {
 	for range maxOwnerChecks {
-		if h, ok := m.findHost(formerOwner); ok && m.announceTo(h, id) {
+		if h, ok := m.findHost(formerOwner); ok && m.announceTo(h, id, customer) {
 			return
 		}
 		<-m.Clock.After(ownerCheckDelay)
@@ -155,10 +162,10 @@
 }
 
 // announceTo notifies one host and reports whether it answered.
-func (m *Manager) announceTo(h membership.Host, id string) bool {
+func (m *Manager) announceTo(h membership.Host, id, customer string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", AnnounceArgs{ID: id, Owner: m.View.Self().Name}, new(None))
+	err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", AnnounceArgs{ID: id, Owner: m.View.Self().Name, Customer: customer}, new(None))
 	if err != nil {
 		m.Log.WithError(err).WithField("job", id).WithField("peer", h.Name).Debug("cannot announce job owner to peer")
 	}
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -16,29 +16,29 @@
 
 // Results returns results of a job from position after on. If there are none it
 // waits for one.
-func (m *Manager) Results(ctx context.Context, id string, after int, wait time.Duration) (Page, error) {
-	if page, ok := m.localResults(ctx, id, after, wait); ok {
+func (m *Manager) Results(ctx context.Context, a Access, id string, after int, wait time.Duration) (Page, error) {
+	if page, ok := m.localResults(ctx, a, id, after, wait); ok {
 		return page, nil
 	}
 	var reply ReadReply
-	answered, err := m.callOwner(ctx, id, "Read", ReadArgs{ID: id, After: after, Wait: wait}, &reply, wait)
+	answered, err := m.callOwner(ctx, id, "Read", ReadArgs{ID: id, Access: a, After: after, Wait: wait}, &reply, wait)
 	if err != nil {
 		return Page{}, err
 	}
 	if answered && reply.Owned {
 		return reply.Page, nil
 	}
-	return m.storedResults(ctx, id, after)
+	return m.storedResults(ctx, a, id, after)
 }
 
-// localResults returns results of a job if this host owns it.
-func (m *Manager) localResults(ctx context.Context, id string, after int, wait time.Duration) (Page, bool) {
+// localResults returns results of a job if this host owns it and the call may reach it.
+func (m *Manager) localResults(ctx context.Context, a Access, id string, after int, wait time.Duration) (Page, bool) {
 	timer := m.Clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		j, ok := m.jobs[id]
-		if !ok || j.disowned {
+		if !ok || j.disowned || !a.allows(j.head.Customer) {
 			m.mu.Unlock()
 			return Page{}, false
 		}
@@ -86,12 +86,12 @@
 		if err != nil {
 			return false, err
 		}
-		owner = head.Owner
+		owner = cachedOwner{head.Owner, head.Customer}
 		m.mu.Lock()
 		m.cachedOwners[id] = owner
 		m.mu.Unlock()
 	}
-	h, ok := m.findHost(owner)
+	h, ok := m.findHost(owner.host)
 	if !ok || h.Name == m.View.Self().Name {
 		m.removeCachedOwner(id)
 		return false, nil
@@ -99,7 +99,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	if err := m.Peers.Call(callCtx, h.PeerAddress, PeerName+"."+method, args, reply); err != nil {
-		m.Log.WithError(err).WithField("job", id).WithField("peer", owner).Warn("call to owner of job failed")
+		m.Log.WithError(err).WithField("job", id).WithField("peer", owner.host).Warn("call to owner of job failed")
 		m.removeCachedOwner(id)
 		return false, nil
 	}
@@ -137,10 +137,19 @@
 	return head, found.Rev, nil
 }
 
+// loadHeadFor is loadHead for a call that may not reach all jobs.
+func (m *Manager) loadHeadFor(ctx context.Context, a Access, id string) (*Head, txn.Rev, error) {
+	head, rev, err := m.loadHead(ctx, id)
+	if err == nil && !a.allows(head.Customer) {
+		return nil, 0, errUnknownJob()
+	}
+	return head, rev, err
+}
+
 // storedResults reads results from the store, for a job whose owner can't be
 // reached.
-func (m *Manager) storedResults(ctx context.Context, id string, after int) (Page, error) {
-	head, _, err := m.loadHead(ctx, id)
+func (m *Manager) storedResults(ctx context.Context, a Access, id string, after int) (Page, error) {
+	head, _, err := m.loadHeadFor(ctx, a, id)
 	if err != nil {
 		return Page{}, err
 	}
@@ -173,18 +182,18 @@
 }
 
 // Body returns the request body of an item.
-func (m *Manager) Body(ctx context.Context, id, itemID string) ([]byte, error) {
-	if body, ok := m.localBody(id, itemID); ok {
+func (m *Manager) Body(ctx context.Context, a Access, id, itemID string) ([]byte, error) {
+	if body, ok := m.localBody(a, id, itemID); ok {
 		return body, nil
 	}
 	var reply BodyReply
-	if _, err := m.callOwner(ctx, id, "Body", BodyArgs{ID: id, Item: itemID}, &reply, 0); err != nil {
+	if _, err := m.callOwner(ctx, id, "Body", BodyArgs{ID: id, Item: itemID, Access: a}, &reply, 0); err != nil {
 		return nil, err
 	}
 	if reply.Found {
 		return reply.Body, nil
 	}
-	head, _, err := m.loadHead(ctx, id)
+	head, _, err := m.loadHeadFor(ctx, a, id)
 	if err != nil {
 		return nil, err
 	}
@@ -200,11 +209,11 @@
 	return nil, verdict.New(verdict.NotRun, verdict.CodeNotFound, "The job has no such item.")
 }
 
-func (m *Manager) localBody(id, itemID string) ([]byte, bool) {
+func (m *Manager) localBody(a Access, id, itemID string) ([]byte, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	j, ok := m.jobs[id]
-	if !ok {
+	if !ok || !a.allows(j.head.Customer) {
 		return nil, false
 	}
 	for _, it := range j.items {
@@ -232,15 +241,15 @@
 }
 
 // End ends a job. No item starts after it returns.
-func (m *Manager) End(ctx context.Context, id string) error {
-	if done, err := m.endLocal(ctx, id); done || err != nil {
+func (m *Manager) End(ctx context.Context, a Access, id string) error {
+	if done, err := m.endLocal(ctx, a, id); done || err != nil {
 		return err
 	}
 	// The cached owner of the first try may be out of date; the second try
 	// reads the owner from the store.
 	for range 2 {
 		var reply EndReply
-		answered, err := m.callOwner(ctx, id, "End", EndArgs{ID: id}, &reply, acceptTimeout)
+		answered, err := m.callOwner(ctx, id, "End", EndArgs{ID: id, Access: a}, &reply, acceptTimeout)
 		if err != nil {
 			return err
 		}
@@ -251,14 +260,15 @@
 			m.removeCachedOwner(id)
 		}
 	}
-	return m.endInStore(ctx, id)
+	return m.endInStore(ctx, a, id)
 }
 
-// endLocal ends a job of this host and waits until the end is recorded.
-func (m *Manager) endLocal(ctx context.Context, id string) (bool, error) {
+// endLocal ends a job of this host, if the call may reach it, and waits until the end is
+// recorded.
+func (m *Manager) endLocal(ctx context.Context, a Access, id string) (bool, error) {
 	m.mu.Lock()
 	j, ok := m.jobs[id]
-	if !ok {
+	if !ok || !a.allows(j.head.Customer) {
 		m.mu.Unlock()
 		return false, nil
 	}
@@ -321,9 +331,9 @@
 
 // endInStore records the end of a job whose owner does not answer, with an end
 // mark. The owner also finds the change when its next write conflicts.
-func (m *Manager) endInStore(ctx context.Context, id string) error {
+func (m *Manager) endInStore(ctx context.Context, a Access, id string) error {
 	for {
-		head, rev, err := m.loadHead(ctx, id)
+		head, rev, err := m.loadHeadFor(ctx, a, id)
 		if err != nil {
 			return err
 		}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -58,6 +58,9 @@
 	// MeanRunMs is the mean run time of the route's items in milliseconds, as the
 	// owner knew it at its last write; 0 if unknown.
 	MeanRunMs int64 `cbor:"17,keyasint"`
+	// Customer is the name of the customer that submitted the job; empty if it was
+	// submitted without a key.
+	Customer string `cbor:"18,keyasint,omitempty"`
 }
 
 // open reports whether the job has items left to run.
@@ -75,8 +78,10 @@
 	return h.created().Add(time.Duration(h.RetentionMs) * time.Millisecond)
 }
 
+// sameWrite reports whether two heads are of one write. The customers matter too: two of
+// them may submit under one ID to the same host.
 func (h *Head) sameWrite(other *Head) bool {
-	return h.Owner == other.Owner && h.Incarnation == other.Incarnation && h.WriteSeq == other.WriteSeq
+	return h.Owner == other.Owner && h.Incarnation == other.Incarnation && h.WriteSeq == other.WriteSeq && h.Customer == other.Customer
 }
 
 func decodeHead(item txn.Item) (*Head, error) {
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/customer"
 	"github.com/comfreyspindle/comfreyspindle/forward"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
@@ -253,6 +254,11 @@
 	req := &forward.Request{
 		ID: it.ID, Route: rt, Service: g.Replica.Service, Method: http.MethodPost, Target: it.Path,
 		Host: it.job.head.RouteHost, Header: make(http.Header), Body: it.Body,
+		HasCustomers: m.hasCustomers(),
+	}
+	if name := it.job.head.Customer; name != "" {
+		// The customer may be gone from the configuration, which ends no job.
+		req.Customer, req.HasCustomers = &customer.Customer{Name: name}, true
 	}
 	for name, value := range it.Headers {
 		req.Header.Set(name, value)
@@ -284,6 +290,12 @@
 	return m.readEvents(ans, it)
 }
 
+// hasCustomers reports whether the configuration in force has customers.
+func (m *Manager) hasCustomers() bool {
+	table := m.Table()
+	return table != nil && !table.Customers.Empty()
+}
+
 func outcomeOf(err error) slots.Outcome {
 	if errors.Is(err, pool.ErrConnect) || errors.Is(err, pool.ErrSilent) {
 		return slots.Unreachable
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -64,7 +64,7 @@
 	j, ok := m.jobs[head.ID]
 	if !ok {
 		if head.Owner != m.View.Self().Name {
-			m.cachedOwners[head.ID] = head.Owner
+			m.cachedOwners[head.ID] = cachedOwner{head.Owner, head.Customer}
 		}
 		m.mu.Unlock()
 		return false
@@ -148,7 +148,7 @@
 	j.restoreProgress(progress)
 	m.addOwned(j)
 	m.Log.WithFields(logrus.Fields{"job": id, "from": from, "listed": head.ResultCount, "total": head.ItemCount, "rev": rev}).Info("job taken over")
-	go m.announce(id, from)
+	go m.announce(id, head.Customer, from)
 	return nil
 }
 
@@ -248,7 +248,7 @@
 	}
 	m.disown(j, "handed over")
 	m.mu.Lock()
-	m.cachedOwners[j.head.ID] = next.Name
+	m.cachedOwners[j.head.ID] = cachedOwner{next.Name, j.head.Customer}
 	m.mu.Unlock()
 	log.Info("job handed over")
 }
--- a/route/route.go
+++ b/route/route.go
@@ -155,6 +155,21 @@
 // HasHost reports whether there are routes for the host.
 func (t *Table) HasHost(host string) bool { return len(t.hostRoutes(host)) > 0 }
 
+// PublicBatch reports whether a host has batch routes and all of them are public.
+func (t *Table) PublicBatch(host string) bool {
+	public := false
+	for _, r := range t.hostRoutes(host) {
+		if r.Kind != Batch {
+			continue
+		}
+		if !r.Public {
+			return false
+		}
+		public = true
+	}
+	return public
+}
+
 // hostRoutes returns the routes of a host, which may include a port.
 func (t *Table) hostRoutes(host string) []*Route {
 	if hostRoutes, ok := t.routes[host]; ok {
