jobs: TestEndReachesTheOwnerNamedInTheStore reads the owner's jobs under the lock

Cause: the test passed a.jobs["job"] to disown while the announcement of the new owner could remove it: a data race, and a nil job. Change: the job is read under the lock and disowned if it is still there; the test now also requires that the former owner has no job left.

--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -522,6 +522,13 @@
 	errtest.Is(t, err, txn.ErrNotFound)
 }
 
+// owned returns a job of this host, or nil.
+func (m *Manager) owned(id string) *job {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.jobs[id]
+}
+
 // The cached owner of a job may have handed it over since. The end must reach the
 // owner in the head record.
 func TestEndReachesTheOwnerNamedInTheStore(t *testing.T) {
@@ -531,7 +538,11 @@
 	require.NoError(t, c.hosts["a"].Submit(ctx, submission(2)))
 	require.NoError(t, c.hosts["b"].claim(ctx, "job", "a", nil))
 	go func() { _ = c.hosts["b"].Serve(ctx) }()
-	c.hosts["a"].disown(c.hosts["a"].jobs["job"], "test")
+	// The announcement of the new owner may reach a first, which then has no job left.
+	if j := c.hosts["a"].owned("job"); j != nil {
+		c.hosts["a"].disown(j, "test")
+	}
+	require.Nil(t, c.hosts["a"].owned("job"))
 	require.NoError(t, c.hosts["d"].Peer().Announce(AnnounceArgs{ID: "job", Owner: "a"}, new(None)))
 	require.NoError(t, c.hosts["d"].End(ctx, Access{}, "job"))
 	require.Empty(t, c.hosts["b"].Demand(false))
