slots: replies to polls hold when the broker's configuration was last confirmed

Cause: only brokers shall ask the store in normal operation. Change: Notice gets the version and the age of the broker's last confirmation. The version is named apart from the one in force, which is read at another moment, and 0 stands for no confirmation, as in replies of builds without the fields. The client passes it on with the time at which the poll was sent. EndPolls ends waiting polls. Measured: go test -race ./slots passes.

--- a/slots/broker.go
+++ b/slots/broker.go
@@ -48,6 +48,9 @@
 	onLeaving func(replica.Replica)
 	// configVersion is the version of the configuration in force on this host.
 	configVersion int64
+	// lastConfirmed returns the version of the configuration that was last confirmed as
+	// the newest one, and the age of the confirmation, or false; nil counts as false.
+	lastConfirmed func() (version int64, age time.Duration, ok bool)
 	// hostsVersion changes whenever the set of known hosts changes.
 	hostsVersion  int64
 	waiting       map[*Waiter]chan Grant
@@ -150,6 +153,21 @@
 	}
 }
 
+// SetLastConfirmed sets the function that returns the last confirmation of the
+// configuration. It must be called before the broker is used.
+func (b *Broker) SetLastConfirmed(lastConfirmed func() (version int64, age time.Duration, ok bool)) {
+	b.lastConfirmed = lastConfirmed
+}
+
+// EndPolls ends waiting polls, so that other hosts see a changed notice at once.
+func (b *Broker) EndPolls() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, updates := range b.updatesByHost {
+		updates.signal()
+	}
+}
+
 // HostsChanged records that the set of known hosts has changed and ends waiting
 // polls, so that other hosts see it at once.
 func (b *Broker) HostsChanged() {
@@ -273,6 +291,12 @@
 	HostsVersion int64
 	// Current reports that the store answers the broker.
 	Current bool
+	// ConfirmedVersion was the newest version of the configuration at some moment not
+	// before ConfirmedAge before the reply. It may differ from ConfigVersion, which the
+	// broker reads at another moment. Zero means that nothing is confirmed, as in the
+	// replies of builds without the field.
+	ConfirmedVersion int64
+	ConfirmedAge     time.Duration
 }
 
 // Poll records the grants and the demand of a host. It replies as soon as there
@@ -321,9 +345,7 @@
 	reply.Revoked = updates.revoked
 	updates.revoked = nil
 	reply.Version, reply.Known = b.version, b.replicas != nil
-	reply.Notice = Notice{
-		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.storeAvailable == nil || b.storeAvailable(),
-	}
+	reply.Notice = b.notice()
 	stale := version != b.version && version != skipRecords
 	if stale {
 		reply.Replicas = slices.Collect(maps.Values(b.replicas))
@@ -331,6 +353,19 @@
 	return len(reply.Granted) > 0 || len(reply.Revoked) > 0 || stale
 }
 
+// notice returns the state of the broker. The lock is held.
+func (b *Broker) notice() Notice {
+	n := Notice{
+		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.storeAvailable == nil || b.storeAvailable(),
+	}
+	if b.lastConfirmed != nil {
+		if version, age, ok := b.lastConfirmed(); ok {
+			n.ConfirmedVersion, n.ConfirmedAge = version, age
+		}
+	}
+	return n
+}
+
 // takeGrants removes and returns the pending grants that the host may still
 // use. The slots of the others are released. The lock is held.
 func (b *Broker) takeGrants(updates *pendingUpdates) []Grant {
--- a/slots/client.go
+++ b/slots/client.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/replica"
@@ -121,6 +122,10 @@
 	// OnNotice receives the notice of the broker of the own data centre, when
 	// that is another host.
 	OnNotice func(broker membership.Host, n Notice)
+	// OnConfirmed receives the confirmation of the configuration in the notice of any
+	// other broker, with the time of BootTime at which the poll was sent. Both may be nil.
+	OnConfirmed func(version int64, sent, age time.Duration)
+	BootTime    boottime.Clock
 
 	mu       sync.Mutex
 	grants   map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -60,6 +60,7 @@
 	h := ranked[0]
 	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote)}
 	var reply PollReply
+	sent := c.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	if err := c.call(callCtx, h, "Poll", args, &reply); err != nil {
@@ -70,10 +71,27 @@
 	}
 	c.clearSuspicion(h)
 	c.setReported(dataCentre, remote && !idle)
+	c.passConfirmation(h, sent, reply.Notice)
 	c.applyReply(h, reply, remote, args.Version != skipRecords)
 	return true
 }
 
+// bootTime returns the time by which confirmations are aged, if they are wanted.
+func (c *Client) bootTime() time.Duration {
+	if c.BootTime == nil {
+		return 0
+	}
+	return c.BootTime()
+}
+
+// passConfirmation passes on the confirmation in the reply to a poll. A call that was
+// repeated counts from when it was sent first.
+func (c *Client) passConfirmation(h membership.Host, sent time.Duration, n Notice) {
+	if c.OnConfirmed != nil && n.ConfirmedVersion != 0 && h.Name != c.View.Self().Name {
+		c.OnConfirmed(n.ConfirmedVersion, sent, n.ConfirmedAge)
+	}
+}
+
 // isReported reports whether the broker of another data centre has to be told that
 // the host has neither demand nor grants there any more.
 func (c *Client) isReported(dataCentre string) bool {
