host: accept keys only while the configuration is known to be recent

Cause: a host that misses a new configuration accepted removed keys for as long as it did. Change: a service confirms the configuration by reads of the store, where the settings bound the time until removed keys are refused and the configuration has customers. Replies to polls and fetched states pass confirmations on. Config keeps the revision of the record apart from the version in force. A record that can't be decoded confirms nothing.

--- a/host/config.go
+++ b/host/config.go
@@ -21,11 +21,26 @@
 	// onVersion is called with each version that comes into force.
 	onVersion func(version int64)
 
+	// decode decodes a configuration; nil is platform.DecodeConfig.
+	decode func(value []byte) (*route.Table, error)
+
 	table atomic.Pointer[route.Table]
 
 	mu sync.Mutex
 	// raw is the encoded configuration in force, as sent to peers.
 	raw []byte
+	// record is the configuration's record as last read from the store.
+	record configRecord
+}
+
+// configRecord is what is known of the configuration's record in the store. Its version
+// may differ from the one in force, which may come from a peer.
+type configRecord struct {
+	// rev is zero if the record was never read.
+	rev     txn.Rev
+	version int64
+	// err is set if the record can't be decoded, so that its version is not known.
+	err error
 }
 
 // Table returns the configuration in force, or nil.
@@ -35,7 +50,8 @@
 	for _, item := range items {
 		change := platform.DecodeOperatorChange(item)
 		if change.Config {
-			c.setIfNewer(change.Value, "store")
+			// The error is logged; the configuration in force stays.
+			_, _ = c.applyRecord(change)
 		}
 		if change.Retire != "" {
 			c.onRetire(change.Retire)
@@ -43,19 +59,57 @@
 	}
 }
 
+// applyRecord puts a record of the store in force if it is newer, and returns its version.
+func (c *Config) applyRecord(change platform.OperatorChange) (int64, error) {
+	version, err := c.apply(change.Value, "store")
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if change.Rev > c.record.rev {
+		c.record = configRecord{rev: change.Rev, version: version, err: err}
+	}
+	return version, err
+}
+
+// lastRecord returns the configuration's record as last read from the store.
+func (c *Config) lastRecord() configRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.record
+}
+
+// forgetRecord records that a revision of the configuration's record no longer exists and
+// the present one is not known.
+func (c *Config) forgetRecord(rev txn.Rev) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.record.rev == rev {
+		c.record = configRecord{}
+	}
+}
+
 // setIfNewer decodes a configuration and puts it in force if its version is
 // newer than the current one. The log says where it came from.
 func (c *Config) setIfNewer(value []byte, from string) {
-	table, err := platform.DecodeConfig(value)
+	// The error is logged; the configuration in force stays.
+	_, _ = c.apply(value, from)
+}
+
+// apply is setIfNewer. It returns the version of the decoded configuration.
+func (c *Config) apply(value []byte, from string) (int64, error) {
+	decode := c.decode
+	if decode == nil {
+		decode = platform.DecodeConfig
+	}
+	table, err := decode(value)
 	if err != nil {
 		c.log.WithError(err).WithField("from", from).Error("can't decode configuration")
-		return
+		return 0, err
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.table.Load()
 	if previous != nil && table.Version <= previous.Version {
-		return
+		return table.Version, nil
 	}
 	c.raw = value
 	c.table.Store(table)
@@ -65,6 +119,7 @@
 		entry = entry.WithField("replaces", previous.Version)
 	}
 	entry.Info("configuration in force")
+	return table.Version, nil
 }
 
 // current returns the encoded configuration in force and its version, or nil
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -30,6 +30,8 @@
 	address  string
 	replicas []*platformtest.Replica
 	hosts    map[string]*Host
+	// prepare is called with each host before it serves; it may be nil.
+	prepare func(h *Host)
 }
 
 func newFleet(t *testing.T, eventInterval time.Duration) *fleet {
@@ -70,25 +72,36 @@
 // startAt starts a host in a data centre with its own address of the store,
 // and waits until it is ready.
 func (f *fleet) startAt(name, dataCentre, store string) *Host {
-	s := &platform.Settings{
+	return f.serve(f.newSettings(name, dataCentre, store))
+}
+
+func (f *fleet) newSettings(name, dataCentre, store string) *platform.Settings {
+	return &platform.Settings{
 		Host: name, DataCentre: dataCentre, Region: "r", Callers: porttest.Free(f.t), Ready: porttest.Free(f.t), Peers: porttest.Free(f.t),
 		Metrics: porttest.Free(f.t), Store: store, Cores: 4, StopTimeout: 8 * time.Second, ResultRetention: time.Minute,
 		ConfigTimeout: 2500 * time.Millisecond, DrainTimeout: 2500 * time.Millisecond,
 	}
-	return f.serve(s)
 }
 
 // serve starts a host with settings and waits until it is ready.
 func (f *fleet) serve(s *platform.Settings) *Host {
 	h, err := New(s, fleetLog)
 	require.NoError(f.t, err)
-	go func() { _ = h.Serve(context.Background()) }()
-	f.hosts[s.Host] = h
-	f.t.Cleanup(func() { f.kill(s.Host) })
+	f.run(h)
 	require.Eventually(f.t, h.isReady, 10*time.Second, 10*time.Millisecond)
 	return h
 }
 
+// run starts a host.
+func (f *fleet) run(h *Host) {
+	if f.prepare != nil {
+		f.prepare(h)
+	}
+	go func() { _ = h.Serve(context.Background()) }()
+	f.hosts[h.settings.Host] = h
+	f.t.Cleanup(func() { f.kill(h.settings.Host) })
+}
+
 // kill stops a host without an orderly stop.
 func (f *fleet) kill(name string) {
 	h, ok := f.hosts[name]
--- a/host/host.go
+++ b/host/host.go
@@ -25,6 +25,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/jobs"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -76,6 +77,10 @@
 	quarantine   *quarantineRecords
 	jobs         *jobs.Manager
 	runner       *forward.Runner
+	// confirmer is nil if the settings don't bound the time until removed keys are
+	// refused. bootTime is the clock by which confirmations are aged.
+	confirmer *confirmer
+	bootTime  boottime.Clock
 
 	callers, ready, metrics *listener
 
@@ -151,7 +156,7 @@
 	h := &Host{
 		settings: s, clock: clock, registry: reg, store: platform.NewStore(s.Store),
 		log:              newLogger(logs, reg).WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
-		recoveryRequests: make(chan struct{}, 1), done: make(chan struct{}),
+		recoveryRequests: make(chan struct{}, 1), done: make(chan struct{}), bootTime: boottime.Now,
 	}
 	h.view = membership.NewStatic(membership.Host{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: s.Peers,
@@ -169,9 +174,10 @@
 	metrics := peer.NewMetrics(h.registry)
 	h.peerClient = peer.NewClient(callTimeout, nil, peer.WithMetrics(metrics))
 	h.brokerClient = peer.NewClient(brokerCallTimeout, nil, peer.WithMetrics(metrics))
-	h.config = &Config{log: h.log, onRetire: h.retire, onVersion: func(version int64) { h.broker.SetConfigVersion(version) }}
+	h.config = &Config{log: h.log, onRetire: h.retire, onVersion: h.versionInForce}
 	h.provisionPresence()
 	h.provisionWork()
+	h.provisionRevocation()
 	var err error
 	if h.peerServer, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics), peer.WithLog(h.log)); err != nil {
 		return err
@@ -254,10 +260,10 @@
 }
 
 // isReady reports whether the load balancer may send requests to this host: it
-// has a configuration, is not stopping, and it or a broker that replied to it
-// has the replica records.
+// has a configuration by which it may accept keys, is not stopping, and it or a broker
+// that replied to it has the replica records.
 func (h *Host) isReady() bool {
-	return !h.stopping.Load() && h.config.Table() != nil && (h.replicas.haveRecords() || h.slotClient.ReceivedRecords())
+	return !h.stopping.Load() && h.config.Table() != nil && h.keysUsable() && (h.replicas.haveRecords() || h.slotClient.ReceivedRecords())
 }
 
 // storeUnavailable reports whether the last calls to the store failed.
@@ -296,6 +302,9 @@
 		control.Add(w)
 	}
 	control.Add(&stateFetcher{host: h, seeds: h.settings.Seeds, clock: h.clock, rng: rand.New(rand.NewPCG(rand.Uint64(), 1)), log: h.log})
+	if h.confirmer != nil {
+		control.Add(h.confirmer)
+	}
 	serving := suture.New("serving", spec)
 	serving.Add(h.slotClient)
 	serving.Add(h.jobs)
--- a/host/peer.go
+++ b/host/peer.go
@@ -47,6 +47,9 @@
 	ReplicasCurrent bool
 	// Quarantine holds what is refused since it crashes replicas.
 	Quarantine quarantine.Notice
+	// ConfirmedVersion and ConfirmedAge are those of slots.Notice.
+	ConfirmedVersion int64
+	ConfirmedAge     time.Duration
 	// Current reports that the host is the broker of its data centre, has the
 	// replica records, and can reach the store.
 	Current bool
@@ -68,6 +71,9 @@
 	reply.Replicas, reply.HaveReplicas = p.host.replicas.snapshot(), p.host.replicas.haveRecords()
 	reply.ReplicasCurrent = p.host.replicasCurrent()
 	reply.Quarantine = p.host.broker.Quarantined()
+	if version, age, ok := p.host.lastConfirmed(); ok {
+		reply.ConfirmedVersion, reply.ConfirmedAge = version, age
+	}
 	reply.Current = p.host.slotClient.IsBroker() && p.host.replicas.isCurrent() && !p.host.storeUnavailable()
 	return nil
 }
@@ -81,7 +87,7 @@
 }
 
 // stateFetcher fetches state from peers while this host gets none from the
-// store.
+// store, or no confirmation of its configuration.
 type stateFetcher struct {
 	host  *Host
 	seeds []string
@@ -93,7 +99,7 @@
 // Serve fetches state at intervals, as long as it is needed, until ctx ends.
 func (f *stateFetcher) Serve(ctx context.Context) error {
 	for {
-		if f.host.lacksUpdates() || f.host.config.Table() == nil {
+		if f.host.lacksUpdates() || f.host.config.Table() == nil || f.host.lacksConfirmation() {
 			f.fetchOnce(ctx)
 		}
 		if wait.For(ctx, f.clock, stateFetchInterval); ctx.Err() != nil {
@@ -154,6 +160,7 @@
 func (h *Host) fetchState(ctx context.Context, address string) (StateReply, error) {
 	_, version := h.config.current()
 	var reply StateReply
+	sent := h.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
 	defer cancel()
 	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
@@ -163,6 +170,9 @@
 	if len(reply.Config) > 0 {
 		h.config.setIfNewer(reply.Config, address)
 	}
+	if reply.ConfirmedVersion != 0 {
+		h.handleConfirmation(reply.ConfirmedVersion, sent, reply.ConfirmedAge)
+	}
 	h.presence.AddFromPeer(reply.Hosts)
 	h.quarantine.apply(reply.Quarantine)
 	usable := reply.HaveReplicas && (reply.ReplicasCurrent || h.storeUnavailable())
--- a/host/start_test.go
+++ b/host/start_test.go
@@ -21,6 +21,13 @@
 type storeProxy struct {
 	delay     time.Duration
 	rejecting atomic.Bool
+	server    *httptest.Server
+}
+
+// cut rejects all calls, and breaks those in progress.
+func (p *storeProxy) cut() {
+	p.rejecting.Store(true)
+	p.server.CloseClientConnections()
 }
 
 // start returns the address of the proxy.
@@ -34,6 +41,7 @@
 		time.Sleep(p.delay)
 		inner.ServeHTTP(w, r)
 	}))
+	p.server = server
 	f.t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 	return strings.TrimPrefix(server.URL, "http://")
 }
