--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,6 +194,8 @@
 	// mayHaveRunCount counts the attempts that may have run the request, and
 	// notRunCount those that did not.
 	mayHaveRunCount, notRunCount int
+	// charged reports that the request has a token of its customer's quota.
+	charged bool
 	// grant is that of the present attempt.
 	grant slots.Grant
 	// pinned means that only replicas of softwareVersion may run the request: such a
@@ -282,7 +284,7 @@
 	if err != nil {
 		return false, s.refusalError(err)
 	}
-	s.grant = g
+	s.grant, s.charged = g, true
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
 	res, err := s.Upstream.Send(ctx, s.req, args)
@@ -343,7 +345,7 @@
 		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.req.Stream(),
 	}
 	if c := s.req.Customer; c != nil {
-		args.Customer, args.CustomerPriority = c.Name, c.Priority
+		args.Customer, args.CustomerPriority, args.Charged = c.Name, c.Priority, s.charged
 	}
 	if s.pinned {
 		// Resuming a stream comes before requests whose callers have received
@@ -387,6 +389,9 @@
 	if s.mayHaveRunCount > 0 || !errors.As(err, &refusal) {
 		return err
 	}
+	if refusal.OverQuota {
+		return s.overQuotaError(refusal)
+	}
 	s.Log.WithFields(logrus.Fields{
 		"request": s.req.ID, "fingerprint": s.req.Fingerprint.String(), "prompt_parts": s.req.PromptParts, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "service": s.req.Service, "expected_wait": refusal.Wait.String(),
 		"replicas": refusal.Replicas, "rate_limited": refusal.RateLimited, "quarantined": refusal.Quarantined, "retry_after": refusal.RetryAfter.String(), "verdict": verdict.NotRun.String(),
--- a/host/host.go
+++ b/host/host.go
@@ -31,6 +31,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
@@ -74,6 +75,7 @@
 	broker       *slots.Broker
 	slotClient   *slots.Client
 	quarantine   *quarantineRecords
+	quotas       *quota.Service
 	jobs         *jobs.Manager
 	runner       *forward.Runner
 
@@ -177,7 +179,7 @@
 		return err
 	}
 	for name, receiver := range map[string]any{
-		slots.PeerName: h.broker, jobs.PeerName: h.jobs.Peer(), peerName: &Peer{host: h},
+		slots.PeerName: h.broker, jobs.PeerName: h.jobs.Peer(), peerName: &Peer{host: h}, quota.PeerName: h.quotas.Peer(),
 	} {
 		if err := h.peerServer.Register(name, receiver); err != nil {
 			return err
@@ -225,6 +227,7 @@
 	h.slotClient.Init()
 	h.broker.SetIsBroker(h.slotClient.IsBroker)
 	h.provisionQuarantine(engine)
+	h.provisionQuotas()
 	h.replicas.onRateLimit = h.slotClient.ReportRateLimit
 	h.jobs = jobs.NewManager(jobs.Options{
 		Store: h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
@@ -298,6 +301,7 @@
 	control.Add(&stateFetcher{host: h, seeds: h.settings.Seeds, clock: h.clock, rng: rand.New(rand.NewPCG(rand.Uint64(), 1)), log: h.log})
 	serving := suture.New("serving", spec)
 	serving.Add(h.slotClient)
+	serving.Add(h.quotas)
 	serving.Add(h.jobs)
 	serving.Add(recovery{h})
 	for _, l := range []*listener{h.callers, h.ready, h.metrics} {
--- /dev/null
+++ b/quota/account.go
@@ -0,0 +1,287 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
+)
+
+// Bounds of the time after which a refused request is to be sent again. Callers wait no
+// longer than a third of the time that they have left.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 1600 * time.Millisecond
+)
+
+// lowCredit is the part of its credit below which a broker asks for more at once.
+const lowCredit = 0.5
+
+// Refusal describes why a request is over its customer's quota.
+type Refusal struct {
+	Limit customer.Quota
+	// Level is what the allocator's bucket held at its last answer.
+	Level         float64
+	RetryAfter    time.Duration
+	ConfigVersion int64
+}
+
+// Decision is what an Account decides on a request: it is admitted, waits, or is
+// refused.
+type Decision struct {
+	Admitted bool
+	Waiter   *Waiter
+	Refusal  Refusal
+	// Ask reports that the allocator should be asked at once.
+	Ask bool
+}
+
+// Waiter is a request that waits for a token.
+type Waiter struct {
+	customer string
+	// Decided receives the decision.
+	Decided chan Decision
+}
+
+// entry is what a broker knows of one customer.
+type entry struct {
+	limit   customer.Quota
+	version int64
+	credit  int
+	waiting []*Waiter
+	// dryUntil is when the allocator may have tokens again, and level what it held.
+	dryUntil time.Duration
+	level    float64
+	// nextReturn is when the next refused request is to be sent again.
+	nextReturn time.Duration
+}
+
+// Account is a broker's side of the quotas. It is not safe for concurrent use.
+type Account struct {
+	tolerance Tolerance
+	limits    Limits
+	rng       *rand.Rand
+	entries   map[string]*entry
+	// changed holds the customers whose credit may differ from what they should have.
+	changed map[string]struct{}
+	// hosts is the number of hosts attached to the broker. The number of known hosts and
+	// the last majority are those of the last reply, of an exchange sent at exchangedAt.
+	hosts       int
+	standing    Standing
+	exchangedAt time.Duration
+	exchanged   bool
+}
+
+// NewAccount returns an account without credit.
+func NewAccount(t Tolerance, limits Limits, rng *rand.Rand) *Account {
+	return &Account{tolerance: t, limits: limits, rng: rng, entries: make(map[string]*entry), changed: make(map[string]struct{})}
+}
+
+// Take takes a token for a request of a customer. Customers that aren't known, or have
+// no limit, are admitted without one.
+func (a *Account) Take(now time.Duration, name string) Decision {
+	limit, version, ok := a.limits(name)
+	if !ok || !limit.Limited() {
+		return Decision{Admitted: true}
+	}
+	e := a.entryOf(name, limit, version)
+	a.expire(now)
+	if e.credit > 0 {
+		e.credit--
+		a.changed[name] = struct{}{}
+		capacity := a.capacity(limit)
+		return Decision{Admitted: true, Ask: now >= e.dryUntil && float64(e.credit) < lowCredit*float64(capacity)}
+	}
+	a.changed[name] = struct{}{}
+	if now < e.dryUntil {
+		return Decision{Refusal: a.refuse(now, e)}
+	}
+	w := &Waiter{customer: name, Decided: make(chan Decision, 1)}
+	e.waiting = append(e.waiting, w)
+	return Decision{Waiter: w, Ask: true}
+}
+
+func (a *Account) entryOf(name string, limit customer.Quota, version int64) *entry {
+	e, ok := a.entries[name]
+	if !ok {
+		e = &entry{}
+		a.entries[name] = e
+	}
+	if e.version != version {
+		if e.limit != limit {
+			// The answer "none before" was given under another limit.
+			e.dryUntil = 0
+		}
+		e.limit, e.version = limit, version
+		e.credit = min(e.credit, a.capacity(limit))
+	}
+	return e
+}
+
+// Return gives back the token of a request that was admitted and did not run.
+func (a *Account) Return(name string) {
+	if e, ok := a.entries[name]; ok && e.limit.Limited() {
+		e.credit++
+		a.changed[name] = struct{}{}
+	}
+}
+
+// GiveUp refuses a request whose time to wait is over, unless it has been decided.
+func (a *Account) GiveUp(now time.Duration, w *Waiter) Decision {
+	select {
+	case d := <-w.Decided:
+		return d
+	default:
+	}
+	e := a.entries[w.customer]
+	for i, other := range e.waiting {
+		if other == w {
+			e.waiting = append(e.waiting[:i], e.waiting[i+1:]...)
+			break
+		}
+	}
+	// The allocator doesn't answer. Another one, or this host itself, grants tokens
+	// from the end of the lease on.
+	e.nextReturn = max(e.nextReturn, a.exchangedAt+exchangeLease)
+	return Decision{Refusal: a.refuse(now, e)}
+}
+
+// capacity returns the most tokens that this broker may hold for a customer: its hosts'
+// part of what all brokers may.
+func (a *Account) capacity(limit customer.Quota) int {
+	if a.standing.Known <= 0 {
+		return 0
+	}
+	part := min(float64(a.hosts)/float64(a.standing.Known), 1)
+	return int(creditShare * a.tolerance.of(limit) * part)
+}
+
+// expire ends all credit if the last exchange is too long ago: another broker may hold
+// credit in place of this one.
+func (a *Account) expire(now time.Duration) {
+	if !a.exchanged || now-a.exchangedAt < exchangeLease {
+		return
+	}
+	a.exchanged = false
+	for name, e := range a.entries {
+		if e.credit > 0 {
+			e.credit = 0
+			a.changed[name] = struct{}{}
+		}
+	}
+}
+
+// SetHosts sets the number of hosts attached to the broker.
+func (a *Account) SetHosts(hosts int) {
+	if a.hosts == hosts {
+		return
+	}
+	a.hosts = hosts
+	for name, e := range a.entries {
+		if e.credit != a.capacity(e.limit) {
+			a.changed[name] = struct{}{}
+		}
+	}
+}
+
+// Standing returns what the last allocator said of the hosts.
+func (a *Account) Standing(now time.Duration) Standing {
+	s := a.standing
+	s.MajorityAge += now - a.exchangedAt
+	return s
+}
+
+// Wants returns what the broker lacks or has too much of. What it returns is no longer
+// its own, even if the exchange fails.
+func (a *Account) Wants(now time.Duration) (wants []Want, version int64) {
+	a.expire(now)
+	for name := range a.changed {
+		e := a.entries[name]
+		limit, v, ok := a.limits(name)
+		if !ok || !limit.Limited() {
+			a.forget(name, e)
+			continue
+		}
+		e = a.entryOf(name, limit, v)
+		version = v
+		lacks := a.capacity(limit) + len(e.waiting) - e.credit
+		if lacks == 0 {
+			delete(a.changed, name)
+			continue
+		}
+		if lacks < 0 {
+			e.credit += lacks
+		}
+		wants = append(wants, Want{Customer: name, Tokens: lacks, PerSecond: limit.PerSecond, Burst: limit.Burst})
+	}
+	return wants, version
+}
+
+// forget removes a customer that has no limit any more.
+func (a *Account) forget(name string, e *entry) {
+	for _, w := range e.waiting {
+		w.Decided <- Decision{Admitted: true}
+	}
+	delete(a.entries, name)
+	delete(a.changed, name)
+}
+
+// Exchanged applies the reply to an exchange that was sent at a moment. It reports
+// whether requests still wait for tokens.
+func (a *Account) Exchanged(now, sentAt time.Duration, wants []Want, reply *ExchangeReply) (waiting bool) {
+	if len(reply.Answers) != len(wants) || now-sentAt >= exchangeLease {
+		return false
+	}
+	a.expire(now)
+	a.exchanged, a.exchangedAt, a.standing = true, sentAt, reply.Standing
+	for i := range wants {
+		if e, ok := a.entries[wants[i].Customer]; ok && wants[i].Tokens > 0 {
+			a.apply(now, e, reply.Answers[i])
+			waiting = waiting || len(e.waiting) > 0
+		}
+	}
+	return waiting
+}
+
+// apply serves the requests that wait, in order of arrival, and keeps as credit what is
+// left. If the allocator had too few tokens, the others are refused.
+func (a *Account) apply(now time.Duration, e *entry, answer Answer) {
+	e.level = answer.Level
+	e.credit += answer.Tokens
+	e.dryUntil = now + answer.NotBefore
+	served := min(len(e.waiting), e.credit)
+	for _, w := range e.waiting[:served] {
+		w.Decided <- Decision{Admitted: true}
+	}
+	e.credit -= served
+	e.waiting = e.waiting[served:]
+	if answer.NotBefore <= 0 {
+		return
+	}
+	for _, w := range e.waiting {
+		w.Decided <- Decision{Refusal: a.refuse(now, e)}
+	}
+	e.waiting = nil
+}
+
+// refuse returns a refusal whose RetryAfter is spread: the refused requests come again
+// no faster than this broker's hosts' part of the limit.
+func (a *Account) refuse(now time.Duration, e *entry) Refusal {
+	part := 0.0
+	if a.standing.Known > 0 {
+		part = float64(a.hosts) / float64(a.standing.Known)
+	}
+	interval := maxRetryAfter
+	if rate := e.limit.PerSecond * part; rate > 0 {
+		interval = time.Duration(min(float64(time.Second)/rate, float64(maxRetryAfter)))
+	}
+	at := max(e.nextReturn, e.dryUntil, now+minRetryAfter)
+	after := at - now + time.Duration(a.rng.Float64()*float64(interval))
+	if after > maxRetryAfter {
+		// More return than fit. They are spread over the second half of the time.
+		after = maxRetryAfter - time.Duration(a.rng.Float64()*float64(maxRetryAfter)/2)
+	} else {
+		e.nextReturn = at + interval
+	}
+	return Refusal{Limit: e.limit, Level: e.level, RetryAfter: after, ConfigVersion: e.version}
+}
--- /dev/null
+++ b/quota/allocator.go
@@ -0,0 +1,254 @@
+package quota
+
+import (
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
+)
+
+// Want is the tokens that a broker lacks for one customer, or returns if negative.
+type Want struct {
+	Customer string
+	Tokens   int
+	// PerSecond and Burst are the limit that the broker knows.
+	PerSecond, Burst float64
+}
+
+// Answer is the answer to a Want.
+type Answer struct {
+	Tokens int
+	// NotBefore is set if that is less than the broker lacks: the time until more.
+	NotBefore time.Duration
+	// Level is what the bucket holds afterwards.
+	Level float64
+}
+
+// Standing is what a host knows of how many hosts there are and when more than half of
+// them were last attached to one allocator. Allocators and brokers pass it on to each
+// other, so that it outlives an allocator.
+type Standing struct {
+	Known int
+	// Majority reports whether MajorityAge is known.
+	Majority    bool
+	MajorityAge time.Duration
+}
+
+// ExchangeArgs is the argument of Exchange.
+type ExchangeArgs struct {
+	Broker     string
+	Attachment Attachment
+	// Hosts is the number of hosts attached to the broker.
+	Hosts    int
+	Standing Standing
+	// ConfigVersion is the version of the limits in Wants.
+	ConfigVersion int64
+	Wants         []Want
+}
+
+// ExchangeReply is the reply to Exchange. Answers has the order of the Wants.
+type ExchangeReply struct {
+	Stamp    Stamp
+	Standing Standing
+	Answers  []Answer
+}
+
+// Limits returns the limit of a customer by the configuration in force, and that
+// configuration's version.
+type Limits func(name string) (limit customer.Quota, version int64, ok bool)
+
+// bucket is the tokens of one customer.
+type bucket struct {
+	limit   customer.Quota
+	version int64
+	level   float64
+	// refilledTo is the Allocator's refill up to which level is valid.
+	refilledTo float64
+}
+
+// shareChange is a change of the share, when the refill had a value.
+type shareChange struct{ refill, before float64 }
+
+// maxShareChanges bounds the changes that an Allocator keeps.
+const maxShareChanges = 256
+
+// Allocator grants tokens to the brokers that are attached to it. Its buckets refill at
+// the part of each limit that the attached hosts are of all hosts. It is not safe for
+// concurrent use.
+type Allocator struct {
+	tolerance Tolerance
+	limits    Limits
+	brokers   *attachments
+	members   *members
+
+	// now is the time up to which the state is valid, share the part of the limits
+	// that is granted, and refill the integral of share over time, in seconds.
+	now    time.Duration
+	share  float64
+	refill float64
+	// changes holds the last changes of share, and lost the refill at the last one that
+	// is no longer held.
+	changes []shareChange
+	lost    float64
+
+	known      int
+	majority   bool
+	majorityAt time.Duration
+
+	buckets map[string]*bucket
+}
+
+// NewAllocator returns an allocator with empty buckets.
+func NewAllocator(now time.Duration, t Tolerance, limits Limits) *Allocator {
+	return &Allocator{
+		tolerance: t, limits: limits, brokers: newAttachments(exchangeLease), members: &members{},
+		now: now, buckets: make(map[string]*bucket),
+	}
+}
+
+// SetHosts sets the names of the hosts that this host sees.
+func (a *Allocator) SetHosts(now time.Duration, names []string) {
+	a.advance(now)
+	a.members.update(now, names)
+	a.updateShare(now)
+}
+
+// Exchange grants tokens to a broker and counts its hosts.
+func (a *Allocator) Exchange(now time.Duration, args *ExchangeArgs) ExchangeReply {
+	a.advance(now)
+	now = a.now
+	a.learn(now, args.Standing)
+	a.brokers.renew(now, args.Broker, args.Attachment, max(args.Hosts, 0))
+	a.updateShare(now)
+	reply := ExchangeReply{Stamp: a.brokers.stamp(now), Standing: a.standing(), Answers: make([]Answer, len(args.Wants))}
+	for i := range args.Wants {
+		reply.Answers[i] = a.answer(&args.Wants[i], args.ConfigVersion)
+	}
+	return reply
+}
+
+// learn applies what a broker knows of the hosts.
+func (a *Allocator) learn(now time.Duration, s Standing) {
+	if s.Majority && s.MajorityAge >= 0 {
+		if at := now - s.MajorityAge; !a.majority || at > a.majorityAt {
+			a.majority, a.majorityAt = true, at
+		}
+	}
+	a.known = max(a.known, s.Known)
+}
+
+func (a *Allocator) standing() Standing {
+	return Standing{Known: a.known, Majority: a.majority, MajorityAge: a.now - a.majorityAt}
+}
+
+// advance applies the time that has passed, with each change of the attachments at its
+// own moment: an allocator that was suspended has granted nothing after they ended.
+func (a *Allocator) advance(now time.Duration) {
+	for a.now < now {
+		next := a.brokers.nextChange(a.now, now)
+		if fence := a.majorityAt + minorityLimit; a.majority && fence > a.now {
+			next = min(next, fence)
+		}
+		a.refill += a.share * (next - a.now).Seconds()
+		a.now = next
+		a.updateShare(next)
+	}
+}
+
+// updateShare sets the share that the attached hosts are of all known ones. The number
+// of known hosts falls only while more than half of them are attached. Without half of
+// them the share ends after minorityLimit, before others cease to count them.
+func (a *Allocator) updateShare(now time.Duration) {
+	attached, seen := a.brokers.hosts(now), a.members.count(now)
+	a.known = max(a.known, seen)
+	if seen > 0 && 2*attached > a.known {
+		a.known = max(seen, attached)
+		a.majority, a.majorityAt = true, now
+	}
+	share := 0.0
+	fenced := 2*attached < a.known && (!a.majority || now-a.majorityAt >= minorityLimit)
+	if a.known > 0 && seen > 0 && !fenced {
+		share = min(float64(attached)/float64(a.known), 1)
+	}
+	if share == a.share {
+		return
+	}
+	a.changes = append(a.changes, shareChange{refill: a.refill, before: a.share})
+	if len(a.changes) > maxShareChanges {
+		a.lost = a.changes[0].refill
+		a.changes = append(a.changes[:0], a.changes[1:]...)
+	}
+	a.share = share
+}
+
+// capacity returns the most tokens that a bucket holds at a share.
+func (a *Allocator) capacity(limit customer.Quota, share float64) float64 {
+	capacity := limit.Burst * share
+	if share >= a.tolerance.wholeTokenShare() {
+		capacity = max(capacity, 1)
+	}
+	return capacity
+}
+
+// settle refills a bucket. Between two changes of the share it was never fuller than
+// its capacity at that time.
+func (a *Allocator) settle(b *bucket) {
+	from := b.refilledTo
+	if from < a.lost {
+		// Some changes are no longer known, so the bucket may have been empty then.
+		b.level, from = 0, a.lost
+	}
+	rate := b.limit.PerSecond
+	level := b.level + rate*(a.refill-from)
+	for i := len(a.changes) - 1; i >= 0 && a.changes[i].refill >= from; i-- {
+		c := a.changes[i]
+		level = min(level, a.capacity(b.limit, c.before)+rate*(a.refill-c.refill))
+	}
+	b.level, b.refilledTo = min(level, a.capacity(b.limit, a.share)), a.refill
+}
+
+// bucketOf returns a customer's bucket with the newest limit: the allocator's or that of
+// the broker. A bucket that is first needed now has refilled since the allocator began.
+func (a *Allocator) bucketOf(w *Want, version int64) *bucket {
+	limit, known := customer.Quota{PerSecond: w.PerSecond, Burst: w.Burst}, version
+	if own, ownVersion, ok := a.limits(w.Customer); ownVersion >= version {
+		limit, known = own, ownVersion
+		if !ok {
+			// The customer has been removed: nothing is granted any more.
+			limit = customer.Quota{}
+		}
+	}
+	b, ok := a.buckets[w.Customer]
+	if !ok {
+		b = &bucket{limit: limit, version: known}
+		a.buckets[w.Customer] = b
+	}
+	a.settle(b)
+	if known >= b.version && limit != b.limit {
+		b.limit = limit
+		a.settle(b)
+	}
+	b.version = max(b.version, known)
+	return b
+}
+
+func (a *Allocator) answer(w *Want, version int64) Answer {
+	if own, ownVersion, ok := a.limits(w.Customer); ok && ownVersion >= version && !own.Limited() {
+		return Answer{Tokens: max(w.Tokens, 0)}
+	}
+	b := a.bucketOf(w, version)
+	if w.Tokens < 0 {
+		b.level = min(b.level-float64(w.Tokens), a.capacity(b.limit, a.share))
+		return Answer{Level: b.level}
+	}
+	granted := min(w.Tokens, int(b.level))
+	b.level -= float64(granted)
+	answer := Answer{Tokens: granted, Level: b.level}
+	if granted < w.Tokens {
+		answer.NotBefore = minNotBefore
+		if rate := b.limit.PerSecond * a.share; rate > 0 {
+			wait := min((1-b.level)/rate, maxNotBefore.Seconds())
+			answer.NotBefore = max(time.Duration(wait*float64(time.Second)), minNotBefore)
+		}
+	}
+	return answer
+}
--- /dev/null
+++ b/quota/fleet_test.go
@@ -0,0 +1,116 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
+)
+
+// mean is the usual load of the test customer, with a quota of 1.6 times that.
+const mean = 40.0
+
+func testLimits() map[string]customer.Quota {
+	return map[string]customer.Quota{"c": {PerSecond: 1.6 * mean, Burst: 1.6 * mean}}
+}
+
+// A request below its customer's quota is refused although allocator and brokers are in
+// place.
+func TestNothingBelowTheQuotaIsRefused(t *testing.T) {
+	n := newNetwork(1, 6, 10, testLimits())
+	n.run(8 * time.Second)
+	n.load("c", mean, 20*time.Second, n.anyHost)
+	n.run(21 * time.Second)
+	require.Zero(t, n.refused["c"])
+	t.Logf("admitted %d, waited %d, exchanges %d", len(n.admitted["c"]), n.waited, n.exchanges)
+}
+
+// settled returns a network in which allocator and brokers are in place.
+func settled(seed uint64) *network {
+	n := newNetwork(seed, 6, 10, testLimits())
+	n.run(8 * time.Second)
+	return n
+}
+
+// fault is a fault and its end, played on a settled network.
+type fault struct {
+	name       string
+	begin, end func(n *network)
+	// refused is the most requests that a customer at its mean rate may be refused, and
+	// recovered the time after the fault from which on none is refused.
+	refused   int
+	recovered time.Duration
+	// later is the most that are refused from then on until the end of the fault: hosts
+	// that are cut off have only their proportion of the quota.
+	later int
+}
+
+func (n *network) setSide(side int, in func(i int, h *node) bool) {
+	for i, h := range n.nodes {
+		h.side = 0
+		if in(i, h) {
+			h.side = side
+		}
+	}
+}
+
+func (n *network) reconnect() { n.setSide(0, func(int, *node) bool { return false }) }
+
+func faults() []fault {
+	nothing := func(*network) {}
+	return []fault{
+		{"the allocator dies", func(n *network) { n.allocatorNode().dead = true }, nothing, 40, 2 * time.Second, 0},
+		{"the allocator dies and is started again", func(n *network) {
+			h := n.allocatorNode()
+			h.dead = true
+			n.after(500*time.Millisecond, func() { n.start(h) })
+		}, nothing, 40, 3 * time.Second, 0},
+		{"the allocator freezes and wakes", func(n *network) { n.allocatorNode().frozenUntil = n.now + 3*time.Second }, nothing, 60, 2 * time.Second, 0},
+		{"a broker dies", func(n *network) { n.nodes[0].dead = true }, nothing, 20, 2 * time.Second, 0},
+		{"a broker freezes and wakes", func(n *network) { n.nodes[0].frozenUntil = n.now + 3*time.Second }, nothing, 20, 2 * time.Second, 0},
+		{"a broker is cut off", func(n *network) { n.setSide(1, func(i int, _ *node) bool { return i == 0 }) }, (*network).reconnect, 20, 2 * time.Second, 10},
+		{"a data centre is cut off", func(n *network) { n.setSide(1, func(_ int, h *node) bool { return h.dataCentre == "dc1" }) }, (*network).reconnect, 20, 2 * time.Second, 10},
+		{"two halves, each with an allocator", func(n *network) { n.setSide(1, func(i int, _ *node) bool { return i%6 < 3 }) }, (*network).reconnect, 30, 2 * time.Second, 0},
+	}
+}
+
+// After a fault more requests run than the quota allows, of a customer that sends far
+// more: a successor or a second allocator grants again what the first one has granted.
+func TestBoundHoldsThroughFaults(t *testing.T) {
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			n := settled(2)
+			n.load("c", 6*mean, 16*time.Second, n.anyHost)
+			n.run(4 * time.Second)
+			f.begin(n)
+			n.run(5 * time.Second)
+			f.end(n)
+			n.run(8 * time.Second)
+			n.requireBound(t, "c", n.limits["c"], creditShare)
+			t.Logf("admitted %d of %d, exchanges %d", len(n.admitted["c"]), len(n.admitted["c"])+n.refused["c"], n.exchanges)
+		})
+	}
+}
+
+// After a fault a customer at its mean rate is refused for long.
+func TestFaultsRefuseLittleBelowTheQuota(t *testing.T) {
+	for _, f := range faults() {
+		t.Run(f.name, func(t *testing.T) {
+			n := settled(3)
+			n.load("c", mean, 14*time.Second, n.anyHost)
+			n.run(4 * time.Second)
+			f.begin(n)
+			n.run(f.recovered)
+			atFirst := n.refused["c"]
+			n.run(4*time.Second - f.recovered)
+			later := n.refused["c"] - atFirst
+			f.end(n)
+			n.run(8 * time.Second)
+			t.Logf("refused %d, then %d, after the end %d", atFirst, later, n.refused["c"]-atFirst-later)
+			require.LessOrEqual(t, n.refused["c"], f.refused)
+			require.LessOrEqual(t, later, f.later)
+		})
+	}
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,235 @@
+// Package quota bounds how many requests of each customer replicas run, over all
+// hosts of the fleet. See docs/design/quota.md.
+//
+// Allocator holds the token buckets, and Account is a broker's side of them: the
+// credit that it spends without a call. Both are state machines without input or
+// output. Service connects them over the hosts' network.
+package quota
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
+)
+
+// Times of the protocol, by CLOCK_BOOTTIME.
+const (
+	// exchangeLease is how long an allocator counts a broker, and for how long a
+	// broker may spend its credit after an exchange.
+	exchangeLease = time.Second
+	// pollLease is how long a broker counts a host.
+	pollLease = time.Second
+	// exchangeInterval is the time between the exchanges of a broker. Two of them and
+	// their round trips fit into exchangeLease.
+	exchangeInterval = 250 * time.Millisecond
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 300 * time.Millisecond
+	// answerTimeout is how long a request waits for a token from the allocator.
+	answerTimeout = 60 * time.Millisecond
+	// minNotBefore is the shortest time for which a broker refuses requests after the
+	// allocator had no token, so that a customer far over its quota costs few calls.
+	// maxNotBefore is the longest: the share of the allocator may rise meanwhile.
+	minNotBefore = 100 * time.Millisecond
+	maxNotBefore = 500 * time.Millisecond
+	// minorityLimit is how long an allocator grants tokens after fewer than half of the
+	// known hosts have been attached to it. Others count the hosts that they miss for
+	// departureHold, which must be longer.
+	minorityLimit = 4 * time.Minute
+	departureHold = 5 * time.Minute
+)
+
+// creditShare is the part of the tolerance that brokers may hold as credit. The other
+// part covers requests that hold a token while they wait for a slot, and differences
+// between the views that hosts have of each other.
+const creditShare = 0.5
+
+// Tolerance is by how much requests may exceed a quota: in any time of Window,
+// Excess of what the quota allows, as a fraction, and Slack requests.
+type Tolerance struct {
+	Window time.Duration
+	Excess float64
+	Slack  float64
+}
+
+// of returns the tolerance of one quota, in requests in each window.
+func (t Tolerance) of(q customer.Quota) float64 {
+	return t.Excess*(q.PerSecond*t.Window.Seconds()+q.Burst) + t.Slack
+}
+
+// wholeTokenShare is the share from which an allocator's buckets hold at least one
+// token. So many allocators may exceed a small burst by one token each that their sum
+// stays within the part of the slack that isn't credit.
+func (t Tolerance) wholeTokenShare() float64 {
+	return 1 / max((1-creditShare)*t.Slack, 1)
+}
+
+// Stamp is a moment by the clock of one process.
+type Stamp struct {
+	Process uint64
+	At      time.Duration
+}
+
+// Attachment is what the attached side states with each message: a host to the broker
+// that it polls, and a broker to its allocator.
+type Attachment struct {
+	// Echo is the last stamp that it received from the other side, which counts it for
+	// a time from that moment. A message that was delayed therefore counts less, and
+	// not at all if the receiver was suspended.
+	Echo Stamp
+	// Elsewhere is how long it may still be counted by another.
+	Elsewhere time.Duration
+}
+
+// tie is the attached side. It knows until when each of the others may count it.
+type tie struct {
+	lease time.Duration
+	// startedAt is when this process started: an earlier one of the same host may
+	// have been counted anywhere.
+	startedAt time.Duration
+	held      map[string]heldStamp
+}
+
+type heldStamp struct {
+	stamp Stamp
+	at    time.Duration
+	// countedUntil is set once the stamp has been sent back.
+	countedUntil time.Duration
+}
+
+func newTie(now, lease time.Duration) *tie {
+	return &tie{lease: lease, startedAt: now, held: make(map[string]heldStamp)}
+}
+
+// received records a stamp of a peer.
+func (t *tie) received(now time.Duration, peer string, stamp Stamp) {
+	h := t.held[peer]
+	h.stamp, h.at = stamp, now
+	t.held[peer] = h
+}
+
+// fresh reports whether the last stamp of a peer still attaches to it.
+func (t *tie) fresh(now time.Duration, peer string) bool {
+	h, ok := t.held[peer]
+	return ok && now-h.at < t.lease
+}
+
+// next returns what to state to a peer.
+func (t *tie) next(now time.Duration, peer string) Attachment {
+	elsewhere := t.startedAt + t.lease - now
+	for name, h := range t.held {
+		if name != peer {
+			elsewhere = max(elsewhere, h.countedUntil-now)
+			if now-h.at > t.lease && h.countedUntil <= now {
+				delete(t.held, name)
+			}
+		}
+	}
+	a := Attachment{Elsewhere: max(elsewhere, 0)}
+	if h, ok := t.held[peer]; ok {
+		a.Echo = h.stamp
+		h.countedUntil = max(h.countedUntil, h.at+t.lease)
+		t.held[peer] = h
+	}
+	return a
+}
+
+// attachments is the counting side.
+type attachments struct {
+	process uint64
+	lease   time.Duration
+	byName  map[string]counted
+}
+
+// counted is one that is attached from a moment until another one.
+type counted struct {
+	from, until time.Duration
+	hosts       int
+}
+
+func newAttachments(lease time.Duration) *attachments {
+	return &attachments{process: rand.Uint64() | 1, lease: lease, byName: make(map[string]counted)}
+}
+
+func (a *attachments) stamp(now time.Duration) Stamp { return Stamp{Process: a.process, At: now} }
+
+// renew applies a message of one that is attached with a number of hosts.
+func (a *attachments) renew(now time.Duration, name string, att Attachment, hosts int) {
+	if att.Echo.Process != a.process || att.Echo.At > now {
+		return
+	}
+	c := counted{from: now + max(att.Elsewhere, 0), until: att.Echo.At + a.lease, hosts: hosts}
+	if c.until > a.byName[name].until {
+		a.byName[name] = c
+	}
+}
+
+// hosts returns the number of hosts attached at a moment, and forgets those that were
+// attached before it only.
+func (a *attachments) hosts(now time.Duration) int {
+	n := 0
+	for name, c := range a.byName {
+		switch {
+		case c.until <= now:
+			delete(a.byName, name)
+		case c.from <= now:
+			n += c.hosts
+		}
+	}
+	return n
+}
+
+// nextChange returns the first moment after now, and before end, at which the number of
+// attached hosts may change, or end.
+func (a *attachments) nextChange(now, end time.Duration) time.Duration {
+	for _, c := range a.byName {
+		if c.from > now {
+			end = min(end, c.from)
+		}
+		if c.until > now {
+			end = min(end, c.until)
+		}
+	}
+	return end
+}
+
+// members counts the hosts that may be in service: those that this host sees, and those
+// that it has seen within departureHold, since a host that others don't see may be
+// partitioned from them and go on.
+type members struct {
+	// absentSince holds the time from which a host is no longer seen; zero while it is.
+	absentSince map[string]time.Duration
+}
+
+// update applies the names of the hosts that are seen.
+func (m *members) update(now time.Duration, names []string) {
+	seen := make(map[string]time.Duration, len(names))
+	for _, name := range names {
+		seen[name] = 0
+	}
+	for name, since := range m.absentSince {
+		if _, ok := seen[name]; ok {
+			continue
+		}
+		if since == 0 {
+			since = max(now, 1)
+		}
+		if now-since < departureHold {
+			seen[name] = since
+		}
+	}
+	m.absentSince = seen
+}
+
+// count returns the number of hosts that may be in service.
+func (m *members) count(now time.Duration) int {
+	n := 0
+	for name, since := range m.absentSince {
+		if since != 0 && now-since >= departureHold {
+			delete(m.absentSince, name)
+			continue
+		}
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/quota/service.go
@@ -0,0 +1,445 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// PeerName is the name under which net/rpc serves a Peer.
+const PeerName = "Quota"
+
+const (
+	// rendezvousKey ranks the hosts that may be the allocator.
+	rendezvousKey = "quota"
+	// maxCandidates is the number of hosts that a broker tries before it is its own
+	// allocator.
+	maxCandidates = 3
+	// maxFailures is the number of failures in a row after which a broker passes over
+	// an allocator. A single one may be a broken connection or a slow host.
+	maxFailures = 2
+	// probeInterval is the time between the calls to an allocator that is passed over.
+	probeInterval = time.Second
+	// lowCreditDelay is the least time between two exchanges if no request waits.
+	lowCreditDelay = 50 * time.Millisecond
+	// idleTimeout is how long a host that no other polls exchanges after its last
+	// request.
+	idleTimeout = 5 * time.Second
+)
+
+// PeerClient calls peers.
+type PeerClient interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// Options are the dependencies of a Service. All fields are required.
+type Options struct {
+	Tolerance Tolerance
+	View      membership.View
+	// Listed reports whether View holds all hosts in service.
+	Listed func() bool
+	Peers  PeerClient
+	// Enabled reports whether the configuration in force has customers, and Limits
+	// returns their limits.
+	Enabled func() bool
+	Limits  Limits
+	Now     boottime.Clock
+	Clock   clockwork.Clock
+	Log     *logrus.Entry
+	Metrics *Metrics
+}
+
+// Service is a host's part in the quotas: as host that polls a broker, as broker, and as
+// allocator. It is safe for concurrent use.
+type Service struct {
+	Options
+
+	mu        sync.Mutex
+	allocator *Allocator
+	account   *Account
+	// hosts are attached to this broker. This host is attached to a broker, and this
+	// broker to an allocator.
+	hosts                 *attachments
+	toBroker, toAllocator *tie
+	lastTake              time.Duration
+	taken                 bool
+
+	// viewChanged is closed when the hosts that were last read from View are outdated.
+	viewChanged <-chan struct{}
+	candidates  []membership.Host
+	failures    map[string]*failures
+	// current is the allocator in use, and leavingAt the time at which this broker goes
+	// over from it to another one, if that is not zero.
+	current   membership.Host
+	leavingAt time.Duration
+
+	// waiting signals a request that waits for a token, and low that credit is low.
+	waiting, low chan struct{}
+}
+
+// failures describes an allocator that did not answer.
+type failures struct {
+	count    int
+	probedAt time.Duration
+}
+
+// NewService returns a service that grants nothing yet.
+func NewService(o Options) *Service {
+	now := o.Now()
+	s := &Service{
+		Options: o, hosts: newAttachments(pollLease), toBroker: newTie(now, pollLease+exchangeLease), toAllocator: newTie(now, exchangeLease),
+		failures: make(map[string]*failures), waiting: make(chan struct{}, 1), low: make(chan struct{}, 1),
+	}
+	s.allocator = NewAllocator(now, o.Tolerance, o.Limits)
+	s.account = NewAccount(o.Tolerance, o.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	return s
+}
+
+// Take takes a token for a request of a customer and reports whether there is one. It
+// waits for the allocator's answer if the credit is used up.
+func (s *Service) Take(name string) (Refusal, bool) {
+	limit, _, ok := s.Limits(name)
+	if !ok || !limit.Limited() {
+		return Refusal{}, true
+	}
+	s.mu.Lock()
+	now := s.Now()
+	s.lastTake, s.taken = now, true
+	d := s.account.Take(now, name)
+	s.mu.Unlock()
+	switch {
+	case d.Waiter != nil:
+		signal(s.waiting)
+		d = s.await(d.Waiter)
+	case d.Ask:
+		signal(s.low)
+	}
+	s.Metrics.count(name, limit.PerSecond, d.Admitted)
+	return d.Refusal, d.Admitted
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// await waits for the decision on a request.
+func (s *Service) await(w *Waiter) Decision {
+	timer := s.Clock.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case d := <-w.Decided:
+		return d
+	case <-timer.Chan():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.account.GiveUp(s.Now(), w)
+	}
+}
+
+// Return gives back the token of a request that was admitted and did not run.
+func (s *Service) Return(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.account.Return(name)
+}
+
+// PollAttachment returns what this host states in its next poll of a broker.
+func (s *Service) PollAttachment(broker string) Attachment {
+	if !s.Enabled() {
+		return Attachment{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.toBroker.next(s.Now(), broker)
+}
+
+// PollReplied records the stamp in a broker's reply to a poll.
+func (s *Service) PollReplied(broker string, stamp Stamp) {
+	if stamp == (Stamp{}) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.toBroker.received(s.Now(), broker, stamp)
+}
+
+// Polled records that a host has polled this broker.
+func (s *Service) Polled(host string, a Attachment) {
+	if a == (Attachment{}) || !s.Enabled() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.Now()
+	s.hosts.renew(now, host, a, 1)
+	if s.account.hosts == 0 && s.hosts.hosts(now) > 0 {
+		signal(s.waiting)
+	}
+}
+
+// PollStamp returns the stamp of the reply to a poll.
+func (s *Service) PollStamp() Stamp {
+	if !s.Enabled() {
+		return Stamp{}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hosts.stamp(s.Now())
+}
+
+// Peer serves the calls of brokers to this host as allocator.
+type Peer struct{ service *Service }
+
+// Peer returns the receiver for net/rpc.
+func (s *Service) Peer() *Peer { return &Peer{s} }
+
+// Exchange grants tokens to a broker.
+func (p *Peer) Exchange(args ExchangeArgs, reply *ExchangeReply) error {
+	s := p.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateView()
+	*reply = s.allocator.Exchange(s.Now(), &args)
+	s.Metrics.share.Set(s.allocator.share)
+	return nil
+}
+
+// updateView reads the hosts if they have changed. The lock is held.
+func (s *Service) updateView() {
+	if !s.Listed() {
+		return
+	}
+	if s.viewChanged != nil {
+		select {
+		case <-s.viewChanged:
+		default:
+			return
+		}
+	}
+	s.viewChanged = s.View.Changed()
+	all := membership.All(s.View)
+	names := make([]string, 0, len(all))
+	for _, h := range all {
+		names = append(names, h.Name)
+	}
+	s.allocator.SetHosts(s.Now(), names)
+	s.candidates = membership.Rendezvous(all, rendezvousKey, maxCandidates)
+}
+
+// Serve exchanges with the allocator while other hosts poll this one or requests come,
+// until ctx ends.
+func (s *Service) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		active, again := s.exchange(ctx)
+		if !again {
+			s.pause(ctx, active)
+		}
+	}
+	return ctx.Err()
+}
+
+// String names the service in supervisor events.
+func (s *Service) String() string { return "quotas" }
+
+// pause waits until the next exchange is due.
+func (s *Service) pause(ctx context.Context, active bool) {
+	var due <-chan time.Time
+	if active {
+		// Brokers that exchange right after another one would find its bucket empty
+		// each time if the intervals were equal.
+		timer := s.Clock.NewTimer(time.Duration((0.8 + 0.2*rand.Float64()) * float64(exchangeInterval)))
+		defer timer.Stop()
+		due = timer.Chan()
+	}
+	s.mu.Lock()
+	changed := s.viewChanged
+	s.mu.Unlock()
+	if !s.Enabled() {
+		changed = nil
+	}
+	low := s.low
+	for {
+		select {
+		case <-s.waiting:
+			return
+		case <-due:
+			return
+		case <-changed:
+			return
+		case <-low:
+			low = nil
+			soon := s.Clock.NewTimer(lowCreditDelay)
+			defer soon.Stop()
+			due = soon.Chan()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// exchange makes one exchange if this host is a broker, and reports whether it is, and
+// whether the next exchange should follow at once.
+func (s *Service) exchange(ctx context.Context) (active, again bool) {
+	x, ok := s.prepare()
+	if !ok {
+		return false, false
+	}
+	for _, h := range x.probes {
+		go s.probe(ctx, h)
+	}
+	reply := new(ExchangeReply)
+	err := s.call(ctx, x.to, x.args, reply)
+	return true, s.finish(x, reply, err)
+}
+
+// exchange is one exchange.
+type exchange struct {
+	to     membership.Host
+	args   *ExchangeArgs
+	sentAt time.Duration
+	// unattached reports that the exchange doesn't attach this broker, since it has no
+	// recent stamp of the allocator.
+	unattached bool
+	// probes holds the allocators to probe at the same time.
+	probes []membership.Host
+}
+
+// prepare returns the next exchange, and false if none is needed.
+func (s *Service) prepare() (exchange, bool) {
+	if !s.Enabled() {
+		return exchange{}, false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateView()
+	now := s.Now()
+	s.account.SetHosts(s.hosts.hosts(now))
+	if s.account.hosts == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
+		return exchange{}, false
+	}
+	x := exchange{sentAt: now}
+	x.to, x.probes = s.chooseAllocator(now)
+	x.args = &ExchangeArgs{Broker: s.View.Self().Name, Hosts: s.account.hosts, Standing: s.account.Standing(now)}
+	if s.leavingAt == 0 {
+		x.unattached = !s.toAllocator.fresh(now, x.to.Name)
+		x.args.Attachment = s.toAllocator.next(now, x.to.Name)
+	}
+	x.args.Wants, x.args.ConfigVersion = s.account.Wants(now)
+	return x, true
+}
+
+// finish applies the end of an exchange and reports whether the next one should follow at
+// once.
+func (s *Service) finish(x exchange, reply *ExchangeReply, err error) (again bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		return s.failed(x.to, err)
+	}
+	s.Metrics.exchanges.WithLabelValues("answered").Inc()
+	delete(s.failures, x.to.Name)
+	now := s.Now()
+	s.toAllocator.received(now, x.to.Name, reply.Stamp)
+	waiting := s.account.Exchanged(now, x.sentAt, x.args.Wants, reply)
+	return waiting || x.unattached
+}
+
+func (s *Service) call(ctx context.Context, to membership.Host, args *ExchangeArgs, reply *ExchangeReply) error {
+	if to.Name == s.View.Self().Name {
+		return s.Peer().Exchange(*args, reply)
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	return s.Peers.Call(ctx, to.PeerAddress, PeerName+".Exchange", *args, reply)
+}
+
+// chooseAllocator returns the allocator for the next exchange, and the candidates to
+// probe. An allocator that still answers is used until it no longer counts this broker:
+// only from then on does the next one refill its buckets for it. The lock is held.
+func (s *Service) chooseAllocator(now time.Duration) (membership.Host, []membership.Host) {
+	chosen, probes := s.firstCandidate(now)
+	if chosen.Name == s.current.Name {
+		s.leavingAt = 0
+		return chosen, probes
+	}
+	if f, ok := s.failures[s.current.Name]; s.current.Name != "" && (!ok || f.count < maxFailures) {
+		if s.leavingAt == 0 {
+			s.leavingAt = max(s.toAllocator.held[s.current.Name].countedUntil, 1)
+		}
+		if now < s.leavingAt {
+			return s.current, probes
+		}
+	}
+	s.Log.WithFields(logrus.Fields{
+		"from": s.current.Name, "to": chosen.Name, "hosts": s.account.hosts, "known_hosts": s.account.standing.Known,
+	}).Info("allocator of quotas changed")
+	s.current, s.leavingAt = chosen, 0
+	s.Metrics.changes.Inc()
+	return chosen, probes
+}
+
+// firstCandidate returns the first candidate that answers, or this host itself, and the
+// candidates to probe.
+func (s *Service) firstCandidate(now time.Duration) (chosen membership.Host, probes []membership.Host) {
+	self := s.View.Self()
+	for _, h := range s.candidates {
+		f, ok := s.failures[h.Name]
+		if h.Name == self.Name || !ok || f.count < maxFailures {
+			return h, probes
+		}
+		if now-f.probedAt >= probeInterval {
+			f.probedAt = now
+			probes = append(probes, h)
+		}
+	}
+	return self, probes
+}
+
+// failed records that an allocator did not answer and reports whether to make the next
+// exchange at once. The lock is held.
+func (s *Service) failed(h membership.Host, err error) bool {
+	s.Metrics.exchanges.WithLabelValues("failed").Inc()
+	f, ok := s.failures[h.Name]
+	if !ok {
+		f = &failures{}
+		s.failures[h.Name] = f
+	}
+	f.count++
+	if f.count == maxFailures {
+		f.probedAt = s.Now()
+		s.Log.WithError(err).WithField("peer", h.Name).Warn("allocator of quotas does not answer")
+	}
+	return f.count <= maxFailures
+}
+
+// probe asks an allocator that is passed over whether it answers again.
+func (s *Service) probe(ctx context.Context, h membership.Host) {
+	reply := new(ExchangeReply)
+	if s.call(ctx, h, s.probeArgs(), reply) == nil {
+		s.probed(h, reply)
+	}
+}
+
+// probeArgs returns the argument of a probe. It attaches nothing.
+func (s *Service) probeArgs() *ExchangeArgs { return &ExchangeArgs{Broker: s.View.Self().Name} }
+
+// probed applies the answer to a probe.
+func (s *Service) probed(h membership.Host, reply *ExchangeReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.toAllocator.received(s.Now(), h.Name, reply.Stamp)
+	if f, ok := s.failures[h.Name]; ok && f.count >= maxFailures {
+		delete(s.failures, h.Name)
+		s.Log.WithField("peer", h.Name).Info("allocator of quotas answers again")
+	}
+}
--- /dev/null
+++ b/quota/sim_test.go
@@ -0,0 +1,400 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/customer"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// network is a discrete-event model of hosts that run a Service each, without its
+// goroutines: messages take time, and hosts die, freeze or are cut off.
+type network struct {
+	now    time.Duration
+	events events
+	seq    int
+	rng    *rand.Rand
+	nodes  []*node
+	limits map[string]customer.Quota
+	// version is the configuration's version.
+	version   int64
+	tolerance Tolerance
+
+	// admitted holds the times of admitted requests by customer, refused the number of
+	// refused ones, and retryAfter the last refusal's.
+	admitted   map[string][]time.Duration
+	refused    map[string]int
+	retryAfter time.Duration
+	waited     int
+	exchanges  int
+}
+
+// node is one host.
+type node struct {
+	*Service
+	name, dataCentre string
+	dead             bool
+	frozenUntil      time.Duration
+	// side is the side of a partition on which the host is.
+	side int
+	// suspects holds the brokers that did not answer, with the time until which they are
+	// passed over.
+	suspects map[string]time.Duration
+	// asking is set while an exchange is in progress, and due when the next one is.
+	asking bool
+	due    time.Duration
+}
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+var testTolerance = Tolerance{Window: 5 * time.Second, Excess: 0.1, Slack: 20}
+
+// newNetwork returns hosts in data centres of a size each, started at the same time.
+func newNetwork(seed uint64, dataCentres, size int, limits map[string]customer.Quota) *network {
+	n := &network{
+		now: time.Hour, rng: rand.New(rand.NewPCG(seed, 7)), limits: limits, version: 1, tolerance: testTolerance,
+		admitted: make(map[string][]time.Duration), refused: make(map[string]int),
+	}
+	for i := range dataCentres * size {
+		n.nodes = append(n.nodes, &node{name: fmt.Sprintf("h%02d", i), dataCentre: fmt.Sprintf("dc%d", i%dataCentres)})
+	}
+	for _, node := range n.nodes {
+		n.start(node)
+	}
+	return n
+}
+
+// start starts a host, again if it was dead.
+func (n *network) start(h *node) {
+	var self membership.Host
+	var others []membership.Host
+	for _, other := range n.nodes {
+		m := membership.Host{Name: other.name, DataCentre: other.dataCentre, PeerAddress: other.name}
+		if other == h {
+			self = m
+		} else {
+			others = append(others, m)
+		}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h.Service = NewService(Options{
+		Tolerance: n.tolerance, View: membership.NewStatic(self, others...), Listed: func() bool { return true }, Now: func() time.Duration { return n.now },
+		Enabled: func() bool { return true }, Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
+		Limits: func(name string) (customer.Quota, int64, bool) { l, ok := n.limits[name]; return l, n.version, ok },
+	})
+	h.account.rng = n.rng
+	h.dead, h.asking, h.due, h.suspects = false, false, 0, make(map[string]time.Duration)
+	service := h.Service
+	n.after(n.jitter(50*time.Millisecond), func() { n.pollLoop(h, service) })
+	n.after(n.jitter(50*time.Millisecond), func() { n.exchangeLoop(h, service) })
+}
+
+func (n *network) jitter(d time.Duration) time.Duration { return time.Duration(n.rng.Int64N(int64(d))) }
+
+func (n *network) after(d time.Duration, do func()) {
+	n.seq++
+	heap.Push(&n.events, event{at: n.now + d, seq: n.seq, do: do})
+}
+
+// run plays the events of a time.
+func (n *network) run(d time.Duration) {
+	end := n.now + d
+	for len(n.events) > 0 && n.events[0].at <= end {
+		e := heap.Pop(&n.events).(event)
+		n.now = e.at
+		e.do()
+	}
+	n.now = end
+}
+
+// on runs a step of a host: later if it is frozen, never if it has died or was started
+// again.
+func (n *network) on(h *node, service *Service, do func()) {
+	switch {
+	case h.dead || h.Service != service:
+	case n.now < h.frozenUntil:
+		n.after(h.frozenUntil-n.now, func() { n.on(h, service, do) })
+	default:
+		do()
+	}
+}
+
+func (n *network) latency(a, b *node) time.Duration {
+	d := 500 * time.Microsecond
+	if a.dataCentre != b.dataCentre {
+		d = 8 * time.Millisecond
+	}
+	return d + n.jitter(2*time.Millisecond)
+}
+
+// send delivers a call and its reply. A dead host refuses the connection, and no reply
+// arrives from one that is cut off or answers later than the timeout.
+func (n *network) send(from, to *node, timeout time.Duration, serve func(reply func(func())), failed func()) {
+	service, target := from.Service, to.Service
+	done := false
+	end := func(do func()) func() {
+		return func() {
+			n.on(from, service, func() {
+				if !done {
+					done = true
+					do()
+				}
+			})
+		}
+	}
+	n.after(timeout, end(failed))
+	if from.side != to.side {
+		return
+	}
+	n.after(n.latency(from, to), func() {
+		if to.dead || to.Service != target {
+			n.after(n.latency(from, to), end(failed))
+			return
+		}
+		n.on(to, target, func() {
+			serve(func(do func()) {
+				if from.side == to.side {
+					n.after(n.latency(from, to), end(do))
+				}
+			})
+		})
+	})
+}
+
+// brokerOf returns the first host of the data centre that the host doesn't suspect.
+func (n *network) brokerOf(h *node) *node {
+	first := h
+	for _, other := range n.nodes {
+		if other.dataCentre == h.dataCentre && n.now >= h.suspects[other.name] {
+			first = other
+			break
+		}
+	}
+	return first
+}
+
+func (n *network) pollLoop(h *node, service *Service) {
+	n.on(h, service, func() {
+		broker := n.brokerOf(h)
+		again := func(d time.Duration) { n.after(d, func() { n.pollLoop(h, service) }) }
+		attachment := h.PollAttachment(broker.name)
+		n.send(h, broker, 800*time.Millisecond, func(reply func(func())) {
+			broker.Polled(h.name, attachment)
+			target := broker.Service
+			n.after(400*time.Millisecond, func() {
+				n.on(broker, target, func() {
+					stamp := broker.PollStamp()
+					reply(func() { h.PollReplied(broker.name, stamp); again(5 * time.Millisecond) })
+				})
+			})
+		}, func() {
+			h.suspects[broker.name] = n.now + time.Second
+			again(10 * time.Millisecond)
+		})
+	})
+}
+
+func (n *network) exchangeLoop(h *node, service *Service) {
+	n.on(h, service, func() {
+		if !h.asking && n.now >= h.due {
+			n.exchange(h)
+		}
+		n.after(10*time.Millisecond, func() { n.exchangeLoop(h, service) })
+	})
+}
+
+func (n *network) nodeOf(name string) *node {
+	for _, h := range n.nodes {
+		if h.name == name {
+			return h
+		}
+	}
+	panic(name)
+}
+
+var errUnreachable = errors.New("unreachable")
+
+func (n *network) exchange(h *node) {
+	x, ok := h.prepare()
+	if !ok {
+		h.due = n.now + 50*time.Millisecond
+		return
+	}
+	for _, p := range x.probes {
+		to := n.nodeOf(p.Name)
+		n.send(h, to, exchangeTimeout, func(reply func(func())) {
+			r := new(ExchangeReply)
+			_ = to.Peer().Exchange(*h.probeArgs(), r)
+			reply(func() { h.probed(p, r) })
+		}, func() {})
+	}
+	n.exchanges++
+	h.asking = true
+	finish := func(r *ExchangeReply, err error) {
+		h.asking = false
+		h.due = n.now + time.Duration((0.8+0.2*n.rng.Float64())*float64(exchangeInterval))
+		if h.finish(x, r, err) {
+			h.due = n.now
+		}
+	}
+	to := n.nodeOf(x.to.Name)
+	if to == h {
+		r := new(ExchangeReply)
+		err := h.Peer().Exchange(*x.args, r)
+		finish(r, err)
+		return
+	}
+	n.send(h, to, exchangeTimeout, func(reply func(func())) {
+		r := new(ExchangeReply)
+		_ = to.Peer().Exchange(*x.args, r)
+		reply(func() { finish(r, nil) })
+	}, func() { finish(nil, errUnreachable) })
+}
+
+// request sends a request of a customer to a host, which asks the brokers of its data
+// centre in turn, as slots.Client does.
+func (n *network) request(h *node, name string, tries int) {
+	if h.dead || n.now < h.frozenUntil || tries == 0 {
+		return
+	}
+	broker := n.brokerOf(h)
+	answered := func(d Decision) {
+		if !d.Admitted {
+			n.refused[name]++
+			n.retryAfter = d.Refusal.RetryAfter
+		}
+	}
+	n.send(h, broker, 180*time.Millisecond, func(reply func(func())) {
+		n.take(broker, name, func(d Decision) { reply(func() { answered(d) }) })
+	}, func() {
+		h.suspects[broker.name] = n.now + time.Second
+		n.request(h, name, tries-1)
+	})
+}
+
+func (n *network) take(broker *node, name string, decided func(Decision)) {
+	service := broker.Service
+	decide := func(d Decision) {
+		if d.Admitted {
+			n.admitted[name] = append(n.admitted[name], n.now)
+		}
+		decided(d)
+	}
+	broker.lastTake, broker.taken = n.now, true
+	d := broker.account.Take(n.now, name)
+	if d.Waiter == nil {
+		if d.Ask {
+			broker.due = min(broker.due, n.now+lowCreditDelay)
+		}
+		decide(d)
+		return
+	}
+	n.waited++
+	broker.due = n.now
+	deadline := n.now + answerTimeout
+	var wait func()
+	wait = func() {
+		n.on(broker, service, func() {
+			select {
+			case d := <-d.Waiter.Decided:
+				decide(d)
+				return
+			default:
+			}
+			if n.now >= deadline {
+				decide(service.account.GiveUp(n.now, d.Waiter))
+				return
+			}
+			n.after(time.Millisecond, wait)
+		})
+	}
+	n.after(time.Millisecond, wait)
+}
+
+// load sends Poisson arrivals of a customer to hosts for a time.
+func (n *network) load(name string, perSecond float64, d time.Duration, to func() *node) {
+	end := n.now + d
+	var next func()
+	next = func() {
+		if n.now >= end {
+			return
+		}
+		n.request(to(), name, 3)
+		n.after(time.Duration(n.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+	}
+	n.after(time.Duration(n.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
+}
+
+// anyHost returns a host that accepts requests.
+func (n *network) anyHost() *node {
+	for {
+		if h := n.nodes[n.rng.IntN(len(n.nodes))]; !h.dead && n.now >= h.frozenUntil {
+			return h
+		}
+	}
+}
+
+// allocatorNode returns the host that ranks first as allocator among those alive.
+func (n *network) allocatorNode() *node {
+	var all []membership.Host
+	for _, h := range n.nodes {
+		if !h.dead {
+			all = append(all, membership.Host{Name: h.name})
+		}
+	}
+	return n.nodeOf(membership.Rendezvous(all, rendezvousKey, 1)[0].Name)
+}
+
+func (n *network) count(name string, from, to time.Duration) int {
+	times := n.admitted[name]
+	at := func(t time.Duration) int { return sort.Search(len(times), func(i int) bool { return times[i] >= t }) }
+	return at(to) - at(from)
+}
+
+// requireBound checks each window of the tolerance: at most what a limit allows, plus a
+// part of the tolerance.
+func (n *network) requireBound(t require.TestingT, name string, limit customer.Quota, part float64) {
+	if h, ok := t.(*testing.T); ok {
+		h.Helper()
+	}
+	most := limit.PerSecond*n.tolerance.Window.Seconds() + limit.Burst + part*n.tolerance.of(limit)
+	times := n.admitted[name]
+	for i, j := 0, 0; j < len(times); j++ {
+		for times[j]-times[i] > n.tolerance.Window {
+			i++
+		}
+		if float64(j-i+1) > most {
+			require.LessOrEqual(t, float64(j-i+1), most, "requests of %s from %s to %s", name, times[i]-time.Hour, times[j]-time.Hour)
+		}
+	}
+}
--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -7,6 +7,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -29,6 +30,9 @@
 	// configuration has no customers or the route is public.
 	Customer         string
 	CustomerPriority int
+	// Charged reports that the request has a token of its customer's quota: an earlier
+	// attempt was granted a slot.
+	Charged bool
 	// Avoid holds the IDs of replicas that the request must not be sent to.
 	Avoid []string
 	// Leaving holds the replicas that the host has found to be leaving.
@@ -72,11 +76,20 @@
 	Replicas, RateLimited int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
+	// OverQuota reports that the request is refused since its customer's quota is used
+	// up, as described by Quota.
+	OverQuota bool
+	Quota     quota.Refusal
 }
 
 // Acquire grants a slot to an online request or refuses it. It waits for a free
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	settle, ok := b.charge(&args, reply)
+	if !ok {
+		return nil
+	}
+	defer settle()
 	waiter, granted := b.decide(&args, reply)
 	if waiter == nil {
 		return nil
@@ -157,7 +170,7 @@
 	if refusal == nil {
 		return g, nil
 	}
-	if refusal.Quarantined {
+	if refusal.final() {
 		return Grant{}, refusal
 	}
 	waitIn := own
@@ -170,7 +183,7 @@
 		if remoteRefusal == nil {
 			return g, nil
 		}
-		if remoteRefusal.Quarantined {
+		if remoteRefusal.final() {
 			return Grant{}, remoteRefusal
 		}
 		if args.Pinned && refusal.Replicas == 0 && remoteRefusal.Replicas > 0 {
@@ -207,7 +220,10 @@
 			continue
 		}
 		if !reply.Granted {
-			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, Quarantined: reply.Quarantined}
+			return Grant{}, &RefusedError{
+				RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited,
+				Quarantined: reply.Quarantined, OverQuota: reply.OverQuota, Quota: reply.Quota,
+			}
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
 		reply.Grant.Since = c.Clock.Now()
@@ -231,6 +247,7 @@
 	if err := c.reportRateLimits(ctx, h, dataCentre); err != nil {
 		return nil, err
 	}
+	args.Charged = true
 	reply, err = c.callAcquire(ctx, h, args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -69,6 +70,8 @@
 	onQuarantine func(quarantine.Notice)
 	// broken holds the exchanges that broke off lately.
 	broken map[replica.Incarnation]*brokenRuns
+	// quotas is nil if no request needs a token.
+	quotas Quotas
 }
 
 // pendingUpdates holds what the next poll of a host returns.
@@ -248,6 +251,8 @@
 	// Version is the version of the replica records that the host has, or
 	// skipRecords.
 	Version int64
+	// Quota states to which broker the host is attached.
+	Quota quota.Attachment
 }
 
 // PollReply is the reply to Poll.
@@ -261,6 +266,8 @@
 	Replicas []replica.Replica
 	Known    bool
 	Notice   Notice
+	// Quota is sent back with the host's next poll.
+	Quota quota.Stamp
 }
 
 // Notice describes the state of a broker, so that other hosts need not watch
@@ -279,6 +286,8 @@
 // are updates for the host, and after pollWait at the latest.
 func (b *Broker) Poll(args PollArgs, reply *PollReply) error {
 	updates := b.sync(args)
+	b.countPoll(&args)
+	defer b.stampPoll(&args, reply)
 	timer := b.clock.NewTimer(pollWait)
 	defer timer.Stop()
 	if !b.collect(updates, args.Version, reply) {
--- a/slots/client.go
+++ b/slots/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -98,13 +99,16 @@
 	// Quarantined reports that the request crashes replicas; RetryAfter is when it is no
 	// longer refused.
 	Quarantined bool
+	// OverQuota reports that the customer's quota is used up, as described by Quota.
+	OverQuota bool
+	Quota     quota.Refusal
 }
 
 // Error implements error.
 func (r *RefusedError) Error() string { return "no slot is free in time" }
 
 // Client acquires slots from the brokers and polls them for this host. Its
-// exported fields are required.
+// exported fields are required unless stated otherwise.
 type Client struct {
 	View       membership.View
 	Peers      PeerClient
@@ -121,6 +125,8 @@
 	// OnNotice receives the notice of the broker of the own data centre, when
 	// that is another host.
 	OnNotice func(broker membership.Host, n Notice)
+	// Quotas is nil if hosts are not counted for quotas.
+	Quotas Quotas
 
 	mu       sync.Mutex
 	grants   map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	h := ranked[0]
-	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote)}
+	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Quota: c.quotaAttachment(h, remote)}
 	var reply PollReply
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
@@ -69,6 +69,7 @@
 		return false
 	}
 	c.clearSuspicion(h)
+	c.applyQuotaStamp(h, &reply)
 	c.setReported(dataCentre, remote && !idle)
 	c.applyReply(h, reply, remote, args.Version != skipRecords)
 	return true
--- /dev/null
+++ b/slots/quota.go
@@ -0,0 +1,77 @@
+package slots
+
+import (
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/quota"
+)
+
+// Quotas bounds the requests of each customer that replicas run. It also counts which
+// hosts poll which broker.
+type Quotas interface {
+	// Take takes a token for a request of a customer and reports whether there is one.
+	// Return gives it back if the request gets no slot.
+	Take(customer string) (quota.Refusal, bool)
+	Return(customer string)
+	// PollAttachment returns what a host states in its next poll of a broker, and
+	// PollReplied receives the stamp in the reply.
+	PollAttachment(broker string) quota.Attachment
+	PollReplied(broker string, stamp quota.Stamp)
+	// Polled receives what a host that polls this broker states, and PollStamp returns
+	// the stamp for the reply.
+	Polled(host string, a quota.Attachment)
+	PollStamp() quota.Stamp
+}
+
+// SetQuotas sets the quotas. Without them no request needs a token. It must be called
+// before the broker is used.
+func (b *Broker) SetQuotas(q Quotas) { b.quotas = q }
+
+// charge takes a token for a request unless it has one, and reports whether the request
+// may get a slot. If it may, settle must be called once the reply is decided.
+func (b *Broker) charge(args *AcquireArgs, reply *AcquireReply) (settle func(), ok bool) {
+	if b.quotas == nil || args.Customer == "" || args.Charged {
+		return func() {}, true
+	}
+	refusal, ok := b.quotas.Take(args.Customer)
+	if !ok {
+		*reply = AcquireReply{OverQuota: true, Quota: refusal, RetryAfter: refusal.RetryAfter}
+		return nil, false
+	}
+	return func() {
+		if !reply.Granted {
+			b.quotas.Return(args.Customer)
+		}
+	}, true
+}
+
+// countPoll records a poll of a host of the own data centre.
+func (b *Broker) countPoll(args *PollArgs) {
+	if b.quotas != nil && !args.Partial {
+		b.quotas.Polled(args.Host, args.Quota)
+	}
+}
+
+// stampPoll adds to the reply to a poll what its host sends back with the next one.
+func (b *Broker) stampPoll(args *PollArgs, reply *PollReply) {
+	if b.quotas != nil && !args.Partial {
+		reply.Quota = b.quotas.PollStamp()
+	}
+}
+
+// quotaAttachment returns what to state in a poll of a broker of the own data centre.
+func (c *Client) quotaAttachment(h membership.Host, remote bool) quota.Attachment {
+	if c.Quotas == nil || remote {
+		return quota.Attachment{}
+	}
+	return c.Quotas.PollAttachment(h.Name)
+}
+
+// applyQuotaStamp records the stamp in the reply to a poll.
+func (c *Client) applyQuotaStamp(h membership.Host, reply *PollReply) {
+	if c.Quotas != nil {
+		c.Quotas.PollReplied(h.Name, reply.Quota)
+	}
+}
+
+// final reports whether no other data centre grants what one has refused.
+func (r *RefusedError) final() bool { return r.Quarantined || r.OverQuota }
