quota: model test of partitions, freezes, deaths and changes of limits

It checks the bound in each window, and that the rates, bursts and credits of all hosts add up to no more than the limits.

--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"sort"
 	"testing"
@@ -26,8 +27,8 @@
 	seq    int
 	rng    *rand.Rand
 	nodes  []*node
-	limits map[string]customer.Quota
-	// version is the configuration's version.
+	// limits is the newest configuration, and version its version.
+	limits    map[string]customer.Quota
 	version   int64
 	tolerance Tolerance
 
@@ -38,14 +39,26 @@
 	retryAfter time.Duration
 	waited     int
 	exchanges  int
+
+	// check, if set, is called at least every checkInterval.
+	check     func()
+	checkedAt time.Duration
+	// most is the largest rate and burst of each customer.
+	most map[string]customer.Quota
 }
 
+const checkInterval = 20 * time.Millisecond
+
 // node is one host.
 type node struct {
 	*Service
 	name, dataCentre string
 	dead             bool
 	frozenUntil      time.Duration
+	view             *membership.Static
+	// limits is the configuration that the host has, and version its version.
+	limits  map[string]customer.Quota
+	version int64
 	// side is the side of a partition on which the host is.
 	side int
 	// suspects holds the brokers that did not answer, with the time until which they are
@@ -95,22 +108,14 @@
 
 // start starts a host, again if it was dead.
 func (n *network) start(h *node) {
-	var self membership.Host
-	var others []membership.Host
-	for _, other := range n.nodes {
-		m := membership.Host{Name: other.name, DataCentre: other.dataCentre, PeerAddress: other.name}
-		if other == h {
-			self = m
-		} else {
-			others = append(others, m)
-		}
-	}
+	h.view = membership.NewStatic(h.member(), n.others(h, func(*node) bool { return true })...)
+	h.limits, h.version = n.limits, n.version
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h.Service = NewService(Options{
-		Tolerance: n.tolerance, View: membership.NewStatic(self, others...), Listed: func() bool { return true }, Now: func() time.Duration { return n.now },
+		Tolerance: n.tolerance, View: h.view, Listed: func() bool { return true }, Now: func() time.Duration { return n.now },
 		Enabled: func() bool { return true }, Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
-		Limits: func(name string) (customer.Quota, int64, bool) { l, ok := n.limits[name]; return l, n.version, ok },
+		Limits: func(name string) (customer.Quota, int64, bool) { l, ok := h.limits[name]; return l, h.version, ok },
 	})
 	h.account.rng = n.rng
 	h.dead, h.asking, h.due, h.suspects = false, false, 0, make(map[string]time.Duration)
@@ -119,6 +124,40 @@
 	n.after(n.jitter(50*time.Millisecond), func() { n.exchangeLoop(h, service) })
 }
 
+func (h *node) member() membership.Host {
+	return membership.Host{Name: h.name, DataCentre: h.dataCentre, PeerAddress: h.name}
+}
+
+// others returns the other hosts that a host sees.
+func (n *network) others(h *node, seen func(*node) bool) []membership.Host {
+	var others []membership.Host
+	for _, other := range n.nodes {
+		if other != h && seen(other) {
+			others = append(others, other.member())
+		}
+	}
+	return others
+}
+
+// configure puts a limit in force, which reaches each host within a second.
+func (n *network) configure(name string, limit customer.Quota) {
+	limits := maps.Clone(n.limits)
+	limits[name] = limit
+	n.limits = limits
+	n.version++
+	version := n.version
+	for _, h := range n.nodes {
+		service := h.Service
+		n.after(n.jitter(time.Second), func() {
+			n.on(h, service, func() {
+				if h.version < version {
+					h.limits, h.version = limits, version
+				}
+			})
+		})
+	}
+}
+
 func (n *network) jitter(d time.Duration) time.Duration { return time.Duration(n.rng.Int64N(int64(d))) }
 
 func (n *network) after(d time.Duration, do func()) {
@@ -133,6 +172,10 @@
 		e := heap.Pop(&n.events).(event)
 		n.now = e.at
 		e.do()
+		if n.check != nil && n.now-n.checkedAt >= checkInterval {
+			n.checkedAt = n.now
+			n.check()
+		}
 	}
 	n.now = end
 }
