--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -114,3 +114,61 @@
 		})
 	}
 }
+
+// A limit that is lowered far below the load takes effect late, or the raised one never.
+func TestChangedLimitTakesEffectWithinSeconds(t *testing.T) {
+	n := settled(4)
+	high, low := n.limits["c"], customer.Quota{PerSecond: 2, Burst: 2}
+	n.load("c", mean, 30*time.Second, n.anyHost)
+	n.run(5 * time.Second)
+	n.configure("c", low)
+	n.run(2 * time.Second)
+	lowered := n.now
+	n.run(10 * time.Second)
+	require.LessOrEqual(t, n.count("c", lowered, n.now), int(low.PerSecond*10+low.Burst+creditShare*n.tolerance.of(low))+1)
+	require.LessOrEqual(t, n.retryAfter, maxRetryAfter)
+	n.configure("c", high)
+	n.run(2 * time.Second)
+	refused := n.refused["c"]
+	n.run(5 * time.Second)
+	require.Equal(t, refused, n.refused["c"], "refused below the raised limit")
+}
+
+// A start of all hosts grants the burst again to a customer that sends all the time, or
+// refuses for long.
+func TestStartOfAllHostsGrantsNoBurst(t *testing.T) {
+	n := newNetwork(5, 6, 10, testLimits())
+	n.load("c", mean, 20*time.Second, n.anyHost)
+	n.run(10 * time.Second)
+	for _, h := range n.nodes {
+		n.start(h)
+	}
+	n.run(3500 * time.Millisecond)
+	refused := n.refused["c"]
+	n.run(6 * time.Second)
+	require.Equal(t, refused, n.refused["c"], "refused 3.5 s after the start")
+	n.requireBound(t, "c", n.limits["c"], creditShare)
+}
+
+// A customer that is refused and returns when it was told to is refused again and again,
+// or all of those that were refused return at the same time.
+func TestRetryAfterSpreadsTheRefused(t *testing.T) {
+	limit := customer.Quota{PerSecond: 50, Burst: 50}
+	a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, true }, settled(6).rng)
+	a.hosts, a.standing.Known = 10, 10
+	e := a.entryOf("c", limit, 1)
+	e.dryUntil = 200 * time.Millisecond
+	perTenth := make(map[time.Duration]int)
+	for range 60 {
+		after := a.refuse(0, e).RetryAfter
+		require.GreaterOrEqual(t, after, 200*time.Millisecond)
+		require.LessOrEqual(t, after, maxRetryAfter)
+		perTenth[after/(100*time.Millisecond)]++
+	}
+	for tenth, n := range perTenth {
+		require.LessOrEqual(t, n, 6, "requests that return in tenth %d of a second, of which 5 fit", tenth)
+	}
+	for range 300 {
+		require.LessOrEqual(t, a.refuse(0, e).RetryAfter, maxRetryAfter)
+	}
+}
