--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -64,9 +64,10 @@
 	// suspects holds the brokers that did not answer, with the time until which they are
 	// passed over.
 	suspects map[string]time.Duration
-	// asking is set while an exchange is in progress, and due when the next one is.
-	asking bool
-	due    time.Duration
+	// asking is set while an exchange is in progress, urgent while a request waits for the
+	// next one, and due is when that follows otherwise.
+	asking, urgent bool
+	due            time.Duration
 }
 
 type event struct {
@@ -269,10 +270,11 @@
 
 func (n *network) exchangeLoop(h *node, service *Service) {
 	n.on(h, service, func() {
-		if !h.asking && n.now >= h.due {
+		if !h.asking && (h.urgent || n.now >= h.due) {
+			h.urgent = false
 			n.exchange(h)
 		}
-		n.after(10*time.Millisecond, func() { n.exchangeLoop(h, service) })
+		n.after(3*time.Millisecond, func() { n.exchangeLoop(h, service) })
 	})
 }
 
@@ -326,22 +328,16 @@
 
 // request sends a request of a customer to a host, which asks the brokers of its data
 // centre in turn, as slots.Client does.
-func (n *network) request(h *node, name string, tries int) {
+func (n *network) request(h *node, name string, tries int, answered func(Decision)) {
 	if h.dead || n.now < h.frozenUntil || tries == 0 {
 		return
 	}
 	broker := n.brokerOf(h)
-	answered := func(d Decision) {
-		if !d.Admitted {
-			n.refused[name]++
-			n.retryAfter = d.Refusal.RetryAfter
-		}
-	}
 	n.send(h, broker, 180*time.Millisecond, func(reply func(func())) {
 		n.take(broker, name, func(d Decision) { reply(func() { answered(d) }) })
 	}, func() {
 		h.suspects[broker.name] = n.now + time.Second
-		n.request(h, name, tries-1)
+		n.request(h, name, tries-1, answered)
 	})
 }
 
@@ -363,7 +359,7 @@
 		return
 	}
 	n.waited++
-	broker.due = n.now
+	broker.urgent = true
 	deadline := n.now + answerTimeout
 	var wait func()
 	wait = func() {
@@ -392,7 +388,12 @@
 		if n.now >= end {
 			return
 		}
-		n.request(to(), name, 3)
+		n.request(to(), name, 3, func(d Decision) {
+			if !d.Admitted {
+				n.refused[name]++
+				n.retryAfter = d.Refusal.RetryAfter
+			}
+		})
 		n.after(time.Duration(n.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 	}
 	n.after(time.Duration(n.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
--- /dev/null
+++ b/slots/quota_test.go
@@ -0,0 +1,123 @@
+package slots
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/quota"
+)
+
+// tokens are quotas of one customer with some tokens.
+type tokens struct {
+	left           int
+	polled         []string
+	stamp          quota.Stamp
+	received       quota.Stamp
+	attachedBefore string
+}
+
+func (q *tokens) Take(string) (quota.Refusal, bool) {
+	if q.left == 0 {
+		return quota.Refusal{RetryAfter: 700 * time.Millisecond, Level: 0.5}, false
+	}
+	q.left--
+	return quota.Refusal{}, true
+}
+func (q *tokens) Return(string) { q.left++ }
+func (q *tokens) PollAttachment(broker string) quota.Attachment {
+	q.attachedBefore = broker
+	return quota.Attachment{Elsewhere: time.Second}
+}
+func (q *tokens) PollReplied(_ string, stamp quota.Stamp) { q.received = stamp }
+func (q *tokens) Polled(host string, _ quota.Attachment)  { q.polled = append(q.polled, host) }
+func (q *tokens) PollStamp() quota.Stamp                  { return q.stamp }
+
+// newQuotaFleet returns a fleet whose brokers each have some tokens.
+func newQuotaFleet(left int) (*fleet, map[string]*tokens) {
+	f := newFleet()
+	all := make(map[string]*tokens)
+	for name, m := range f.hosts {
+		all[name] = &tokens{left: left, stamp: quota.Stamp{Process: 1, At: 1}}
+		m.broker.SetQuotas(all[name])
+		m.Quotas = all[name]
+	}
+	return f, all
+}
+
+// Each row states how many tokens requests take.
+func TestRequestsTakeTokens(t *testing.T) {
+	rows := []struct {
+		name  string
+		args  AcquireArgs
+		times int
+		left  int
+	}{
+		{"of a customer", AcquireArgs{Customer: "c"}, 2, 3},
+		{"charged before", AcquireArgs{Customer: "c", Charged: true}, 2, 5},
+		{"without a customer", AcquireArgs{}, 2, 5},
+		{"refused for lack of slots", AcquireArgs{Customer: "c"}, 4, 3},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f, all := newQuotaFleet(5)
+			broker, _ := f.broker("x")
+			row.args.Service = service
+			for range row.times {
+				require.NoError(t, broker.broker.Acquire(row.args, new(AcquireReply)))
+			}
+			require.Equal(t, row.left, all[broker.name()].left)
+		})
+	}
+}
+
+// A request over its customer's quota runs after all, in another data centre.
+func TestRequestOverQuotaIsRefusedEverywhere(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, other := f.broker("x")
+	all[broker.name()].left = 0
+	_, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service, Customer: "c"}, time.Second)
+	var refusal *RefusedError
+	require.True(t, errors.As(err, &refusal))
+	require.True(t, refusal.OverQuota)
+	require.Equal(t, 700*time.Millisecond, refusal.RetryAfter)
+	require.InDelta(t, 0.5, refusal.Quota.Level, 0)
+	require.Zero(t, f.callsOf("Slots.Acquire y1")+f.callsOf("Slots.Acquire y2"))
+}
+
+// A request that leaves the queue without a slot keeps its token.
+func TestTokenIsReturnedWhenTheWaitEnds(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, _ := f.broker("x")
+	for range 2 {
+		require.NoError(t, broker.broker.Acquire(AcquireArgs{Service: service}, new(AcquireReply)))
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = broker.broker.Acquire(AcquireArgs{Service: service, Customer: "c", MaxWait: time.Second}, new(AcquireReply))
+	}()
+	require.NoError(t, f.clock.BlockUntilContext(context.Background(), 1))
+	broker.broker.StepDown()
+	<-done
+	require.Equal(t, 5, all[broker.name()].left)
+}
+
+// Polls of other data centres count a host at two brokers.
+func TestHostsAreCountedAtTheBrokerOfTheirDataCentre(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, other := f.broker("x")
+	var reply PollReply
+	remote := PollArgs{Host: "y1", Partial: true}
+	broker.broker.countPoll(&remote)
+	broker.broker.stampPoll(&remote, &reply)
+	require.Empty(t, all[broker.name()].polled)
+	require.Zero(t, reply.Quota)
+	f.poll(t, other)
+	require.Equal(t, []string{other.name()}, all[broker.name()].polled)
+	require.Equal(t, broker.name(), all[other.name()].attachedBefore)
+	require.Equal(t, all[broker.name()].stamp, all[other.name()].received)
+}
