--- a/quota/account.go
+++ b/quota/account.go
@@ -14,8 +14,12 @@
 	maxRetryAfter = 1600 * time.Millisecond
 )
 
-// lowCredit is the part of its credit below which a broker asks for more at once.
-const lowCredit = 0.5
+// lowCredit is the part of its credit below which a broker asks for more at once, unless
+// it may hold fewer than minLowCredit tokens: then each request would ask.
+const (
+	lowCredit    = 0.5
+	minLowCredit = 4
+)
 
 // Refusal describes why a request is over its customer's quota.
 type Refusal struct {
@@ -90,7 +94,8 @@
 		e.credit--
 		a.changed[name] = struct{}{}
 		capacity := a.capacity(limit)
-		return Decision{Admitted: true, Ask: now >= e.dryUntil && float64(e.credit) < lowCredit*float64(capacity)}
+		low := capacity >= minLowCredit && float64(e.credit) < lowCredit*float64(capacity)
+		return Decision{Admitted: true, Ask: low && now >= e.dryUntil}
 	}
 	a.changed[name] = struct{}{}
 	if now < e.dryUntil {
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -182,7 +182,7 @@
 
 // capacity returns the most tokens that a bucket holds at a share.
 func (a *Allocator) capacity(limit customer.Quota, share float64) float64 {
-	capacity := limit.Burst * share
+	capacity := a.tolerance.burst(limit) * share
 	if share >= a.tolerance.wholeTokenShare() {
 		capacity = max(capacity, 1)
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -39,10 +39,17 @@
 	departureHold = 5 * time.Minute
 )
 
-// creditShare is the part of the tolerance that brokers may hold as credit. The other
-// part covers requests that hold a token while they wait for a slot, and differences
-// between the views that hosts have of each other.
-const creditShare = 0.5
+// Parts of the tolerance. The remaining part covers requests that hold a token while they
+// wait for a slot, which is up to 0.25 s, and differences between the views that hosts
+// have of each other.
+const (
+	// creditShare is the part that brokers may hold as credit.
+	creditShare = 0.5
+	// burstShare is the part of the slack that buckets hold beyond the burst. Customers
+	// with less than a few requests a second would else be refused whenever two of their
+	// requests happen to come together.
+	burstShare = 0.25
+)
 
 // Tolerance is by how much requests may exceed a quota: in any time of Window,
 // Excess of what the quota allows, as a fraction, and Slack requests.
@@ -57,6 +64,9 @@
 	return t.Excess*(q.PerSecond*t.Window.Seconds()+q.Burst) + t.Slack
 }
 
+// burst returns the most tokens that all buckets of one quota hold together.
+func (t Tolerance) burst(q customer.Quota) float64 { return q.Burst + burstShare*t.Slack }
+
 // wholeTokenShare is the share from which an allocator's buckets hold at least one
 // token. So many allocators may exceed a small burst by one token each that their sum
 // stays within the part of the slack that isn't credit.
--- a/quota/service.go
+++ b/quota/service.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
+	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
@@ -29,6 +30,9 @@
 	probeInterval = time.Second
 	// lowCreditDelay is the least time between two exchanges if no request waits.
 	lowCreditDelay = 50 * time.Millisecond
+	// minGap is the least time between the end of an exchange and the next one, so that
+	// a broker of a large fleet asks for many requests at once.
+	minGap = 10 * time.Millisecond
 	// idleTimeout is how long a host that no other polls exchanges after its last
 	// request.
 	idleTimeout = 5 * time.Second
@@ -241,6 +245,9 @@
 func (s *Service) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		active, again := s.exchange(ctx)
+		if active {
+			wait.For(ctx, s.Clock, minGap)
+		}
 		if !again {
 			s.pause(ctx, active)
 		}
