--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/comfreyspindle/comfreyspindle/customer"
 	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
+	"github.com/comfreyspindle/comfreyspindle/internal/porttest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/peer"
 )
 
 // wires are services that call each other in memory.
@@ -116,6 +118,27 @@
 	require.Greater(t, refused, 150)
 }
 
+// The method can't be called over the hosts' network, or fields get lost on the way.
+func TestExchangeOverTheNetwork(t *testing.T) {
+	n := settled(1)
+	allocator := n.nodeOf(n.nodes[0].current.Name)
+	address := porttest.Free(t)
+	server, err := peer.Listen(address, nil)
+	require.NoError(t, err)
+	require.NoError(t, server.Register(PeerName, allocator.Peer()))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	args := ExchangeArgs{Broker: "b", ConfigVersion: 1, Wants: []Want{{Customer: "c", Tokens: 3, PerSecond: 1, Burst: 1}, {Customer: "c", Tokens: 1000}}}
+	reply := new(ExchangeReply)
+	require.NoError(t, peer.NewClient(second, nil).Call(ctx, address, PeerName+".Exchange", args, reply))
+	require.Equal(t, 3, reply.Answers[0].Tokens)
+	require.Positive(t, reply.Answers[1].NotBefore)
+	require.Equal(t, Stamp{Process: allocator.allocator.brokers.process, At: n.now}, reply.Stamp)
+	require.Equal(t, 60, reply.Standing.Known)
+	require.True(t, reply.Standing.Majority)
+}
+
 // Without customers messages are sent or hosts are counted.
 func TestWithoutCustomersNothingIsSent(t *testing.T) {
 	w := startServices(t, false)
