--- a/host/host.go
+++ b/host/host.go
@@ -8,7 +8,6 @@
 	"context"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime"
 	"runtime/debug"
@@ -32,6 +31,7 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
@@ -75,6 +75,7 @@
 	broker       *slots.Broker
 	slotClient   *slots.Client
 	quarantine   *quarantineRecords
+	quotas       *quota.Service
 	jobs         *jobs.Manager
 	runner       *forward.Runner
 	// confirmer is nil if the settings don't bound the time until removed keys are
@@ -96,39 +97,6 @@
 	done             chan struct{}
 }
 
-// listener is an HTTP server and the listener on its address.
-type listener struct {
-	name   string
-	inner  net.Listener
-	server *http.Server
-}
-
-// Serve serves until ctx ends.
-func (l *listener) Serve(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
-	defer stop()
-	err := l.server.Serve(l.inner)
-	if errors.Is(err, http.ErrServerClosed) {
-		return suture.ErrDoNotRestart
-	}
-	return err
-}
-
-// String names the service in supervisor events.
-func (l *listener) String() string { return l.name }
-
-func (h *Host) listen(name, address string, handler http.Handler) (*listener, error) {
-	inner, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen for %s", name)
-	}
-	return &listener{
-		name:   name,
-		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits},
-		server: &http.Server{Handler: handler, ConnState: trackState},
-	}, nil
-}
-
 // limits returns the limits of callers' connections from the configuration in
 // force, with defaults for timeouts that it doesn't set.
 func (h *Host) limits() route.Limits {
@@ -183,7 +151,7 @@
 		return err
 	}
 	for name, receiver := range map[string]any{
-		slots.PeerName: h.broker, jobs.PeerName: h.jobs.Peer(), peerName: &Peer{host: h},
+		slots.PeerName: h.broker, jobs.PeerName: h.jobs.Peer(), peerName: &Peer{host: h}, quota.PeerName: h.quotas.Peer(),
 	} {
 		if err := h.peerServer.Register(name, receiver); err != nil {
 			return err
@@ -231,6 +199,7 @@
 	h.slotClient.Init()
 	h.broker.SetIsBroker(h.slotClient.IsBroker)
 	h.provisionQuarantine(engine)
+	h.provisionQuotas()
 	h.replicas.onRateLimit = h.slotClient.ReportRateLimit
 	h.jobs = jobs.NewManager(jobs.Options{
 		Store: h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
@@ -308,6 +277,7 @@
 	}
 	serving := suture.New("serving", spec)
 	serving.Add(h.slotClient)
+	serving.Add(h.quotas)
 	serving.Add(h.jobs)
 	serving.Add(recovery{h})
 	for _, l := range []*listener{h.callers, h.ready, h.metrics} {
--- /dev/null
+++ b/host/listener.go
@@ -0,0 +1,43 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+)
+
+// listener is an HTTP server and the listener on its address.
+type listener struct {
+	name   string
+	inner  net.Listener
+	server *http.Server
+}
+
+// Serve serves until ctx ends.
+func (l *listener) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
+	err := l.server.Serve(l.inner)
+	if errors.Is(err, http.ErrServerClosed) {
+		return suture.ErrDoNotRestart
+	}
+	return err
+}
+
+// String names the service in supervisor events.
+func (l *listener) String() string { return l.name }
+
+func (h *Host) listen(name, address string, handler http.Handler) (*listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for %s", name)
+	}
+	return &listener{
+		name:   name,
+		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits},
+		server: &http.Server{Handler: handler, ConnState: trackState},
+	}, nil
+}
--- a/slots/client.go
+++ b/slots/client.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
+	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
@@ -99,13 +100,16 @@
 	// Quarantined reports that the request crashes replicas; RetryAfter is when it is no
 	// longer refused.
 	Quarantined bool
+	// OverQuota reports that the customer's quota is used up, as described by Quota.
+	OverQuota bool
+	Quota     quota.Refusal
 }
 
 // Error implements error.
 func (r *RefusedError) Error() string { return "no slot is free in time" }
 
 // Client acquires slots from the brokers and polls them for this host. Its
-// exported fields are required.
+// exported fields are required unless stated otherwise.
 type Client struct {
 	View       membership.View
 	Peers      PeerClient
@@ -126,6 +130,8 @@
 	// other broker, with the time of BootTime at which the poll was sent. Both may be nil.
 	OnConfirmed func(version int64, sent, age time.Duration)
 	BootTime    boottime.Clock
+	// Quotas is nil if hosts are not counted for quotas.
+	Quotas Quotas
 
 	mu       sync.Mutex
 	grants   map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	h := ranked[0]
-	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote)}
+	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Quota: c.quotaAttachment(h, remote)}
 	var reply PollReply
 	sent := c.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -70,6 +70,7 @@
 		return false
 	}
 	c.clearSuspicion(h)
+	c.applyQuotaStamp(h, &reply)
 	c.setReported(dataCentre, remote && !idle)
 	c.passConfirmation(h, sent, reply.Notice)
 	c.applyReply(h, reply, remote, args.Version != skipRecords)
