slots: estimate how slow replicas are from their responses

Replicas that share machines differ in speed and are slowed down for about 600 ms at a time, which no host saw.

Hosts decode the load header and report its figures to the broker with the releases and polls that they send anyway, with what they observed of each response (time to the first event, time between events). The broker keeps an estimate per incarnation: the reported slowness, whose weight halves in 300 ms towards its mean, times what responses show beyond it. The mean slot time of a service is that of a replica of normal speed. Nothing decides by the estimate yet, and without the fourth figure nothing is learned.

go test ./slots ./forward ./jobs ./platform ./replica ./host: passed.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -194,8 +194,9 @@
 	// mayHaveRunCount counts the attempts that may have run the request, and
 	// notRunCount those that did not.
 	mayHaveRunCount, notRunCount int
-	// grant is that of the present attempt.
+	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
+	timer slots.RunTimer
 	// pinned means that only replicas of softwareVersion may run the request: such a
 	// replica began the stream.
 	pinned          bool
@@ -285,6 +286,7 @@
 	s.grant = g
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
+	s.timer = slots.RunTimer{Began: s.Clock.Now()}
 	res, err := s.Upstream.Send(ctx, s.req, args)
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
@@ -298,6 +300,7 @@
 		outcome = slots.Ended
 	}
 	res.Close()
+	g.Run = s.timer.Run()
 	s.Slots.Release(g, outcome)
 	s.logResponse(g, res, outcome, err)
 	if err == nil {
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +62,7 @@
 	version    string
 	versionErr error
 	began      []beganStream
+	runs       []slots.Run
 }
 
 type beganStream struct {
@@ -86,7 +88,10 @@
 	f.began = append(f.began, beganStream{stream, g.Replica.SoftwareVersion, firstAttempt})
 }
 
-func (f *fakeSlots) Release(_ slots.Grant, o slots.Outcome) { f.outcomes = append(f.outcomes, o) }
+func (f *fakeSlots) Release(g slots.Grant, o slots.Outcome) {
+	f.outcomes = append(f.outcomes, o)
+	f.runs = append(f.runs, g.Run)
+}
 
 // recordingSink records what is sent to the caller.
 type recordingSink struct {
@@ -610,3 +615,13 @@
 func TestEventData(t *testing.T) {
 	require.Equal(t, []string{"a\nb", "", "c"}, EventData([]byte("id: 1\ndata: a\ndata: b\n\nid: 2\ndata:\n\n: note\n\r\ndata:c\r\n\r\n")))
 }
+
+// The broker learns from this how fast each replica is.
+func TestReleaseTellsWhatWasObservedOfTheStream(t *testing.T) {
+	o := runScript(resumable, 5, stream(iotest.OneByteReader(strings.NewReader(events(1, 6)))))
+	require.NoError(t, o.err)
+	require.Len(t, o.slots.runs, 1)
+	require.Equal(t, 5, o.slots.runs[0].Events)
+	require.Positive(t, o.slots.runs[0].FirstEvent)
+	require.Positive(t, o.slots.runs[0].Duration)
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -202,6 +202,7 @@
 	s.events.Reset()
 	buf := make([]byte, relayBufferBytes)
 	progress := progress{dataLines: s.events.DataLines, at: s.Clock.Now()}
+	before := s.events.DataLines
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
@@ -209,6 +210,7 @@
 			if err != nil {
 				return slots.Failed, err
 			}
+			s.timer.Record(s.Clock.Now(), s.events.DataLines-before)
 			if s.isStalled(&progress) {
 				return slots.Unreachable, errNoProgress
 			}
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -115,6 +115,23 @@
 	return r.view.RateLimits()
 }
 
+// SaysLoad records what a response of a replica to this host says about the replica's
+// load.
+func (r *Replicas) SaysLoad(of replica.Replica, l replica.Load) {
+	l.At = r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.ObserveLoad(of, l)
+}
+
+// LoadsSince returns the loads of the replicas of a data centre that this host has
+// observed after the given time.
+func (r *Replicas) LoadsSince(since time.Time, dataCentre string) []replica.ObservedLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.LoadsSince(since, dataCentre)
+}
+
 func (r *Replicas) logRateLimit(of replica.Replica, l replica.RateLimit, source replica.Source) {
 	entry := r.log.WithFields(logrus.Fields{"replica": of.ID, "service": of.Service, "source": string(source)})
 	if !l.Limited {
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -179,7 +179,7 @@
 // run runs an item once on a granted slot and releases the slot.
 func (m *Manager) run(ctx context.Context, g slots.Grant, it *item, rt *route.Route) {
 	start := m.Clock.Now()
-	end, outcome, err := m.runOnReplica(ctx, g, it, rt)
+	end, outcome, err := m.runOnReplica(ctx, &g, it, rt)
 	if ctx.Err() != nil && end != endDone {
 		end, outcome = endStopped, slots.Unused
 	}
@@ -248,8 +248,8 @@
 }
 
 // runOnReplica sends an item to a replica and reads its output. The outcome is
-// the one to report to the broker.
-func (m *Manager) runOnReplica(ctx context.Context, g slots.Grant, it *item, rt *route.Route) (runEnd, slots.Outcome, error) {
+// the one to report to the broker. It sets what was observed of the run in the grant.
+func (m *Manager) runOnReplica(ctx context.Context, g *slots.Grant, it *item, rt *route.Route) (runEnd, slots.Outcome, error) {
 	req := &forward.Request{
 		ID: it.ID, Route: rt, Service: g.Replica.Service, Method: http.MethodPost, Target: it.Path,
 		Host: it.job.head.RouteHost, Header: make(http.Header), Body: it.Body,
@@ -257,6 +257,7 @@
 	for name, value := range it.Headers {
 		req.Header.Set(name, value)
 	}
+	timer := &slots.RunTimer{Began: m.Clock.Now()}
 	ans, err := m.Upstream.Send(ctx, req, forward.SendArgs{Replica: g.Replica, LastEventID: it.lastEventID, FirstByteTimeout: runFirstByteTimeout, GapTimeout: runGapTimeout})
 	if errors.Is(err, forward.ErrReplicaLeaving) {
 		return endRejected, slots.Unused, err
@@ -281,7 +282,8 @@
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
 	}
-	return m.readEvents(ans, it)
+	defer func() { g.Run = timer.Run() }()
+	return m.readEvents(ans, it, timer)
 }
 
 func outcomeOf(err error) slots.Outcome {
@@ -292,7 +294,7 @@
 }
 
 // readEvents reads the events of a response and adds them to the item's output.
-func (m *Manager) readEvents(ans *forward.Response, it *item) (runEnd, slots.Outcome, error) {
+func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer) (runEnd, slots.Outcome, error) {
 	var events forward.EventParser
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
@@ -305,6 +307,7 @@
 			case err != nil:
 			case events.DataLines > dataLines:
 				dataLines, progressAt = events.DataLines, m.Clock.Now()
+				timer.Record(progressAt, dataLines)
 				err = m.appendEvents(it, forward.EventData(complete), events.LastID)
 			case m.Clock.Now().Sub(progressAt) > runEventTimeout:
 				err = errors.Newf("no event with data in %v", runEventTimeout)
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -49,6 +49,8 @@
 	leaving map[string]leavingMark
 	// rateLimits holds the replicas that have ever named a rate limit, by ID.
 	rateLimits map[string]rateLimitMark
+	// loads holds the last load of each replica that states how slow it is, by ID.
+	loads map[string]ObservedLoad
 	// outageEnd is when the store was last found available again.
 	outageEnd time.Time
 }
@@ -57,7 +59,7 @@
 func NewView() *View {
 	return &View{
 		replicas: make(map[string]Replica), missingUntil: make(map[string]time.Time),
-		leaving: make(map[string]leavingMark), rateLimits: make(map[string]rateLimitMark),
+		leaving: make(map[string]leavingMark), rateLimits: make(map[string]rateLimitMark), loads: make(map[string]ObservedLoad),
 	}
 }
 
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -248,6 +248,8 @@
 	// Version is the version of the replica records that the host has, or
 	// skipRecords.
 	Version int64
+	// Loads holds what replicas have said of their load since the last call that did.
+	Loads []LoadReport
 }
 
 // PollReply is the reply to Poll.
@@ -305,6 +307,7 @@
 	for i, w := range args.Wants {
 		demands[i] = w.demand(now)
 	}
+	b.sched.observeLoads(now, args.Loads)
 	b.sched.Sync(now, args.Host, grants, demands, args.Partial)
 	b.sched.Expire(now)
 	b.plan()
--- a/slots/client.go
+++ b/slots/client.go
@@ -84,6 +84,9 @@
 	RateLimits() map[replica.Replica]replica.RateLimit
 	// LearnRateLimit records what a broker knows.
 	LearnRateLimit(r replica.Replica, l replica.RateLimit)
+	// LoadsSince returns the loads of the replicas of a data centre that this host has
+	// observed after the given time.
+	LoadsSince(since time.Time, dataCentre string) []replica.ObservedLoad
 }
 
 // RefusedError reports that no slot could be acquired in time.
@@ -142,6 +145,8 @@
 	// of this host.
 	reported      map[string]bool
 	releaseQueues map[string]*releaseQueue
+	// loadsSentAt is the time of the last observed load that each broker was told of.
+	loadsSentAt map[string]time.Time
 }
 
 // suspicion describes the failures of a broker that did not answer.
@@ -157,6 +162,7 @@
 	c.outdatedUntil = make(map[string]time.Time)
 	c.releaseQueues = make(map[string]*releaseQueue)
 	c.reported = make(map[string]bool)
+	c.loadsSentAt = make(map[string]time.Time)
 }
 
 // rankedHosts returns the hosts that may be the broker of a data centre, in the
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -78,6 +78,12 @@
 	s.view.ObserveRateLimit(r, l)
 }
 
+func (s *states) LoadsSince(since time.Time, dataCentre string) []replica.ObservedLoad {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.LoadsSince(since, dataCentre)
+}
+
 func (m *member) Granted(g Grant)             { m.granted = append(m.granted, g) }
 func (m *member) Revoked(id GrantID)          { m.revoked = append(m.revoked, id) }
 func (m *member) Demand(bool) []DemandMessage { return m.demand }
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -58,7 +58,7 @@
 		return false
 	}
 	h := ranked[0]
-	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote)}
+	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Loads: c.takeLoads(h, dataCentre)}
 	var reply PollReply
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- a/slots/release.go
+++ b/slots/release.go
@@ -18,6 +18,8 @@
 	Content quarantine.Content
 	// Leaving reports that the host has found the replica to be leaving.
 	Leaving bool
+	// Run is what the host observed of the response.
+	Run Run
 }
 
 // ReleaseArgs is the argument of Release.
@@ -25,6 +27,8 @@
 	Released []Released
 	// RateLimits holds what replicas have said to the host.
 	RateLimits []RateLimitReport
+	// Loads holds what replicas have said of their load since the last call that did.
+	Loads []LoadReport
 }
 
 // Empty is an empty reply.
@@ -52,8 +56,10 @@
 	for _, report := range args.RateLimits {
 		b.sched.ObserveRateLimit(now, report.Replica, report.RateLimit.rateLimit(now))
 	}
+	b.sched.observeLoads(now, args.Loads)
 	for i := range args.Released {
 		r := &args.Released[i]
+		b.sched.ObserveRun(now, r.ID, r.Outcome, r.Run)
 		if b.recordRunEnd(now, r) {
 			broken = append(broken, r.Replica)
 		}
@@ -86,7 +92,7 @@
 
 // release queues an ended grant.
 func (c *Client) release(h membership.Host, g Grant, outcome Outcome) {
-	released := Released{ID: g.ID, Outcome: outcome, Leaving: c.Replicas.IsLeaving(g.Replica)}
+	released := Released{ID: g.ID, Outcome: outcome, Run: c.reportedRun(h, g), Leaving: c.Replicas.IsLeaving(g.Replica)}
 	if outcome == Failed || outcome == Ended {
 		released.Replica, released.Content = g.Replica, g.Content
 	}
@@ -119,6 +125,7 @@
 		if !ok {
 			return
 		}
+		args.Loads = c.takeLoads(h, h.DataCentre)
 		ctx, cancel := context.WithTimeout(context.Background(), callMargin)
 		err := c.call(ctx, h, "Release", args, new(Empty))
 		cancel()
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -49,6 +49,9 @@
 	RateLimit RateLimitMessage
 	// Broker is the name of the host that granted it, for logs. The client sets it.
 	Broker string
+	// Run is what the host observed of the response. The host sets it before it releases
+	// the grant.
+	Run Run
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -155,6 +158,7 @@
 	// grants of batch items were last revoked for requests.
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
+	speed         serviceSpeed
 }
 
 // replicaState is a replica with the number of its used slots and its recent
@@ -173,6 +177,7 @@
 	// avoidUntil is the end of the cooldown.
 	avoidUntil time.Time
 	budget     rateBudget
+	speed      speedEstimate
 }
 
 // grantState is a grant with its replica and the time at which it was last
@@ -183,6 +188,12 @@
 	revokedAt    time.Time
 	// listedAt is when its host last listed the grant.
 	listedAt time.Time
+	// slowness and reported are what was expected of the replica for the run: its
+	// slowness and the part of it that the replica reports. beside is the number of
+	// requests that ran there already. They are zero unless the service's replicas
+	// report their slowness.
+	slowness, reported float64
+	beside             int
 }
 
 // NewScheduler returns a scheduler without replicas.
@@ -306,7 +317,7 @@
 	target.budget.take(now)
 	s.requests.Started(crashScope, g.Content, now)
 	g.RateLimit = newRateLimitMessage(now, target.budget.limit)
-	s.grants[g.ID] = &grantState{Grant: g, replicaState: target}
+	s.grants[g.ID] = s.newGrantState(now, g, target)
 	return &g
 }
 
@@ -320,7 +331,7 @@
 	g.replicaState.used--
 	if g.Class == Online && (outcome == Done || outcome == Ended) {
 		p := s.pool(g.Replica.Service)
-		p.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(g.Since)-p.serviceTime))
+		p.serviceTime += time.Duration(serviceTimeWeight * float64(g.atNormalSpeed(now.Sub(g.Since))-p.serviceTime))
 	}
 	g.replicaState.recordOutcome(now, outcome)
 }
