slots: place requests and items by the speed of replicas

Replicas of 0.6 to 1.6 of the usual step time counted as equal, so that responses took as long as chance had it, and items took the slots of fast replicas.

Where replicas state their slowness, a request goes where it is expected to end first, but to none where its first event would come after the objective unless it is refused otherwise. An item goes to the slowest replica on which it is done when due. The expected wait, and with it refusals and Retry-After, counts the time that each slot is used on its replica. Requests tell the broker when their first event is due.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -348,6 +348,9 @@
 	if c := s.req.Customer; c != nil {
 		args.Customer, args.CustomerPriority = c.Name, c.Priority
 	}
+	if s.req.Route.Objective > 0 && !s.begun {
+		args.FirstEventWithin = max(s.req.Arrived.Add(s.req.Route.Objective).Sub(s.Clock.Now()), 0)
+	}
 	if s.pinned {
 		// Resuming a stream comes before requests whose callers have received
 		// nothing yet.
--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -21,6 +21,9 @@
 	Content quarantine.Content
 	// MaxWait is how long the request may wait for a slot.
 	MaxWait time.Duration
+	// FirstEventWithin is how long from now on the first event is due; zero means at no
+	// certain time.
+	FirstEventWithin time.Duration
 	// Priority orders waiting requests, lower values first; 0 is the highest
 	// priority of a route.
 	Priority int
@@ -70,6 +73,9 @@
 	// request, and RateLimited is the number of those that only their rate limit
 	// keeps from it.
 	Replicas, RateLimited int
+	// HeldBack is the number of replicas with a free slot that the request may get if it
+	// asks for the last time.
+	HeldBack int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
 }
@@ -107,7 +113,7 @@
 	now := b.clock.Now()
 	b.updateRateShare(now)
 	d := b.sched.Acquire(now, *args)
-	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited, Quarantined: d.Quarantined}
+	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited, HeldBack: d.HeldBack, Quarantined: d.Quarantined}
 	if d.Waiter == nil {
 		if d.Grant != nil {
 			b.recordGrant(args, d.Grant)
@@ -153,6 +159,7 @@
 	own := c.View.Self().DataCentre
 	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
+	firstEventBy := args.firstEventBy(c.Clock.Now())
 	g, refusal := c.acquireFrom(ctx, own, args)
 	if refusal == nil {
 		return g, nil
@@ -166,6 +173,7 @@
 		if ctx.Err() != nil {
 			return Grant{}, ctx.Err()
 		}
+		args.FirstEventWithin = c.timeLeft(firstEventBy)
 		g, remoteRefusal := c.acquireFrom(ctx, dc, args)
 		if remoteRefusal == nil {
 			return g, nil
@@ -181,15 +189,31 @@
 		return Grant{}, refusal
 	}
 	args.MaxWait = wait - localWait
-	if refusal.Wait > args.MaxWait || refusal.Replicas == 0 {
+	if !refusal.mayWait(args.MaxWait) {
 		return Grant{}, refusal
 	}
+	args.FirstEventWithin = c.timeLeft(firstEventBy)
 	if g, refusal = c.acquireFrom(ctx, waitIn, args); refusal == nil {
 		return g, nil
 	}
 	return Grant{}, refusal
 }
 
+// mayWait reports whether a request that may wait for a time is worth another call to the
+// broker that refused it.
+func (r *RefusedError) mayWait(wait time.Duration) bool {
+	return r.Replicas > 0 && (r.Wait <= wait || r.HeldBack > 0)
+}
+
+// timeLeft returns the time left until a request's first event is due, or zero if that
+// is at no certain time or is over.
+func (c *Client) timeLeft(firstEventBy time.Time) time.Duration {
+	if firstEventBy.IsZero() {
+		return 0
+	}
+	return max(firstEventBy.Sub(c.Clock.Now()), 0)
+}
+
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
 // until one answers.
 func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args AcquireArgs) (Grant, *RefusedError) {
@@ -207,7 +231,7 @@
 			continue
 		}
 		if !reply.Granted {
-			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, Quarantined: reply.Quarantined}
+			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, HeldBack: reply.HeldBack, Quarantined: reply.Quarantined}
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
 		reply.Grant.Since = c.Clock.Now()
--- a/slots/client.go
+++ b/slots/client.go
@@ -98,6 +98,9 @@
 	// number of those that only their rate limit keeps from it.
 	Wait                  time.Duration
 	Replicas, RateLimited int
+	// HeldBack is the number of replicas there with a free slot that the request may get
+	// if it asks for the last time.
+	HeldBack int
 	// Quarantined reports that the request crashes replicas; RetryAfter is when it is no
 	// longer refused.
 	Quarantined bool
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -41,7 +41,7 @@
 func (s *Scheduler) grantWaiters(now time.Time, o occupancy, p *pool, plan *Plan) {
 	remaining := p.queue[:0]
 	for _, w := range p.queue {
-		target := p.choose(now, Online, s.placement(now, o, &w.args), s.rng)
+		target := s.chooseForWaiter(now, p, o, w, plan)
 		if target == nil {
 			remaining = append(remaining, w)
 			continue
@@ -176,7 +176,7 @@
 		if demand.Items == 0 {
 			return
 		}
-		target := p.choose(now, Batch, func(r *replicaState) bool { return !o.isolated[r] && p.allowsBatch(now, r) }, s.rng)
+		target := s.chooseBatch(now, o, p, demand.Due)
 		if target == nil || target.used >= p.batchLimit(now, target) {
 			plan.replanForBatch(now, p)
 			return
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -131,6 +131,8 @@
 type Waiter struct {
 	args    AcquireArgs
 	startBy time.Time
+	// firstEventBy is when the first event is due; zero means at no certain time.
+	firstEventBy time.Time
 }
 
 // Scheduler decides which requests and batch items get slots. It is not safe
@@ -267,6 +269,9 @@
 	// request, and RateLimited is the number of those that have a free slot but
 	// whose rate limit is used up.
 	Replicas, RateLimited int
+	// HeldBack is the number of replicas with a free slot that a request gets only if it
+	// would otherwise not start in time.
+	HeldBack int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
 }
@@ -281,17 +286,23 @@
 	}
 	d := Decision{Replicas: p.countReady(&args)}
 	occupied := s.occupancy(now)
-	if target := p.choose(now, Online, s.placement(now, occupied, &args), s.rng); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
+	firstEventBy := args.firstEventBy(now)
+	if target := s.chooseOnline(now, p, s.placement(now, occupied, &args), firstEventBy); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
 		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
 		return d
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait {
+		var target *replicaState
+		if target, d.HeldBack = s.lastResort(now, p, occupied, &args); target != nil {
+			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
+			return d
+		}
 		d.RetryAfter = s.retryAfter(d.Wait)
 		return d
 	}
-	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait)}
+	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait), firstEventBy: firstEventBy}
 	p.queue = append(p.queue, d.Waiter)
 	slices.SortStableFunc(p.queue, compareWaiters)
 	return d
--- a/slots/wait.go
+++ b/slots/wait.go
@@ -20,19 +20,24 @@
 func (s *Scheduler) expectedWait(now time.Time, p *pool, args *AcquireArgs) time.Duration {
 	ahead := p.countAhead(args)
 	var waits []time.Duration
+	var starts []expectedStart
 	for _, start := range s.expectedStarts(now, p, args) {
 		if start.atOnce {
 			ahead--
 			continue
 		}
 		waits = append(waits, start.wait)
+		starts = append(starts, start)
 	}
 	if ahead < 0 {
 		return 0
 	}
-	if len(waits) == 0 {
+	if len(starts) == 0 {
 		return maxRetryAfter
 	}
+	if p.speed.active(now) {
+		return startOf(starts, ahead)
+	}
 	slices.Sort(waits)
 	rounds := time.Duration(ahead/len(waits)) * p.serviceTime
 	return rounds + waits[ahead%len(waits)]
@@ -42,6 +47,8 @@
 type expectedStart struct {
 	atOnce bool
 	wait   time.Duration
+	// uses is how long a request uses the slot then.
+	uses time.Duration
 }
 
 // expectedStarts returns the slots that become free within one average service time.
@@ -53,9 +60,9 @@
 		if s.services[g.Replica.Service] != p || !args.matchesVersion(g.replicaState) || g.Class == Batch && g.protected(now) {
 			continue
 		}
-		start := expectedStart{atOnce: g.Class == Batch}
+		start := expectedStart{atOnce: g.Class == Batch, uses: g.uses(p.serviceTime)}
 		if g.Class == Online {
-			start.wait = max(p.serviceTime-now.Sub(g.Since), 0)
+			start.wait = max(start.uses-now.Sub(g.Since), 0)
 		}
 		if g.replicaState.budget.limited() {
 			limited[g.replicaState] = append(limited[g.replicaState], start.wait)
@@ -82,14 +89,14 @@
 		if wait > within {
 			break
 		}
-		starts = append(starts, expectedStart{atOnce: wait == 0, wait: wait})
+		starts = append(starts, expectedStart{atOnce: wait == 0, wait: wait, uses: within})
 	}
 	return starts
 }
 
 // hasWaiterFor reports whether a waiter may be sent to the replica.
 func (s *Scheduler) hasWaiterFor(now time.Time, o occupancy, p *pool, r *replicaState) bool {
-	return slices.ContainsFunc(p.queue, func(w *Waiter) bool { return s.placement(now, o, &w.args)(r) })
+	return slices.ContainsFunc(p.queue, func(w *Waiter) bool { return s.placement(now, o, &w.args)(r) && p.begins(now, r, w.firstEventBy) })
 }
 
 // countAhead returns the number of waiters that may get the slots for which a new
