slots: find the pace of replicas that have just started or recovered

The least loaded replica is the one that has just started or recovered, so it drew all requests at once, however cold it was.

Where replicas state their slowness, such a replica gets two slots, more with each response in time and half with a late one. Requests that have waited 50 ms or would be refused go beyond that; where half of the replicas are new nothing is held back.

--- a/host/host.go
+++ b/host/host.go
@@ -216,6 +216,7 @@
 	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "comfreyspindle_replicas_rate_limited", Help: "Replicas of which this host knows that they limit the rate of requests.",
 	}, func() float64 { return float64(h.replicas.countRateLimited()) }))
+	h.registerSpeedMetrics()
 	h.broker.SetOnLeaving(func(r replica.Replica) { h.replicas.markLeaving(r, replica.FromPeer) })
 	engine := platform.NewReplicaClient(dials.Inc, h.replicas, h.log)
 	h.slotClient = &slots.Client{
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -188,6 +188,7 @@
 		b.waiting[p.Waiter] <- p.Grant
 		delete(b.waiting, p.Waiter)
 	}
+	b.logPaces(plan.Paces)
 	for _, g := range plan.Batch {
 		updates := b.pendingUpdates(g.Host)
 		updates.granted = append(updates.granted, g)
--- a/slots/load_report.go
+++ b/slots/load_report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
@@ -63,7 +65,9 @@
 	if state == nil || !state.speed.observe(l) {
 		return
 	}
-	s.pool(r.Service).speed.reportedAt = now
+	p := s.pool(r.Service)
+	p.speed.reportedAt = now
+	s.observeHead(now, p, state, l)
 }
 
 // reportedRun returns what the broker is told of a run: nothing unless the replicas
@@ -109,8 +113,63 @@
 		return
 	}
 	p := s.pool(g.Replica.Service)
+	if g.replicaState.pace.held() {
+		// A replica that is cold shows nothing of how fast it will be.
+		s.observeRunPace(now, p, g, run)
+		return
+	}
 	p.speed.learnRun(&g.replicaState.speed, run, g.reported, g.beside)
 	if g.Class == Batch && outcome == Done {
 		p.speed.itemTime.add(g.atNormalSpeed(now.Sub(g.Since)).Seconds(), scaleWeight)
 	}
 }
+
+// logPaces logs changes of the paces of replicas.
+func (b *Broker) logPaces(changes []PaceChange) {
+	for _, c := range changes {
+		entry := b.log.WithFields(logrus.Fields{
+			"replica": c.Replica.ID, "service": c.Replica.Service, "reason": string(c.Reason), "slots": c.Slots, "after_ms": c.After.Milliseconds(),
+		})
+		switch {
+		case c.Reduced:
+			entry.Info("replica gets fewer slots: its responses are late")
+		case c.Slots == c.Replica.Slots:
+			entry.Info("replica gets all its slots")
+		default:
+			entry.Info("replica gets some of its slots until it responds in time")
+		}
+	}
+}
+
+// PacedReplicas returns the number of replicas that get some of their slots only until
+// they respond in time.
+func (b *Broker) PacedReplicas() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.countPaced()
+}
+
+// Slowness returns the least, the mean and the greatest slowness of the replicas of
+// services that report theirs; zero without any.
+func (b *Broker) Slowness() (least, mean, greatest float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.slowness(b.clock.Now())
+}
+
+func (s *Scheduler) slowness(now time.Time) (least, mean, greatest float64) {
+	n := 0.0
+	for _, p := range s.services {
+		if !p.speed.active(now) {
+			continue
+		}
+		for _, r := range p.replicas {
+			v := r.speed.now(now)
+			if n == 0 || v < least {
+				least = v
+			}
+			mean, greatest, n = mean+v, max(greatest, v), n+1
+		}
+	}
+	return least, mean / max(n, 1), greatest
+}
--- a/slots/place.go
+++ b/slots/place.go
@@ -17,6 +17,9 @@
 	lastCallMargin = 100 * time.Millisecond
 	// lastResortMargin is how long before its latest start a request takes any slot.
 	lastResortMargin = 10 * time.Millisecond
+	// maxPaceWait is how long a request waits for a slot within the paces of replicas
+	// while others are free: a doubt about a replica must not make a request late.
+	maxPaceWait = 50 * time.Millisecond
 	// initialFirstEventTime is assumed until minLearned responses have begun.
 	initialFirstEventTime = 45 * time.Millisecond
 )
@@ -60,18 +63,29 @@
 	if !p.speed.active(now) {
 		return p.choose(now, Online, allowed, s.rng)
 	}
-	return p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool {
-		return allowed(r) && p.begins(now, r, firstEventBy)
-	})
+	inTime := func(r *replicaState) bool { return allowed(r) && p.begins(now, r, firstEventBy) }
+	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool { return inTime(r) && r.pace.allows(r.used, 0) })
+	if target == nil && !p.holdsBack(now) {
+		target = p.chooseLeast(now, p.onlineCost(now), inTime)
+	}
+	return target
 }
 
 // chooseAny returns the replica for a request that will not wait any longer, or nil. Its
-// first event may be late.
+// first event may be late, and the replica's pace is exceeded unless it has shown to be
+// overloaded.
 func (s *Scheduler) chooseAny(now time.Time, p *pool, allowed func(*replicaState) bool) *replicaState {
 	if !p.speed.active(now) {
 		return nil
 	}
-	return p.chooseLeast(now, p.onlineCost(now), allowed)
+	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool { return allowed(r) && r.pace.allows(r.used, 0) })
+	if target == nil {
+		holdsBack := p.holdsBack(now)
+		target = p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool {
+			return allowed(r) && (!holdsBack || !r.pace.reducedLately(now))
+		})
+	}
+	return target
 }
 
 // chooseForWaiter returns the replica for a request that waits, or nil. At the end of its
@@ -82,6 +96,9 @@
 	if target != nil || !p.speed.active(now) || !w.args.isLastCall() {
 		return target
 	}
+	if target := s.chooseBeyondPace(now, p, w, allowed, plan); target != nil {
+		return target
+	}
 	slow := s.chooseAny(now, p, allowed)
 	lastResortAt := w.startBy.Add(-lastResortMargin)
 	if slow == nil || !now.Before(lastResortAt) {
@@ -91,6 +108,20 @@
 	return nil
 }
 
+// chooseBeyondPace returns the replica for a request that has waited maxPaceWait because
+// of the paces of replicas that were never late, or nil.
+func (s *Scheduler) chooseBeyondPace(now time.Time, p *pool, w *Waiter, allowed func(*replicaState) bool, plan *Plan) *replicaState {
+	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool {
+		return allowed(r) && p.begins(now, r, w.firstEventBy) && (!r.pace.held() || !r.pace.careful)
+	})
+	at := w.startBy.Add(maxPaceWait - w.args.MaxWait)
+	if target == nil || !now.Before(at) {
+		return target
+	}
+	plan.replanAt(at)
+	return nil
+}
+
 // lastResort returns the replica for a request that would be refused, or nil. heldBack is
 // the number of replicas that it may get if this was not its last call.
 func (s *Scheduler) lastResort(now time.Time, p *pool, o occupancy, args *AcquireArgs) (target *replicaState, heldBack int) {
@@ -144,7 +175,7 @@
 		return p.choose(now, Batch, allowed, s.rng)
 	}
 	return p.chooseLeast(now, p.batchCost(now, due), func(r *replicaState) bool {
-		return allowed(r) && r.used < p.batchLimit(now, r)
+		return allowed(r) && r.used < p.batchLimit(now, r) && r.pace.allows(r.used, p.onlineReserve(now))
 	})
 }
 
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -14,6 +14,8 @@
 	Batch []Grant
 	// Revoked are the grants of batch items that their hosts have to release.
 	Revoked []Grant
+	// Paces are the changes of the paces of replicas since the last plan.
+	Paces []PaceChange
 	// Next is when to plan again even if nothing changes; zero means never.
 	Next time.Time
 }
@@ -31,10 +33,12 @@
 	s.revokeLeaving(now, &plan)
 	occupied := s.occupancy(now)
 	for _, p := range s.services {
+		s.updatePaces(now, p)
 		s.grantWaiters(now, occupied, p, &plan)
 		s.revoke(now, p, &plan)
 		s.grantBatch(now, occupied, p, &plan)
 	}
+	plan.Paces, s.paceChanges = s.paceChanges, nil
 	return plan
 }
 
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -147,6 +147,8 @@
 	rateShare float64
 	// requests holds what is known of requests that crash replicas.
 	requests *quarantine.State
+	// paceChanges holds the changes of paces since the last plan.
+	paceChanges []PaceChange
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -180,6 +182,7 @@
 	avoidUntil time.Time
 	budget     rateBudget
 	speed      speedEstimate
+	pace       paceState
 }
 
 // grantState is a grant with its replica and the time at which it was last
@@ -281,6 +284,7 @@
 func (s *Scheduler) Acquire(now time.Time, args AcquireArgs) Decision {
 	p := s.pool(args.Service)
 	p.lastRequestAt = now
+	s.updatePaces(now, p)
 	if refusedFor, ok := s.refusedFor(now, &args); ok {
 		return Decision{Quarantined: true, RetryAfter: refusedFor}
 	}
@@ -344,7 +348,9 @@
 		p := s.pool(g.Replica.Service)
 		p.serviceTime += time.Duration(serviceTimeWeight * float64(g.atNormalSpeed(now.Sub(g.Since))-p.serviceTime))
 	}
+	wasSuspect := g.replicaState.suspect()
 	g.replicaState.recordOutcome(now, outcome)
+	s.recordPaceOutcome(now, g.replicaState, outcome, wasSuspect)
 }
 
 // deliverable reports whether a grant may still be delivered to its host.
--- a/slots/uneven_load_test.go
+++ b/slots/uneven_load_test.go
@@ -26,6 +26,9 @@
 	firstEventDue    = 300 * time.Millisecond
 	// reportDelay is the longest time until the broker learns of a figure.
 	reportDelay = 200 * time.Millisecond
+	// longResponse is the time from which on a response counts as long. One on the slowest
+	// replica without anything else takes 2.6 s.
+	longResponse = 3 * time.Second
 )
 
 // unevenReplica is a replica of the model.
@@ -87,11 +90,16 @@
 	waiting    map[*Waiter]time.Time
 	reports    []delayedReport
 	silent     bool
-	queue      []time.Time
-	items      []*batchItem
+	// each is called before each step, and rule replaces the pace of replicas; nil
+	// does nothing.
+	each  func()
+	rule  paceRule
+	queue []time.Time
+	items []*batchItem
 
 	requests, refused, inTime, complete int
 	itemsDone, itemsInTime, itemsAll    int
+	long                                int
 	longest, firsts, ends               time.Duration
 }
 
@@ -163,6 +171,9 @@
 				m.ends += m.now.Sub(r.arrived)
 				m.firsts += r.firstAt.Sub(r.arrived)
 				m.longest = max(m.longest, m.now.Sub(r.arrived))
+				if m.now.Sub(r.arrived) > longResponse {
+					m.long++
+				}
 			}
 		}
 		return over
@@ -178,6 +189,28 @@
 	m.reports = append(m.reports, delayedReport{m.now.Add(time.Duration(m.rng.Float64() * float64(reportDelay))), r.grant.Replica.ID, load})
 }
 
+func (m *unevenModel) observe(r delayedReport) {
+	state := m.s.find(service, r.id)
+	if state.Born > r.load.At.UnixMilli() {
+		return
+	}
+	held := state.pace.held()
+	m.s.ObserveLoad(m.now, state.Replica, r.load)
+	if held && m.rule != nil {
+		m.rule(m.now, state, r.load.HeadAfter.Seconds()/firstEventWork.Seconds()/r.load.Slowness)
+	}
+}
+
+// applyRule applies the rule to all paces.
+func (m *unevenModel) applyRule() {
+	m.s.updatePaces(m.now, m.s.pool(service))
+	for _, r := range m.s.pool(service).replicas {
+		if m.rule != nil && r.pace.held() {
+			m.rule(m.now, r, 0)
+		}
+	}
+}
+
 func (m *unevenModel) end(r *unevenRun) {
 	done := r.done >= r.work
 	if r.item != nil && !done {
@@ -209,6 +242,9 @@
 }
 
 func (m *unevenModel) step() {
+	if m.each != nil {
+		m.each()
+	}
 	for _, id := range m.ids {
 		// A sixth of the time is slow.
 		r, draw := m.replicas[id], m.world.Float64()
@@ -227,10 +263,11 @@
 	m.reports = slices.DeleteFunc(m.reports, func(r delayedReport) bool {
 		due := !m.now.Before(r.at)
 		if due {
-			m.s.ObserveLoad(m.now, m.s.find(service, r.id).Replica, r.load)
+			m.observe(r)
 		}
 		return due
 	})
+	m.applyRule()
 	demand := Demand{Service: service, Items: len(m.items)}
 	if len(m.items) > 0 {
 		demand.Due = m.items[0].due
@@ -328,8 +365,8 @@
 
 func (m *unevenModel) String() string {
 	n := time.Duration(max(m.complete, 1))
-	return fmt.Sprintf("%d requests, in time %.3f, refused %d, mean first event %d ms, mean end %d ms, longest %d ms; items in time %.3f of %d", m.requests, m.inTimeFraction(), m.refused,
-		(m.firsts / n).Milliseconds(), (m.ends / n).Milliseconds(), m.longest.Milliseconds(), m.itemsFraction(), m.itemsAll)
+	return fmt.Sprintf("%d requests, in time %.3f, refused %d, mean first event %d ms, mean end %d ms, longest %d ms, long %d; items in time %.3f of %d", m.requests, m.inTimeFraction(), m.refused,
+		(m.firsts / n).Milliseconds(), (m.ends / n).Milliseconds(), m.longest.Milliseconds(), m.long, m.itemsFraction(), m.itemsAll)
 }
 
 func (m *unevenModel) inTimeFraction() float64 { return float64(m.inTime) / float64(m.requests) }
