host: bound what is kept for callers that read slowly

A caller that stopped to read blocked the write of its response without end, since neither the server nor the request's deadline ends a write. The slot stayed in use, and the replica, which cuts off what stays unread, counted as failed.

The pieces that callers have not accepted use at most an eighth of the memory limit; the one that has waited for the longest time is dropped first. The system's buffers are bounded on both sides. What breaks off after a slow write doesn't count against the replica. Writes of requests to replicas were bounded already; a test shows it.

go test -race ./host ./forward ./upstream/pool ./platform ./replica: passed.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -197,6 +197,9 @@
 	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
 	timer slots.RunTimer
+	// longestWrite is the longest time in which the caller accepted a piece of the
+	// present attempt's response.
+	longestWrite time.Duration
 	// pinned means that only replicas of softwareVersion may run the request: such a
 	// replica began the stream.
 	pinned          bool
@@ -286,7 +289,7 @@
 	s.grant = g
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
-	s.timer = slots.RunTimer{Began: s.Clock.Now()}
+	s.timer, s.longestWrite = slots.RunTimer{Began: s.Clock.Now()}, 0
 	res, err := s.Upstream.Send(ctx, s.req, args)
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -625,3 +625,34 @@
 	require.Positive(t, o.slots.runs[0].FirstEvent)
 	require.Positive(t, o.slots.runs[0].Duration)
 }
+
+// slowSink is a caller that takes a time to accept its first piece.
+type slowSink struct {
+	recordingSink
+	clock *clockwork.FakeClock
+	delay time.Duration
+}
+
+func (s *slowSink) Write(p []byte) error {
+	s.clock.Advance(s.delay)
+	s.delay = 0
+	return s.recordingSink.Write(p)
+}
+
+// A replica cuts off a response that a slow caller leaves unread. That must not count as
+// a failure of the replica, and the caller still gets the rest.
+func TestSlowCallerDoesNotCountAgainstTheReplica(t *testing.T) {
+	for delay, want := range map[time.Duration]slots.Outcome{slowCallerWrite: slots.Unused, slowCallerWrite / 4: slots.Failed} {
+		clock := clockwork.NewFakeClock()
+		sink := &slowSink{clock: clock, delay: delay}
+		o := &fakeSlots{left: 5}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		upstream := &fakeUpstream{attempts: []scriptedAttempt{stream(failAfter(events(1, 2), errBroken)), stream(strings.NewReader(events(3, 4)))}}
+		r := &Runner{Slots: o, Upstream: upstream, Clock: clock, Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry())}
+		err := r.Run(t.Context(), &Request{ID: "q", Route: resumable, Arrived: clock.Now(), Deadline: time.Now().Add(time.Hour)}, sink)
+		require.NoError(t, err)
+		require.Equal(t, events(1, 4), sink.body.String())
+		require.Equal(t, []slots.Outcome{want, slots.Done}, o.outcomes)
+	}
+}
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -24,6 +24,9 @@
 	maxBufferedBytes = 256 << 10
 	// maxResponseBytes bounds a response that is no event stream.
 	maxResponseBytes = 32 << 20
+	// slowCallerWrite is the time for one piece of a response from which on its caller
+	// counts as slow.
+	slowCallerWrite = time.Second
 )
 
 // Errors of relaying a response.
@@ -117,7 +120,7 @@
 func (s *requestState) relayBody(res *Response) (slots.Outcome, error) {
 	first, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
 	if err != nil {
-		return readErrorOutcome(err), errors.Wrap(err, "read response body")
+		return s.readErrorOutcome(err), errors.Wrap(err, "read response body")
 	}
 	outcome := slots.Done
 	if res.Status == http.StatusInternalServerError {
@@ -129,7 +132,7 @@
 	}
 	readErr, err := s.relayLargeBody(res, first)
 	if readErr != nil {
-		return readErrorOutcome(readErr), errors.Mark(errors.Wrap(readErr, "read response body"), errPartlySent)
+		return s.readErrorOutcome(readErr), errors.Mark(errors.Wrap(readErr, "read response body"), errPartlySent)
 	}
 	if err != nil {
 		return outcome, errors.Mark(err, errPartlySent)
@@ -163,8 +166,12 @@
 }
 
 // readErrorOutcome returns the outcome of an attempt whose response can't be
-// read to its end.
-func readErrorOutcome(err error) slots.Outcome {
+// read to its end. Replicas cut off responses that stay unread, so the end of one that a
+// slow caller held up says nothing about its replica.
+func (s *requestState) readErrorOutcome(err error) slots.Outcome {
+	if s.longestWrite >= slowCallerWrite {
+		return slots.Unused
+	}
 	if errors.Is(err, pool.ErrSilent) {
 		return slots.Unreachable
 	}
@@ -222,7 +229,7 @@
 			return s.endEventStream(res)
 		}
 		if err != nil {
-			return readErrorOutcome(err), errors.Wrap(err, "read event stream")
+			return s.readErrorOutcome(err), errors.Wrap(err, "read event stream")
 		}
 	}
 }
@@ -253,7 +260,7 @@
 // its replica fails.
 func (s *requestState) endEventStream(res *Response) (slots.Outcome, error) {
 	if err := s.events.CheckEnd(res.Framing, s.lastEventID() != ""); err != nil {
-		return slots.Failed, err
+		return s.readErrorOutcome(err), err
 	}
 	s.begin(res.Status, res.Header, -1)
 	return slots.Done, nil
@@ -264,5 +271,8 @@
 		return nil
 	}
 	s.begin(res.Status, res.Header, -1)
-	return errors.Mark(s.sink.Write(p), errCallerDisconnected)
+	before := s.Clock.Now()
+	err := s.sink.Write(p)
+	s.longestWrite = max(s.longestWrite, s.Clock.Now().Sub(before))
+	return errors.Mark(err, errCallerDisconnected)
 }
--- a/host/connections.go
+++ b/host/connections.go
@@ -24,12 +24,16 @@
 )
 
 // timeoutListener closes connections that are idle or take too long to send
-// headers. The timeouts are read at the start of each phase, since they change
+// headers, or whose callers read too slowly. The timeouts are read at the start of each phase, since they change
 // with the configuration; those of http.Server are fixed once it serves.
 type timeoutListener struct {
 	net.Listener
 	clock  clockwork.Clock
 	limits func() route.Limits
+	// writes bounds what is kept for slow callers, and writeTimeout the time that a
+	// caller may take to accept a piece; nil bounds neither.
+	writes       *pendingWrites
+	writeTimeout time.Duration
 }
 
 // Accept implements net.Listener.
@@ -38,7 +42,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &timeoutConn{Conn: conn, clock: l.clock, limits: l.limits}
+	limitSendBuffer(conn)
+	c := &timeoutConn{Conn: conn, clock: l.clock, limits: l.limits, writes: l.writes, writeTimeout: l.writeTimeout}
 	c.enter(readingHeaders)
 	return c, nil
 }
@@ -62,6 +67,9 @@
 	net.Conn
 	clock  clockwork.Clock
 	limits func() route.Limits
+	writes *pendingWrites
+	// writeTimeout is that of the listener.
+	writeTimeout time.Duration
 
 	mu    sync.Mutex
 	phase phase
--- a/host/host.go
+++ b/host/host.go
@@ -78,6 +78,7 @@
 	runner       *forward.Runner
 
 	callers, ready, metrics *listener
+	writes                  *pendingWrites
 
 	stopping atomic.Bool
 	// storeDown is set while calls to the store fail.
@@ -119,7 +120,7 @@
 	}
 	return &listener{
 		name:   name,
-		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits},
+		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout},
 		server: &http.Server{Handler: handler, ConnState: trackState},
 	}, nil
 }
@@ -239,6 +240,8 @@
 }
 
 func (h *Host) provisionListeners() (err error) {
+	h.writes = newPendingWrites(h.settings.MemoryBytes, h.log)
+	h.registerSlowReaderMetrics()
 	handler := &platform.Handler{
 		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Draining: h.stopping.Load, Log: h.log,
 	}
--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -40,6 +40,10 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		// Without the bound the connection works too.
+		_ = tcp.SetReadBuffer(receiveBufferBytes)
+	}
 	c := &conn{raw: raw, address: address}
 	c.reader = bufio.NewReaderSize(readFunc(c.read), bufferBytes)
 	return c, nil
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -20,6 +20,9 @@
 // Bounds of connections.
 const (
 	bufferBytes = 4 << 10
+	// receiveBufferBytes bounds what the system keeps of an answer that is not read yet, as
+	// when its receiver is slow. Answers are read as they arrive otherwise.
+	receiveBufferBytes = 256 << 10
 	// keepAlivePeriod is the interval of TCP keep-alive probes.
 	keepAlivePeriod = 2 * time.Second
 	// writeTimeout bounds the write of one request.
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -370,3 +370,25 @@
 		})
 	}
 }
+
+// A replica that doesn't read a request must not hold its sender for long.
+func TestUpstreamThatDoesNotReadTheRequestEndsTheExchange(t *testing.T) {
+	done := make(chan struct{})
+	defer close(done)
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, _ *bufio.Reader) {
+		_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
+		<-done
+	})
+	const size = 16 << 20
+	req := request("a")
+	req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, size)), size
+	began := time.Now()
+	_, err := New(func() {}).Send(t.Context(), Exchange{Address: address, Request: req, FirstByte: 100 * time.Millisecond})
+	require.Error(t, err)
+	require.False(t, errors.Is(err, ErrNotSent), "part of it was sent")
+	require.Less(t, time.Since(began), 2*writeTimeout)
+}
+
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { clear(p); return len(p), nil }
