--- a/forward/forward.go
+++ b/forward/forward.go
@@ -207,8 +207,12 @@
 	mayHaveRunCount, notRunCount int
 	// charged reports that the request has a token of its customer's quota.
 	charged bool
-	// grant is that of the present attempt.
+	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
+	timer slots.RunTimer
+	// longestWrite is the longest time in which the caller accepted a piece of the
+	// present attempt's response.
+	longestWrite time.Duration
 	// pinned means that only replicas of softwareVersion may run the request: such a
 	// replica began the stream.
 	pinned          bool
@@ -298,6 +302,7 @@
 	s.grant, s.charged = g, true
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
+	s.timer, s.longestWrite = slots.RunTimer{Began: s.Clock.Now()}, 0
 	res, err := s.Upstream.Send(ctx, s.req, args)
 	if err != nil {
 		return s.handleSendError(ctx, g, err)
@@ -311,6 +316,7 @@
 		outcome = slots.Ended
 	}
 	res.Close()
+	g.Run = s.timer.Run()
 	s.Slots.Release(g, outcome)
 	s.logResponse(g, res, outcome, err)
 	if err == nil {
@@ -358,6 +364,9 @@
 	if c := s.req.Customer; c != nil {
 		args.Customer, args.CustomerPriority, args.Charged = c.Name, c.Priority, s.charged
 	}
+	if s.req.Route.Objective > 0 && !s.begun {
+		args.FirstEventWithin = max(s.req.Arrived.Add(s.req.Route.Objective).Sub(s.Clock.Now()), 0)
+	}
 	if s.pinned {
 		// Resuming a stream comes before requests whose callers have received
 		// nothing yet.
--- a/host/host.go
+++ b/host/host.go
@@ -84,6 +84,7 @@
 	bootTime  boottime.Clock
 
 	callers, ready, metrics *listener
+	writes                  *pendingWrites
 
 	stopping atomic.Bool
 	// storeDown is set while calls to the store fail.
@@ -190,6 +191,7 @@
 	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "comfreyspindle_replicas_rate_limited", Help: "Replicas of which this host knows that they limit the rate of requests.",
 	}, func() float64 { return float64(h.replicas.countRateLimited()) }))
+	h.registerSpeedMetrics()
 	h.broker.SetOnLeaving(func(r replica.Replica) { h.replicas.markLeaving(r, replica.FromPeer) })
 	engine := platform.NewReplicaClient(dials.Inc, h.replicas, h.log)
 	h.slotClient = &slots.Client{
@@ -213,6 +215,8 @@
 }
 
 func (h *Host) provisionListeners() (err error) {
+	h.writes = newPendingWrites(h.settings.MemoryBytes, h.log)
+	h.registerSlowReaderMetrics()
 	handler := &platform.Handler{
 		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Draining: h.stopping.Load, Log: h.log,
 		KeysUsable: h.tableUsable,
--- a/host/listener.go
+++ b/host/listener.go
@@ -37,7 +37,7 @@
 	}
 	return &listener{
 		name:   name,
-		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits},
+		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout},
 		server: &http.Server{Handler: handler, ConnState: trackState},
 	}, nil
 }
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -115,6 +116,23 @@
 	return r.view.RateLimits()
 }
 
+// SaysLoad records what a response of a replica to this host says about the replica's
+// load.
+func (r *Replicas) SaysLoad(of replica.Replica, l replica.Load) {
+	l.At = r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.view.ObserveLoad(of, l)
+}
+
+// LoadsSince returns the loads of the replicas of a data centre that this host has
+// observed after the given time.
+func (r *Replicas) LoadsSince(since time.Time, dataCentre string) []replica.ObservedLoad {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.view.LoadsSince(since, dataCentre)
+}
+
 func (r *Replicas) logRateLimit(of replica.Replica, l replica.RateLimit, source replica.Source) {
 	entry := r.log.WithFields(logrus.Fields{"replica": of.ID, "service": of.Service, "source": string(source)})
 	if !l.Limited {
@@ -244,3 +262,21 @@
 	defer r.mu.Unlock()
 	return slices.Collect(maps.Values(r.view.Snapshot()))
 }
+
+// registerSpeedMetrics registers what this host, as a broker, knows of the speed of
+// replicas.
+func (h *Host) registerSpeedMetrics() {
+	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "comfreyspindle_replicas_paced", Help: "Replicas that get some of their slots only until they respond in time.",
+	}, func() float64 { return float64(h.broker.PacedReplicas()) }))
+	for name, value := range map[string]func() float64{
+		"least":    func() float64 { least, _, _ := h.broker.Slowness(); return least },
+		"mean":     func() float64 { _, mean, _ := h.broker.Slowness(); return mean },
+		"greatest": func() float64 { _, _, greatest := h.broker.Slowness(); return greatest },
+	} {
+		h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "comfreyspindle_replica_slowness", Help: "Estimated slowness of the replicas whose slots this host grants, 1 is normal; 0 if none reports it.",
+			ConstLabels: prometheus.Labels{"of": name},
+		}, value))
+	}
+}
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -209,6 +209,7 @@
 		b.waiting[p.Waiter] <- p.Grant
 		delete(b.waiting, p.Waiter)
 	}
+	b.logPaces(plan.Paces)
 	for _, g := range plan.Batch {
 		updates := b.pendingUpdates(g.Host)
 		updates.granted = append(updates.granted, g)
@@ -271,6 +272,8 @@
 	Version int64
 	// Quota states to which broker the host is attached.
 	Quota quota.Attachment
+	// Loads holds what replicas have said of their load since the last call that did.
+	Loads []LoadReport
 }
 
 // PollReply is the reply to Poll.
@@ -338,6 +341,7 @@
 	for i, w := range args.Wants {
 		demands[i] = w.demand(now)
 	}
+	b.sched.observeLoads(now, args.Loads)
 	b.sched.Sync(now, args.Host, grants, demands, args.Partial)
 	b.sched.Expire(now)
 	b.plan()
--- a/slots/client.go
+++ b/slots/client.go
@@ -86,6 +86,9 @@
 	RateLimits() map[replica.Replica]replica.RateLimit
 	// LearnRateLimit records what a broker knows.
 	LearnRateLimit(r replica.Replica, l replica.RateLimit)
+	// LoadsSince returns the loads of the replicas of a data centre that this host has
+	// observed after the given time.
+	LoadsSince(since time.Time, dataCentre string) []replica.ObservedLoad
 }
 
 // RefusedError reports that no slot could be acquired in time.
@@ -97,6 +100,9 @@
 	// number of those that only their rate limit keeps from it.
 	Wait                  time.Duration
 	Replicas, RateLimited int
+	// HeldBack is the number of replicas there with a free slot that the request may get
+	// if it asks for the last time.
+	HeldBack int
 	// Quarantined reports that the request crashes replicas; RetryAfter is when it is no
 	// longer refused.
 	Quarantined bool
@@ -153,6 +159,8 @@
 	// of this host.
 	reported      map[string]bool
 	releaseQueues map[string]*releaseQueue
+	// loadsSentAt is the time of the last observed load that each broker was told of.
+	loadsSentAt map[string]time.Time
 }
 
 // suspicion describes the failures of a broker that did not answer.
@@ -168,6 +176,7 @@
 	c.outdatedUntil = make(map[string]time.Time)
 	c.releaseQueues = make(map[string]*releaseQueue)
 	c.reported = make(map[string]bool)
+	c.loadsSentAt = make(map[string]time.Time)
 }
 
 // rankedHosts returns the hosts that may be the broker of a data centre, in the
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -14,6 +14,8 @@
 	Batch []Grant
 	// Revoked are the grants of batch items that their hosts have to release.
 	Revoked []Grant
+	// Paces are the changes of the paces of replicas since the last plan.
+	Paces []PaceChange
 	// Next is when to plan again even if nothing changes; zero means never.
 	Next time.Time
 }
@@ -31,17 +33,19 @@
 	s.revokeLeaving(now, &plan)
 	occupied := s.occupancy(now)
 	for _, p := range s.services {
+		s.updatePaces(now, p)
 		s.grantWaiters(now, occupied, p, &plan)
 		s.revoke(now, p, &plan)
 		s.grantBatch(now, occupied, p, &plan)
 	}
+	plan.Paces, s.paceChanges = s.paceChanges, nil
 	return plan
 }
 
 func (s *Scheduler) grantWaiters(now time.Time, o occupancy, p *pool, plan *Plan) {
 	remaining := p.queue[:0]
 	for _, w := range p.queue {
-		target := p.choose(now, Online, s.placement(now, o, &w.args), s.rng)
+		target := s.chooseForWaiter(now, p, o, w, plan)
 		if target == nil {
 			remaining = append(remaining, w)
 			continue
@@ -176,7 +180,7 @@
 		if demand.Items == 0 {
 			return
 		}
-		target := p.choose(now, Batch, func(r *replicaState) bool { return !o.isolated[r] && p.allowsBatch(now, r) }, s.rng)
+		target := s.chooseBatch(now, o, p, demand.Due)
 		if target == nil || target.used >= p.batchLimit(now, target) {
 			plan.replanForBatch(now, p)
 			return
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -49,6 +49,9 @@
 	RateLimit RateLimitMessage
 	// Broker is the name of the host that granted it, for logs. The client sets it.
 	Broker string
+	// Run is what the host observed of the response. The host sets it before it releases
+	// the grant.
+	Run Run
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -128,6 +131,8 @@
 type Waiter struct {
 	args    AcquireArgs
 	startBy time.Time
+	// firstEventBy is when the first event is due; zero means at no certain time.
+	firstEventBy time.Time
 }
 
 // Scheduler decides which requests and batch items get slots. It is not safe
@@ -142,6 +147,8 @@
 	rateShare float64
 	// requests holds what is known of requests that crash replicas.
 	requests *quarantine.State
+	// paceChanges holds the changes of paces since the last plan.
+	paceChanges []PaceChange
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -155,6 +162,7 @@
 	// grants of batch items were last revoked for requests.
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
+	speed         serviceSpeed
 }
 
 // replicaState is a replica with the number of its used slots and its recent
@@ -173,6 +181,8 @@
 	// avoidUntil is the end of the cooldown.
 	avoidUntil time.Time
 	budget     rateBudget
+	speed      speedEstimate
+	pace       paceState
 }
 
 // grantState is a grant with its replica and the time at which it was last
@@ -183,6 +193,12 @@
 	revokedAt    time.Time
 	// listedAt is when its host last listed the grant.
 	listedAt time.Time
+	// slowness and reported are what was expected of the replica for the run: its
+	// slowness and the part of it that the replica reports. beside is the number of
+	// requests that ran there already. They are zero unless the service's replicas
+	// report their slowness.
+	slowness, reported float64
+	beside             int
 }
 
 // NewScheduler returns a scheduler without replicas.
@@ -256,6 +272,9 @@
 	// request, and RateLimited is the number of those that have a free slot but
 	// whose rate limit is used up.
 	Replicas, RateLimited int
+	// HeldBack is the number of replicas with a free slot that a request gets only if it
+	// would otherwise not start in time.
+	HeldBack int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
 }
@@ -265,22 +284,29 @@
 func (s *Scheduler) Acquire(now time.Time, args AcquireArgs) Decision {
 	p := s.pool(args.Service)
 	p.lastRequestAt = now
+	s.updatePaces(now, p)
 	if refusedFor, ok := s.refusedFor(now, &args); ok {
 		return Decision{Quarantined: true, RetryAfter: refusedFor}
 	}
 	d := Decision{Replicas: p.countReady(&args)}
 	occupied := s.occupancy(now)
-	if target := p.choose(now, Online, s.placement(now, occupied, &args), s.rng); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
+	firstEventBy := args.firstEventBy(now)
+	if target := s.chooseOnline(now, p, s.placement(now, occupied, &args), firstEventBy); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
 		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
 		return d
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait {
+		var target *replicaState
+		if target, d.HeldBack = s.lastResort(now, p, occupied, &args); target != nil {
+			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
+			return d
+		}
 		d.RetryAfter = s.retryAfter(d.Wait)
 		return d
 	}
-	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait)}
+	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait), firstEventBy: firstEventBy}
 	p.queue = append(p.queue, d.Waiter)
 	slices.SortStableFunc(p.queue, compareWaiters)
 	return d
@@ -320,7 +346,7 @@
 	target.budget.take(now)
 	s.requests.Started(crashScope, g.Content, now)
 	g.RateLimit = newRateLimitMessage(now, target.budget.limit)
-	s.grants[g.ID] = &grantState{Grant: g, replicaState: target}
+	s.grants[g.ID] = s.newGrantState(now, g, target)
 	return &g
 }
 
@@ -334,9 +360,11 @@
 	g.replicaState.used--
 	if g.Class == Online && (outcome == Done || outcome == Ended) {
 		p := s.pool(g.Replica.Service)
-		p.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(g.Since)-p.serviceTime))
+		p.serviceTime += time.Duration(serviceTimeWeight * float64(g.atNormalSpeed(now.Sub(g.Since))-p.serviceTime))
 	}
+	wasSuspect := g.replicaState.suspect()
 	g.replicaState.recordOutcome(now, outcome)
+	s.recordPaceOutcome(now, g.replicaState, outcome, wasSuspect)
 }
 
 // deliverable reports whether a grant may still be delivered to its host.
