quota: an allocator counts hosts that were lost before its start

Cause: an allocator lowered the number of known hosts to those that it sees as soon as more than half of them were attached. An allocator that starts after the store has dropped the records of a part that was cut off learns the number of hosts from its brokers, and forgot it at the first exchange with a majority. The cut-off part grants its own share for up to minorityLimit, so the shares added up to more than 1 (with 40 of 60 hosts on one side: 4/3).

Change: the number falls only once the allocator has seen the hosts for departureHold.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -90,7 +90,9 @@
 	changes []shareChange
 	lost    float64
 
-	known      int
+	known int
+	// seenSince is when this allocator was first told which hosts there are.
+	seenSince  time.Duration
 	majority   bool
 	majorityAt time.Duration
 
@@ -108,6 +110,9 @@
 // SetHosts sets the names of the hosts that this host sees.
 func (a *Allocator) SetHosts(now time.Duration, names []string) {
 	a.advance(now)
+	if a.members.absentSince == nil {
+		a.seenSince = a.now
+	}
 	a.members.update(now, names)
 	a.updateShare(now)
 }
@@ -155,13 +160,17 @@
 }
 
 // updateShare sets the share that the attached hosts are of all known ones. The number
-// of known hosts falls only while more than half of them are attached. Without half of
-// them the share ends after minorityLimit, before others cease to count them.
+// of known hosts falls only while more than half of them are attached, and not before this
+// allocator has seen the hosts for departureHold: it doesn't know which hosts left before
+// that, and they may go on. Without half of the known hosts the share ends after
+// minorityLimit, before others cease to count them.
 func (a *Allocator) updateShare(now time.Duration) {
 	attached, seen := a.brokers.hosts(now), a.members.count(now)
 	a.known = max(a.known, seen)
 	if seen > 0 && 2*attached > a.known {
-		a.known = max(seen, attached)
+		if now-a.seenSince >= departureHold {
+			a.known = max(seen, attached)
+		}
 		a.majority, a.majorityAt = true, now
 	}
 	share := 0.0
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -235,3 +235,26 @@
 	require.Equal(t, otherCustomers, m.label("small", 1))
 	require.Equal(t, string(rune('a'+49)), m.label(string(rune('a'+49)), 49))
 }
+
+// An allocator that started after a part of the fleet was cut off grants the share of that
+// part too, though it goes on with an allocator of its own.
+func TestAllocatorStartedDuringAPartitionCountsTheOtherPart(t *testing.T) {
+	rows := []struct {
+		name  string
+		until time.Duration
+		want  int
+	}{
+		{"shortly after its start", 9 * second, 7},
+		{"long after its start", departureHold + 5*second, 10},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			before := newTestAllocator()
+			a := NewAllocator(0, before.tolerance, before.limits)
+			a.SetHosts(0, []string{"h1", "h2", "h3"})
+			a.Exchange(0, &ExchangeArgs{Broker: "b", Standing: Standing{Known: 4, Majority: true}})
+			attach(a, "b", 3, row.until)
+			require.Equal(t, row.want, tokens(a, a.now, 100))
+		})
+	}
+}
