slots: a broker without replica records takes no token

Cause: a broker took a token before it looked whether it has replica records. A host that has just started ranks as broker before it has records; it has no credit and, until it sees the other hosts, no allocator, so requests waited 60 ms and were refused as over their quota. That is final, whereas before the quotas the reply said that the broker has moved and the next one was asked.

Change: the broker looks for records first.

Measured: TestBrokerWithoutRecordsTakesNoTokens is refused before, granted by the next broker after. go test ./slots passes.

--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -85,6 +85,12 @@
 // Acquire grants a slot to an online request or refuses it. It waits for a free
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	// A host that starts has neither records nor tokens. The host that asked tries the
+	// next broker, which it would not do after a refusal for lack of tokens.
+	if !b.hasRecords() {
+		reply.Moved = true
+		return nil
+	}
 	settle, ok := b.charge(&args, reply)
 	if !ok {
 		return nil
@@ -108,6 +114,12 @@
 	return nil
 }
 
+func (b *Broker) hasRecords() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.replicas != nil
+}
+
 // decide decides on a request for a slot. A request that has to wait gets a waiter and
 // the channel on which its grant arrives.
 func (b *Broker) decide(args *AcquireArgs, reply *AcquireReply) (*Waiter, chan Grant) {
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -121,3 +121,16 @@
 	require.Equal(t, broker.name(), all[other.name()].attachedBefore)
 	require.Equal(t, all[broker.name()].stamp, all[other.name()].received)
 }
+
+// A host that starts is asked as broker before it has replica records and tokens. It
+// refuses requests as over their quota, and no other broker is asked.
+func TestBrokerWithoutRecordsTakesNoTokens(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, other := f.broker("x")
+	all[broker.name()].left = 0
+	broker.broker.replicas = nil
+	g, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service, Customer: "c"}, 0)
+	require.NoError(t, err)
+	require.Equal(t, other.name(), g.Broker)
+	require.Equal(t, 4, all[other.name()].left)
+}
