slots: a request whose grant a rate limit forbids is charged once

Cause: a host that knows a rate limit which the broker doesn't releases the grant and asks again, with Charged set in a copy of the arguments. If that is refused, the other data centres were asked without Charged, and each that granted took a second token.

Change: the arguments are passed by pointer, so that Charged holds for the rest of the request.

Measured: TestRequestIsChargedOnceWhenARateLimitForbidsItsGrant: one token of y's broker taken before, none after. go test ./slots passes (32.7 s). The token is still lost if all data centres refuse.

--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -178,7 +178,7 @@
 	own := c.View.Self().DataCentre
 	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
-	g, refusal := c.acquireFrom(ctx, own, args)
+	g, refusal := c.acquireFrom(ctx, own, &args)
 	if refusal == nil {
 		return g, nil
 	}
@@ -191,7 +191,7 @@
 		if ctx.Err() != nil {
 			return Grant{}, ctx.Err()
 		}
-		g, remoteRefusal := c.acquireFrom(ctx, dc, args)
+		g, remoteRefusal := c.acquireFrom(ctx, dc, &args)
 		if remoteRefusal == nil {
 			return g, nil
 		}
@@ -209,15 +209,15 @@
 	if refusal.Wait > args.MaxWait || refusal.Replicas == 0 {
 		return Grant{}, refusal
 	}
-	if g, refusal = c.acquireFrom(ctx, waitIn, args); refusal == nil {
+	if g, refusal = c.acquireFrom(ctx, waitIn, &args); refusal == nil {
 		return g, nil
 	}
 	return Grant{}, refusal
 }
 
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
-// until one answers.
-func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args AcquireArgs) (Grant, *RefusedError) {
+// until one answers. It sets args.Charged if the request has taken a token.
+func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args *AcquireArgs) (Grant, *RefusedError) {
 	for _, h := range c.brokers(dataCentre) {
 		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
 		if err != nil {
@@ -249,9 +249,10 @@
 }
 
 // acquireWithinRateLimits requests a slot from a broker. If the broker grants one of a
-// replica without knowing of its rate limit, it is told and asked once more.
-func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args AcquireArgs) (*AcquireReply, error) {
-	reply, err := c.callAcquire(ctx, h, args)
+// replica without knowing of its rate limit, it is told and asked once more. The token of
+// the first grant counts for all that the request asks for from then on.
+func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args *AcquireArgs) (*AcquireReply, error) {
+	reply, err := c.callAcquire(ctx, h, *args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
 	}
@@ -260,7 +261,7 @@
 		return nil, err
 	}
 	args.Charged = true
-	reply, err = c.callAcquire(ctx, h, args)
+	reply, err = c.callAcquire(ctx, h, *args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
 	}
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/quota"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
 // tokens are quotas of one customer with some tokens.
@@ -134,3 +135,16 @@
 	require.Equal(t, other.name(), g.Broker)
 	require.Equal(t, 4, all[other.name()].left)
 }
+
+// A request whose grant is not used, since the broker didn't know of the replica's rate
+// limit, takes a second token in another data centre.
+func TestRequestIsChargedOnceWhenARateLimitForbidsItsGrant(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, other := f.broker("x")
+	other.says(records(2)["rx"], replica.RateLimit{Limited: true, PerSecond: 1})
+	g, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service, Customer: "c"}, 0)
+	require.NoError(t, err)
+	require.Equal(t, "ry", g.Replica.ID)
+	require.Equal(t, 4, all[broker.name()].left)
+	require.Equal(t, 5, all[f.brokerOf("y").name()].left)
+}
