--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -91,6 +91,12 @@
 // Acquire grants a slot to an online request or refuses it. It waits for a free
 // slot for at most args.MaxWait.
 func (b *Broker) Acquire(args AcquireArgs, reply *AcquireReply) error {
+	// A host that starts has neither records nor tokens. The host that asked tries the
+	// next broker, which it would not do after a refusal for lack of tokens.
+	if !b.hasRecords() {
+		reply.Moved = true
+		return nil
+	}
 	settle, ok := b.charge(&args, reply)
 	if !ok {
 		return nil
@@ -114,6 +120,12 @@
 	return nil
 }
 
+func (b *Broker) hasRecords() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.replicas != nil
+}
+
 // decide decides on a request for a slot. A request that has to wait gets a waiter and
 // the channel on which its grant arrives.
 func (b *Broker) decide(args *AcquireArgs, reply *AcquireReply) (*Waiter, chan Grant) {
@@ -173,7 +185,7 @@
 	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
 	firstEventBy := args.firstEventBy(c.Clock.Now())
-	g, refusal := c.acquireFrom(ctx, own, args)
+	g, refusal := c.acquireFrom(ctx, own, &args)
 	if refusal == nil {
 		return g, nil
 	}
@@ -187,7 +199,7 @@
 			return Grant{}, ctx.Err()
 		}
 		args.FirstEventWithin = c.timeLeft(firstEventBy)
-		g, remoteRefusal := c.acquireFrom(ctx, dc, args)
+		g, remoteRefusal := c.acquireFrom(ctx, dc, &args)
 		if remoteRefusal == nil {
 			return g, nil
 		}
@@ -206,7 +218,7 @@
 		return Grant{}, refusal
 	}
 	args.FirstEventWithin = c.timeLeft(firstEventBy)
-	if g, refusal = c.acquireFrom(ctx, waitIn, args); refusal == nil {
+	if g, refusal = c.acquireFrom(ctx, waitIn, &args); refusal == nil {
 		return g, nil
 	}
 	return Grant{}, refusal
@@ -228,8 +240,8 @@
 }
 
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
-// until one answers.
-func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args AcquireArgs) (Grant, *RefusedError) {
+// until one answers. It sets args.Charged if the request has taken a token.
+func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args *AcquireArgs) (Grant, *RefusedError) {
 	for _, h := range c.brokers(dataCentre) {
 		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
 		if err != nil {
@@ -261,9 +273,10 @@
 }
 
 // acquireWithinRateLimits requests a slot from a broker. If the broker grants one of a
-// replica without knowing of its rate limit, it is told and asked once more.
-func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args AcquireArgs) (*AcquireReply, error) {
-	reply, err := c.callAcquire(ctx, h, args)
+// replica without knowing of its rate limit, it is told and asked once more. The token of
+// the first grant counts for all that the request asks for from then on.
+func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args *AcquireArgs) (*AcquireReply, error) {
+	reply, err := c.callAcquire(ctx, h, *args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
 	}
@@ -272,7 +285,7 @@
 		return nil, err
 	}
 	args.Charged = true
-	reply, err = c.callAcquire(ctx, h, args)
+	reply, err = c.callAcquire(ctx, h, *args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
 	}
