slots, quarantine: a crash doesn't count against requests that never reached the replica

Cause: what holds a slot of a replica when its crash is recorded counts as in progress there. Replicas crash together; a request is sent on from one of them to another one that has crashed too, and holds its slot until the connection is refused.

Ruled out: to count only exchanges that are reported as broken. A host that fails before its report would hide the crash.

Change: a grant that ends as unreachable within 250 ms takes back the crash, on all brokers, unless an equal request ran or runs there. Later, the replica may be silent and have run the request. The model of crashes may find a crash after a time and refuse connections after a time; its former loads are unchanged.

--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -200,6 +200,11 @@
 		c.Trial = 0
 		s.RecordCrash(s.forService(c.Service).withoutHarmless(c), duration)
 	}
+	if u := n.Unreached; u != nil {
+		for _, f := range u.Suspects {
+			s.RetractCrash(n.Service, u.Upstream, Content{Fingerprint: f, Parts: u.Parts[f]})
+		}
+	}
 	s.RecordHarmless(n.Service, n.Harmless, now)
 	for _, f := range n.Cleared {
 		s.Clear(n.Service, f)
--- a/quarantine/sync.go
+++ b/quarantine/sync.go
@@ -48,6 +48,9 @@
 	Group      bool
 	SuspectFor time.Duration
 	Harmless   []Fingerprint
+	// Unreached holds the requests that were taken for being in progress at a crash, and
+	// never reached the upstream.
+	Unreached *Crash
 	// Back names an upstream that failed and answers again.
 	Back string
 }
--- a/slots/crash.go
+++ b/slots/crash.go
@@ -101,6 +101,10 @@
 		if g, ok := b.sched.grants[r.ID]; ok {
 			b.recordFinished(now, g.Content)
 		}
+	case Unreachable:
+		if n, changed := b.sched.RecordUnreached(now, r.ID); changed {
+			b.tell(n)
+		}
 	case Failed, Ended:
 		return b.probe != nil && b.recordBroken(now, r)
 	default:
--- a/slots/crash_load_test.go
+++ b/slots/crash_load_test.go
@@ -60,6 +60,11 @@
 	harmlessDelayed         int
 	lastHarmlessQuarantined time.Time
 	lastFingerprint         quarantine.Fingerprint
+
+	// uncontained leaves out the containment of requests that crash replicas.
+	uncontained bool
+	// connectTime is the time after which a connection to a crashed replica is refused.
+	connectTime time.Duration
 }
 
 type modelEvent struct {
@@ -136,7 +141,7 @@
 func (m *crashModel) acquire(q *modelRequest, own int, until time.Time, avoid []string) {
 	for i := range crashDataCentres {
 		dc := (own + i) % crashDataCentres
-		d := m.brokers[dc].Acquire(m.now, AcquireArgs{Host: "h", Service: service, Content: q.content, Avoid: avoid})
+		d := m.brokers[dc].Acquire(m.now, AcquireArgs{Host: "h", Service: service, Content: m.contentOf(q), Avoid: avoid})
 		if d.Quarantined {
 			if q.cause == 0 {
 				m.harmlessQuarantined++
@@ -162,8 +167,18 @@
 		m.running[key] = make(map[*modelRequest]Grant)
 	}
 	if !m.isUp(dc, g.Replica) {
-		m.brokers[dc].Release(m.now, g.ID, Unreachable)
-		m.acquire(q, own, m.now, append(avoid, g.Replica.ID))
+		unreached := func() {
+			if n, changed := m.brokers[dc].RecordUnreached(m.now, g.ID); changed {
+				m.tell(dc, n)
+			}
+			m.brokers[dc].Release(m.now, g.ID, Unreachable)
+			m.acquire(q, own, m.now, append(avoid, g.Replica.ID))
+		}
+		if m.connectTime == 0 {
+			unreached()
+			return
+		}
+		m.after(m.connectTime, unreached)
 		return
 	}
 	q.run++
@@ -188,7 +203,7 @@
 		}
 		delete(m.running[key], q)
 		m.brokers[dc].Release(m.now, g.ID, Done)
-		if n, changed := m.brokers[dc].RecordFinished(m.now, q.content); changed {
+		if n, changed := m.brokers[dc].RecordFinished(m.now, m.contentOf(q)); changed {
 			m.tell(dc, n)
 		}
 		m.harmlessServed++
@@ -199,8 +214,22 @@
 	return slices.ContainsFunc(m.replicas[dc], func(up replica.Replica) bool { return up.ID == r.ID })
 }
 
+// contentOf returns what the broker is told of a request.
+func (m *crashModel) contentOf(q *modelRequest) quarantine.Content {
+	if m.uncontained {
+		return quarantine.Content{}
+	}
+	return q.content
+}
+
 // crash ends a replica. Its requests are sent to other replicas.
 func (m *crashModel) crash(dc, own int, r replica.Replica) {
+	m.crashFor(dc, own, r, 0, crashRestart)
+}
+
+// crashFor ends a replica, which its broker finds out after a time, and which is back after
+// another one.
+func (m *crashModel) crashFor(dc, own int, r replica.Replica, found, restart time.Duration) {
 	ended := m.running[r.Incarnation()]
 	delete(m.running, r.Incarnation())
 	b := m.brokers[dc]
@@ -211,14 +240,12 @@
 	}
 	slices.SortFunc(requests, func(a, b *modelRequest) int { return compareContent(a.content, b.content) })
 	for _, q := range requests {
-		broken = append(broken, q.content)
+		broken = append(broken, m.contentOf(q))
 		b.Release(m.now, ended[q].ID, Failed)
 	}
-	if n, ok := b.RecordCrash(m.now, r, broken); ok {
-		m.tell(dc, n)
-	}
+	m.recordCrash(dc, r, broken, found)
 	m.replicas[dc] = slices.DeleteFunc(m.replicas[dc], func(up replica.Replica) bool { return up.ID == r.ID })
-	m.after(crashRestart, func() { m.addReplica(dc) })
+	m.after(restart, func() { m.addReplica(dc) })
 	for _, q := range requests {
 		if q.tried >= replicaAttempts {
 			m.fail(q)
@@ -228,6 +255,23 @@
 	}
 }
 
+// recordCrash records a crash that the broker finds out after a time.
+func (m *crashModel) recordCrash(dc int, r replica.Replica, broken []quarantine.Content, found time.Duration) {
+	if m.uncontained {
+		return
+	}
+	record := func() {
+		if n, ok := m.brokers[dc].RecordCrash(m.now, r, broken); ok {
+			m.tell(dc, n)
+		}
+	}
+	if found == 0 {
+		record()
+		return
+	}
+	m.after(found, record)
+}
+
 func (m *crashModel) fail(q *modelRequest) {
 	if q.cause == 0 {
 		m.harmlessDelayed++
--- a/slots/crash_test.go
+++ b/slots/crash_test.go
@@ -121,3 +121,32 @@
 	breakOff(b, first)
 	require.True(t, probed)
 }
+
+// Callers send equal requests: one that can't reach the replica says nothing of another.
+func TestCrashCountsAgainstARequestOfWhichAnEqualOneNeverReachedTheReplica(t *testing.T) {
+	b, notices := newCrashBroker(func() bool { return false })
+	first := acquireFor(t, b, 1)
+	var equal []Grant
+	for len(equal) == 0 {
+		if g := acquireFor(t, b, 1); g.Replica == first.Replica {
+			equal = append(equal, g)
+		}
+	}
+	breakOff(b, first)
+	require.NoError(t, b.Release(ReleaseArgs{Released: []Released{{ID: equal[0].ID, Outcome: Unreachable}}}, new(Empty)))
+	suspects, _ := b.QuarantineCounts()
+	require.Equal(t, 1, suspects)
+	require.Len(t, *notices, 1)
+}
+
+// A request that is sent on from one crashed replica holds a slot of another one that has
+// crashed too, until its connection is refused.
+func TestCrashDoesNotCountAgainstARequestThatNeverReachedTheReplica(t *testing.T) {
+	b, notices := newCrashBroker(func() bool { return false })
+	first, unreached := acquireBeside(t, b, 1, 2)
+	breakOff(b, first)
+	require.NoError(t, b.Release(ReleaseArgs{Released: []Released{{ID: unreached.ID, Outcome: Unreachable}}}, new(Empty)))
+	suspects, _ := b.QuarantineCounts()
+	require.Equal(t, 1, suspects)
+	require.Equal(t, []quarantine.Fingerprint{unreached.Content.Fingerprint}, (*notices)[1].Unreached.Suspects)
+}
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -17,6 +17,10 @@
 // quarantineDuration is how long a request that crashes replicas is refused.
 const quarantineDuration = 10 * time.Minute
 
+// maxConnectTime is the age of a grant up to which an unreachable replica means that no
+// connection was made. Later, the replica may have been sent the request and be silent.
+const maxConnectTime = 250 * time.Millisecond
+
 // RecordCrash records the crash of a replica with the requests that were in progress
 // there: those whose exchange is known to have broken off, and those that hold a slot.
 // It returns what other hosts have to be told, or false if there was no such request.
@@ -24,6 +28,7 @@
 	if state := s.findIncarnation(r); state != nil {
 		state.recordOutcome(now, Unreachable)
 	}
+	s.recordRan(now, r, broken)
 	suspects := append(slices.Clone(broken), s.inProgress(r)...)
 	if len(suspects) == 0 {
 		return quarantine.Notice{}, false
@@ -31,7 +36,7 @@
 	slices.SortFunc(suspects, compareContent)
 	suspects = slices.CompactFunc(suspects, func(a, b quarantine.Content) bool { return a.Fingerprint == b.Fingerprint })
 	c := quarantine.Crash{
-		Service: crashScope, Upstream: r.ID + "/" + strconv.FormatInt(r.Born, 10), At: now,
+		Service: crashScope, Upstream: crashedUpstream(r), At: now,
 		Parts: make(map[quarantine.Fingerprint][]quarantine.Fingerprint), Trial: s.onlySuspect(now, suspects),
 	}
 	for _, content := range suspects {
@@ -44,6 +49,61 @@
 	return quarantine.Notice{Service: crashScope, Crash: &c, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless}, true
 }
 
+// crashedUpstream names one incarnation of a replica.
+func crashedUpstream(r replica.Replica) string { return r.ID + "/" + strconv.FormatInt(r.Born, 10) }
+
+// crashedRuns are requests that ran on a replica when it crashed.
+type crashedRuns struct {
+	at       time.Time
+	requests map[quarantine.Fingerprint]struct{}
+}
+
+// recordRan records which requests are known to have run on a replica that crashed.
+func (s *Scheduler) recordRan(now time.Time, r replica.Replica, broken []quarantine.Content) {
+	for upstream, runs := range s.ran {
+		if now.Sub(runs.at) > crashWindow {
+			delete(s.ran, upstream)
+		}
+	}
+	runs := crashedRuns{at: now, requests: make(map[quarantine.Fingerprint]struct{}, len(broken))}
+	for _, c := range broken {
+		runs.requests[c.Fingerprint] = struct{}{}
+	}
+	s.ran[crashedUpstream(r)] = runs
+}
+
+// hasEqualRun reports whether an equal request ran or is in progress on the replica of a
+// grant.
+func (s *Scheduler) hasEqualRun(g *grantState) bool {
+	if _, ok := s.ran[crashedUpstream(g.Replica)].requests[g.Content.Fingerprint]; ok {
+		return true
+	}
+	for id, other := range s.grants {
+		if id != g.ID && other.Content.Fingerprint == g.Content.Fingerprint && other.Replica.Incarnation() == g.Replica.Incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordUnreached records that the request of a grant could not be sent to its replica, so
+// that it was not in progress there if the replica has crashed. It returns what other hosts
+// have to be told, or false if nothing. It must be called before the grant is released.
+func (s *Scheduler) RecordUnreached(now time.Time, id GrantID) (quarantine.Notice, bool) {
+	g, ok := s.grants[id]
+	if !ok || g.Content.Fingerprint == 0 || now.Sub(g.Since) > maxConnectTime {
+		return quarantine.Notice{}, false
+	}
+	if s.hasEqualRun(g) {
+		return quarantine.Notice{}, false
+	}
+	unreached := &quarantine.Crash{
+		Service: crashScope, Upstream: crashedUpstream(g.Replica), At: now, Suspects: []quarantine.Fingerprint{g.Content.Fingerprint},
+		Parts: map[quarantine.Fingerprint][]quarantine.Fingerprint{g.Content.Fingerprint: g.Content.Parts},
+	}
+	return quarantine.Notice{Service: crashScope, Unreached: unreached}, s.requests.RetractCrash(crashScope, unreached.Upstream, g.Content)
+}
+
 func compareContent(a, b quarantine.Content) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
 
 // ApplyNotice applies what another host has found out about requests that crash replicas.
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -142,6 +142,9 @@
 	rateShare float64
 	// requests holds what is known of requests that crash replicas.
 	requests *quarantine.State
+	// ran holds the requests that are known to have run on replicas that crashed lately, by
+	// upstream of the crash.
+	ran map[string]crashedRuns
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -193,7 +196,7 @@
 	return &Scheduler{
 		requests: requests,
 		rng:      rng, services: make(map[string]*pool), grants: make(map[GrantID]*grantState),
-		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()), rateShare: 1,
+		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()), rateShare: 1, ran: make(map[string]crashedRuns),
 	}
 }
 
