slots, quarantine: brokers tell each other which parts of a crash are harmless

Cause: a broker learns from its own replicas only which parts of prompts are harmless, and is told of another broker's finding only when it changes something there. Parts of a caller that has been served in one data centre gathered crashes in the others.

Change: the reply to the notice of a crash names those of its parts with which a request has run to its end on that host within a minute.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -261,6 +261,9 @@
 func (s *State) RecordFinished(service string, c Content, now time.Time) Notice {
 	v := s.forService(service)
 	n := Notice{Service: service, Harmless: s.RecordHarmless(service, c.Parts, now)}
+	for _, part := range c.Parts {
+		v.parts.finished.record(part, now)
+	}
 	if _, wasRefused := v.confirmed[c.Fingerprint]; wasRefused {
 		delete(v.confirmed, c.Fingerprint)
 		delete(v.parts.trialAt, c.Fingerprint)
@@ -299,6 +302,25 @@
 	return ok && now.Before(v.confirmed[f])
 }
 
+// HarmlessParts returns those parts of a notice's crash with which a request has run to its
+// end on this host within harmlessRetention, so that they are suspect nowhere. What other
+// hosts have told doesn't count, or hosts would renew each other's knowledge for ever.
+func (s *State) HarmlessParts(n Notice, now time.Time) []Fingerprint {
+	if n.Crash == nil {
+		return nil
+	}
+	v := s.forService(n.Service)
+	harmless := make(map[Fingerprint]struct{})
+	for _, parts := range n.Crash.Parts {
+		for _, part := range parts {
+			if v.parts.finished.contains(part, now) {
+				harmless[part] = struct{}{}
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(harmless))
+}
+
 // HarmlessSince returns those of a notice's refused parts with which a request ran to its end
 // here after their first crash, so that they don't explain the crashes.
 func (s *State) HarmlessSince(n Notice, now time.Time) []Fingerprint {
--- a/quarantine/partstate.go
+++ b/quarantine/partstate.go
@@ -29,6 +29,8 @@
 type partState struct {
 	suspects map[Fingerprint]*suspectPart
 	harmless harmlessSet
+	// finished holds the parts of requests that ran to their end on this host.
+	finished harmlessSet
 	// harmlessRequests are whole requests.
 	harmlessRequests harmlessSet
 	// trialAt holds when a refused request may run once more.
@@ -47,7 +49,7 @@
 
 func newPartState() partState {
 	return partState{
-		suspects: make(map[Fingerprint]*suspectPart), harmless: newHarmlessSet(), harmlessRequests: newHarmlessSet(),
+		suspects: make(map[Fingerprint]*suspectPart), harmless: newHarmlessSet(), finished: newHarmlessSet(), harmlessRequests: newHarmlessSet(),
 		trialAt: make(map[Fingerprint]time.Time), groups: make(map[Fingerprint]*partGroup),
 	}
 }
--- a/slots/crash_test.go
+++ b/slots/crash_test.go
@@ -150,3 +150,17 @@
 	require.Equal(t, 1, suspects)
 	require.Equal(t, []quarantine.Fingerprint{unreached.Content.Fingerprint}, (*notices)[1].Unreached.Suspects)
 }
+
+// Each broker learns which parts are harmless from its own replicas only. Those that another
+// broker knows must not gather crashes.
+func TestPartsOfACrashThatAnotherBrokerKnowsAsHarmlessAreNotSuspect(t *testing.T) {
+	const known, told, unknown = 100, 101, 102
+	b, _ := newCrashBroker(func() bool { return false })
+	now := b.clock.Now()
+	b.sched.requests.RecordFinished(crashScope, quarantine.Content{Fingerprint: 2, Parts: []quarantine.Fingerprint{known}}, now)
+	b.sched.requests.RecordHarmless(crashScope, []quarantine.Fingerprint{told}, now)
+	var reply quarantine.Notice
+	crash := &quarantine.Crash{Upstream: "u", Suspects: []quarantine.Fingerprint{1}, Parts: map[quarantine.Fingerprint][]quarantine.Fingerprint{1: {known, told, unknown}}}
+	require.NoError(t, b.Quarantine(quarantine.Notice{Crash: crash}, &reply))
+	require.Equal(t, []quarantine.Fingerprint{known}, reply.Harmless)
+}
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -111,6 +111,7 @@
 func (s *Scheduler) ApplyNotice(now time.Time, n quarantine.Notice) quarantine.Notice {
 	harmless := s.requests.HarmlessSince(n, now)
 	n.Confirmed = slices.DeleteFunc(slices.Clone(n.Confirmed), func(c quarantine.Confirmed) bool { return slices.Contains(harmless, c.Fingerprint) })
+	harmless = append(harmless, s.requests.HarmlessParts(n, now)...)
 	s.requests.Apply(n, now, quarantineDuration)
 	return quarantine.Notice{Service: crashScope, Harmless: harmless}
 }
