slots, quarantine: crashes of other causes don't count against requests

Cause: each crash made suspects of all that was in progress, also when several replicas crashed at one moment with nothing in common. Suspects were separated, one on each replica, which took the free slots of others and made each the only suspect where it ran; the third crash by chance had it refused.

Ruled out: slow clearing (94 of the 144 refusals of the log come within 0.2 s of a crash); the rate of crashes with no suspect in progress (separation puts a suspect on each replica); deciding at once, which refuses harmless requests at the first crash found of a moment; deciding later while the request runs on, which costs replicas.

Change: three crashes within 50 ms of which no two share a suspect count against nothing; two requests that crash replicas can't cause them. Such crashes within 10 s raise the thresholds for 10 s: alone after three crashes, refused after five. A crash is decided on 50 ms later, and what it is likely to confirm waits at the broker until then. The log line of the refusal is one of its own.

Beside one request that crashes replicas: 0 refused in 80 plays.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -64,10 +64,10 @@
 	if refused := v.refusedParts(c, now); len(refused) > 0 {
 		return v.decideRefused(refused, now)
 	}
-	threshold := aloneThreshold
-	if degraded {
-		threshold = 1
+	if v.isHeld(c, now) {
+		return Wait, time.Time{}
 	}
+	threshold := v.aloneThreshold(now, degraded)
 	for _, part := range c.Parts {
 		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].crashes() >= threshold {
 			return RunAlone, time.Time{}
@@ -133,9 +133,43 @@
 // RecordContentCrash records a crash as RecordCrash does, and makes suspects of the shared
 // parts of the requests in flight too, unless something that is refused explains it.
 func (s *State) RecordContentCrash(c Crash, duration time.Duration) Findings {
-	explained := s.addPartCrashes(c, duration)
 	v := s.forService(c.Service)
-	if confirmed, ok := s.RecordCrash(v.withoutHarmless(c), duration); ok {
+	explained, unexplained := s.addContentCrash(c, duration)
+	switch {
+	case unexplained:
+		return Findings{}
+	case s.MomentWindow > 0:
+		v.pending = append(v.pending, pendingCrash{c, explained})
+		return Findings{}
+	}
+	return s.conclude(v, c, explained, duration)
+}
+
+// addContentCrash makes suspects of the requests in flight and their shared parts. It
+// reports whether something that is refused explains the crash, and whether no request does.
+func (s *State) addContentCrash(c Crash, duration time.Duration) (explained, unexplained bool) {
+	v := s.forService(c.Service)
+	if s.MomentWindow > 0 && v.addRecent(c).unexplained {
+		return false, true
+	}
+	explained = s.addPartCrashes(c, duration)
+	added := v.withoutHarmless(c)
+	added.Trial = 0
+	s.RecordCrash(added, duration)
+	if s.MomentWindow == 0 {
+		return explained, false
+	}
+	s.recordIndependence(v, c.At)
+	if v.isUnexplained(c.Upstream) {
+		return explained, true
+	}
+	v.hold(c, explained, c.At.Add(holdTime*s.MomentWindow))
+	return explained, false
+}
+
+// conclude determines what a crash shows.
+func (s *State) conclude(v *serviceState, c Crash, explained bool, duration time.Duration) Findings {
+	if confirmed, ok := s.confirmTrial(v, v.withoutHarmless(c), duration); ok {
 		v.parts.trialAt[confirmed.Fingerprint] = c.At.Add(groupTrialDelay)
 		return Findings{Confirmed: []Confirmed{confirmed}}
 	}
@@ -240,7 +274,7 @@
 func (v *serviceState) crashingParts(parts []Fingerprint, now time.Time) []Fingerprint {
 	var crashing []Fingerprint
 	for _, part := range parts {
-		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].isImplicated() {
+		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].isImplicated(v.isRaised(now)) {
 			crashing = append(crashing, part)
 		}
 	}
@@ -289,6 +323,7 @@
 			changed = append(changed, part)
 		}
 		delete(v.confirmed, part)
+		delete(v.held, part)
 		delete(v.parts.suspects, part)
 		v.parts.remove(part)
 		v.parts.harmless.record(part, now)
--- a/quarantine/partstate.go
+++ b/quarantine/partstate.go
@@ -128,9 +128,11 @@
 }
 
 // isImplicated reports whether the crashes are enough to refuse a part that is not known
-// as harmless.
-func (p *suspectPart) isImplicated() bool {
+// as harmless. With raised thresholds, more are needed.
+func (p *suspectPart) isImplicated(raised bool) bool {
 	switch n := p.crashes(); {
+	case raised:
+		return n >= raisedPartThreshold
 	case n >= partThreshold:
 		return true
 	case n < repeatedPartThreshold:
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -49,6 +49,9 @@
 	RunAlone
 	// Refuse rejects the request.
 	Refuse
+	// Wait lets the request wait for some milliseconds, until it is known whether it is
+	// rejected. A State without a MomentWindow doesn't return it.
+	Wait
 )
 
 // State holds the suspects and the confirmed requests of each service. It uses
@@ -60,7 +63,11 @@
 	// SameCrashWindow is the time within which reports about one upstream count as
 	// one crash: several hosts report the same crash.
 	SameCrashWindow time.Duration
-	services        map[string]*serviceState
+	// MomentWindow is the time within which crashes are at one moment. If it is not zero,
+	// independent crashes of one moment count against no request, those of a longer time
+	// raise the thresholds, and Settle decides on crashes.
+	MomentWindow time.Duration
+	services     map[string]*serviceState
 }
 
 type serviceState struct {
@@ -69,6 +76,14 @@
 	// they are.
 	confirmed map[Fingerprint]time.Time
 	parts     partState
+	// recent holds the last crashes, the oldest first, and pending those on which Settle
+	// has to decide. The thresholds are raised until raisedUntil.
+	recent      []*recentCrash
+	pending     []pendingCrash
+	raisedUntil time.Time
+	// held holds what pending crashes are likely to confirm, and until when no upstream
+	// gets it.
+	held map[Fingerprint]time.Time
 }
 
 // suspect is a request with the crashes during which it was in flight.
@@ -89,7 +104,7 @@
 func (s *State) forService(service string) *serviceState {
 	v, ok := s.services[service]
 	if !ok {
-		v = &serviceState{suspects: make(map[Fingerprint]*suspect), confirmed: make(map[Fingerprint]time.Time), parts: newPartState()}
+		v = &serviceState{suspects: make(map[Fingerprint]*suspect), confirmed: make(map[Fingerprint]time.Time), parts: newPartState(), held: make(map[Fingerprint]time.Time)}
 		s.services[service] = v
 	}
 	return v
@@ -107,7 +122,7 @@
 	if until, ok := v.confirmed[f]; ok && now.Before(until) {
 		return Refuse, until
 	}
-	if p, ok := v.suspects[f]; ok && (degraded || len(p.crashes) >= aloneThreshold) {
+	if p, ok := v.suspects[f]; ok && len(p.crashes) >= v.aloneThreshold(now, degraded) {
 		return RunAlone, time.Time{}
 	}
 	return Run, time.Time{}
@@ -129,8 +144,12 @@
 	for _, f := range c.Suspects {
 		v.addCrash(f, crashRecord{upstream: c.Upstream, at: c.At}, s.SameCrashWindow)
 	}
-	p, ok := v.suspects[c.Trial]
-	if c.Trial == 0 || !ok || len(p.crashes) < confirmThreshold {
+	return s.confirmTrial(v, c, duration)
+}
+
+// confirmTrial confirms the request on trial if it has been in enough crashes.
+func (s *State) confirmTrial(v *serviceState, c Crash, duration time.Duration) (Confirmed, bool) {
+	if !v.isConfirmable(c.Trial, c.At) {
 		return Confirmed{}, false
 	}
 	confirmed := Confirmed{Fingerprint: c.Trial, Until: c.At.Add(duration)}
@@ -138,6 +157,16 @@
 	return confirmed, true
 }
 
+// isConfirmable reports whether a request has been in enough crashes to be confirmed.
+func (v *serviceState) isConfirmable(f Fingerprint, now time.Time) bool {
+	threshold := confirmThreshold
+	if v.isRaised(now) {
+		threshold = raisedConfirmThreshold
+	}
+	p, ok := v.suspects[f]
+	return f != 0 && ok && len(p.crashes) >= threshold
+}
+
 func (v *serviceState) addCrash(f Fingerprint, crash crashRecord, sameCrashWindow time.Duration) {
 	if _, known := v.confirmed[f]; known {
 		return
@@ -153,7 +182,7 @@
 			return
 		}
 	}
-	if len(p.crashes) < confirmThreshold {
+	if len(p.crashes) < raisedConfirmThreshold {
 		p.crashes = append(p.crashes, crash)
 	}
 }
@@ -196,9 +225,7 @@
 	if n.Crash != nil {
 		c := *n.Crash
 		c.At = now
-		s.addPartCrashes(c, duration)
-		c.Trial = 0
-		s.RecordCrash(s.forService(c.Service).withoutHarmless(c), duration)
+		s.addContentCrash(c, duration)
 	}
 	if u := n.Unreached; u != nil {
 		for _, f := range u.Suspects {
@@ -226,6 +253,7 @@
 	}
 	_, wasSuspect := v.suspects[f]
 	delete(v.suspects, f)
+	delete(v.held, f)
 	return wasSuspect
 }
 
--- a/slots/crash.go
+++ b/slots/crash.go
@@ -207,9 +207,23 @@
 		return
 	}
 	b.log.WithFields(logrus.Fields{
-		"replica": r.ID, "born": r.Born, "suspects": n.Crash.Suspects, "only_suspect": n.Crash.Trial, "refused_from_now": n.Confirmed,
+		"replica": r.ID, "born": r.Born, "suspects": n.Crash.Suspects, "only_suspect": n.Crash.Trial,
 	}).Warn("replica crashed")
 	b.tell(n)
+	b.clock.AfterFunc(crashMomentWindow, b.settleCrashes)
+}
+
+// settleCrashes decides on crashes and tells the other hosts what is refused.
+func (b *Broker) settleCrashes() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.sched.SettleCrashes(b.clock.Now()) {
+		if len(n.Confirmed) > 0 {
+			b.log.WithField("refused_from_now", n.Confirmed).Warn("requests that crash replicas are refused")
+		}
+		b.tell(n)
+	}
+	b.plan()
 }
 
 // tell passes a change on to the other hosts. The lock is held.
--- a/slots/crash_load_test.go
+++ b/slots/crash_load_test.go
@@ -149,6 +149,10 @@
 			}
 			return
 		}
+		if d.Held {
+			// It waits at this broker.
+			break
+		}
 		if d.Grant != nil {
 			m.start(q, own, dc, *d.Grant, avoid)
 			return
@@ -214,14 +218,6 @@
 	return slices.ContainsFunc(m.replicas[dc], func(up replica.Replica) bool { return up.ID == r.ID })
 }
 
-// contentOf returns what the broker is told of a request.
-func (m *crashModel) contentOf(q *modelRequest) quarantine.Content {
-	if m.uncontained {
-		return quarantine.Content{}
-	}
-	return q.content
-}
-
 // crash ends a replica. Its requests are sent to other replicas.
 func (m *crashModel) crash(dc, own int, r replica.Replica) {
 	m.crashFor(dc, own, r, 0, crashRestart)
@@ -255,23 +251,6 @@
 	}
 }
 
-// recordCrash records a crash that the broker finds out after a time.
-func (m *crashModel) recordCrash(dc int, r replica.Replica, broken []quarantine.Content, found time.Duration) {
-	if m.uncontained {
-		return
-	}
-	record := func() {
-		if n, ok := m.brokers[dc].RecordCrash(m.now, r, broken); ok {
-			m.tell(dc, n)
-		}
-	}
-	if found == 0 {
-		record()
-		return
-	}
-	m.after(found, record)
-}
-
 func (m *crashModel) fail(q *modelRequest) {
 	if q.cause == 0 {
 		m.harmlessDelayed++
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -17,6 +17,10 @@
 // quarantineDuration is how long a request that crashes replicas is refused.
 const quarantineDuration = 10 * time.Minute
 
+// crashMomentWindow is the time within which crashes are at one moment. It leaves room for
+// the probes and for the notices of other regions.
+const crashMomentWindow = 50 * time.Millisecond
+
 // maxConnectTime is the age of a grant up to which an unreachable replica means that no
 // connection was made. Later, the replica may have been sent the request and be silent.
 const maxConnectTime = 250 * time.Millisecond
@@ -24,6 +28,7 @@
 // RecordCrash records the crash of a replica with the requests that were in progress
 // there: those whose exchange is known to have broken off, and those that hold a slot.
 // It returns what other hosts have to be told, or false if there was no such request.
+// SettleCrashes has to be called crashMomentWindow later.
 func (s *Scheduler) RecordCrash(now time.Time, r replica.Replica, broken []quarantine.Content) (quarantine.Notice, bool) {
 	if state := s.findIncarnation(r); state != nil {
 		state.recordOutcome(now, Unreachable)
@@ -45,8 +50,19 @@
 			c.Parts[content.Fingerprint] = content.Parts
 		}
 	}
-	f := s.requests.RecordContentCrash(c, quarantineDuration)
-	return quarantine.Notice{Service: crashScope, Crash: &c, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless}, true
+	s.requests.RecordContentCrash(c, quarantineDuration)
+	return quarantine.Notice{Service: crashScope, Crash: &c}, true
+}
+
+// SettleCrashes decides on crashes of which it is known now whether others were at the same
+// moment. It returns what other
+// hosts have to be told.
+func (s *Scheduler) SettleCrashes(now time.Time) []quarantine.Notice {
+	var notices []quarantine.Notice
+	for _, f := range s.requests.Settle(crashScope, now, quarantineDuration) {
+		notices = append(notices, quarantine.Notice{Service: crashScope, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless})
+	}
+	return notices
 }
 
 // crashedUpstream names one incarnation of a replica.
@@ -204,7 +220,7 @@
 		return args.allows
 	}
 	switch decision, _ := s.requests.DecideContent(crashScope, args.Content, now, true); decision {
-	case quarantine.Refuse:
+	case quarantine.Refuse, quarantine.Wait:
 		return func(*replicaState) bool { return false }
 	case quarantine.RunAlone:
 		return func(r *replicaState) bool { return args.allows(r) && !o.suspects[r] }
@@ -219,6 +235,12 @@
 	return until.Sub(now), decision == quarantine.Refuse
 }
 
+// isHeld reports whether the request waits until it is known whether it crashes replicas.
+func (s *Scheduler) isHeld(now time.Time, args *AcquireArgs) bool {
+	decision, _ := s.requests.DecideContent(crashScope, args.Content, now, true)
+	return decision == quarantine.Wait
+}
+
 // findIncarnation returns the state of one incarnation of a replica, or nil.
 func (s *Scheduler) findIncarnation(r replica.Replica) *replicaState {
 	state := s.find(r.Service, r.ID)
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -193,6 +193,7 @@
 	requests := quarantine.NewState()
 	// An incarnation of a replica crashes once.
 	requests.SameCrashWindow = quarantineDuration
+	requests.MomentWindow = crashMomentWindow
 	return &Scheduler{
 		requests: requests,
 		rng:      rng, services: make(map[string]*pool), grants: make(map[GrantID]*grantState),
@@ -259,8 +260,9 @@
 	// request, and RateLimited is the number of those that have a free slot but
 	// whose rate limit is used up.
 	Replicas, RateLimited int
-	// Quarantined reports that the request is refused since it crashes replicas.
-	Quarantined bool
+	// Quarantined reports that the request is refused since it crashes replicas, and Held
+	// that this is known within crashMomentWindow.
+	Quarantined, Held bool
 }
 
 // Acquire decides on a request. One that is expected to wait longer than it may
@@ -279,7 +281,8 @@
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
-	if d.Replicas == 0 || d.Wait > args.MaxWait {
+	d.Held = s.isHeld(now, &args)
+	if d.Replicas == 0 || d.Wait > args.MaxWait && (!d.Held || args.MaxWait == 0) {
 		d.RetryAfter = s.retryAfter(d.Wait)
 		return d
 	}
