--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -64,10 +64,10 @@
 	if refused := v.refusedParts(c, now); len(refused) > 0 {
 		return v.decideRefused(refused, now)
 	}
-	threshold := aloneThreshold
-	if degraded {
-		threshold = 1
+	if v.isHeld(c, now) {
+		return Wait, time.Time{}
 	}
+	threshold := v.aloneThreshold(now, degraded)
 	for _, part := range c.Parts {
 		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].crashes() >= threshold {
 			return RunAlone, time.Time{}
@@ -133,9 +133,43 @@
 // RecordContentCrash records a crash as RecordCrash does, and makes suspects of the shared
 // parts of the requests in flight too, unless something that is refused explains it.
 func (s *State) RecordContentCrash(c Crash, duration time.Duration) Findings {
-	explained := s.addPartCrashes(c, duration)
 	v := s.forService(c.Service)
-	if confirmed, ok := s.RecordCrash(v.withoutHarmless(c), duration); ok {
+	explained, unexplained := s.addContentCrash(c, duration)
+	switch {
+	case unexplained:
+		return Findings{}
+	case s.MomentWindow > 0:
+		v.pending = append(v.pending, pendingCrash{c, explained})
+		return Findings{}
+	}
+	return s.conclude(v, c, explained, duration)
+}
+
+// addContentCrash makes suspects of the requests in flight and their shared parts. It
+// reports whether something that is refused explains the crash, and whether no request does.
+func (s *State) addContentCrash(c Crash, duration time.Duration) (explained, unexplained bool) {
+	v := s.forService(c.Service)
+	if s.MomentWindow > 0 && v.addRecent(c).unexplained {
+		return false, true
+	}
+	explained = s.addPartCrashes(c, duration)
+	added := v.withoutHarmless(c)
+	added.Trial = 0
+	s.RecordCrash(added, duration)
+	if s.MomentWindow == 0 {
+		return explained, false
+	}
+	s.recordIndependence(v, c.At)
+	if v.isUnexplained(c.Upstream) {
+		return explained, true
+	}
+	v.hold(c, explained, c.At.Add(holdTime*s.MomentWindow))
+	return explained, false
+}
+
+// conclude determines what a crash shows.
+func (s *State) conclude(v *serviceState, c Crash, explained bool, duration time.Duration) Findings {
+	if confirmed, ok := s.confirmTrial(v, v.withoutHarmless(c), duration); ok {
 		v.parts.trialAt[confirmed.Fingerprint] = c.At.Add(groupTrialDelay)
 		return Findings{Confirmed: []Confirmed{confirmed}}
 	}
@@ -240,7 +274,7 @@
 func (v *serviceState) crashingParts(parts []Fingerprint, now time.Time) []Fingerprint {
 	var crashing []Fingerprint
 	for _, part := range parts {
-		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].isImplicated() {
+		if !v.parts.harmless.contains(part, now) && v.parts.suspects[part].isImplicated(v.isRaised(now)) {
 			crashing = append(crashing, part)
 		}
 	}
@@ -261,6 +295,9 @@
 func (s *State) RecordFinished(service string, c Content, now time.Time) Notice {
 	v := s.forService(service)
 	n := Notice{Service: service, Harmless: s.RecordHarmless(service, c.Parts, now)}
+	for _, part := range c.Parts {
+		v.parts.finished.record(part, now)
+	}
 	if _, wasRefused := v.confirmed[c.Fingerprint]; wasRefused {
 		delete(v.confirmed, c.Fingerprint)
 		delete(v.parts.trialAt, c.Fingerprint)
@@ -286,6 +323,7 @@
 			changed = append(changed, part)
 		}
 		delete(v.confirmed, part)
+		delete(v.held, part)
 		delete(v.parts.suspects, part)
 		v.parts.remove(part)
 		v.parts.harmless.record(part, now)
@@ -299,6 +337,25 @@
 	return ok && now.Before(v.confirmed[f])
 }
 
+// HarmlessParts returns those parts of a notice's crash with which a request has run to its
+// end on this host within harmlessRetention, so that they are suspect nowhere. What other
+// hosts have told doesn't count, or hosts would renew each other's knowledge for ever.
+func (s *State) HarmlessParts(n Notice, now time.Time) []Fingerprint {
+	if n.Crash == nil {
+		return nil
+	}
+	v := s.forService(n.Service)
+	harmless := make(map[Fingerprint]struct{})
+	for _, parts := range n.Crash.Parts {
+		for _, part := range parts {
+			if v.parts.finished.contains(part, now) {
+				harmless[part] = struct{}{}
+			}
+		}
+	}
+	return slices.Collect(maps.Keys(harmless))
+}
+
 // HarmlessSince returns those of a notice's refused parts with which a request ran to its end
 // here after their first crash, so that they don't explain the crashes.
 func (s *State) HarmlessSince(n Notice, now time.Time) []Fingerprint {
--- a/quarantine/partstate.go
+++ b/quarantine/partstate.go
@@ -29,6 +29,8 @@
 type partState struct {
 	suspects map[Fingerprint]*suspectPart
 	harmless harmlessSet
+	// finished holds the parts of requests that ran to their end on this host.
+	finished harmlessSet
 	// harmlessRequests are whole requests.
 	harmlessRequests harmlessSet
 	// trialAt holds when a refused request may run once more.
@@ -47,7 +49,7 @@
 
 func newPartState() partState {
 	return partState{
-		suspects: make(map[Fingerprint]*suspectPart), harmless: newHarmlessSet(), harmlessRequests: newHarmlessSet(),
+		suspects: make(map[Fingerprint]*suspectPart), harmless: newHarmlessSet(), finished: newHarmlessSet(), harmlessRequests: newHarmlessSet(),
 		trialAt: make(map[Fingerprint]time.Time), groups: make(map[Fingerprint]*partGroup),
 	}
 }
@@ -126,9 +128,11 @@
 }
 
 // isImplicated reports whether the crashes are enough to refuse a part that is not known
-// as harmless.
-func (p *suspectPart) isImplicated() bool {
+// as harmless. With raised thresholds, more are needed.
+func (p *suspectPart) isImplicated(raised bool) bool {
 	switch n := p.crashes(); {
+	case raised:
+		return n >= raisedPartThreshold
 	case n >= partThreshold:
 		return true
 	case n < repeatedPartThreshold:
--- a/slots/crash_test.go
+++ b/slots/crash_test.go
@@ -121,3 +121,46 @@
 	breakOff(b, first)
 	require.True(t, probed)
 }
+
+// Callers send equal requests: one that can't reach the replica says nothing of another.
+func TestCrashCountsAgainstARequestOfWhichAnEqualOneNeverReachedTheReplica(t *testing.T) {
+	b, notices := newCrashBroker(func() bool { return false })
+	first := acquireFor(t, b, 1)
+	var equal []Grant
+	for len(equal) == 0 {
+		if g := acquireFor(t, b, 1); g.Replica == first.Replica {
+			equal = append(equal, g)
+		}
+	}
+	breakOff(b, first)
+	require.NoError(t, b.Release(ReleaseArgs{Released: []Released{{ID: equal[0].ID, Outcome: Unreachable}}}, new(Empty)))
+	suspects, _ := b.QuarantineCounts()
+	require.Equal(t, 1, suspects)
+	require.Len(t, *notices, 1)
+}
+
+// A request that is sent on from one crashed replica holds a slot of another one that has
+// crashed too, until its connection is refused.
+func TestCrashDoesNotCountAgainstARequestThatNeverReachedTheReplica(t *testing.T) {
+	b, notices := newCrashBroker(func() bool { return false })
+	first, unreached := acquireBeside(t, b, 1, 2)
+	breakOff(b, first)
+	require.NoError(t, b.Release(ReleaseArgs{Released: []Released{{ID: unreached.ID, Outcome: Unreachable}}}, new(Empty)))
+	suspects, _ := b.QuarantineCounts()
+	require.Equal(t, 1, suspects)
+	require.Equal(t, []quarantine.Fingerprint{unreached.Content.Fingerprint}, (*notices)[1].Unreached.Suspects)
+}
+
+// Each broker learns which parts are harmless from its own replicas only. Those that another
+// broker knows must not gather crashes.
+func TestPartsOfACrashThatAnotherBrokerKnowsAsHarmlessAreNotSuspect(t *testing.T) {
+	const known, told, unknown = 100, 101, 102
+	b, _ := newCrashBroker(func() bool { return false })
+	now := b.clock.Now()
+	b.sched.requests.RecordFinished(crashScope, quarantine.Content{Fingerprint: 2, Parts: []quarantine.Fingerprint{known}}, now)
+	b.sched.requests.RecordHarmless(crashScope, []quarantine.Fingerprint{told}, now)
+	var reply quarantine.Notice
+	crash := &quarantine.Crash{Upstream: "u", Suspects: []quarantine.Fingerprint{1}, Parts: map[quarantine.Fingerprint][]quarantine.Fingerprint{1: {known, told, unknown}}}
+	require.NoError(t, b.Quarantine(quarantine.Notice{Crash: crash}, &reply))
+	require.Equal(t, []quarantine.Fingerprint{known}, reply.Harmless)
+}
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -17,13 +17,23 @@
 // quarantineDuration is how long a request that crashes replicas is refused.
 const quarantineDuration = 10 * time.Minute
 
+// crashMomentWindow is the time within which crashes are at one moment. It leaves room for
+// the probes and for the notices of other regions.
+const crashMomentWindow = 50 * time.Millisecond
+
+// maxConnectTime is the age of a grant up to which an unreachable replica means that no
+// connection was made. Later, the replica may have been sent the request and be silent.
+const maxConnectTime = 250 * time.Millisecond
+
 // RecordCrash records the crash of a replica with the requests that were in progress
 // there: those whose exchange is known to have broken off, and those that hold a slot.
 // It returns what other hosts have to be told, or false if there was no such request.
+// SettleCrashes has to be called crashMomentWindow later.
 func (s *Scheduler) RecordCrash(now time.Time, r replica.Replica, broken []quarantine.Content) (quarantine.Notice, bool) {
 	if state := s.findIncarnation(r); state != nil {
 		state.recordOutcome(now, Unreachable)
 	}
+	s.recordRan(now, r, broken)
 	suspects := append(slices.Clone(broken), s.inProgress(r)...)
 	if len(suspects) == 0 {
 		return quarantine.Notice{}, false
@@ -31,7 +41,7 @@
 	slices.SortFunc(suspects, compareContent)
 	suspects = slices.CompactFunc(suspects, func(a, b quarantine.Content) bool { return a.Fingerprint == b.Fingerprint })
 	c := quarantine.Crash{
-		Service: crashScope, Upstream: r.ID + "/" + strconv.FormatInt(r.Born, 10), At: now,
+		Service: crashScope, Upstream: crashedUpstream(r), At: now,
 		Parts: make(map[quarantine.Fingerprint][]quarantine.Fingerprint), Trial: s.onlySuspect(now, suspects),
 	}
 	for _, content := range suspects {
@@ -40,8 +50,74 @@
 			c.Parts[content.Fingerprint] = content.Parts
 		}
 	}
-	f := s.requests.RecordContentCrash(c, quarantineDuration)
-	return quarantine.Notice{Service: crashScope, Crash: &c, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless}, true
+	s.requests.RecordContentCrash(c, quarantineDuration)
+	return quarantine.Notice{Service: crashScope, Crash: &c}, true
+}
+
+// SettleCrashes decides on crashes of which it is known now whether others were at the same
+// moment. It returns what other
+// hosts have to be told.
+func (s *Scheduler) SettleCrashes(now time.Time) []quarantine.Notice {
+	var notices []quarantine.Notice
+	for _, f := range s.requests.Settle(crashScope, now, quarantineDuration) {
+		notices = append(notices, quarantine.Notice{Service: crashScope, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless})
+	}
+	return notices
+}
+
+// crashedUpstream names one incarnation of a replica.
+func crashedUpstream(r replica.Replica) string { return r.ID + "/" + strconv.FormatInt(r.Born, 10) }
+
+// crashedRuns are requests that ran on a replica when it crashed.
+type crashedRuns struct {
+	at       time.Time
+	requests map[quarantine.Fingerprint]struct{}
+}
+
+// recordRan records which requests are known to have run on a replica that crashed.
+func (s *Scheduler) recordRan(now time.Time, r replica.Replica, broken []quarantine.Content) {
+	for upstream, runs := range s.ran {
+		if now.Sub(runs.at) > crashWindow {
+			delete(s.ran, upstream)
+		}
+	}
+	runs := crashedRuns{at: now, requests: make(map[quarantine.Fingerprint]struct{}, len(broken))}
+	for _, c := range broken {
+		runs.requests[c.Fingerprint] = struct{}{}
+	}
+	s.ran[crashedUpstream(r)] = runs
+}
+
+// hasEqualRun reports whether an equal request ran or is in progress on the replica of a
+// grant.
+func (s *Scheduler) hasEqualRun(g *grantState) bool {
+	if _, ok := s.ran[crashedUpstream(g.Replica)].requests[g.Content.Fingerprint]; ok {
+		return true
+	}
+	for id, other := range s.grants {
+		if id != g.ID && other.Content.Fingerprint == g.Content.Fingerprint && other.Replica.Incarnation() == g.Replica.Incarnation() {
+			return true
+		}
+	}
+	return false
+}
+
+// RecordUnreached records that the request of a grant could not be sent to its replica, so
+// that it was not in progress there if the replica has crashed. It returns what other hosts
+// have to be told, or false if nothing. It must be called before the grant is released.
+func (s *Scheduler) RecordUnreached(now time.Time, id GrantID) (quarantine.Notice, bool) {
+	g, ok := s.grants[id]
+	if !ok || g.Content.Fingerprint == 0 || now.Sub(g.Since) > maxConnectTime {
+		return quarantine.Notice{}, false
+	}
+	if s.hasEqualRun(g) {
+		return quarantine.Notice{}, false
+	}
+	unreached := &quarantine.Crash{
+		Service: crashScope, Upstream: crashedUpstream(g.Replica), At: now, Suspects: []quarantine.Fingerprint{g.Content.Fingerprint},
+		Parts: map[quarantine.Fingerprint][]quarantine.Fingerprint{g.Content.Fingerprint: g.Content.Parts},
+	}
+	return quarantine.Notice{Service: crashScope, Unreached: unreached}, s.requests.RetractCrash(crashScope, unreached.Upstream, g.Content)
 }
 
 func compareContent(a, b quarantine.Content) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) }
@@ -51,6 +127,7 @@
 func (s *Scheduler) ApplyNotice(now time.Time, n quarantine.Notice) quarantine.Notice {
 	harmless := s.requests.HarmlessSince(n, now)
 	n.Confirmed = slices.DeleteFunc(slices.Clone(n.Confirmed), func(c quarantine.Confirmed) bool { return slices.Contains(harmless, c.Fingerprint) })
+	harmless = append(harmless, s.requests.HarmlessParts(n, now)...)
 	s.requests.Apply(n, now, quarantineDuration)
 	return quarantine.Notice{Service: crashScope, Harmless: harmless}
 }
@@ -143,7 +220,7 @@
 		return args.allows
 	}
 	switch decision, _ := s.requests.DecideContent(crashScope, args.Content, now, true); decision {
-	case quarantine.Refuse:
+	case quarantine.Refuse, quarantine.Wait:
 		return func(*replicaState) bool { return false }
 	case quarantine.RunAlone:
 		return func(r *replicaState) bool { return args.allows(r) && !o.suspects[r] }
@@ -158,6 +235,12 @@
 	return until.Sub(now), decision == quarantine.Refuse
 }
 
+// isHeld reports whether the request waits until it is known whether it crashes replicas.
+func (s *Scheduler) isHeld(now time.Time, args *AcquireArgs) bool {
+	decision, _ := s.requests.DecideContent(crashScope, args.Content, now, true)
+	return decision == quarantine.Wait
+}
+
 // findIncarnation returns the state of one incarnation of a replica, or nil.
 func (s *Scheduler) findIncarnation(r replica.Replica) *replicaState {
 	state := s.find(r.Service, r.ID)
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -149,6 +149,9 @@
 	requests *quarantine.State
 	// paceChanges holds the changes of paces since the last plan.
 	paceChanges []PaceChange
+	// ran holds the requests that are known to have run on replicas that crashed lately, by
+	// upstream of the crash.
+	ran map[string]crashedRuns
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -206,10 +209,11 @@
 	requests := quarantine.NewState()
 	// An incarnation of a replica crashes once.
 	requests.SameCrashWindow = quarantineDuration
+	requests.MomentWindow = crashMomentWindow
 	return &Scheduler{
 		requests: requests,
 		rng:      rng, services: make(map[string]*pool), grants: make(map[GrantID]*grantState),
-		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()), rateShare: 1,
+		lastPoll: make(map[string]time.Time), nextID: GrantID(rng.Uint64()), rateShare: 1, ran: make(map[string]crashedRuns),
 	}
 }
 
@@ -275,8 +279,9 @@
 	// HeldBack is the number of replicas with a free slot that a request gets only if it
 	// would otherwise not start in time.
 	HeldBack int
-	// Quarantined reports that the request is refused since it crashes replicas.
-	Quarantined bool
+	// Quarantined reports that the request is refused since it crashes replicas, and Held
+	// that this is known within crashMomentWindow.
+	Quarantined, Held bool
 }
 
 // Acquire decides on a request. One that is expected to wait longer than it may
@@ -297,7 +302,8 @@
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
-	if d.Replicas == 0 || d.Wait > args.MaxWait {
+	d.Held = s.isHeld(now, &args)
+	if d.Replicas == 0 || d.Wait > args.MaxWait && (!d.Held || args.MaxWait == 0) {
 		var target *replicaState
 		if target, d.HeldBack = s.lastResort(now, p, occupied, &args); target != nil {
 			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
