fairqueue: the tags of start-time fair queueing in a package of their own

Cause: fair shares of slots (part 6 of docs/design/customers-and-load.md) need the same tags as the admission queue of limits, with costs that are corrected later. Change: Clock and Flow hold virtual time and tags; limits uses them. The finish tag of a single request was never read and is gone.

--- a/limits/estimate.go
+++ b/limits/estimate.go
@@ -76,12 +76,12 @@
 func (c *classQueue) workThrough(caller *callerQueue, tokens float64) float64 {
 	weights := c.activeWeight
 	if len(caller.waiting) == 0 {
-		weights += caller.weight
+		weights += caller.flow.Weight
 	}
 	// The caller's finish tag may be ahead of the virtual time because of
 	// requests that were served already; the caller waits for that first.
-	debt := max(0, caller.finish-caller.tokens/caller.weight-c.virtualTime)
-	return ((caller.tokens+tokens)/caller.weight + debt) * weights
+	debt := max(0, caller.flow.Finish()-caller.tokens/caller.flow.Weight-c.clock.Now())
+	return ((caller.tokens+tokens)/caller.flow.Weight + debt) * weights
 }
 
 // minRemainingFraction is the smallest fraction of the rate that more urgent classes
--- a/limits/fair.go
+++ b/limits/fair.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 
+	"github.com/comfreyspindle/comfreyspindle/fairqueue"
 	"github.com/comfreyspindle/comfreyspindle/service"
 )
 
@@ -11,10 +12,10 @@
 	caller *callerQueue
 	class  *classQueue
 	tokens float64
-	// start and finish are the tags of start-time fair queueing, in virtual time.
-	// arrival breaks ties between equal start tags.
-	start, finish float64
-	arrival       uint64
+	// start is the start tag of start-time fair queueing, in virtual time. arrival
+	// breaks ties between equal start tags.
+	start   float64
+	arrival uint64
 	// decision receives nil when the request is admitted, or the error of its
 	// refusal. It is buffered for that one value, so that sending never blocks.
 	decision chan error
@@ -22,18 +23,15 @@
 
 // callerQueue holds the waiting requests of one caller in one class.
 type callerQueue struct {
-	weight  float64
+	flow    fairqueue.Flow
 	waiting []*waiter
 	// tokens is the sum of the tokens of the waiting requests.
-	tokens float64
-	// finish is the finish tag of the caller's latest request.
-	finish    float64
+	tokens    float64
 	heapIndex int
 }
 
-// classQueue orders the waiting requests of one class by start-time fair queueing
-// (Goyal, Vin and Cheng, "Start-time Fair Queuing", SIGCOMM 1996) over tokens: the
-// next request is the one with the lowest start tag of all callers.
+// classQueue orders the waiting requests of one class by start-time fair queueing over
+// tokens: the next request is the one with the lowest start tag of all callers.
 type classQueue struct {
 	class    *service.Class
 	priority int
@@ -41,9 +39,9 @@
 	// pruneAt is the number of callers at which idle ones are removed next.
 	pruneAt int
 	// active holds the callers with waiting requests, as a heap by start tag.
-	active      activeHeap
-	virtualTime float64
-	arrivals    uint64
+	active   activeHeap
+	clock    fairqueue.Clock
+	arrivals uint64
 	// activeWeight is the sum of the weights of the active callers; tokens and
 	// requests are sums over the waiting requests.
 	activeWeight float64
@@ -72,7 +70,7 @@
 		c.callers[name] = q
 	}
 	if len(q.waiting) == 0 {
-		q.weight = weight
+		q.flow.Weight = weight
 	}
 	return q
 }
@@ -88,20 +86,18 @@
 		return
 	}
 	for name, q := range c.callers {
-		if len(q.waiting) == 0 && q.finish <= c.virtualTime {
+		if len(q.waiting) == 0 && q.flow.Settled(&c.clock) {
 			delete(c.callers, name)
 		}
 	}
 	c.pruneAt = 2 * len(c.callers)
 }
 
-// tag assigns a request its start and finish tags.
+// tag assigns a request its start tag.
 func (c *classQueue) tag(q *callerQueue, w *waiter) {
-	w.start = max(c.virtualTime, q.finish)
-	w.finish = w.start + w.tokens/q.weight
+	w.start, _ = q.flow.Tag(&c.clock, w.tokens)
 	c.arrivals++
 	w.arrival = c.arrivals
-	q.finish = w.finish
 }
 
 func (c *classQueue) push(q *callerQueue, w *waiter) {
@@ -111,7 +107,7 @@
 	c.tokens += w.tokens
 	c.requests++
 	if len(q.waiting) == 1 {
-		c.activeWeight += q.weight
+		c.activeWeight += q.flow.Weight
 		heap.Push(&c.active, q)
 	}
 }
@@ -127,7 +123,7 @@
 // pop removes and returns the next request; there must be one.
 func (c *classQueue) pop() *waiter {
 	w := c.peek()
-	c.virtualTime = max(c.virtualTime, w.start)
+	c.clock.Advance(w.start)
 	c.remove(w, 0)
 	return w
 }
@@ -140,7 +136,7 @@
 	c.tokens -= w.tokens
 	c.requests--
 	if len(q.waiting) == 0 {
-		c.activeWeight -= q.weight
+		c.activeWeight -= q.flow.Weight
 		heap.Remove(&c.active, q.heapIndex)
 		q.waiting = nil
 	} else if i == 0 {
@@ -168,7 +164,7 @@
 func (c *classQueue) evictionCandidate() *waiter {
 	var largest *callerQueue
 	for _, q := range c.active {
-		if largest == nil || q.tokens/q.weight > largest.tokens/largest.weight {
+		if largest == nil || q.tokens/q.flow.Weight > largest.tokens/largest.flow.Weight {
 			largest = q
 		}
 	}
--- a/limits/queue.go
+++ b/limits/queue.go
@@ -57,7 +57,7 @@
 		next.usage = c.usage
 		for name, caller := range c.callers {
 			for _, w := range caller.waiting {
-				w.class, w.caller = next, next.callerQueueFor(name, caller.weight)
+				w.class, w.caller = next, next.callerQueueFor(name, caller.flow.Weight)
 				next.push(w.caller, w)
 			}
 		}
@@ -128,7 +128,7 @@
 	w := &waiter{caller: caller, class: class, tokens: tokens, decision: make(chan error, 1)}
 	if q.running < q.limit && q.waiting == 0 {
 		class.tag(caller, w)
-		class.virtualTime = max(class.virtualTime, w.start)
+		class.clock.Advance(w.start)
 		q.admit(w)
 		return w, nil
 	}
@@ -156,8 +156,8 @@
 // queue is full, a request of a less urgent class is evicted.
 func (q *queue) ensureQueueCapacity(class *classQueue, caller *callerQueue) bool {
 	limit := q.doc.Routing.QueueLimit
-	weights := class.activeWeight + caller.weight
-	if float64(len(caller.waiting)) >= max(1, float64(limit)*caller.weight/weights) {
+	weights := class.activeWeight + caller.flow.Weight
+	if float64(len(caller.waiting)) >= max(1, float64(limit)*caller.flow.Weight/weights) {
 		return false
 	}
 	if q.waiting < limit {
