slots: customers share the slot time of a service

Change: among waiting requests of equal priorities the customer that has used least of its share goes first, by start-time fair queueing over slot time, charged with the customer's mean and corrected when the grant ends. Requests that can't start in time in this order are refused at once, those that are displaced later too. Grants carry their customer, and a new broker charges those that hosts list. Without customers nothing changes.

--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -72,6 +72,8 @@
 	Replicas, RateLimited int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
+	// Share describes the customer's share, if the request is refused for its wait.
+	Share ShareUse
 }
 
 // Acquire grants a slot to an online request or refuses it. It waits for a free
@@ -85,10 +87,7 @@
 	defer timer.Stop()
 	select {
 	case g, ok := <-granted:
-		reply.Moved = !ok
-		if ok {
-			reply.setGrant(&g)
-		}
+		reply.setResult(waiter, &g, ok)
 	case <-timer.Chan():
 		b.endWait(waiter, granted, reply)
 	}
@@ -107,7 +106,7 @@
 	now := b.clock.Now()
 	b.updateRateShare(now)
 	d := b.sched.Acquire(now, *args)
-	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited, Quarantined: d.Quarantined}
+	*reply = AcquireReply{Wait: d.Wait, RetryAfter: d.RetryAfter, Replicas: d.Replicas, RateLimited: d.RateLimited, Quarantined: d.Quarantined, Share: d.Share}
 	if d.Waiter == nil {
 		if d.Grant != nil {
 			b.recordGrant(args, d.Grant)
@@ -128,6 +127,19 @@
 	}
 }
 
+// setResult sets the result of a wait that ended before its time: a grant, a refusal, or
+// neither if this host stopped being the broker.
+func (r *AcquireReply) setResult(w *Waiter, g *Grant, granted bool) {
+	switch {
+	case granted:
+		r.setGrant(g)
+	case w.refusal != nil:
+		r.Wait, r.RetryAfter, r.Share = w.refusal.Wait, w.refusal.RetryAfter, w.refusal.Share
+	default:
+		r.Moved = true
+	}
+}
+
 // endWait removes a waiter whose time is up, unless it was granted a slot
 // meanwhile.
 func (b *Broker) endWait(w *Waiter, granted chan Grant, reply *AcquireReply) {
@@ -135,12 +147,10 @@
 	defer b.mu.Unlock()
 	select {
 	case g, ok := <-granted:
-		reply.Moved = !ok
-		if ok {
-			reply.setGrant(&g)
-		}
+		reply.setResult(w, &g, ok)
 	default:
 		delete(b.waiting, w)
+		reply.Share = b.sched.shareUse(b.sched.pool(w.args.Service), &w.args)
 		reply.RetryAfter = b.sched.RemoveWaiter(b.clock.Now(), w)
 	}
 }
@@ -207,7 +217,7 @@
 			continue
 		}
 		if !reply.Granted {
-			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, Quarantined: reply.Quarantined}
+			return Grant{}, &RefusedError{RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, Quarantined: reply.Quarantined, Share: reply.Share}
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
 		reply.Grant.Since = c.Clock.Now()
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -188,6 +188,10 @@
 		b.waiting[p.Waiter] <- p.Grant
 		delete(b.waiting, p.Waiter)
 	}
+	for _, w := range plan.Refused {
+		close(b.waiting[w])
+		delete(b.waiting, w)
+	}
 	for _, g := range plan.Batch {
 		updates := b.pendingUpdates(g.Host)
 		updates.granted = append(updates.granted, g)
@@ -235,6 +239,7 @@
 	Replica    replica.Replica
 	Content    quarantine.Content
 	Age, DueIn time.Duration
+	Share      Share
 }
 
 // PollArgs is the argument of Poll. Holds are the grants that the host uses,
@@ -299,7 +304,7 @@
 	now := b.clock.Now()
 	grants := make([]Grant, len(args.Holds))
 	for i, h := range args.Holds {
-		grants[i] = Grant{ID: h.ID, Class: h.Class, Host: args.Host, Replica: h.Replica, Content: h.Content, Since: now.Add(-h.Age), Due: now.Add(h.DueIn)}
+		grants[i] = Grant{ID: h.ID, Class: h.Class, Host: args.Host, Replica: h.Replica, Content: h.Content, Since: now.Add(-h.Age), Due: now.Add(h.DueIn), Share: h.Share}
 	}
 	demands := make([]Demand, len(args.Wants))
 	for i, w := range args.Wants {
--- a/slots/client.go
+++ b/slots/client.go
@@ -98,6 +98,8 @@
 	// Quarantined reports that the request crashes replicas; RetryAfter is when it is no
 	// longer refused.
 	Quarantined bool
+	// Share describes the customer's share in the data centre that refused last.
+	Share ShareUse
 }
 
 // Error implements error.
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -38,6 +38,8 @@
 	onTime, finished           int
 	// batchRuns counts the grants for batch items.
 	batchRuns int
+	// onDecision is called with each decision on a request; nil has no effect.
+	onDecision func(Decision)
 }
 
 type activeRun struct {
@@ -53,6 +55,9 @@
 func (l *loadModel) arrive() {
 	l.requests++
 	d := l.s.Acquire(l.now, AcquireArgs{Host: "h", Service: service, MaxWait: objective})
+	if l.onDecision != nil {
+		l.onDecision(d)
+	}
 	switch {
 	case d.Grant != nil:
 		l.startOnline(*d.Grant)
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -14,6 +14,9 @@
 	Batch []Grant
 	// Revoked are the grants of batch items that their hosts have to release.
 	Revoked []Grant
+	// Refused are the waiters that can't start in time any more, since others go before
+	// them.
+	Refused []*Waiter
 	// Next is when to plan again even if nothing changes; zero means never.
 	Next time.Time
 }
@@ -39,6 +42,10 @@
 }
 
 func (s *Scheduler) grantWaiters(now time.Time, o occupancy, p *pool, plan *Plan) {
+	plan.Refused = append(plan.Refused, p.shares.takeDisplaced()...)
+	if p.shares.unordered {
+		p.orderQueue(now)
+	}
 	remaining := p.queue[:0]
 	for _, w := range p.queue {
 		target := p.choose(now, Online, s.placement(now, o, &w.args), s.rng)
@@ -46,7 +53,7 @@
 			remaining = append(remaining, w)
 			continue
 		}
-		g := s.grant(now, target, Grant{Class: Online, Host: w.args.Host, Content: w.args.Content})
+		g := s.grant(now, target, Grant{Class: Online, Host: w.args.Host, Content: w.args.Content, Share: w.args.share()})
 		s.occupy(now, o, target, g.Content)
 		plan.Granted = append(plan.Granted, WaiterGrant{Waiter: w, Grant: *g})
 	}
@@ -254,7 +261,7 @@
 	for _, g := range grants {
 		known[g.ID] = struct{}{}
 		if _, ok := s.grants[g.ID]; !ok {
-			s.adopt(host, g)
+			s.adopt(now, host, g)
 		}
 		if present, ok := s.grants[g.ID]; ok {
 			present.listedAt = now
@@ -276,14 +283,16 @@
 
 // adopt takes over a grant that another broker made, if the same incarnation of
 // the replica is known here.
-func (s *Scheduler) adopt(host string, g Grant) {
+func (s *Scheduler) adopt(now time.Time, host string, g Grant) {
 	target := s.find(g.Replica.Service, g.Replica.ID)
 	if target == nil || target.Born != g.Replica.Born {
 		return
 	}
 	target.used++
 	g.Host = host
-	s.grants[g.ID] = &grantState{Grant: g, replicaState: target}
+	state := &grantState{Grant: g, replicaState: target}
+	s.chargeAdopted(now, state)
+	s.grants[g.ID] = state
 }
 
 // SetDemand sets the demand of a host for one service.
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -117,7 +117,7 @@
 		if g.Replica.DataCentre != dataCentre || remote && g.Class == Online {
 			continue
 		}
-		grants = append(grants, GrantMessage{ID: g.ID, Class: g.Class, Replica: g.Replica, Content: g.Content, Age: max(now.Sub(g.Since), 0), DueIn: g.Due.Sub(now)})
+		grants = append(grants, GrantMessage{ID: g.ID, Class: g.Class, Replica: g.Replica, Content: g.Content, Age: max(now.Sub(g.Since), 0), DueIn: g.Due.Sub(now), Share: g.Share})
 	}
 	return grants
 }
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -49,6 +49,8 @@
 	RateLimit RateLimitMessage
 	// Broker is the name of the host that granted it, for logs. The client sets it.
 	Broker string
+	// Share is the share that an online request counts against.
+	Share Share
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -128,6 +130,12 @@
 type Waiter struct {
 	args    AcquireArgs
 	startBy time.Time
+	// share is that of its customer, nil while no customer has one, and tag its start
+	// tag there.
+	share *customerShare
+	tag   float64
+	// refusal is set when it is refused before its wait ends.
+	refusal *Refusal
 }
 
 // Scheduler decides which requests and batch items get slots. It is not safe
@@ -155,6 +163,7 @@
 	// grants of batch items were last revoked for requests.
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
+	shares        shares
 }
 
 // replicaState is a replica with the number of its used slots and its recent
@@ -183,6 +192,10 @@
 	revokedAt    time.Time
 	// listedAt is when its host last listed the grant.
 	listedAt time.Time
+	// share is what the slot time counts against, if anything, and charged is the time
+	// that it was charged when the slot was granted.
+	share   *customerShare
+	charged time.Duration
 }
 
 // NewScheduler returns a scheduler without replicas.
@@ -258,6 +271,8 @@
 	Replicas, RateLimited int
 	// Quarantined reports that the request is refused since it crashes replicas.
 	Quarantined bool
+	// Share describes the customer's share, if the request is refused for its wait.
+	Share ShareUse
 }
 
 // Acquire decides on a request. One that is expected to wait longer than it may
@@ -271,32 +286,24 @@
 	d := Decision{Replicas: p.countReady(&args)}
 	occupied := s.occupancy(now)
 	if target := p.choose(now, Online, s.placement(now, occupied, &args), s.rng); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
-		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
+		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content, Share: args.share()})
 		return d
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
+	share := p.requestShare(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait {
-		d.RetryAfter = s.retryAfter(d.Wait)
+		d.RetryAfter = s.retryAfterIn(share, d.Wait)
+		d.Share = s.shareUse(p, &args)
 		return d
 	}
-	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait)}
+	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait), share: share}
 	p.queue = append(p.queue, d.Waiter)
-	slices.SortStableFunc(p.queue, compareWaiters)
+	p.orderQueue(now)
+	s.displace(now, p, d.Waiter)
 	return d
 }
 
-// compareWaiters orders requests that resume a stream first, then by the customer's
-// priority, the route's priority and the latest useful start.
-func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(
-		cmp.Compare(a.args.resumedRank(), b.args.resumedRank()),
-		cmp.Compare(a.args.CustomerPriority, b.args.CustomerPriority),
-		cmp.Compare(a.args.Priority, b.args.Priority),
-		a.startBy.Compare(b.startBy),
-	)
-}
-
 // resumedRank returns 0 for requests that resume a stream and 1 for all others.
 func (a *AcquireArgs) resumedRank() int {
 	if a.Pinned {
@@ -309,7 +316,8 @@
 func (s *Scheduler) RemoveWaiter(now time.Time, w *Waiter) time.Duration {
 	p := s.pool(w.args.Service)
 	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
-	return s.retryAfter(s.expectedWait(now, p, &w.args))
+	p.shares.displaced = slices.DeleteFunc(p.shares.displaced, func(other *Waiter) bool { return other == w })
+	return s.retryAfterIn(w.share, s.expectedWait(now, p, &w.args))
 }
 
 // grant assigns a slot of the replica.
@@ -320,7 +328,9 @@
 	target.budget.take(now)
 	s.requests.Started(crashScope, g.Content, now)
 	g.RateLimit = newRateLimitMessage(now, target.budget.limit)
-	s.grants[g.ID] = &grantState{Grant: g, replicaState: target}
+	state := &grantState{Grant: g, replicaState: target}
+	s.charge(now, state)
+	s.grants[g.ID] = state
 	return &g
 }
 
@@ -332,6 +342,7 @@
 	}
 	delete(s.grants, id)
 	g.replicaState.used--
+	s.settle(now, g, outcome)
 	if g.Class == Online && (outcome == Done || outcome == Ended) {
 		p := s.pool(g.Replica.Service)
 		p.serviceTime += time.Duration(serviceTimeWeight * float64(now.Sub(g.Since)-p.serviceTime))
--- a/slots/wait.go
+++ b/slots/wait.go
@@ -18,24 +18,43 @@
 // after the average service time. Only replicas that may run the request count,
 // and the waiters that may take one of them.
 func (s *Scheduler) expectedWait(now time.Time, p *pool, args *AcquireArgs) time.Duration {
-	ahead := p.countAhead(args)
-	var waits []time.Duration
-	for _, start := range s.expectedStarts(now, p, args) {
+	f := newForecast(s.expectedStarts(now, p, args))
+	return f.waitBehind(p.countAhead(now, args), p.serviceTime)
+}
+
+// forecast holds when slots are expected to become free.
+type forecast struct {
+	// atOnce is the number of slots that batch items release at once, and waits holds
+	// the waits for the others, the shortest one first.
+	atOnce int
+	waits  []time.Duration
+}
+
+func newForecast(starts []expectedStart) forecast {
+	var f forecast
+	for _, start := range starts {
 		if start.atOnce {
-			ahead--
+			f.atOnce++
 			continue
 		}
-		waits = append(waits, start.wait)
+		f.waits = append(f.waits, start.wait)
 	}
+	slices.Sort(f.waits)
+	return f
+}
+
+// waitBehind returns the expected wait behind a number of waiters, with slots used for
+// serviceTime each.
+func (f *forecast) waitBehind(ahead int, serviceTime time.Duration) time.Duration {
+	ahead -= f.atOnce
 	if ahead < 0 {
 		return 0
 	}
-	if len(waits) == 0 {
+	if len(f.waits) == 0 {
 		return maxRetryAfter
 	}
-	slices.Sort(waits)
-	rounds := time.Duration(ahead/len(waits)) * p.serviceTime
-	return rounds + waits[ahead%len(waits)]
+	rounds := time.Duration(ahead/len(f.waits)) * serviceTime
+	return rounds + f.waits[ahead%len(f.waits)]
 }
 
 // expectedStart is a slot that is expected to become free, atOnce or after a wait.
@@ -94,9 +113,9 @@
 
 // countAhead returns the number of waiters that may get the slots for which a new
 // waiter would wait. Pinned requests come first.
-func (p *pool) countAhead(args *AcquireArgs) int {
+func (p *pool) countAhead(now time.Time, args *AcquireArgs) int {
 	if !args.Pinned {
-		return len(p.queue)
+		return p.countAheadByShare(now, args)
 	}
 	n := 0
 	for _, w := range p.queue {
