--- a/slots/client.go
+++ b/slots/client.go
@@ -109,6 +109,8 @@
 	// OverQuota reports that the customer's quota is used up, as described by Quota.
 	OverQuota bool
 	Quota     quota.Refusal
+	// Share describes the customer's share in the data centre that refused last.
+	Share ShareUse
 }
 
 // Error implements error.
--- a/slots/pace_test.go
+++ b/slots/pace_test.go
@@ -116,7 +116,7 @@
 	all[1].Born = now.Add(-time.Second).UnixMilli()
 	s.SetReplicas(all)
 	for i := range 5 {
-		s.adopt("h", Grant{ID: GrantID(i + 1), Class: Online, Replica: all[1], Since: now})
+		s.adopt(now, "h", Grant{ID: GrantID(i + 1), Class: Online, Replica: all[1], Since: now})
 	}
 	respond(s, now, "r0", 1, 45*time.Millisecond)
 	s.updatePaces(now, s.pool(service))
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -52,6 +52,8 @@
 	// Run is what the host observed of the response. The host sets it before it releases
 	// the grant.
 	Run Run
+	// Share is the share that an online request counts against.
+	Share Share
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
@@ -133,6 +135,12 @@
 	startBy time.Time
 	// firstEventBy is when the first event is due; zero means at no certain time.
 	firstEventBy time.Time
+	// share is that of its customer, nil while no customer has one, and tag its start
+	// tag there.
+	share *customerShare
+	tag   float64
+	// refusal is set when it is refused before its wait ends.
+	refusal *Refusal
 }
 
 // Scheduler decides which requests and batch items get slots. It is not safe
@@ -166,6 +174,7 @@
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
 	speed         serviceSpeed
+	shares        shares
 }
 
 // replicaState is a replica with the number of its used slots and its recent
@@ -202,6 +211,10 @@
 	// report their slowness.
 	slowness, reported float64
 	beside             int
+	// share is what the slot time counts against, if anything, and charged is the time
+	// that it was charged when the slot was granted.
+	share   *customerShare
+	charged time.Duration
 }
 
 // NewScheduler returns a scheduler without replicas.
@@ -282,6 +295,8 @@
 	// Quarantined reports that the request is refused since it crashes replicas, and Held
 	// that this is known within crashMomentWindow.
 	Quarantined, Held bool
+	// Share describes the customer's share, if the request is refused for its wait.
+	Share ShareUse
 }
 
 // Acquire decides on a request. One that is expected to wait longer than it may
@@ -297,38 +312,30 @@
 	occupied := s.occupancy(now)
 	firstEventBy := args.firstEventBy(now)
 	if target := s.chooseOnline(now, p, s.placement(now, occupied, &args), firstEventBy); target != nil && !s.hasWaiterFor(now, occupied, p, target) {
-		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
+		d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content, Share: args.share()})
 		return d
 	}
 	d.RateLimited = p.countRateLimited(now, &args)
+	share := p.requestShare(now, &args)
 	d.Wait = s.expectedWait(now, p, &args)
 	d.Held = s.isHeld(now, &args)
 	if d.Replicas == 0 || d.Wait > args.MaxWait && (!d.Held || args.MaxWait == 0) {
 		var target *replicaState
 		if target, d.HeldBack = s.lastResort(now, p, occupied, &args); target != nil {
-			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content})
+			d.Grant = s.grant(now, target, Grant{Class: Online, Host: args.Host, Content: args.Content, Share: args.share()})
 			return d
 		}
-		d.RetryAfter = s.retryAfter(d.Wait)
+		d.RetryAfter = s.retryAfterIn(share, d.Wait)
+		d.Share = s.shareUse(p, &args)
 		return d
 	}
-	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait), firstEventBy: firstEventBy}
+	d.Waiter = &Waiter{args: args, startBy: now.Add(args.MaxWait), firstEventBy: firstEventBy, share: share}
 	p.queue = append(p.queue, d.Waiter)
-	slices.SortStableFunc(p.queue, compareWaiters)
+	p.orderQueue(now)
+	s.displace(now, p, d.Waiter)
 	return d
 }
 
-// compareWaiters orders requests that resume a stream first, then by the customer's
-// priority, the route's priority and the latest useful start.
-func compareWaiters(a, b *Waiter) int {
-	return cmp.Or(
-		cmp.Compare(a.args.resumedRank(), b.args.resumedRank()),
-		cmp.Compare(a.args.CustomerPriority, b.args.CustomerPriority),
-		cmp.Compare(a.args.Priority, b.args.Priority),
-		a.startBy.Compare(b.startBy),
-	)
-}
-
 // resumedRank returns 0 for requests that resume a stream and 1 for all others.
 func (a *AcquireArgs) resumedRank() int {
 	if a.Pinned {
@@ -341,7 +348,8 @@
 func (s *Scheduler) RemoveWaiter(now time.Time, w *Waiter) time.Duration {
 	p := s.pool(w.args.Service)
 	p.queue = slices.DeleteFunc(p.queue, func(other *Waiter) bool { return other == w })
-	return s.retryAfter(s.expectedWait(now, p, &w.args))
+	p.shares.displaced = slices.DeleteFunc(p.shares.displaced, func(other *Waiter) bool { return other == w })
+	return s.retryAfterIn(w.share, s.expectedWait(now, p, &w.args))
 }
 
 // grant assigns a slot of the replica.
@@ -352,7 +360,9 @@
 	target.budget.take(now)
 	s.requests.Started(crashScope, g.Content, now)
 	g.RateLimit = newRateLimitMessage(now, target.budget.limit)
-	s.grants[g.ID] = s.newGrantState(now, g, target)
+	state := s.newGrantState(now, g, target)
+	s.charge(now, state)
+	s.grants[g.ID] = state
 	return &g
 }
 
@@ -364,6 +374,7 @@
 	}
 	delete(s.grants, id)
 	g.replicaState.used--
+	s.settle(now, g, outcome)
 	if g.Class == Online && (outcome == Done || outcome == Ended) {
 		p := s.pool(g.Replica.Service)
 		p.serviceTime += time.Duration(serviceTimeWeight * float64(g.atNormalSpeed(now.Sub(g.Since))-p.serviceTime))
@@ -379,86 +390,6 @@
 	return ok && g.replicaState.Ready && g.revokedAt.IsZero() && now.Sub(g.Since) <= grantDeliveryTimeout
 }
 
-// countReady returns the number of replicas that accept requests and may run this
-// one.
-func (p *pool) countReady(args *AcquireArgs) int {
-	n := 0
-	for _, r := range p.replicas {
-		if r.Ready && args.allows(r) {
-			n++
-		}
-	}
-	return n
-}
-
-// choose returns the replica with the lowest load among those with a free slot
-// that are allowed, or nil if there is none. Ties are broken at random.
-func (p *pool) choose(now time.Time, class Class, allowed func(*replicaState) bool, rng *rand.Rand) *replicaState {
-	var best *replicaState
-	ties := 0
-	for _, r := range p.replicas {
-		if !r.available(now) || !allowed(r) {
-			continue
-		}
-		switch c := compareLoad(now, class, r, best); {
-		case c < 0:
-			best, ties = r, 1
-		case c == 0:
-			ties++
-			if rng.IntN(ties) == 0 {
-				best = r
-			}
-		}
-	}
-	return best
-}
-
-// compareLoad orders replicas by load, with suspect ones last. Any replica
-// comes before nil.
-func compareLoad(now time.Time, class Class, a, b *replicaState) int {
-	switch {
-	case b == nil:
-		return -1
-	case a.suspect() != b.suspect():
-		if a.suspect() {
-			return 1
-		}
-		return -1
-	}
-	return cmp.Compare(a.load(now, class), b.load(now, class))
-}
-
-// load is the sum of the error rate and the fraction in use of the slots or of the rate
-// limit, whichever is greater. Replicas with a rate limit have slots to spare but few
-// requests a second. They suit batch items, which hold a slot for seconds, and what
-// online requests leave of them is saved for bursts until the burst is full.
-func (r *replicaState) load(now time.Time, class Class) float64 {
-	rateUsed := r.budget.used(now)
-	load := max(float64(r.used)/float64(r.Slots), rateUsed) + r.currentErrorRate(now)
-	switch {
-	case !r.budget.limited(), class == Online && rateUsed == 0:
-		return load
-	case class == Batch:
-		return load - rateLimitPreference
-	}
-	return load + rateLimitPreference
-}
-
-// available reports whether the replica has a slot to grant.
-func (r *replicaState) available(now time.Time) bool {
-	return r.hasFreeSlot(now) && r.budget.allows(now, 1)
-}
-
-// hasFreeSlot reports whether the replica has a slot to grant if its rate limit allows
-// it.
-func (r *replicaState) hasFreeSlot(now time.Time) bool {
-	limit := r.Slots
-	if r.suspect() {
-		limit = 1
-	}
-	return r.Ready && r.used < limit && !now.Before(r.avoidUntil)
-}
-
 // String returns the name of the outcome in logs.
 func (o Outcome) String() string {
 	return [...]string{"done", "unused", "failed", "unreachable", "full", "replaced", "errored", "ended"}[o]
