soak: customers, removed keys and quotas under faults

Cause: keys, their removal and quotas were only tested in models and within one process. No test showed what replicas see of them while hosts are killed, stopped, suspended or cut off.

Keys are replaced by new versions, also while a host is cut off from the store and all others. Callers send valid, removed and unknown keys or none, and one customer sends several times its quota. New checks: replicas see neither key nor Authorization and the right customer; requests and jobs with an unknown key, or one removed longer ago than the bound, never run; a key that was added longer ago than the bound is not unknown; requests that begin in a window stay within the quota; jobs are read with keys of their customer only.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -46,6 +46,11 @@
 	for n := range onlineCallers {
 		all.Go(func() { c.online(sending, n) })
 	}
+	if c.world.customers != nil {
+		for n := range hotCallers {
+			all.Go(func() { c.hot(sending, n) })
+		}
+	}
 	if c.crashing {
 		all.Go(func() { c.crash(sending) })
 	}
@@ -55,9 +60,10 @@
 	all.Wait()
 }
 
-// newCaller returns a caller that keeps its connections.
-func newCaller() *platformtest.Caller {
-	return &platformtest.Caller{HTTP: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}, Timeout: callTimeout}
+// newCaller returns a caller that keeps its connections. It has the key that all
+// configurations with customers have.
+func (w *World) newCaller() *platformtest.Caller {
+	return &platformtest.Caller{HTTP: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}, Timeout: callTimeout, Key: w.customers.steady()}
 }
 
 func (c *callers) rng(kind string, n int) *rand.Rand {
@@ -72,8 +78,9 @@
 }
 
 func (c *callers) online(ctx context.Context, n int) {
-	rng, caller := c.rng("online", n), newCaller()
+	rng, caller, keys := c.rng("online", n), c.world.newCaller(), c.rng("keys", n)
 	for i := 0; ctx.Err() == nil; i++ {
+		caller.Key = c.world.customers.draw(keys)
 		h, id := pick(rng, c.world.hosts), fmt.Sprintf("q-%d-%d", n, i)
 		switch rng.IntN(4) {
 		case 0:
@@ -93,6 +100,7 @@
 func (c *callers) call(caller *platformtest.Caller, h *Host, path, id string) (platformtest.Response, error) {
 	before := h.run()
 	c.ledger.sends(id, before)
+	c.world.customers.sends(caller.Key, id)
 	a, err := caller.Call(h.Address, http.MethodPost, path, id, "body")
 	if h.run() != before {
 		return a, err
@@ -133,6 +141,7 @@
 			return
 		}
 		h, id := pick(rng, c.world.hosts), fmt.Sprintf("%s-r%d", origin, n)
+		c.world.customers.sends(caller.Key, id)
 		a, err := caller.Resume(h.Address, resumablePath, id, "body", origin, last)
 		if err == nil && a.Status != http.StatusOK {
 			c.check(h, id, a)
@@ -183,7 +192,11 @@
 // check holds an answer against its promises.
 func (c *callers) check(h *Host, id string, a platformtest.Response) {
 	switch a.Status {
+	case http.StatusUnauthorized:
+		c.world.customers.unknown(id, h.Name)
+		c.ledger.refused(id)
 	case http.StatusOK:
+		c.world.customers.accepted(id, h.Name)
 		if a.Seal != "seal-"+id || !isWholeStream(a.Body) {
 			c.ledger.violate("%s: %s answered a success with signature %q and body %q", id, h.Name, a.Seal, a.Body)
 		}
@@ -193,10 +206,11 @@
 }
 
 func (c *callers) batch(sending, reading context.Context, n int) {
-	rng, caller := c.rng("batch", n), newCaller()
+	rng, caller, keys := c.rng("batch", n), c.world.newCaller(), c.rng("keys of jobs", n)
 	var readers sync.WaitGroup
 	for i := 0; sending.Err() == nil; i++ {
 		id, items := fmt.Sprintf("j-%d-%d", n, i), 1+rng.IntN(maxItems)
+		caller.Key = c.world.customers.draw(keys)
 		if c.submit(sending, caller, rng, id, items) {
 			seed := rng.Uint64()
 			readers.Go(func() { c.read(reading, rand.New(rand.NewPCG(seed, 1)), id, items) })
@@ -208,21 +222,28 @@
 
 // submit sends a job until it is accepted.
 func (c *callers) submit(ctx context.Context, caller *platformtest.Caller, rng *rand.Rand, id string, items int) bool {
+	ids := []string{id}
+	for n := range items {
+		ids = append(ids, platformtest.ItemID(id, n))
+	}
+	c.world.customers.sends(caller.Key, ids...)
 	refused := 0
 	for range submitTries {
-		a, err := caller.Submit(pick(rng, c.world.hosts).Address, id, items)
+		h := pick(rng, c.world.hosts)
+		a, err := caller.Submit(h.Address, id, items)
 		if err == nil && a.Status == http.StatusAccepted {
+			c.world.customers.accepted(id, h.Name)
 			c.ledger.accepted(id, items)
 			return true
 		}
-		if err == nil && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests) {
+		if err == nil && (a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests || a.Status == http.StatusUnauthorized) {
 			refused++
 		}
 		sleep(ctx, submitPause)
 	}
 	if refused == submitTries {
-		for n := range items {
-			c.ledger.refused(platformtest.ItemID(id, n))
+		for _, item := range ids[1:] {
+			c.ledger.refused(item)
 		}
 	}
 	return false
@@ -230,9 +251,10 @@
 
 // read reads a job at random hosts until all its results are known.
 func (c *callers) read(ctx context.Context, rng *rand.Rand, id string, items int) {
-	caller := newCaller()
+	caller := c.world.newCaller()
 	defer caller.HTTP.CloseIdleConnections()
 	for known := 0; known < items && ctx.Err() == nil; sleep(ctx, readPause) {
+		caller.Key = c.keyOfJob(caller, rng, id)
 		known = max(known, c.readOnce(caller, pick(rng, c.world.hosts), id, max(known-rng.IntN(2), 0)))
 	}
 }
--- a/e2e/soak/crashes.go
+++ b/e2e/soak/crashes.go
@@ -66,6 +66,7 @@
 // letCrash lets a replica crash under such requests and another one follow it.
 func (w *World) letCrash(s *slot, r *platformtest.Replica, p *Proxy) {
 	r.SetCrash(func(h http.Header, body string) bool {
+		w.customers.ran(r.ID, h, body)
 		cause := causeOfCrash(h, body)
 		if cause == "" {
 			return false
@@ -96,7 +97,7 @@
 
 // crash sends requests that crash replicas until the context ends.
 func (c *callers) crash(ctx context.Context) {
-	rng, caller := c.rng("crash", 0), newCaller()
+	rng, caller := c.rng("crash", 0), c.world.newCaller()
 	for n := 0; ctx.Err() == nil; n++ {
 		c.sendCrashing(caller, pick(rng, c.world.hosts), []string{crashingBody, crashingPart}[n%2], fmt.Sprint("x-", n))
 		sleep(ctx, time.Duration(rng.Int64N(int64(2*crashPause))))
@@ -119,7 +120,7 @@
 // had the time to learn it.
 func checkCrashes(w *World, c *callers) {
 	for cause, threshold := range map[string]int{crashingBody: bodyCrashes, crashingPart: partCrashes} {
-		caller := newCaller()
+		caller := w.newCaller()
 		for n := 0; w.crashes.of(cause) < threshold && n < calmCrashing; n++ {
 			c.sendCrashing(caller, w.hosts[n%len(w.hosts)], cause, fmt.Sprint("learn-", cause, n))
 		}
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -70,6 +70,10 @@
 	plan = append(plan, responses.draw([]func() Fault{responses.truncate, responses.leave}, length, meanResponseInterval)...)
 	limits := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 4))}
 	plan = append(plan, limits.draw([]func() Fault{limits.limitRate}, length, meanRateLimitInterval)...)
+	if w.customers != nil {
+		keys := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 5))}
+		plan = append(plan, keys.draw([]func() Fault{keys.configure, keys.configure, keys.isolate}, length, meanKeyInterval)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -32,11 +32,13 @@
 	Jobs                int
 	// Crashes counts the replicas that crashed under requests of callers.
 	Crashes int
+	// Customers says what was seen of customers.
+	Customers string
 }
 
 // String describes the report with its plan.
 func (r *Report) String() string {
-	text := fmt.Sprintf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %d violations\n", r.Seed, r.Served, r.Failed, r.Resumed, r.NotResumed, r.Jobs, len(r.Violations))
+	text := fmt.Sprintf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %s, %d violations\n", r.Seed, r.Served, r.Failed, r.Resumed, r.NotResumed, r.Jobs, r.Customers, len(r.Violations))
 	for _, f := range r.Plan {
 		text += f.String() + "\n"
 	}
@@ -80,6 +82,8 @@
 	ledger.CheckLeaving(w.RunsByReplica(), configTimeout)
 	ledger.CheckRateLimits(w.StartsByReplica())
 	r.Violations, r.Served, r.Failed, r.Jobs = ledger.Violations(), ledger.Served, ledger.Failed, len(ledger.jobs)
+	wrong, summary := w.customers.check()
+	r.Violations, r.Customers = append(r.Violations, wrong...), summary
 	r.Resumed, r.NotResumed = ledger.Resumed, ledger.NotResumed
 	return r, nil
 }
@@ -108,7 +112,7 @@
 		}
 	}
 	for _, h := range w.hosts {
-		caller, served := newCaller(), 0
+		caller, served := w.newCaller(), 0
 		for n := range calmRequests {
 			a, err := caller.Call(h.Address, http.MethodPost, "/s/x", fmt.Sprintf("calm-%s-%d", h.Name, n), "body")
 			if err == nil && a.Status == http.StatusOK {
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -35,6 +35,8 @@
 	{1001, 25 * time.Second, "jobs without an owner: a take-over took effect after its host had taken it for failed"},
 	{1021, 25 * time.Second, "the same, at a hand-over"},
 	{1035, 25 * time.Second, "of the soak itself: a kill came after the faults were said to be over"},
+	{2, 12 * time.Second, "none: a seed with customers, which fails if hosts accept keys without the bound"},
+	{4, 12 * time.Second, "the same"},
 	{6027, 12 * time.Second, "of the soak itself: a stop was expected to end in time while the host stood still"},
 }
 
@@ -79,12 +81,12 @@
 	w, err := soak.NewWorld(program, folder, soak.Ports{
 		Free: func() string { return porttest.Free(t) },
 		Pair: func() (string, int) { return freePair(t) },
-	})
+	}, soak.HasCustomers(seed))
 	require.NoError(t, err)
 	defer w.Close()
 	report, err := soak.Run(t.Context(), w, seed, length, crashing)
 	require.NoError(t, err)
-	t.Logf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %d crashes, %d faults", seed, report.Served, report.Failed, report.Resumed, report.NotResumed, report.Jobs, report.Crashes, len(report.Plan))
+	t.Logf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %d crashes, %d faults, %s", seed, report.Served, report.Failed, report.Resumed, report.NotResumed, report.Jobs, report.Crashes, len(report.Plan), report.Customers)
 	if len(report.Violations) > 0 && *keep != "" {
 		to := filepath.Join(*keep, fmt.Sprint(seed))
 		require.NoError(t, os.MkdirAll(to, 0o755))
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -87,6 +87,8 @@
 	store   *leasedStore
 	hosts   []*Host
 	crashes crashes
+	// customers is nil if the configurations have none.
+	customers *customers
 
 	mu      sync.Mutex
 	slots   []*slot
@@ -103,9 +105,12 @@
 	Pair func() (ip string, port int)
 }
 
-// NewWorld builds a deployment of a program in a folder.
-func NewWorld(program, folder string, ports Ports) (*World, error) {
+// NewWorld builds a deployment of a program in a folder, with customers or without.
+func NewWorld(program, folder string, ports Ports, withCustomers bool) (*World, error) {
 	w := &World{store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}}
+	if withCustomers {
+		w.customers = newCustomers()
+	}
 	if err := w.build(program, folder, ports); err != nil {
 		w.Close()
 		return nil, err
@@ -165,6 +170,7 @@
 		Host: h.Name, DataCentre: h.dataCentre, Region: region, Callers: h.Address, Ready: ports.Free(), Peers: h.peers,
 		Store: p.Address(), StopTimeout: stopTimeout, ResultRetention: retention,
 		ConfigTimeout: configTimeout, DrainTimeout: configTimeout,
+		KeyRevocation: keyRevocation, QuotaWindow: quotaWindow, QuotaExcess: quotaExcess, QuotaSlack: quotaSlack,
 	}, ip, port)
 	path := filepath.Join(folder, h.Name+".json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -210,7 +216,7 @@
 
 // awaitServing waits until a host answers requests.
 func (w *World) awaitServing(h *Host, limit time.Duration) error {
-	c := &platformtest.Caller{HTTP: &http.Client{Timeout: time.Second}, Timeout: time.Second}
+	c := &platformtest.Caller{HTTP: &http.Client{Timeout: time.Second}, Timeout: time.Second, Key: w.customers.steady()}
 	var last error
 	for n, end := 0, time.Now().Add(limit); time.Now().Before(end); n++ {
 		a, err := c.Call(h.Address, http.MethodPost, "/s/x", fmt.Sprintf("wait-%s-%d-%d", h.Name, h.Starts(), n), "")
@@ -228,7 +234,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
-	return w.put(platformtest.ConfigVersion(w.version, serviceName))
+	if w.customers == nil {
+		return w.put(platformtest.ConfigVersion(w.version, serviceName))
+	}
+	if err := w.putConfig(platformtest.ConfigOfCustomers(w.version, serviceName, w.customers.next()...)); err != nil {
+		return err
+	}
+	w.customers.acknowledge()
+	return nil
 }
 
 // Version returns the newest version of the configuration.
