quota: name the sides of an attachment, the fleet's state and empty buckets

tie becomes attachedSide, Attachment.Elsewhere CountedElsewhereFor, Standing FleetState (KnownHosts, HadMajority), Answer.NotBefore EmptyFor and its end emptyUntil, nextReturn nextRetry. The type exchange becomes pendingExchange and the method exchangeOnce, settle refillBucket, and the signals are named after what they make due.

--- a/quota/account.go
+++ b/quota/account.go
@@ -53,11 +53,13 @@
 	version int64
 	credit  int
 	waiting []*Waiter
-	// dryUntil is when the allocator may have tokens again, and level what it held.
-	dryUntil time.Duration
-	level    float64
-	// nextReturn is when the next refused request is to be sent again.
-	nextReturn time.Duration
+	// emptyUntil is the end of the last Answer.EmptyFor, and level what the allocator's
+	// bucket held then.
+	emptyUntil time.Duration
+	level      float64
+	// nextRetry is the earliest time at which the next request that is refused should be
+	// sent again, after those refused before it.
+	nextRetry time.Duration
 }
 
 // Account is a broker's side of the quotas. It is not safe for concurrent use.
@@ -71,7 +73,7 @@
 	// hosts is the number of hosts attached to the broker. The number of known hosts and
 	// the last majority are those of the last reply, of an exchange sent at exchangedAt.
 	hosts       int
-	standing    Standing
+	fleet       FleetState
 	exchangedAt time.Duration
 	exchanged   bool
 }
@@ -95,10 +97,10 @@
 		a.changed[name] = struct{}{}
 		capacity := a.capacity(limit)
 		low := capacity >= minLowCredit && float64(e.credit) < lowCredit*float64(capacity)
-		return Decision{Admitted: true, Ask: low && now >= e.dryUntil}
+		return Decision{Admitted: true, Ask: low && now >= e.emptyUntil}
 	}
 	a.changed[name] = struct{}{}
-	if now < e.dryUntil {
+	if now < e.emptyUntil {
 		return Decision{Refusal: a.refuse(now, e)}
 	}
 	w := &Waiter{customer: name, Decided: make(chan Decision, 1)}
@@ -114,8 +116,8 @@
 	}
 	if e.version != version {
 		if e.limit != limit {
-			// The answer "none before" was given under another limit.
-			e.dryUntil = 0
+			// EmptyFor was answered under another limit.
+			e.emptyUntil = 0
 		}
 		e.limit, e.version = limit, version
 		e.credit = min(e.credit, a.capacity(limit))
@@ -147,17 +149,17 @@
 	}
 	// The allocator doesn't answer. Another one, or this host itself, grants tokens
 	// from the end of the lease on.
-	e.nextReturn = max(e.nextReturn, a.exchangedAt+exchangeLease)
+	e.nextRetry = max(e.nextRetry, a.exchangedAt+exchangeLease)
 	return Decision{Refusal: a.refuse(now, e)}
 }
 
 // capacity returns the most tokens that this broker may hold for a customer: its hosts'
 // part of what all brokers may.
 func (a *Account) capacity(limit customer.Quota) int {
-	if a.standing.Known <= 0 {
+	if a.fleet.KnownHosts <= 0 {
 		return 0
 	}
-	part := min(float64(a.hosts)/float64(a.standing.Known), 1)
+	part := min(float64(a.hosts)/float64(a.fleet.KnownHosts), 1)
 	return int(creditShare * a.tolerance.of(limit) * part)
 }
 
@@ -189,15 +191,15 @@
 	}
 }
 
-// Standing returns what the last allocator said of the hosts.
-func (a *Account) Standing(now time.Duration) Standing {
-	s := a.standing
+// Fleet returns the fleet's state by the last reply of an allocator.
+func (a *Account) Fleet(now time.Duration) FleetState {
+	s := a.fleet
 	s.MajorityAge += now - a.exchangedAt
 	return s
 }
 
-// Wants returns what the broker lacks or has too much of. What it returns is no longer
-// its own, even if the exchange fails.
+// Wants returns what the broker lacks or has too much of, and the version of the limits.
+// Excess credit is subtracted at once, so the broker can't spend it if the exchange fails.
 func (a *Account) Wants(now time.Duration) (wants []Want, version int64) {
 	a.expire(now)
 	for name := range a.changed {
@@ -238,7 +240,7 @@
 		return false
 	}
 	a.expire(now)
-	a.exchanged, a.exchangedAt, a.standing = true, sentAt, reply.Standing
+	a.exchanged, a.exchangedAt, a.fleet = true, sentAt, reply.Fleet
 	for i := range wants {
 		if e, ok := a.entries[wants[i].Customer]; ok && wants[i].Tokens > 0 {
 			a.apply(now, e, reply.Answers[i])
@@ -253,14 +255,14 @@
 func (a *Account) apply(now time.Duration, e *entry, answer Answer) {
 	e.level = answer.Level
 	e.credit += answer.Tokens
-	e.dryUntil = now + answer.NotBefore
+	e.emptyUntil = now + answer.EmptyFor
 	served := min(len(e.waiting), e.credit)
 	for _, w := range e.waiting[:served] {
 		w.Decided <- Decision{Admitted: true}
 	}
 	e.credit -= served
 	e.waiting = e.waiting[served:]
-	if answer.NotBefore <= 0 {
+	if answer.EmptyFor <= 0 {
 		return
 	}
 	for _, w := range e.waiting {
@@ -273,20 +275,20 @@
 // no faster than this broker's hosts' part of the limit.
 func (a *Account) refuse(now time.Duration, e *entry) Refusal {
 	part := 0.0
-	if a.standing.Known > 0 {
-		part = float64(a.hosts) / float64(a.standing.Known)
+	if a.fleet.KnownHosts > 0 {
+		part = float64(a.hosts) / float64(a.fleet.KnownHosts)
 	}
 	interval := maxRetryAfter
 	if rate := e.limit.PerSecond * part; rate > 0 {
 		interval = time.Duration(min(float64(time.Second)/rate, float64(maxRetryAfter)))
 	}
-	at := max(e.nextReturn, e.dryUntil, now+minRetryAfter)
+	at := max(e.nextRetry, e.emptyUntil, now+minRetryAfter)
 	after := at - now + time.Duration(a.rng.Float64()*float64(interval))
 	if after > maxRetryAfter {
 		// More return than fit. They are spread over the second half of the time.
 		after = maxRetryAfter - time.Duration(a.rng.Float64()*float64(maxRetryAfter)/2)
 	} else {
-		e.nextReturn = at + interval
+		e.nextRetry = at + interval
 	}
 	return Refusal{Limit: e.limit, Level: e.level, RetryAfter: after, ConfigVersion: e.version}
 }
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -6,7 +6,8 @@
 	"github.com/comfreyspindle/comfreyspindle/customer"
 )
 
-// Want is the tokens that a broker lacks for one customer, or returns if negative.
+// Want is the number of tokens that a broker lacks for one customer. It returns tokens
+// if the number is negative.
 type Want struct {
 	Customer string
 	Tokens   int
@@ -17,19 +18,22 @@
 // Answer is the answer to a Want.
 type Answer struct {
 	Tokens int
-	// NotBefore is set if that is less than the broker lacks: the time until more.
-	NotBefore time.Duration
+	// EmptyFor is set if Tokens is less than the broker lacks: for this time it refuses
+	// the customer's requests without asking again.
+	EmptyFor time.Duration
 	// Level is what the bucket holds afterwards.
 	Level float64
 }
 
-// Standing is what a host knows of how many hosts there are and when more than half of
-// them were last attached to one allocator. Allocators and brokers pass it on to each
+// FleetState is how many hosts there are, as far as a host knows, and when more than half
+// of them were last attached to one allocator. Allocators and brokers pass it on to each
 // other, so that it outlives an allocator.
-type Standing struct {
-	Known int
-	// Majority reports whether MajorityAge is known.
-	Majority    bool
+type FleetState struct {
+	// KnownHosts is the number of hosts that may be in service.
+	KnownHosts int
+	// HadMajority reports whether more than half of them were ever attached to one
+	// allocator. MajorityAge is the time since they last were.
+	HadMajority bool
 	MajorityAge time.Duration
 }
 
@@ -38,8 +42,8 @@
 	Broker     string
 	Attachment Attachment
 	// Hosts is the number of hosts attached to the broker.
-	Hosts    int
-	Standing Standing
+	Hosts int
+	Fleet FleetState
 	// ConfigVersion is the version of the limits in Wants.
 	ConfigVersion int64
 	Wants         []Want
@@ -47,16 +51,16 @@
 
 // ExchangeReply is the reply to Exchange. Answers has the order of the Wants.
 type ExchangeReply struct {
-	Stamp    Stamp
-	Standing Standing
-	Answers  []Answer
+	Stamp   Stamp
+	Fleet   FleetState
+	Answers []Answer
 }
 
 // Limits returns the limit of a customer by the configuration in force, and that
 // configuration's version.
 type Limits func(name string) (limit customer.Quota, version int64, ok bool)
 
-// bucket is the tokens of one customer.
+// bucket is the token bucket of one customer.
 type bucket struct {
 	limit   customer.Quota
 	version int64
@@ -121,28 +125,28 @@
 func (a *Allocator) Exchange(now time.Duration, args *ExchangeArgs) ExchangeReply {
 	a.advance(now)
 	now = a.now
-	a.learn(now, args.Standing)
+	a.mergeFleetState(now, args.Fleet)
 	a.brokers.renew(now, args.Broker, args.Attachment, max(args.Hosts, 0))
 	a.updateShare(now)
-	reply := ExchangeReply{Stamp: a.brokers.stamp(now), Standing: a.standing(), Answers: make([]Answer, len(args.Wants))}
+	reply := ExchangeReply{Stamp: a.brokers.stamp(now), Fleet: a.fleetState(), Answers: make([]Answer, len(args.Wants))}
 	for i := range args.Wants {
 		reply.Answers[i] = a.answer(&args.Wants[i], args.ConfigVersion)
 	}
 	return reply
 }
 
-// learn applies what a broker knows of the hosts.
-func (a *Allocator) learn(now time.Duration, s Standing) {
-	if s.Majority && s.MajorityAge >= 0 {
+// mergeFleetState applies what a broker knows of the hosts.
+func (a *Allocator) mergeFleetState(now time.Duration, s FleetState) {
+	if s.HadMajority && s.MajorityAge >= 0 {
 		if at := now - s.MajorityAge; !a.majority || at > a.majorityAt {
 			a.majority, a.majorityAt = true, at
 		}
 	}
-	a.known = max(a.known, s.Known)
+	a.known = max(a.known, s.KnownHosts)
 }
 
-func (a *Allocator) standing() Standing {
-	return Standing{Known: a.known, Majority: a.majority, MajorityAge: a.now - a.majorityAt}
+func (a *Allocator) fleetState() FleetState {
+	return FleetState{KnownHosts: a.known, HadMajority: a.majority, MajorityAge: a.now - a.majorityAt}
 }
 
 // advance applies the time that has passed, with each change of the attachments at its
@@ -198,9 +202,9 @@
 	return capacity
 }
 
-// settle refills a bucket. Between two changes of the share it was never fuller than
-// its capacity at that time.
-func (a *Allocator) settle(b *bucket) {
+// refillBucket brings a bucket's level up to date. Between two changes of the share the
+// level was never above the capacity at that time.
+func (a *Allocator) refillBucket(b *bucket) {
 	from := b.refilledTo
 	if from < a.lost {
 		// Some changes are no longer known, so the bucket may have been empty then.
@@ -231,10 +235,10 @@
 		b = &bucket{limit: limit, version: known}
 		a.buckets[w.Customer] = b
 	}
-	a.settle(b)
+	a.refillBucket(b)
 	if known >= b.version && limit != b.limit {
 		b.limit = limit
-		a.settle(b)
+		a.refillBucket(b)
 	}
 	b.version = max(b.version, known)
 	return b
@@ -253,10 +257,10 @@
 	b.level -= float64(granted)
 	answer := Answer{Tokens: granted, Level: b.level}
 	if granted < w.Tokens {
-		answer.NotBefore = minNotBefore
+		answer.EmptyFor = minEmptyFor
 		if rate := b.limit.PerSecond * a.share; rate > 0 {
-			wait := min((1-b.level)/rate, maxNotBefore.Seconds())
-			answer.NotBefore = max(time.Duration(wait*float64(time.Second)), minNotBefore)
+			wait := min((1-b.level)/rate, maxEmptyFor.Seconds())
+			answer.EmptyFor = max(time.Duration(wait*float64(time.Second)), minEmptyFor)
 		}
 	}
 	return answer
--- a/quota/candidates.go
+++ b/quota/candidates.go
@@ -27,7 +27,7 @@
 		}
 	}
 	s.Log.WithFields(logrus.Fields{
-		"from": s.current.Name, "to": chosen.Name, "hosts": s.account.hosts, "known_hosts": s.account.standing.Known,
+		"from": s.current.Name, "to": chosen.Name, "hosts": s.account.hosts, "known_hosts": s.account.fleet.KnownHosts,
 	}).Info("allocator of quotas changed")
 	s.current, s.leavingAt = chosen, 0
 	s.Metrics.changes.Inc()
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -158,9 +158,9 @@
 func TestRetryAfterSpreadsTheRefused(t *testing.T) {
 	limit := customer.Quota{PerSecond: 50, Burst: 50}
 	a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, true }, settled(6).rng)
-	a.hosts, a.standing.Known = 10, 10
+	a.hosts, a.fleet.KnownHosts = 10, 10
 	e := a.entryOf("c", limit, 1)
-	e.dryUntil = 200 * time.Millisecond
+	e.emptyUntil = 200 * time.Millisecond
 	perTenth := make(map[time.Duration]int)
 	for range 60 {
 		after := a.refuse(0, e).RetryAfter
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -53,7 +53,7 @@
 		h.account.expire(n.now)
 		share += h.allocator.share
 		for name, b := range h.allocator.buckets {
-			h.allocator.settle(b)
+			h.allocator.refillBucket(b)
 			levels[name] += b.level
 		}
 		for name, e := range h.account.entries {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -27,11 +27,11 @@
 	exchangeTimeout = 300 * time.Millisecond
 	// answerTimeout is how long a request waits for a token from the allocator.
 	answerTimeout = 60 * time.Millisecond
-	// minNotBefore is the shortest time for which a broker refuses requests after the
+	// minEmptyFor is the shortest time for which a broker refuses requests after the
 	// allocator had no token, so that a customer far over its quota costs few calls.
-	// maxNotBefore is the longest: the share of the allocator may rise meanwhile.
-	minNotBefore = 100 * time.Millisecond
-	maxNotBefore = 500 * time.Millisecond
+	// maxEmptyFor is the longest: the share of the allocator may rise meanwhile.
+	minEmptyFor = 100 * time.Millisecond
+	maxEmptyFor = 500 * time.Millisecond
 	// minorityLimit is how long an allocator grants tokens after fewer than half of the
 	// known hosts have been attached to it. Others count the hosts that they miss for
 	// departureHold, which must be longer.
@@ -87,12 +87,14 @@
 	// a time from that moment. A message that was delayed therefore counts less, and
 	// not at all if the receiver was suspended.
 	Echo Stamp
-	// Elsewhere is how long it may still be counted by another.
-	Elsewhere time.Duration
+	// CountedElsewhereFor is how long another broker or allocator may still count the
+	// sender. The receiver counts it only after that.
+	CountedElsewhereFor time.Duration
 }
 
-// tie is the attached side. It knows until when each of the others may count it.
-type tie struct {
+// attachedSide is the state of the attached side of an attachment: until when each broker,
+// or allocator, may count it.
+type attachedSide struct {
 	lease time.Duration
 	// startedAt is when this process started: an earlier one of the same host may
 	// have been counted anywhere.
@@ -107,51 +109,53 @@
 	countedUntil time.Duration
 }
 
-func newTie(now, lease time.Duration) *tie {
-	return &tie{lease: lease, startedAt: now, held: make(map[string]heldStamp)}
+func newAttachedSide(now, lease time.Duration) *attachedSide {
+	return &attachedSide{lease: lease, startedAt: now, held: make(map[string]heldStamp)}
 }
 
 // received records a stamp of a peer.
-func (t *tie) received(now time.Duration, peer string, stamp Stamp) {
-	h := t.held[peer]
+func (s *attachedSide) received(now time.Duration, peer string, stamp Stamp) {
+	h := s.held[peer]
 	h.stamp, h.at = stamp, now
-	t.held[peer] = h
+	s.held[peer] = h
 }
 
 // fresh reports whether the last stamp of a peer still attaches to it.
-func (t *tie) fresh(now time.Duration, peer string) bool {
-	h, ok := t.held[peer]
-	return ok && now-h.at < t.lease
+func (s *attachedSide) fresh(now time.Duration, peer string) bool {
+	h, ok := s.held[peer]
+	return ok && now-h.at < s.lease
 }
 
-// next returns what to state to a peer.
-func (t *tie) next(now time.Duration, peer string) Attachment {
-	elsewhere := t.startedAt + t.lease - now
-	for name, h := range t.held {
+// next returns the Attachment for the next message to a peer, and records that the peer
+// may count this side from then on.
+func (s *attachedSide) next(now time.Duration, peer string) Attachment {
+	elsewhere := s.startedAt + s.lease - now
+	for name, h := range s.held {
 		if name != peer {
 			elsewhere = max(elsewhere, h.countedUntil-now)
-			if now-h.at > t.lease && h.countedUntil <= now {
-				delete(t.held, name)
+			if now-h.at > s.lease && h.countedUntil <= now {
+				delete(s.held, name)
 			}
 		}
 	}
-	a := Attachment{Elsewhere: max(elsewhere, 0)}
-	if h, ok := t.held[peer]; ok {
+	a := Attachment{CountedElsewhereFor: max(elsewhere, 0)}
+	if h, ok := s.held[peer]; ok {
 		a.Echo = h.stamp
-		h.countedUntil = max(h.countedUntil, h.at+t.lease)
-		t.held[peer] = h
+		h.countedUntil = max(h.countedUntil, h.at+s.lease)
+		s.held[peer] = h
 	}
 	return a
 }
 
-// attachments is the counting side.
+// attachments is the state of the counting side: the hosts attached to a broker, or the
+// brokers attached to an allocator.
 type attachments struct {
 	process uint64
 	lease   time.Duration
 	byName  map[string]counted
 }
 
-// counted is one that is attached from a moment until another one.
+// counted is a host or broker that is attached from one time until another.
 type counted struct {
 	from, until time.Duration
 	hosts       int
@@ -163,12 +167,13 @@
 
 func (a *attachments) stamp(now time.Duration) Stamp { return Stamp{Process: a.process, At: now} }
 
-// renew applies a message of one that is attached with a number of hosts.
+// renew extends an attachment by a message of the attached side, which stands for a number
+// of hosts.
 func (a *attachments) renew(now time.Duration, name string, att Attachment, hosts int) {
 	if att.Echo.Process != a.process || att.Echo.At > now {
 		return
 	}
-	c := counted{from: now + max(att.Elsewhere, 0), until: att.Echo.At + a.lease, hosts: hosts}
+	c := counted{from: now + max(att.CountedElsewhereFor, 0), until: att.Echo.At + a.lease, hosts: hosts}
 	if c.until > a.byName[name].until {
 		a.byName[name] = c
 	}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -62,7 +62,7 @@
 		}, 0},
 		{"counted elsewhere for a second", func(a *Allocator) {
 			reply := a.Exchange(0, &ExchangeArgs{Broker: "b"})
-			a.Exchange(0, &ExchangeArgs{Broker: "b", Hosts: 4, Attachment: Attachment{Echo: reply.Stamp, Elsewhere: second}})
+			a.Exchange(0, &ExchangeArgs{Broker: "b", Hosts: 4, Attachment: Attachment{Echo: reply.Stamp, CountedElsewhereFor: second}})
 			a.advance(5 * second)
 		}, 0},
 		{"a host that left counts on", func(a *Allocator) {
@@ -169,9 +169,9 @@
 		a.SetHosts(4)
 		a.entryOf("c", customer.Quota{PerSecond: 10, Burst: 10}, 1)
 		a.changed["c"] = struct{}{}
-		a.Exchanged(0, 0, nil, &ExchangeReply{Standing: Standing{Known: 4}})
+		a.Exchanged(0, 0, nil, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}})
 		wants, _ := a.Wants(0)
-		a.Exchanged(0, 0, wants, &ExchangeReply{Standing: Standing{Known: 4}, Answers: []Answer{{Tokens: 2}}})
+		a.Exchanged(0, 0, wants, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}, Answers: []Answer{{Tokens: 2}}})
 		return a
 	}
 	take := func(a *Account, now time.Duration, n int) Decision {
@@ -196,13 +196,13 @@
 		{"the allocator has none", func(a *Account) Decision {
 			take(a, 0, 2)
 			wants, _ := a.Wants(0)
-			a.Exchanged(0, 0, wants, &ExchangeReply{Answers: []Answer{{NotBefore: second}}})
+			a.Exchanged(0, 0, wants, &ExchangeReply{Answers: []Answer{{EmptyFor: second}}})
 			return take(a, second/2, 1)
 		}, false, false},
 		{"the allocator may have some again", func(a *Account) Decision {
 			take(a, 0, 2)
 			wants, _ := a.Wants(0)
-			a.Exchanged(0, 0, wants, &ExchangeReply{Answers: []Answer{{NotBefore: second}}})
+			a.Exchanged(0, 0, wants, &ExchangeReply{Answers: []Answer{{EmptyFor: second}}})
 			return take(a, second, 1)
 		}, false, true},
 		{"the reply was late", func(a *Account) Decision {
@@ -252,7 +252,7 @@
 			before := newTestAllocator()
 			a := NewAllocator(0, before.tolerance, before.limits)
 			a.SetHosts(0, []string{"h1", "h2", "h3"})
-			a.Exchange(0, &ExchangeArgs{Broker: "b", Standing: Standing{Known: 4, Majority: true}})
+			a.Exchange(0, &ExchangeArgs{Broker: "b", Fleet: FleetState{KnownHosts: 4, HadMajority: true}})
 			attach(a, "b", 3, row.until)
 			require.Equal(t, row.want, tokens(a, a.now, 100))
 		})
--- a/quota/service.go
+++ b/quota/service.go
@@ -50,10 +50,12 @@
 	// Listed reports whether View holds all hosts in service.
 	Listed func() bool
 	Peers  PeerClient
-	// Enabled reports whether the configuration in force has customers, and Limits
-	// returns their limits.
+	// Enabled reports whether the configuration in force has customers. Without them
+	// nothing is sent or counted.
 	Enabled func() bool
 	Limits  Limits
+	// Now is CLOCK_BOOTTIME, which counts the time in which a host is suspended. Clock
+	// serves for timers.
 	Now     boottime.Clock
 	Clock   clockwork.Clock
 	Log     *logrus.Entry
@@ -71,7 +73,7 @@
 	// hosts are attached to this broker. This host is attached to a broker, and this
 	// broker to an allocator.
 	hosts                 *attachments
-	toBroker, toAllocator *tie
+	toBroker, toAllocator *attachedSide
 	lastTake              time.Duration
 	taken                 bool
 
@@ -84,8 +86,9 @@
 	current   membership.Host
 	leavingAt time.Duration
 
-	// waiting signals a request that waits for a token, and low that credit is low.
-	waiting, low chan struct{}
+	// exchangeNow signals that the next exchange is due at once: a request waits for a
+	// token, or the first host has polled this broker. exchangeSoon signals low credit.
+	exchangeNow, exchangeSoon chan struct{}
 }
 
 // failures describes an allocator that did not answer.
@@ -98,8 +101,8 @@
 func NewService(o Options) *Service {
 	now := o.Now()
 	s := &Service{
-		Options: o, hosts: newAttachments(pollLease), toBroker: newTie(now, pollLease+exchangeLease), toAllocator: newTie(now, exchangeLease),
-		failures: make(map[string]*failures), waiting: make(chan struct{}, 1), low: make(chan struct{}, 1),
+		Options: o, hosts: newAttachments(pollLease), toBroker: newAttachedSide(now, pollLease+exchangeLease), toAllocator: newAttachedSide(now, exchangeLease),
+		failures: make(map[string]*failures), exchangeNow: make(chan struct{}, 1), exchangeSoon: make(chan struct{}, 1),
 	}
 	s.allocator = NewAllocator(now, o.Tolerance, o.Limits)
 	s.account = NewAccount(o.Tolerance, o.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
@@ -120,15 +123,16 @@
 	s.mu.Unlock()
 	switch {
 	case d.Waiter != nil:
-		signal(s.waiting)
+		signal(s.exchangeNow)
 		d = s.await(d.Waiter)
 	case d.Ask:
-		signal(s.low)
+		signal(s.exchangeSoon)
 	}
 	s.Metrics.count(name, limit.PerSecond, d.Admitted)
 	return d.Refusal, d.Admitted
 }
 
+// signal sends to a channel with a buffer of one, unless a signal is already pending.
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -157,7 +161,7 @@
 	s.account.Return(name)
 }
 
-// PollAttachment returns what this host states in its next poll of a broker.
+// PollAttachment returns the Attachment for this host's next poll of a broker.
 func (s *Service) PollAttachment(broker string) Attachment {
 	if !s.Enabled() {
 		return Attachment{}
@@ -187,7 +191,7 @@
 	now := s.Now()
 	s.hosts.renew(now, host, a, 1)
 	if s.account.hosts == 0 && s.hosts.hosts(now) > 0 {
-		signal(s.waiting)
+		signal(s.exchangeNow)
 	}
 }
 
@@ -244,7 +248,7 @@
 // until ctx ends.
 func (s *Service) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		active, again := s.exchange(ctx)
+		active, again := s.exchangeOnce(ctx)
 		if active {
 			wait.For(ctx, s.Clock, minGap)
 		}
@@ -274,29 +278,29 @@
 	if !s.Enabled() {
 		changed = nil
 	}
-	low := s.low
+	soon := s.exchangeSoon
 	for {
 		select {
-		case <-s.waiting:
+		case <-s.exchangeNow:
 			return
 		case <-due:
 			return
 		case <-changed:
 			return
-		case <-low:
-			low = nil
-			soon := s.Clock.NewTimer(lowCreditDelay)
-			defer soon.Stop()
-			due = soon.Chan()
+		case <-soon:
+			soon = nil
+			timer := s.Clock.NewTimer(lowCreditDelay)
+			defer timer.Stop()
+			due = timer.Chan()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// exchange makes one exchange if this host is a broker, and reports whether it is, and
+// exchangeOnce makes one exchange if this host is a broker, and reports whether it is, and
 // whether the next exchange should follow at once.
-func (s *Service) exchange(ctx context.Context) (active, again bool) {
+func (s *Service) exchangeOnce(ctx context.Context) (active, again bool) {
 	x, ok := s.prepare()
 	if !ok {
 		return false, false
@@ -309,8 +313,8 @@
 	return true, s.finish(x, reply, err)
 }
 
-// exchange is one exchange.
-type exchange struct {
+// pendingExchange is an exchange that has been prepared and not yet been answered.
+type pendingExchange struct {
 	to     membership.Host
 	args   *ExchangeArgs
 	sentAt time.Duration
@@ -322,9 +326,9 @@
 }
 
 // prepare returns the next exchange, and false if none is needed.
-func (s *Service) prepare() (exchange, bool) {
+func (s *Service) prepare() (pendingExchange, bool) {
 	if !s.Enabled() {
-		return exchange{}, false
+		return pendingExchange{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -332,11 +336,11 @@
 	now := s.Now()
 	s.account.SetHosts(s.hosts.hosts(now))
 	if s.account.hosts == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
-		return exchange{}, false
+		return pendingExchange{}, false
 	}
-	x := exchange{sentAt: now}
+	x := pendingExchange{sentAt: now}
 	x.to, x.probes = s.chooseAllocator(now)
-	x.args = &ExchangeArgs{Broker: s.View.Self().Name, Hosts: s.account.hosts, Standing: s.account.Standing(now)}
+	x.args = &ExchangeArgs{Broker: s.View.Self().Name, Hosts: s.account.hosts, Fleet: s.account.Fleet(now)}
 	if s.leavingAt == 0 {
 		x.unattached = !s.toAllocator.fresh(now, x.to.Name)
 		x.args.Attachment = s.toAllocator.next(now, x.to.Name)
@@ -345,9 +349,9 @@
 	return x, true
 }
 
-// finish applies the end of an exchange and reports whether the next one should follow at
+// finish applies the reply to an exchange, or its failure, and reports whether the next one should follow at
 // once.
-func (s *Service) finish(x exchange, reply *ExchangeReply, err error) (again bool) {
+func (s *Service) finish(x pendingExchange, reply *ExchangeReply, err error) (again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -361,6 +365,7 @@
 	return waiting || x.unattached
 }
 
+// call sends an exchange to an allocator, which may be this host.
 func (s *Service) call(ctx context.Context, to membership.Host, args *ExchangeArgs, reply *ExchangeReply) error {
 	if to.Name == s.View.Self().Name {
 		return s.Peer().Exchange(*args, reply)
--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -133,10 +133,10 @@
 	reply := new(ExchangeReply)
 	require.NoError(t, peer.NewClient(second, nil).Call(ctx, address, PeerName+".Exchange", args, reply))
 	require.Equal(t, 3, reply.Answers[0].Tokens)
-	require.Positive(t, reply.Answers[1].NotBefore)
+	require.Positive(t, reply.Answers[1].EmptyFor)
 	require.Equal(t, Stamp{Process: allocator.allocator.brokers.process, At: n.now}, reply.Stamp)
-	require.Equal(t, 60, reply.Standing.Known)
-	require.True(t, reply.Standing.Majority)
+	require.Equal(t, 60, reply.Fleet.KnownHosts)
+	require.True(t, reply.Fleet.HadMajority)
 }
 
 // Without customers messages are sent or hosts are counted.
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -31,7 +31,7 @@
 func (q *tokens) Return(string) { q.left++ }
 func (q *tokens) PollAttachment(broker string) quota.Attachment {
 	q.attachedBefore = broker
-	return quota.Attachment{Elsewhere: time.Second}
+	return quota.Attachment{CountedElsewhereFor: time.Second}
 }
 func (q *tokens) PollReplied(_ string, stamp quota.Stamp) { q.received = stamp }
 func (q *tokens) Polled(host string, _ quota.Attachment)  { q.polled = append(q.polled, host) }
