--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -99,11 +99,11 @@
 		reply.Moved = true
 		return nil
 	}
-	settle, ok := b.charge(&args, reply)
+	returnUnused, ok := b.takeToken(&args, reply)
 	if !ok {
 		return nil
 	}
-	defer settle()
+	defer returnUnused()
 	waiter, granted := b.decide(&args, reply)
 	if waiter == nil {
 		return nil
--- a/slots/quota.go
+++ b/slots/quota.go
@@ -26,9 +26,10 @@
 // before the broker is used.
 func (b *Broker) SetQuotas(q Quotas) { b.quotas = q }
 
-// charge takes a token for a request unless it has one, and reports whether the request
-// may get a slot. If it may, settle must be called once the reply is decided.
-func (b *Broker) charge(args *AcquireArgs, reply *AcquireReply) (settle func(), ok bool) {
+// takeToken takes a token of the customer's quota for a request unless it has one, and
+// reports whether the request may get a slot. If it may, returnUnused must be called once
+// the reply is decided: it returns the token if no slot was granted.
+func (b *Broker) takeToken(args *AcquireArgs, reply *AcquireReply) (returnUnused func(), ok bool) {
 	if b.quotas == nil || args.Customer == "" || args.Charged {
 		return func() {}, true
 	}
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -336,7 +336,9 @@
 	return d
 }
 
-// resumedRank returns 0 for requests that resume a stream and 1 for all others.
+// resumedRank returns 0 for requests that resume a stream and 1 for all others. A request
+// is pinned to a software version only because its stream has begun there, so Pinned tells
+// them apart.
 func (a *AcquireArgs) resumedRank() int {
 	if a.Pinned {
 		return 0
