host: one function registers gauges, and route.Table tells of customers

registerGauge replaces seven registrations of the same form, and Table.HasCustomers three copies of one condition. Metrics and decisions stay.

--- a/host/host.go
+++ b/host/host.go
@@ -183,14 +183,11 @@
 	})
 	h.registry.MustRegister(dials)
 	for _, source := range replica.Sources() {
-		h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "comfreyspindle_replicas_leaving", Help: "Replicas that are leaving, by what this host has it from.",
-			ConstLabels: prometheus.Labels{"source": string(source)},
-		}, func() float64 { return float64(h.replicas.countLeaving(source)) }))
+		h.registerGauge("comfreyspindle_replicas_leaving", "Replicas that are leaving, by what this host has it from.",
+			prometheus.Labels{"source": string(source)}, func() float64 { return float64(h.replicas.countLeaving(source)) })
 	}
-	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "comfreyspindle_replicas_rate_limited", Help: "Replicas of which this host knows that they limit the rate of requests.",
-	}, func() float64 { return float64(h.replicas.countRateLimited()) }))
+	h.registerGauge("comfreyspindle_replicas_rate_limited", "Replicas of which this host knows that they limit the rate of requests.",
+		nil, func() float64 { return float64(h.replicas.countRateLimited()) })
 	h.registerSpeedMetrics()
 	h.broker.SetOnLeaving(func(r replica.Replica) { h.replicas.markLeaving(r, replica.FromPeer) })
 	engine := platform.NewReplicaClient(dials.Inc, h.replicas, h.log)
--- /dev/null
+++ b/host/metrics.go
@@ -0,0 +1,8 @@
+package host
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// registerGauge registers a gauge whose value is determined when the metrics are read.
+func (h *Host) registerGauge(name, help string, labels prometheus.Labels, value func() float64) {
+	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help, ConstLabels: labels}, value))
+}
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -49,10 +49,8 @@
 		"suspect": func() float64 { suspects, _ := h.broker.QuarantineCounts(); return float64(suspects) },
 		"refused": func() float64 { _, refused := h.broker.QuarantineCounts(); return float64(refused) },
 	} {
-		h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "comfreyspindle_quarantine_requests", Help: "Requests that were in progress when replicas crashed, and those that are refused since they crash replicas.",
-			ConstLabels: prometheus.Labels{"state": state},
-		}, count))
+		h.registerGauge("comfreyspindle_quarantine_requests", "Requests that were in progress when replicas crashed, and those that are refused since they crash replicas.",
+			prometheus.Labels{"state": state}, count)
 	}
 }
 
--- a/host/quota.go
+++ b/host/quota.go
@@ -29,7 +29,7 @@
 }
 
 // hasCustomers reports whether the configuration in force has customers.
-func (h *Host) hasCustomers() bool { return hasCustomers(h.config.Table()) }
+func (h *Host) hasCustomers() bool { return h.config.Table().HasCustomers() }
 
 // limitOf returns a customer's limit by the configuration in force, and its version.
 func (h *Host) limitOf(name string) (limit customer.Quota, version int64, ok bool) {
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -266,17 +266,14 @@
 // registerSpeedMetrics registers what this host, as a broker, knows of the speed of
 // replicas.
 func (h *Host) registerSpeedMetrics() {
-	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "comfreyspindle_replicas_paced", Help: "Replicas that get some of their slots only until they respond in time.",
-	}, func() float64 { return float64(h.broker.PacedReplicas()) }))
+	h.registerGauge("comfreyspindle_replicas_paced", "Replicas that get some of their slots only until they respond in time.",
+		nil, func() float64 { return float64(h.broker.PacedReplicas()) })
 	for name, value := range map[string]func() float64{
 		"least":    func() float64 { least, _, _ := h.broker.Slowness(); return least },
 		"mean":     func() float64 { _, mean, _ := h.broker.Slowness(); return mean },
 		"greatest": func() float64 { _, _, greatest := h.broker.Slowness(); return greatest },
 	} {
-		h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "comfreyspindle_replica_slowness", Help: "Estimated slowness of the replicas whose slots this host grants, 1 is normal; 0 if none reports it.",
-			ConstLabels: prometheus.Labels{"of": name},
-		}, value))
+		h.registerGauge("comfreyspindle_replica_slowness", "Estimated slowness of the replicas whose slots this host grants, 1 is normal; 0 if none reports it.",
+			prometheus.Labels{"of": name}, value)
 	}
 }
--- a/host/revocation.go
+++ b/host/revocation.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
-	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -60,7 +59,7 @@
 // Serve confirms the configuration in force until ctx ends.
 func (c *confirmer) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if !hasCustomers(c.config.Table()) {
+		if !c.config.Table().HasCustomers() {
 			c.accepting = false
 			select {
 			case <-c.changed:
@@ -179,10 +178,8 @@
 	}
 	h.broker.SetLastConfirmed(h.lastConfirmed)
 	h.slotClient.OnConfirmed, h.slotClient.BootTime = h.handleConfirmation, clock
-	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "comfreyspindle_config_confirmed_age_seconds",
-		Help: "Time since the configuration in force was last known to be the newest one; +Inf before, 0 without customers.",
-	}, h.confirmedAgeSeconds))
+	h.registerGauge("comfreyspindle_config_confirmed_age_seconds", "Time since the configuration in force was last known to be the newest one; +Inf before, 0 without customers.",
+		nil, h.confirmedAgeSeconds)
 }
 
 // versionInForce passes on the version of the configuration that has come into force.
@@ -197,9 +194,6 @@
 	h.broker.SetConfigVersion(version)
 }
 
-// hasCustomers reports whether requests need keys. A nil table has no customers.
-func hasCustomers(t *route.Table) bool { return t != nil && !t.Customers.Empty() }
-
 // keysUsable reports whether this host may look up keys in its configuration: it needs
 // none, or was confirmed lately.
 func (h *Host) keysUsable() bool { return h.tableUsable(h.config.Table()) }
@@ -208,13 +202,13 @@
 // request that is checked with a table must ask with that table: the one in force by then
 // may be newer and confirmed, which says nothing about the older one.
 func (h *Host) tableUsable(t *route.Table) bool {
-	return h.confirmer == nil || !hasCustomers(t) || h.confirmer.bound.Usable(t.Version)
+	return h.confirmer == nil || !t.HasCustomers() || h.confirmer.bound.Usable(t.Version)
 }
 
 // lastConfirmed returns the last confirmation for other hosts. There is none while the
 // configuration has no customers.
 func (h *Host) lastConfirmed() (version int64, age time.Duration, ok bool) {
-	if h.confirmer == nil || !hasCustomers(h.config.Table()) {
+	if h.confirmer == nil || !h.hasCustomers() {
 		return 0, 0, false
 	}
 	return h.confirmer.bound.Age()
@@ -231,7 +225,7 @@
 // lacksConfirmation reports whether this host needs a confirmation and has none or an old
 // one.
 func (h *Host) lacksConfirmation() bool {
-	if h.confirmer == nil || !hasCustomers(h.config.Table()) {
+	if h.confirmer == nil || !h.hasCustomers() {
 		return false
 	}
 	_, age, confirmed := h.confirmer.bound.Age()
@@ -239,7 +233,7 @@
 }
 
 func (h *Host) confirmedAgeSeconds() float64 {
-	if !hasCustomers(h.config.Table()) {
+	if !h.hasCustomers() {
 		return 0
 	}
 	_, age, confirmed := h.confirmer.bound.Age()
--- a/host/slow_readers.go
+++ b/host/slow_readers.go
@@ -155,9 +155,8 @@
 
 // registerSlowReaderMetrics registers what is kept for callers, and what was dropped.
 func (h *Host) registerSlowReaderMetrics() {
-	h.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "comfreyspindle_pending_response_bytes", Help: "Bytes of responses that callers have not accepted yet.",
-	}, func() float64 { bytes, _ := h.writes.count(); return float64(bytes) }))
+	h.registerGauge("comfreyspindle_pending_response_bytes", "Bytes of responses that callers have not accepted yet.",
+		nil, func() float64 { bytes, _ := h.writes.count(); return float64(bytes) })
 	h.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "comfreyspindle_slow_callers_total", Help: "Responses that were dropped since their callers read too slowly.",
 	}, func() float64 { _, dropped := h.writes.count(); return float64(dropped) }))
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -293,10 +293,7 @@
 }
 
 // hasCustomers reports whether the configuration in force has customers.
-func (m *Manager) hasCustomers() bool {
-	table := m.Table()
-	return table != nil && !table.Customers.Empty()
-}
+func (m *Manager) hasCustomers() bool { return m.Table().HasCustomers() }
 
 func outcomeOf(err error) slots.Outcome {
 	if errors.Is(err, pool.ErrConnect) || errors.Is(err, pool.ErrSilent) {
--- a/route/route.go
+++ b/route/route.go
@@ -155,6 +155,10 @@
 // HasHost reports whether there are routes for the host.
 func (t *Table) HasHost(host string) bool { return len(t.hostRoutes(host)) > 0 }
 
+// HasCustomers reports whether the configuration has customers, so that requests need
+// keys. A nil table has none.
+func (t *Table) HasCustomers() bool { return t != nil && !t.Customers.Empty() }
+
 // PublicBatch reports whether a host has batch routes and all of them are public.
 func (t *Table) PublicBatch(host string) bool {
 	public := false
