slots, quarantine: name what is decided on pending crashes and paces

Settle becomes DecidePending and takeBack retractFromAll; the pace's inTime and late, which change it, become raise and reduce, its held limited, and holdsBack enforcesPaces. isLastCall becomes isLastAttempt, halved remainingFraction and crowd contention. Wording only.

--- a/quarantine/independent.go
+++ b/quarantine/independent.go
@@ -72,7 +72,7 @@
 	moment := slices.DeleteFunc(slices.Clone(v.recent), func(r *recentCrash) bool { return now.Sub(r.at) > s.MomentWindow })
 	if v.countIndependent(moment, now) >= independentCrashes {
 		for _, r := range moment {
-			v.takeBack(r)
+			v.retractFromAll(r)
 		}
 	}
 	recent := slices.DeleteFunc(slices.Clone(v.recent), func(r *recentCrash) bool { return now.Sub(r.at) > independentWindow })
@@ -82,6 +82,7 @@
 }
 
 // countIndependent returns a number of crashes of which no two have a suspect in common.
+// It takes crashes greedily, those with the fewest suspects first, so there may be more.
 func (v *serviceState) countIndependent(crashes []*recentCrash, now time.Time) int {
 	sets := make([][]Fingerprint, len(crashes))
 	for i, r := range crashes {
@@ -117,8 +118,8 @@
 	return now.Before(v.confirmed[f])
 }
 
-// takeBack removes a crash from the requests and parts that were in progress.
-func (v *serviceState) takeBack(r *recentCrash) {
+// retractFromAll removes a crash from the requests and parts that were in progress.
+func (v *serviceState) retractFromAll(r *recentCrash) {
 	r.unexplained = true
 	for f := range r.suspects {
 		delete(v.held, f)
@@ -146,7 +147,8 @@
 	return aloneThreshold
 }
 
-// hold keeps what a crash is likely to confirm from all upstreams until it is settled.
+// hold keeps what a crash is likely to confirm from all upstreams until the crash is
+// decided on.
 func (v *serviceState) hold(c Crash, explained bool, until time.Time) {
 	for f, t := range v.held {
 		if !c.At.Before(t) {
@@ -163,15 +165,16 @@
 	}
 }
 
-// isHeld reports whether a request, or one of its parts, may be confirmed any moment.
+// isHeld reports whether a request, or one of its parts, may be confirmed by a pending
+// crash.
 func (v *serviceState) isHeld(c Content, now time.Time) bool {
 	isHeld := func(f Fingerprint) bool { return now.Before(v.held[f]) }
 	return isHeld(c.Fingerprint) || slices.ContainsFunc(c.Parts, isHeld)
 }
 
-// Settle decides on the crashes that are MomentWindow old, of which it is known now whether
+// DecidePending decides on the crashes that are MomentWindow old, of which it is known now whether
 // others were at the same moment. It returns what each shows.
-func (s *State) Settle(service string, now time.Time, duration time.Duration) []Findings {
+func (s *State) DecidePending(service string, now time.Time, duration time.Duration) []Findings {
 	v, ok := s.services[service]
 	if !ok {
 		return nil
--- a/quarantine/independent_test.go
+++ b/quarantine/independent_test.go
@@ -80,14 +80,14 @@
 			now := partsNow
 			for range confirmThreshold {
 				now = now.Add(time.Second)
-				require.Empty(t, s.Settle("s", now, time.Hour))
+				require.Empty(t, s.DecidePending("s", now, time.Hour))
 				s.crash(now, 1)
 			}
 			require.Equal(t, Wait, s.decide(1, now))
 			for i := range others {
 				s.crash(now, 10+Fingerprint(i))
 			}
-			found := s.Settle("s", now.Add(testMoment), time.Hour)
+			found := s.DecidePending("s", now.Add(testMoment), time.Hour)
 			require.Equal(t, others == 0, len(found) == 1)
 			require.Equal(t, others == 0, s.decide(1, now.Add(testMoment)) == Refuse)
 		})
@@ -107,7 +107,7 @@
 		require.Equal(t, n > raisedAloneThreshold, s.decide(1, now) == RunAlone, "after %d crashes", n-1)
 		s.crash(now, 1)
 		now = now.Add(testMoment)
-		found := s.Settle("s", now, time.Hour)
+		found := s.DecidePending("s", now, time.Hour)
 		require.Equal(t, n == raisedConfirmThreshold, len(found) == 1, "after %d crashes", n)
 	}
 	require.Equal(t, Refuse, s.decide(1, now))
--- a/quarantine/state.go
+++ b/quarantine/state.go
@@ -63,9 +63,10 @@
 	// SameCrashWindow is the time within which reports about one upstream count as
 	// one crash: several hosts report the same crash.
 	SameCrashWindow time.Duration
-	// MomentWindow is the time within which crashes are at one moment. If it is not zero,
+	// MomentWindow is the time within which crashes count as simultaneous, or of one
+	// moment. If it is not zero,
 	// independent crashes of one moment count against no request, those of a longer time
-	// raise the thresholds, and Settle decides on crashes.
+	// raise the thresholds, and DecidePending decides on crashes.
 	MomentWindow time.Duration
 	services     map[string]*serviceState
 }
@@ -76,7 +77,7 @@
 	// they are.
 	confirmed map[Fingerprint]time.Time
 	parts     partState
-	// recent holds the last crashes, the oldest first, and pending those on which Settle
+	// recent holds the last crashes, the oldest first, and pending those on which DecidePending
 	// has to decide. The thresholds are raised until raisedUntil.
 	recent      []*recentCrash
 	pending     []pendingCrash
--- a/slots/crash.go
+++ b/slots/crash.go
@@ -210,14 +210,14 @@
 		"replica": r.ID, "born": r.Born, "suspects": n.Crash.Suspects, "only_suspect": n.Crash.Trial,
 	}).Warn("replica crashed")
 	b.tell(n)
-	b.clock.AfterFunc(crashMomentWindow, b.settleCrashes)
+	b.clock.AfterFunc(crashMomentWindow, b.decidePendingCrashes)
 }
 
-// settleCrashes decides on crashes and tells the other hosts what is refused.
-func (b *Broker) settleCrashes() {
+// decidePendingCrashes decides on crashes and tells the other hosts what is refused.
+func (b *Broker) decidePendingCrashes() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, n := range b.sched.SettleCrashes(b.clock.Now()) {
+	for _, n := range b.sched.DecidePendingCrashes(b.clock.Now()) {
 		if len(n.Confirmed) > 0 {
 			b.log.WithField("refused_from_now", n.Confirmed).Warn("requests that crash replicas are refused")
 		}
--- a/slots/load_report.go
+++ b/slots/load_report.go
@@ -113,7 +113,7 @@
 		return
 	}
 	p := s.pool(g.Replica.Service)
-	if g.replicaState.pace.held() {
+	if g.replicaState.pace.limited() {
 		// A replica that is cold shows nothing of how fast it will be.
 		s.observeRunPace(now, p, g, run)
 		return
--- a/slots/pace.go
+++ b/slots/pace.go
@@ -43,12 +43,12 @@
 )
 
 // paceState is the number of slots that a replica gets while it is not known how much
-// work it bears. It grows by one with each response in time, which doubles it with each
+// work it can take. It grows by one with each response in time, which doubles it with each
 // round of responses, until one is late. Late ones halve it, and from then on it grows by
 // carefulGrowth with each response. It is not safe for concurrent use. The zero value limits nothing.
 type paceState struct {
-	// judged is set once it was decided whether the replica has just started.
-	judged bool
+	// ageChecked is set once the replica was checked for having just started.
+	ageChecked bool
 	// limit is the number of slots; zero means all.
 	limit   float64
 	reason  PaceReason
@@ -59,13 +59,13 @@
 	careful   bool
 }
 
-// held reports whether the pace is limited.
-func (p *paceState) held() bool { return p.limit > 0 }
+// limited reports whether the pace is limited.
+func (p *paceState) limited() bool { return p.limit > 0 }
 
 // begin limits the pace.
 func (p *paceState) begin(now time.Time, reason PaceReason, used int) {
 	flaps := !p.beganAt.IsZero() && now.Sub(p.beganAt) < flapWindow
-	*p = paceState{judged: true, limit: float64(max(initialPace, used)), reason: reason, beganAt: now, careful: flaps}
+	*p = paceState{ageChecked: true, limit: float64(max(initialPace, used)), reason: reason, beganAt: now, careful: flaps}
 }
 
 // end removes the limit.
@@ -73,17 +73,17 @@
 
 // expire ends a pace that no response has raised for long.
 func (p *paceState) expire(now time.Time) (ended bool) {
-	if !p.held() || now.Sub(p.beganAt) < maxPaceTime || now.Sub(p.reducedAt) < maxPaceTime {
+	if !p.limited() || now.Sub(p.beganAt) < maxPaceTime || now.Sub(p.reducedAt) < maxPaceTime {
 		return false
 	}
 	p.end()
 	return true
 }
 
-// inTime raises the limit after a response in time, unless the replica ran less than
+// raise raises the limit after a response in time, unless the replica ran less than
 // half of what the limit allows: that shows nothing about more.
-func (p *paceState) inTime(ran, slots int) (ended bool) {
-	if !p.held() || float64(ran) < p.limit/2 {
+func (p *paceState) raise(ran, slots int) (ended bool) {
+	if !p.limited() || float64(ran) < p.limit/2 {
 		return false
 	}
 	if p.careful {
@@ -100,12 +100,12 @@
 
 // reducedLately reports whether the replica has just shown to be overloaded.
 func (p *paceState) reducedLately(now time.Time) bool {
-	return p.held() && now.Sub(p.reducedAt) < paceReductionInterval
+	return p.limited() && now.Sub(p.reducedAt) < paceReductionInterval
 }
 
-// late reduces the limit after a late response.
-func (p *paceState) late(now time.Time) (reduced bool) {
-	if !p.held() || p.reducedLately(now) {
+// reduce halves the limit after a late response, unless it was reduced lately.
+func (p *paceState) reduce(now time.Time) (reduced bool) {
+	if !p.limited() || p.reducedLately(now) {
 		return false
 	}
 	p.limit, p.reducedAt, p.careful = max(p.limit/2, 1), now, true
@@ -115,7 +115,7 @@
 // allows reports whether the replica may run one more request beside those that use its
 // slots, with a number of slots left free.
 func (p *paceState) allows(used, reserve int) bool {
-	return !p.held() || used < max(int(p.limit)-reserve, 1)
+	return !p.limited() || used < max(int(p.limit)-reserve, 1)
 }
 
 // PaceChange is a change of the pace of a replica, for logs.
@@ -133,7 +133,7 @@
 // recordPaceChange records a change, for logs.
 func (s *Scheduler) recordPaceChange(now time.Time, r *replicaState, reduced bool) {
 	n := r.Slots
-	if r.pace.held() {
+	if r.pace.limited() {
 		n = int(r.pace.limit)
 	}
 	s.paceChanges = append(s.paceChanges, PaceChange{
@@ -148,8 +148,8 @@
 	}
 	for _, r := range p.replicas {
 		switch {
-		case !r.pace.judged:
-			r.pace.judged = true
+		case !r.pace.ageChecked:
+			r.pace.ageChecked = true
 			if r.Born > 0 && r.Slots > initialPace && now.Sub(time.UnixMilli(r.Born)) < newReplicaAge {
 				r.pace.begin(now, PaceNew, r.used)
 				s.recordPaceChange(now, r, false)
@@ -164,12 +164,12 @@
 // requests.
 func (s *Scheduler) observePace(now time.Time, r *replicaState, late bool, ran int) {
 	switch {
-	case !r.pace.held():
+	case !r.pace.limited():
 	case late:
-		if r.pace.late(now) {
+		if r.pace.reduce(now) {
 			s.recordPaceChange(now, r, true)
 		}
-	case r.pace.inTime(ran, r.Slots):
+	case r.pace.raise(ran, r.Slots):
 		s.recordPaceChange(now, r, false)
 	}
 }
@@ -216,17 +216,17 @@
 	}
 }
 
-// holdsBack reports whether requests leave slots unused that are beyond the paces of
-// replicas: unless most replicas have begun one lately. Nobody can wait for a fleet of
-// which most is new.
-func (p *pool) holdsBack(now time.Time) bool {
+// enforcesPaces reports whether slots beyond the paces of replicas stay unused. They
+// don't if half or more of the ready replicas have begun a pace lately: the others could
+// not serve the requests that would have to wait.
+func (p *pool) enforcesPaces(now time.Time) bool {
 	ready, begun := 0, 0
 	for _, r := range p.replicas {
 		if !r.Ready {
 			continue
 		}
 		ready++
-		if r.pace.held() || !r.pace.beganAt.IsZero() && now.Sub(r.pace.beganAt) < maxPaceTime {
+		if r.pace.limited() || !r.pace.beganAt.IsZero() && now.Sub(r.pace.beganAt) < maxPaceTime {
 			begun++
 		}
 	}
@@ -238,7 +238,7 @@
 	n := 0
 	for _, p := range s.services {
 		for _, r := range p.replicas {
-			if r.pace.held() {
+			if r.pace.limited() {
 				n++
 			}
 		}
--- a/slots/pace_test.go
+++ b/slots/pace_test.go
@@ -65,16 +65,16 @@
 	p := paceState{}
 	p.begin(start, PaceNew, 0)
 	for range 4 {
-		p.inTime(8, 8)
+		p.raise(8, 8)
 	}
 	require.InDelta(t, 6, p.limit, 0)
-	require.True(t, p.late(start.Add(time.Second)))
-	require.False(t, p.late(start.Add(time.Second+paceReductionInterval/2)), "those that ran beside it show the same")
+	require.True(t, p.reduce(start.Add(time.Second)))
+	require.False(t, p.reduce(start.Add(time.Second+paceReductionInterval/2)), "those that ran beside it show the same")
 	require.InDelta(t, 3, p.limit, 0)
-	p.inTime(8, 8)
+	p.raise(8, 8)
 	require.InDelta(t, 3+carefulGrowth, p.limit, 0.001, "carefully from now on")
 	for i := range 20 {
-		p.late(start.Add(time.Duration(2+i) * time.Second))
+		p.reduce(start.Add(time.Duration(2+i) * time.Second))
 	}
 	require.InDelta(t, 1, p.limit, 0, "one request shows whether it works")
 	require.False(t, p.expire(start.Add(25*time.Second)))
@@ -120,7 +120,7 @@
 	}
 	respond(s, now, "r0", 1, 45*time.Millisecond)
 	s.updatePaces(now, s.pool(service))
-	require.False(t, s.find(service, "r0").pace.held())
+	require.False(t, s.find(service, "r0").pace.limited())
 	require.InDelta(t, 5, s.find(service, "r1").pace.limit, 0, "it bears what runs there")
 }
 
--- a/slots/place.go
+++ b/slots/place.go
@@ -12,16 +12,21 @@
 	// itemMargin is what the time of a batch item is multiplied by to tell whether it is
 	// done when due.
 	itemMargin = 1.2
-	// lastCallMargin is the longest time between the end of a request's wait and the time
-	// at which its first event is due with which the request is not expected to ask again.
-	lastCallMargin = 100 * time.Millisecond
+	// lastAttemptMargin is the time that must be left, when a request's wait ends, until
+	// its first event is due, for the request to be expected to ask again.
+	lastAttemptMargin = 100 * time.Millisecond
 	// lastResortMargin is how long before its latest start a request takes any slot.
 	lastResortMargin = 10 * time.Millisecond
 	// maxPaceWait is how long a request waits for a slot within the paces of replicas
-	// while others are free: a doubt about a replica must not make a request late.
+	// while others are free. A longer wait would make requests late for replicas that may
+	// turn out to be fast enough.
 	maxPaceWait = 50 * time.Millisecond
 	// initialFirstEventTime is assumed until minLearned responses have begun.
 	initialFirstEventTime = 45 * time.Millisecond
+	// tooSlowCost is more than any cost of a replica where an item is done when due.
+	tooSlowCost = 1000
+	// maxExpectedWait bounds the expected wait that is calculated: nothing waits longer.
+	maxExpectedWait = time.Minute
 )
 
 // firstEventTime returns the time to the first event on a replica of normal speed.
@@ -40,15 +45,15 @@
 	return now.Add(a.FirstEventWithin)
 }
 
-// isLastCall reports whether the request is not expected to ask for a slot again if it
+// isLastAttempt reports whether the request is not expected to ask for a slot again if it
 // is refused this time.
-func (a *AcquireArgs) isLastCall() bool {
-	return a.FirstEventWithin <= 0 || a.FirstEventWithin-a.MaxWait < lastCallMargin
+func (a *AcquireArgs) isLastAttempt() bool {
+	return a.FirstEventWithin <= 0 || a.FirstEventWithin-a.MaxWait < lastAttemptMargin
 }
 
-// begins reports whether a request that gets a slot of the replica now has its first
+// beginsInTime reports whether a request that gets a slot of the replica now has its first
 // event when it is due.
-func (p *pool) begins(now time.Time, r *replicaState, firstEventBy time.Time) bool {
+func (p *pool) beginsInTime(now time.Time, r *replicaState, firstEventBy time.Time) bool {
 	if firstEventBy.IsZero() || !p.speed.active(now) {
 		return true
 	}
@@ -63,9 +68,9 @@
 	if !p.speed.active(now) {
 		return p.choose(now, Online, allowed, s.rng)
 	}
-	inTime := func(r *replicaState) bool { return allowed(r) && p.begins(now, r, firstEventBy) }
+	inTime := func(r *replicaState) bool { return allowed(r) && p.beginsInTime(now, r, firstEventBy) }
 	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool { return inTime(r) && r.pace.allows(r.used, 0) })
-	if target == nil && !p.holdsBack(now) {
+	if target == nil && !p.enforcesPaces(now) {
 		target = p.chooseLeast(now, p.onlineCost(now), inTime)
 	}
 	return target
@@ -80,9 +85,9 @@
 	}
 	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool { return allowed(r) && r.pace.allows(r.used, 0) })
 	if target == nil {
-		holdsBack := p.holdsBack(now)
+		enforcesPaces := p.enforcesPaces(now)
 		target = p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool {
-			return allowed(r) && (!holdsBack || !r.pace.reducedLately(now))
+			return allowed(r) && (!enforcesPaces || !r.pace.reducedLately(now))
 		})
 	}
 	return target
@@ -93,7 +98,7 @@
 func (s *Scheduler) chooseForWaiter(now time.Time, p *pool, o occupancy, w *Waiter, plan *Plan) *replicaState {
 	allowed := s.placement(now, o, &w.args)
 	target := s.chooseOnline(now, p, allowed, w.firstEventBy)
-	if target != nil || !p.speed.active(now) || !w.args.isLastCall() {
+	if target != nil || !p.speed.active(now) || !w.args.isLastAttempt() {
 		return target
 	}
 	if target := s.chooseBeyondPace(now, p, w, allowed, plan); target != nil {
@@ -112,7 +117,7 @@
 // of the paces of replicas that were never late, or nil.
 func (s *Scheduler) chooseBeyondPace(now time.Time, p *pool, w *Waiter, allowed func(*replicaState) bool, plan *Plan) *replicaState {
 	target := p.chooseLeast(now, p.onlineCost(now), func(r *replicaState) bool {
-		return allowed(r) && p.begins(now, r, w.firstEventBy) && (!r.pace.held() || !r.pace.careful)
+		return allowed(r) && p.beginsInTime(now, r, w.firstEventBy) && (!r.pace.limited() || !r.pace.careful)
 	})
 	at := w.startBy.Add(maxPaceWait - w.args.MaxWait)
 	if target == nil || !now.Before(at) {
@@ -123,13 +128,13 @@
 }
 
 // lastResort returns the replica for a request that would be refused, or nil. heldBack is
-// the number of replicas that it may get if this was not its last call.
+// the number of replicas that it may get if this was not its last attempt.
 func (s *Scheduler) lastResort(now time.Time, p *pool, o occupancy, args *AcquireArgs) (target *replicaState, heldBack int) {
 	if !p.speed.active(now) {
 		return nil, 0
 	}
 	allowed := s.placement(now, o, args)
-	if args.isLastCall() {
+	if args.isLastAttempt() {
 		return s.chooseAny(now, p, allowed), 0
 	}
 	for _, r := range p.replicas {
@@ -196,9 +201,6 @@
 	}
 }
 
-// tooSlowCost is more than any cost of a replica where an item is done when due.
-const tooSlowCost = 1000
-
 // uses returns how long an online request uses the slot of a grant.
 func (g *grantState) uses(serviceTime time.Duration) time.Duration {
 	if g.slowness == 0 {
@@ -222,9 +224,6 @@
 	return high
 }
 
-// maxExpectedWait bounds the expected wait that is calculated: nothing waits longer.
-const maxExpectedWait = time.Minute
-
 // countStarts returns the number of requests that start within a time.
 func countStarts(starts []expectedStart, within time.Duration) int {
 	n := 0
--- a/slots/quarantine.go
+++ b/slots/quarantine.go
@@ -17,7 +17,7 @@
 // quarantineDuration is how long a request that crashes replicas is refused.
 const quarantineDuration = 10 * time.Minute
 
-// crashMomentWindow is the time within which crashes are at one moment. It leaves room for
+// crashMomentWindow is the time within which crashes count as simultaneous. It leaves room for
 // the probes and for the notices of other regions.
 const crashMomentWindow = 50 * time.Millisecond
 
@@ -28,7 +28,7 @@
 // RecordCrash records the crash of a replica with the requests that were in progress
 // there: those whose exchange is known to have broken off, and those that hold a slot.
 // It returns what other hosts have to be told, or false if there was no such request.
-// SettleCrashes has to be called crashMomentWindow later.
+// DecidePendingCrashes has to be called crashMomentWindow later.
 func (s *Scheduler) RecordCrash(now time.Time, r replica.Replica, broken []quarantine.Content) (quarantine.Notice, bool) {
 	if state := s.findIncarnation(r); state != nil {
 		state.recordOutcome(now, Unreachable)
@@ -54,12 +54,11 @@
 	return quarantine.Notice{Service: crashScope, Crash: &c}, true
 }
 
-// SettleCrashes decides on crashes of which it is known now whether others were at the same
-// moment. It returns what other
-// hosts have to be told.
-func (s *Scheduler) SettleCrashes(now time.Time) []quarantine.Notice {
+// DecidePendingCrashes decides on crashes of which it is known now whether others were at the same
+// moment. It returns what other hosts have to be told.
+func (s *Scheduler) DecidePendingCrashes(now time.Time) []quarantine.Notice {
 	var notices []quarantine.Notice
-	for _, f := range s.requests.Settle(crashScope, now, quarantineDuration) {
+	for _, f := range s.requests.DecidePending(crashScope, now, quarantineDuration) {
 		notices = append(notices, quarantine.Notice{Service: crashScope, Confirmed: f.Confirmed, Group: f.Group, SuspectFor: f.SuspectFor, Harmless: f.Harmless})
 	}
 	return notices
--- a/slots/shares.go
+++ b/slots/shares.go
@@ -283,8 +283,8 @@
 	return n
 }
 
-// displace refuses the waiters behind a new one that can't start in time any more: those
-// of customers that have used more of their shares.
+// displace refuses the waiters that now come after a new one and can't start in time any
+// more. They are of customers that have used more of their shares.
 func (s *Scheduler) displace(now time.Time, p *pool, newest *Waiter) {
 	if len(p.shares.classes) == 0 || p.queue[len(p.queue)-1] == newest {
 		return
--- a/slots/speed.go
+++ b/slots/speed.go
@@ -146,13 +146,13 @@
 	if !e.at.IsZero() {
 		mean, elapsed = e.meanAt(l.At), l.At.Sub(e.at)
 	}
-	e.mean = mean + (l.Slowness-mean)*(1-halved(elapsed, meanHalfLife))
+	e.mean = mean + (l.Slowness-mean)*(1-remainingFraction(elapsed, meanHalfLife))
 	e.last, e.at, e.running = l.Slowness, l.At, l.Running
 	return true
 }
 
-// halved returns the fraction that is left after a time with the given half-life.
-func halved(elapsed, halfLife time.Duration) float64 {
+// remainingFraction returns the fraction that is left after a time with the given half-life.
+func remainingFraction(elapsed, halfLife time.Duration) float64 {
 	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
 }
 
@@ -162,7 +162,7 @@
 	if e.at.IsZero() {
 		return 1
 	}
-	return 1 + (e.mean-1)*halved(now.Sub(e.at), meanRetention)
+	return 1 + (e.mean-1)*remainingFraction(now.Sub(e.at), meanRetention)
 }
 
 // reported returns the reported slowness that is expected now.
@@ -171,7 +171,7 @@
 	if e.at.IsZero() {
 		return mean
 	}
-	return mean + (e.last-mean)*halved(now.Sub(e.at), slownessHalfLife)
+	return mean + (e.last-mean)*remainingFraction(now.Sub(e.at), slownessHalfLife)
 }
 
 // reportedOver returns the mean of the reported slowness that is expected from now on
@@ -181,7 +181,7 @@
 	if d <= 0 {
 		return e.reported(now)
 	}
-	decay := slownessHalfLife.Seconds() / math.Ln2 / d.Seconds() * (1 - halved(d, slownessHalfLife))
+	decay := slownessHalfLife.Seconds() / math.Ln2 / d.Seconds() * (1 - remainingFraction(d, slownessHalfLife))
 	return mean + (e.reported(now)-mean)*decay
 }
 
@@ -217,9 +217,9 @@
 // learnRun learns from a response that began at a time when the given slowness was
 // reported for its duration, with other requests beside it.
 func (s *serviceSpeed) learnRun(e *speedEstimate, run Run, reported float64, beside int) {
-	crowd := 1 + stepGrowth*float64(max(beside, 0))
+	contention := 1 + stepGrowth*float64(max(beside, 0))
 	if per, ok := run.perEvent(); ok {
-		normal := per.Seconds() / reported / crowd
+		normal := per.Seconds() / reported / contention
 		if s.perEvent.n > 0 {
 			e.learn(normal / s.perEvent.value)
 		}
--- a/slots/uneven_load_test.go
+++ b/slots/uneven_load_test.go
@@ -194,7 +194,7 @@
 	if state.Born > r.load.At.UnixMilli() {
 		return
 	}
-	held := state.pace.held()
+	held := state.pace.limited()
 	m.s.ObserveLoad(m.now, state.Replica, r.load)
 	if held && m.rule != nil {
 		m.rule(m.now, state, r.load.HeadAfter.Seconds()/firstEventWork.Seconds()/r.load.Slowness)
@@ -205,7 +205,7 @@
 func (m *unevenModel) applyRule() {
 	m.s.updatePaces(m.now, m.s.pool(service))
 	for _, r := range m.s.pool(service).replicas {
-		if m.rule != nil && r.pace.held() {
+		if m.rule != nil && r.pace.limited() {
 			m.rule(m.now, r, 0)
 		}
 	}
--- a/slots/unrelated_crash_test.go
+++ b/slots/unrelated_crash_test.go
@@ -90,7 +90,7 @@
 			m.tell(dc, n)
 		}
 		m.after(crashMomentWindow, func() {
-			for _, n := range m.brokers[dc].SettleCrashes(m.now) {
+			for _, n := range m.brokers[dc].DecidePendingCrashes(m.now) {
 				m.tell(dc, n)
 			}
 		})
--- a/slots/wait.go
+++ b/slots/wait.go
@@ -118,7 +118,7 @@
 
 // hasWaiterFor reports whether a waiter may be sent to the replica.
 func (s *Scheduler) hasWaiterFor(now time.Time, o occupancy, p *pool, r *replicaState) bool {
-	return slices.ContainsFunc(p.queue, func(w *Waiter) bool { return s.placement(now, o, &w.args)(r) && p.begins(now, r, w.firstEventBy) })
+	return slices.ContainsFunc(p.queue, func(w *Waiter) bool { return s.placement(now, o, &w.args)(r) && p.beginsInTime(now, r, w.firstEventBy) })
 }
 
 // countAhead returns the number of waiters that may get the slots for which a new
