--- a/forward/forward.go
+++ b/forward/forward.go
@@ -403,26 +403,6 @@
 	return cmp.Or(s.events.LastID, s.req.LastEventID)
 }
 
-// refusalError returns the error of a request that is refused a slot.
-func (s *requestState) refusalError(err error) error {
-	var refusal *slots.RefusedError
-	if s.mayHaveRunCount > 0 || !errors.As(err, &refusal) {
-		return err
-	}
-	if refusal.OverQuota {
-		return s.overQuotaError(refusal)
-	}
-	s.Log.WithFields(logrus.Fields{
-		"request": s.req.ID, "fingerprint": s.req.Fingerprint.String(), "prompt_parts": s.req.PromptParts, "config_version": s.req.ConfigVersion, "route": s.req.Route.Name, "service": s.req.Service, "expected_wait": refusal.Wait.String(),
-		"replicas": refusal.Replicas, "rate_limited": refusal.RateLimited, "quarantined": refusal.Quarantined, "retry_after": refusal.RetryAfter.String(), "verdict": verdict.NotRun.String(),
-		"customer": s.req.customerName(), "share": refusal.Share.Share, "share_used": refusal.Share.Used, "displaced": refusal.Share.Displaced,
-	}).Warn("request refused")
-	if refusal.Quarantined {
-		return verdict.New(verdict.NotRun, verdict.CodeQuarantined, "Replicas ended each time they ran this request.").WithRetryAfter(refusal.RetryAfter)
-	}
-	return verdict.New(verdict.NotRun, verdict.CodeNoUpstream, "No replica is free in time.").WithRetryAfter(refusal.RetryAfter)
-}
-
 // mayRetry reports whether the request may be sent to one more replica.
 func (s *requestState) mayRetry(ctx context.Context) bool {
 	return ctx.Err() == nil && s.req.Deadline.Sub(s.Clock.Now()) > minTimeLeft &&
