--- a/slots/shares_load_test.go
+++ b/slots/shares_load_test.go
@@ -1,3 +1,5 @@
+//go:build !race
+
 package slots
 
 import (
