config check: a configuration is examined before it is sent

Cause: what a host leaves out of a configuration, entries that can never match and keys that a new version removes showed only after it was in force.

Change: spindlectl config check reads a configuration and, from a file, the version in force. Package configcheck holds the decisions, pure functions from decoded configurations to findings with severity, rule, field, value and reason. Errors are the faults of the function that hosts decode with (platform.decodeEntries, shared with DecodeConfig) and the version rule of hosts, now route.Table.Replaces; hidden routes and keys without effect are asked of route.Table and customer.Directory. No key is printed, also where it stands as a name. Exit codes 7 (warnings) and 8 (errors) are new.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -26,6 +26,10 @@
 	ExitDenied
 	// ExitNotFound means that the named thing does not exist.
 	ExitNotFound
+	// ExitWarnings means that a check found warnings and no errors.
+	ExitWarnings
+	// ExitFaults means that a check found errors.
+	ExitFaults
 )
 
 // codeError is an error with an exit code.
--- a/cli/control/control.go
+++ b/cli/control/control.go
@@ -30,7 +30,7 @@
 		Use: "spindlectl", Short: "Operate services and hosts",
 		Long: "Operate services and hosts. A context names the hosts' operators' addresses and a\n" +
 			"token file; see \"spindlectl context\". Exit codes: 1 failure, 2 usage, 3 conflict,\n" +
-			"4 no host reached, 5 token refused, 6 not found.",
+			"4 no host reached, 5 token refused, 6 not found, 7 warnings of a check, 8 errors of a check.",
 		Example: "  spindlectl service apply -f service.yaml --wait\n  spindlectl explain 01JD...",
 	}
 	p := root.PersistentFlags()
@@ -42,7 +42,7 @@
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(formats, cobra.ShellCompDirectiveNoFileComp))
 	_ = root.RegisterFlagCompletionFunc("context", f.completeContexts)
 	root.AddCommand(
-		newServiceCommand(f), newContextCommand(f), newHostsCommand(f), newUpstreamsCommand(f), newJobsCommand(f),
+		newServiceCommand(f), newConfigCommand(f), newContextCommand(f), newHostsCommand(f), newUpstreamsCommand(f), newJobsCommand(f),
 		newJobCommand(f), newTimelineCommand(f), newExplainCommand(f), newCostCommand(f), newReportCommand(f),
 	)
 	return root
--- a/host/config.go
+++ b/host/config.go
@@ -108,7 +108,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.table.Load()
-	if previous != nil && table.Version <= previous.Version {
+	if !table.Replaces(previous) {
 		return table.Version, nil
 	}
 	c.raw = value
--- a/route/route.go
+++ b/route/route.go
@@ -142,6 +142,10 @@
 	return t
 }
 
+// Replaces reports whether the table comes into force where the other one, which may be
+// nil, is in force: its version must be newer.
+func (t *Table) Replaces(other *Table) bool { return other == nil || t.Version > other.Version }
+
 // Match returns the host's route with the longest prefix of the path, or nil.
 func (t *Table) Match(host, path string) *Route {
 	for _, r := range t.hostRoutes(host) {
