quota: after a restart of all hosts, tokens are granted once all have polled twice

Cause: a host that was started again states for 2 s that a former broker may count it and for 1 s that a former allocator may, and its first poll brings a stamp only after 0.4 s. After a restart of all hosts nothing was admitted until 3.5 to 4.5 s after the kill. Change: what a host was attached to before only matters while another host counts brokers as allocator. In the first 3 s of its process each host but the first candidate promises with its polls to count none for 1 s. An allocator that has these promises of all other known hosts counts all that are attached at once. It must have written its own record and listed the hosts 0.8 s before. If a host is missing, the former times hold.

Changes of existing tests: the random model also restarts all hosts, or all but some; anyHost and allocatorNode return when no host is alive. In the model a host reads its view when it starts. The options of the services have the new field Registered.

--- a/host/presence.go
+++ b/host/presence.go
@@ -83,7 +83,9 @@
 	expired map[string]struct{}
 	leaseID txn.Lease
 	leaving bool
-	listed  bool
+	// listed is set once the records of all hosts have been listed, and written once that
+	// of this host has been written.
+	listed, written bool
 }
 
 // Serve keeps the host's own record in the store until ctx ends.
@@ -170,6 +172,9 @@
 		p.onRejoin()
 	}
 	p.everRegistered = true
+	p.mu.Lock()
+	p.written = true
+	p.mu.Unlock()
 	p.log.WithField("lease", lease).Info("record of this host written")
 	return nil
 }
@@ -218,6 +223,14 @@
 	return p.listed
 }
 
+// wasRegistered reports whether the hosts' records have been listed and that of this host has
+// been written.
+func (p *Presence) wasRegistered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listed && p.written
+}
+
 // Apply applies changes of host records. Hosts whose record was deleted are
 // pinged.
 func (p *Presence) Apply(ctx context.Context, items []txn.Item) {
--- a/host/quota.go
+++ b/host/quota.go
@@ -14,7 +14,7 @@
 
 func (h *Host) provisionQuotas() {
 	h.quotas = quota.NewService(quota.Options{
-		Tolerance: quotaTolerance(h.settings), View: h.view, Listed: h.hostsKnown, Peers: h.peerClient, Enabled: h.hasCustomers, Limits: h.limitOf,
+		Tolerance: quotaTolerance(h.settings), View: h.view, Listed: h.hostsKnown, Registered: h.presence.wasRegistered, Peers: h.peerClient, Enabled: h.hasCustomers, Limits: h.limitOf,
 		Now: boottime.Now, Clock: h.clock, Log: h.log, Metrics: quota.NewMetrics(h.registry),
 	})
 	h.broker.SetQuotas(h.quotas)
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/customer"
@@ -37,12 +38,21 @@
 	MajorityAge time.Duration
 }
 
+// IdleHost is a host that promises for a time to count no broker as allocator.
+type IdleHost struct {
+	Name string
+	For  time.Duration
+}
+
 // ExchangeArgs is the argument of Exchange.
 type ExchangeArgs struct {
 	Broker     string
 	Attachment Attachment
-	// Hosts is the number of hosts attached to the broker.
-	Hosts int
+	// Hosts is the number of hosts attached to the broker, without the Pending ones that
+	// another broker may still count.
+	Hosts, Pending int
+	// Idle holds the hosts that promise to count no broker as allocator.
+	Idle  []IdleHost
 	Fleet FleetState
 	// ConfigVersion is the version of the limits in Wants.
 	ConfigVersion int64
@@ -101,13 +111,28 @@
 	majorityAt time.Duration
 
 	buckets map[string]*bucket
+
+	// self is the name of this host.
+	self string
+	// complete is set from listedAt on, when this host had written its record and listed
+	// the hosts.
+	complete bool
+	listedAt time.Duration
+	// promisedUntil is the end of the last promise to count no broker, and attachedAt the
+	// time of the last message of a broker that attached itself, if attachTried is set.
+	promisedUntil, attachedAt time.Duration
+	attachTried               bool
+	// idle holds until when each host promises to count no broker. Until soleUntil all
+	// other hosts do so.
+	idle      map[string]time.Duration
+	soleUntil time.Duration
 }
 
 // NewAllocator returns an allocator with empty buckets.
 func NewAllocator(now time.Duration, t Tolerance, limits Limits) *Allocator {
 	return &Allocator{
 		tolerance: t, limits: limits, brokers: newAttachments(exchangeLease), members: &members{},
-		now: now, buckets: make(map[string]*bucket),
+		now: now, idle: make(map[string]time.Duration), buckets: make(map[string]*bucket),
 	}
 }
 
@@ -118,6 +143,7 @@
 		a.seenSince = a.now
 	}
 	a.members.update(now, names)
+	a.updateSole(now)
 	a.updateShare(now)
 }
 
@@ -126,7 +152,7 @@
 	a.advance(now)
 	now = a.now
 	a.mergeFleetState(now, args.Fleet)
-	a.brokers.renew(now, args.Broker, args.Attachment, max(args.Hosts, 0))
+	a.attach(now, args)
 	a.updateShare(now)
 	reply := ExchangeReply{Stamp: a.brokers.stamp(now), Fleet: a.fleetState(), Answers: make([]Answer, len(args.Wants))}
 	for i := range args.Wants {
@@ -135,6 +161,57 @@
 	return reply
 }
 
+// attach counts the hosts of a broker.
+func (a *Allocator) attach(now time.Duration, args *ExchangeArgs) {
+	if !a.brokers.valid(now, args.Attachment) {
+		return
+	}
+	a.attachedAt, a.attachTried = now, true
+	a.brokers.renew(now, a.promisedUntil, args.Broker, args.Attachment, attachedHosts{hosts: max(args.Hosts, 0), pending: max(args.Pending, 0)})
+	for _, h := range args.Idle {
+		// The promise is younger than the stamp that the message returns.
+		a.idle[h.Name] = max(a.idle[h.Name], args.Attachment.Echo.At+min(h.For, idlePromise))
+	}
+	if len(args.Idle) > 0 || len(a.members.absentSince) == 1 {
+		a.updateSole(now)
+	}
+}
+
+// updateSole sets soleUntil. Only after a start are there promises.
+func (a *Allocator) updateSole(now time.Duration) {
+	maps.DeleteFunc(a.idle, func(_ string, until time.Duration) bool { return until <= now })
+	a.soleUntil = 0
+	if len(a.idle)+1 < len(a.members.absentSince) {
+		return
+	}
+	until := now + idlePromise
+	for name := range a.members.absentSince {
+		if name != a.self {
+			until = min(until, a.idle[name])
+		}
+	}
+	a.soleUntil = until
+}
+
+// promise promises to count no broker for idlePromise, and reports whether this allocator can:
+// it counts none and none has tried to attach itself lately.
+func (a *Allocator) promise(now time.Duration) bool {
+	a.advance(now)
+	a.brokers.hosts(a.now)
+	if len(a.brokers.byName) > 0 || a.attachTried && a.now-a.attachedAt < exchangeLease {
+		return false
+	}
+	a.promisedUntil = a.now + idlePromise
+	return true
+}
+
+// isSole reports whether no other host may count brokers as allocator: each of them has
+// promised that. Whatever a host or broker was attached to before it was started again then
+// counts nothing, so all attached hosts count here.
+func (a *Allocator) isSole(now time.Duration) bool {
+	return a.complete && now-a.listedAt >= listingDelay && now >= a.promisedUntil && now < a.soleUntil && a.known == len(a.members.absentSince)
+}
+
 // mergeFleetState applies what a broker knows of the hosts.
 func (a *Allocator) mergeFleetState(now time.Duration, s FleetState) {
 	if s.HadMajority && s.MajorityAge >= 0 {
@@ -157,6 +234,11 @@
 		if fence := a.majorityAt + minorityLimit; a.majority && fence > a.now {
 			next = min(next, fence)
 		}
+		for _, at := range []time.Duration{a.promisedUntil, a.soleUntil, a.listedAt + listingDelay} {
+			if at > a.now {
+				next = min(next, at)
+			}
+		}
 		a.refill += a.share * (next - a.now).Seconds()
 		a.now = next
 		a.updateShare(next)
@@ -171,6 +253,9 @@
 func (a *Allocator) updateShare(now time.Duration) {
 	attached, seen := a.brokers.hosts(now), a.members.count(now)
 	a.known = max(a.known, seen)
+	if t := a.brokers.total(now); t.pending > 0 && a.isSole(now) {
+		attached = min(t.hosts+t.pending, a.known)
+	}
 	if seen > 0 && 2*attached > a.known {
 		if now-a.seenSince >= departureHold {
 			a.known = max(seen, attached)
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -87,7 +87,7 @@
 		pick := func(label string) *node { return n.nodes[rapid.IntRange(0, len(n.nodes)-1).Draw(t, label)] }
 		for range rapid.IntRange(4, 16).Draw(t, "steps") {
 			n.run(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
-			switch rapid.IntRange(0, 8).Draw(t, "step") {
+			switch rapid.IntRange(0, 10).Draw(t, "step") {
 			case 0:
 				sides := rapid.SliceOfN(rapid.IntRange(0, 2), len(n.nodes), len(n.nodes)).Draw(t, "sides")
 				for i, h := range n.nodes {
@@ -122,6 +122,22 @@
 				limit.Burst = limit.PerSecond * rapid.Float64Range(0.2, 2).Draw(t, "burst")
 				n.configure("large", limit)
 				changes["large"] = append(changes["large"], limitChange{at: n.now, limit: limit})
+			case 9:
+				// All hosts are killed and started again within a time, frozen ones too.
+				longest := rapid.IntRange(0, 2500).Draw(t, "longest down ms")
+				n.killAll(func(h *node) (time.Duration, bool) {
+					h.frozenUntil = 0
+					return n.jitter(time.Duration(longest+1) * time.Millisecond), !h.dead
+				})
+			case 10:
+				// All but some of them, which may be the allocator or frozen.
+				longest := rapid.IntRange(0, 2500).Draw(t, "longest down ms")
+				spared := rapid.SliceOfN(rapid.IntRange(0, 3), len(n.nodes), len(n.nodes)).Draw(t, "spared")
+				i := 0
+				n.killAll(func(h *node) (time.Duration, bool) {
+					i++
+					return n.jitter(time.Duration(longest+1) * time.Millisecond), !h.dead && n.now >= h.frozenUntil && spared[i-1] > 0
+				})
 			}
 		}
 		n.run(2 * time.Second)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,6 +37,19 @@
 	// departureHold, which must be longer.
 	minorityLimit = 4 * time.Minute
 	departureHold = 5 * time.Minute
+	// idlePromise is how long a host that has just started promises to count no broker as
+	// allocator. Promises are renewed with each poll, at least every 0.4 s, and passed on
+	// with each exchange.
+	idlePromise = time.Second
+	// promisePeriod is the age of a process up to which it makes such promises. It covers
+	// the time for which the last of hosts that start within a second may still be counted
+	// elsewhere.
+	promisePeriod = 3 * time.Second
+	// listingDelay is the time from which on an allocator that has written its record and
+	// listed the hosts takes them for all hosts. Hosts that start together learn of each
+	// other within it: the watch of the records gathers changes for 0.4 s, and a host that
+	// doesn't watch learns of them by its next poll.
+	listingDelay = 800 * time.Millisecond
 )
 
 // Parts of the tolerance. The remaining part covers requests that hold a token while they
@@ -90,6 +103,12 @@
 	// CountedElsewhereFor is how long another broker or allocator may still count the
 	// sender. The receiver counts it only after that.
 	CountedElsewhereFor time.Duration
+	// WantsStamp reports that a host has no recent stamp of the broker, which then replies
+	// at once.
+	WantsStamp bool
+	// IdleFor is how long a host promises to count no broker as allocator. Zero is no
+	// promise.
+	IdleFor time.Duration
 }
 
 // attachedSide is the state of the attached side of an attachment: until when each broker,
@@ -158,7 +177,13 @@
 // counted is a host or broker that is attached from one time until another.
 type counted struct {
 	from, until time.Duration
-	hosts       int
+	attachedHosts
+}
+
+// attachedHosts describes the hosts that one attachment stands for.
+type attachedHosts struct {
+	// hosts counts those that no other broker may count, and pending the others.
+	hosts, pending int
 }
 
 func newAttachments(lease time.Duration) *attachments {
@@ -167,13 +192,18 @@
 
 func (a *attachments) stamp(now time.Duration) Stamp { return Stamp{Process: a.process, At: now} }
 
-// renew extends an attachment by a message of the attached side, which stands for a number
-// of hosts.
-func (a *attachments) renew(now time.Duration, name string, att Attachment, hosts int) {
-	if att.Echo.Process != a.process || att.Echo.At > now {
+// valid reports whether an attachment returns a stamp of this process.
+func (a *attachments) valid(now time.Duration, att Attachment) bool {
+	return att.Echo.Process == a.process && att.Echo.At <= now
+}
+
+// renew extends an attachment by a message of the attached side, which is counted no earlier
+// than notBefore.
+func (a *attachments) renew(now, notBefore time.Duration, name string, att Attachment, hosts attachedHosts) {
+	if !a.valid(now, att) {
 		return
 	}
-	c := counted{from: now + max(att.CountedElsewhereFor, 0), until: att.Echo.At + a.lease, hosts: hosts}
+	c := counted{from: max(now+max(att.CountedElsewhereFor, 0), notBefore), until: att.Echo.At + a.lease, attachedHosts: hosts}
 	if c.until > a.byName[name].until {
 		a.byName[name] = c
 	}
@@ -194,6 +224,24 @@
 	return n
 }
 
+// total returns the number of all hosts attached at a moment. Those that another broker or
+// allocator may still count are pending.
+func (a *attachments) total(now time.Duration) attachedHosts {
+	var t attachedHosts
+	for _, c := range a.byName {
+		if c.until <= now {
+			continue
+		}
+		if c.from <= now {
+			t.hosts += c.hosts
+			t.pending += c.pending
+		} else {
+			t.pending += c.hosts + c.pending
+		}
+	}
+	return t
+}
+
 // nextChange returns the first moment after now, and before end, at which the number of
 // attached hosts may change, or end.
 func (a *attachments) nextChange(now, end time.Duration) time.Duration {
--- a/quota/service.go
+++ b/quota/service.go
@@ -26,6 +26,9 @@
 	// maxFailures is the number of failures in a row after which a broker passes over
 	// an allocator. A single one may be a broken connection or a slow host.
 	maxFailures = 2
+	// startPatience is how long a broker that has just started, and that no allocator has
+	// answered yet, waits for the first one: it may be starting too.
+	startPatience = 2 * time.Second
 	// probeInterval is the time between the calls to an allocator that is passed over.
 	probeInterval = time.Second
 	// lowCreditDelay is the least time between two exchanges if no request waits.
@@ -47,9 +50,10 @@
 type Options struct {
 	Tolerance Tolerance
 	View      membership.View
-	// Listed reports whether View holds all hosts in service.
-	Listed func() bool
-	Peers  PeerClient
+	// Listed reports whether View holds all hosts in service, and Registered whether this
+	// host has read them from the store and written its own record.
+	Listed, Registered func() bool
+	Peers              PeerClient
 	// Enabled reports whether the configuration in force has customers. Without them
 	// nothing is sent or counted.
 	Enabled func() bool
@@ -74,8 +78,13 @@
 	// broker to an allocator.
 	hosts                 *attachments
 	toBroker, toAllocator *attachedSide
-	lastTake              time.Duration
-	taken                 bool
+	// idle holds until when each host promises to count no broker as allocator.
+	idle      map[string]time.Duration
+	startedAt time.Duration
+	lastTake  time.Duration
+	taken     bool
+	// answered is set once an allocator has answered an exchange.
+	answered bool
 
 	// viewChanged is closed when the hosts that were last read from View are outdated.
 	viewChanged <-chan struct{}
@@ -102,9 +111,10 @@
 	now := o.Now()
 	s := &Service{
 		Options: o, hosts: newAttachments(pollLease), toBroker: newAttachedSide(now, pollLease+exchangeLease), toAllocator: newAttachedSide(now, exchangeLease),
-		failures: make(map[string]*failures), exchangeNow: make(chan struct{}, 1), exchangeSoon: make(chan struct{}, 1),
+		startedAt: now, idle: make(map[string]time.Duration), failures: make(map[string]*failures), exchangeNow: make(chan struct{}, 1), exchangeSoon: make(chan struct{}, 1),
 	}
 	s.allocator = NewAllocator(now, o.Tolerance, o.Limits)
+	s.allocator.self = o.View.Self().Name
 	s.account = NewAccount(o.Tolerance, o.Limits, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	return s
 }
@@ -168,7 +178,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.toBroker.next(s.Now(), broker)
+	now := s.Now()
+	a := s.toBroker.next(now, broker)
+	h, ok := s.toBroker.held[broker]
+	a.WantsStamp = !ok || now-h.at >= pollLease
+	if now-s.startedAt < promisePeriod {
+		s.updateView()
+		// The first candidate makes no promise, since the brokers will attach themselves to it.
+		if len(s.candidates) > 0 && s.candidates[0].Name != s.allocator.self && s.allocator.promise(now) {
+			a.IdleFor = idlePromise
+		}
+	}
+	return a
 }
 
 // PollReplied records the stamp in a broker's reply to a poll.
@@ -189,12 +210,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.Now()
-	s.hosts.renew(now, host, a, 1)
-	if s.account.hosts == 0 && s.hosts.hosts(now) > 0 {
+	if !s.hosts.valid(now, a) {
+		return
+	}
+	s.hosts.renew(now, 0, host, a, attachedHosts{hosts: 1})
+	_, known := s.idle[host]
+	if a.IdleFor > 0 {
+		// The promise is younger than the stamp that the message returns.
+		s.idle[host] = a.Echo.At + a.IdleFor
+	}
+	switch {
+	case s.account.hosts == 0 && s.hosts.hosts(now) > 0:
 		signal(s.exchangeNow)
+	case a.IdleFor > 0 && !known:
+		signal(s.exchangeSoon)
 	}
 }
 
+// idleHosts returns the hosts whose promise to count no broker as allocator holds. The lock
+// is held.
+func (s *Service) idleHosts(now time.Duration) []IdleHost {
+	var idle []IdleHost
+	for name, until := range s.idle {
+		if until <= now {
+			delete(s.idle, name)
+			continue
+		}
+		idle = append(idle, IdleHost{Name: name, For: until - now})
+	}
+	return idle
+}
+
 // PollStamp returns the stamp of the reply to a poll.
 func (s *Service) PollStamp() Stamp {
 	if !s.Enabled() {
@@ -227,6 +273,9 @@
 	if !s.Listed() {
 		return
 	}
+	if !s.allocator.complete && s.Registered() {
+		s.allocator.complete, s.allocator.listedAt = true, s.Now()
+	}
 	if s.viewChanged != nil {
 		select {
 		case <-s.viewChanged:
@@ -335,12 +384,15 @@
 	s.updateView()
 	now := s.Now()
 	s.account.SetHosts(s.hosts.hosts(now))
-	if s.account.hosts == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
+	t := s.hosts.total(now)
+	if t.hosts+t.pending == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
 		return pendingExchange{}, false
 	}
 	x := pendingExchange{sentAt: now}
 	x.to, x.probes = s.chooseAllocator(now)
-	x.args = &ExchangeArgs{Broker: s.View.Self().Name, Hosts: s.account.hosts, Fleet: s.account.Fleet(now)}
+	x.args = &ExchangeArgs{
+		Broker: s.View.Self().Name, Hosts: t.hosts, Pending: t.pending, Idle: s.idleHosts(now), Fleet: s.account.Fleet(now),
+	}
 	if s.leavingAt == 0 {
 		x.unattached = !s.toAllocator.fresh(now, x.to.Name)
 		x.args.Attachment = s.toAllocator.next(now, x.to.Name)
@@ -358,6 +410,7 @@
 		return s.failed(x.to, err)
 	}
 	s.Metrics.exchanges.WithLabelValues("answered").Inc()
+	s.answered = true
 	delete(s.failures, x.to.Name)
 	now := s.Now()
 	s.toAllocator.received(now, x.to.Name, reply.Stamp)
--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -64,7 +64,7 @@
 	for i, h := range all {
 		others := append(append([]membership.Host{}, all[:i]...), all[i+1:]...)
 		w.services[h.Name] = NewService(Options{
-			Tolerance: testTolerance, View: membership.NewStatic(h, others...), Listed: func() bool { return true }, Peers: w,
+			Tolerance: testTolerance, View: membership.NewStatic(h, others...), Listed: func() bool { return true }, Registered: func() bool { return true }, Peers: w,
 			Enabled: func() bool { return enabled }, Limits: func(name string) (customer.Quota, int64, bool) { return limit, 1, enabled && name == "c" },
 			Now: boottime.Now, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 		})
--- a/quota/sim_load_test.go
+++ b/quota/sim_load_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -84,8 +85,11 @@
 	n.after(time.Duration(n.rng.ExpFloat64()/perSecond*float64(time.Second)), next)
 }
 
-// anyHost returns a host that accepts requests.
+// anyHost returns a host that accepts requests, if there is one.
 func (n *network) anyHost() *node {
+	if !slices.ContainsFunc(n.nodes, func(h *node) bool { return !h.dead && n.now >= h.frozenUntil }) {
+		return n.nodes[0]
+	}
 	for {
 		if h := n.nodes[n.rng.IntN(len(n.nodes))]; !h.dead && n.now >= h.frozenUntil {
 			return h
@@ -101,6 +105,9 @@
 			all = append(all, membership.Host{Name: h.name})
 		}
 	}
+	if len(all) == 0 {
+		return n.nodes[0]
+	}
 	return n.nodeOf(membership.Rendezvous(all, rendezvousKey, 1)[0].Name)
 }
 
--- a/quota/sim_test.go
+++ b/quota/sim_test.go
@@ -112,11 +112,14 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	h.Service = NewService(Options{
-		Tolerance: n.tolerance, View: h.view, Listed: func() bool { return true }, Now: func() time.Duration { return n.now },
+		Tolerance: n.tolerance, View: h.view, Listed: func() bool { return true }, Registered: func() bool { return true }, Now: func() time.Duration { return n.now },
 		Enabled: func() bool { return true }, Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 		Limits: func(name string) (customer.Quota, int64, bool) { l, ok := h.limits[name]; return l, h.version, ok },
 	})
 	h.account.rng = n.rng
+	// A host lists all records at its start: they stay in the store for some seconds after
+	// their hosts were cut off from it.
+	h.updateView()
 	h.dead, h.asking, h.due, h.suspects = false, false, 0, make(map[string]time.Duration)
 	service := h.Service
 	n.after(n.jitter(50*time.Millisecond), func() { n.pollLoop(h, service) })
@@ -253,7 +256,11 @@
 		n.send(h, broker, 800*time.Millisecond, func(reply func(func())) {
 			broker.Polled(h.name, attachment)
 			target := broker.Service
-			n.after(400*time.Millisecond, func() {
+			hold := 400 * time.Millisecond
+			if attachment.WantsStamp {
+				hold = 0
+			}
+			n.after(hold, func() {
 				n.on(broker, target, func() {
 					stamp := broker.PollStamp()
 					reply(func() { h.PollReplied(broker.name, stamp); again(5 * time.Millisecond) })
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -320,6 +320,10 @@
 	updates := b.sync(args)
 	b.countPoll(&args)
 	defer b.stampPoll(&args, reply)
+	if b.stampWanted(&args) {
+		b.collect(updates, args.Version, reply)
+		return nil
+	}
 	timer := b.clock.NewTimer(pollWait)
 	defer timer.Stop()
 	if !b.collect(updates, args.Version, reply) {
--- a/slots/quota.go
+++ b/slots/quota.go
@@ -59,6 +59,12 @@
 	}
 }
 
+// stampWanted reports whether the reply to a poll is due at once, since its host lacks a stamp
+// and this broker has one.
+func (b *Broker) stampWanted(args *PollArgs) bool {
+	return b.quotas != nil && !args.Partial && args.Quota.WantsStamp && b.quotas.PollStamp() != quota.Stamp{}
+}
+
 // quotaAttachment returns what to state in a poll of a broker of the own data centre.
 func (c *Client) quotaAttachment(h membership.Host, remote bool) quota.Attachment {
 	if c.Quotas == nil || remote {
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -148,3 +148,23 @@
 	require.Equal(t, 4, all[broker.name()].left)
 	require.Equal(t, 5, all[f.brokerOf("y").name()].left)
 }
+
+// A host that has just started waits for its first stamp as long as for a grant, so it is
+// counted late; or a broker without quotas answers each of its polls at once.
+func TestPollForAStampIsAnsweredAtOnce(t *testing.T) {
+	f, all := newQuotaFleet(5)
+	broker, other := f.broker("x")
+	args := PollArgs{Host: other.name(), Version: skipRecords, Quota: quota.Attachment{WantsStamp: true}}
+	var reply PollReply
+	require.NoError(t, broker.broker.Poll(args, &reply))
+	require.Equal(t, all[broker.name()].stamp, reply.Quota)
+	all[broker.name()].stamp = quota.Stamp{}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = broker.broker.Poll(args, new(PollReply))
+	}()
+	require.NoError(t, f.clock.BlockUntilContext(context.Background(), 1))
+	f.clock.Advance(pollWait)
+	<-done
+}
