quota: a customer that a newer configuration has removed is refused by brokers

Cause: a broker whose configuration no longer has a customer admitted its requests without counting them, while hosts with the older configuration still admitted the customer's keys; a request that waited for a token was admitted likewise. Change: AcquireArgs states the version of the configuration by which the host admitted the request. A broker with a newer one without the customer refuses it as over its quota (allocators already grant such a customer nothing), also if it waits for a token. Customers that the broker doesn't know yet are admitted as before. Measured: new rows of TestAccountDecides and the test of waiting requests pass.

Changes of existing tests: Take has a new argument; TestRequestsTakeTokens and TestFurtherAttemptsAreCharged also check the version.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -362,7 +362,7 @@
 		Pinned: s.pinned, SoftwareVersion: s.softwareVersion, Stream: s.req.Stream(),
 	}
 	if c := s.req.Customer; c != nil {
-		args.Customer, args.CustomerPriority, args.Charged = c.Name, c.Priority, s.charged
+		args.Customer, args.CustomerPriority, args.ConfigVersion, args.Charged = c.Name, c.Priority, s.req.ConfigVersion, s.charged
 	}
 	if s.req.Route.Objective > 0 && !s.begun {
 		args.FirstEventWithin = max(s.req.Arrived.Add(s.req.Route.Objective).Sub(s.Clock.Now()), 0)
--- a/forward/quota_test.go
+++ b/forward/quota_test.go
@@ -48,7 +48,7 @@
 
 // A request takes a token for each of its attempts.
 func TestFurtherAttemptsAreCharged(t *testing.T) {
-	req := &Request{ID: "r", Route: idempotent, Customer: &customer.Customer{Name: "c", Priority: 2}}
+	req := &Request{ID: "r", Route: idempotent, ConfigVersion: 7, Customer: &customer.Customer{Name: "c", Priority: 2}}
 	o := scriptResult{
 		upstream: &fakeUpstream{attempts: []scriptedAttempt{status(500, true), ok(strings.NewReader("x"))}},
 		slots:    &fakeSlots{left: 5}, sink: &recordingSink{},
@@ -57,6 +57,7 @@
 	require.Len(t, o.slots.acquires, 2)
 	for i, args := range o.slots.acquires {
 		require.Equal(t, "c", args.Customer)
+		require.EqualValues(t, 7, args.ConfigVersion)
 		require.Equal(t, i > 0, args.Charged)
 	}
 }
--- a/quota/account.go
+++ b/quota/account.go
@@ -83,10 +83,15 @@
 	return &Account{tolerance: t, limits: limits, rng: rng, entries: make(map[string]*entry), changed: make(map[string]struct{})}
 }
 
-// Take takes a token for a request of a customer. Customers that aren't known, or have
-// no limit, are admitted without one.
-func (a *Account) Take(now time.Duration, name string) Decision {
+// Take takes a token for a request of a customer that a host has admitted by a version of the
+// configuration. Customers without a limit are admitted without a token, and so are those that
+// only the host's newer configuration has. One that a newer configuration than the host's
+// doesn't have any more is refused.
+func (a *Account) Take(now time.Duration, name string, admittedBy int64) Decision {
 	limit, version, ok := a.limits(name)
+	if !ok && admittedBy != 0 && admittedBy < version {
+		return Decision{Refusal: Refusal{RetryAfter: maxRetryAfter, ConfigVersion: version}}
+	}
 	if !ok || !limit.Limited() {
 		return Decision{Admitted: true}
 	}
@@ -206,7 +211,7 @@
 		e := a.entries[name]
 		limit, v, ok := a.limits(name)
 		if !ok || !limit.Limited() {
-			a.forget(name, e)
+			a.forget(name, e, ok, v)
 			continue
 		}
 		e = a.entryOf(name, limit, v)
@@ -224,10 +229,15 @@
 	return wants, version
 }
 
-// forget removes a customer that has no limit any more.
-func (a *Account) forget(name string, e *entry) {
+// forget removes a customer that has no limit any more, or that a version of the configuration
+// doesn't have any more, in which case the requests that wait are refused.
+func (a *Account) forget(name string, e *entry, known bool, version int64) {
+	d := Decision{Admitted: known}
+	if !known {
+		d.Refusal = Refusal{RetryAfter: maxRetryAfter, ConfigVersion: version}
+	}
 	for _, w := range e.waiting {
-		w.Decided <- Decision{Admitted: true}
+		w.Decided <- d
 	}
 	delete(a.entries, name)
 	delete(a.changed, name)
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -22,7 +22,7 @@
 	a.exchanged = true
 	for b.Loop() {
 		e.credit = 10
-		a.Take(0, "c")
+		a.Take(0, "c", 0)
 	}
 }
 
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -161,6 +161,8 @@
 			return customer.Quota{PerSecond: 10, Burst: 10}, 1, true
 		case "unlimited":
 			return customer.Quota{}, 1, true
+		case "removed":
+			return customer.Quota{}, 3, false
 		}
 		return customer.Quota{}, 1, false
 	}
@@ -177,7 +179,7 @@
 	take := func(a *Account, now time.Duration, n int) Decision {
 		var d Decision
 		for range n {
-			d = a.Take(now, "c")
+			d = a.Take(now, "c", 0)
 		}
 		return d
 	}
@@ -187,8 +189,11 @@
 		admitted bool
 		waits    bool
 	}{
-		{"unknown customer", func(a *Account) Decision { return a.Take(0, "x") }, true, false},
-		{"no limit", func(a *Account) Decision { return a.Take(0, "unlimited") }, true, false},
+		{"unknown customer", func(a *Account) Decision { return a.Take(0, "x", 0) }, true, false},
+		{"unknown customer of the same configuration", func(a *Account) Decision { return a.Take(0, "x", 1) }, true, false},
+		{"customer of a newer configuration", func(a *Account) Decision { return a.Take(0, "x", 2) }, true, false},
+		{"customer that a newer configuration has removed", func(a *Account) Decision { return a.Take(0, "removed", 2) }, false, false},
+		{"no limit", func(a *Account) Decision { return a.Take(0, "unlimited", 0) }, true, false},
 		{"credit", func(a *Account) Decision { return take(a, 0, 2) }, true, false},
 		{"credit used up", func(a *Account) Decision { return take(a, 0, 3) }, false, true},
 		{"credit expired", func(a *Account) Decision { return take(a, exchangeLease, 1) }, false, true},
@@ -224,6 +229,21 @@
 	}
 }
 
+// A request that waits for a token when its customer is removed runs uncounted, or one whose
+// customer has no limit any more is refused.
+func TestWaitingRequestsOfCustomersWithoutALimit(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		limit, ok := customer.Quota{PerSecond: 10, Burst: 10}, true
+		a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, ok }, settled(1).rng)
+		d := a.Take(0, "c", 1)
+		limit, ok = customer.Quota{}, known
+		a.Wants(0)
+		d = <-d.Waiter.Decided
+		require.Equal(t, known, d.Admitted)
+		require.Equal(t, known, d.Refusal.RetryAfter == 0)
+	}
+}
+
 // The customers that metrics name grow without bound.
 func TestMetricsNameTheLargestCustomers(t *testing.T) {
 	n := settled(1)
--- a/quota/service.go
+++ b/quota/service.go
@@ -119,17 +119,20 @@
 	return s
 }
 
-// Take takes a token for a request of a customer and reports whether there is one. It
-// waits for the allocator's answer if the credit is used up.
-func (s *Service) Take(name string) (Refusal, bool) {
+// Take takes a token for a request of a customer that a host has admitted by a version of the
+// configuration, and reports whether there is one. It waits for the allocator's answer if the
+// credit is used up.
+func (s *Service) Take(name string, admittedBy int64) (Refusal, bool) {
 	limit, _, ok := s.Limits(name)
-	if !ok || !limit.Limited() {
+	if ok && !limit.Limited() {
 		return Refusal{}, true
 	}
 	s.mu.Lock()
 	now := s.Now()
-	s.lastTake, s.taken = now, true
-	d := s.account.Take(now, name)
+	if ok {
+		s.lastTake, s.taken = now, true
+	}
+	d := s.account.Take(now, name, admittedBy)
 	s.mu.Unlock()
 	switch {
 	case d.Waiter != nil:
@@ -138,7 +141,9 @@
 	case d.Ask:
 		signal(s.exchangeSoon)
 	}
-	s.Metrics.count(name, limit.PerSecond, d.Admitted)
+	if ok || !d.Admitted {
+		s.Metrics.count(name, limit.PerSecond, d.Admitted)
+	}
 	return d.Refusal, d.Admitted
 }
 
--- a/quota/service_test.go
+++ b/quota/service_test.go
@@ -90,7 +90,7 @@
 // go over to the next allocator.
 func TestServicesExchangeAndReplaceTheAllocator(t *testing.T) {
 	w := startServices(t, true)
-	admitted := func() bool { _, ok := w.services["x1"].Take("c"); return ok }
+	admitted := func() bool { _, ok := w.services["x1"].Take("c", 0); return ok }
 	require.Eventually(t, admitted, 5*time.Second, 20*time.Millisecond)
 	broker := w.services["x1"]
 	broker.mu.Lock()
@@ -109,7 +109,7 @@
 	}
 	refused := 0
 	for range 300 {
-		if refusal, ok := broker.Take("c"); !ok {
+		if refusal, ok := broker.Take("c", 0); !ok {
 			refused++
 			require.Positive(t, refusal.RetryAfter)
 			require.Equal(t, int64(1), refusal.ConfigVersion)
@@ -142,7 +142,7 @@
 // Without customers messages are sent or hosts are counted.
 func TestWithoutCustomersNothingIsSent(t *testing.T) {
 	w := startServices(t, false)
-	_, ok := w.services["x1"].Take("c")
+	_, ok := w.services["x1"].Take("c", 0)
 	require.True(t, ok)
 	time.Sleep(600 * time.Millisecond)
 	require.Zero(t, w.callCount())
--- a/quota/sim_load_test.go
+++ b/quota/sim_load_test.go
@@ -36,7 +36,7 @@
 		decided(d)
 	}
 	broker.lastTake, broker.taken = n.now, true
-	d := broker.account.Take(n.now, name)
+	d := broker.account.Take(n.now, name, 0)
 	if d.Waiter == nil {
 		if d.Ask {
 			broker.due = min(broker.due, n.now+lowCreditDelay)
--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -33,6 +33,9 @@
 	// configuration has no customers or the route is public.
 	Customer         string
 	CustomerPriority int
+	// ConfigVersion is the version of the configuration by which the host has admitted the
+	// request.
+	ConfigVersion int64
 	// Charged reports that the request has a token of its customer's quota: an earlier
 	// attempt was granted a slot.
 	Charged bool
--- a/slots/quota.go
+++ b/slots/quota.go
@@ -8,9 +8,10 @@
 // Quotas bounds the requests of each customer that replicas run. It also counts which
 // hosts poll which broker.
 type Quotas interface {
-	// Take takes a token for a request of a customer and reports whether there is one.
-	// Return gives it back if the request gets no slot.
-	Take(customer string) (quota.Refusal, bool)
+	// Take takes a token for a request of a customer that a host has admitted by a version
+	// of the configuration, and reports whether there is one. Return gives it back if the
+	// request gets no slot.
+	Take(customer string, admittedBy int64) (quota.Refusal, bool)
 	Return(customer string)
 	// PollAttachment returns what a host states in its next poll of a broker, and
 	// PollReplied receives the stamp in the reply.
@@ -33,7 +34,7 @@
 	if b.quotas == nil || args.Customer == "" || args.Charged {
 		return func() {}, true
 	}
-	refusal, ok := b.quotas.Take(args.Customer)
+	refusal, ok := b.quotas.Take(args.Customer, args.ConfigVersion)
 	if !ok {
 		*reply = AcquireReply{OverQuota: true, Quota: refusal, RetryAfter: refusal.RetryAfter}
 		return nil, false
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -19,9 +19,11 @@
 	stamp          quota.Stamp
 	received       quota.Stamp
 	attachedBefore string
+	admittedBy     int64
 }
 
-func (q *tokens) Take(string) (quota.Refusal, bool) {
+func (q *tokens) Take(_ string, admittedBy int64) (quota.Refusal, bool) {
+	q.admittedBy = admittedBy
 	if q.left == 0 {
 		return quota.Refusal{RetryAfter: 700 * time.Millisecond, Level: 0.5}, false
 	}
@@ -57,7 +59,7 @@
 		times int
 		left  int
 	}{
-		{"of a customer", AcquireArgs{Customer: "c"}, 2, 3},
+		{"of a customer", AcquireArgs{Customer: "c", ConfigVersion: 7}, 2, 3},
 		{"charged before", AcquireArgs{Customer: "c", Charged: true}, 2, 5},
 		{"without a customer", AcquireArgs{}, 2, 5},
 		{"refused for lack of slots", AcquireArgs{Customer: "c"}, 4, 3},
@@ -71,6 +73,7 @@
 				require.NoError(t, broker.broker.Acquire(row.args, new(AcquireReply)))
 			}
 			require.Equal(t, row.left, all[broker.name()].left)
+			require.Equal(t, row.args.ConfigVersion, all[broker.name()].admittedBy)
 		})
 	}
 }
