quota, slots, forward: the token of a request that didn't run is returned

Cause: a token was lost when the caller left before the grant arrived, when no replica ran a granted request, when a rate limit forbade the grant and no other was found, and when a call was repeated after its connection broke, which took a second one. Change: a call that takes a token has a number. The host returns it by that number with its releases. It does so only if the request surely didn't run; the outcome Unused alone doesn't say that. Returned tokens beyond a broker's credit go back to the bucket instead of being spent at once: their place in the bucket has been refilled since. Not covered: a repeated call that is refused after its lost first reply was a grant, and tokens of a broker that has died.

Changes of existing tests: acquireFrom has a new argument; the fake tokens have a lock, since they are now returned from other goroutines.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -139,6 +139,8 @@
 type SlotClient interface {
 	Acquire(ctx context.Context, args slots.AcquireArgs, wait time.Duration) (slots.Grant, error)
 	Release(g slots.Grant, outcome slots.Outcome)
+	// ReturnToken returns the token of a customer's quota that was taken with a grant.
+	ReturnToken(g slots.Grant)
 	// StreamVersion returns the software version that may resume a stream, or
 	// slots.ErrVersionUnknown.
 	StreamVersion(ctx context.Context, service, stream string) (string, error)
@@ -207,6 +209,8 @@
 	mayHaveRunCount, notRunCount int
 	// charged reports that the request has a token of its customer's quota.
 	charged bool
+	// chargedGrant is the grant with which the token was taken.
+	chargedGrant slots.Grant
 	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
 	timer slots.RunTimer
@@ -239,6 +243,9 @@
 	if err == nil {
 		err = s.attemptAll(ctx)
 	}
+	if s.charged && s.mayHaveRunCount == 0 {
+		s.Slots.ReturnToken(s.chargedGrant)
+	}
 	err = s.callerError(ctx, err)
 	r.Metrics.countRequest(err)
 	return err
@@ -299,7 +306,10 @@
 	if err != nil {
 		return false, s.refusalError(err)
 	}
-	s.grant, s.charged = g, true
+	if !s.charged {
+		s.charged, s.chargedGrant = true, g
+	}
+	s.grant = g
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
 	s.timer, s.longestWrite = slots.RunTimer{Began: s.Clock.Now()}, 0
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -55,6 +55,8 @@
 
 // fakeSlots grants a slot at a new replica each time, until none is left.
 type fakeSlots struct {
+	// returned is the number of tokens that were returned.
+	returned int
 	left     int
 	acquires []slots.AcquireArgs
 	outcomes []slots.Outcome
@@ -93,6 +95,8 @@
 	f.runs = append(f.runs, g.Run)
 }
 
+func (f *fakeSlots) ReturnToken(slots.Grant) { f.returned++ }
+
 // recordingSink records what is sent to the caller.
 type recordingSink struct {
 	begun  int
--- a/forward/quota_test.go
+++ b/forward/quota_test.go
@@ -61,3 +61,26 @@
 		require.Equal(t, i > 0, args.Charged)
 	}
 }
+
+// A request that no replica has run keeps its token, or one that may have run gets it back.
+func TestTokenOfARequestThatDidNotRunIsReturned(t *testing.T) {
+	rows := []struct {
+		name     string
+		attempts []scriptedAttempt
+		left     int
+		returned int
+	}{
+		{"it ran", []scriptedAttempt{ok(strings.NewReader("x"))}, 5, 0},
+		{"no slot", nil, 0, 0},
+		{"not run by a replica, then no slot", []scriptedAttempt{notRun(503)}, 1, 1},
+		{"not run by a replica, then run", []scriptedAttempt{notRun(503), ok(strings.NewReader("x"))}, 5, 0},
+		{"may have run", []scriptedAttempt{status(500, true)}, 1, 0},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			o := scriptResult{upstream: &fakeUpstream{attempts: row.attempts}, slots: &fakeSlots{left: row.left}, sink: &recordingSink{}}.runRequest(
+				&Request{ID: "r", Route: idempotent, Customer: &customer.Customer{Name: "c"}})
+			require.Equal(t, row.returned, o.slots.returned)
+		})
+	}
+}
--- a/quota/account.go
+++ b/quota/account.go
@@ -52,6 +52,9 @@
 	limit   customer.Quota
 	version int64
 	credit  int
+	// surplus is the number of returned tokens beyond the credit. They go back to the
+	// allocator.
+	surplus int
 	waiting []*Waiter
 	// emptyUntil is the end of the last Answer.EmptyFor, and level what the allocator's
 	// bucket held then.
@@ -130,12 +133,20 @@
 	return e
 }
 
-// Return gives back the token of a request that was admitted and did not run.
+// Return gives back the token of a request that was admitted and did not run. Beyond what the
+// broker may hold it goes back to the bucket, which is never above its burst: the token may have
+// been taken long ago, and the bucket has refilled since.
 func (a *Account) Return(name string) {
-	if e, ok := a.entries[name]; ok && e.limit.Limited() {
+	e, ok := a.entries[name]
+	if !ok || !e.limit.Limited() {
+		return
+	}
+	if a.exchanged && e.credit < a.capacity(e.limit) {
 		e.credit++
-		a.changed[name] = struct{}{}
+	} else {
+		e.surplus++
 	}
+	a.changed[name] = struct{}{}
 }
 
 // GiveUp refuses a request whose time to wait is over, unless it has been decided.
@@ -216,6 +227,11 @@
 		}
 		e = a.entryOf(name, limit, v)
 		version = v
+		if e.surplus > 0 {
+			// Not offset against what the broker lacks, since the bucket may be full.
+			wants = append(wants, Want{Customer: name, Tokens: -e.surplus, PerSecond: limit.PerSecond, Burst: limit.Burst})
+			e.surplus = 0
+		}
 		lacks := a.capacity(limit) + len(e.waiting) - e.credit
 		if lacks == 0 {
 			delete(a.changed, name)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -229,6 +229,26 @@
 	}
 }
 
+// Returned tokens raise a broker's credit above its part of the tolerance, or are lost.
+func TestReturnedTokensBeyondTheCreditGoToTheAllocator(t *testing.T) {
+	limit := customer.Quota{PerSecond: 10, Burst: 10}
+	a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, true }, settled(1).rng)
+	a.SetHosts(1)
+	require.NotNil(t, a.Take(0, "c", 1).Waiter)
+	a.Exchanged(0, 0, nil, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}})
+	wants, _ := a.Wants(0)
+	capacity := a.capacity(limit)
+	a.Exchanged(0, 0, wants, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}, Answers: []Answer{{Tokens: capacity}}})
+	for range 5 {
+		a.Return("c")
+	}
+	require.Equal(t, capacity, a.entries["c"].credit)
+	wants, _ = a.Wants(0)
+	require.Equal(t, []Want{{Customer: "c", Tokens: -4, PerSecond: 10, Burst: 10}}, wants)
+	wants, _ = a.Wants(0)
+	require.Empty(t, wants)
+}
+
 // A request that waits for a token when its customer is removed runs uncounted, or one whose
 // customer has no limit any more is refused.
 func TestWaitingRequestsOfCustomersWithoutALimit(t *testing.T) {
--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -39,6 +40,9 @@
 	// Charged reports that the request has a token of its customer's quota: an earlier
 	// attempt was granted a slot.
 	Charged bool
+	// Call identifies the call, which may be made twice, if it takes a token; else it is
+	// zero.
+	Call uint64
 	// Avoid holds the IDs of replicas that the request must not be sent to.
 	Avoid []string
 	// Leaving holds the replicas that the host has found to be leaving.
@@ -194,11 +198,24 @@
 // the rest of the wait in the own one again. If that has no replica for a pinned
 // request, the rest of the wait is spent where there is one.
 func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
+	var token heldToken
+	g, err := c.acquire(ctx, args, wait, &token)
+	if err != nil {
+		c.returnToken(token)
+		return g, err
+	}
+	g.token = token
+	return g, nil
+}
+
+// acquire acquires a slot and sets the token that the request has taken, which it keeps if it
+// gets none.
+func (c *Client) acquire(ctx context.Context, args AcquireArgs, wait time.Duration, token *heldToken) (Grant, error) {
 	own := c.View.Self().DataCentre
 	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
 	firstEventBy := args.firstEventBy(c.Clock.Now())
-	g, refusal := c.acquireFrom(ctx, own, &args)
+	g, refusal := c.acquireFrom(ctx, own, &args, token)
 	if refusal == nil {
 		return g, nil
 	}
@@ -212,7 +229,7 @@
 			return Grant{}, ctx.Err()
 		}
 		args.FirstEventWithin = c.timeLeft(firstEventBy)
-		g, remoteRefusal := c.acquireFrom(ctx, dc, &args)
+		g, remoteRefusal := c.acquireFrom(ctx, dc, &args, token)
 		if remoteRefusal == nil {
 			return g, nil
 		}
@@ -231,7 +248,7 @@
 		return Grant{}, refusal
 	}
 	args.FirstEventWithin = c.timeLeft(firstEventBy)
-	if g, refusal = c.acquireFrom(ctx, waitIn, &args); refusal == nil {
+	if g, refusal = c.acquireFrom(ctx, waitIn, &args, token); refusal == nil {
 		return g, nil
 	}
 	return Grant{}, refusal
@@ -253,10 +270,10 @@
 }
 
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
-// until one answers. It sets args.Charged if the request has taken a token.
-func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args *AcquireArgs) (Grant, *RefusedError) {
+// until one answers. It sets args.Charged and the token if the request has taken one.
+func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args *AcquireArgs, token *heldToken) (Grant, *RefusedError) {
 	for _, h := range c.brokers(dataCentre) {
-		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
+		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args, token)
 		if err != nil {
 			if ctx.Err() != nil {
 				break
@@ -288,8 +305,12 @@
 // acquireWithinRateLimits requests a slot from a broker. If the broker grants one of a
 // replica without knowing of its rate limit, it is told and asked once more. The token of
 // the first grant counts for all that the request asks for from then on.
-func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args *AcquireArgs) (*AcquireReply, error) {
+func (c *Client) acquireWithinRateLimits(ctx context.Context, h membership.Host, dataCentre string, args *AcquireArgs, token *heldToken) (*AcquireReply, error) {
+	args.Call = c.newCall(args)
 	reply, err := c.callAcquire(ctx, h, *args)
+	if err == nil && reply.Granted && args.Call != 0 {
+		*token = heldToken{broker: h, call: args.Call}
+	}
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
 	}
@@ -297,7 +318,7 @@
 	if err := c.reportRateLimits(ctx, h, dataCentre); err != nil {
 		return nil, err
 	}
-	args.Charged = true
+	args.Charged, args.Call = true, 0
 	reply, err = c.callAcquire(ctx, h, *args)
 	if err != nil || !reply.Granted || c.reconcileRateLimit(h, reply.Grant) {
 		return reply, err
@@ -306,8 +327,16 @@
 	return &AcquireReply{RetryAfter: minRetryAfter, Replicas: reply.Replicas}, nil
 }
 
+// newCall returns the ID of a call that takes a token, or 0.
+func (c *Client) newCall(args *AcquireArgs) uint64 {
+	if c.Quotas == nil || args.Customer == "" || args.Charged {
+		return 0
+	}
+	return rand.Uint64() | 1
+}
+
 // callAcquire makes one call to a broker. If ctx ends first, a slot that the
-// broker still grants is released.
+// broker still grants is released. The token of a call whose reply isn't used is returned.
 func (c *Client) callAcquire(ctx context.Context, h membership.Host, args AcquireArgs) (*AcquireReply, error) {
 	type result struct {
 		reply *AcquireReply
@@ -323,12 +352,19 @@
 	}()
 	select {
 	case r := <-done:
+		if r.err != nil {
+			c.returnToken(heldToken{h, args.Call})
+		}
 		return r.reply, r.err
 	case <-ctx.Done():
 		go func() {
-			if r := <-done; r.err == nil && r.reply.Granted {
+			r := <-done
+			if r.err == nil && r.reply.Granted {
 				c.release(h, r.reply.Grant, Unused)
 			}
+			if r.err != nil || r.reply.Granted {
+				c.returnToken(heldToken{h, args.Call})
+			}
 		}()
 		return nil, ctx.Err()
 	}
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -74,7 +74,8 @@
 	// broken holds the exchanges that broke off lately.
 	broken map[replica.Incarnation]*brokenRuns
 	// quotas is nil if no request needs a token.
-	quotas Quotas
+	quotas  Quotas
+	charges charges
 }
 
 // pendingUpdates holds what the next poll of a host returns.
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -426,7 +426,7 @@
 	}
 	got := make(chan Grant, 1)
 	go func() {
-		g, _ := other.acquireFrom(context.Background(), "x", &AcquireArgs{Host: other.name(), Service: service, MaxWait: time.Hour})
+		g, _ := other.acquireFrom(context.Background(), "x", &AcquireArgs{Host: other.name(), Service: service, MaxWait: time.Hour}, new(heldToken))
 		got <- g
 	}()
 	require.Eventually(t, func() bool {
--- a/slots/quota.go
+++ b/slots/quota.go
@@ -34,16 +34,51 @@
 	if b.quotas == nil || args.Customer == "" || args.Charged {
 		return func() {}, true
 	}
+	returnUnused = func() {
+		b.mu.Lock()
+		unused := !reply.Granted
+		if args.Call != 0 {
+			unused = b.charges.end(args.Call, reply.Granted)
+		}
+		b.mu.Unlock()
+		if unused {
+			b.quotas.Return(args.Customer)
+		}
+	}
+	if b.joinCharge(args.Call) {
+		return returnUnused, true
+	}
 	refusal, ok := b.quotas.Take(args.Customer, args.ConfigVersion)
 	if !ok {
 		*reply = AcquireReply{OverQuota: true, Quota: refusal, RetryAfter: refusal.RetryAfter}
 		return nil, false
 	}
-	return func() {
-		if !reply.Granted {
-			b.quotas.Return(args.Customer)
-		}
-	}, true
+	b.addCharge(args)
+	return returnUnused, true
+}
+
+// joinCharge reports whether a call that is made for the second time has a token already.
+func (b *Broker) joinCharge(call uint64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.charges.join(call)
+}
+
+// addCharge records the token of a call. If the call was repeated while it took the token, the
+// second token is returned.
+func (b *Broker) addCharge(args *AcquireArgs) {
+	if args.Call == 0 {
+		return
+	}
+	b.mu.Lock()
+	surplus := b.charges.join(args.Call)
+	if !surplus {
+		b.charges.add(b.clock.Now(), args.Call, args.Customer)
+	}
+	b.mu.Unlock()
+	if surplus {
+		b.quotas.Return(args.Customer)
+	}
 }
 
 // countPoll records a poll of a host of the own data centre.
--- a/slots/quota_test.go
+++ b/slots/quota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 
 // tokens are quotas of one customer with some tokens.
 type tokens struct {
+	mu             sync.Mutex
 	left           int
 	polled         []string
 	stamp          quota.Stamp
@@ -23,6 +25,8 @@
 }
 
 func (q *tokens) Take(_ string, admittedBy int64) (quota.Refusal, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
 	q.admittedBy = admittedBy
 	if q.left == 0 {
 		return quota.Refusal{RetryAfter: 700 * time.Millisecond, Level: 0.5}, false
@@ -30,7 +34,10 @@
 	q.left--
 	return quota.Refusal{}, true
 }
-func (q *tokens) Return(string) { q.left++ }
+func (q *tokens) Return(string) { q.mu.Lock(); defer q.mu.Unlock(); q.left++ }
+
+func (q *tokens) count() int { q.mu.Lock(); defer q.mu.Unlock(); return q.left }
+
 func (q *tokens) PollAttachment(broker string) quota.Attachment {
 	q.attachedBefore = broker
 	return quota.Attachment{CountedElsewhereFor: time.Second}
@@ -171,3 +178,78 @@
 	f.clock.Advance(pollWait)
 	<-done
 }
+
+// A token that a request has taken is lost if the request doesn't run, or returned twice.
+func TestTokensOfRequestsThatDoNotRun(t *testing.T) {
+	call := AcquireArgs{Service: service, Customer: "c", Call: 7}
+	rows := []struct {
+		name string
+		play func(t *testing.T, f *fleet, broker, other *member)
+		left int
+	}{
+		{"the host returns it, in a call that is made twice", func(t *testing.T, _ *fleet, broker, _ *member) {
+			require.NoError(t, broker.broker.Acquire(call, new(AcquireReply)))
+			for range 2 {
+				require.NoError(t, broker.broker.Release(ReleaseArgs{Tokens: []uint64{7}}, new(Empty)))
+			}
+		}, 5},
+		{"a call that is made twice takes one", func(t *testing.T, _ *fleet, broker, _ *member) {
+			for range 2 {
+				require.NoError(t, broker.broker.Acquire(call, new(AcquireReply)))
+			}
+		}, 4},
+		{"a call that is made twice and refused keeps the token of its grant", func(t *testing.T, _ *fleet, broker, _ *member) {
+			require.NoError(t, broker.broker.Acquire(call, new(AcquireReply)))
+			require.NoError(t, broker.broker.Acquire(AcquireArgs{Service: service}, new(AcquireReply)))
+			require.NoError(t, broker.broker.Acquire(call, new(AcquireReply)))
+		}, 4},
+		{"the host ends a call that waits", func(t *testing.T, f *fleet, broker, _ *member) {
+			for range 2 {
+				require.NoError(t, broker.broker.Acquire(AcquireArgs{Service: service}, new(AcquireReply)))
+			}
+			waiting := call
+			waiting.MaxWait = time.Second
+			done := make(chan struct{})
+			go func() { defer close(done); _ = broker.broker.Acquire(waiting, new(AcquireReply)) }()
+			require.NoError(t, f.clock.BlockUntilContext(context.Background(), 1))
+			require.NoError(t, broker.broker.Release(ReleaseArgs{Tokens: []uint64{7}}, new(Empty)))
+			for id := range broker.broker.sched.grants {
+				require.NoError(t, broker.broker.Release(ReleaseArgs{Released: []Released{{ID: id}}}, new(Empty)))
+				break
+			}
+			<-done
+		}, 5},
+		{"a grant that the host doesn't use", func(t *testing.T, _ *fleet, _, other *member) {
+			g, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service, Customer: "c"}, 0)
+			require.NoError(t, err)
+			other.Release(g, Unused)
+			other.ReturnToken(g)
+		}, 5},
+		{"refused by a rate limit after it was granted", func(t *testing.T, _ *fleet, _, other *member) {
+			for _, r := range records(2) {
+				other.says(r, replica.RateLimit{Limited: true, PerSecond: 1})
+			}
+			_, err := other.Acquire(context.Background(), AcquireArgs{Host: other.name(), Service: service, Customer: "c"}, 0)
+			require.Error(t, err)
+		}, 5},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f, all := newQuotaFleet(5)
+			broker, other := f.broker("x")
+			row.play(t, f, broker, other)
+			require.Eventually(t, func() bool { return all[broker.name()].count() == row.left }, time.Second, time.Millisecond)
+		})
+	}
+}
+
+// What a broker remembers of tokens grows without bound.
+func TestChargesArePruned(t *testing.T) {
+	c, now := charges{}, time.Unix(0, 0)
+	for call := range uint64(100) {
+		c.add(now, call+1, "c")
+		require.False(t, c.end(call+1, true))
+		now = now.Add(time.Second)
+	}
+	require.LessOrEqual(t, len(c.byCall), 21)
+}
--- a/slots/release.go
+++ b/slots/release.go
@@ -29,6 +29,8 @@
 	RateLimits []RateLimitReport
 	// Loads holds what replicas have said of their load since the last call that did.
 	Loads []LoadReport
+	// Tokens holds the calls of requests that have taken a token and didn't run.
+	Tokens []uint64
 }
 
 // Empty is an empty reply.
@@ -37,6 +39,7 @@
 // Release frees the slots of grants that have ended, and applies what replicas have said
 // about their rate limits.
 func (b *Broker) Release(args ReleaseArgs, _ *Empty) error {
+	b.returnTokens(args.Tokens)
 	leaving, broken := b.release(args)
 	for _, r := range leaving {
 		b.onLeaving(r)
@@ -83,10 +86,12 @@
 }
 
 // releaseQueue collects what one broker is to be told while a call to it is in
-// progress: the ended grants, and what replicas have said about their rate limits.
+// progress: the ended grants, what replicas have said about their rate limits, and the tokens
+// of requests that didn't run.
 type releaseQueue struct {
 	pending    []Released
 	rateLimits []RateLimitReport
+	tokens     []uint64
 	running    bool
 }
 
@@ -140,8 +145,8 @@
 func (c *Client) takeQueued(q *releaseQueue) (ReleaseArgs, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	args := ReleaseArgs{Released: q.pending, RateLimits: q.rateLimits}
-	q.pending, q.rateLimits = nil, nil
-	q.running = len(args.Released)+len(args.RateLimits) > 0
+	args := ReleaseArgs{Released: q.pending, RateLimits: q.rateLimits, Tokens: q.tokens}
+	q.pending, q.rateLimits, q.tokens = nil, nil, nil
+	q.running = len(args.Released)+len(args.RateLimits)+len(args.Tokens) > 0
 	return args, q.running
 }
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -54,6 +54,8 @@
 	Run Run
 	// Share is the share that an online request counts against.
 	Share Share
+	// token is the token that was taken with the grant, if the client knows it.
+	token heldToken
 }
 
 // Demand is the number of batch items of a service that wait for a slot on a
