quota: unused buckets and the failures of hosts that left are pruned

Cause: an allocator kept a bucket for each customer that ever asked for tokens, and a broker the failures of each allocator that ever failed to answer. Change: each minute an allocator deletes the buckets that were not used for a minute and are as full as a new one would be, or that don't refill. A broker forgets the failures of hosts that are no longer in its view.

--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -77,8 +77,14 @@
 	level   float64
 	// refilledTo is the Allocator's refill up to which level is valid.
 	refilledTo float64
+	// usedAt is when a broker last asked for tokens or returned some.
+	usedAt time.Duration
 }
 
+// pruneInterval is the time between two searches for buckets that are no longer needed, and
+// the time for which they must not have been used.
+const pruneInterval = time.Minute
+
 // shareChange is a change of the share, when the refill had a value.
 type shareChange struct{ refill, before float64 }
 
@@ -110,7 +116,8 @@
 	majority   bool
 	majorityAt time.Duration
 
-	buckets map[string]*bucket
+	buckets  map[string]*bucket
+	prunedAt time.Duration
 
 	// self is the name of this host.
 	self string
@@ -154,6 +161,7 @@
 	a.mergeFleetState(now, args.Fleet)
 	a.attach(now, args)
 	a.updateShare(now)
+	a.prune()
 	reply := ExchangeReply{Stamp: a.brokers.stamp(now), Fleet: a.fleetState(), Answers: make([]Answer, len(args.Wants))}
 	for i := range args.Wants {
 		reply.Answers[i] = a.answer(&args.Wants[i], args.ConfigVersion)
@@ -320,6 +328,7 @@
 		b = &bucket{limit: limit, version: known}
 		a.buckets[w.Customer] = b
 	}
+	b.usedAt = a.now
 	a.refillBucket(b)
 	if known >= b.version && limit != b.limit {
 		b.limit = limit
@@ -329,6 +338,24 @@
 	return b
 }
 
+// prune deletes the buckets that are not used and are as full as one that is first needed
+// now, or that don't refill: those of removed customers.
+func (a *Allocator) prune() {
+	if a.now-a.prunedAt < pruneInterval {
+		return
+	}
+	a.prunedAt = a.now
+	for name, b := range a.buckets {
+		if a.now-b.usedAt < pruneInterval {
+			continue
+		}
+		a.refillBucket(b)
+		if b.limit.PerSecond <= 0 || b.level >= a.capacity(b.limit, a.share) {
+			delete(a.buckets, name)
+		}
+	}
+}
+
 func (a *Allocator) answer(w *Want, version int64) Answer {
 	if own, ownVersion, ok := a.limits(w.Customer); ok && ownVersion >= version && !own.Limited() {
 		return Answer{Tokens: max(w.Tokens, 0)}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -229,6 +229,37 @@
 	}
 }
 
+// Buckets that aren't used are kept for ever, or a bucket that isn't full yet is deleted and
+// grants its burst again.
+func TestUnusedBucketsAreDeletedOnceFull(t *testing.T) {
+	a := newTestAllocator()
+	limits := map[string]customer.Quota{"c": {PerSecond: 10, Burst: 10}, "slow": {PerSecond: 0.01, Burst: 10}, "removed": {}}
+	a.limits = func(name string) (customer.Quota, int64, bool) {
+		l, ok := limits[name]
+		return l, 1, ok && name != "removed"
+	}
+	attach(a, "b", 4, 2000*second)
+	wants := []Want{{Customer: "c", Tokens: 10}, {Customer: "slow", Tokens: 10}, {Customer: "removed", Tokens: 1}}
+	a.Exchange(a.now, &ExchangeArgs{Broker: "b", Wants: wants})
+	require.Len(t, a.buckets, 3)
+	attach(a, "b", 4, a.now+2*pruneInterval)
+	require.Len(t, a.buckets, 1)
+	reply := a.Exchange(a.now, &ExchangeArgs{Broker: "b", Wants: wants[:2]})
+	require.Equal(t, 10, reply.Answers[0].Tokens)
+	require.LessOrEqual(t, reply.Answers[1].Tokens, 2)
+}
+
+// A host that has left is remembered as an allocator that did not answer.
+func TestFailuresOfHostsThatLeftAreForgotten(t *testing.T) {
+	n := settled(1)
+	h := n.nodes[0]
+	h.failures["h01"], h.failures["h02"] = &failures{count: 1}, &failures{count: 1}
+	h.view.Set(n.others(h, func(other *node) bool { return other.name != "h01" }))
+	h.updateView()
+	require.NotContains(t, h.failures, "h01")
+	require.Contains(t, h.failures, "h02")
+}
+
 // Returned tokens raise a broker's credit above its part of the tolerance, or are lost.
 func TestReturnedTokensBeyondTheCreditGoToTheAllocator(t *testing.T) {
 	limit := customer.Quota{PerSecond: 10, Burst: 10}
--- a/quota/service.go
+++ b/quota/service.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -295,6 +297,7 @@
 		names = append(names, h.Name)
 	}
 	s.allocator.SetHosts(s.Now(), names)
+	maps.DeleteFunc(s.failures, func(name string, _ *failures) bool { return !slices.Contains(names, name) })
 	s.candidates = membership.Rendezvous(all, rendezvousKey, maxCandidates)
 }
 
