--- a/quota/account.go
+++ b/quota/account.go
@@ -52,6 +52,9 @@
 	limit   customer.Quota
 	version int64
 	credit  int
+	// surplus is the number of returned tokens beyond the credit. They go back to the
+	// allocator.
+	surplus int
 	waiting []*Waiter
 	// emptyUntil is the end of the last Answer.EmptyFor, and level what the allocator's
 	// bucket held then.
@@ -83,10 +86,15 @@
 	return &Account{tolerance: t, limits: limits, rng: rng, entries: make(map[string]*entry), changed: make(map[string]struct{})}
 }
 
-// Take takes a token for a request of a customer. Customers that aren't known, or have
-// no limit, are admitted without one.
-func (a *Account) Take(now time.Duration, name string) Decision {
+// Take takes a token for a request of a customer that a host has admitted by a version of the
+// configuration. Customers without a limit are admitted without a token, and so are those that
+// only the host's newer configuration has. One that a newer configuration than the host's
+// doesn't have any more is refused.
+func (a *Account) Take(now time.Duration, name string, admittedBy int64) Decision {
 	limit, version, ok := a.limits(name)
+	if !ok && admittedBy != 0 && admittedBy < version {
+		return Decision{Refusal: Refusal{RetryAfter: maxRetryAfter, ConfigVersion: version}}
+	}
 	if !ok || !limit.Limited() {
 		return Decision{Admitted: true}
 	}
@@ -125,12 +133,20 @@
 	return e
 }
 
-// Return gives back the token of a request that was admitted and did not run.
+// Return gives back the token of a request that was admitted and did not run. Beyond what the
+// broker may hold it goes back to the bucket, which is never above its burst: the token may have
+// been taken long ago, and the bucket has refilled since.
 func (a *Account) Return(name string) {
-	if e, ok := a.entries[name]; ok && e.limit.Limited() {
+	e, ok := a.entries[name]
+	if !ok || !e.limit.Limited() {
+		return
+	}
+	if a.exchanged && e.credit < a.capacity(e.limit) {
 		e.credit++
-		a.changed[name] = struct{}{}
+	} else {
+		e.surplus++
 	}
+	a.changed[name] = struct{}{}
 }
 
 // GiveUp refuses a request whose time to wait is over, unless it has been decided.
@@ -206,11 +222,16 @@
 		e := a.entries[name]
 		limit, v, ok := a.limits(name)
 		if !ok || !limit.Limited() {
-			a.forget(name, e)
+			a.forget(name, e, ok, v)
 			continue
 		}
 		e = a.entryOf(name, limit, v)
 		version = v
+		if e.surplus > 0 {
+			// Not offset against what the broker lacks, since the bucket may be full.
+			wants = append(wants, Want{Customer: name, Tokens: -e.surplus, PerSecond: limit.PerSecond, Burst: limit.Burst})
+			e.surplus = 0
+		}
 		lacks := a.capacity(limit) + len(e.waiting) - e.credit
 		if lacks == 0 {
 			delete(a.changed, name)
@@ -224,10 +245,15 @@
 	return wants, version
 }
 
-// forget removes a customer that has no limit any more.
-func (a *Account) forget(name string, e *entry) {
+// forget removes a customer that has no limit any more, or that a version of the configuration
+// doesn't have any more, in which case the requests that wait are refused.
+func (a *Account) forget(name string, e *entry, known bool, version int64) {
+	d := Decision{Admitted: known}
+	if !known {
+		d.Refusal = Refusal{RetryAfter: maxRetryAfter, ConfigVersion: version}
+	}
 	for _, w := range e.waiting {
-		w.Decided <- Decision{Admitted: true}
+		w.Decided <- d
 	}
 	delete(a.entries, name)
 	delete(a.changed, name)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -161,6 +161,8 @@
 			return customer.Quota{PerSecond: 10, Burst: 10}, 1, true
 		case "unlimited":
 			return customer.Quota{}, 1, true
+		case "removed":
+			return customer.Quota{}, 3, false
 		}
 		return customer.Quota{}, 1, false
 	}
@@ -177,7 +179,7 @@
 	take := func(a *Account, now time.Duration, n int) Decision {
 		var d Decision
 		for range n {
-			d = a.Take(now, "c")
+			d = a.Take(now, "c", 0)
 		}
 		return d
 	}
@@ -187,8 +189,11 @@
 		admitted bool
 		waits    bool
 	}{
-		{"unknown customer", func(a *Account) Decision { return a.Take(0, "x") }, true, false},
-		{"no limit", func(a *Account) Decision { return a.Take(0, "unlimited") }, true, false},
+		{"unknown customer", func(a *Account) Decision { return a.Take(0, "x", 0) }, true, false},
+		{"unknown customer of the same configuration", func(a *Account) Decision { return a.Take(0, "x", 1) }, true, false},
+		{"customer of a newer configuration", func(a *Account) Decision { return a.Take(0, "x", 2) }, true, false},
+		{"customer that a newer configuration has removed", func(a *Account) Decision { return a.Take(0, "removed", 2) }, false, false},
+		{"no limit", func(a *Account) Decision { return a.Take(0, "unlimited", 0) }, true, false},
 		{"credit", func(a *Account) Decision { return take(a, 0, 2) }, true, false},
 		{"credit used up", func(a *Account) Decision { return take(a, 0, 3) }, false, true},
 		{"credit expired", func(a *Account) Decision { return take(a, exchangeLease, 1) }, false, true},
@@ -224,6 +229,72 @@
 	}
 }
 
+// Buckets that aren't used are kept for ever, or a bucket that isn't full yet is deleted and
+// grants its burst again.
+func TestUnusedBucketsAreDeletedOnceFull(t *testing.T) {
+	a := newTestAllocator()
+	limits := map[string]customer.Quota{"c": {PerSecond: 10, Burst: 10}, "slow": {PerSecond: 0.01, Burst: 10}, "removed": {}}
+	a.limits = func(name string) (customer.Quota, int64, bool) {
+		l, ok := limits[name]
+		return l, 1, ok && name != "removed"
+	}
+	attach(a, "b", 4, 2000*second)
+	wants := []Want{{Customer: "c", Tokens: 10}, {Customer: "slow", Tokens: 10}, {Customer: "removed", Tokens: 1}}
+	a.Exchange(a.now, &ExchangeArgs{Broker: "b", Wants: wants})
+	require.Len(t, a.buckets, 3)
+	attach(a, "b", 4, a.now+2*pruneInterval)
+	require.Len(t, a.buckets, 1)
+	reply := a.Exchange(a.now, &ExchangeArgs{Broker: "b", Wants: wants[:2]})
+	require.Equal(t, 10, reply.Answers[0].Tokens)
+	require.LessOrEqual(t, reply.Answers[1].Tokens, 2)
+}
+
+// A host that has left is remembered as an allocator that did not answer.
+func TestFailuresOfHostsThatLeftAreForgotten(t *testing.T) {
+	n := settled(1)
+	h := n.nodes[0]
+	h.failures["h01"], h.failures["h02"] = &failures{count: 1}, &failures{count: 1}
+	h.view.Set(n.others(h, func(other *node) bool { return other.name != "h01" }))
+	h.updateView()
+	require.NotContains(t, h.failures, "h01")
+	require.Contains(t, h.failures, "h02")
+}
+
+// Returned tokens raise a broker's credit above its part of the tolerance, or are lost.
+func TestReturnedTokensBeyondTheCreditGoToTheAllocator(t *testing.T) {
+	limit := customer.Quota{PerSecond: 10, Burst: 10}
+	a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, true }, settled(1).rng)
+	a.SetHosts(1)
+	require.NotNil(t, a.Take(0, "c", 1).Waiter)
+	a.Exchanged(0, 0, nil, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}})
+	wants, _ := a.Wants(0)
+	capacity := a.capacity(limit)
+	a.Exchanged(0, 0, wants, &ExchangeReply{Fleet: FleetState{KnownHosts: 4}, Answers: []Answer{{Tokens: capacity}}})
+	for range 5 {
+		a.Return("c")
+	}
+	require.Equal(t, capacity, a.entries["c"].credit)
+	wants, _ = a.Wants(0)
+	require.Equal(t, []Want{{Customer: "c", Tokens: -4, PerSecond: 10, Burst: 10}}, wants)
+	wants, _ = a.Wants(0)
+	require.Empty(t, wants)
+}
+
+// A request that waits for a token when its customer is removed runs uncounted, or one whose
+// customer has no limit any more is refused.
+func TestWaitingRequestsOfCustomersWithoutALimit(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		limit, ok := customer.Quota{PerSecond: 10, Burst: 10}, true
+		a := NewAccount(testTolerance, func(string) (customer.Quota, int64, bool) { return limit, 1, ok }, settled(1).rng)
+		d := a.Take(0, "c", 1)
+		limit, ok = customer.Quota{}, known
+		a.Wants(0)
+		d = <-d.Waiter.Decided
+		require.Equal(t, known, d.Admitted)
+		require.Equal(t, known, d.Refusal.RetryAfter == 0)
+	}
+}
+
 // The customers that metrics name grow without bound.
 func TestMetricsNameTheLargestCustomers(t *testing.T) {
 	n := settled(1)
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -74,7 +74,8 @@
 	// broken holds the exchanges that broke off lately.
 	broken map[replica.Incarnation]*brokenRuns
 	// quotas is nil if no request needs a token.
-	quotas Quotas
+	quotas  Quotas
+	charges charges
 }
 
 // pendingUpdates holds what the next poll of a host returns.
@@ -320,6 +321,10 @@
 	updates := b.sync(args)
 	b.countPoll(&args)
 	defer b.stampPoll(&args, reply)
+	if b.stampWanted(&args) {
+		b.collect(updates, args.Version, reply)
+		return nil
+	}
 	timer := b.clock.NewTimer(pollWait)
 	defer timer.Stop()
 	if !b.collect(updates, args.Version, reply) {
