slots, jobs: shares of batch items by customer

Cause: brokers grant slots to the items that are due first, whichever customer's they are, so one customer's large job delays the small jobs of all others.

Change: if the configuration has customers, hosts split their demand by share (DemandMessage.Shares; the totals stay for brokers of older builds), and grants for items name the share whose item runs. Among items, more urgent priorities come first. Among equal ones the customer goes first that has used least of the slot time of items, and the item due first while the items that are in time by shares can wait. Requests stop items of the least urgent priority and of the customer with most slots first. Brokers that take over charge running items to their customers. Without customers no host sends shares, and the order is the former one.

On the former order TestLargeJobLeavesOthersTheirShares and TestMoreUrgentItemsAreServedFirst fail. No existing test is changed.

--- a/jobs/run.go
+++ b/jobs/run.go
@@ -27,33 +27,34 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := m.Clock.Now()
-	byService := make(map[string]*slots.DemandMessage)
-	for it, service := range m.waitingItems(now) {
+	byService := make(map[string]*serviceDemand)
+	for it, rt := range m.waitingItems(now) {
 		left := m.timeLeft(it, now)
 		if remote && left > remoteDemandWindow {
 			continue
 		}
+		service := rt.Service(it.ID)
 		d, ok := byService[service]
 		if !ok {
-			d = &slots.DemandMessage{Service: service, DueIn: left}
+			d = newServiceDemand(service)
 			byService[service] = d
 		}
-		d.Items++
-		if slots.CompareUrgency(left, d.DueIn) < 0 {
-			d.DueIn = left
+		d.add(left)
+		if m.hasCustomers() {
+			d.addShare(m.itemShare(it, rt), left)
 		}
 	}
 	demand := make([]slots.DemandMessage, 0, len(byService))
 	for _, d := range byService {
-		demand = append(demand, *d)
+		demand = append(demand, d.message())
 	}
 	return demand
 }
 
-// waitingItems yields the items that wait for a slot, with their services. m.mu
-// must be held.
-func (m *Manager) waitingItems(now time.Time) func(yield func(*item, string) bool) {
-	return func(yield func(*item, string) bool) {
+// waitingItems yields the items that wait for a slot, with their routes. m.mu must be
+// held.
+func (m *Manager) waitingItems(now time.Time) func(yield func(*item, *route.Route) bool) {
+	return func(yield func(*item, *route.Route) bool) {
 		table := m.Table()
 		if m.stopping || table == nil {
 			return
@@ -67,7 +68,7 @@
 					continue
 				}
 				rt := table.Match(j.head.RouteHost, it.Path)
-				if rt != nil && !yield(it, rt.Service(it.ID)) {
+				if rt != nil && !yield(it, rt) {
 					return
 				}
 			}
@@ -76,10 +77,10 @@
 }
 
 // Granted implements slots.BatchItems. It runs the most urgent waiting item of the
-// service, or releases the slot if there is none.
+// service and share, or releases the slot if there is none.
 func (m *Manager) Granted(g slots.Grant) {
 	m.mu.Lock()
-	mostUrgent := m.mostUrgentFor(g.Replica)
+	mostUrgent := m.mostUrgentFor(&g)
 	if mostUrgent == nil {
 		m.mu.Unlock()
 		m.Slots.Release(g, slots.Unused)
@@ -99,14 +100,27 @@
 	}()
 }
 
-// mostUrgentFor returns the most urgent waiting item of the replica's service, or
-// nil. Among equals it prefers one that does not have to start again there. m.mu
-// must be held.
-func (m *Manager) mostUrgentFor(r replica.Replica) *item {
+// mostUrgentFor returns the most urgent waiting item of the grant's service and share,
+// or nil. Brokers of older builds grant slots without a share. Those are for any item if
+// none waits that has no customer. m.mu must be held.
+func (m *Manager) mostUrgentFor(g *slots.Grant) *item {
+	if m.hasCustomers() {
+		it := m.mostUrgent(g.Replica, func(it *item, rt *route.Route) bool { return m.itemShare(it, rt) == g.Share })
+		if it != nil || g.Share != (slots.Share{}) {
+			return it
+		}
+	}
+	return m.mostUrgent(g.Replica, func(*item, *route.Route) bool { return true })
+}
+
+// mostUrgent returns the most urgent waiting item of the replica's service that is
+// allowed, or nil. Among equals it prefers one that does not have to start again there.
+// m.mu must be held.
+func (m *Manager) mostUrgent(r replica.Replica, allowed func(*item, *route.Route) bool) *item {
 	now := m.Clock.Now()
 	var best *item
-	for it, service := range m.waitingItems(now) {
-		if service != r.Service {
+	for it, rt := range m.waitingItems(now) {
+		if rt.Service(it.ID) != r.Service || !allowed(it, rt) {
 			continue
 		}
 		if best == nil {
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -247,10 +247,24 @@
 	Service string
 	Items   int
 	DueIn   time.Duration
+	// Shares splits the demand by shares, if the configuration has customers. Brokers of
+	// older builds use the totals alone.
+	Shares []ShareDemandMessage
+}
+
+// ShareDemandMessage is a ShareDemand as sent between hosts.
+type ShareDemandMessage struct {
+	Share Share
+	Items int
+	DueIn time.Duration
 }
 
 func (m DemandMessage) demand(now time.Time) Demand {
-	return Demand{Service: m.Service, Items: m.Items, Due: now.Add(m.DueIn)}
+	d := Demand{Service: m.Service, Items: m.Items, Due: now.Add(m.DueIn)}
+	for _, s := range m.Shares {
+		d.Shares = append(d.Shares, ShareDemand{Share: s.Share, Items: s.Items, Due: now.Add(s.DueIn)})
+	}
+	return d
 }
 
 // GrantMessage is a Grant as sent between hosts, with durations in place of
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -107,7 +107,7 @@
 			revocable = append(revocable, g)
 		}
 	}
-	slices.SortFunc(revocable, func(a, b *grantState) int { return compareRevocable(now, a, b) })
+	s.sortRevocable(now, p, revocable)
 	revocable = withinRateLimits(now, revocable, pending)
 	for _, w := range p.queue {
 		if takeFirst(&pending, &w.args) != nil {
@@ -171,7 +171,7 @@
 }
 
 // grantBatch grants free slots to the hosts whose items are due first, and last
-// to those whose items are late. It grants none while requests wait and for
+// to those whose items are late; among customers in the order of nextItem. It grants none while requests wait and for
 // revokeCooldown after a revocation: during a burst of requests these grants
 // would soon be revoked again.
 func (s *Scheduler) grantBatch(now time.Time, o occupancy, p *pool, plan *Plan) {
@@ -182,19 +182,19 @@
 		plan.replanAt(resumeAt)
 		return
 	}
+	s.updateItemCapacity(now, p)
 	for {
-		host, demand := p.mostUrgent(now)
-		if demand.Items == 0 {
+		next := p.nextItem(now)
+		if next.items == 0 {
 			return
 		}
-		target := s.chooseBatch(now, o, p, demand.Due)
+		target := s.chooseBatch(now, o, p, next.due)
 		if target == nil || target.used >= p.batchLimit(now, target) {
 			plan.replanForBatch(now, p)
 			return
 		}
-		plan.Batch = append(plan.Batch, *s.grant(now, target, Grant{Class: Batch, Host: host, Due: demand.Due}))
-		demand.Items--
-		p.demands[host] = demand
+		plan.Batch = append(plan.Batch, *s.grant(now, target, Grant{Class: Batch, Host: next.host, Due: next.due, Share: next.share}))
+		p.takeItem(next)
 	}
 }
 
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -52,7 +52,7 @@
 	// Run is what the host observed of the response. The host sets it before it releases
 	// the grant.
 	Run Run
-	// Share is the share that an online request counts against.
+	// Share is the share that the request or item counts against.
 	Share Share
 }
 
@@ -63,6 +63,9 @@
 	Items   int
 	// Due is when the most urgent item is due.
 	Due time.Time
+	// Shares splits the demand by the shares that the items count against. It is empty
+	// if the configuration has no customers.
+	Shares []ShareDemand
 }
 
 // Outcome is how the use of a slot ended.
@@ -174,7 +177,9 @@
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
 	speed         serviceSpeed
-	shares        shares
+	// shares are those of online requests, itemShares those of batch items.
+	shares, itemShares shares
+	itemCapacity       itemCapacity
 }
 
 // replicaState is a replica with the number of its used slots and its recent
--- a/slots/shares.go
+++ b/slots/shares.go
@@ -14,6 +14,8 @@
 	// share; anything above is forgotten. A customer that has neither asked for nor
 	// released a slot for this long starts anew.
 	debtHorizon = 2 * time.Second
+	// itemDebtHorizon is debtHorizon for batch items, which use a slot for seconds.
+	itemDebtHorizon = 20 * time.Second
 	// customerServiceTimeWeight is the weight of the newest slot time in the moving
 	// average of a customer.
 	customerServiceTimeWeight = 0.1
@@ -22,8 +24,8 @@
 	shareRetryJitter = 0.25
 )
 
-// Share says what share of the slot time a request counts against: that of its customer
-// among the requests of equal priorities.
+// Share says what share of the slot time a request or batch item counts against: that of
+// its customer among the requests, or the items, of equal priorities.
 type Share struct {
 	Customer                   string
 	CustomerPriority, Priority int
@@ -89,21 +91,27 @@
 // shareOf returns the share that a request counts against, or nil while no customer has
 // one in its class. Requests without a customer share as one.
 func (p *pool) shareOf(now time.Time, of Share) *customerShare {
+	return p.shares.of(now, of, p.serviceTime)
+}
+
+// of returns the share that a request or item counts against, or nil while no customer
+// has one in its class. A new one begins with the given slot time.
+func (s *shares) of(now time.Time, of Share, slotTime time.Duration) *customerShare {
 	key := shareKey{of.CustomerPriority, of.Priority}
-	class, ok := p.shares.classes[key]
+	class, ok := s.classes[key]
 	if !ok {
 		if of.Customer == "" {
 			return nil
 		}
 		class = &shareClass{key: key, customers: make(map[string]*customerShare), prunedAt: now}
-		if p.shares.classes == nil {
-			p.shares.classes = make(map[shareKey]*shareClass)
+		if s.classes == nil {
+			s.classes = make(map[shareKey]*shareClass)
 		}
-		p.shares.classes[key] = class
+		s.classes[key] = class
 	}
 	c, ok := class.customers[of.Customer]
 	if !ok {
-		c = &customerShare{class: class, flow: fairqueue.Flow{Weight: 1}, serviceTime: p.serviceTime}
+		c = &customerShare{class: class, flow: fairqueue.Flow{Weight: 1}, serviceTime: slotTime}
 		class.customers[of.Customer] = c
 	}
 	return c
@@ -132,10 +140,19 @@
 // start returns the start tag of the customer's next request.
 func (c *customerShare) start() float64 { return c.flow.Start(&c.class.clock) }
 
-// limitDebt forgets what the customer can't work off within debtHorizon.
-func (p *pool) limitDebt(c *customerShare) {
+// limitDebt forgets what the customer can't work off within the horizon.
+func (p *pool) limitDebt(c *customerShare, horizon time.Duration) {
 	perSecond := float64(p.readySlots()) / float64(max(len(c.class.customers), 1))
-	c.flow.LimitLead(&c.class.clock, debtHorizon.Seconds()*perSecond)
+	c.flow.LimitLead(&c.class.clock, horizon.Seconds()*perSecond)
+}
+
+// sharesOf returns the shares of a class of work, the slot time with which new ones begin,
+// and the horizon of their debts.
+func (p *pool) sharesOf(class Class) (*shares, time.Duration, time.Duration) {
+	if class == Batch {
+		return &p.itemShares, p.speed.itemDuration(), itemDebtHorizon
+	}
+	return &p.shares, p.serviceTime, debtHorizon
 }
 
 func (p *pool) readySlots() int {
@@ -149,37 +166,35 @@
 }
 
 // charge counts a granted slot against the share of its customer, with the mean slot
-// time, and advances the virtual time.
+// time, and advances the virtual time; for batch items takeItem does.
 func (s *Scheduler) charge(now time.Time, g *grantState) {
-	if g.Class != Online {
-		return
-	}
-	c := s.pool(g.Replica.Service).shareOf(now, g.Share)
+	all, slotTime, horizon := s.pool(g.Replica.Service).sharesOf(g.Class)
+	c := all.of(now, g.Share, slotTime)
 	if c == nil {
 		return
 	}
-	c.activate(now.Add(debtHorizon))
+	c.activate(now.Add(horizon))
 	g.share, g.charged = c, c.serviceTime
 	start, _ := c.flow.Tag(&c.class.clock, g.charged.Seconds())
-	c.class.clock.Advance(start)
+	if g.Class == Online {
+		c.class.clock.Advance(start)
+	}
 }
 
 // chargeAdopted counts a slot that another broker granted against the share of its
 // customer. The virtual time stays: nothing is known of the order of such grants.
 func (s *Scheduler) chargeAdopted(now time.Time, g *grantState) {
 	p := s.pool(g.Replica.Service)
-	if g.Class != Online {
-		return
-	}
-	c := p.shareOf(now, g.Share)
+	all, slotTime, horizon := p.sharesOf(g.Class)
+	c := all.of(now, g.Share, slotTime)
 	if c == nil {
 		return
 	}
-	c.activate(now.Add(debtHorizon))
+	c.activate(now.Add(horizon))
 	g.share, g.charged = c, c.serviceTime
 	c.flow.Tag(&c.class.clock, g.charged.Seconds())
-	p.limitDebt(c)
-	p.shares.unordered = true
+	p.limitDebt(c, horizon)
+	all.unordered = true
 }
 
 // settle corrects what a grant was charged by the time that its slot was used.
@@ -193,24 +208,25 @@
 		c.serviceTime += time.Duration(customerServiceTimeWeight * float64(used-c.serviceTime))
 	}
 	p := s.pool(g.Replica.Service)
+	all, _, horizon := p.sharesOf(g.Class)
 	c.flow.Correct((used - g.charged).Seconds())
-	p.limitDebt(c)
-	c.activate(now.Add(debtHorizon))
-	p.shares.unordered = true
-	p.pruneShares(now, c.class)
+	p.limitDebt(c, horizon)
+	c.activate(now.Add(horizon))
+	all.unordered = true
+	all.prune(now, c.class)
 }
 
-// pruneShares removes the customers of a class that are idle, and the class when no
-// customer is left in it.
-func (p *pool) pruneShares(now time.Time, class *shareClass) {
+// prune removes the customers of a class that are idle, and the class when no customer
+// is left in it.
+func (s *shares) prune(now time.Time, class *shareClass) {
 	if now.Sub(class.prunedAt) < debtHorizon {
 		return
 	}
 	class.prunedAt = now
 	maps.DeleteFunc(class.customers, func(_ string, c *customerShare) bool { return now.After(c.activeUntil) })
 	_, unnamed := class.customers[""]
-	if named := len(class.customers) > 1 || len(class.customers) == 1 && !unnamed; !named && p.shares.classes[class.key] == class {
-		delete(p.shares.classes, class.key)
+	if named := len(class.customers) > 1 || len(class.customers) == 1 && !unnamed; !named && s.classes[class.key] == class {
+		delete(s.classes, class.key)
 	}
 }
 
