customer, forward, slots: metrics by customer

Cause: the log tells why one request of a customer was refused; no metric says how much a customer uses and what it gets.

Change: comfreyspindle_customer_requests_total counts requests by customer and outcome, comfreyspindle_customer_slot_seconds_total the slot time of requests and items by customer. customer.Largest names the ten customers that used most lately and counts the others as "other". Without customers nothing is counted. No existing test is changed.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -240,7 +240,7 @@
 		err = s.attemptAll(ctx)
 	}
 	err = s.callerError(ctx, err)
-	r.Metrics.countRequest(err)
+	r.Metrics.countRequest(r.Clock.Now(), req.customerName(), err)
 	return err
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -176,6 +176,7 @@
 func (h *Host) provisionWork() {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.broker = slots.NewBroker(h.clock, rng, h.log)
+	h.broker.SetMetrics(slots.NewMetrics(h.registry))
 	h.broker.SetStoreAvailable(h.storeAvailable)
 	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
 	dials := prometheus.NewCounter(prometheus.CounterOpts{
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -163,6 +163,9 @@
 	// ran holds the requests that are known to have run on replicas that crashed lately, by
 	// upstream of the crash.
 	ran map[string]crashedRuns
+	// onUse is called with the slot time of each grant of a customer that ends; nil has no
+	// effect.
+	onUse func(now time.Time, customer string, class Class, used time.Duration)
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
--- a/slots/shares.go
+++ b/slots/shares.go
@@ -199,11 +199,14 @@
 
 // settle corrects what a grant was charged by the time that its slot was used.
 func (s *Scheduler) settle(now time.Time, g *grantState, outcome Outcome) {
+	used := max(now.Sub(g.Since), 0)
+	if s.onUse != nil && g.Share.Customer != "" {
+		s.onUse(now, g.Share.Customer, g.Class, used)
+	}
 	c := g.share
 	if c == nil {
 		return
 	}
-	used := max(now.Sub(g.Since), 0)
 	if outcome == Done || outcome == Ended {
 		c.serviceTime += time.Duration(customerServiceTimeWeight * float64(used-c.serviceTime))
 	}
