--- a/forward/forward.go
+++ b/forward/forward.go
@@ -247,7 +247,7 @@
 		s.Slots.ReturnToken(s.chargedGrant)
 	}
 	err = s.callerError(ctx, err)
-	r.Metrics.countRequest(err)
+	r.Metrics.countRequest(r.Clock.Now(), req.customerName(), err)
 	return err
 }
 
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -52,7 +52,7 @@
 	// Run is what the host observed of the response. The host sets it before it releases
 	// the grant.
 	Run Run
-	// Share is the share that an online request counts against.
+	// Share is the share that the request or item counts against.
 	Share Share
 	// token is the token that was taken with the grant, if the client knows it.
 	token heldToken
@@ -65,6 +65,9 @@
 	Items   int
 	// Due is when the most urgent item is due.
 	Due time.Time
+	// Shares splits the demand by the shares that the items count against. It is empty
+	// if the configuration has no customers.
+	Shares []ShareDemand
 }
 
 // Outcome is how the use of a slot ended.
@@ -162,6 +165,9 @@
 	// ran holds the requests that are known to have run on replicas that crashed lately, by
 	// upstream of the crash.
 	ran map[string]crashedRuns
+	// onUse is called with the slot time of each grant of a customer that ends; nil has no
+	// effect.
+	onUse func(now time.Time, customer string, class Class, used time.Duration)
 }
 
 // pool is the state of one service. Its serviceTime is the moving average of
@@ -176,7 +182,9 @@
 	lastRequestAt time.Time
 	lastRevokedAt time.Time
 	speed         serviceSpeed
-	shares        shares
+	// shares are those of online requests, itemShares those of batch items.
+	shares, itemShares shares
+	itemCapacity       itemCapacity
 }
 
 // replicaState is a replica with the number of its used slots and its recent
