--- /dev/null
+++ b/jobs/store_calls_test.go
@@ -0,0 +1,77 @@
+package jobs
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/slots"
+)
+
+// storeCalls returns the calls to the store by name.
+func (c *cluster) storeCalls() map[string]int {
+	calls := make(map[string]int)
+	for _, name := range []string{"get", "range", "commit", "watch", "grant", "keep", "revoke"} {
+		if n := c.store.Calls(name); n > 0 {
+			calls[name] = n
+		}
+	}
+	return calls
+}
+
+// Each call to the store costs money. A job costs one for its acceptance and one for each
+// flushDelay in which results came, and reads at other hosts of the region cost none.
+func TestStoreCallsOfAJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		c := newCluster(t, "a", "b")
+		a := c.hosts["a"]
+		served := make(chan struct{})
+		go func() { defer close(served); _ = a.Serve(ctx) }()
+		require.NoError(t, a.Submit(ctx, submission(10)))
+		for range 10 {
+			time.Sleep(700 * time.Millisecond)
+			require.Equal(t, slots.Done, a.grantSlot())
+			c.results("b", 0)
+		}
+		time.Sleep(time.Second)
+		require.Len(t, c.results("b", 0), 10)
+		require.Equal(t, map[string]int{"commit": 1 + 5}, c.storeCalls())
+		cancel()
+		<-served
+	})
+}
+
+// After the failure of a host, all its jobs are taken over at once.
+func TestStoreCallsOfATakeover(t *testing.T) {
+	const jobs, results = 3, 4
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	for i := range jobs {
+		s := submission(jobs*results + 1)
+		s.ID = fmt.Sprint("job", i)
+		require.NoError(t, a.Submit(t.Context(), s))
+	}
+	for range jobs * results {
+		require.Equal(t, slots.Done, a.grantSlot())
+		a.flushNow(t)
+	}
+	recorded := 0
+	for _, j := range a.jobs {
+		recorded += len(j.head.ChunkStarts)
+	}
+	require.Equal(t, jobs*results, recorded)
+	b := c.addHost("b", 1)
+	before := c.storeCalls()
+	require.NoError(t, b.Recover(t.Context(), true))
+	after := c.storeCalls()
+	require.Len(t, b.jobs, jobs)
+	require.Equal(t, 1, after["range"]-before["range"])
+	// The head record, the items and the chunks of results of each job.
+	require.Equal(t, jobs*2+recorded, after["get"]-before["get"])
+	require.Equal(t, jobs, after["commit"]-before["commit"])
+}
