jobs: take-over reads each record once

The host that takes a job over read its head record again right after it had listed it, and each chunk of results by itself. It now claims the job with the revision from the listing, and reads the head record only after a conflict; up to 16 chunks of results are listed together. The claim still requires that the head record has the revision by which items and results were read. Three jobs with 12 chunks of results: 22 calls before, 10 now (TestStoreCallsOfATakeover; at most, since a job without results costs no list). TestTakeoverAfterAnOutdatedListing plays a former owner that writes between the listing and the claim.

--- a/jobs/read.go
+++ b/jobs/read.go
@@ -177,8 +177,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return decodeResults(found.Value, id, n)
+}
+
+func decodeResults(value []byte, id string, n int) ([]Result, error) {
 	var chunk []Result
-	return chunk, errors.Wrapf(cbor.Unmarshal(found.Value, &chunk), "decode results %d of job %s", n, id)
+	return chunk, errors.Wrapf(cbor.Unmarshal(value, &chunk), "decode results %d of job %s", n, id)
 }
 
 // Body returns the request body of an item.
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -24,7 +24,10 @@
 
 func headKey(id string) string          { return headPrefix + id }
 func itemKey(id string, n int) string   { return itemPrefix + id + "/" + strconv.Itoa(n) }
-func resultKey(id string, n int) string { return resultPrefix + id + "/" + strconv.Itoa(n) }
+func resultKey(id string, n int) string { return resultKeys(id) + strconv.Itoa(n) }
+
+// resultKeys returns the prefix of the keys of a job's results.
+func resultKeys(id string) string { return resultPrefix + id + "/" }
 
 // Head is the head record of a job. It says who owns the job and how far it has
 // progressed.
--- a/jobs/store_calls_test.go
+++ b/jobs/store_calls_test.go
@@ -46,7 +46,8 @@
 	})
 }
 
-// After the failure of a host, all its jobs are taken over at once.
+// After the failure of a host all its jobs are taken over at once, while the store has
+// more to do than usual.
 func TestStoreCallsOfATakeover(t *testing.T) {
 	const jobs, results = 3, 4
 	c := newCluster(t, "a")
@@ -60,9 +61,16 @@
 		require.Equal(t, slots.Done, a.grantSlot())
 		a.flushNow(t)
 	}
-	recorded := 0
+	recorded, lists, gets := 0, 1, jobs
 	for _, j := range a.jobs {
-		recorded += len(j.head.ChunkStarts)
+		n := len(j.head.ChunkStarts)
+		recorded += n
+		switch {
+		case n > 1:
+			lists++
+		case n == 1:
+			gets++
+		}
 	}
 	require.Equal(t, jobs*results, recorded)
 	b := c.addHost("b", 1)
@@ -70,8 +78,41 @@
 	require.NoError(t, b.Recover(t.Context(), true))
 	after := c.storeCalls()
 	require.Len(t, b.jobs, jobs)
-	require.Equal(t, 1, after["range"]-before["range"])
-	// The head record, the items and the chunks of results of each job.
-	require.Equal(t, jobs*2+recorded, after["get"]-before["get"])
+	// One list for all head records, and for each job one call for its items and one for
+	// its results.
+	require.Equal(t, lists, after["range"]-before["range"])
+	require.Equal(t, gets, after["get"]-before["get"])
 	require.Equal(t, jobs, after["commit"]-before["commit"])
+	taken := 0
+	for _, j := range b.jobs {
+		taken += len(j.recorded)
+	}
+	require.Equal(t, recorded, taken)
+}
+
+// A host that isn't known to have left may still write when its job is taken over. Its
+// results must not be lost, nor recorded twice.
+func TestTakeoverAfterAnOutdatedListing(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(4)))
+	a.grantSlot()
+	a.flushNow(t)
+	listed, err := c.store.Get(t.Context(), headKey("job"))
+	require.NoError(t, err)
+	head, err := decodeHead(listed)
+	require.NoError(t, err)
+	for range 2 {
+		a.grantSlot()
+		a.flushNow(t)
+	}
+	b := c.addHost("b", 1)
+	require.NoError(t, b.claimListed(t.Context(), head, listed.Rev))
+	require.Len(t, b.jobs["job"].recorded, 3)
+	require.Equal(t, slots.Done, b.grantSlot())
+	b.flushNow(t)
+	a.grantSlot()
+	a.flushNow(t)
+	require.Empty(t, a.jobs, "disowned")
+	require.Len(t, c.results("b", 0), 4)
 }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -49,7 +49,7 @@
 		if head.Owner != self.Name && !orphans || !shouldTakeOver(head, members, self) {
 			continue
 		}
-		if err := m.claim(ctx, head.ID, head.Owner, nil); err != nil {
+		if err := m.claimListed(ctx, head, item.Rev); err != nil {
 			failed = errors.CombineErrors(failed, err)
 		}
 	}
@@ -112,6 +112,17 @@
 	return err
 }
 
+// claimListed is claim for a job whose head record was just listed, which is read again
+// only if it has changed since.
+func (m *Manager) claimListed(ctx context.Context, head *Head, rev txn.Rev) error {
+	id, from := head.ID, head.Owner
+	err := m.claimHead(ctx, head, rev, nil)
+	if errors.Is(err, txn.ErrConflict) {
+		return m.claim(ctx, id, from, nil)
+	}
+	return err
+}
+
 func (m *Manager) claimOnce(ctx context.Context, id, from string, progress []Progress) error {
 	head, rev, err := m.loadHead(ctx, id)
 	if err != nil {
@@ -120,6 +131,12 @@
 	if head.Owner != from || !head.open() {
 		return nil
 	}
+	return m.claimHead(ctx, head, rev, progress)
+}
+
+// claimHead makes this host the owner of a job whose head record has a revision.
+func (m *Manager) claimHead(ctx context.Context, head *Head, rev txn.Rev, progress []Progress) error {
+	id, from := head.ID, head.Owner
 	items, err := m.storedItems(ctx, head)
 	if err != nil {
 		return err
@@ -152,8 +169,15 @@
 	return nil
 }
 
+// maxListedChunks bounds the chunks of results that are listed together: each has up to
+// maxOutputBytes, and a reply is in memory several times while it is decoded.
+const maxListedChunks = 16
+
 // allResults reads all recorded results of a job.
 func (m *Manager) allResults(ctx context.Context, head *Head) ([]Result, error) {
+	if n := len(head.ChunkStarts); n > 1 && n <= maxListedChunks {
+		return m.listedResults(ctx, head)
+	}
 	var results []Result
 	for n := range head.ChunkStarts {
 		chunk, err := m.resultChunk(ctx, head.ID, n)
@@ -165,6 +189,32 @@
 	return results, nil
 }
 
+// listedResults lists the results of a job, usually with one call for all chunks. Chunks
+// that head doesn't name yet are left out.
+func (m *Manager) listedResults(ctx context.Context, head *Head) ([]Result, error) {
+	found, _, err := txn.List(ctx, m.Store, resultKeys(head.ID))
+	if err != nil {
+		return nil, err
+	}
+	values := make(map[string][]byte, len(found))
+	for _, item := range found {
+		values[item.Key] = item.Value
+	}
+	var results []Result
+	for n := range head.ChunkStarts {
+		value, ok := values[resultKey(head.ID, n)]
+		if !ok {
+			return nil, errors.Wrapf(txn.ErrNotFound, "read results %d of job %s", n, head.ID)
+		}
+		chunk, err := decodeResults(value, head.ID, n)
+		if err != nil {
+			return nil, err
+		}
+		results = append(results, chunk...)
+	}
+	return results, nil
+}
+
 // restoreProgress sets the progress of items that was made on another host.
 func (j *job) restoreProgress(progress []Progress) {
 	for _, p := range progress {
