jobs: results wait up to 2.4 s for others while there is time

Results waited for 1.2 s whatever time was left. They now wait for a fifth of the time until they have to be recorded, at least 1.2 s as before and at most 2.4 s; a complete job and one that is nearly due are recorded at once, as before. A result is still shown only once it is recorded, and at most once. Callers that read while a job runs get results up to 1.2 s later.

--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -88,19 +88,26 @@
 }
 
 // flushAt returns when the unrecorded results of a job are to be recorded: at once
-// if they complete the job or the job is nearly due, otherwise after flushDelay so
-// that more results share the write.
+// if they complete the job or the job is nearly due, otherwise after a delay so that
+// more results share the write.
 func (j *job) flushAt() time.Time {
 	if j.endRequested || j.head.ResultCount+len(j.unrecorded) >= j.head.ItemCount {
 		return time.Time{}
 	}
-	at := j.unrecordedSince.Add(flushDelay)
-	if early := j.head.due().Add(-flushMargin); early.Before(at) {
-		return early
+	latest := j.head.due().Add(-flushMargin)
+	at := j.unrecordedSince.Add(flushDelay(latest.Sub(j.unrecordedSince)))
+	if latest.Before(at) {
+		return latest
 	}
 	return at
 }
 
+// flushDelay returns how long results are collected that were received the given time
+// before they have to be recorded.
+func flushDelay(left time.Duration) time.Duration {
+	return min(max(time.Duration(flushDelayFraction*float64(left)), minFlushDelay), maxFlushDelay)
+}
+
 func (j *job) nextChange() change {
 	c := change{job: j, head: j.head, results: slices.Clone(firstChunk(j.unrecorded))}
 	c.head.WriteSeq++
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -83,8 +83,13 @@
 	// retryAfter is the Retry-After sent to callers when a head record can't be
 	// read, or when this host is stopping.
 	retryAfter = 500 * time.Millisecond
-	// flushDelay is how long results are collected before they are recorded.
-	flushDelay = 1200 * time.Millisecond
+	// minFlushDelay and maxFlushDelay bound how long results are collected before
+	// they are recorded, which is flushDelayFraction of the time left. Results that
+	// are lost with their host before that are produced again, so they may wait
+	// longer while there is time for that.
+	minFlushDelay      = 1200 * time.Millisecond
+	maxFlushDelay      = 2400 * time.Millisecond
+	flushDelayFraction = 0.2
 	// flushMargin is the time before a job is due from which on its results
 	// are recorded without delay.
 	flushMargin = 2 * time.Second
