host: one broker of each region confirms the configuration, the others ask it

Cause: where the configuration has customers, the brokers of both data centres of a region, 1 ms apart, each asked the store once a second for the same revision; with 6 data centres 360 calls a minute, as many as all renewals of 60 hosts cost together. Change: the broker of the first data centre of a region reads once a second. The others of the region ask it when its next read is due (Host.Confirmation, about twice a second, within the region). They read the store themselves at once if it has a newer configuration, and once a second from the age of 1.4 s on, so three reads remain before keys are refused at 4.5 s, as from the age of 1 s before. The age that a reply states counts from when the call was sent, as for polls. Hosts that are no brokers are served as before.

--- a/host/host.go
+++ b/host/host.go
@@ -275,6 +275,7 @@
 	control.Add(&stateFetcher{host: h, seeds: h.settings.Seeds, clock: h.clock, rng: rand.New(rand.NewPCG(rand.Uint64(), 1)), log: h.log})
 	if h.confirmer != nil {
 		control.Add(h.confirmer)
+		control.Add(h.confirmer.source)
 	}
 	serving := suture.New("serving", spec)
 	serving.Add(h.slotClient)
--- a/host/revocation.go
+++ b/host/revocation.go
@@ -45,6 +45,8 @@
 	// host that isn't a broker makes no reads then, since renewals of its record show when
 	// the store is available again.
 	storeUnavailable func() bool
+	// source gets the confirmations of another broker; nil if there is none.
+	source *confirmationSource
 	// onUsable is called when the configuration has become usable.
 	onUsable func()
 	// changed signals a version that has come into force.
@@ -87,7 +89,8 @@
 	if confirmed && age < c.timeout {
 		c.lastErr = nil
 	}
-	if c.schedule.Due(broker, age, confirmed) {
+	sourceSuffices := confirmed && c.source != nil && c.source.suffices(age)
+	if !sourceSuffices && c.schedule.Due(broker, age, confirmed) {
 		c.lastErr = errStoreUnavailable
 		if broker || !c.storeUnavailable() {
 			c.lastErr = c.confirm(ctx)
@@ -118,6 +121,9 @@
 func (c *confirmer) confirm(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
+	if c.source != nil {
+		c.source.newer.Store(false)
+	}
 	known := c.config.lastRecord()
 	sent := c.schedule.Send()
 	version, err := c.readVersion(ctx, known)
@@ -176,6 +182,10 @@
 		isBroker:         func() bool { return h.presence.wasListed() && h.slotClient.IsBroker() },
 		storeUnavailable: h.storeUnavailable, onUsable: h.broker.EndPolls, changed: make(chan struct{}, 1),
 	}
+	h.confirmer.source = &confirmationSource{host: h, call: func(ctx context.Context, address string) (reply ConfirmationReply, err error) {
+		err = h.peerClient.Call(ctx, address, peerName+".Confirmation", StateArgs{}, &reply)
+		return reply, err
+	}}
 	h.broker.SetLastConfirmed(h.lastConfirmed)
 	h.slotClient.OnConfirmed, h.slotClient.BootTime = h.handleConfirmation, clock
 	h.registerGauge("comfreyspindle_config_confirmed_age_seconds", "Time since the configuration in force was last known to be the newest one; +Inf before, 0 without customers.",
@@ -233,9 +243,9 @@
 }
 
 // findsChangeWithin returns the time within which a broker finds a new configuration by its
-// reads.
+// reads, or by those of its source.
 func (c *confirmer) findsChangeWithin() time.Duration {
-	return c.timeout + confirmCheckInterval
+	return c.timeout + 2*confirmCheckInterval + minSourceInterval
 }
 
 // readsConfig reports whether this host finds a new configuration without a watch: it is a
