slots: requests leave their data centre only if they can't be in time there, for free slots that were reported

Cause: a request that had waited 30 ms in its own data centre asked all others in the order of their names, whether it could have been in time or not. In a fleet near its capacity 40% of the requests ran elsewhere, three quarters of these in another region, and over it the time that they lost on the way made them late. Change, for requests of customers and where replicas send the fourth figure: brokers add free slots and the expected wait to replies to requests for slots, hosts share what they learn in the polls of their own broker. A request waits in its own data centre for up to half of its time if that is expected to suffice, then asks those of its region first, drawn at random in proportion to free slots, none that was full within 150 ms, and one broker in each. A data centre that doesn't answer is probed by polls, not by requests. Other deployments are served as before, with the same code for the order.

--- a/slots/acquire.go
+++ b/slots/acquire.go
@@ -88,6 +88,14 @@
 	Quota     quota.Refusal
 	// Share describes the customer's share, if the request is refused for its wait.
 	Share ShareUse
+	// Free is the number of slots of the service that are free for online requests, if
+	// FreeKnown is set. QueueWait is the wait that a refused request has to expect now, also
+	// after it has waited. Both are set for requests of customers and where replicas state
+	// how slow they are, which Uneven reports.
+	Free      int
+	FreeKnown bool
+	QueueWait time.Duration
+	Uneven    bool
 }
 
 // Acquire grants a slot to an online request or refuses it. It waits for a free
@@ -143,6 +151,7 @@
 			b.recordGrant(args, d.Grant)
 		}
 		reply.setGrant(d.Grant)
+		b.addForecast(args, reply)
 		return nil, nil
 	}
 	granted := make(chan Grant, 1)
@@ -183,48 +192,44 @@
 		delete(b.waiting, w)
 		reply.Share = b.sched.shareUse(b.sched.pool(w.args.Service), &w.args)
 		reply.RetryAfter = b.sched.RemoveWaiter(b.clock.Now(), w)
+		b.addForecast(&w.args, reply)
 	}
 }
 
 // Acquire acquires a slot. It first requests one in the host's own data centre
 // for at most localWait, then in each other one for at most remoteWait, then for
 // the rest of the wait in the own one again. If that has no replica for a pinned
-// request, the rest of the wait is spent where there is one.
+// request, the rest of the wait is spent where there is one. Requests of customers and
+// those to replicas that state how slow they are go to others only if they can't be in
+// time in their own data centre, and only to those that may have a free slot.
 func (c *Client) Acquire(ctx context.Context, args AcquireArgs, wait time.Duration) (Grant, error) {
 	own := c.View.Self().DataCentre
 	args.Leaving = c.Replicas.RecentlyLeaving(args.Service)
 	args.MaxWait = min(wait, localWait)
-	firstEventBy := args.firstEventBy(c.Clock.Now())
+	started := c.Clock.Now()
+	firstEventBy := args.firstEventBy(started)
 	g, refusal := c.acquireFrom(ctx, own, &args)
+	informed := refusal != nil && (args.Customer != "" || refusal.Uneven)
+	if informed && !refusal.final() {
+		args.FirstEventWithin = c.timeLeft(firstEventBy)
+		g, refusal = c.stay(ctx, own, &args, wait-localWait, refusal)
+	}
 	if refusal == nil {
 		return g, nil
 	}
 	if refusal.final() {
 		return Grant{}, refusal
 	}
-	waitIn := own
 	args.MaxWait = min(wait, remoteWait)
-	for _, dc := range c.otherDataCentres() {
-		if ctx.Err() != nil {
-			return Grant{}, ctx.Err()
-		}
-		args.FirstEventWithin = c.timeLeft(firstEventBy)
-		g, remoteRefusal := c.acquireFrom(ctx, dc, &args)
-		if remoteRefusal == nil {
-			return g, nil
-		}
-		if remoteRefusal.final() {
-			return Grant{}, remoteRefusal
-		}
-		if args.Pinned && refusal.Replicas == 0 && remoteRefusal.Replicas > 0 {
-			waitIn, refusal = dc, remoteRefusal
-		}
-	}
-	if wait <= localWait || ctx.Err() != nil {
-		return Grant{}, refusal
+	g, waitIn, refusal, err := c.acquireElsewhere(ctx, &args, firstEventBy, informed, refusal)
+	if err != nil || refusal == nil {
+		return g, err
 	}
 	args.MaxWait = wait - localWait
-	if !refusal.mayWait(args.MaxWait) {
+	if informed {
+		args.MaxWait = min(args.MaxWait, wait-c.Clock.Now().Sub(started))
+	}
+	if refusal.final() || args.MaxWait <= 0 || ctx.Err() != nil || !refusal.mayWait(args.MaxWait) {
 		return Grant{}, refusal
 	}
 	args.FirstEventWithin = c.timeLeft(firstEventBy)
@@ -234,6 +239,32 @@
 	return Grant{}, refusal
 }
 
+// acquireElsewhere requests a slot in other data centres after the own one has refused. If
+// none grants one, it returns the data centre in which to wait and the last refusal there,
+// or one that is final.
+func (c *Client) acquireElsewhere(
+	ctx context.Context, args *AcquireArgs, firstEventBy time.Time, informed bool, refusal *RefusedError,
+) (Grant, string, *RefusedError, error) {
+	waitIn, tries := c.View.Self().DataCentre, maxBrokerTries
+	if informed {
+		tries = 1
+	}
+	for _, dc := range c.remoteTargets(args, informed) {
+		if ctx.Err() != nil {
+			return Grant{}, "", nil, ctx.Err()
+		}
+		args.FirstEventWithin = c.timeLeft(firstEventBy)
+		g, remoteRefusal := c.acquireFromFirst(ctx, dc, args, tries)
+		if remoteRefusal == nil || remoteRefusal.final() {
+			return g, dc, remoteRefusal, nil
+		}
+		if args.Pinned && refusal.Replicas == 0 && remoteRefusal.Replicas > 0 {
+			waitIn, refusal = dc, remoteRefusal
+		}
+	}
+	return Grant{}, waitIn, refusal, nil
+}
+
 // mayWait reports whether a request that may wait for a time is worth another call to the
 // broker that refused it.
 func (r *RefusedError) mayWait(wait time.Duration) bool {
@@ -252,7 +283,14 @@
 // acquireFrom requests a slot from the brokers of one data centre, in turn,
 // until one answers. It sets args.Charged if the request has taken a token.
 func (c *Client) acquireFrom(ctx context.Context, dataCentre string, args *AcquireArgs) (Grant, *RefusedError) {
-	for _, h := range c.brokers(dataCentre) {
+	return c.acquireFromFirst(ctx, dataCentre, args, maxBrokerTries)
+}
+
+// acquireFromFirst is acquireFrom with at most the given number of brokers. Where a link is
+// cut, each of them costs the time of a call that ends without a reply.
+func (c *Client) acquireFromFirst(ctx context.Context, dataCentre string, args *AcquireArgs, tries int) (Grant, *RefusedError) {
+	ranked := c.brokers(dataCentre)
+	for _, h := range ranked[:min(len(ranked), tries)] {
 		reply, err := c.acquireWithinRateLimits(ctx, h, dataCentre, args)
 		if err != nil {
 			if ctx.Err() != nil {
@@ -265,10 +303,14 @@
 		if reply.Moved {
 			continue
 		}
+		if reply.FreeKnown && dataCentre != c.View.Self().DataCentre {
+			c.free.observe(c.Clock.Now(), FreeSlots{DataCentre: dataCentre, Service: args.Service, Free: reply.Free})
+		}
 		if !reply.Granted {
 			return Grant{}, &RefusedError{
 				RetryAfter: reply.RetryAfter, Wait: reply.Wait, Replicas: reply.Replicas, RateLimited: reply.RateLimited, HeldBack: reply.HeldBack,
 				Quarantined: reply.Quarantined, OverQuota: reply.OverQuota, Quota: reply.Quota, Share: reply.Share,
+				QueueWait: reply.QueueWait, Uneven: reply.Uneven,
 			}
 		}
 		// The broker's clock may differ, so Since becomes a time of this host.
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -30,6 +30,9 @@
 	clock clockwork.Clock
 	log   *logrus.Entry
 
+	// free holds what hosts reported of other data centres.
+	free freeReports
+
 	mu    sync.Mutex
 	sched *Scheduler
 	// replicas holds the replica records by ID that hosts receive, and version
@@ -279,6 +282,8 @@
 	Quota quota.Attachment
 	// Loads holds what replicas have said of their load since the last call that did.
 	Loads []LoadReport
+	// Free holds what the host knows of other data centres.
+	Free []FreeSlots
 }
 
 // PollReply is the reply to Poll.
@@ -294,6 +299,8 @@
 	Notice   Notice
 	// Quota is sent back with the host's next poll.
 	Quota quota.Stamp
+	// Free holds what the broker knows of other data centres from its hosts.
+	Free []FreeSlots
 }
 
 // Notice describes the state of a broker, so that other hosts need not watch
@@ -320,6 +327,8 @@
 	updates := b.sync(args)
 	b.countPoll(&args)
 	defer b.stampPoll(&args, reply)
+	b.free.observe(b.clock.Now(), args.Free...)
+	defer func() { reply.Free = b.free.recent(b.clock.Now()) }()
 	timer := b.clock.NewTimer(pollWait)
 	defer timer.Stop()
 	if !b.collect(updates, args.Version, reply) {
--- a/slots/client.go
+++ b/slots/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,6 +112,9 @@
 	Quota     quota.Refusal
 	// Share describes the customer's share in the data centre that refused last.
 	Share ShareUse
+	// QueueWait and Uneven are those of the reply of the broker that refused last.
+	QueueWait time.Duration
+	Uneven    bool
 }
 
 // Error implements error.
@@ -140,6 +144,13 @@
 	BootTime    boottime.Clock
 	// Quotas is nil if hosts are not counted for quotas.
 	Quotas Quotas
+	// Random returns a number in [0, 1); nil is rand.Float64.
+	Random func() float64
+
+	// free holds what brokers of other data centres reported, and usesReports is set once a
+	// request was sent to one by these reports.
+	free        freeReports
+	usesReports atomic.Bool
 
 	mu       sync.Mutex
 	grants   map[GrantID]Grant
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -50,7 +50,7 @@
 	grants := c.grantsIn(dataCentre, remote)
 	demands := c.BatchItems.Demand(remote)
 	idle := remote && len(grants) == 0 && len(demands) == 0
-	if idle && !c.isReported(dataCentre) {
+	if idle && !c.isReported(dataCentre) && !c.needsProbe(dataCentre) {
 		return false
 	}
 	ranked := c.brokers(dataCentre)
@@ -59,6 +59,9 @@
 	}
 	h := ranked[0]
 	args := PollArgs{Host: self.Name, Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Quota: c.quotaAttachment(h, remote), Loads: c.takeLoads(h, dataCentre)}
+	if !remote {
+		args.Free = c.free.recent(c.Clock.Now())
+	}
 	var reply PollReply
 	sent := c.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
@@ -72,6 +75,9 @@
 	c.clearSuspicion(h)
 	c.applyQuotaStamp(h, &reply)
 	c.setReported(dataCentre, remote && !idle)
+	if !remote {
+		c.free.observe(c.Clock.Now(), reply.Free...)
+	}
 	c.passConfirmation(h, sent, reply.Notice)
 	c.applyReply(h, reply, remote, args.Version != skipRecords)
 	return true
