--- a/slots/shares_load_test.go
+++ b/slots/shares_load_test.go
@@ -37,6 +37,8 @@
 	// named reports that requests carry their customers.
 	named   bool
 	perfect bool
+	// slots is the number of slots of the perfect queue.
+	slots   int
 	surging int
 	// changed reports that a request has come or a slot is free since the last plan.
 	changed bool
@@ -194,7 +196,7 @@
 // and those of batch items, which stop at once; they take no part here.
 func (m *shareModel) stepPerfect() {
 	m.queue = slices.DeleteFunc(m.queue, func(r *shareRequest) bool { return !m.now.Before(r.startBy) })
-	for len(m.queue) > 0 && len(m.running) < 6*8 {
+	for len(m.queue) > 0 && len(m.running) < m.slots {
 		at := 0
 		tag := func(r *shareRequest) float64 { return max(m.virtual, m.used[r.customer]) }
 		for i, r := range m.queue {
@@ -266,7 +268,7 @@
 
 func simulateShares(seed uint64, o shareOptions) *shareModel {
 	m := &shareModel{
-		s: newScheduler(6, 8), rng: rand.New(rand.NewPCG(seed, 7)), now: start, named: o.named, perfect: o.perfect, surging: int(seed % 5),
+		s: newScheduler(6, 8), rng: rand.New(rand.NewPCG(seed, 7)), now: start, named: o.named, perfect: o.perfect, slots: 6 * 8, surging: int(seed % 5),
 		running: make(map[GrantID]*shareRun), waiting: make(map[*Waiter]*shareRequest),
 	}
 	for ; m.now.Before(start.Add(runLength)); m.now = m.now.Add(tick) {
