quota, host: hosts that announce their departure cost nothing of the quotas

Cause: a host that shut down in order counted as known for 5 min like one that is lost, so its part of each quota was refused. If more than half shut down, allocators granted nothing after 4 min. Change: a host that shuts down says so in its polls, its broker passes that on for 2 s, and the allocator ceases to count the host once it isn't seen and neither a broker nor an allocator may still count it. Such hosts are no part of the majority that is required to lower the number of known hosts. An announcement ends when the host is started again. Limit: an allocator younger than 5 min divides by the departed hosts until then, since it knows only the number of hosts that its predecessor knew.

--- a/host/host.go
+++ b/host/host.go
@@ -391,6 +391,7 @@
 	defer cancel()
 	h.stopping.Store(true)
 	h.view.SetState(membership.Leaving)
+	h.quotas.Leave()
 	h.broker.StepDown()
 	h.log.Info("stopping: readiness off")
 	var handOver sync.WaitGroup
--- a/quota/allocator.go
+++ b/quota/allocator.go
@@ -52,8 +52,10 @@
 	// another broker may still count.
 	Hosts, Pending int
 	// Idle holds the hosts that promise to count no broker as allocator.
-	Idle  []IdleHost
-	Fleet FleetState
+	Idle []IdleHost
+	// Departed holds the hosts that have lately announced their departure to the broker.
+	Departed []string
+	Fleet    FleetState
 	// ConfigVersion is the version of the limits in Wants.
 	ConfigVersion int64
 	Wants         []Want
@@ -176,6 +178,9 @@
 	}
 	a.attachedAt, a.attachTried = now, true
 	a.brokers.renew(now, a.promisedUntil, args.Broker, args.Attachment, attachedHosts{hosts: max(args.Hosts, 0), pending: max(args.Pending, 0)})
+	for _, name := range args.Departed {
+		a.members.depart(now, name)
+	}
 	for _, h := range args.Idle {
 		// The promise is younger than the stamp that the message returns.
 		a.idle[h.Name] = max(a.idle[h.Name], args.Attachment.Echo.At+min(h.For, idlePromise))
@@ -264,14 +269,20 @@
 	if t := a.brokers.total(now); t.pending > 0 && a.isSole(now) {
 		attached = min(t.hosts+t.pending, a.known)
 	}
-	if seen > 0 && 2*attached > a.known {
+	// Departed hosts are no part of the majority that is required, as long as the number of
+	// hosts includes them.
+	required := a.known
+	if gone := a.members.countGone(now); a.known >= seen+gone {
+		required = a.known - gone
+	}
+	if seen > 0 && 2*attached > required {
 		if now-a.seenSince >= departureHold {
 			a.known = max(seen, attached)
 		}
 		a.majority, a.majorityAt = true, now
 	}
 	share := 0.0
-	fenced := 2*attached < a.known && (!a.majority || now-a.majorityAt >= minorityLimit)
+	fenced := 2*attached < min(required, a.known) && (!a.majority || now-a.majorityAt >= minorityLimit)
 	if a.known > 0 && seen > 0 && !fenced {
 		share = min(float64(attached)/float64(a.known), 1)
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -7,6 +7,7 @@
 package quota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -37,6 +38,9 @@
 	// departureHold, which must be longer.
 	minorityLimit = 4 * time.Minute
 	departureHold = 5 * time.Minute
+	// departureTimeout is how long after its announcement a departure may begin. A host that
+	// ceases to be seen later has been started again in between.
+	departureTimeout = 10 * time.Second
 	// idlePromise is how long a host that has just started promises to count no broker as
 	// allocator. Promises are renewed with each poll, at least every 0.4 s, and passed on
 	// with each exchange.
@@ -109,6 +113,9 @@
 	// IdleFor is how long a host promises to count no broker as allocator. Zero is no
 	// promise.
 	IdleFor time.Duration
+	// Leaving reports that a host shuts down: this message attaches it to nothing, and
+	// neither does any later one.
+	Leaving bool
 }
 
 // attachedSide is the state of the attached side of an attachment: until when each broker,
@@ -262,6 +269,48 @@
 type members struct {
 	// absentSince holds the time from which a host is no longer seen; zero while it is.
 	absentSince map[string]time.Duration
+	// departedAt holds the hosts that have announced their departure, with the time from
+	// which on they count no more once they aren't seen.
+	departedAt map[string]time.Duration
+	// gone holds the hosts that have ceased to count for that reason, with the time of that,
+	// for departureHold. Others may still report numbers of hosts that include them.
+	gone map[string]time.Duration
+}
+
+// depart records that a host has announced its departure. A broker and an allocator may count
+// it for their leases.
+func (m *members) depart(now time.Duration, name string) {
+	if _, ok := m.departedAt[name]; ok || m.absentSince == nil {
+		return
+	}
+	if m.departedAt == nil {
+		m.departedAt, m.gone = make(map[string]time.Duration), make(map[string]time.Duration)
+	}
+	m.departedAt[name] = now + pollLease + exchangeLease
+}
+
+// held reports whether a host that isn't seen still counts.
+func (m *members) held(now, since time.Duration, name string) bool {
+	at, departed := m.departedAt[name]
+	departed = departed && since < at+departureTimeout
+	return now-since < departureHold && (!departed || now < at)
+}
+
+// forget records that a host that isn't seen has ceased to count.
+func (m *members) forget(now, since time.Duration, name string) {
+	if _, departed := m.departedAt[name]; departed {
+		delete(m.departedAt, name)
+		if now-since < departureHold {
+			m.gone[name] = now
+		}
+	}
+}
+
+// countGone returns the number of hosts that have ceased to count within departureHold since
+// they announced their departure.
+func (m *members) countGone(now time.Duration) int {
+	maps.DeleteFunc(m.gone, func(_ string, at time.Duration) bool { return now-at >= departureHold })
+	return len(m.gone)
 }
 
 // update applies the names of the hosts that are seen.
@@ -269,16 +318,23 @@
 	seen := make(map[string]time.Duration, len(names))
 	for _, name := range names {
 		seen[name] = 0
+		delete(m.gone, name)
 	}
 	for name, since := range m.absentSince {
 		if _, ok := seen[name]; ok {
+			if since != 0 {
+				// It has been started again.
+				delete(m.departedAt, name)
+			}
 			continue
 		}
 		if since == 0 {
 			since = max(now, 1)
 		}
-		if now-since < departureHold {
+		if m.held(now, since, name) {
 			seen[name] = since
+		} else {
+			m.forget(now, since, name)
 		}
 	}
 	m.absentSince = seen
@@ -288,8 +344,9 @@
 func (m *members) count(now time.Duration) int {
 	n := 0
 	for name, since := range m.absentSince {
-		if since != 0 && now-since >= departureHold {
+		if since != 0 && !m.held(now, since, name) {
 			delete(m.absentSince, name)
+			m.forget(now, since, name)
 			continue
 		}
 		n++
--- a/quota/restart_test.go
+++ b/quota/restart_test.go
@@ -160,3 +160,52 @@
 		})
 	}
 }
+
+// Hosts that announce their departure cost their part of each quota for minutes, or the rest of
+// the fleet grants nothing any more if they are more than half; or hosts that are lost without
+// an announcement are forgotten as soon.
+func TestHostsThatAnnounceTheirDepartureDoNotCount(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		n := newNetwork(1, 3, 4, testLimits())
+		// The allocator lowers the number of hosts only after departureHold.
+		n.run(departureHold + 5*time.Second)
+		n.most = n.limits
+		n.check = func() { n.requireFences(t) }
+		allocator := n.nodeOf(n.nodes[0].current.Name)
+		for i, h := range n.nodes {
+			if i >= 3 && h != allocator && i < 11 {
+				if announced {
+					h.Leave()
+				}
+				n.after(2*time.Second, func() { h.dead = true })
+			}
+		}
+		n.run(2500 * time.Millisecond)
+		for _, h := range n.nodes {
+			h.view.Set(n.others(h, func(other *node) bool { return !other.dead }))
+		}
+		n.run(3 * time.Second)
+		if announced {
+			require.InDelta(t, 1, allocator.allocator.share, 0.001)
+		} else {
+			require.Less(t, allocator.allocator.share, 0.5)
+		}
+	}
+}
+
+// A host that is started again after its departure, and is then lost, is forgotten at once.
+func TestDepartureEndsWithTheNextStart(t *testing.T) {
+	for _, absent := range []bool{true, false} {
+		m := &members{}
+		m.update(second, []string{"h1", "h2"})
+		m.depart(second, "h2")
+		if absent {
+			m.update(2*second, []string{"h1"})
+			require.Equal(t, 2, m.count(2*second), "brokers may still count it")
+			require.Equal(t, 1, m.count(4*second))
+		}
+		m.update(5*second, []string{"h1", "h2"})
+		m.update(20*second, []string{"h1"})
+		require.Equal(t, 2, m.count(30*second))
+	}
+}
--- a/quota/service.go
+++ b/quota/service.go
@@ -31,6 +31,9 @@
 	// startPatience is how long a broker that has just started, and that no allocator has
 	// answered yet, waits for the first one: it may be starting too.
 	startPatience = 2 * time.Second
+	// departureRepeat is how long a broker passes on the announced departure of a host, since
+	// an exchange may fail.
+	departureRepeat = 2 * time.Second
 	// probeInterval is the time between the calls to an allocator that is passed over.
 	probeInterval = time.Second
 	// lowCreditDelay is the least time between two exchanges if no request waits.
@@ -85,6 +88,10 @@
 	startedAt time.Duration
 	lastTake  time.Duration
 	taken     bool
+	// leaving is set once this host shuts down. departed holds when each host last announced
+	// its departure to this broker.
+	leaving  bool
+	departed map[string]time.Duration
 	// answered is set once an allocator has answered an exchange.
 	answered bool
 
@@ -113,7 +120,7 @@
 	now := o.Now()
 	s := &Service{
 		Options: o, hosts: newAttachments(pollLease), toBroker: newAttachedSide(now, pollLease+exchangeLease), toAllocator: newAttachedSide(now, exchangeLease),
-		startedAt: now, idle: make(map[string]time.Duration), failures: make(map[string]*failures), exchangeNow: make(chan struct{}, 1), exchangeSoon: make(chan struct{}, 1),
+		startedAt: now, idle: make(map[string]time.Duration), departed: make(map[string]time.Duration), failures: make(map[string]*failures), exchangeNow: make(chan struct{}, 1), exchangeSoon: make(chan struct{}, 1),
 	}
 	s.allocator = NewAllocator(now, o.Tolerance, o.Limits)
 	s.allocator.self = o.View.Self().Name
@@ -178,86 +185,6 @@
 	s.account.Return(name)
 }
 
-// PollAttachment returns the Attachment for this host's next poll of a broker.
-func (s *Service) PollAttachment(broker string) Attachment {
-	if !s.Enabled() {
-		return Attachment{}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Now()
-	a := s.toBroker.next(now, broker)
-	h, ok := s.toBroker.held[broker]
-	a.WantsStamp = !ok || now-h.at >= pollLease
-	if now-s.startedAt < promisePeriod {
-		s.updateView()
-		// The first candidate makes no promise, since the brokers will attach themselves to it.
-		if len(s.candidates) > 0 && s.candidates[0].Name != s.allocator.self && s.allocator.promise(now) {
-			a.IdleFor = idlePromise
-		}
-	}
-	return a
-}
-
-// PollReplied records the stamp in a broker's reply to a poll.
-func (s *Service) PollReplied(broker string, stamp Stamp) {
-	if stamp == (Stamp{}) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.toBroker.received(s.Now(), broker, stamp)
-}
-
-// Polled records that a host has polled this broker.
-func (s *Service) Polled(host string, a Attachment) {
-	if a == (Attachment{}) || !s.Enabled() {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.Now()
-	if !s.hosts.valid(now, a) {
-		return
-	}
-	s.hosts.renew(now, 0, host, a, attachedHosts{hosts: 1})
-	_, known := s.idle[host]
-	if a.IdleFor > 0 {
-		// The promise is younger than the stamp that the message returns.
-		s.idle[host] = a.Echo.At + a.IdleFor
-	}
-	switch {
-	case s.account.hosts == 0 && s.hosts.hosts(now) > 0:
-		signal(s.exchangeNow)
-	case a.IdleFor > 0 && !known:
-		signal(s.exchangeSoon)
-	}
-}
-
-// idleHosts returns the hosts whose promise to count no broker as allocator holds. The lock
-// is held.
-func (s *Service) idleHosts(now time.Duration) []IdleHost {
-	var idle []IdleHost
-	for name, until := range s.idle {
-		if until <= now {
-			delete(s.idle, name)
-			continue
-		}
-		idle = append(idle, IdleHost{Name: name, For: until - now})
-	}
-	return idle
-}
-
-// PollStamp returns the stamp of the reply to a poll.
-func (s *Service) PollStamp() Stamp {
-	if !s.Enabled() {
-		return Stamp{}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.hosts.stamp(s.Now())
-}
-
 // Peer serves the calls of brokers to this host as allocator.
 type Peer struct{ service *Service }
 
@@ -392,14 +319,14 @@
 	s.updateView()
 	now := s.Now()
 	s.account.SetHosts(s.hosts.hosts(now))
-	t := s.hosts.total(now)
-	if t.hosts+t.pending == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
+	t, departed := s.hosts.total(now), s.departedHosts(now)
+	if t.hosts+t.pending+len(departed) == 0 && (!s.taken || now-s.lastTake > idleTimeout) {
 		return pendingExchange{}, false
 	}
 	x := pendingExchange{sentAt: now}
 	x.to, x.probes = s.chooseAllocator(now)
 	x.args = &ExchangeArgs{
-		Broker: s.View.Self().Name, Hosts: t.hosts, Pending: t.pending, Idle: s.idleHosts(now), Fleet: s.account.Fleet(now),
+		Broker: s.View.Self().Name, Hosts: t.hosts, Pending: t.pending, Idle: s.idleHosts(now), Departed: departed, Fleet: s.account.Fleet(now),
 	}
 	if s.leavingAt == 0 {
 		x.unattached = !s.toAllocator.fresh(now, x.to.Name)
