quota, slots: one constant for the wait for a token

Cause: a request waits at its broker for a token for 60 ms, and a call may take 120 ms beyond the wait for a slot; each was a constant of its own package, and nothing said which of them ends first. Change: AnswerTimeout is binding, and callMargin is twice that. The values are unchanged. Measured: the tests of quota and slots for tokens and Acquire pass.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -26,8 +26,9 @@
 	exchangeInterval = 250 * time.Millisecond
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 300 * time.Millisecond
-	// answerTimeout is how long a request waits for a token from the allocator.
-	answerTimeout = 60 * time.Millisecond
+	// AnswerTimeout is how long a request waits for a token from the allocator. Calls that
+	// take a token must allow for it.
+	AnswerTimeout = 60 * time.Millisecond
 	// minEmptyFor is the shortest time for which a broker refuses requests after the
 	// allocator had no token, so that a customer far over its quota costs few calls.
 	// maxEmptyFor is the longest: the share of the allocator may rise meanwhile.
--- a/quota/service.go
+++ b/quota/service.go
@@ -166,7 +166,7 @@
 
 // await waits for the decision on a request.
 func (s *Service) await(w *Waiter) Decision {
-	timer := s.Clock.NewTimer(answerTimeout)
+	timer := s.Clock.NewTimer(AnswerTimeout)
 	defer timer.Stop()
 	select {
 	case d := <-w.Decided:
--- a/quota/sim_load_test.go
+++ b/quota/sim_load_test.go
@@ -46,7 +46,7 @@
 	}
 	n.waited++
 	n.exchangeSoon(broker)
-	deadline := n.now + answerTimeout
+	deadline := n.now + AnswerTimeout
 	var wait func()
 	wait = func() {
 		n.on(broker, service, func() {
--- a/slots/client.go
+++ b/slots/client.go
@@ -27,8 +27,11 @@
 	localWait = 30 * time.Millisecond
 	// remoteWait is how long a request waits in each other data centre.
 	remoteWait = 20 * time.Millisecond
-	// callMargin is what a call may take beyond the wait that it requests.
-	callMargin = 120 * time.Millisecond
+	// callMargin is what a call may take beyond the wait that it requests. The request may
+	// wait at the broker for a token for quota.AnswerTimeout, which therefore ends first; the
+	// rest is for the network and a busy broker. A call that ended before its token was
+	// decided would make the host suspect a broker that works.
+	callMargin = 2 * quota.AnswerTimeout
 	// pollTimeout bounds a poll.
 	pollTimeout = pollWait + 400*time.Millisecond
 	// suspectCooldown is how long a broker that did not answer is passed over.
