--- a/host/connections.go
+++ b/host/connections.go
@@ -97,6 +97,15 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets how closing treats data that was not sent, as net.TCPConn does. It has no
+// effect on other connections.
+func (c *timeoutConn) SetLinger(seconds int) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // enter changes the phase and starts its timer, if the phase has a timeout.
 func (c *timeoutConn) enter(next phase) {
 	c.mu.Lock()
--- a/host/connections_test.go
+++ b/host/connections_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -153,3 +154,16 @@
 	b.awaitTimers(1)
 	b.request(conn, r)
 }
+
+// A truncated response over HTTP/1.0 ends like a complete one, since the connection that the
+// handler gets can't be reset.
+func TestConnectionWithTimeoutsCanBeReset(t *testing.T) {
+	b := newTimeoutServer(t)
+	conn, r := b.dial()
+	b.request(conn, r)
+	accepted := <-b.accepted
+	require.NoError(t, accepted.SetLinger(0))
+	require.NoError(t, accepted.Close())
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
