host: the test hook Config.decode is gone

Cause: the configuration of tests got its customers from a hook that replaced the decoder, from the time when the decoder knew none. Change: the tests put a configuration with a customer and a public route into the store.

Changes of existing tests: ConfigVersion became configWithCustomers where the hook added the customer; what is checked is unchanged.

--- a/host/config.go
+++ b/host/config.go
@@ -21,9 +21,6 @@
 	// onVersion is called with each version that comes into force.
 	onVersion func(version int64)
 
-	// decode decodes a configuration; nil is platform.DecodeConfig.
-	decode func(value []byte) (*route.Table, []platform.Fault, error)
-
 	table atomic.Pointer[route.Table]
 
 	mu sync.Mutex
@@ -96,11 +93,7 @@
 
 // apply is setIfNewer. It returns the version of the decoded configuration.
 func (c *Config) apply(value []byte, from string) (int64, error) {
-	decode := c.decode
-	if decode == nil {
-		decode = platform.DecodeConfig
-	}
-	table, faults, err := decode(value)
+	table, faults, err := platform.DecodeConfig(value)
 	if err != nil {
 		c.log.WithError(err).WithField("from", from).Error("can't decode configuration")
 		return 0, err
--- a/host/confirmer_test.go
+++ b/host/confirmer_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"testing"
@@ -12,30 +13,21 @@
 	"github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
-	"github.com/comfreyspindle/comfreyspindle/customer"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
-	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
-	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/staleness"
 )
 
 // publicPath is the path of the route that needs no key.
 const publicPath = "/f/"
 
-// decodeWithCustomers decodes a configuration, adds a customer to it and makes one of its
-// routes public.
-func decodeWithCustomers(value []byte) (*route.Table, []platform.Fault, error) {
-	table, faults, err := platform.DecodeConfig(value)
-	if err != nil {
-		return nil, nil, err
-	}
-	table.Customers, _ = customer.NewDirectory([]customer.Definition{{Customer: customer.Customer{Name: "c"}}})
-	if public := table.Match(platformtest.Host, publicPath); public != nil {
-		public.Public = true
-	}
-	return table, faults, nil
+// configWithCustomers returns the write of one version of a configuration with a customer, in
+// which one of the routes is public.
+func configWithCustomers(version int) txn.Write {
+	w := platformtest.ConfigOfCustomers(version, "svc", platformtest.Customer{Name: "c"})
+	w.Value = bytes.Replace(w.Value, []byte(`"prefix":"`+publicPath+`"`), []byte(`"public":true,"prefix":"`+publicPath+`"`), 1)
+	return w
 }
 
 // hookedStore calls a function between the arrival of a commit and its reply.
@@ -68,7 +60,7 @@
 	bound := staleness.NewBound(testKeyRevocation, clock)
 	f.confirmer = &confirmer{
 		bound: bound, schedule: staleness.NewSchedule(testKeyRevocation, clock, rand.New(rand.NewPCG(seed, 1))),
-		config: &Config{log: quietLog(), decode: decodeWithCustomers, onVersion: bound.SetInForce},
+		config: &Config{log: quietLog(), onVersion: bound.SetInForce},
 		store:  store, clock: clockwork.NewRealClock(), log: quietLog(), timeout: time.Second,
 		isBroker: func() bool { return broker }, storeUnavailable: func() bool { return false }, onUsable: func() {},
 	}
@@ -83,7 +75,7 @@
 
 // putInForce writes a version and puts it in force as a watch does.
 func (f *confirmerFixture) putInForce(t *testing.T, version int) {
-	f.config.applyItems(t.Context(), []txn.Item{f.put(t, platformtest.ConfigVersion(version, "svc"))})
+	f.config.applyItems(t.Context(), []txn.Item{f.put(t, configWithCustomers(version))})
 }
 
 func (f *confirmerFixture) usable() bool { return f.bound.Usable(f.config.Table().Version) }
@@ -102,7 +94,7 @@
 // A host that got the configuration from a peer knows no revision.
 func TestRecordIsReadOnceIfItsRevisionIsNotKnown(t *testing.T) {
 	f := newConfirmerFixture(&hookedStore{Store: txntest.NewStore()}, true, 1)
-	item := f.put(t, platformtest.ConfigVersion(1, "svc"))
+	item := f.put(t, configWithCustomers(1))
 	f.config.setIfNewer(item.Value, "peer")
 	for range 3 {
 		f.now += time.Second
@@ -117,7 +109,7 @@
 func TestReplyWithANewerRecordIsApplied(t *testing.T) {
 	f := newConfirmerFixture(&hookedStore{Store: txntest.NewStore()}, true, 1)
 	f.putInForce(t, 1)
-	f.put(t, platformtest.ConfigVersion(2, "svc"))
+	f.put(t, configWithCustomers(2))
 	calls := f.store.Calls("commit")
 	require.NoError(t, f.confirm(t.Context()))
 	require.EqualValues(t, 2, f.config.Table().Version)
@@ -131,7 +123,7 @@
 	f := newConfirmerFixture(&hookedStore{Store: txntest.NewStore()}, true, 1)
 	f.putInForce(t, 1)
 	f.store.hook = func() {
-		f.config.setIfNewer(platformtest.ConfigVersion(2, "svc").Value, "peer")
+		f.config.setIfNewer(configWithCustomers(2).Value, "peer")
 	}
 	require.NoError(t, f.confirm(t.Context()))
 	require.EqualValues(t, 2, f.config.Table().Version)
@@ -154,7 +146,7 @@
 // Each fault must leave the configuration unconfirmed, and a read after its end must
 // confirm it again.
 func TestFailedReadsConfirmNothing(t *testing.T) {
-	key := platformtest.ConfigVersion(1, "svc").Key
+	key := configWithCustomers(1).Key
 	remove := func(t *testing.T, f *confirmerFixture) {
 		_, err := f.store.Store.Commit(t.Context(), txn.Request{Remove: []string{key}})
 		require.NoError(t, err)
@@ -185,7 +177,7 @@
 			require.False(t, f.usable())
 			require.EqualValues(t, 1, f.config.Table().Version, "the configuration stays in force for public routes")
 			f.store.SetFault(nil)
-			f.put(t, platformtest.ConfigVersion(2, "svc"))
+			f.put(t, configWithCustomers(2))
 			require.Eventually(t, func() bool { return f.confirm(t.Context()) == nil }, testTimeout, time.Millisecond)
 			require.EqualValues(t, 2, f.config.Table().Version)
 			require.True(t, f.usable())
@@ -202,7 +194,7 @@
 	others := make([]*confirmerFixture, 9)
 	for i := range others {
 		others[i] = newConfirmerFixture(store, false, uint64(i))
-		others[i].config.setIfNewer(platformtest.ConfigVersion(1, "svc").Value, "peer")
+		others[i].config.setIfNewer(configWithCustomers(1).Value, "peer")
 	}
 	before := store.Calls("commit") + store.Calls("get")
 	const pollTime = 500 * time.Millisecond
--- a/host/revocation_test.go
+++ b/host/revocation_test.go
@@ -16,7 +16,6 @@
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
-	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/staleness"
 )
 
@@ -26,7 +25,7 @@
 // newRevocationFleet returns a fleet whose configuration has customers.
 func newRevocationFleet(t *testing.T) *fleet {
 	f := newFleet(t, time.Millisecond)
-	f.prepare = func(h *Host) { h.config.decode = decodeWithCustomers }
+	f.put(configWithCustomers(1))
 	return f
 }
 
@@ -88,7 +87,7 @@
 			require.True(t, h.keysUsable(), h.settings.Host)
 		}
 	}
-	f.put(platformtest.ConfigVersion(2, "svc"))
+	f.put(configWithCustomers(2))
 	for _, h := range cutOff {
 		require.Eventually(t, func() bool { return h.config.Table().Version == 2 && h.keysUsable() }, revocationInTests, 10*time.Millisecond)
 	}
@@ -105,7 +104,7 @@
 	f.kill("b")
 	f.kill("c")
 	proxy.cut()
-	f.put(platformtest.ConfigVersion(2, "svc"))
+	f.put(configWithCustomers(2))
 	since := time.Now()
 	requireRefusalInTime(t, a, since)
 	require.EqualValues(t, 1, a.config.Table().Version)
@@ -125,7 +124,6 @@
 	f := newRevocationFleet(t)
 	var suspended atomic.Int64
 	f.prepare = func(h *Host) {
-		h.config.decode = decodeWithCustomers
 		h.bootTime = func() time.Duration { return boottime.Now() + time.Duration(suspended.Load()) }
 	}
 	a := f.startRevoking("a", "dc", f.address)
@@ -174,14 +172,6 @@
 // with customers must be usable soon.
 func TestNothingIsConfirmedWithoutCustomers(t *testing.T) {
 	f := newFleet(t, time.Millisecond)
-	f.prepare = func(h *Host) {
-		h.config.decode = func(value []byte) (*route.Table, []platform.Fault, error) {
-			if table, faults, err := platform.DecodeConfig(value); err != nil || table.Version == 1 {
-				return table, faults, err
-			}
-			return decodeWithCustomers(value)
-		}
-	}
 	a, b := f.startRevoking("a", "dc", f.address), f.startRevoking("b", "dc", f.address)
 	before := f.store.Calls("commit") + f.store.Calls("get")
 	time.Sleep(revocationInTests)
@@ -190,7 +180,7 @@
 		require.True(t, h.keysUsable())
 		require.Zero(t, h.confirmedAgeSeconds())
 	}
-	f.put(platformtest.ConfigVersion(2, "svc"))
+	f.put(configWithCustomers(2))
 	for _, h := range []*Host{a, b} {
 		require.Eventually(t, func() bool { return h.config.Table().Version == 2 && h.keysUsable() }, testTimeout, time.Millisecond)
 		require.Less(t, h.confirmedAgeSeconds(), revocationInTests.Seconds())
