--- a/forward/forward.go
+++ b/forward/forward.go
@@ -207,9 +207,8 @@
 	// mayHaveRunCount counts the attempts that may have run the request, and
 	// notRunCount those that did not.
 	mayHaveRunCount, notRunCount int
-	// charged reports that the request has a token of its customer's quota.
-	charged bool
-	// chargedGrant is the grant with which the token was taken.
+	// charged reports that the request has a token of its quota, taken with chargedGrant.
+	charged      bool
 	chargedGrant slots.Grant
 	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
@@ -306,10 +305,9 @@
 	if err != nil {
 		return false, s.refusalError(err)
 	}
-	if !s.charged {
+	if s.grant = g; !s.charged {
 		s.charged, s.chargedGrant = true, g
 	}
-	s.grant = g
 	args := s.sendArgs(ctx, g)
 	s.giveUp = args.GiveUp
 	s.timer, s.longestWrite = slots.RunTimer{Began: s.Clock.Now()}, 0
