slots: requests of customers ask full data centres of their region last

Cause: since requests of customers choose data centres by reported free slots, those without a free slot were left out, where a customer under its share would have gone before the requests that wait. Change: for requests of customers, full data centres of the own region come last instead of being left out. TestRequestsAreServedByOtherDataCentres passes unchanged.

--- a/slots/data_centres.go
+++ b/slots/data_centres.go
@@ -125,25 +125,29 @@
 	return trust*float64(t.free) + (1-trust)*unknownFree
 }
 
+// full reports whether the data centre had no free slot just now.
+func (t *target) full() bool { return t.known && t.free == 0 && t.age < fullReportAge }
+
 // orderTargets returns the data centres to ask, the best first. Of several with free slots
 // it chooses at random in proportion to their number, so that the requests of all hosts
-// don't go to the one with the most. Those that were full just now are left out, and
-// unreachable ones if there is another.
-func orderTargets(targets []target, random func() float64) []string {
+// don't go to the one with the most. Those that were full just now are left out. If
+// askFull is set, those of the own region come last instead: the requests of a customer may go
+// before those that wait there. Unreachable ones are left out if there is another.
+func orderTargets(targets []target, askFull bool, random func() float64) []string {
 	type candidate struct {
 		target
 		key float64
 	}
 	var candidates []candidate
 	for _, t := range targets {
-		if t.known && t.free == 0 && t.age < fullReportAge {
+		if t.full() && !(askFull && t.sameRegion) {
 			continue
 		}
 		// The order by random()^(1/weight) draws without replacement by weight.
 		candidates = append(candidates, candidate{t, math.Pow(random(), 1/max(t.weight(), 1e-3))})
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.key, a.key))
+		return cmp.Or(compareBools(a.unreachable, b.unreachable), compareBools(a.full(), b.full()), cmp.Compare(a.rank(), b.rank()), cmp.Compare(b.key, a.key))
 	})
 	var names []string
 	for _, c := range candidates {
@@ -173,7 +177,7 @@
 		t.free, t.age, t.known = c.free.get(now, dc, args.Service)
 		targets = append(targets, t)
 	}
-	return orderTargets(targets, c.random)
+	return orderTargets(targets, args.Customer != "", c.random)
 }
 
 func (c *Client) random() float64 {
--- a/slots/data_centres_test.go
+++ b/slots/data_centres_test.go
@@ -29,11 +29,24 @@
 		{"none", nil, nil},
 	} {
 		t.Run(row.name, func(t *testing.T) {
-			require.Equal(t, row.want, orderTargets(row.targets, func() float64 { return 0.5 }))
+			require.Equal(t, row.want, orderTargets(row.targets, false, func() float64 { return 0.5 }))
 		})
 	}
 }
 
+// A customer under its share may go before the requests that wait in a full data centre, so
+// its requests must ask there too, after those with free slots, if no bytes between regions
+// are paid for it.
+func TestCustomersAskFullDataCentresOfTheirRegionLast(t *testing.T) {
+	targets := []target{
+		{dataCentre: "cut", sameRegion: true, unreachable: true},
+		{dataCentre: "full", known: true},
+		{dataCentre: "near and full", sameRegion: true, known: true},
+		{dataCentre: "free", known: true, free: 1},
+	}
+	require.Equal(t, []string{"free", "near and full"}, orderTargets(targets, true, func() float64 { return 0.5 }))
+}
+
 // Hosts choose on the same reports. If all chose the data centre with the most free slots,
 // it would be full before the next report.
 func TestTargetsAreChosenInProportionToFreeSlots(t *testing.T) {
@@ -47,7 +60,7 @@
 	first := make(map[string]int)
 	const n = 10000
 	for range n {
-		first[orderTargets(targets, rng.Float64)[0]]++
+		first[orderTargets(targets, false, rng.Float64)[0]]++
 	}
 	for dc, want := range map[string]float64{"idle": 24, "half": 12, "unknown": unknownFree, "old": unknownFree} {
 		require.InDelta(t, want/(24+12+2*unknownFree), float64(first[dc])/n, 0.02, dc)
--- a/slots/shares_data_centres_load_test.go
+++ b/slots/shares_data_centres_load_test.go
@@ -107,7 +107,7 @@
 		targets = append(targets, t)
 	}
 	var chosen []int
-	for _, name := range orderTargets(targets, m.targetRng.Float64) {
+	for _, name := range orderTargets(targets, true, m.targetRng.Float64) {
 		dc, err := strconv.Atoi(name)
 		if err != nil {
 			panic(err)
