--- a/slots/data_centres.go
+++ b/slots/data_centres.go
@@ -140,7 +140,7 @@
 	}
 	var candidates []candidate
 	for _, t := range targets {
-		if t.full() && !(askFull && t.sameRegion) {
+		if t.full() && (!askFull || !t.sameRegion) {
 			continue
 		}
 		// The order by random()^(1/weight) draws without replacement by weight.
