--- a/forward/quota_test.go
+++ b/forward/quota_test.go
@@ -41,7 +41,7 @@
 	require.Equal(t, verdict.NotRun, e.Verdict)
 	require.Equal(t, 300*time.Millisecond, e.RetryAfter)
 	data := hook.LastEntry().Data
-	for field, want := range map[string]any{"customer": "c", "per_second": 16.0, "burst": 17.0, "level": 0.25, "retry_after": "300ms", "config_version": int64(7)} {
+	for field, want := range map[string]any{"customer": "c", "per_second": 16.0, "burst": 17.0, "tokens_left": 0.25, "retry_after": "300ms", "config_version": int64(7)} {
 		require.Equal(t, want, data[field], field)
 	}
 }
