--- a/configcheck/finding.go
+++ b/configcheck/finding.go
@@ -1,7 +1,7 @@
 // Package configcheck examines a configuration before it is sent to the hosts. The
-// findings are pure functions of decoded configurations. What a host decides when it loads
-// or uses a configuration is asked of the types that the host uses: the faults that
-// decoding returns, route.Table and customer.Directory.
+// findings are pure functions of decoded configurations. To agree with what hosts accept and
+// match, the checks use the hosts' own types: the faults that decoding returns, route.Table
+// and customer.Directory.
 package configcheck
 
 import (
--- a/customer/largest.go
+++ b/customer/largest.go
@@ -11,15 +11,14 @@
 	MaxLabels = 10
 	// OtherLabel is the label of all customers that a metric doesn't name.
 	OtherLabel = "other"
-	// useTime is the time constant with which use is forgotten.
-	useTime = 5 * time.Minute
-	// replaceFactor is how much more a customer must have used than one with a label to
-	// take its place, so that two of equal use don't take turns.
+	// decayTime is the time constant of the exponential decay of use.
+	decayTime = 5 * time.Minute
+	// replaceFactor is the ratio of use above which a customer takes the label of another
+	// one. It keeps two customers of about equal use from replacing each other repeatedly.
 	replaceFactor = 1.5
 )
 
-// Largest tells the customers that have used most lately from all others, for labels of
-// metrics. The zero value is ready for use. It is safe for concurrent use.
+// Largest selects the customers with the highest recent use, which metrics label by name. The zero value is ready for use. It is safe for concurrent use.
 type Largest struct {
 	mu       sync.Mutex
 	use      map[string]decayedUse
@@ -27,14 +26,14 @@
 	prunedAt time.Time
 }
 
-// decayedUse is a sum that decays with useTime.
+// decayedUse is a sum that decays with decayTime.
 type decayedUse struct {
 	value float64
 	at    time.Time
 }
 
 func (u decayedUse) now(now time.Time) float64 {
-	return u.value * math.Exp(-max(now.Sub(u.at), 0).Seconds()/useTime.Seconds())
+	return u.value * math.Exp(-max(now.Sub(u.at), 0).Seconds()/decayTime.Seconds())
 }
 
 // Add records what a customer used and returns its label: its name, or OtherLabel.
@@ -69,14 +68,14 @@
 	return name, replaced
 }
 
-// prune forgets customers without a label that have used nothing for useTime.
+// prune forgets customers without a label that have used nothing for decayTime.
 func (l *Largest) prune(now time.Time) {
-	if now.Sub(l.prunedAt) < useTime {
+	if now.Sub(l.prunedAt) < decayTime {
 		return
 	}
 	l.prunedAt = now
 	for name, u := range l.use {
-		if _, ok := l.labelled[name]; !ok && now.Sub(u.at) >= useTime {
+		if _, ok := l.labelled[name]; !ok && now.Sub(u.at) >= decayTime {
 			delete(l.use, name)
 		}
 	}
--- a/host/confirmation_source.go
+++ b/host/confirmation_source.go
@@ -38,8 +38,8 @@
 }
 
 // confirmationSource gets the confirmations of the configuration from the broker of
-// another data centre of the region, so that only one broker of each region reads the
-// store. The calls stay in the region.
+// another data centre of the region, so that normally only one broker of each region
+// reads the store.
 type confirmationSource struct {
 	host *Host
 	call func(ctx context.Context, address string) (ConfirmationReply, error)
@@ -64,7 +64,8 @@
 	return membership.Host{}, false
 }
 
-// suffices reports whether this host need not read the store itself by now.
+// suffices reports whether confirmations of the given age from the source are recent enough
+// that this host need not read the store itself.
 func (s *confirmationSource) suffices(age time.Duration) bool {
 	if s.newer.Load() || age >= s.host.confirmer.timeout+sourceMargin {
 		return false
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -102,8 +102,8 @@
 	return at
 }
 
-// flushDelay returns how long results are collected that were received the given time
-// before they have to be recorded.
+// flushDelay returns how long to collect results before they are recorded, if they must be
+// recorded within the time left.
 func flushDelay(left time.Duration) time.Duration {
 	return min(max(time.Duration(flushDelayFraction*float64(left)), minFlushDelay), maxFlushDelay)
 }
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -134,7 +134,7 @@
 	return m.claimHead(ctx, head, rev, progress)
 }
 
-// claimHead makes this host the owner of a job whose head record has a revision.
+// claimHead makes this host the owner of a job, if its head record still has the revision.
 func (m *Manager) claimHead(ctx context.Context, head *Head, rev txn.Rev, progress []Progress) error {
 	id, from := head.ID, head.Owner
 	items, err := m.storedItems(ctx, head)
--- a/quota/candidates.go
+++ b/quota/candidates.go
@@ -38,7 +38,7 @@
 // candidates to probe.
 func (s *Service) firstCandidate(now time.Duration) (chosen membership.Host, probes []membership.Host) {
 	self := s.View.Self()
-	if !s.answered && now-s.startedAt < startPatience && len(s.candidates) > 0 {
+	if !s.answered && now-s.startedAt < firstAnswerTimeout && len(s.candidates) > 0 {
 		return s.candidates[0], nil
 	}
 	for _, h := range s.candidates {
--- a/quota/service.go
+++ b/quota/service.go
@@ -28,9 +28,9 @@
 	// maxFailures is the number of failures in a row after which a broker passes over
 	// an allocator. A single one may be a broken connection or a slow host.
 	maxFailures = 2
-	// startPatience is how long a broker that has just started, and that no allocator has
-	// answered yet, waits for the first one: it may be starting too.
-	startPatience = 2 * time.Second
+	// firstAnswerTimeout is the time after its start for which a broker tries only the first
+	// candidate, unless an allocator has answered: the candidate may be starting too.
+	firstAnswerTimeout = 2 * time.Second
 	// departureRepeat is how long a broker passes on the announced departure of a host, since
 	// an exchange may fail.
 	departureRepeat = 2 * time.Second
--- a/slots/charge.go
+++ b/slots/charge.go
@@ -6,8 +6,8 @@
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
-// chargeRetention is how long a broker remembers a token that a request has taken. Requests
-// that are known not to have run end before that.
+// chargeRetention is how long a broker keeps the record of a token that a request has taken.
+// Requests that are known not to have run end within this time.
 const chargeRetention = 10 * time.Second
 
 // charges holds the tokens that requests have taken at a broker, by AcquireArgs.Call. A token
@@ -28,7 +28,8 @@
 	granted, returned bool
 }
 
-// join reports whether a call has a token already, since it is made for the second time.
+// join reports whether a call already has a token, because the host has repeated the call. If so,
+// it counts the repetition as being served.
 func (c *charges) join(call uint64) bool {
 	charge, ok := c.byCall[call]
 	if ok {
@@ -68,9 +69,9 @@
 	return true
 }
 
-// giveBack records that the request of a call doesn't run, and returns the customer whose
-// token is to be returned now.
-func (c *charges) giveBack(call uint64) (customer string, ok bool) {
+// cancel records that the request of a call didn't run. If the call is no longer being served,
+// it removes the charge and returns the customer whose token is to be returned.
+func (c *charges) cancel(call uint64) (customer string, ok bool) {
 	charge, ok := c.byCall[call]
 	if !ok {
 		return "", false
@@ -90,7 +91,7 @@
 	}
 	for _, call := range calls {
 		b.mu.Lock()
-		customer, ok := b.charges.giveBack(call)
+		customer, ok := b.charges.cancel(call)
 		b.mu.Unlock()
 		if ok {
 			b.quotas.Return(customer)
--- a/slots/data_centres.go
+++ b/slots/data_centres.go
@@ -20,7 +20,8 @@
 	// asked. Slots become free at any time, so it is asked again soon.
 	fullReportAge = 150 * time.Millisecond
 	// unknownFree is the number of free slots assumed for a data centre without a recent
-	// report, which may just have come back. Few requests find out.
+	// report. It is low because the data centre may have just become reachable again and
+	// only a few requests should test it.
 	unknownFree = 2
 	// stayFraction is the fraction of the time left that the expected wait in the own data
 	// centre may take for the request to stay there. The rest allows for forecasts that are
@@ -95,7 +96,8 @@
 type target struct {
 	dataCentre string
 	sameRegion bool
-	// unreachable reports that its broker has not answered since it failed to.
+	// unreachable reports that its broker has answered no call since one failed, or that it
+	// has no broker.
 	unreachable bool
 	// free and age are those of its last report, if known.
 	free  int
@@ -103,8 +105,8 @@
 	known bool
 }
 
-// rank orders targets: bytes between regions cost money, so those of the own region come
-// first.
+// rank returns the rank of a target, with the lowest asked first. Traffic between regions is
+// billed, so targets in the own region come before others; unreachable ones come last.
 func (t *target) rank() int {
 	switch {
 	case t.unreachable:
@@ -187,8 +189,8 @@
 	return c.Random()
 }
 
-// isUnreachable reports whether the broker that would be asked for a slot in a data centre
-// has not answered since it failed to.
+// isUnreachable reports whether a data centre has no broker, or the one that would be asked for
+// a slot has answered no call since one failed.
 func (c *Client) isUnreachable(dataCentre string) bool {
 	brokers := c.brokers(dataCentre)
 	if len(brokers) == 0 {
--- a/slots/item_claims.go
+++ b/slots/item_claims.go
@@ -13,12 +13,14 @@
 	// claimMargin is how long before it is due an item within its customer's share is to
 	// be done, in case requests take more slots than lately.
 	claimMargin = 4 * time.Second
-	// dependableCapacity is the part of that average that suffices for the claims while they
-	// wait: bursts, and items that have to be stopped, may take the rest.
-	dependableCapacity = 0.7
-	// maxClaimants bounds the demands among which claims are calculated, which takes longer
-	// than the order of shares. With more, most can't wait anyway.
-	maxClaimants = 64
+	// claimCapacityFraction is the fraction of the average capacity that items with a claim
+	// are assumed to get while they wait. Bursts of requests and stopped items may take the
+	// rest.
+	claimCapacityFraction = 0.7
+	// maxClaimDemands is the largest number of demands for which claims are calculated. The
+	// calculation takes longer than the order of shares, and among more demands most items
+	// with a claim can't wait anyway.
+	maxClaimDemands = 64
 )
 
 // itemCapacity is the moving average of the number of slots that requests leave to items.
@@ -27,8 +29,8 @@
 	at    time.Time
 }
 
-// updateItemCapacity follows the number of slots that items may use, while they have
-// shares.
+// updateItemCapacity updates the moving average of the number of slots that items may use.
+// It does nothing if no host states shares.
 func (s *Scheduler) updateItemCapacity(now time.Time, p *pool) {
 	if !p.hasItemShares() {
 		return
@@ -59,12 +61,12 @@
 // times for as long as those with a claim can wait: a strict order by shares would give up
 // items that could all have been in time.
 func chooseByClaims(now time.Time, candidates []itemDemand, capacity float64) itemDemand {
-	if len(candidates) > maxClaimants {
+	if len(candidates) > maxClaimDemands {
 		return slices.MinFunc(candidates, compareTags)
 	}
 	slices.SortFunc(candidates, compareDue)
 	claims := itemClaims(now, candidates, capacity)
-	if slices.Max(claims) > 0 && claimsCanWait(now, candidates, claims, dependableCapacity*capacity) {
+	if slices.Max(claims) > 0 && claimsCanWait(now, candidates, claims, claimCapacityFraction*capacity) {
 		return candidates[0]
 	}
 	return slices.MinFunc(candidates, compareTags)
@@ -125,22 +127,27 @@
 	return claims
 }
 
-// sharedWork is the work that customers have between two virtual times each.
+// sharedWork holds intervals of virtual time in which customers have work. All customers with
+// work are served at the same rate.
 type sharedWork struct{ edges []workEdge }
 
-// workEdge is a virtual time at which the number of customers with work changes.
+// workEdge is a virtual time at which an interval begins or ends.
 type workEdge struct {
-	at      float64
-	change  float64
-	work    float64
-	working float64
+	at float64
+	// change is the change of the number of open intervals: 1 or -1.
+	change float64
+	// work is the slot time in seconds that is used up to at, and active the number of
+	// intervals that are open from then on. sort sets both.
+	work   float64
+	active float64
 }
 
+// add adds an interval.
 func (w *sharedWork) add(from, to float64) {
 	w.edges = append(w.edges, workEdge{at: from, change: 1}, workEdge{at: to, change: -1})
 }
 
-// sort sums the work up to each edge.
+// sort sorts the edges and calculates the work up to each.
 func (w *sharedWork) sort() {
 	slices.SortFunc(w.edges, func(a, b workEdge) int {
 		switch {
@@ -151,13 +158,13 @@
 		}
 		return 0
 	})
-	work, working, at := 0.0, 0.0, 0.0
+	work, active, at := 0.0, 0.0, 0.0
 	for i := range w.edges {
 		e := &w.edges[i]
-		work += working * (e.at - at)
-		working += e.change
+		work += active * (e.at - at)
+		active += e.change
 		at = e.at
-		e.work, e.working = work, working
+		e.work, e.active = work, active
 	}
 }
 
@@ -173,8 +180,8 @@
 		return 0
 	}
 	e := w.edges[i-1]
-	if e.working <= 0 {
+	if e.active <= 0 {
 		return math.Inf(1)
 	}
-	return e.at + (work-e.work)/e.working
+	return e.at + (work-e.work)/e.active
 }
--- a/slots/plan.go
+++ b/slots/plan.go
@@ -171,9 +171,9 @@
 }
 
 // grantBatch grants free slots to the hosts whose items are due first, and last
-// to those whose items are late; among customers in the order of nextItem. It grants none while requests wait and for
-// revokeCooldown after a revocation: during a burst of requests these grants
-// would soon be revoked again.
+// to those whose items are late. Among customers it uses the order of nextItem.
+// It grants none while requests wait and for revokeCooldown after a revocation:
+// during a burst of requests these grants would soon be revoked again.
 func (s *Scheduler) grantBatch(now time.Time, o occupancy, p *pool, plan *Plan) {
 	if len(p.queue) > 0 {
 		return
