review: cases 2 and 3, an ended job that goes on and requests cut by a planned stop

Claim 2: a host whose record is written late is forgotten by the others after a short freeze, and starts items of a job whose end was acknowledged (UNASKED). At fault: host/presence.go, writeRecord has no condition and a renewed lease doesn't show that the record is gone.

Claim 3: requests that a stopping host takes 3.0 to 3.2 s after SIGTERM are cut at 7.4 s (LOST). At fault: host/host.go, Stop.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -53,6 +53,9 @@
 	record *os.File
 	broken []string
 
+	// jobPath is the path of the calls that read and end jobs.
+	jobPath string
+
 	store    *store
 	address  string
 	replicas []*platformtest.Replica
@@ -69,6 +72,8 @@
 // scenarios are the cases by name.
 var scenarios = map[string]func(*world) error{
 	"takeover": playTakeover,
+	"ended":    playEnded,
+	"gone":     playGone,
 	"stop":     playStop,
 }
 
@@ -155,6 +160,11 @@
 	}
 	w.address = l.Addr().String()
 	go func() { _ = (&http.Server{Handler: platformtest.StoreHandler(w.store)}).Serve(l) }()
+	path, err := os.ReadFile(filepath.Join(w.data, "job-path.txt"))
+	if err != nil {
+		return err
+	}
+	w.jobPath = string(path)
 	value, err := os.ReadFile(filepath.Join(w.data, "config.json"))
 	if err != nil {
 		return err
@@ -231,7 +241,7 @@
 	return nil
 }
 
-// signal asks for a signal to the process of a host: KILL or TERM.
+// signal asks for a signal to the process of a host: KILL, TERM, STOP or CONT.
 func (w *world) signal(name string, m *machine) {
 	w.note("SIG%s to %s", name, m.name)
 	fmt.Printf("signal %s %s\n", name, m.name)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -15,8 +15,9 @@
 const (
 	// answerTime is how long the store takes to answer.
 	answerTime = 4 * time.Millisecond
-	// loseEvery selects the writes whose answers are lost: 33 in 100, where the site's
-	// troubles allow 35.
+	// lossTime is how long answers to writes are lost, and loseEvery selects these writes: 33
+	// in 100, where the site's troubles allow 35.
+	lossTime  = 4500 * time.Millisecond
 	loseEvery = 3
 )
 
@@ -28,17 +29,26 @@
 	mu      sync.Mutex
 	expires map[txn.Lease]time.Time
 	ttl     map[txn.Lease]time.Duration
-	// losing is set while every loseEvery-th write that is done gets no answer.
-	losing bool
-	writes int
+	// losing is set while every loseEvery-th write gets no answer. The first such write is
+	// number firstLost, counted from 1.
+	losing    bool
+	firstLost int
+	writes    int
+	// late is how much later a write without an answer is done; zero does it at once.
+	late time.Duration
 }
 
-// setLosing sets whether answers to writes are lost.
-func (s *store) setLosing(losing bool) {
+// lose lets answers to writes be lost for lossTime.
+func (s *store) lose(firstLost int, late time.Duration) {
+	s.setLosing(true, firstLost, late)
+	time.AfterFunc(lossTime, func() { s.setLosing(false, 0, 0) })
+}
+
+func (s *store) setLosing(losing bool, firstLost int, late time.Duration) {
 	s.world.note("the store loses answers to writes: %t", losing)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.losing = losing
+	s.losing, s.firstLost, s.late, s.writes = losing, firstLost, late, 0
 }
 
 // Grant implements txn.Store.
@@ -78,6 +88,7 @@
 		}
 		s.mu.Unlock()
 		for _, lease := range over {
+			s.world.note("lease %d ends", lease)
 			_ = s.Store.Expire(lease)
 		}
 	}
@@ -99,23 +110,32 @@
 // further: the call hangs until its sender closes it.
 func (s *store) Commit(ctx context.Context, req txn.Request) (txn.Rev, error) {
 	time.Sleep(answerTime)
-	rev, err := s.Store.Commit(ctx, req)
-	if err != nil || !s.losesAnswer() {
-		return rev, err
+	lost, late := s.losesAnswer()
+	if !lost {
+		return s.Store.Commit(ctx, req)
+	}
+	if late > 0 {
+		s.world.note("the answer to a write is lost, and it is done %v later: %s", late, keysOf(req))
+		time.AfterFunc(late, func() {
+			rev, err := s.Store.Commit(context.Background(), req)
+			s.world.note("a late write: revision %d, error %v: %s", rev, err, keysOf(req))
+		})
+	} else {
+		rev, err := s.Store.Commit(ctx, req)
+		s.world.note("the answer to a write is lost: revision %d, error %v: %s", rev, err, keysOf(req))
 	}
-	s.world.note("write at revision %d is done, its answer is lost: %s", rev, keysOf(req))
 	<-ctx.Done()
 	return 0, txn.ErrUnknown
 }
 
-func (s *store) losesAnswer() bool {
+func (s *store) losesAnswer() (lost bool, late time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.losing {
-		return false
+		return false, 0
 	}
 	s.writes++
-	return s.writes%loseEvery == 0
+	return s.writes%loseEvery == s.firstLost%loseEvery, s.late
 }
 
 func keysOf(req txn.Request) string {
--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -17,8 +17,6 @@
 	takeoverJobs, takeoverItems = 6, 8
 	takeoverEvents              = 184
 	takeoverEventInterval       = 15 * time.Millisecond
-	// lossTime is how long the store loses answers to writes.
-	lossTime = 4500 * time.Millisecond
 	// downTime is the time between the end of a process and its next start.
 	downTime     = 500 * time.Millisecond
 	readInterval = 500 * time.Millisecond
@@ -63,12 +61,10 @@
 	}
 	time.Sleep(1500 * time.Millisecond)
 	if w.trouble {
-		w.store.setLosing(true)
+		w.store.lose(loseEvery, 0)
 		if err := w.restart(owner); err != nil {
 			return err
 		}
-		time.Sleep(lossTime - downTime)
-		w.store.setLosing(false)
 	}
 	reading.Wait()
 	if w.trouble {
