--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,3 @@
 #!/usr/bin/env bash
-# Case 2: items of a job whose end was acknowledged go on running at a host that the other hosts
-# have lost sight of.
-exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" ended
+# Case 2: a job is never finished if its host, of which the other hosts have lost sight, is lost.
+exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" gone
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# Case 3: requests that a stopping host takes late are cut when its process ends.
-exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" stop
+# Case 3: items of a job whose end was acknowledged go on running at a host that the other hosts
+# have lost sight of.
+exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" ended
