--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Case 3: items of a job whose end was acknowledged go on running at a host that the other hosts
-# have lost sight of.
-exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" ended
+# Case 3: streams that are resumed after all processes were killed hold events of two software
+# versions.
+exec "$(dirname "$0")/../play.sh" "$(dirname "$0")" versions
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -74,7 +74,7 @@
 	"takeover": playTakeover,
 	"ended":    playEnded,
 	"gone":     playGone,
-	"stop":     playStop,
+	"versions": playVersions,
 }
 
 func main() {
@@ -285,6 +285,16 @@
 	return err
 }
 
+// removeAll removes records, as those of replicas that have left are.
+func (s *store) removeAll(records []txn.Write) error {
+	var keys []string
+	for _, r := range records {
+		keys = append(keys, r.Key)
+	}
+	_, err := s.Store.Commit(nil, txn.Request{Remove: keys}) //nolint:staticcheck // the store in memory doesn't use it
+	return err
+}
+
 func newStore(w *world) *store {
 	s := &store{Store: txntest.NewStore(), world: w, expires: make(map[txn.Lease]time.Time), ttl: make(map[txn.Lease]time.Duration)}
 	go s.expire()
