--- a/review/standin/takeover.go
+++ b/review/standin/takeover.go
@@ -14,7 +14,7 @@
 
 // Load and times of the case takeover.
 const (
-	takeoverJobs, takeoverItems = 6, 8
+	takeoverJobs, takeoverItems = 4, 20
 	takeoverEvents              = 184
 	takeoverEventInterval       = 15 * time.Millisecond
 	// downTime is the time between the end of a process and its next start.
