--- a/review/play.sh
+++ b/review/play.sh
@@ -1,11 +1,12 @@
 #!/usr/bin/env bash
-# Plays one case: review/play.sh FOLDER SCENARIO. Starts the stand-in of the platform, which
-# asks for starts and signals of the system's processes, and exits with its verdict: 0 if the
-# rule held, 1 if it was broken, 2 if the case couldn't run. TROUBLE=0 plays it without the
-# disruption.
+# Plays one case: review/play.sh SCENARIO RECORD. Starts the stand-in of the platform, which
+# asks for starts and signals of the system's processes and writes the record, and exits with its
+# verdict: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run. With TROUBLE=0 the
+# stand-in plays the scenario without its disruption.
 set -uo pipefail
-folder=$(cd "$1" && pwd)
-scenario=$2
+scenario=$1
+record=$2
+export TROUBLE="${TROUBLE:-1}"
 cd "$(dirname "$0")/.."
 dir=$(mktemp -d)
 declare -A pid=()
@@ -26,7 +27,7 @@
 target/spindled storage >"$dir/storage.log" 2>&1 &
 all+=($!)
 mkfifo "$dir/commands"
-target/review-standin -dir "$dir" -data review/standin -record "$folder/record.txt" "$scenario" >"$dir/commands" &
+target/review-standin -dir "$dir" -data review/standin -record "$record" "$scenario" >"$dir/commands" &
 all+=($!)
 code=2
 while read -r command a b; do
