--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -96,7 +96,13 @@
 func (m *Manager) accept(ctx context.Context, s Submission, a *acceptance) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
-	a.err = m.recordSubmission(ctx, s)
+	unlock, err := m.lockOwner(ctx, s.ID)
+	if err != nil {
+		a.err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeTimeout, "It is not known whether the job was recorded.")
+	} else {
+		a.err = m.recordSubmission(ctx, s)
+		unlock()
+	}
 	m.mu.Lock()
 	delete(m.accepting, s.ID)
 	m.mu.Unlock()
@@ -238,12 +244,14 @@
 
 func (m *Manager) newHead(s *Submission) *Head {
 	self := m.View.Self()
-	return &Head{
+	head := &Head{
 		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, RouteHost: s.Host, RoutePrefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
-		ItemCount: len(s.Items), WriteSeq: 1, Tokens: s.tokens(), WaitingTokens: s.tokens(),
+		ItemCount: len(s.Items), Tokens: s.tokens(), WaitingTokens: s.tokens(),
 		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(), Customer: s.Access.Customer,
 	}
+	head.nextWrite()
+	return head
 }
 
 func (m *Manager) startAccepted(head *Head, rev txn.Rev, items []Item) {
@@ -331,22 +339,38 @@
 func (m *Manager) awaitLateWrite(head *Head, items []Item) {
 	for end := m.Clock.Now().Add(lateWriteWindow); m.Clock.Now().Before(end); {
 		m.Clock.Sleep(lateWriteInterval)
-		ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
-		found, err := m.Store.Get(ctx, headKey(head.ID))
-		cancel()
-		if err != nil {
-			continue
-		}
-		stored, err := decodeHead(found)
-		if err != nil || !stored.sameWrite(head) {
+		if m.startLateAcceptance(head, items) {
 			return
 		}
-		m.startAccepted(stored, found.Rev, items)
-		return
 	}
 	m.Log.WithField("job", head.ID).Info("unconfirmed acceptance of job has not taken effect")
 }
 
+// startLateAcceptance starts a job whose acceptance was unconfirmed, if its write has
+// taken effect. It reports whether the outcome is known now.
+func (m *Manager) startLateAcceptance(head *Head, items []Item) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	unlock, err := m.lockOwner(ctx, head.ID)
+	if err != nil {
+		return false
+	}
+	defer unlock()
+	if m.runsJob(head.ID) {
+		return true
+	}
+	found, err := m.Store.Get(ctx, headKey(head.ID))
+	if err != nil {
+		return false
+	}
+	stored, err := decodeHead(found)
+	if err != nil || !stored.sameWrite(head) {
+		return true
+	}
+	m.startAccepted(stored, found.Rev, items)
+	return true
+}
+
 // owns reports whether this host owns a job or is recording its acceptance.
 func (m *Manager) owns(id string) bool {
 	m.mu.Lock()
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -110,7 +110,7 @@
 
 func (j *job) nextChange() change {
 	c := change{job: j, head: j.head, results: slices.Clone(firstChunk(j.unrecorded))}
-	c.head.WriteSeq++
+	c.head.nextWrite()
 	c.head.Ended = j.head.Ended || j.endRequested
 	if len(c.results) > 0 {
 		c.head.ChunkStarts = append(slices.Clone(j.head.ChunkStarts), j.head.ResultCount)
@@ -210,7 +210,8 @@
 		return
 	}
 	j.rev = rev
-	j.head.WriteSeq, j.head.ChunkStarts, j.head.ResultCount, j.head.Ended = c.head.WriteSeq, c.head.ChunkStarts, c.head.ResultCount, c.head.Ended
+	j.head.WriteSeq, j.head.WriteID = c.head.WriteSeq, c.head.WriteID
+	j.head.ChunkStarts, j.head.ResultCount, j.head.Ended = c.head.ChunkStarts, c.head.ResultCount, c.head.Ended
 	j.head.WaitingTokens = c.head.WaitingTokens
 	j.recorded = append(j.recorded, c.results...)
 	j.unrecorded = j.unrecorded[len(c.results):]
@@ -272,12 +273,16 @@
 		}
 	case head.Owner != c.head.Owner || head.Incarnation != c.head.Incarnation:
 		m.disown(c.job, "another host owns the job")
+	case head.ResultCount != c.job.head.ResultCount:
+		// What this host holds in memory is not what it wrote last.
+		m.disown(c.job, "the head record has other results than this host")
+		m.ensureOwnerAsync(head)
 	default:
 		// Another host recorded the end of the job.
 		m.mu.Lock()
 		c.job.rev = rev
 		c.job.head.Ended = c.job.head.Ended || head.Ended
-		c.job.head.WriteSeq = head.WriteSeq
+		c.job.head.WriteSeq, c.job.head.WriteID = head.WriteSeq, head.WriteID
 		m.mu.Unlock()
 		if head.Ended {
 			m.cancelRuns(c.job)
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -60,6 +60,9 @@
 	runs         map[slots.GrantID]context.CancelFunc
 	// accepting holds the submissions that are being recorded, by job.
 	accepting map[string]*acceptance
+	// ownerChanges holds, by job, a channel that is closed when the call that makes this
+	// host the owner has ended.
+	ownerChanges map[string]chan struct{}
 	// ownerSearches are the jobs for which a check of the owner is under way or
 	// ended less than ownerSearchInterval ago.
 	ownerSearches map[string]struct{}
@@ -87,7 +90,8 @@
 func NewManager(o Options) *Manager {
 	m := &Manager{
 		Options: o, jobs: make(map[string]*job), cachedOwners: make(map[string]cachedOwner),
-		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance), ownerSearches: make(map[string]struct{}), meanRunTimes: make(map[routeKey]time.Duration), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
+		runs: make(map[slots.GrantID]context.CancelFunc), accepting: make(map[string]*acceptance),
+		ownerChanges: make(map[string]chan struct{}), ownerSearches: make(map[string]struct{}), meanRunTimes: make(map[routeKey]time.Duration), flushRequested: make(chan struct{}, 1), demandChanged: make(chan struct{}, 1),
 		writeBackOff: newWriteBackOff(),
 	}
 	m.backlog = m.newLimiter()
@@ -159,13 +163,11 @@
 	}
 }
 
-// addOwned adds a job that this host now owns, so that its items are run. If the
-// host already runs the job, the present state is kept.
+// addOwned adds a job that this host now owns, so that its items are run. The caller
+// holds the lock of lockOwner, under which this host did not run the job.
 func (m *Manager) addOwned(j *job) {
 	m.mu.Lock()
-	if known, ok := m.jobs[j.head.ID]; !ok || known.disowned {
-		m.jobs[j.head.ID] = j
-	}
+	m.jobs[j.head.ID] = j
 	delete(m.cachedOwners, j.head.ID)
 	m.learnRunTime(&j.head)
 	m.mu.Unlock()
--- a/jobs/owner.go
+++ b/jobs/owner.go
@@ -3,20 +3,63 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // ownerSearchInterval is the minimum time between two checks of the owner of a
 // job.
 const ownerSearchInterval = time.Second
 
+// lockOwner waits until no other call of this host makes it the owner of the job, and
+// keeps others from it until unlock is called. Two such calls at a time would write the
+// head record twice, and the host would go on with the revision of either.
+func (m *Manager) lockOwner(ctx context.Context, id string) (unlock func(), err error) {
+	done := make(chan struct{})
+	for {
+		m.mu.Lock()
+		other, busy := m.ownerChanges[id]
+		if !busy {
+			m.ownerChanges[id] = done
+			m.mu.Unlock()
+			return func() { m.unlockOwner(id, done) }, nil
+		}
+		m.mu.Unlock()
+		select {
+		case <-other:
+		case <-ctx.Done():
+			return nil, errors.Wrapf(ctx.Err(), "wait for another take-over of job %s", id)
+		}
+	}
+}
+
+func (m *Manager) unlockOwner(id string, done chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.ownerChanges, id)
+	close(done)
+}
+
+// runsJob reports whether this host owns the job and runs it.
+func (m *Manager) runsJob(id string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.jobs[id]
+	return ok
+}
+
+// namesSelf reports whether the head record names this host, in its present incarnation,
+// as the owner.
+func (m *Manager) namesSelf(head *Head) bool {
+	self := m.View.Self()
+	return head.Owner == self.Name && head.Incarnation == self.Incarnation
+}
+
 // ensureOwner takes over a job if the owner in its head record does not run it.
 // That happens when the write that made a host the owner takes effect after the
 // host has stopped waiting for its outcome.
 func (m *Manager) ensureOwner(ctx context.Context, head *Head) {
-	m.mu.Lock()
-	_, owned := m.jobs[head.ID]
-	m.mu.Unlock()
-	if owned || !head.open() || m.ownerRunsJob(ctx, head) {
+	if m.runsJob(head.ID) || !head.open() || m.ownerRunsJob(ctx, head) {
 		return
 	}
 	if err := m.claim(ctx, head.ID, head.Owner, nil); err != nil {
@@ -25,11 +68,11 @@
 }
 
 // ownerRunsJob reports whether the owner in a job's head record runs the job or
-// will run it. It is also true if the owner is no longer a member, or is an
-// earlier incarnation of this host: Recover takes over those jobs.
+// will run it. It is also true if the owner is no longer a member: Recover takes over
+// those jobs.
 func (m *Manager) ownerRunsJob(ctx context.Context, head *Head) bool {
-	if self := m.View.Self(); head.Owner == self.Name {
-		return head.Incarnation < self.Incarnation
+	if head.Owner == m.View.Self().Name {
+		return false
 	}
 	owner, ok := m.findHost(head.Owner)
 	if !ok {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
@@ -64,6 +65,15 @@
 	// Customer is the name of the customer that submitted the job; empty if it was
 	// submitted without a key.
 	Customer string `cbor:"18,keyasint,omitempty"`
+	// WriteID is a random number for each write of an owner, 0 in records of older
+	// builds. WriteSeq alone may be that of another write of the same incarnation.
+	WriteID uint64 `cbor:"19,keyasint,omitempty"`
+}
+
+// nextWrite numbers the next write of the record.
+func (h *Head) nextWrite() {
+	h.WriteSeq++
+	h.WriteID = rand.Uint64()
 }
 
 // open reports whether the job has items left to run.
@@ -84,7 +94,8 @@
 // sameWrite reports whether two heads are of one write. The customers matter too: two of
 // them may submit under one ID to the same host.
 func (h *Head) sameWrite(other *Head) bool {
-	return h.Owner == other.Owner && h.Incarnation == other.Incarnation && h.WriteSeq == other.WriteSeq && h.Customer == other.Customer
+	return h.Owner == other.Owner && h.Incarnation == other.Incarnation && h.WriteSeq == other.WriteSeq &&
+		h.WriteID == other.WriteID && h.Customer == other.Customer
 }
 
 func decodeHead(item txn.Item) (*Head, error) {
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -99,9 +99,22 @@
 // concurrently.
 const maxClaimAttempts = 3
 
-// claim makes this host the owner of a job. It does nothing if the owner is not
-// the given one any more or no items are left to run.
+// claim makes this host the owner of a job. It does nothing if the host runs the job
+// already, the owner is not the given one any more, or no items are left to run.
 func (m *Manager) claim(ctx context.Context, id, from string, progress []Progress) error {
+	unlock, err := m.lockOwner(ctx, id)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	if m.runsJob(id) {
+		return nil
+	}
+	return m.claimLocked(ctx, id, from, progress)
+}
+
+// claimLocked is claim under the lock of lockOwner, for a job that this host doesn't run.
+func (m *Manager) claimLocked(ctx context.Context, id, from string, progress []Progress) error {
 	var err error
 	for range maxClaimAttempts {
 		// A write of the former owner that takes effect late causes a conflict.
@@ -116,9 +129,17 @@
 // only if it has changed since.
 func (m *Manager) claimListed(ctx context.Context, head *Head, rev txn.Rev) error {
 	id, from := head.ID, head.Owner
-	err := m.claimHead(ctx, head, rev, nil)
+	unlock, err := m.lockOwner(ctx, id)
+	if err != nil {
+		return err
+	}
+	defer unlock()
+	if m.runsJob(id) {
+		return nil
+	}
+	err = m.claimHead(ctx, head, rev, nil)
 	if errors.Is(err, txn.ErrConflict) {
-		return m.claim(ctx, id, from, nil)
+		return m.claimLocked(ctx, id, from, nil)
 	}
 	return err
 }
@@ -128,13 +149,14 @@
 	if err != nil {
 		return err
 	}
-	if head.Owner != from || !head.open() {
+	if !head.open() || head.Owner != from && !m.namesSelf(head) {
 		return nil
 	}
 	return m.claimHead(ctx, head, rev, progress)
 }
 
 // claimHead makes this host the owner of a job, if its head record still has the revision.
+// The lock of lockOwner must be held.
 func (m *Manager) claimHead(ctx context.Context, head *Head, rev txn.Rev, progress []Progress) error {
 	id, from := head.ID, head.Owner
 	items, err := m.storedItems(ctx, head)
@@ -147,7 +169,7 @@
 	}
 	self := m.View.Self()
 	head.Owner, head.Incarnation, head.DataCentre = self.Name, self.Incarnation, self.DataCentre
-	head.WriteSeq++
+	head.nextWrite()
 	value, err := cbor.Marshal(head)
 	if err != nil {
 		return errors.Wrap(err, "encode head record")
