jobs: a take-over whose write takes effect late is run by its host

A write of an earlier incarnation that took effect after the restarted host had looked for its jobs was worse: asked by a peer, the host said that it would run the job, and nobody did. And a host whose clock was set back before its start had a lower incarnation number than its jobs and left them.

TestHostDetectsItsLateTakeOver, TestHostRunsLateJobsOfItsEarlierIncarnation and TestJobsOfALaterIncarnationNumberAreRecovered failed before.

--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -89,10 +89,28 @@
 // recording the job's acceptance or will take the job over from an earlier
 // incarnation of itself.
 func (p *Peer) Owns(args OwnsArgs, reply *OwnsReply) error {
-	reply.Owned = args.Incarnation < p.m.View.Self().Incarnation || p.m.owns(args.ID)
+	self := p.m.View.Self()
+	switch {
+	case p.m.owns(args.ID):
+		reply.Owned = true
+	case args.Incarnation != self.Incarnation && !p.m.isStopping():
+		// The write of an earlier incarnation may have taken effect after this one has
+		// looked for its jobs.
+		go p.m.claimOwn(args.ID)
+		reply.Owned = true
+	}
 	return nil
 }
 
+// claimOwn takes over a job from an earlier incarnation of this host.
+func (m *Manager) claimOwn(id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	if err := m.claim(ctx, id, m.View.Self().Name, nil); err != nil {
+		m.Log.WithError(err).WithField("job", id).Warn("cannot take over job of an earlier incarnation")
+	}
+}
+
 // AnnounceArgs are the arguments of Peer.Announce.
 type AnnounceArgs struct{ ID, Owner, Customer string }
 
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 // handOverTarget returns the host that is offered the jobs of a leaving host. Hosts
@@ -86,7 +87,7 @@
 	case !head.open():
 		return false
 	case head.Owner == self.Name:
-		return head.Incarnation <= self.Incarnation
+		return true
 	case slices.ContainsFunc(members, func(h membership.Host) bool { return h.Name == head.Owner }):
 		return false
 	case head.DataCentre == self.DataCentre:
@@ -110,7 +111,46 @@
 	if m.runsJob(id) {
 		return nil
 	}
-	return m.claimLocked(ctx, id, from, progress)
+	return m.watchOutcome(id, m.claimLocked(ctx, id, from, progress))
+}
+
+// watchOutcome returns err. If it leaves open whether this host owns the job, that is
+// found out in the background.
+func (m *Manager) watchOutcome(id string, err error) error {
+	if err != nil && verdict.Of(err) != verdict.NotRun {
+		go m.awaitLateTakeOver(id)
+	}
+	return err
+}
+
+// awaitLateTakeOver polls for a take-over whose write may still take effect, and runs the
+// job if it does: no other host would.
+func (m *Manager) awaitLateTakeOver(id string) {
+	for end := m.Clock.Now().Add(lateWriteWindow); m.Clock.Now().Before(end); {
+		m.Clock.Sleep(lateWriteInterval)
+		if m.isStopping() || m.claimLate(id) {
+			return
+		}
+	}
+}
+
+// claimLate claims a job whose head record names this host already, and reports whether
+// this host runs it now.
+func (m *Manager) claimLate(id string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), acceptTimeout)
+	defer cancel()
+	unlock, err := m.lockOwner(ctx, id)
+	if err != nil {
+		return false
+	}
+	defer unlock()
+	if m.runsJob(id) {
+		return true
+	}
+	if err := m.claimLocked(ctx, id, "", nil); err != nil {
+		m.Log.WithError(err).WithField("job", id).Info("can't find out whether this host owns the job")
+	}
+	return m.runsJob(id)
 }
 
 // claimLocked is claim under the lock of lockOwner, for a job that this host doesn't run.
@@ -139,9 +179,9 @@
 	}
 	err = m.claimHead(ctx, head, rev, nil)
 	if errors.Is(err, txn.ErrConflict) {
-		return m.claimLocked(ctx, id, from, nil)
+		err = m.claimLocked(ctx, id, from, nil)
 	}
-	return err
+	return m.watchOutcome(id, err)
 }
 
 func (m *Manager) claimOnce(ctx context.Context, id, from string, progress []Progress) error {
--- a/jobs/takeover_test.go
+++ b/jobs/takeover_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 // loseReplyOnce lets the store execute the next commit without a reply, and closes the
@@ -103,6 +104,44 @@
 	c.requireRecorded(t, "a")
 }
 
+// The write of a take-over takes effect after the host has stopped waiting for it: the
+// record names an owner that doesn't run the job, and nobody else looks for it.
+func TestHostDetectsItsLateTakeOver(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(2)))
+	b := c.hosts["b"]
+	c.failCommits(txntest.Late, 100)
+	require.Equal(t, verdict.MayHaveRun, verdict.Of(b.claim(t.Context(), "job", "a", nil)))
+	require.False(t, b.runsJob("job"))
+	c.store.SetFault(nil)
+	c.store.ReleaseLate()
+	require.Eventually(t, func() bool { return b.runsJob("job") }, 5*time.Second, 10*time.Millisecond)
+}
+
+// The acceptance by an earlier incarnation takes effect after the restarted host has looked
+// for its jobs. Asked by a peer, it says that it will run the job, and does.
+func TestHostRunsLateJobsOfItsEarlierIncarnation(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	restarted := c.addHost("a", 2, "b")
+	require.NoError(t, restarted.Recover(t.Context(), false))
+	former := newCluster(t, "a")
+	former.store = c.store
+	require.NoError(t, former.addHost("a", 1).Submit(t.Context(), submission(2)))
+	require.NoError(t, c.hosts["b"].Submit(t.Context(), submission(2)))
+	require.Eventually(t, func() bool { return restarted.runsJob("job") }, 5*time.Second, time.Millisecond)
+	require.Equal(t, 1, c.ownerCount("job"))
+}
+
+// The clock of a machine was set back before its host started again, so its incarnation
+// number is lower than before. It owns its jobs all the same.
+func TestJobsOfALaterIncarnationNumberAreRecovered(t *testing.T) {
+	c := newCluster(t)
+	require.NoError(t, c.addHost("a", 2).Submit(t.Context(), submission(2)))
+	restarted := c.addHost("a", 1)
+	require.NoError(t, restarted.Recover(t.Context(), false))
+	require.True(t, restarted.runsJob("job"))
+}
+
 // The record of a job holds results that its host doesn't have in memory, so the host must
 // not count another write as its own. It takes the job as the record has it.
 func TestHostThatMissedResultsReadsThem(t *testing.T) {
