host: one job that can't be read doesn't hold up the recovery of others

The recovery tried again without end while any job failed, and looked neither at the end of recoveryDelay nor at further requests: a host with one unreadable job of its own never took over the jobs of lost hosts.

Change: failed recoveries are retried beside these events, with a back-off of 0.7 s to 10 s in place of 0.7 s, as each lists all head records.

TestUnreadableJobDoesNotHoldUpTheRecovery failed before (25 s without a result).

--- a/host/recovery.go
+++ b/host/recovery.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
@@ -24,33 +25,52 @@
 	}
 }
 
+// maxRecoveryDelay bounds the delay after failed recoveries in a row.
+const maxRecoveryDelay = 10 * time.Second
+
 // recovery takes over jobs whose owner is no longer a member.
 type recovery struct{ host *Host }
 
 // Serve recovers jobs at the start, after recoveryDelay, and after each
-// requested recovery. It tries again after failures.
+// requested recovery. It tries again after failures: one job that can't be read
+// doesn't keep it from those of other hosts.
 func (r recovery) Serve(ctx context.Context) error {
 	h := r.host
 	delayOver := h.clock.After(recoveryDelay)
 	// Until recoveryDelay is over, the membership view may be incomplete, and
 	// a missing host would not show that it failed.
 	viewComplete := false
+	retryDelay := newRecoveryBackOff()
 	for pending := !h.settings.FirstStart; ; {
-		for pending && h.jobs.Recover(ctx, viewComplete && h.slotClient.IsBroker()) != nil && ctx.Err() == nil {
-			wait.For(ctx, h.clock, storeRetryDelay)
+		var retry <-chan time.Time
+		if pending {
+			if err := h.jobs.Recover(ctx, viewComplete && h.slotClient.IsBroker()); err != nil {
+				h.log.WithError(err).Warn("can't recover all jobs; retrying")
+				retry = h.clock.After(retryDelay.NextBackOff())
+			} else {
+				pending = false
+				retryDelay.Reset()
+			}
 		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-delayOver:
 			viewComplete = true
-			pending = h.slotClient.IsBroker() && !h.settings.FirstStart
+			pending = pending || h.slotClient.IsBroker() && !h.settings.FirstStart
 		case <-h.recoveryRequests:
 			pending = true
+			retryDelay.Reset()
+		case <-retry:
 		}
 	}
 }
 
+// newRecoveryBackOff returns the delays after failed recoveries.
+func newRecoveryBackOff() *backoff.ExponentialBackOff {
+	return &backoff.ExponentialBackOff{InitialInterval: storeRetryDelay, Multiplier: 2, MaxInterval: maxRecoveryDelay, RandomizationFactor: 0.2}
+}
+
 // String names the service in supervisor events.
 func (recovery) String() string { return "recovery" }
 
