--- a/host/host.go
+++ b/host/host.go
@@ -169,7 +169,7 @@
 		},
 		onRemoved: h.hostRemoved, onRejoin: h.requestRecovery, onChange: func() { h.broker.HostsChanged() },
 		onStoreUnavailable: h.markStoreUnavailable, onStoreAvailable: h.markStoreAvailable,
-		hosts: make(map[string]membership.Host), expired: make(map[string]struct{}),
+		hosts: make(map[string]membership.Host), expired: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
 	}
 }
 
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -178,7 +178,7 @@
 		onRemoved: func(h membership.Host) { f.mu.Lock(); f.removed = append(f.removed, h.Name); f.mu.Unlock() },
 		onRejoin:  func() {},
 		onChange:  func() {},
-		hosts:     make(map[string]membership.Host), expired: make(map[string]struct{}),
+		hosts:     make(map[string]membership.Host), expired: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
 	}
 	return f
 }
--- a/host/peer.go
+++ b/host/peer.go
@@ -78,11 +78,13 @@
 	return nil
 }
 
-// Ping succeeds unless the host is stopping.
+// Ping succeeds unless the host is stopping. Only hosts for which the record of the called
+// one is gone call it.
 func (p *Peer) Ping(_ StateArgs, _ *PingReply) error {
 	if p.host.stopping.Load() {
 		return verdict.New(verdict.NotRun, verdict.CodeDraining, "The host is stopping.")
 	}
+	p.host.presence.Recheck()
 	return nil
 }
 
@@ -202,6 +204,7 @@
 		}
 		if n.Current {
 			h.presence.ReplaceFromPeer(reply.Hosts)
+			h.presence.RecheckIfMissing(reply.Hosts)
 		}
 	}()
 }
--- a/host/presence.go
+++ b/host/presence.go
@@ -44,6 +44,10 @@
 	// expired.
 	pingInterval = time.Second
 	pingTimeout  = 500 * time.Millisecond
+	// recheckDelay is the least time between two checks of the host's own record.
+	recheckDelay = 150 * time.Millisecond
+	// noticeTimeout is the time in which brokers see a record that has been written.
+	noticeTimeout = 1500 * time.Millisecond
 	// maxFailedPings is the number of failed pings in a row after which a host
 	// is removed.
 	maxFailedPings = 2
@@ -59,7 +63,8 @@
 	clock         clockwork.Clock
 	log           *logrus.Entry
 	leaseDuration time.Duration
-	// ping checks that a host is running and not stopping.
+	// ping checks that a host is running and not stopping, and tells it that its record
+	// is gone.
 	ping func(ctx context.Context, h membership.Host) error
 	// onRemoved is called when a host has been removed from the view after its
 	// record expired and its pings failed.
@@ -73,10 +78,15 @@
 	// successful renewals.
 	onStoreUnavailable, onStoreAvailable func()
 
-	// registered says that the record was present at the last renewal, and
-	// everRegistered that it has been written since the start. Only Serve uses
-	// them.
+	// registered says that the record was present when it was last written or read, and
+	// everRegistered that it has been written since the start. recordRev is the record's
+	// revision as far as this host knows, or 0. Only Serve uses them.
 	registered, everRegistered bool
+	recordRev                  txn.Rev
+	// doubtful says that the record may be gone although its lease is renewed. Only Serve
+	// uses it, which sets it when recheckRequested has received a value.
+	doubtful         bool
+	recheckRequested chan struct{}
 
 	mu      sync.Mutex
 	hosts   map[string]membership.Host
@@ -86,6 +96,10 @@
 	// listed is set once the records of all hosts have been listed, and written once that
 	// of this host has been written.
 	listed, written bool
+	// writtenAt is when the record of this host was last written, and missing says that the
+	// broker did not know this host when it was last asked.
+	writtenAt time.Time
+	missing   bool
 }
 
 // Serve keeps the host's own record in the store until ctx ends.
@@ -108,17 +122,68 @@
 		if failures > 0 && failures < maxRefusedRenewals {
 			delay = renewRetryDelay/2 + rand.N(renewRetryDelay)
 		}
-		if wait.For(ctx, p.clock, delay); ctx.Err() != nil {
+		if p.waitForRecheck(ctx, delay) {
+			p.doubtful = true
+		}
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 	}
 }
 
+// waitForRecheck waits for a delay, or until a check of the record is requested. It reports
+// whether one was.
+func (p *Presence) waitForRecheck(ctx context.Context, delay time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-p.clock.After(delay):
+		return false
+	case <-p.recheckRequested:
+	}
+	wait.For(ctx, p.clock, recheckDelay)
+	return true
+}
+
+// Recheck requests that this host reads its own record and writes it again if it is gone or
+// another one. Renewals of the lease don't show that.
+func (p *Presence) Recheck() {
+	select {
+	case p.recheckRequested <- struct{}{}:
+	default:
+	}
+}
+
+// RecheckIfMissing calls Recheck if this host is not among the hosts of a broker whose store
+// is available. Brokers see a record a little after it has been written.
+func (p *Presence) RecheckIfMissing(hosts []membership.Host) {
+	self := p.view.Self()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.missing = !slices.ContainsFunc(hosts, func(h membership.Host) bool { return h.SameProcess(self) })
+	if !p.missing || !p.written {
+		return
+	}
+	if p.clock.Now().Sub(p.writtenAt) > noticeTimeout {
+		p.Recheck()
+		return
+	}
+	p.clock.AfterFunc(noticeTimeout, p.recheckIfStillMissing)
+}
+
+func (p *Presence) recheckIfStillMissing() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.missing {
+		p.Recheck()
+	}
+}
+
 // String names the service in supervisor events.
 func (p *Presence) String() string { return "presence" }
 
 // renew extends the lease of the host's record, or writes the record under a
-// new lease if there is none.
+// new lease if there is none. If the record is in doubt, renew also reads it.
 func (p *Presence) renew(ctx context.Context) error {
 	p.mu.Lock()
 	leaseID, leaving := p.leaseID, p.leaving
@@ -128,12 +193,18 @@
 	}
 	if p.registered {
 		err := p.store.Keep(ctx, leaseID)
-		if !errors.Is(err, txn.ErrNoLease) {
+		switch {
+		case errors.Is(err, txn.ErrNoLease):
+			p.registered, leaseID = false, 0
+			p.setLeaseID(0)
+			p.log.Warn("the record of this host expired; writing it again")
+		case err != nil || !p.doubtful:
 			return err
+		default:
+			if err := p.checkRecord(ctx, leaseID); err != nil || p.registered {
+				return err
+			}
 		}
-		p.registered, leaseID = false, 0
-		p.setLeaseID(0)
-		p.log.Warn("the record of this host expired; writing it again")
 	}
 	if leaseID == 0 {
 		var err error
@@ -151,32 +222,102 @@
 	p.leaseID = lease
 }
 
-// writeRecord writes the host's record with a lease. After an error other than
-// a refusal the lease may have expired, so the next attempt acquires a new
-// one.
+// checkRecord reads the host's record, and clears registered if it is not the one that this
+// host wrote with the lease.
+func (p *Presence) checkRecord(ctx context.Context, lease txn.Lease) error {
+	item, err := p.store.Get(ctx, hostPrefix+p.view.Self().Name)
+	if err != nil && !errors.Is(err, txn.ErrNotFound) {
+		return err
+	}
+	p.recordRev, p.doubtful = item.Rev, false
+	if item.Lease != lease || !p.isOwn(item) {
+		p.registered = false
+		p.log.WithFields(logrus.Fields{"rev": item.Rev, "lease": item.Lease, "own_lease": lease}).Warn("the record of this host is gone or another one; writing it again")
+	}
+	return nil
+}
+
+// isOwn reports whether a record is that of this process.
+func (p *Presence) isOwn(item txn.Item) bool {
+	var h membership.Host
+	return json.Unmarshal(item.Value, &h) == nil && h.SameProcess(p.view.Self())
+}
+
+// maxRecordWrites bounds the writes of a record that is changed concurrently.
+const maxRecordWrites = 3
+
+// writeRecord writes the host's record with a lease. Each write has the condition that the
+// record hasn't changed since this host last saw it: one whose reply was lost can then not
+// take effect after a later one, and bind the record to a lease that nobody renews.
 func (p *Presence) writeRecord(ctx context.Context, lease txn.Lease) error {
 	self := p.view.Self()
 	value, err := json.Marshal(self)
 	if err != nil {
 		return errors.Wrap(err, "encode the record of this host")
 	}
-	_, err = p.store.Commit(ctx, txn.Request{Writes: []txn.Write{{Key: hostPrefix + self.Name, Value: value, Lease: lease}}})
-	if err != nil {
-		if !errors.Is(err, txn.ErrRefused) {
-			p.setLeaseID(0)
+	key := hostPrefix + self.Name
+	for range maxRecordWrites {
+		var rev txn.Rev
+		rev, err = p.store.Commit(ctx, txn.Request{
+			If:     []txn.Condition{{Key: key, Rev: p.recordRev}},
+			Writes: []txn.Write{{Key: key, Value: value, Lease: lease}},
+		})
+		if err == nil {
+			p.recordRev = rev
+			p.recordWritten(lease)
+			return nil
+		}
+		if !errors.Is(err, txn.ErrConflict) {
+			break
+		}
+		if err := p.learnRevision(ctx, key, err); err != nil {
+			return err
+		}
+	}
+	if errors.Is(err, txn.ErrNoLease) {
+		p.setLeaseID(0)
+	}
+	return err
+}
+
+// IsRegistered reads from the store whether a host's record is there. One without a lease
+// says nothing: it would outlive its host.
+func (p *Presence) IsRegistered(ctx context.Context, name string) (bool, error) {
+	item, err := p.store.Get(ctx, hostPrefix+name)
+	if errors.Is(err, txn.ErrNotFound) {
+		return false, nil
+	}
+	return err == nil && item.Lease != 0, err
+}
+
+// learnRevision sets the revision of the record after a conflict.
+func (p *Presence) learnRevision(ctx context.Context, key string, err error) error {
+	var conflict *txn.ConflictError
+	if errors.As(err, &conflict) {
+		if item, ok := conflict.Item(key); ok {
+			p.recordRev = item.Rev
+			return nil
 		}
+	}
+	item, err := p.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, txn.ErrNotFound) {
 		return err
 	}
-	p.registered = true
+	p.recordRev = item.Rev
+	return nil
+}
+
+// recordWritten notes that the host's record is present, bound to a lease.
+func (p *Presence) recordWritten(lease txn.Lease) {
+	p.registered, p.doubtful = true, false
 	if p.everRegistered {
 		p.onRejoin()
 	}
 	p.everRegistered = true
 	p.mu.Lock()
-	p.written = true
+	p.written, p.writtenAt = true, p.clock.Now()
 	p.mu.Unlock()
 	p.log.WithField("lease", lease).Info("record of this host written")
-	return nil
 }
 
 // Leave removes the host's record by revoking its lease. The record is not
@@ -296,10 +437,14 @@
 
 // startPinging starts to ping a host whose record has expired or was deleted.
 func (p *Presence) startPinging(ctx context.Context, name string) {
+	if name == p.view.Self().Name {
+		p.Recheck()
+		return
+	}
 	p.mu.Lock()
 	h, known := p.hosts[name]
 	_, pinging := p.expired[name]
-	if !known || pinging || name == p.view.Self().Name {
+	if !known || pinging {
 		p.mu.Unlock()
 		return
 	}
--- /dev/null
+++ b/host/presence_test.go
@@ -0,0 +1,147 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+)
+
+// endOtherLeases ends all leases that the store has granted but that of the host.
+func (f *presenceFixture) endOtherLeases(t *testing.T) {
+	t.Helper()
+	last, err := f.store.Grant(t.Context(), time.Minute)
+	require.NoError(t, err)
+	for lease := txn.Lease(1); lease < last; lease++ {
+		if lease != f.leaseID {
+			_ = f.store.Expire(lease)
+		}
+	}
+}
+
+// serveRenewals serves the presence until the test ends.
+func (f *presenceFixture) serveRenewals(t *testing.T) {
+	f.onStoreAvailable, f.onStoreUnavailable = func() {}, func() {}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = f.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// The first write of a host's record takes effect after a later one. The record must not go
+// with a lease that the host doesn't renew.
+func TestLateWriteOfTheOwnRecordTakesNoEffect(t *testing.T) {
+	for _, fault := range []txntest.Fault{txntest.Late, txntest.LoseReply, txntest.LoseRequest} {
+		f := newPresenceFixture(true)
+		n := 0
+		f.store.SetFault(func(call string) txntest.Fault {
+			if call != "commit" {
+				return txntest.None
+			}
+			if n++; n > 1 {
+				return txntest.None
+			}
+			return fault
+		})
+		require.ErrorIs(t, f.renew(t.Context()), txn.ErrUnknown)
+		require.NoError(t, f.renew(t.Context()))
+		f.store.ReleaseLate()
+		f.endOtherLeases(t)
+		require.NoError(t, f.renew(t.Context()))
+		_, err := f.store.Get(t.Context(), hostPrefix+"self")
+		require.NoError(t, err, "fault %v", fault)
+	}
+}
+
+// The record of a host is gone, or another one, while its lease is renewed with success. A
+// host that has reason to doubt its record writes it again.
+func TestHostRestoresItsRecord(t *testing.T) {
+	former, err := json.Marshal(membership.Host{Name: "self", DataCentre: "x", Incarnation: 7})
+	require.NoError(t, err)
+	for name, change := range map[string]txn.Request{
+		"removed":                  {Remove: []string{hostPrefix + "self"}},
+		"of another incarnation":   {Writes: []txn.Write{{Key: hostPrefix + "self", Value: former}}},
+		"not a record":             {Writes: []txn.Write{{Key: hostPrefix + "self", Value: []byte("[[[")}}},
+		"without the host's lease": {Writes: []txn.Write{{Key: hostPrefix + "self", Value: []byte(`{"name":"self"}`)}}},
+	} {
+		for reason, doubt := range map[string]func(f *presenceFixture){
+			"a peer pings it":             func(f *presenceFixture) { f.Recheck() },
+			"its broker doesn't know it":  func(f *presenceFixture) { f.RecheckIfMissing([]membership.Host{{Name: "a"}}) },
+			"it sees the deletion itself": func(f *presenceFixture) { f.Apply(context.Background(), []txn.Item{record("self", true)}) },
+		} {
+			t.Run(name+", "+reason, func(t *testing.T) {
+				t.Parallel()
+				f := newPresenceFixture(true)
+				f.serveRenewals(t)
+				require.Eventually(t, f.isWritten, testTimeout, time.Millisecond)
+				_, err := f.store.Commit(t.Context(), change)
+				require.NoError(t, err)
+				doubt(f)
+				require.Eventually(t, func() bool {
+					item, err := f.store.Get(t.Context(), hostPrefix+"self")
+					return err == nil && f.isOwn(item) && item.Lease != 0
+				}, testTimeout, time.Millisecond)
+			})
+		}
+	}
+}
+
+func (p *Presence) isWritten() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.written
+}
+
+// removeRecord removes the record of a host, which goes on renewing its lease.
+func (f *fleet) removeRecord(name string) {
+	_, err := f.store.Commit(context.Background(), txn.Request{Remove: []string{hostPrefix + name}})
+	require.NoError(f.t, err)
+}
+
+// hasRecord reports whether the store has the record of a host.
+func (f *fleet) hasRecord(name string) bool {
+	_, err := f.store.Get(context.Background(), hostPrefix+name)
+	return err == nil
+}
+
+// loseSight removes a host from what another one knows.
+func loseSight(at *Host, name string) {
+	p := at.presence
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.expired, name)
+	delete(p.hosts, name)
+	p.publish()
+}
+
+// startPair starts two hosts that see each other and returns them, the broker first.
+func (f *fleet) startPair() (broker, other *Host) {
+	a, b := f.start("a"), f.start("b")
+	require.Eventually(f.t, func() bool { return len(a.view.Local()) == 2 && len(b.view.Local()) == 2 }, 10*time.Second, 10*time.Millisecond)
+	if a.slotClient.IsBroker() {
+		return a, b
+	}
+	return b, a
+}
+
+// A host's record is gone while the host lives. Whether the others still see the host or
+// have lost sight of it, it writes the record again and all see it.
+func TestHostWithoutARecordIsSeenAgain(t *testing.T) {
+	for _, lostSight := range []bool{false, true} {
+		f := newFleet(t, time.Millisecond)
+		broker, other := f.startPair()
+		name := other.settings.Host
+		f.removeRecord(name)
+		if lostSight {
+			loseSight(broker, name)
+		}
+		require.Eventually(t, func() bool { return f.hasRecord(name) }, testTimeout, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return len(broker.view.Local()) == 2 }, testTimeout, 10*time.Millisecond)
+	}
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -54,6 +54,11 @@
 	State       State  `json:"state"`
 }
 
+// SameProcess reports whether two records are of the same process of a host.
+func (h Host) SameProcess(other Host) bool {
+	return h.Name == other.Name && h.Incarnation == other.Incarnation && h.PeerAddress == other.PeerAddress
+}
+
 // View is what one host knows of all hosts, itself included.
 type View interface {
 	// Self returns the host itself.
