--- a/host/host.go
+++ b/host/host.go
@@ -203,7 +203,7 @@
 	h.replicas.onRateLimit = h.slotClient.ReportRateLimit
 	h.jobs = jobs.NewManager(jobs.Options{
 		Store: h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
-		StoreUnavailable: h.storeUnavailable, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
+		StoreUnavailable: h.storeUnavailable, IsRegistered: h.presence.IsRegistered, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
 	})
 	h.slotClient.BatchItems = h.jobs
 	h.runner = &forward.Runner{
--- a/host/recovery.go
+++ b/host/recovery.go
@@ -25,14 +25,19 @@
 	}
 }
 
-// maxRecoveryDelay bounds the delay after failed recoveries in a row.
-const maxRecoveryDelay = 10 * time.Second
+const (
+	// maxRecoveryDelay bounds the delay after failed recoveries in a row.
+	maxRecoveryDelay = 10 * time.Second
+	// recoveryInterval is the time between the searches of a broker for jobs whose owner
+	// it never saw, and so never saw leave.
+	recoveryInterval = 10 * time.Second
+)
 
 // recovery takes over jobs whose owner is no longer a member.
 type recovery struct{ host *Host }
 
-// Serve recovers jobs at the start, after recoveryDelay, and after each
-// requested recovery. It tries again after failures: one job that can't be read
+// Serve recovers jobs at the start, after recoveryDelay, after each requested
+// recovery and, on a broker, each recoveryInterval. It tries again after failures: one job that can't be read
 // doesn't keep it from those of other hosts.
 func (r recovery) Serve(ctx context.Context) error {
 	h := r.host
@@ -41,6 +46,8 @@
 	// a missing host would not show that it failed.
 	viewComplete := false
 	retryDelay := newRecoveryBackOff()
+	search := h.clock.NewTicker(recoveryInterval)
+	defer search.Stop()
 	for pending := !h.settings.FirstStart; ; {
 		var retry <-chan time.Time
 		if pending {
@@ -61,6 +68,8 @@
 		case <-h.recoveryRequests:
 			pending = true
 			retryDelay.Reset()
+		case <-search.Chan():
+			pending = pending || viewComplete && h.slotClient.IsBroker() && !h.storeUnavailable()
 		case <-retry:
 		}
 	}
--- a/host/recovery_test.go
+++ b/host/recovery_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/jobs"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 )
 
 // A job of this host names results that can't be read. The host must all the same take over
@@ -33,3 +34,40 @@
 	b := f.start("b")
 	require.Eventually(t, func() bool { return f.countResults(b, "job") == 4 }, 25*time.Second, 50*time.Millisecond)
 }
+
+// A host accepts a job while the others have lost sight of it, and is lost before they see
+// it again: nobody sees it go. Its job must be finished all the same.
+func TestJobOfALostHostThatNobodySawIsFinished(t *testing.T) {
+	f := newFleet(t, 100*time.Millisecond)
+	broker, other := f.startPair()
+	time.Sleep(recoveryDelay + time.Second) // after the search that follows the start
+	name := other.settings.Host
+	f.removeRecord(name)
+	loseSight(broker, name)
+	f.submit(other, "job", 4)
+	lease := other.presence.leaseID
+	f.kill(name)
+	require.NoError(t, f.store.Expire(lease))
+	f.removeRecord(name)
+	loseSight(broker, name)
+	require.Eventually(t, func() bool { return f.countResults(broker, "job") == 4 }, 40*time.Second, 100*time.Millisecond)
+}
+
+// The view of a host is wrong about another one that lives and has its record. Its jobs stay
+// with it.
+func TestJobOfARegisteredHostIsNotTakenOver(t *testing.T) {
+	f := newFleet(t, 100*time.Millisecond)
+	broker, other := f.startPair()
+	f.submit(other, "job", 4)
+	loseSight(broker, other.settings.Host)
+	require.NoError(t, broker.jobs.Recover(t.Context(), true))
+	require.Eventually(t, func() bool { return f.countResults(other, "job") == 4 }, 20*time.Second, 50*time.Millisecond)
+	runs := 0
+	for _, r := range f.replicas {
+		for i := range 4 {
+			begun, _ := r.RunCounts(platformtest.ItemID("job", i))
+			runs += begun
+		}
+	}
+	require.Equal(t, 4, runs)
+}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -35,6 +35,8 @@
 	hosts       map[string]*testHost
 	mu          sync.Mutex
 	unreachable map[string]bool
+	// registered are the hosts that have a record in the store.
+	registered map[string]bool
 	// maxWaitingTokens is the limit of the route; zero means none.
 	maxWaitingTokens int64
 }
@@ -116,6 +118,10 @@
 	}
 }
 
+func (c *cluster) isRegistered(_ context.Context, name string) (bool, error) {
+	return c.registered[name], nil
+}
+
 // setUnreachable sets whether calls to a host fail.
 func (c *cluster) setUnreachable(name string, unreachable bool) {
 	c.mu.Lock()
@@ -128,7 +134,9 @@
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{t: t, store: txntest.NewStore(), hosts: make(map[string]*testHost), unreachable: make(map[string]bool)}
+	c := &cluster{
+		t: t, store: txntest.NewStore(), hosts: make(map[string]*testHost), unreachable: make(map[string]bool), registered: make(map[string]bool),
+	}
 	for _, name := range names {
 		c.addHost(name, 1, names...)
 	}
@@ -157,7 +165,7 @@
 	h := &testHost{replicas: &fakeReplicas{answer: answerInFull}, released: make(chan slots.Outcome, 64)}
 	h.Manager = NewManager(Options{
 		Store: c.store, Slots: h, Upstream: h.replicas, View: view, Peers: c, Table: table,
-		StoreUnavailable: func() bool { return false }, Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
+		StoreUnavailable: func() bool { return false }, IsRegistered: c.isRegistered, Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -40,6 +40,8 @@
 	Table func() *route.Table
 	// StoreUnavailable reports whether the store has not answered lately.
 	StoreUnavailable func() bool
+	// IsRegistered reads from the store whether a host's record is there.
+	IsRegistered func(ctx context.Context, host string) (bool, error)
 	// Retention is how long the results of a job can be read.
 	Retention time.Duration
 	Clock     clockwork.Clock
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -28,8 +28,9 @@
 
 // Recover reads the head records of all jobs. It disowns jobs that other hosts own
 // by now and takes over those of earlier incarnations of this host. With orphans
-// it also takes over jobs whose owner is no longer a member. Only one host of a
-// data centre may do that, and only with a complete membership view.
+// it also takes over jobs whose owner is no longer a member and has no record in the
+// store. Only one host of a data centre may do that, and only with a complete
+// membership view.
 func (m *Manager) Recover(ctx context.Context, orphans bool) error {
 	found, _, err := txn.List(ctx, m.Store, headPrefix)
 	if err != nil {
@@ -38,6 +39,7 @@
 	self := m.View.Self()
 	members := membership.All(m.View)
 	var failed error
+	registered := make(map[string]bool)
 	for _, item := range found {
 		head, err := decodeHead(item)
 		if err != nil {
@@ -50,13 +52,31 @@
 		if head.Owner != self.Name && !orphans || !shouldTakeOver(head, members, self) {
 			continue
 		}
-		if err := m.claimListed(ctx, head, item.Rev); err != nil {
-			failed = errors.CombineErrors(failed, err)
+		alive, err := m.ownerIsRegistered(ctx, head.Owner, registered)
+		if err == nil && !alive {
+			err = m.claimListed(ctx, head, item.Rev)
 		}
+		failed = errors.CombineErrors(failed, err)
 	}
 	return failed
 }
 
+// ownerIsRegistered reports whether another host that owns a job has a record in the store:
+// the view may be wrong about it. It remembers the answers in known.
+func (m *Manager) ownerIsRegistered(ctx context.Context, owner string, known map[string]bool) (bool, error) {
+	if owner == m.View.Self().Name {
+		return false, nil
+	}
+	if registered, ok := known[owner]; ok {
+		return registered, nil
+	}
+	registered, err := m.IsRegistered(ctx, owner)
+	if err == nil {
+		known[owner] = registered
+	}
+	return registered, err
+}
+
 // stillOwns reports whether this host owns the job and runs it already. A job that
 // another host has taken over is disowned. A head record of an earlier revision than
 // this host's own last write says nothing about the present owner.
