--- a/jobs/read.go
+++ b/jobs/read.go
@@ -325,12 +325,42 @@
 	}
 }
 
-// notifyOwnerOfEnd notifies the owner in the head record that its job was ended.
+// notifyOwnerOfEnd notifies the owner in the head record that its job was ended. It tries
+// again for a while: the owner may be alive although this host doesn't see it now.
 func (m *Manager) notifyOwnerOfEnd(ctx context.Context, id string) {
+	log := m.Log.WithField("job", id)
 	m.removeCachedOwner(id)
+	owner := ""
+	for range maxOwnerChecks {
+		if owner == "" {
+			head, _, err := m.loadHead(ctx, id)
+			if err != nil && verdict.As(err).Code == verdict.CodeNotFound {
+				return
+			}
+			if err == nil {
+				owner = head.Owner
+			}
+		}
+		if h, ok := m.findHost(owner); ok && m.forwardEnd(ctx, h, id) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.Clock.After(ownerCheckDelay):
+		}
+	}
+	log.WithField("owner", owner).Warn("can't forward the end of a job to its owner")
+}
+
+// forwardEnd forwards the end of a job to its owner and reports whether that answered.
+func (m *Manager) forwardEnd(ctx context.Context, owner membership.Host, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout+peerTimeout)
+	defer cancel()
 	var reply EndReply
-	answered, err := m.callOwner(ctx, id, "End", EndArgs{ID: id}, &reply, acceptTimeout)
-	m.Log.WithError(err).WithFields(logrus.Fields{"job": id, "asked": answered, "ended": reply.Ended}).Info("forwarded end of job to its owner")
+	err := m.Peers.Call(ctx, owner.PeerAddress, PeerName+".End", EndArgs{ID: id}, &reply)
+	m.Log.WithError(err).WithFields(logrus.Fields{"job": id, "owner": owner.Name, "ended": reply.Ended}).Info("forwarded end of job to its owner")
+	return err == nil
 }
 
 // endInStore records the end of a job whose owner does not answer, with an end
