--- a/host/host.go
+++ b/host/host.go
@@ -35,6 +35,7 @@
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/versions"
 )
 
 // Timeouts, delays and limits of a host.
@@ -72,6 +73,7 @@
 	presence     *Presence
 	config       *Config
 	replicas     *Replicas
+	versions     *versions.Recorder
 	broker       *slots.Broker
 	slotClient   *slots.Client
 	quarantine   *quarantineRecords
@@ -179,6 +181,9 @@
 	h.broker.SetMetrics(slots.NewMetrics(h.registry))
 	h.broker.SetStoreAvailable(h.storeAvailable)
 	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
+	h.versions = versions.NewRecorder(h.store, h.clock, h.log, h.settings.FirstStart, h.replicas.versionsRecorded)
+	h.replicas.versions = h.versions
+	h.broker.SetVersions(versions.NewReader(h.store))
 	dials := prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "comfreyspindle_upstream_connections_total", Help: "New connections to replicas.",
 	})
@@ -270,6 +275,7 @@
 	control := suture.New("control", spec)
 	control.Add(h.peerServer)
 	control.Add(h.presence)
+	control.Add(h.versions)
 	for _, w := range h.watchers() {
 		control.Add(w)
 	}
@@ -302,22 +308,21 @@
 	hosts.active = func() bool { return !h.presence.wasListed() || h.shouldWatch() }
 	hosts.name, hosts.prefix, hosts.batchDelay = "hosts", fleetPrefix, hostBatchDelay
 	hosts.onList = func(ctx context.Context, items []txn.Item) {
-		records, ended, quarantined := splitFleet(items)
+		records := splitFleet(items)
 		if !h.presence.wasListed() {
 			h.slotClient.StartStaleTimer()
 		}
-		h.presence.Replace(ctx, records)
-		h.jobs.HandleEndMarks(ctx, ended)
-		h.quarantine.read(quarantined)
+		h.presence.Replace(ctx, records.hosts)
+		h.applyFleet(ctx, records)
 	}
 	hosts.onChanges = func(ctx context.Context, items []txn.Item) {
-		records, ended, quarantined := splitFleet(items)
-		h.presence.Apply(ctx, records)
-		h.jobs.HandleEndMarks(ctx, ended)
-		h.quarantine.read(quarantined)
+		records := splitFleet(items)
+		h.presence.Apply(ctx, records.hosts)
+		h.applyFleet(ctx, records)
 	}
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.watchTimeout = func() time.Duration { return changeWatchTimeout(h.settings.DrainTimeout) }
+	replicas.beforeList = h.versions.Refresh
 	replicas.onList, replicas.onChanges = h.replicas.replace, h.replicas.apply
 	replicas.onUnavailable, replicas.onAvailable = h.replicas.markStoreUnavailable, func() {}
 	return []*Watcher{&config, &hosts, &replicas}
@@ -350,23 +355,34 @@
 }
 
 // fleetPrefix is the prefix of the host records, of the end marks of jobs, and of the
-// records of requests that crash replicas.
+// records of software versions and of requests that crash replicas.
 const fleetPrefix = "fleet/"
 
-// splitFleet separates the host records, the end marks of jobs, and the records of
-// requests that crash replicas.
-func splitFleet(items []txn.Item) (records, ended, quarantined []txn.Item) {
+// fleetRecords are the records with fleetPrefix by kind.
+type fleetRecords struct{ hosts, ended, quarantined, versions []txn.Item }
+
+func splitFleet(items []txn.Item) fleetRecords {
+	var r fleetRecords
 	for _, item := range items {
 		switch {
 		case strings.HasPrefix(item.Key, hostPrefix):
-			records = append(records, item)
+			r.hosts = append(r.hosts, item)
 		case strings.HasPrefix(item.Key, quarantinePrefix):
-			quarantined = append(quarantined, item)
+			r.quarantined = append(r.quarantined, item)
+		case versions.IsKey(item.Key):
+			r.versions = append(r.versions, item)
 		default:
-			ended = append(ended, item)
+			r.ended = append(r.ended, item)
 		}
 	}
-	return records, ended, quarantined
+	return r
+}
+
+// applyFleet applies all records but those of the hosts.
+func (h *Host) applyFleet(ctx context.Context, r fleetRecords) {
+	h.versions.Apply(r.versions)
+	h.jobs.HandleEndMarks(ctx, r.ended)
+	h.quarantine.read(r.quarantined)
 }
 
 // Serve runs the host until ctx ends or Stop is called.
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -15,6 +15,7 @@
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/versions"
 )
 
 // Replicas passes the replica records to the broker. It gets them from the
@@ -25,12 +26,20 @@
 	clock      clockwork.Clock
 	log        *logrus.Entry
 
-	mu     sync.Mutex
-	view   *replica.View
-	loaded bool
+	mu   sync.Mutex
+	view *replica.View
+	// listed is set once the view has all replicas, and loaded once they were passed to the
+	// broker.
+	listed, loaded bool
 	// onRateLimit is called when a response changes what this host knows of a
 	// replica's rate limit.
 	onRateLimit func(replica.Replica, replica.RateLimit)
+	// versions says at which software versions streams may begin; nil admits all. It is
+	// asked for replicas from the store only: peers send only what they may use themselves.
+	versions  *versions.Recorder
+	fromStore bool
+	// usable are the replicas that were last passed to the broker.
+	usable map[string]replica.Replica
 	// unavailableSince is the time of the first failed read of the store; zero
 	// while reads succeed.
 	unavailableSince time.Time
@@ -71,7 +80,7 @@
 		entry = entry.WithField("age", now.Sub(time.UnixMilli(of.Born)).Round(time.Millisecond).String())
 	}
 	entry.Info("replica is leaving")
-	if r.loaded {
+	if r.listed {
 		r.publish()
 	}
 }
@@ -185,7 +194,7 @@
 	}
 	r.markStoreAvailable()
 	r.view.Replace(r.clock.Now(), all)
-	r.loaded = true
+	r.listed, r.fromStore = true, true
 	r.publish()
 }
 
@@ -231,7 +240,34 @@
 			}
 		})
 	}
-	r.broker.SetReplicas(r.view.Snapshot(), r.dataCentre)
+	all := r.view.Snapshot()
+	usable := r.admitted(all)
+	if !r.loaded && len(usable) < len(all) && r.versions.IsPending() {
+		return
+	}
+	r.loaded, r.usable = true, usable
+	r.broker.SetReplicas(usable, r.dataCentre)
+}
+
+// admitted returns the replicas at whose software versions streams may begin. A version
+// that is new is recorded first. It requires r.mu.
+func (r *Replicas) admitted(all map[string]replica.Replica) map[string]replica.Replica {
+	if r.versions == nil || !r.fromStore {
+		return all
+	}
+	r.versions.Observe(all)
+	usable := maps.Clone(all)
+	maps.DeleteFunc(usable, func(_ string, of replica.Replica) bool { return !r.versions.Admits(of) })
+	return usable
+}
+
+// versionsRecorded passes replicas to the broker that may be used now.
+func (r *Replicas) versionsRecorded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.listed {
+		r.publish()
+	}
 }
 
 // replaceFromPeer replaces the records by those of a peer.
@@ -239,7 +275,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.view.ReplaceFromPeer(r.clock.Now(), all)
-	r.loaded = true
+	r.listed, r.fromStore = true, false
+	if r.versions != nil {
+		r.versions.Pause()
+	}
 	r.publish()
 }
 
@@ -260,7 +299,7 @@
 func (r *Replicas) snapshot() []replica.Replica {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Values(r.view.Snapshot()))
+	return slices.Collect(maps.Values(r.usable))
 }
 
 // registerSpeedMetrics registers what this host, as a broker, knows of the speed of
--- a/host/versions_test.go
+++ b/host/versions_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 )
 
@@ -93,3 +95,108 @@
 		require.Equal(t, 8, strings.Count(output, "e"))
 	}
 }
+
+// settingsOfFirstStart are the settings of a host of a system that starts for the first time.
+func (f *fleet) settingsOfFirstStart(name string) *platform.Settings {
+	s := f.newSettings(name, "dc", f.address)
+	s.FirstStart = true
+	return s
+}
+
+// restartAll kills all hosts at the same time and starts others with their names.
+func (f *fleet) restartAll(names ...string) []*Host {
+	for _, name := range names {
+		lease := f.hosts[name].presence.leaseID
+		f.kill(name)
+		require.NoError(f.t, f.store.Expire(lease))
+	}
+	hosts := make([]*Host, len(names))
+	for i, name := range names {
+		hosts[i] = f.start(name)
+	}
+	return hosts
+}
+
+// resume takes a stream up at a host, after event 4 of 8.
+func resume(h *Host, id, origin string) (platformtest.Response, error) {
+	return platformtest.NewCaller().Resume(h.settings.Callers, "/s/x", id, "body", origin, 4)
+}
+
+// All hosts are killed at once on a day of one version. What callers then take up goes on.
+func TestStreamsOfOneVersionGoOnAfterARestartOfAllHosts(t *testing.T) {
+	const streams = 20
+	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
+	a := f.serve(f.settingsOfFirstStart("a"))
+	f.serve(f.settingsOfFirstStart("b"))
+	for i := range streams {
+		_, err := call(a, fmt.Sprint("q", i))
+		require.NoError(t, err)
+	}
+	for n, h := range f.restartAll("a", "b") {
+		for i := range streams {
+			origin := fmt.Sprint("q", i)
+			rest, err := resume(h, fmt.Sprint(origin, "-", n), origin)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, rest.Status, "stream %s at %s", origin, h.settings.Host)
+			require.Equal(t, []string{"v1"}, versionsIn(rest.Body))
+		}
+	}
+}
+
+// All hosts are killed at once, soon after the replicas were replaced by those of another
+// version (review/3). The streams that began at the former ones don't go on at the others.
+func TestStreamsOfAFormerVersionAreNotJoinedAfterARestartOfAllHosts(t *testing.T) {
+	const streams = 20
+	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
+	a := f.serve(f.settingsOfFirstStart("a"))
+	f.serve(f.settingsOfFirstStart("b"))
+	for i := range streams {
+		_, err := call(a, fmt.Sprint("q", i))
+		require.NoError(t, err)
+	}
+	former := f.replicas
+	f.addReplica("new", "v2", time.Millisecond)
+	for _, r := range former {
+		_, err := f.store.Commit(t.Context(), txn.Request{Remove: []string{r.Record("svc", "dc", "ready", 4).Key}})
+		require.NoError(t, err)
+	}
+	for n, h := range f.restartAll("a", "b") {
+		require.Eventually(t, func() bool {
+			got, err := call(h, fmt.Sprint("new-", n))
+			return err == nil && got.Replica == "new"
+		}, testTimeout, 10*time.Millisecond)
+		for i := range streams {
+			origin := fmt.Sprint("q", i)
+			rest, err := resume(h, fmt.Sprint(origin, "-", n), origin)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, rest.Status, "stream %s at %s: %s", origin, h.settings.Host, rest.Body)
+		}
+	}
+}
+
+// A host gets no answer from the store, and doesn't know that yet, while replicas of another
+// version join. A stream that began at one of them through a host that is lost is taken up
+// there.
+func TestStreamOfAVersionThatAHostHasNotSeenIsNotJoined(t *testing.T) {
+	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
+	f.put(f.replicas[1].Record("svc", "other", "ready", 4))
+	proxy := &storeProxy{}
+	outOfStep := f.newSettings("b", "other", proxy.start(f))
+	outOfStep.FirstStart = true
+	a, b := f.serve(f.settingsOfFirstStart("a")), f.serve(outOfStep)
+	require.Eventually(t, func() bool { return len(a.view.Remote()) == 1 && len(b.view.Remote()) == 1 }, 10*time.Second, 10*time.Millisecond)
+	proxy.standStill()
+	f.put(f.replicas[0].Record("svc", "dc", "draining", 4))
+	f.addReplica("new", "v2", time.Millisecond)
+	var origin string
+	require.Eventually(t, func() bool {
+		origin = fmt.Sprint("q", time.Now().UnixNano())
+		got, err := call(a, origin)
+		return err == nil && got.Replica == "new"
+	}, testTimeout, 10*time.Millisecond)
+	f.kill("a")
+	rest, err := resume(b, origin+"-again", origin)
+	if err == nil && rest.Status == http.StatusOK {
+		require.Equal(t, []string{"v2"}, versionsIn(rest.Body))
+	}
+}
--- a/host/watch.go
+++ b/host/watch.go
@@ -46,6 +46,9 @@
 	// it.
 	onList    func(ctx context.Context, items []txn.Item)
 	onChanges func(ctx context.Context, items []txn.Item)
+	// beforeList reads what must be known before a listing, which fails with it; nil reads
+	// nothing.
+	beforeList func(ctx context.Context) error
 	// onUnavailable is called after each failed call and onAvailable after the
 	// first successful one that follows. Either may be nil.
 	onUnavailable, onAvailable func()
@@ -119,6 +122,11 @@
 // after it. It returns the revision from which to continue.
 func (w *Watcher) listOrWatch(ctx context.Context, after txn.Rev) (txn.Rev, error) {
 	if after == 0 {
+		if w.beforeList != nil {
+			if err := w.beforeList(ctx); err != nil {
+				return 0, err
+			}
+		}
 		items, at, err := txn.List(ctx, w.store, w.prefix)
 		if err != nil {
 			return 0, err
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -67,6 +67,8 @@
 	// signals new ones.
 	uncopied        []StreamVersion
 	uncopiedChanged chan struct{}
+	// versionRecords is nil if this host reads no records of software versions.
+	versionRecords VersionRecords
 
 	// probe reports whether a replica accepts connections; nil finds no crashes.
 	probe func(ctx context.Context, r replica.Replica) bool
@@ -126,6 +128,10 @@
 // this host. It must be called before the broker is used.
 func (b *Broker) SetStoreAvailable(storeAvailable func() bool) { b.storeAvailable = storeAvailable }
 
+// SetVersions sets where the broker reads at which software versions streams began. It must
+// be called before the broker is used.
+func (b *Broker) SetVersions(records VersionRecords) { b.versionRecords = records }
+
 // SetIsBroker sets the function that reports whether this host is the broker of its
 // data centre. It must be called before the broker is used.
 func (b *Broker) SetIsBroker(isBroker func() bool) { b.isBroker = isBroker }
--- a/slots/resume.go
+++ b/slots/resume.go
@@ -19,40 +19,52 @@
 )
 
 // ErrVersionUnknown means that it is not known which software version began a
-// stream, and that replicas of several versions serve.
+// stream.
 var ErrVersionUnknown = errors.New("software version of the stream is not known")
 
-// StreamVersion returns the software version that may resume a stream. It asks the
-// broker of the own data centre, and only if that is not certain all others. An
-// error is ErrVersionUnknown.
+// errVersionsUnread means that the recorded software versions can't be read now.
+var errVersionsUnread = errors.New("the recorded software versions can't be read")
+
+// StreamVersion returns the software version that may resume a stream: the one at which it
+// is known to have begun, or the only one at which streams of the service began. It reads
+// the recorded versions before it asks brokers, so that a service of one version, as most
+// are, costs no calls to them. An error is ErrVersionUnknown.
 func (c *Client) StreamVersion(ctx context.Context, service, stream string) (string, error) {
-	args := StreamVersionArgs{Service: service, Stream: stream}
-	if version, ok := c.Broker.streams.lookUp(stream); ok {
+	own, known := c.Broker.streams.lookUp(stream)
+	if known && own.Began {
+		return own.SoftwareVersion, nil
+	}
+	version, ok, err := c.Broker.recordedVersion(service)
+	if ok && err == nil {
 		return version, nil
 	}
-	var own StreamVersionReply
-	for _, h := range c.brokers(c.View.Self().DataCentre) {
-		reply, err := c.askStreamVersion(ctx, h, args)
-		if err == nil {
-			own = reply
-			break
-		}
+	if err != nil {
+		c.Log.WithError(err).WithField("service", service).Info("can't read the recorded software versions; asking brokers")
 	}
-	if own.Confidence != Certain {
-		own = own.merge(c.askAllStreamVersion(ctx, args))
+	args := StreamVersionArgs{Service: service, Stream: stream, ReadRecord: err != nil}
+	replies := c.askAllStreamVersion(ctx, args)
+	if known {
+		replies = append(replies, knownStreamVersion(own.SoftwareVersion, false))
 	}
-	if own.Confidence == Probable || own.Confidence == Certain {
-		return own.SoftwareVersion, nil
+	if version, ok := chooseStreamVersion(replies); ok {
+		return version, nil
 	}
 	return "", errors.Wrapf(ErrVersionUnknown, "stream %q of service %s", stream, service)
 }
 
-// askAllStreamVersion asks all hosts that may be brokers at the same time.
-func (c *Client) askAllStreamVersion(ctx context.Context, args StreamVersionArgs) StreamVersionReply {
+// askAllStreamVersion asks all hosts that may be brokers at the same time, and returns the
+// replies that came.
+func (c *Client) askAllStreamVersion(ctx context.Context, args StreamVersionArgs) []StreamVersionReply {
+	timeout := streamLookUpTimeout
+	if args.ReadRecord {
+		timeout += versionReadTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	var (
-		mu     sync.Mutex
-		merged StreamVersionReply
-		asked  sync.WaitGroup
+		mu      sync.Mutex
+		replies []StreamVersionReply
+		asked   sync.WaitGroup
 	)
 	for _, h := range c.RecordHolders() {
 		asked.Go(func() {
@@ -62,16 +74,14 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			merged = merged.merge(reply)
+			replies = append(replies, reply)
 		})
 	}
 	asked.Wait()
-	return merged
+	return replies
 }
 
 func (c *Client) askStreamVersion(ctx context.Context, h membership.Host, args StreamVersionArgs) (StreamVersionReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, streamLookUpTimeout)
-	defer cancel()
 	var reply StreamVersionReply
 	err := c.call(ctx, h, "StreamVersion", args, &reply)
 	if err != nil {
@@ -85,7 +95,7 @@
 // grant, unless an earlier attempt of the request was granted another replica or
 // the grant is from another data centre; then it is told.
 func (c *Client) StreamBegan(stream string, g Grant, firstAttempt bool) {
-	v := StreamVersion{Stream: stream, SoftwareVersion: g.Replica.SoftwareVersion}
+	v := StreamVersion{Stream: stream, SoftwareVersion: g.Replica.SoftwareVersion, Began: true}
 	c.Broker.streams.record(c.Clock.Now(), v)
 	if own := c.View.Self().DataCentre; !firstAttempt || g.Replica.DataCentre != own {
 		go c.sendStreams(context.Background(), RecordStreamsArgs{Streams: []StreamVersion{v}})
--- a/slots/stream_broker.go
+++ b/slots/stream_broker.go
@@ -1,23 +1,26 @@
 package slots
 
-// Confidence says how sure a broker is of the software version of a stream.
-// Higher values outweigh lower ones of other brokers.
+import (
+	"context"
+	"time"
+)
+
+// versionReadTimeout bounds the read of the software versions of a service in the store.
+const versionReadTimeout = 500 * time.Millisecond
+
+// VersionRecords reads the recorded software versions of services. See package versions.
+type VersionRecords interface {
+	// Only returns the software version at which all streams of a service began that can be
+	// resumed now, if there is only one. The record is read after the call.
+	Only(ctx context.Context, service string) (version string, ok bool, err error)
+}
+
+// Confidence is how sure brokers of older builds are of a software version. It comes partly
+// from what they see of the replicas, which may be incomplete or out of date.
 type Confidence uint8
 
-// Values of Confidence.
-const (
-	// Unknown means that the broker knows neither the stream nor the service.
-	Unknown Confidence = iota
-	// Probable means that all replicas of the service have had one version for as
-	// long as the broker has known them.
-	Probable
-	// Ambiguous means that the service has replicas of several versions, or had
-	// them lately, and that the broker does not know the stream.
-	Ambiguous
-	// Certain means that the broker knows the stream, or that the service has had
-	// no other version while streams can be resumed.
-	Certain
-)
+// Certain is what this build sends to older ones if it knows the software version.
+const Certain Confidence = 3
 
 // StreamVersionArgs is the argument of StreamVersion.
 type StreamVersionArgs struct {
@@ -25,43 +28,78 @@
 	// Stream is the ID of the request that brought the first event; empty if the
 	// caller does not say.
 	Stream string
+	// ReadRecord asks for the recorded software versions too: the calling host can't read
+	// them.
+	ReadRecord bool
 }
 
-// StreamVersionReply is the reply to StreamVersion. SoftwareVersion is set if the
-// confidence is Probable or Certain.
+// StreamVersionReply is the reply to StreamVersion. SoftwareVersion is set if Began or
+// Granted is.
 type StreamVersionReply struct {
 	SoftwareVersion string
-	Confidence      Confidence
+	// Confidence is for callers of older builds.
+	Confidence Confidence
+	// Began reports that the stream began at this version.
+	Began bool
+	// Granted reports that the broker knows only that a slot of a replica of this version was
+	// granted to the stream, see StreamVersion.
+	Granted bool
+}
+
+func knownStreamVersion(version string, began bool) StreamVersionReply {
+	return StreamVersionReply{SoftwareVersion: version, Confidence: Certain, Began: began, Granted: !began}
 }
 
-// merge returns the reply that outweighs the other. Two brokers that are sure of
-// different versions contradict each other.
-func (r StreamVersionReply) merge(other StreamVersionReply) StreamVersionReply {
-	switch {
-	case r.Confidence < other.Confidence:
-		return other
-	case r.Confidence == Probable && other.Confidence == Probable && r.SoftwareVersion != other.SoftwareVersion:
-		return StreamVersionReply{Confidence: Ambiguous}
+// chooseStreamVersion returns the software version that began a stream, by the replies of
+// brokers. Replies that contradict each other say nothing, nor do those of older builds.
+func chooseStreamVersion(replies []StreamVersionReply) (version string, ok bool) {
+	began, granted := make(map[string]struct{}), make(map[string]struct{})
+	for _, r := range replies {
+		switch {
+		case r.Began:
+			began[r.SoftwareVersion] = struct{}{}
+		case r.Granted:
+			granted[r.SoftwareVersion] = struct{}{}
+		}
 	}
-	return r
+	if len(began) > 0 {
+		return onlyKey(began)
+	}
+	return onlyKey(granted)
 }
 
-// StreamVersion reports which software version may resume a stream.
+func onlyKey(set map[string]struct{}) (key string, ok bool) {
+	for key = range set {
+	}
+	return key, len(set) == 1
+}
+
+// StreamVersion reports which software version may resume a stream. What the broker sees of
+// the replicas says nothing about that: it may be incomplete or out of date.
 func (b *Broker) StreamVersion(args StreamVersionArgs, reply *StreamVersionReply) error {
-	if version, ok := b.streams.lookUp(args.Stream); ok {
-		*reply = StreamVersionReply{SoftwareVersion: version, Confidence: Certain}
+	if v, ok := b.streams.lookUp(args.Stream); ok {
+		*reply = knownStreamVersion(v.SoftwareVersion, v.Began)
 		return nil
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	*reply = b.versions.only(b.clock.Now(), args.Service)
-	if reply.Confidence == Certain && b.storeAvailable != nil && !b.storeAvailable() {
-		// The records may be out of date: another version may serve by now.
-		reply.Confidence = Probable
+	if !args.ReadRecord {
+		return nil
+	}
+	if version, ok, err := b.recordedVersion(args.Service); ok && err == nil {
+		*reply = knownStreamVersion(version, true)
 	}
 	return nil
 }
 
+// recordedVersion reads the only software version of a service, if there is only one.
+func (b *Broker) recordedVersion(service string) (version string, ok bool, err error) {
+	if b.versionRecords == nil || b.storeAvailable != nil && !b.storeAvailable() {
+		return "", false, errVersionsUnread
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), versionReadTimeout)
+	defer cancel()
+	return b.versionRecords.Only(ctx, service)
+}
+
 // RecordStreamsArgs is the argument of RecordStreams.
 type RecordStreamsArgs struct {
 	Streams []StreamVersion
@@ -95,7 +133,7 @@
 }
 
 func (b *Broker) isMixed(service string) bool {
-	return b.versions.only(b.clock.Now(), service).Confidence == Ambiguous
+	return b.versions.isMixed(b.clock.Now(), service)
 }
 
 // updateVersions applies new replica records. While a service has one version, its
