--- a/slots/ratelimit_test.go
+++ b/slots/ratelimit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"testing"
 	"time"
 
@@ -212,3 +213,16 @@
 	}
 	require.InDelta(t, 8*8*standbyRateShare, granted, 1)
 }
+
+// A record says that a replica has more slots than any machine has memory, and the replica
+// names a rate limit. The expected wait must not cost work of that size.
+func TestExpectedWaitOfALimitedReplicaDoesNotGrowWithItsSlots(t *testing.T) {
+	s := newScheduler(1, math.MaxInt-1)
+	limitReplica(s, "r0", start, 4)
+	now := start.Add(time.Minute)
+	for acquire(s, now, 0).Grant != nil {
+	}
+	reply := acquire(s, now, time.Minute)
+	require.Nil(t, reply.Grant)
+	require.NotNil(t, reply.Waiter)
+}
--- a/slots/wait.go
+++ b/slots/wait.go
@@ -94,19 +94,23 @@
 	}
 	for _, r := range p.replicas {
 		if r.budget.limited() && r.Ready && args.allows(r) {
-			free := make([]time.Duration, max(r.Slots-r.used, 0))
-			starts = append(starts, r.rateLimitedStarts(now, append(free, limited[r]...), p.serviceTime)...)
+			starts = append(starts, r.rateLimitedStarts(now, limited[r], p.serviceTime)...)
 		}
 	}
 	return starts
 }
 
-// rateLimitedStarts returns the starts that the rate limit allows in the slots that
-// become free after slotWaits, within a time.
+// rateLimitedStarts returns the starts that the rate limit allows in the free slots, and
+// in those that become free after slotWaits, within a time.
 func (r *replicaState) rateLimitedStarts(now time.Time, slotWaits []time.Duration, within time.Duration) []expectedStart {
 	slices.Sort(slotWaits)
+	free := max(r.Slots-r.used, 0)
 	var starts []expectedStart
-	for i, wait := range slotWaits {
+	for i := range free + len(slotWaits) {
+		var wait time.Duration
+		if i >= free {
+			wait = slotWaits[i-free]
+		}
 		wait = max(wait, r.budget.wait(now, i+1))
 		if wait > within {
 			break
