host, jobs: records of hosts that say what none can say are refused

Found while looking at every record that another writer can write. A host record of another name, or without a data centre, stood in the view as a host. Heads of jobs with counts out of range were added up and read, and one undecodable head kept the results of all jobs of its host from being recorded, since they share transactions. Backlog and quarantine records could admit or refuse by numbers that no host writes.

Change: each is checked when it is decoded; a host gives up the job whose head it can't read, and goes on with the others.

--- a/host/odd_records_test.go
+++ b/host/odd_records_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -12,6 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/quarantine"
 )
 
 // Another writer left odd records beside the proper ones, also in the place of one. The
@@ -68,3 +71,49 @@
 		})
 	}
 }
+
+// The record of a host may be another writer's too.
+func TestOddHostRecordsHarmNothing(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a, b := f.startPair()
+	for key, value := range map[string]string{
+		"x1": `{"name":"a","data_centre":"dc","peer_address":"127.0.0.1:1"}`,
+		"x2": `{"name":"x2"}`,
+		"x3": `{"name":"x3","data_centre":"dc","incarnation":1e99}`,
+		"x4": strings.Repeat("[", 200_000),
+		"x5": `{"name":"","data_centre":"","peer_address":"127.0.0.1:99999999"}`,
+	} {
+		f.put(txn.Write{Key: hostPrefix + key, Value: []byte(value)})
+	}
+	for i := range 20 {
+		for _, h := range []*Host{a, b} {
+			got, err := call(h, fmt.Sprint(h.settings.Host, i))
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, got.Status)
+		}
+	}
+	time.Sleep(2 * hostBatchDelay)
+	for _, h := range []*Host{a, b} {
+		require.Len(t, membership.All(h.view), 2)
+	}
+}
+
+// A record must not refuse another request than its key says, nor for longer than a host
+// would.
+func TestOddQuarantineRecordsAreRefused(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a := f.start("a")
+	const fingerprint = quarantine.Fingerprint(7)
+	for value, refused := range map[quarantine.Confirmed]bool{
+		{Fingerprint: fingerprint, Until: time.Now().Add(time.Minute)}:                false,
+		{Fingerprint: fingerprint + 1, Until: time.Now().Add(time.Minute)}:            true,
+		{Fingerprint: fingerprint, Until: time.Now().Add(100 * 365 * 24 * time.Hour)}: true,
+	} {
+		text, err := json.Marshal(value)
+		require.NoError(t, err)
+		var n quarantine.Notice
+		err = a.quarantine.decode(txn.Item{Key: quarantinePrefix + fingerprint.String(), Value: text}, &n)
+		require.Equal(t, refused, err != nil, "%s", text)
+		require.Equal(t, refused, len(n.Confirmed) == 0)
+	}
+}
--- a/host/presence.go
+++ b/host/presence.go
@@ -383,8 +383,8 @@
 			deleted = append(deleted, name)
 			continue
 		}
-		var h membership.Host
-		if err := json.Unmarshal(item.Value, &h); err != nil {
+		h, err := decodeHost(item, name)
+		if err != nil {
 			p.log.WithError(err).WithField("peer", name).Warn("can't decode host record")
 			continue
 		}
@@ -401,6 +401,19 @@
 	}
 }
 
+// decodeHost decodes the record of a host with a name. A record of another host says nothing
+// of this one.
+func decodeHost(item txn.Item, name string) (membership.Host, error) {
+	var h membership.Host
+	if err := json.Unmarshal(item.Value, &h); err != nil {
+		return h, errors.Wrapf(err, "decode the record of host %q", name)
+	}
+	if h.Name != name || h.DataCentre == "" {
+		return h, errors.Newf("decode the record of host %q: it is of host %q in data centre %q", name, h.Name, h.DataCentre)
+	}
+	return h, nil
+}
+
 // AddFromPeer adds the alive hosts of a peer's view that this host doesn't
 // know. It removes none.
 func (p *Presence) AddFromPeer(hosts []membership.Host) {
--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -20,6 +21,10 @@
 // for each.
 const quarantinePrefix = fleetPrefix + "quarantine/"
 
+// maxRefusal bounds the time for which a record may refuse a request. Hosts refuse for ten
+// minutes, by clocks that may differ.
+const maxRefusal = 20 * time.Minute
+
 // quarantineRecords keeps in the store which requests are refused since they crash
 // replicas, so that they are refused by hosts that start later or were cut off. A lease
 // removes each record when the request is no longer refused.
@@ -146,6 +151,9 @@
 	if err := json.Unmarshal(item.Value, &c); err != nil {
 		return err
 	}
+	if strings.TrimPrefix(item.Key, quarantinePrefix) != c.Fingerprint.String() || c.Until.Sub(q.clock.Now()) > maxRefusal {
+		return errors.Newf("the record is of fingerprint %s, refused until %v", c.Fingerprint, c.Until)
+	}
 	n.Confirmed = append(n.Confirmed, c)
 	return nil
 }
--- a/jobs/backlog/backlog.go
+++ b/jobs/backlog/backlog.go
@@ -14,6 +14,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Host is one run of a host: another start of the same host has no share until
@@ -54,6 +56,19 @@
 	Tokens int64 `cbor:"2,keyasint"`
 }
 
+// check returns an error if a record says what none can say.
+func (r *Record) check() error {
+	if r.Limit < 0 || r.ConfigVersion < 0 {
+		return errors.Newf("limit of %d tokens, of version %d", r.Limit, r.ConfigVersion)
+	}
+	for _, s := range r.Shares {
+		if s.Tokens < 0 || s.Tokens > r.Limit {
+			return errors.Newf("share of %d tokens of %d", s.Tokens, r.Limit)
+		}
+	}
+	return nil
+}
+
 // share returns the tokens that a host may add.
 func (r *Record) share(h Host) int64 {
 	for _, s := range r.Shares {
--- a/jobs/backlog/backlog_test.go
+++ b/jobs/backlog/backlog_test.go
@@ -69,3 +69,17 @@
 	require.Equal(t, Count{Waiting: 7, Finished: 3, Oldest: old}, Sum([]Job{{Waiting: 5, Created: young}, {Waiting: 2, Finished: 3, Created: old}}))
 	require.Zero(t, Sum(nil))
 }
+
+// Another writer's record must not admit or refuse jobs by numbers that none can have.
+func TestOddRecordsAreRefused(t *testing.T) {
+	host := Host{Name: "a"}
+	require.NoError(t, (&Record{Limit: 10, ConfigVersion: 1, Shares: []Share{{host, 10}}}).check())
+	for name, r := range map[string]Record{
+		"negative limit":   {Limit: -1},
+		"negative version": {ConfigVersion: -1},
+		"negative share":   {Limit: 10, Shares: []Share{{host, -1}}},
+		"share too large":  {Limit: 10, Shares: []Share{{host, math.MaxInt64}}},
+	} {
+		require.Error(t, r.check(), name)
+	}
+}
--- a/jobs/backlog/limiter.go
+++ b/jobs/backlog/limiter.go
@@ -208,7 +208,11 @@
 func (l *Limiter) learn(key string, item txn.Item) knownRecord {
 	next := knownRecord{rev: item.Rev}
 	if item.Rev != 0 {
-		if err := cbor.Unmarshal(item.Value, &next.Record); err != nil {
+		err := cbor.Unmarshal(item.Value, &next.Record)
+		if err == nil {
+			err = next.check()
+		}
+		if err != nil {
 			// Without shares the next acceptance counts anew and rewrites it.
 			l.Log.WithError(err).WithField("key", key).Warn("cannot decode backlog record; counting the waiting tokens anew")
 			next.Record = Record{}
--- a/jobs/flush.go
+++ b/jobs/flush.go
@@ -255,7 +255,9 @@
 		}
 		head, err := decodeHead(found)
 		if err != nil {
-			return err
+			m.Log.WithError(err).WithField("rev", found.Rev).Error("cannot decode head record of an own job")
+			m.disown(c.job, "head record can't be decoded")
+			continue
 		}
 		m.reconcile(c, head, found.Rev)
 	}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -103,9 +103,46 @@
 	if err := cbor.Unmarshal(item.Value, h); err != nil {
 		return nil, errors.Wrapf(err, "decode head record of job %s", h.ID)
 	}
+	if err := h.check(); err != nil {
+		return nil, errors.Wrapf(err, "decode head record of job %s", h.ID)
+	}
 	return h, nil
 }
 
+// Limits of what a head record may say.
+const (
+	maxItems = 1 << 20
+	// maxTokens bounds the tokens of a job, so that sums over jobs don't overflow.
+	maxTokens = 1 << 50
+	// maxMillis is about a hundred years.
+	maxMillis = 100 * 365 * 24 * 60 * 60 * 1000
+)
+
+// check returns an error if a record says what none can say. Records count what they lead
+// to, which is read and added up.
+func (h *Head) check() error {
+	if h.ItemCount < 0 || h.ItemCount > maxItems || h.ItemChunks < 0 || h.ItemChunks > maxItems {
+		return errors.Newf("%d items in %d chunks", h.ItemCount, h.ItemChunks)
+	}
+	if h.ResultCount < 0 || h.ResultCount > h.ItemCount || len(h.ChunkStarts) > h.ResultCount || h.ResultCount > 0 && len(h.ChunkStarts) == 0 {
+		return errors.Newf("%d results of %d items in %d chunks", h.ResultCount, h.ItemCount, len(h.ChunkStarts))
+	}
+	for n, at := range h.ChunkStarts {
+		if n == 0 && at != 0 || n > 0 && at <= h.ChunkStarts[n-1] || at >= h.ResultCount {
+			return errors.Newf("chunk %d of %d results begins at %d", n, h.ResultCount, at)
+		}
+	}
+	if h.Tokens < 0 || h.Tokens > maxTokens || h.WaitingTokens < -maxTokens || h.WaitingTokens > h.Tokens {
+		return errors.Newf("%d of %d tokens wait", h.WaitingTokens, h.Tokens)
+	}
+	for _, ms := range []int64{h.CreatedMs, h.RunTargetMs, h.RetentionMs, h.MeanRunMs} {
+		if ms < -maxMillis || ms > maxMillis {
+			return errors.Newf("a time of %d ms", ms)
+		}
+	}
+	return nil
+}
+
 // size returns about the number of bytes of the encoded item.
 func (it *Item) size() int {
 	size := len(it.ID) + len(it.Path) + len(it.Body)
