--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -30,6 +30,8 @@
 	// defaultIdle is how long an idle connection is used when the upstream
 	// doesn't say how long it keeps it.
 	defaultIdle = 30 * time.Second
+	// maxIdleSeconds bounds the idle timeout that an upstream may state.
+	maxIdleSeconds = 24 * 60 * 60
 	// idleMargin is how much earlier than the upstream's idle timeout a
 	// connection is given up.
 	idleMargin = 500 * time.Millisecond
@@ -289,7 +291,7 @@
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if n, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return time.Duration(n)*time.Second - idleMargin
+			return time.Duration(min(n, maxIdleSeconds))*time.Second - idleMargin
 		}
 	}
 	return defaultIdle
