versions: reads of a record don't wait for each other; a lost race is tried again at once

While the store is slow, a stream that is resumed waited for the read before it to end and then for its own: two answers of up to 332 ms each pass the 500 ms after which brokers are asked. Up to four reads of a record run at a time now; only those that wait are shared.

A host that lost the race for a record, and whose version was not in it then, waited a second before it wrote again, in which it used no replica of that version. It writes at once.

--- a/versions/reader.go
+++ b/versions/reader.go
@@ -18,10 +18,14 @@
 	// waiting holds, by service, the read that has not begun yet. Only such a read can be
 	// shared: one that has begun may have seen the record as it was before.
 	waiting map[string]*read
-	// running holds, by service, the read that has begun.
-	running map[string]*read
+	// running holds, by service, the number of reads that have begun.
+	running map[string]int
 }
 
+// maxReads bounds the reads of one record at the same time. While the store is slow, those
+// that wait for a read to end would wait too long with only one.
+const maxReads = 4
+
 // read is one read of a record.
 type read struct {
 	done chan struct{}
@@ -32,7 +36,7 @@
 
 // NewReader returns a Reader of a store.
 func NewReader(store txn.Store) *Reader {
-	return &Reader{store: store, waiting: make(map[string]*read), running: make(map[string]*read)}
+	return &Reader{store: store, waiting: make(map[string]*read), running: make(map[string]int)}
 }
 
 // Only returns the software version at which all streams of a service began that can be
@@ -61,7 +65,7 @@
 	}
 	next = &read{done: make(chan struct{})}
 	r.waiting[service] = next
-	if _, busy := r.running[service]; !busy {
+	if r.running[service] < maxReads {
 		r.begin(service)
 	}
 	return next
@@ -71,7 +75,7 @@
 func (r *Reader) begin(service string) {
 	next := r.waiting[service]
 	delete(r.waiting, service)
-	r.running[service] = next
+	r.running[service]++
 	go r.run(service, next)
 }
 
@@ -87,7 +91,9 @@
 	close(current.done)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.running, service)
+	if r.running[service]--; r.running[service] == 0 {
+		delete(r.running, service)
+	}
 	if _, ok := r.waiting[service]; ok {
 		r.begin(service)
 	}
--- a/versions/recorder.go
+++ b/versions/recorder.go
@@ -238,6 +238,7 @@
 	r.mu.Unlock()
 	r.onRecorded()
 	if errors.Is(err, txn.ErrConflict) {
+		r.signal()
 		return nil
 	}
 	return err
