--- a/host/versions_test.go
+++ b/host/versions_test.go
@@ -103,6 +103,19 @@
 	return s
 }
 
+// newFleetWithStreams returns a fleet of the hosts a and b, which starts for the first time,
+// after a number of streams: q0, q1, and so on. Its two replicas have the version v1.
+func newFleetWithStreams(t *testing.T, streams int) *fleet {
+	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
+	a := f.serve(f.settingsOfFirstStart("a"))
+	f.serve(f.settingsOfFirstStart("b"))
+	for i := range streams {
+		_, err := call(a, fmt.Sprint("q", i))
+		require.NoError(t, err)
+	}
+	return f
+}
+
 // restartAll kills all hosts at the same time and starts others with their names.
 func (f *fleet) restartAll(names ...string) []*Host {
 	for _, name := range names {
@@ -125,13 +138,7 @@
 // All hosts are killed at once on a day of one version. What callers then take up goes on.
 func TestStreamsOfOneVersionGoOnAfterARestartOfAllHosts(t *testing.T) {
 	const streams = 20
-	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
-	a := f.serve(f.settingsOfFirstStart("a"))
-	f.serve(f.settingsOfFirstStart("b"))
-	for i := range streams {
-		_, err := call(a, fmt.Sprint("q", i))
-		require.NoError(t, err)
-	}
+	f := newFleetWithStreams(t, streams)
 	for n, h := range f.restartAll("a", "b") {
 		for i := range streams {
 			origin := fmt.Sprint("q", i)
@@ -147,13 +154,7 @@
 // version (review/3). The streams that began at the former ones don't go on at the others.
 func TestStreamsOfAFormerVersionAreNotJoinedAfterARestartOfAllHosts(t *testing.T) {
 	const streams = 20
-	f := newMixedFleet(t, time.Millisecond, "v1", "v1")
-	a := f.serve(f.settingsOfFirstStart("a"))
-	f.serve(f.settingsOfFirstStart("b"))
-	for i := range streams {
-		_, err := call(a, fmt.Sprint("q", i))
-		require.NoError(t, err)
-	}
+	f := newFleetWithStreams(t, streams)
 	former := f.replicas
 	f.addReplica("new", "v2", time.Millisecond)
 	for _, r := range former {
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -124,14 +124,6 @@
 	if h.ItemCount < 0 || h.ItemCount > maxItems || h.ItemChunks < 0 || h.ItemChunks > maxItems {
 		return errors.Newf("%d items in %d chunks", h.ItemCount, h.ItemChunks)
 	}
-	if h.ResultCount < 0 || h.ResultCount > h.ItemCount || len(h.ChunkStarts) > h.ResultCount || h.ResultCount > 0 && len(h.ChunkStarts) == 0 {
-		return errors.Newf("%d results of %d items in %d chunks", h.ResultCount, h.ItemCount, len(h.ChunkStarts))
-	}
-	for n, at := range h.ChunkStarts {
-		if n == 0 && at != 0 || n > 0 && at <= h.ChunkStarts[n-1] || at >= h.ResultCount {
-			return errors.Newf("chunk %d of %d results begins at %d", n, h.ResultCount, at)
-		}
-	}
 	if h.Tokens < 0 || h.Tokens > maxTokens || h.WaitingTokens < -maxTokens || h.WaitingTokens > h.Tokens {
 		return errors.Newf("%d of %d tokens wait", h.WaitingTokens, h.Tokens)
 	}
@@ -140,6 +132,21 @@
 			return errors.Newf("a time of %d ms", ms)
 		}
 	}
+	return h.checkResults()
+}
+
+// checkResults checks what the record says of the results: each chunk has at least one.
+func (h *Head) checkResults() error {
+	if h.ResultCount < 0 || h.ResultCount > h.ItemCount || h.ResultCount > 0 && len(h.ChunkStarts) == 0 {
+		return errors.Newf("%d results of %d items in %d chunks", h.ResultCount, h.ItemCount, len(h.ChunkStarts))
+	}
+	least := 0
+	for n, at := range h.ChunkStarts {
+		if at < least || at >= h.ResultCount || n == 0 && at != 0 {
+			return errors.Newf("chunk %d of %d results begins at %d", n, h.ResultCount, at)
+		}
+		least = at + 1
+	}
 	return nil
 }
 
