host: a version that the store shows beside a peer's records is recorded first

A host that watches the store may be sent records by a broker meanwhile. Until its next listing it took all replicas for the peer's, also those that its own watch showed, and streams could begin at a version that nobody had recorded.

Change: the versions that a peer sent are remembered as such; the others are recorded.

TestVersionSeenBesideRecordsOfAPeerIsRecordedFirst failed before.

--- a/host/replicas.go
+++ b/host/replicas.go
@@ -34,10 +34,12 @@
 	// onRateLimit is called when a response changes what this host knows of a
 	// replica's rate limit.
 	onRateLimit func(replica.Replica, replica.RateLimit)
-	// versions says at which software versions streams may begin; nil admits all. It is
-	// asked for replicas from the store only: peers send only what they may use themselves.
-	versions  *versions.Recorder
-	fromStore bool
+	// versions says at which software versions streams may begin; nil admits all. It also
+	// admits peerVersions: peers send only replicas that they may use themselves. fromStore
+	// is set if the view was last changed by the store.
+	versions     *versions.Recorder
+	peerVersions map[softwareVersion]struct{}
+	fromStore    bool
 	// usable are the replicas that were last passed to the broker.
 	usable map[string]replica.Replica
 	// unavailableSince is the time of the first failed read of the store; zero
@@ -194,7 +196,7 @@
 	}
 	r.markStoreAvailable()
 	r.view.Replace(r.clock.Now(), all)
-	r.listed, r.fromStore = true, true
+	r.listed, r.fromStore, r.peerVersions = true, true, nil
 	r.publish()
 }
 
@@ -204,6 +206,7 @@
 	defer r.mu.Unlock()
 	r.markStoreAvailable()
 	r.view.Apply(r.clock.Now(), changes)
+	r.fromStore = true
 	r.publish()
 }
 
@@ -249,15 +252,25 @@
 	r.broker.SetReplicas(usable, r.dataCentre)
 }
 
+// softwareVersion is a software version of a service.
+type softwareVersion struct{ service, version string }
+
 // admitted returns the replicas at whose software versions streams may begin. A version
 // that is new is recorded first. It requires r.mu.
 func (r *Replicas) admitted(all map[string]replica.Replica) map[string]replica.Replica {
-	if r.versions == nil || !r.fromStore {
+	if r.versions == nil {
 		return all
 	}
-	r.versions.Observe(all)
-	usable := maps.Clone(all)
-	maps.DeleteFunc(usable, func(_ string, of replica.Replica) bool { return !r.versions.Admits(of) })
+	if r.fromStore {
+		r.versions.Observe(all)
+	}
+	usable := make(map[string]replica.Replica, len(all))
+	for id, of := range all {
+		_, fromPeer := r.peerVersions[softwareVersion{of.Service, of.SoftwareVersion}]
+		if fromPeer || r.versions.Admits(of) {
+			usable[id] = of
+		}
+	}
 	return usable
 }
 
@@ -275,7 +288,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.view.ReplaceFromPeer(r.clock.Now(), all)
-	r.listed, r.fromStore = true, false
+	r.listed, r.fromStore, r.peerVersions = true, false, make(map[softwareVersion]struct{})
+	for _, of := range all {
+		r.peerVersions[softwareVersion{of.Service, of.SoftwareVersion}] = struct{}{}
+	}
 	if r.versions != nil {
 		r.versions.Pause()
 	}
--- a/host/versions_test.go
+++ b/host/versions_test.go
@@ -11,8 +11,10 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
 // newMixedFleet returns a fleet whose replicas r0, r1, ... have the given software
@@ -201,3 +203,28 @@
 		require.Equal(t, []string{"v2"}, versionsIn(rest.Body))
 	}
 }
+
+// A host that watches the store gets records from a peer, and then sees a replica of another
+// version in the store. Streams may begin at what the peer uses, and at the other version
+// once it is recorded.
+func TestVersionSeenBesideRecordsOfAPeerIsRecordedFirst(t *testing.T) {
+	f := newMixedFleet(t, time.Millisecond, "v1")
+	a := f.serve(f.settingsOfFirstStart("a"))
+	f.store.SetFault(func(call string) txntest.Fault {
+		if call == "commit" {
+			return txntest.Refuse
+		}
+		return txntest.None
+	})
+	peers := []replica.Replica{a.replicas.snapshot()[0], {ID: "p", Service: "svc", SoftwareVersion: "v2"}}
+	a.replicas.replaceFromPeer(peers)
+	require.ElementsMatch(t, peers, a.replicas.snapshot())
+	seen := platformtest.NewReplica("s", 8, time.Millisecond)
+	t.Cleanup(seen.Close)
+	seen.SetSoftwareVersion("v3")
+	record := seen.Record("svc", "dc", "ready", 4)
+	a.replicas.apply(t.Context(), []txn.Item{{Key: record.Key, Value: record.Value, Rev: 100}})
+	require.ElementsMatch(t, peers, a.replicas.snapshot())
+	f.store.SetFault(nil)
+	require.Eventually(t, func() bool { return len(a.replicas.snapshot()) == len(peers)+1 }, testTimeout, time.Millisecond)
+}
