--- a/host/store_calls_test.go
+++ b/host/store_calls_test.go
@@ -143,6 +143,7 @@
 	h.provisionPresence()
 	h.provisionWork()
 	h.provisionRevocation()
+	h.confirmer.store = &confirmingStore{Store: f.store}
 	h.confirmer.source.call = f.confirmation
 	return h
 }
@@ -271,11 +272,18 @@
 	}
 }
 
-// storeWithoutReads refuses the confirming reads of one host.
-type storeWithoutReads struct{ txn.Store }
+// confirmingStore is the store of the confirming reads of one host. It refuses them while
+// refusing is set.
+type confirmingStore struct {
+	txn.Store
+	refusing atomic.Bool
+}
 
-func (storeWithoutReads) Commit(context.Context, txn.Request) (txn.Rev, error) {
-	return 0, txn.ErrRefused
+func (s *confirmingStore) Commit(ctx context.Context, req txn.Request) (txn.Rev, error) {
+	if s.refusing.Load() {
+		return 0, txn.ErrRefused
+	}
+	return s.Store.Commit(ctx, req)
 }
 
 // A broker that gets the confirmations of another one must read the store itself when that
@@ -292,7 +300,7 @@
 	}{
 		"unreachable": {func(f *calmFleet) { f.unreachable.Store(true) }, 3*source + 3*follower},
 		"its reads fail": {func(f *calmFleet) {
-			f.broker("dc0").confirmer.store = storeWithoutReads{f.store}
+			f.broker("dc0").confirmer.store.(*confirmingStore).refusing.Store(true)
 		}, 2*source + follower + other},
 	} {
 		t.Run(name, func(t *testing.T) {
