slots: a granted slot alone doesn't tell at which version a stream began

Which host answered what was not recorded, so this is found by reading, not traced: a broker knows a stream by the slot that it granted.

Change: while several versions are recorded, only where a stream began counts, and hosts tell their broker that. While the record can't be read, grants count if all brokers answer and none contradicts.

TestGrantAloneDoesNotTellTheVersionOfAStream failed before. A row of TestStreamGoesOnOnlyWhereItsVersionIsKnown that let a grant decide between two recorded versions is now refused, which is stricter.

--- a/slots/resume.go
+++ b/slots/resume.go
@@ -42,19 +42,21 @@
 		c.Log.WithError(err).WithField("service", service).Info("can't read the recorded software versions; asking brokers")
 	}
 	args := StreamVersionArgs{Service: service, Stream: stream, ReadRecord: err != nil}
-	replies := c.askAllStreamVersion(ctx, args)
+	replies, complete := c.askAllStreamVersion(ctx, args)
 	if known {
 		replies = append(replies, knownStreamVersion(own.SoftwareVersion, false))
 	}
-	if version, ok := chooseStreamVersion(replies); ok {
+	// While several versions are recorded, a granted slot doesn't tell which of them began the
+	// stream. While the record can't be read, it does if no other broker granted another one.
+	if version, ok := chooseStreamVersion(replies, err != nil && complete); ok {
 		return version, nil
 	}
 	return "", errors.Wrapf(ErrVersionUnknown, "stream %q of service %s", stream, service)
 }
 
-// askAllStreamVersion asks all hosts that may be brokers at the same time, and returns the
-// replies that came.
-func (c *Client) askAllStreamVersion(ctx context.Context, args StreamVersionArgs) []StreamVersionReply {
+// askAllStreamVersion asks all hosts that may be brokers at the same time. It returns the
+// replies, and whether all hosts replied.
+func (c *Client) askAllStreamVersion(ctx context.Context, args StreamVersionArgs) (replies []StreamVersionReply, complete bool) {
 	timeout := streamLookUpTimeout
 	if args.ReadRecord {
 		timeout += versionReadTimeout
@@ -62,23 +64,24 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var (
-		mu      sync.Mutex
-		replies []StreamVersionReply
-		asked   sync.WaitGroup
+		mu    sync.Mutex
+		asked sync.WaitGroup
 	)
+	complete = true
 	for _, h := range c.RecordHolders() {
 		asked.Go(func() {
 			reply, err := c.askStreamVersion(ctx, h, args)
+			mu.Lock()
+			defer mu.Unlock()
 			if err != nil {
+				complete = false
 				return
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			replies = append(replies, reply)
 		})
 	}
 	asked.Wait()
-	return replies
+	return replies, complete
 }
 
 func (c *Client) askStreamVersion(ctx context.Context, h membership.Host, args StreamVersionArgs) (StreamVersionReply, error) {
@@ -91,13 +94,13 @@
 }
 
 // StreamBegan remembers the software version of the replica that has sent the
-// first event of a stream. The broker of the own data centre knows it from its
-// grant, unless an earlier attempt of the request was granted another replica or
-// the grant is from another data centre; then it is told.
+// first event of a stream. The broker of the own data centre is told of it while the
+// service has several versions, and if it doesn't know the replica from its last grant:
+// an earlier attempt was granted another one, or the grant is from another data centre.
 func (c *Client) StreamBegan(stream string, g Grant, firstAttempt bool) {
 	v := StreamVersion{Stream: stream, SoftwareVersion: g.Replica.SoftwareVersion, Began: true}
 	c.Broker.streams.record(c.Clock.Now(), v)
-	if own := c.View.Self().DataCentre; !firstAttempt || g.Replica.DataCentre != own {
+	if own := c.View.Self().DataCentre; g.Mixed || !firstAttempt || g.Replica.DataCentre != own {
 		go c.sendStreams(context.Background(), RecordStreamsArgs{Streams: []StreamVersion{v}})
 	}
 }
--- a/slots/scheduler.go
+++ b/slots/scheduler.go
@@ -47,6 +47,8 @@
 	Since time.Time
 	// RateLimit is what the broker knew of the replica's rate limit.
 	RateLimit RateLimitMessage
+	// Mixed reports that the service has replicas of several software versions.
+	Mixed bool
 	// Broker is the name of the host that granted it, for logs. The client sets it.
 	Broker string
 	// Run is what the host observed of the response. The host sets it before it releases
--- a/slots/stream_broker.go
+++ b/slots/stream_broker.go
@@ -51,8 +51,9 @@
 }
 
 // chooseStreamVersion returns the software version that began a stream, by the replies of
-// brokers. Replies that contradict each other say nothing, nor do those of older builds.
-func chooseStreamVersion(replies []StreamVersionReply) (version string, ok bool) {
+// brokers. Grants count if the caller says so and nobody knows more. Replies that contradict
+// each other say nothing, nor do those of older builds.
+func chooseStreamVersion(replies []StreamVersionReply, grantsCount bool) (version string, ok bool) {
 	began, granted := make(map[string]struct{}), make(map[string]struct{})
 	for _, r := range replies {
 		switch {
@@ -62,7 +63,7 @@
 			granted[r.SoftwareVersion] = struct{}{}
 		}
 	}
-	if len(began) > 0 {
+	if len(began) > 0 || !grantsCount {
 		return onlyKey(began)
 	}
 	return onlyKey(granted)
@@ -127,7 +128,7 @@
 	}
 	v := StreamVersion{Stream: args.Stream, SoftwareVersion: g.Replica.SoftwareVersion}
 	b.streams.record(b.clock.Now(), v)
-	if b.isMixed(args.Service) {
+	if g.Mixed = b.isMixed(args.Service); g.Mixed {
 		b.copyStreams(v)
 	}
 }
--- a/slots/streams_test.go
+++ b/slots/streams_test.go
@@ -79,25 +79,29 @@
 	rows := []struct {
 		name    string
 		replies []StreamVersionReply
-		want    string
-		ok      bool
+		// want is the version if grants don't count, and wantByGrants if they do; empty is
+		// unknown.
+		want, wantByGrants string
 	}{
-		{"nobody answers", nil, "", false},
-		{"nobody knows", []StreamVersionReply{{}, {}}, "", false},
-		{"one knows", []StreamVersionReply{{}, began("v1")}, "v1", true},
-		{"the same", []StreamVersionReply{began("v1"), granted("v1")}, "v1", true},
-		{"granted at two versions", []StreamVersionReply{granted("v1"), granted("v2")}, "", false},
-		{"granted at two versions, began at one", []StreamVersionReply{granted("v1"), granted("v2"), began("v2")}, "v2", true},
-		{"contradiction", []StreamVersionReply{began("v1"), began("v2")}, "", false},
-		{"a broker of an older build goes by its view", []StreamVersionReply{{SoftwareVersion: "v1", Confidence: Certain}}, "", false},
-		{"the same beside one that knows", []StreamVersionReply{{SoftwareVersion: "v1", Confidence: Certain}, granted("v2")}, "v2", true},
+		{"nobody answers", nil, "", ""},
+		{"nobody knows", []StreamVersionReply{{}, {}}, "", ""},
+		{"one knows", []StreamVersionReply{{}, began("v1")}, "v1", "v1"},
+		{"the same", []StreamVersionReply{began("v1"), granted("v1")}, "v1", "v1"},
+		{"granted", []StreamVersionReply{{}, granted("v1")}, "", "v1"},
+		{"granted at two versions", []StreamVersionReply{granted("v1"), granted("v2")}, "", ""},
+		{"granted at two versions, began at one", []StreamVersionReply{granted("v1"), granted("v2"), began("v2")}, "v2", "v2"},
+		{"contradiction", []StreamVersionReply{began("v1"), began("v2")}, "", ""},
+		{"a broker of an older build goes by its view", []StreamVersionReply{{SoftwareVersion: "v1", Confidence: Certain}}, "", ""},
+		{"the same beside one that knows", []StreamVersionReply{{SoftwareVersion: "v1", Confidence: Certain}, began("v2")}, "v2", "v2"},
 	}
 	for _, row := range rows {
 		t.Run(row.name, func(t *testing.T) {
-			version, ok := chooseStreamVersion(row.replies)
-			require.Equal(t, row.ok, ok)
-			if ok {
-				require.Equal(t, row.want, version)
+			for grantsCount, want := range map[bool]string{false: row.want, true: row.wantByGrants} {
+				version, ok := chooseStreamVersion(row.replies, grantsCount)
+				require.Equal(t, want != "", ok)
+				if ok {
+					require.Equal(t, want, version)
+				}
 			}
 		})
 	}
@@ -143,7 +147,8 @@
 		{name: "an earlier version has left", recorded: []string{"v0", "v1"}},
 		{name: "a later version has joined unseen", recorded: []string{"v1", "v2"}},
 		{name: "the stream began at a later version", recorded: []string{"v1", "v2"}, known: &StreamVersion{"s", "v2", true}, want: "v2", ok: true},
-		{name: "a slot of a later version was granted", recorded: []string{"v1", "v2"}, known: &StreamVersion{"s", "v2", false}, want: "v2", ok: true},
+		{name: "a slot of a later version was granted", recorded: []string{"v1", "v2"}, known: &StreamVersion{"s", "v2", false}},
+		{name: "the store is away, a slot was granted", unavailable: []string{x1, x2}, known: &StreamVersion{"s", "v2", false}, want: "v2", ok: true},
 		{name: "nothing is recorded"},
 		{name: "cut off from the store alone", recorded: []string{"v1"}, unavailable: []string{x1}, want: "v1", ok: true},
 		{name: "cut off from the store alone, two versions", recorded: []string{"v1", "v2"}, unavailable: []string{x1}},
@@ -308,3 +313,50 @@
 		return err == nil && version == "v2"
 	}, 5*time.Second, time.Millisecond)
 }
+
+// A slot was granted at v1, whose reply was lost, and the stream began at v2, granted by
+// another broker. That one is lost with the host. The grant at v1 says nothing then.
+func TestGrantAloneDoesNotTellTheVersionOfAStream(t *testing.T) {
+	for _, recorded := range [][]string{{"v1", "v2"}, nil} {
+		f := newFleetOf("x1", "x2", "x3")
+		f.setVersions("v1", "v2")
+		for _, m := range f.hosts {
+			m.storeUnavailable = recorded == nil
+			m.broker.SetVersions(&recordedVersions{versions: recorded})
+		}
+		f.hosts["x1"].broker.streams.record(f.clock.Now(), StreamVersion{Stream: "s", SoftwareVersion: "v1"})
+		f.hosts["x3"].broker.streams.record(f.clock.Now(), StreamVersion{Stream: "s", SoftwareVersion: "v2", Began: true})
+		f.setDown("x3", true)
+		_, err := f.hosts["x2"].StreamVersion(context.Background(), service, "s")
+		require.ErrorIs(t, err, ErrVersionUnknown)
+	}
+}
+
+// While a service has several versions, the broker is told at which one each stream began,
+// so that it can be resumed when its host is lost.
+func TestBrokerIsToldWhereStreamsBeginWhileAServiceIsMixed(t *testing.T) {
+	for versions, mixed := range map[[2]string]bool{{"v1", "v1"}: false, {"v1", "v2"}: true} {
+		f := newFleetOf("x1", "x2", "x3")
+		f.setVersions(versions[0], versions[1])
+		f.clock.Advance(2 * streamRetention)
+		broker := f.brokerOf("x")
+		var host *member
+		for _, m := range f.hosts {
+			if m != broker {
+				host = m
+			}
+		}
+		g, err := host.Acquire(t.Context(), AcquireArgs{Host: host.name(), Service: service, Stream: "s"}, 0)
+		require.NoError(t, err)
+		require.Equal(t, mixed, g.Mixed)
+		host.StreamBegan("s", g, true)
+		if !mixed {
+			require.Zero(t, f.count("Slots.RecordStreams"))
+			continue
+		}
+		require.Eventually(t, func() bool {
+			known, ok := broker.broker.streams.lookUp("s")
+			return ok && known.Began
+		}, 5*time.Second, time.Millisecond)
+	}
+}
