soak: known seeds are played with callers that crash replicas again

They were played without, since seeds 9032, 1021 and 1035 saw streams of two versions with them. The switch is gone.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -35,8 +35,6 @@
 	world  *World
 	ledger *Ledger
 	seed   uint64
-	// crashing has requests sent that crash replicas.
-	crashing bool
 }
 
 // run sends requests and jobs until one context ends, and reads jobs until the
@@ -51,9 +49,7 @@
 			all.Go(func() { c.hot(sending, n) })
 		}
 	}
-	if c.crashing {
-		all.Go(func() { c.crash(sending) })
-	}
+	all.Go(func() { c.crash(sending) })
 	for n := range batchCallers {
 		all.Go(func() { c.batch(sending, reading, n) })
 	}
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -49,15 +49,14 @@
 }
 
 // Run plays the plan of a seed on a world and checks the promises during it and
-// after it. With crashing set, callers send requests that crash replicas during the
-// plan too, and not only after it.
-func Run(ctx context.Context, w *World, seed uint64, length time.Duration, crashing bool) (*Report, error) {
+// after it.
+func Run(ctx context.Context, w *World, seed uint64, length time.Duration) (*Report, error) {
 	ledger := NewLedger()
 	if err := w.Start(startLimit); err != nil {
 		return nil, err
 	}
 	r := &Report{Seed: seed, Plan: Plan(w, ledger, seed, length)}
-	c := &callers{world: w, ledger: ledger, seed: seed, crashing: crashing}
+	c := &callers{world: w, ledger: ledger, seed: seed}
 	reading, stop := context.WithCancel(ctx)
 	defer stop()
 	submitting, stopSubmitting := context.WithCancel(reading)
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -61,7 +61,7 @@
 	for _, r := range regressions {
 		t.Run(fmt.Sprint("seed ", r.seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, r.seed, r.length, false)
+			play(t, r.seed, r.length)
 		})
 	}
 }
@@ -71,12 +71,12 @@
 		seed := *from + uint64(n)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
-			play(t, seed, *length, true)
+			play(t, seed, *length)
 		})
 	}
 }
 
-func play(t *testing.T, seed uint64, length time.Duration, crashing bool) {
+func play(t *testing.T, seed uint64, length time.Duration) {
 	folder := t.TempDir()
 	w, err := soak.NewWorld(program, folder, soak.Ports{
 		Free: func() string { return porttest.Free(t) },
@@ -84,7 +84,7 @@
 	}, soak.HasCustomers(seed))
 	require.NoError(t, err)
 	defer w.Close()
-	report, err := soak.Run(t.Context(), w, seed, length, crashing)
+	report, err := soak.Run(t.Context(), w, seed, length)
 	require.NoError(t, err)
 	t.Logf("seed %d: %d served, %d not, %d resumed, %d not, %d jobs, %d crashes, %d faults, %s", seed, report.Served, report.Failed, report.Resumed, report.NotResumed, report.Jobs, report.Crashes, len(report.Plan), report.Customers)
 	if len(report.Violations) > 0 && *keep != "" {
