soak: replacements of crashed replicas end before the world does

Each crash starts a goroutine that replaces the replica 300 ms later, and nobody waited for it: it appends to World.closers, and sets the proxy of its slot, while Close and Heal read them. A replica could also be started after the test had ended.

This is found by reading.

Change: Close ends replacements that wait, begins none any more and waits for those under way; Heal reads the proxy under the lock.

--- a/e2e/soak/crashes.go
+++ b/e2e/soak/crashes.go
@@ -76,12 +76,28 @@
 		// close-delimited response would seem complete.
 		p.Close()
 		return true
-	}, func() { go w.replaceCrashed(s, r) })
+	}, func() { w.beginReplacing(s, r) })
 }
 
-// replaceCrashed starts a replica in place of a crashed one, unless a fault has done so.
+// beginReplacing starts replaceCrashed, unless the world ends.
+func (w *World) beginReplacing(s *slot, r *platformtest.Replica) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	select {
+	case <-w.closing:
+	default:
+		w.replacing.Go(func() { w.replaceCrashed(s, r) })
+	}
+}
+
+// replaceCrashed starts a replica in place of a crashed one, unless a fault has done so or
+// the world ends.
 func (w *World) replaceCrashed(s *slot, r *platformtest.Replica) {
-	time.Sleep(crashRestart)
+	select {
+	case <-w.closing:
+		return
+	case <-time.After(crashRestart):
+	}
 	s.life.Lock()
 	defer s.life.Unlock()
 	if w.replicaOf(s) != r {
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -95,6 +95,11 @@
 	retired []*platformtest.Replica
 	version int
 	closers []func()
+
+	// replacing holds the replacements of crashed replicas. None begins once closing is closed,
+	// with mu held.
+	replacing sync.WaitGroup
+	closing   chan struct{}
 }
 
 // Ports give free addresses on loopback.
@@ -107,7 +112,7 @@
 
 // NewWorld builds a deployment of a program in a folder, with customers or without.
 func NewWorld(program, folder string, ports Ports, withCustomers bool) (*World, error) {
-	w := &World{store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}}
+	w := &World{store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}, closing: make(chan struct{})}
 	if withCustomers {
 		w.customers = newCustomers()
 	}
@@ -384,7 +389,7 @@
 	slots := append([]*slot(nil), w.slots...)
 	w.mu.Unlock()
 	for _, s := range slots {
-		s.proxy.Set(LinkState{})
+		w.proxyOf(s).Set(LinkState{})
 	}
 }
 
@@ -398,11 +403,15 @@
 
 // Close ends all that the world started.
 func (w *World) Close() {
+	w.mu.Lock()
+	close(w.closing)
+	w.mu.Unlock()
 	for _, h := range w.hosts {
 		if h.Process != nil && h.Starts() > 0 {
 			h.Kill()
 		}
 	}
+	w.replacing.Wait()
 	for i := len(w.closers) - 1; i >= 0; i-- {
 		w.closers[i]()
 	}
