jobs: a job that no head record can hold is refused

Checks of head records refuse over 2^50 tokens or 2^20 items. Submissions were bounded by item only (2^40 tokens), so a job of 1,025 such items was accepted with 202, and no host could read its record: it was lost with its host. The same check now runs before the record is written, and the answer is 'not run'.

TestJobThatNoRecordCanHoldIsRefused failed before (the job was accepted).

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -267,6 +267,9 @@
 		return txn.Request{}, err
 	}
 	head.ItemChunks = len(chunks)
+	if err := head.check(); err != nil {
+		return txn.Request{}, err
+	}
 	req := txn.Request{If: []txn.Condition{{Key: headKey(head.ID)}}}
 	value, err := cbor.Marshal(head)
 	if err != nil {
--- a/jobs/record_test.go
+++ b/jobs/record_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
 
 func putHead(t *testing.T, c *cluster, id string, head Head) {
@@ -73,3 +74,15 @@
 	a.flushNow(t)
 	require.Len(t, c.results("a", 0), 1)
 }
+
+// A job whose head record no host would read was accepted, and lost with its host.
+func TestJobThatNoRecordCanHoldIsRefused(t *testing.T) {
+	c := newCluster(t, "a")
+	s := submission(2)
+	s.Items[0].Tokens, s.Items[1].Tokens = maxTokens, 1
+	err := c.hosts["a"].Submit(t.Context(), s)
+	require.Equal(t, verdict.CodeInvalidRequest, verdict.As(err).Code)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	s.Items[1].Tokens = 0
+	require.NoError(t, c.hosts["a"].Submit(t.Context(), s))
+}
