jobs: the broker's search finds jobs that their owner, a member, does not run

A take-over that takes effect after its host has looked for it for 10 s, or that is by an incarnation that is gone, left a job whose record names a member that doesn't run it. Only a read or a resubmission found that. The broker's search (every 10 s) asks owners whose incarnation isn't that of the record, or whose record hasn't changed since the last search, and takes over what nobody runs. It costs one call between hosts for each such job, none to the store.

TestSearchFindsJobsThatTheirOwnerDoesNotRun failed before in both rows (nobody ran the job after 5 s).

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -68,6 +68,9 @@
 	// ownerSearches are the jobs for which a check of the owner is under way or
 	// ended less than ownerSearchInterval ago.
 	ownerSearches map[string]struct{}
+	// searchedRevs are the revisions of the head records at the last search for jobs without
+	// an owner.
+	searchedRevs map[string]txn.Rev
 	// meanRunTimes holds the mean run time of finished items by route.
 	meanRunTimes map[routeKey]time.Duration
 	// stopping is set while the host shuts down. No job is accepted and no item
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -29,8 +29,8 @@
 // Recover reads the head records of all jobs. It disowns jobs that other hosts own
 // by now and takes over those of earlier incarnations of this host. With orphans
 // it also takes over jobs whose owner is no longer a member and has no record in the
-// store. Only one host of a data centre may do that, and only with a complete
-// membership view.
+// store, and checks that members run the jobs that they own. Only one host of a data
+// centre may do that, and only with a complete membership view.
 func (m *Manager) Recover(ctx context.Context, orphans bool) error {
 	found, _, err := txn.List(ctx, m.Store, headPrefix)
 	if err != nil {
@@ -40,6 +40,7 @@
 	members := membership.All(m.View)
 	var failed error
 	registered := make(map[string]bool)
+	revs := make(map[string]txn.Rev, len(found))
 	for _, item := range found {
 		head, err := decodeHead(item)
 		if err != nil {
@@ -49,7 +50,14 @@
 		if m.stillOwns(head, item.Rev) {
 			continue
 		}
-		if head.Owner != self.Name && !orphans || !shouldTakeOver(head, members, self) {
+		if head.Owner != self.Name && !orphans {
+			continue
+		}
+		revs[head.ID] = item.Rev
+		if !shouldTakeOver(head, members, self) {
+			if m.mayBeIdle(head, item.Rev, members) {
+				m.ensureOwnerAsync(head)
+			}
 			continue
 		}
 		alive, err := m.ownerIsRegistered(ctx, head.Owner, registered)
@@ -58,9 +66,29 @@
 		}
 		failed = errors.CombineErrors(failed, err)
 	}
+	if orphans {
+		m.mu.Lock()
+		m.searchedRevs = revs
+		m.mu.Unlock()
+	}
 	return failed
 }
 
+// mayBeIdle reports whether the owner of a job, a member of this data centre, may not run
+// it: the record names another incarnation, or has not changed since the last search. The
+// write that made it the owner may have taken effect after it had looked for its jobs.
+func (m *Manager) mayBeIdle(head *Head, rev txn.Rev, members []membership.Host) bool {
+	if !head.open() || head.DataCentre != m.View.Self().DataCentre {
+		return false
+	}
+	m.mu.Lock()
+	unchanged := m.searchedRevs[head.ID] == rev
+	m.mu.Unlock()
+	return unchanged || slices.ContainsFunc(members, func(h membership.Host) bool {
+		return h.Name == head.Owner && h.Incarnation != head.Incarnation
+	})
+}
+
 // ownerIsRegistered reports whether another host that owns a job has a record in the store:
 // the view may be wrong about it. It remembers the answers in known.
 func (m *Manager) ownerIsRegistered(ctx context.Context, owner string, known map[string]bool) (bool, error) {
--- a/jobs/takeover_test.go
+++ b/jobs/takeover_test.go
@@ -132,6 +132,25 @@
 	require.Equal(t, 1, c.ownerCount("job"))
 }
 
+// A take-over takes effect long after its host has given it up, or by an earlier incarnation
+// that is gone. Nobody reads or sends the job again: the broker's search finds that no host
+// runs it.
+func TestSearchFindsJobsThatTheirOwnerDoesNotRun(t *testing.T) {
+	for name, incarnation := range map[string]uint64{"the present incarnation": 1, "an earlier incarnation": 9} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a", "b")
+			require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(2)))
+			head := c.storedHead()
+			head.Owner, head.Incarnation = "b", incarnation
+			putHead(t, c, "job", *head)
+			c.addHost("a", 2, "b")
+			require.NoError(t, c.hosts["a"].Recover(t.Context(), true))
+			require.NoError(t, c.hosts["a"].Recover(t.Context(), true))
+			require.Eventually(t, func() bool { return c.ownerCount("job") == 1 }, 5*time.Second, 10*time.Millisecond)
+		})
+	}
+}
+
 // The clock of a machine was set back before its host started again, so its incarnation
 // number is lower than before. It owns its jobs all the same.
 func TestJobsOfALaterIncarnationNumberAreRecovered(t *testing.T) {
