versions: a record that is deleted, replaced or full doesn't stop a service

Found while looking at every record that another writer can write, and at records that are gone. - A record of versions that was deleted, or replaced by something else, was written anew only when the versions changed, if at all: a deleted one never, as the condition of each later write named a revision that no longer exists. Replicas of the next version were then never used, and every stream that its host doesn't remember was refused for good. - A record names 16 versions. Replicas of further ones were never used, by the order of the names: one odd writer, or a service whose replicas all differ, lost the service its capacity.

Change: hosts that watch the record see that it is gone or unreadable, keep what they know, and write it anew at once, with a mark for versions that nobody knows, which stays for as long as streams can be resumed. Versions beyond the bound are used under the same mark (unlisted; before: earlier), so that the service isn't taken for one of a single version. A record with more entries than any can have is unreadable.

Failed before: TestDeletedRecordIsWrittenAnew, TestOverwrittenRecordIsWrittenAnew, TestVersionsBeyondTheBoundAreUsedUnlisted, TestUnreadableRecordIsWrittenAnew with its new row. TestVersionsOfAServiceAreBounded, which asked that further versions are left out, is replaced by the third: it asks for the bound too, and that all replicas are used.

--- a/versions/record.go
+++ b/versions/record.go
@@ -32,7 +32,7 @@
 	StreamRetention = 30 * time.Second
 	// retireDelay is how long a version has had no replica when it is retired.
 	retireDelay = 2 * time.Second
-	// maxVersions bounds the versions in a record. Replicas of further ones are not used.
+	// maxVersions bounds the versions that a record names. Further ones are in it as unlisted.
 	maxVersions = 16
 )
 
@@ -46,8 +46,9 @@
 // Version is a software version in a Record.
 type Version struct {
 	Name string `json:"name"`
-	// Earlier stands for the versions before the record was created, whatever they are.
-	Earlier bool `json:"earlier,omitempty"`
+	// Unlisted stands for versions that the record doesn't name: those before it was created,
+	// and those beyond maxVersions.
+	Unlisted bool `json:"unlisted,omitempty"`
 	// Retired is a random number for each time that the version is retired, and 0 while it is
 	// not. No stream begins at a retired version. Before one does, the record is written
 	// with 0, so that the removal of the version from the former record fails.
@@ -66,6 +67,9 @@
 	if err := json.Unmarshal(item.Value, &r); err != nil {
 		return r, errors.Wrapf(err, "decode the software versions in %q", item.Key)
 	}
+	if len(r.Versions) > maxVersions+1 {
+		return r, errors.Newf("decode the software versions in %q: there are %d, more than %d", item.Key, len(r.Versions), maxVersions+1)
+	}
 	if key(r.Service) != item.Key {
 		return r, errors.Newf("decode the software versions in %q: the record is of service %q", item.Key, r.Service)
 	}
@@ -75,7 +79,7 @@
 // only returns the version at which all streams have begun that can be resumed, if there is
 // only one.
 func (r *Record) only() (name string, ok bool) {
-	if len(r.Versions) != 1 || r.Versions[0].Earlier {
+	if len(r.Versions) != 1 || r.Versions[0].Unlisted {
 		return "", false
 	}
 	return r.Versions[0].Name, true
@@ -83,7 +87,7 @@
 
 // admits reports whether streams may begin at a version.
 func (r *Record) admits(name string) bool {
-	return slices.Contains(r.Versions, Version{Name: name})
+	return slices.Contains(r.Versions, Version{Name: name}) || slices.Contains(r.Versions, Version{Unlisted: true})
 }
 
 // knowledge is what a host knows of a service's versions.
@@ -91,6 +95,9 @@
 	// record is the record as last read or written, rev its revision; 0 if there is none.
 	record Record
 	rev    txn.Rev
+	// lostAt is the revision at which the record was last found deleted or unreadable, 0 if it
+	// never was.
+	lostAt txn.Rev
 	// retiredSince holds when this host first saw each retired version so.
 	retiredSince map[Version]time.Time
 	// present are the versions of the replicas that this host sees, and absentSince when it
@@ -114,7 +121,7 @@
 
 // learn sets the record as it was read or written.
 func (k *knowledge) learn(now time.Time, r Record, rev txn.Rev) {
-	if rev <= k.rev {
+	if rev <= max(k.rev, k.lostAt) {
 		return
 	}
 	k.record, k.rev = r, rev
@@ -133,13 +140,25 @@
 	k.observe(now, k.present)
 }
 
+// learnUnreadable notes that the record was deleted, or replaced by something else, at the
+// item's revision.
+func (k *knowledge) learnUnreadable(item txn.Item) {
+	if item.Rev < k.rev || item.Rev < k.lostAt {
+		return
+	}
+	k.rev, k.lostAt = item.Rev, item.Rev
+	if item.Deleted {
+		k.rev = 0
+	}
+}
+
 // observe sets the versions that replicas have.
 func (k *knowledge) observe(now time.Time, present map[string]struct{}) {
 	k.present = present
 	absent := make(map[Version]time.Time)
 	for _, v := range k.record.Versions {
 		v = v.unretired()
-		if _, ok := present[v.Name]; ok && !v.Earlier {
+		if _, ok := present[v.Name]; ok && !v.Unlisted {
 			continue
 		}
 		since, known := k.absentSince[v]
@@ -152,34 +171,49 @@
 }
 
 // next returns the record that is to be written, and false if the present one is to stay. A
-// service's first record says that there may have been earlier versions, unless the whole
-// system starts for the first time.
+// new record says that there may have been other versions, unless the whole system starts for
+// the first time.
 func (k *knowledge) next(now time.Time, firstStart bool) (Record, bool) {
 	next := Record{Service: k.record.Service}
+	var unlisted []Version
 	for _, v := range k.record.Versions {
-		if v, keep := k.nextVersion(now, v); keep {
+		v, keep := k.nextVersion(now, v)
+		switch {
+		case !keep:
+		case v.Unlisted:
+			unlisted = []Version{v}
+		default:
 			next.Versions = append(next.Versions, v)
 		}
 	}
+	complete := true
 	for _, name := range slices.Sorted(maps.Keys(k.present)) {
-		if !next.has(name) && len(next.Versions) < maxVersions {
+		switch {
+		case next.has(name):
+		case len(next.Versions) < maxVersions:
 			next.Versions = append(next.Versions, Version{Name: name})
+		default:
+			complete = false
 		}
 	}
-	if k.rev == 0 {
-		if len(next.Versions) == 0 {
-			return next, false
-		}
-		if !firstStart {
-			next.Versions = append(next.Versions, Version{Earlier: true, Retired: newRetirement()})
-		}
+	isLost := k.lostAt != 0 && k.rev <= k.lostAt
+	create := k.rev == 0 || isLost
+	if create && len(next.Versions) == 0 {
+		return next, false
+	}
+	if create && (!firstStart || isLost) {
+		unlisted = []Version{{Unlisted: true, Retired: newRetirement()}}
 	}
-	return next, !slices.Equal(next.Versions, k.record.Versions)
+	if !complete {
+		unlisted = []Version{{Unlisted: true}}
+	}
+	next.Versions = append(next.Versions, unlisted...)
+	return next, create || !slices.Equal(next.Versions, k.record.Versions)
 }
 
 // nextVersion returns a version as the next record has it, and false if that leaves it out.
 func (k *knowledge) nextVersion(now time.Time, v Version) (Version, bool) {
-	if _, ok := k.present[v.Name]; ok && !v.Earlier {
+	if _, ok := k.present[v.Name]; ok && !v.Unlisted {
 		return v.unretired(), true
 	}
 	absentSince, known := k.absentSince[v.unretired()]
@@ -195,14 +229,9 @@
 
 func newRetirement() uint64 { return rand.Uint64() | 1 }
 
-// unreadable returns what a record says that can't be decoded.
-func unreadable(service string) Record {
-	return Record{Service: service, Versions: []Version{{Earlier: true}}}
-}
-
 // has reports whether the record has a version, retired or not.
 func (r *Record) has(name string) bool {
-	return slices.ContainsFunc(r.Versions, func(v Version) bool { return v.Name == name && !v.Earlier })
+	return slices.ContainsFunc(r.Versions, func(v Version) bool { return v.Name == name && !v.Unlisted })
 }
 
 // IsKey reports whether a key is that of a record.
--- a/versions/recorder.go
+++ b/versions/recorder.go
@@ -55,30 +55,59 @@
 // Refresh reads all records anew. It is called before the replica records are listed: what
 // this host knows of the records may be out of date by then.
 func (r *Recorder) Refresh(ctx context.Context) error {
-	items, _, err := txn.List(ctx, r.store, Prefix)
+	items, at, err := txn.List(ctx, r.store, Prefix)
 	if err != nil {
 		return errors.Wrap(err, "list the recorded software versions")
 	}
-	r.Apply(items)
+	r.learn(items)
+	r.learnMissing(items, at)
+	r.signal()
 	return nil
 }
 
+// learnMissing notes which records were not among all that were listed at a revision.
+func (r *Recorder) learnMissing(items []txn.Item, at txn.Rev) {
+	listed := make(map[string]struct{}, len(items))
+	for _, item := range items {
+		listed[item.Key] = struct{}{}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, k := range r.services {
+		if _, ok := listed[key(name)]; !ok {
+			k.learnUnreadable(txn.Item{Rev: at, Deleted: true})
+		}
+	}
+}
+
+// learnUnreadable notes that a record was deleted or replaced by something else. What this
+// host knew of it still holds, so it is written anew. r.mu must be held.
+func (r *Recorder) learnUnreadable(item txn.Item, err error) {
+	for name, k := range r.services {
+		if key(name) == item.Key {
+			r.log.WithError(err).WithFields(logrus.Fields{"service": name, "rev": item.Rev}).Warn("the recorded software versions were deleted or can't be decoded; writing them anew")
+			k.learnUnreadable(item)
+		}
+	}
+}
+
 // Apply applies records as they were read, or as they have changed.
 func (r *Recorder) Apply(items []txn.Item) {
+	r.learn(items)
+	r.signal()
+}
+
+func (r *Recorder) learn(items []txn.Item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, item := range items {
-		if item.Deleted {
-			continue
-		}
 		record, err := decode(item)
-		if err != nil {
-			r.log.WithError(err).WithField("rev", item.Rev).Warn("can't decode the recorded software versions")
+		if item.Deleted || err != nil {
+			r.learnUnreadable(item, err)
 			continue
 		}
 		r.service(record.Service).learn(r.clock.Now(), record, item.Rev)
 	}
-	r.signal()
 }
 
 // service returns what is known of a service. r.mu must be held.
@@ -197,15 +226,15 @@
 		return errors.Wrap(err, "encode software versions")
 	}
 	r.mu.Lock()
-	rev := r.service(record.Service).rev
+	known := r.service(record.Service).rev
 	r.mu.Unlock()
 	recordKey := key(record.Service)
-	rev, err = r.store.Commit(ctx, txn.Request{
-		If:     []txn.Condition{{Key: recordKey, Rev: rev}},
+	rev, err := r.store.Commit(ctx, txn.Request{
+		If:     []txn.Condition{{Key: recordKey, Rev: known}},
 		Writes: []txn.Write{{Key: recordKey, Value: value}},
 	})
 	if err != nil {
-		return r.readAfter(ctx, record.Service, err)
+		return r.readAfter(ctx, record.Service, known, err)
 	}
 	r.log.WithFields(logrus.Fields{"service": record.Service, "software_versions": record.Versions, "rev": rev}).Info("software versions recorded")
 	r.mu.Lock()
@@ -215,27 +244,21 @@
 	return nil
 }
 
-// readAfter reads a record whose write failed with err: another host has changed it, or the
-// write may have taken effect. It returns err unless it was a conflict.
-func (r *Recorder) readAfter(ctx context.Context, service string, err error) error {
+// readAfter reads a record whose write, after the revision known, failed with err: another
+// writer has changed or deleted it, or the write may have taken effect. It returns err unless
+// it was a conflict.
+func (r *Recorder) readAfter(ctx context.Context, service string, known txn.Rev, err error) error {
 	if !errors.Is(err, txn.ErrConflict) && !errors.Is(err, txn.ErrUnknown) {
 		return err
 	}
 	item, readErr := r.store.Get(ctx, key(service))
 	if errors.Is(readErr, txn.ErrNotFound) {
-		return err
+		item, readErr = txn.Item{Key: key(service), Rev: known, Deleted: true}, nil
 	}
 	if readErr != nil {
 		return errors.CombineErrors(err, readErr)
 	}
-	record, decodeErr := decode(item)
-	if decodeErr != nil {
-		r.log.WithError(decodeErr).WithField("rev", item.Rev).Warn("can't decode the recorded software versions; writing them anew")
-		record = unreadable(service)
-	}
-	r.mu.Lock()
-	r.service(service).learn(r.clock.Now(), record, item.Rev)
-	r.mu.Unlock()
+	r.learn([]txn.Item{item})
 	r.onRecorded()
 	if errors.Is(err, txn.ErrConflict) {
 		r.signal()
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -21,7 +23,7 @@
 func replicas(versions ...string) map[string]replica.Replica {
 	all := make(map[string]replica.Replica)
 	for i, version := range versions {
-		id := string(rune('a' + i))
+		id := fmt.Sprint("r", i)
 		all[id] = replica.Replica{ID: id, Service: service, SoftwareVersion: version}
 	}
 	return all
@@ -215,7 +217,9 @@
 // Another writer left something else in the place of a record: it is unknown which versions
 // there were, and the service goes on.
 func TestUnreadableRecordIsWrittenAnew(t *testing.T) {
-	for _, value := range []string{"[[[", `{"service":"another"}`, `{"service":"svc","versions":[{"name":"v1","retired":1e99}]}`} {
+	tooMany, err := json.Marshal(Record{Service: service, Versions: make([]Version, 10*maxVersions)})
+	require.NoError(t, err)
+	for _, value := range []string{"[[[", `{"service":"another"}`, `{"service":"svc","versions":[{"name":"v1","retired":1e99}]}`, string(tooMany)} {
 		synctest.Test(t, func(t *testing.T) {
 			store := txntest.NewStore()
 			_, err := store.Commit(t.Context(), txn.Request{Writes: []txn.Write{{Key: key(service), Value: []byte(value)}}})
@@ -228,21 +232,98 @@
 			require.True(t, r.Admits(version("v1")), value)
 			_, ok := only(t, store)
 			require.False(t, ok, value)
+			r.Observe(replicas("v1"))
+			time.Sleep(StreamRetention + 5*time.Second)
+			_, ok = only(t, store)
+			require.True(t, ok, value)
 		})
 	}
 }
 
-// One writer of replica records could fill a record with versions.
-func TestVersionsOfAServiceAreBounded(t *testing.T) {
-	k := newKnowledge(service)
-	present := make(map[string]struct{})
-	for i := range 10 * maxVersions {
-		present[string(rune('a'+i))] = struct{}{}
+// The same while a host that knows the record watches it.
+func TestOverwrittenRecordIsWrittenAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := txntest.NewStore()
+		r := newRecorder(t, store, true)
+		start(t, r, "v1")
+		time.Sleep(time.Second)
+		at, err := store.Commit(t.Context(), txn.Request{Writes: []txn.Write{{Key: key(service), Value: []byte("odd")}}})
+		require.NoError(t, err)
+		r.Apply([]txn.Item{{Key: key(service), Rev: at, Value: []byte("odd")}})
+		require.True(t, r.Admits(version("v1")))
+		time.Sleep(time.Second)
+		_, ok := only(t, store)
+		require.False(t, ok, "others may have recorded a version in between")
+		time.Sleep(StreamRetention + 5*time.Second)
+		got, ok := only(t, store)
+		require.True(t, ok)
+		require.Equal(t, "v1", got)
+	})
+}
+
+// A service has more versions than a record names, by many replicas or by an odd writer. All
+// its replicas are used, and it is never taken for one of a single version.
+func TestVersionsBeyondTheBoundAreUsedUnlisted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := txntest.NewStore()
+		r := newRecorder(t, store, true)
+		var names []string
+		for i := range 10 * maxVersions {
+			names = append(names, fmt.Sprint("v", i))
+		}
+		start(t, r, names...)
+		time.Sleep(2 * time.Second)
+		for _, name := range names {
+			require.True(t, r.Admits(version(name)), name)
+		}
+		item, err := store.Get(t.Context(), key(service))
+		require.NoError(t, err)
+		record, err := decode(item)
+		require.NoError(t, err)
+		require.Len(t, record.Versions, maxVersions+1)
+		r.Observe(replicas("v1"))
+		time.Sleep(StreamRetention)
+		_, ok := only(t, store)
+		require.False(t, ok, "streams of the others can still be resumed")
+		time.Sleep(5 * time.Second)
+		got, ok := only(t, store)
+		require.True(t, ok)
+		require.Equal(t, "v1", got)
+	})
+}
+
+// Another writer deletes the record of a service. It is written anew, and tells of versions
+// that nobody knows for as long as streams can be resumed.
+func TestDeletedRecordIsWrittenAnew(t *testing.T) {
+	for name, notice := range map[string]func(t *testing.T, r *Recorder, at txn.Rev){
+		"seen by the watch": func(_ *testing.T, r *Recorder, at txn.Rev) {
+			r.Apply([]txn.Item{{Key: key(service), Rev: at, Deleted: true}})
+		},
+		"missing in a list":         func(t *testing.T, r *Recorder, _ txn.Rev) { require.NoError(t, r.Refresh(t.Context())) },
+		"found by the next version": func(_ *testing.T, r *Recorder, _ txn.Rev) { r.Observe(replicas("v1", "v2")) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := txntest.NewStore()
+				r := newRecorder(t, store, true)
+				start(t, r, "v1")
+				time.Sleep(time.Second)
+				at, err := store.Commit(t.Context(), txn.Request{Remove: []string{key(service)}})
+				require.NoError(t, err)
+				notice(t, r, at)
+				require.True(t, r.Admits(version("v1")))
+				time.Sleep(2 * time.Second)
+				r.Observe(replicas("v1"))
+				require.True(t, r.Admits(version("v1")))
+				_, ok := only(t, store)
+				require.False(t, ok)
+				time.Sleep(StreamRetention + 5*time.Second)
+				got, ok := only(t, store)
+				require.True(t, ok)
+				require.Equal(t, "v1", got)
+			})
+		})
 	}
-	k.observe(time.Now(), present)
-	next, ok := k.next(time.Now(), true)
-	require.True(t, ok)
-	require.Len(t, next.Versions, maxVersions)
 }
 
 // gatedStore lets reads begin, and end when the gate is opened.
