host: a host whose record was replaced by something else writes it again

From looking at hosts' own records: an odd value in the place of a host's record was logged and ignored. The host was in no list of a host that started later, and nobody asked it, since only a deletion did. A listing without the host's own record, when it hadn't been in one before, said nothing to it either.

Change: a record that can't be decoded counts as deleted, so that its host is pinged and reads it; a host that sees another record than its own, or a list without it, reads it too.

Failed before: TestHostWhoseRecordWasReplacedWritesItAgain, and the new reasons of TestHostRestoresItsRecord.

--- a/host/presence.go
+++ b/host/presence.go
@@ -150,7 +150,7 @@
 }
 
 // Replace applies a complete list of the host records. Known hosts that are
-// not listed are pinged.
+// not listed are pinged, and this host writes its record again if that is missing.
 func (p *Presence) Replace(ctx context.Context, items []txn.Item) {
 	listed := make(map[string]struct{}, len(items))
 	for _, item := range items {
@@ -164,6 +164,9 @@
 			missing = append(missing, name)
 		}
 	}
+	if _, ok := listed[p.view.Self().Name]; !ok && p.written {
+		p.Recheck()
+	}
 	p.mu.Unlock()
 	p.Apply(ctx, items)
 	for _, name := range missing {
@@ -186,22 +189,26 @@
 	return p.listed && p.written
 }
 
-// Apply applies changes of host records. Hosts whose record was deleted are
-// pinged.
+// Apply applies changes of host records. Hosts whose record was deleted, or replaced by
+// something else, are pinged.
 func (p *Presence) Apply(ctx context.Context, items []txn.Item) {
-	var deleted []string
+	var lost []string
 	p.mu.Lock()
 	for _, item := range items {
 		name := strings.TrimPrefix(item.Key, hostPrefix)
 		if item.Deleted {
-			deleted = append(deleted, name)
+			lost = append(lost, name)
 			continue
 		}
 		h, err := decodeHost(item, name)
 		if err != nil {
 			p.log.WithError(err).WithField("peer", name).Warn("can't decode host record")
+			lost = append(lost, name)
 			continue
 		}
+		if self := p.view.Self(); name == self.Name && p.written && !h.SameProcess(self) {
+			lost = append(lost, name)
+		}
 		delete(p.expired, name)
 		if p.hosts[name] != h {
 			p.log.WithFields(logrus.Fields{"peer": name, "address": h.PeerAddress, "rev": item.Rev}).Info("host added or changed")
@@ -210,7 +217,7 @@
 	}
 	p.publish()
 	p.mu.Unlock()
-	for _, name := range deleted {
+	for _, name := range lost {
 		p.startPinging(ctx, name)
 	}
 }
--- a/host/presence_test.go
+++ b/host/presence_test.go
@@ -74,6 +74,13 @@
 			"a peer pings it":             func(f *presenceFixture) { f.Recheck() },
 			"its broker doesn't know it":  func(f *presenceFixture) { f.RecheckIfMissing([]membership.Host{{Name: "a"}}) },
 			"it sees the deletion itself": func(f *presenceFixture) { f.Apply(context.Background(), []txn.Item{record("self", true)}) },
+			"it sees another record": func(f *presenceFixture) {
+				f.Apply(context.Background(), []txn.Item{{Key: hostPrefix + "self", Value: former, Rev: 9}})
+			},
+			"it sees an odd record": func(f *presenceFixture) {
+				f.Apply(context.Background(), []txn.Item{{Key: hostPrefix + "self", Value: []byte("[[["), Rev: 9}})
+			},
+			"a list lacks it": func(f *presenceFixture) { f.Replace(context.Background(), nil) },
 		} {
 			t.Run(name+", "+reason, func(t *testing.T) {
 				t.Parallel()
@@ -130,6 +137,20 @@
 	return b, a
 }
 
+// Another writer replaces the record of a host by something else. A host that starts now would
+// never see it.
+func TestHostWhoseRecordWasReplacedWritesItAgain(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	_, other := f.startPair()
+	key := hostPrefix + other.settings.Host
+	_, err := f.store.Commit(t.Context(), txn.Request{Writes: []txn.Write{{Key: key, Value: []byte("[[[")}}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		item, err := f.store.Get(t.Context(), key)
+		return err == nil && other.presence.isOwn(item)
+	}, testTimeout, 10*time.Millisecond)
+}
+
 // A host's record is gone while the host lives. Whether the others still see the host or
 // have lost sight of it, it writes the record again and all see it.
 func TestHostWithoutARecordIsSeenAgain(t *testing.T) {
