host: a late removal of a refusal takes no effect on a later one

A late write can hit any record. A refusal's record was removed without a condition, so that a removal that took effect after the request had crashed replicas again, and was refused again, lifted that refusal at all hosts: they take a record that is removed before its time for that of a sound request.

Change: the removal has the condition that the record hasn't changed. A late write of a record whose request was found sound meanwhile was handled already (HarmlessSince).

--- a/host/quarantine.go
+++ b/host/quarantine.go
@@ -84,7 +84,9 @@
 	}
 }
 
-// remove removes one record, unless the request is refused again.
+// remove removes one record, unless the request is refused again. The record must not have
+// changed: a late removal would take the refusal of a request that crashed replicas again for
+// lifted.
 func (q *quarantineRecords) remove(f quarantine.Fingerprint) {
 	q.retry(f, func() error {
 		if q.isRefused(f) {
@@ -92,7 +94,15 @@
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), recoveryDelay)
 		defer cancel()
-		_, err := q.store.Commit(ctx, txn.Request{Remove: []string{quarantinePrefix + f.String()}})
+		key := quarantinePrefix + f.String()
+		item, err := q.store.Get(ctx, key)
+		if errors.Is(err, txn.ErrNotFound) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		_, err = q.store.Commit(ctx, txn.Request{If: []txn.Condition{{Key: key, Rev: item.Rev}}, Remove: []string{key}})
 		return err
 	})
 }
