host: pings don't multiply the calls of a host that the store turns away

Cause: since a host that is pinged renews and reads its record at once. The brokers of all data centres ping each second a host whose record expired, so up to six times a second a host called the store that turned it away, in place of every 1.3 s.

Change: a host whose renewals fail knows that its record may be gone, and keeps to its pace; others check at once, and again after 1.3 s at the earliest.

TestPingsAddFewCallsOfTheStore failed before: 156 calls in 13 s, where twice the renewals (26) are allowed.

--- a/host/own_record.go
+++ b/host/own_record.go
@@ -152,15 +152,25 @@
 	p.log.WithField("lease", lease).Info("record of this host written")
 }
 
-// waitForRecheck waits for a delay, or until a check of the record is requested. It reports
-// whether one was.
-func (p *Presence) waitForRecheck(ctx context.Context, delay time.Duration) bool {
+// waitForRecheck waits for a delay. If prompt is set, a request to check the record ends it
+// early. It reports whether there was one.
+func (p *Presence) waitForRecheck(ctx context.Context, delay time.Duration, prompt bool) bool {
+	requested := p.recheckRequested
+	if !prompt {
+		wait.For(ctx, p.clock, delay)
+		select {
+		case <-requested:
+			return true
+		default:
+			return false
+		}
+	}
 	select {
 	case <-ctx.Done():
 		return false
 	case <-p.clock.After(delay):
 		return false
-	case <-p.recheckRequested:
+	case <-requested:
 	}
 	wait.For(ctx, p.clock, recheckDelay)
 	return true
--- a/host/presence.go
+++ b/host/presence.go
@@ -44,7 +44,8 @@
 	// expired.
 	pingInterval = time.Second
 	pingTimeout  = 500 * time.Millisecond
-	// recheckDelay is the least time between two checks of the host's own record.
+	// recheckDelay is the delay before a check of the host's own record, in which several
+	// requests for one accumulate.
 	recheckDelay = 150 * time.Millisecond
 	// noticeTimeout is the time in which brokers see a record that has been written.
 	noticeTimeout = 1500 * time.Millisecond
@@ -105,6 +106,7 @@
 // Serve keeps the host's own record in the store until ctx ends.
 func (p *Presence) Serve(ctx context.Context) error {
 	failures := 0
+	var lastRecheck time.Time
 	for {
 		err := p.renew(ctx)
 		switch {
@@ -122,8 +124,10 @@
 		if failures > 0 && failures < maxRefusedRenewals {
 			delay = renewRetryDelay/2 + rand.N(renewRetryDelay)
 		}
-		if p.waitForRecheck(ctx, delay) {
-			p.doubtful = true
+		// A host whose renewals fail knows that its record may be gone.
+		prompt := failures == 0 && p.clock.Now().Sub(lastRecheck) >= renewInterval
+		if p.waitForRecheck(ctx, delay, prompt) {
+			p.doubtful, lastRecheck = true, p.clock.Now()
 		}
 		if ctx.Err() != nil {
 			return ctx.Err()
--- a/host/presence_test.go
+++ b/host/presence_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -137,6 +139,29 @@
 	return b, a
 }
 
+// The store turns a host away or its record has just been written, and several brokers ping it
+// each second. Each ping led to calls of the store, which are many with many hosts.
+func TestPingsAddFewCallsOfTheStore(t *testing.T) {
+	for _, fault := range []txntest.Fault{txntest.None, txntest.Refuse} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newPresenceFixture(true)
+			f.clock = clockwork.NewRealClock()
+			f.serveRenewals(t)
+			time.Sleep(time.Second)
+			f.store.SetFault(func(string) txntest.Fault { return fault })
+			before := f.store.Calls("keep") + f.store.Calls("get") + f.store.Calls("commit")
+			const seconds = 13
+			for range seconds * 6 {
+				f.Recheck()
+				time.Sleep(time.Second / 6)
+			}
+			renewals := int(seconds*time.Second/renewInterval) + maxRefusedRenewals
+			calls := f.store.Calls("keep") + f.store.Calls("get") + f.store.Calls("commit") - before
+			require.LessOrEqual(t, calls, 2*renewals, "fault %v", fault)
+		})
+	}
+}
+
 // Another writer replaces the record of a host by something else. A host that starts now would
 // never see it.
 func TestHostWhoseRecordWasReplacedWritesItAgain(t *testing.T) {
