versions: what a record holds next is found in two steps

A record that is written anew says from then on that there may have been other versions, not since an earlier time.

--- a/versions/record.go
+++ b/versions/record.go
@@ -178,39 +178,41 @@
 	var unlisted []Version
 	for _, v := range k.record.Versions {
 		v, keep := k.nextVersion(now, v)
-		switch {
-		case !keep:
-		case v.Unlisted:
+		if keep && v.Unlisted {
 			unlisted = []Version{v}
-		default:
+		} else if keep {
 			next.Versions = append(next.Versions, v)
 		}
 	}
-	complete := true
-	for _, name := range slices.Sorted(maps.Keys(k.present)) {
-		switch {
-		case next.has(name):
-		case len(next.Versions) < maxVersions:
-			next.Versions = append(next.Versions, Version{Name: name})
-		default:
-			complete = false
-		}
-	}
 	isLost := k.lostAt != 0 && k.rev <= k.lostAt
 	create := k.rev == 0 || isLost
-	if create && len(next.Versions) == 0 {
-		return next, false
-	}
-	if create && (!firstStart || isLost) {
+	if isLost || create && !firstStart {
 		unlisted = []Version{{Unlisted: true, Retired: newRetirement()}}
 	}
-	if !complete {
+	if !next.add(k.present) {
 		unlisted = []Version{{Unlisted: true}}
 	}
+	if create && len(next.Versions) == 0 {
+		return next, false
+	}
 	next.Versions = append(next.Versions, unlisted...)
 	return next, create || !slices.Equal(next.Versions, k.record.Versions)
 }
 
+// add adds versions that the record doesn't have, and reports whether it has room for all.
+func (r *Record) add(names map[string]struct{}) bool {
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if r.has(name) {
+			continue
+		}
+		if len(r.Versions) >= maxVersions {
+			return false
+		}
+		r.Versions = append(r.Versions, Version{Name: name})
+	}
+	return true
+}
+
 // nextVersion returns a version as the next record has it, and false if that leaves it out.
 func (k *knowledge) nextVersion(now time.Time, v Version) (Version, bool) {
 	if _, ok := k.present[v.Name]; ok && !v.Unlisted {
