--- a/route/route.go
+++ b/route/route.go
@@ -39,6 +39,12 @@
 	Weight int
 }
 
+// maxWeight bounds the weight of a target in either direction, so that sums don't overflow.
+const maxWeight = 1 << 32
+
+// weight returns the weight as it counts.
+func (t Target) weight() int { return min(max(t.Weight, -maxWeight), maxWeight) }
+
 // Route describes how requests with one host name and path prefix are handled.
 type Route struct {
 	Name string
@@ -83,17 +89,17 @@
 func (r *Route) Service(id string) string {
 	total := 0
 	for _, t := range r.Targets {
-		total += t.Weight
+		total += t.weight()
 	}
 	if total <= 0 {
 		return r.Targets[0].Service
 	}
 	at := int(xxhash.Sum64String(id) % uint64(total))
 	for _, t := range r.Targets {
-		if at < t.Weight {
+		if at < t.weight() {
 			return t.Service
 		}
-		at -= t.Weight
+		at -= t.weight()
 	}
 	return r.Targets[0].Service
 }
