host: the test of odd records waits until the host has read them

The test's own race: it took one answer of the other replica for a sign that the host had read the odd record, but either of two replicas may answer. It now waits until the host doesn't use the replica, and then for that answer.

--- a/host/odd_records_test.go
+++ b/host/odd_records_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 )
 
 // Another writer left odd records beside the proper ones, also in the place of one. The
@@ -47,6 +49,9 @@
 			for _, key := range []string{record.Key, record.Key + "-odd"} {
 				f.put(txn.Write{Key: key, Value: []byte(odd(oddReplica.Address()))})
 			}
+			require.Eventually(t, func() bool {
+				return !slices.ContainsFunc(a.replicas.snapshot(), func(r replica.Replica) bool { return r.ID == oddReplica.ID })
+			}, testTimeout, time.Millisecond, "the host has read the record")
 			require.Eventually(t, func() bool {
 				got, err := call(a, fmt.Sprint("probe", time.Now().UnixNano()))
 				return err == nil && got.Replica == other.ID
