--- a/host/host.go
+++ b/host/host.go
@@ -322,7 +322,7 @@
 	}
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.watchTimeout = func() time.Duration { return changeWatchTimeout(h.settings.DrainTimeout) }
-	replicas.alongList = h.refreshVersions
+	replicas.alongList = h.versions.Refresh
 	replicas.onList, replicas.onChanges = h.replicas.replace, h.replicas.apply
 	replicas.onUnavailable, replicas.onAvailable = h.replicas.markStoreUnavailable, func() {}
 	return []*Watcher{&config, &hosts, &replicas}
@@ -378,16 +378,6 @@
 	return r
 }
 
-// refreshVersions reads the recorded software versions anew on a broker. Another host that
-// watches the store lists them with the hosts at about the same time; many do that at once when
-// a broker fails.
-func (h *Host) refreshVersions(ctx context.Context) error {
-	if !h.slotClient.IsBroker() {
-		return nil
-	}
-	return h.versions.Refresh(ctx)
-}
-
 // applyFleet applies all records but those of the hosts.
 func (h *Host) applyFleet(ctx context.Context, r fleetRecords) {
 	h.versions.Apply(r.versions)
