--- a/host/recovery.go
+++ b/host/recovery.go
@@ -37,8 +37,8 @@
 type recovery struct{ host *Host }
 
 // Serve recovers jobs at the start, after recoveryDelay, after each requested
-// recovery and, on a broker, each recoveryInterval. It tries again after failures: one job that can't be read
-// doesn't keep it from those of other hosts.
+// recovery and, on a broker, each recoveryInterval. It tries again after failures:
+// one job that can't be read doesn't keep it from those of other hosts.
 func (r recovery) Serve(ctx context.Context) error {
 	h := r.host
 	delayOver := h.clock.After(recoveryDelay)
