forward, jobs, pool: log lines tell which events a response was to bring and brought

Change: they have the event after which the replica was to go on, the first and the last event that arrived, status and framing, how many requests the connection carried, and how many responses to other requests were skipped on it. No decision changes. Measured: tests of forward, jobs, platform and upstream/pool pass.

--- a/forward/events.go
+++ b/forward/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,6 +15,8 @@
 	pending []byte
 	// received means that the present body has brought any byte.
 	received bool
+	// FirstID is the id of the first event of the present body; empty if there was none.
+	FirstID string
 	// LastID is the last id field in a complete event; empty if there was none.
 	LastID string
 	// DataLines counts the data lines of all complete events. A stream that sends
@@ -62,7 +65,7 @@
 
 // Reset discards a partial event and prepares for the next body of the stream.
 func (e *EventParser) Reset() {
-	e.pending, e.received = nil, false
+	e.pending, e.received, e.FirstID = nil, false, ""
 }
 
 // lastEventEnd returns the index after the last blank line in p, or -1 if there
@@ -87,6 +90,7 @@
 	for line := range bytes.Lines(p) {
 		if value, ok := fieldValue(line, "id"); ok {
 			e.LastID = value
+			e.FirstID = cmp.Or(e.FirstID, value)
 		}
 		if _, ok := fieldValue(line, "data"); ok {
 			e.DataLines++
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -116,6 +116,9 @@
 	// Framing is how the end of the body is shown.
 	Framing pool.Framing
 	Body    io.Reader
+	// ConnectionUse is the number of requests sent on the connection, with this one, and
+	// Skipped the number of responses to other requests that arrived on it before this one.
+	ConnectionUse, Skipped int
 	// NotRun means that the replica states that it has not run the request.
 	// Misdirected means that the request reached another replica than the one
 	// it was meant for.
@@ -213,6 +216,9 @@
 	// grant is that of the present attempt, and timer measures its response.
 	grant slots.Grant
 	timer slots.RunTimer
+	// askedAfter is the id of the event after which the present attempt was to resume the
+	// stream; empty is the beginning.
+	askedAfter string
 	// longestWrite is the longest time in which the caller accepted a piece of the
 	// present attempt's response.
 	longestWrite time.Duration
@@ -309,7 +315,7 @@
 		s.charged, s.chargedGrant = true, g
 	}
 	args := s.sendArgs(ctx, g)
-	s.giveUp = args.GiveUp
+	s.giveUp, s.askedAfter = args.GiveUp, args.LastEventID
 	s.timer, s.longestWrite = slots.RunTimer{Began: s.Clock.Now()}, 0
 	res, err := s.Upstream.Send(ctx, s.req, args)
 	if err != nil {
@@ -420,7 +426,8 @@
 // logResponse logs the end of an attempt that had a response.
 func (s *requestState) logResponse(g slots.Grant, res *Response, outcome slots.Outcome, err error) {
 	entry := s.attemptEntry(g, outcome).WithFields(logrus.Fields{
-		"framing": string(res.Framing), "partial_event_bytes": len(s.events.Remainder()),
+		"status": res.Status, "framing": string(res.Framing), "partial_event_bytes": len(s.events.Remainder()),
+		"asked_after": s.askedAfter, "first_event": s.events.FirstID, "connection_use": res.ConnectionUse, "skipped_answers": res.Skipped,
 	})
 	logAttemptEnd(entry, err)
 }
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -194,7 +194,8 @@
 // run runs an item once on a granted slot and releases the slot.
 func (m *Manager) run(ctx context.Context, g slots.Grant, it *item, rt *route.Route) {
 	start := m.Clock.Now()
-	end, outcome, err := m.runOnReplica(ctx, &g, it, rt)
+	var seen runLog
+	end, outcome, err := m.runOnReplica(ctx, &g, it, rt, &seen)
 	if ctx.Err() != nil && end != endDone {
 		end, outcome = endStopped, slots.Unused
 	}
@@ -210,6 +211,8 @@
 	entry := m.Log.WithFields(logrus.Fields{
 		"job": it.job.head.ID, "item": it.ID, "replica": g.Replica.ID, "broker": g.Broker, "software_version": g.Replica.SoftwareVersion, "end": end.String(),
 		"events": events, "held_ms": m.Clock.Now().Sub(g.Since).Milliseconds(),
+		"asked_after": seen.askedAfter, "first_event": seen.firstEvent, "last_event": seen.lastEvent,
+		"status": seen.status, "framing": string(seen.framing), "connection_use": seen.connectionUse, "skipped_answers": seen.skipped,
 	})
 	if err != nil && end != endStopped {
 		entry = entry.WithError(err)
@@ -262,9 +265,21 @@
 	signal(m.flushRequested)
 }
 
+// runLog is what the log says of one run of an item.
+type runLog struct {
+	// askedAfter is the id of the event after which the run was to go on; firstEvent and
+	// lastEvent are the ids of the first and the last event that it brought.
+	askedAfter, firstEvent, lastEvent string
+	status                            int
+	framing                           pool.Framing
+	// connectionUse is the number of requests sent on the connection, and skipped the
+	// number of responses to other requests that arrived on it before the item's.
+	connectionUse, skipped int
+}
+
 // runOnReplica sends an item to a replica and reads its output. The outcome is
 // the one to report to the broker. It sets what was observed of the run in the grant.
-func (m *Manager) runOnReplica(ctx context.Context, g *slots.Grant, it *item, rt *route.Route) (runEnd, slots.Outcome, error) {
+func (m *Manager) runOnReplica(ctx context.Context, g *slots.Grant, it *item, rt *route.Route, seen *runLog) (runEnd, slots.Outcome, error) {
 	req := &forward.Request{
 		ID: it.ID, Route: rt, Service: g.Replica.Service, Method: http.MethodPost, Target: it.Path,
 		Host: it.job.head.RouteHost, Header: make(http.Header), Body: it.Body,
@@ -278,6 +293,7 @@
 		req.Header.Set(name, value)
 	}
 	timer := &slots.RunTimer{Began: m.Clock.Now()}
+	seen.askedAfter = it.lastEventID
 	ans, err := m.Upstream.Send(ctx, req, forward.SendArgs{Replica: g.Replica, LastEventID: it.lastEventID, FirstByteTimeout: runFirstByteTimeout, GapTimeout: runGapTimeout})
 	if errors.Is(err, forward.ErrReplicaLeaving) {
 		return endRejected, slots.Unused, err
@@ -286,6 +302,7 @@
 		return endBroken, outcomeOf(err), err
 	}
 	defer ans.Close()
+	seen.status, seen.framing, seen.connectionUse, seen.skipped = ans.Status, ans.Framing, ans.ConnectionUse, ans.Skipped
 	switch {
 	case ans.Misdirected:
 		return endRejected, slots.Replaced, nil
@@ -303,7 +320,7 @@
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
 	}
 	defer func() { g.Run = timer.Run() }()
-	return m.readEvents(ans, it, timer)
+	return m.readEvents(ans, it, timer, seen)
 }
 
 // hasCustomers reports whether the configuration in force has customers.
@@ -317,8 +334,9 @@
 }
 
 // readEvents reads the events of a response and adds them to the item's output.
-func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer) (runEnd, slots.Outcome, error) {
+func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer, seen *runLog) (runEnd, slots.Outcome, error) {
 	var events forward.EventParser
+	defer func() { seen.firstEvent, seen.lastEvent = events.FirstID, events.LastID }()
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
 	dataLines, progressAt := 0, m.Clock.Now()
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -99,6 +99,10 @@
 	// Length is the length of the body, or -1 when it isn't stated.
 	Length int64
 	Body   io.Reader
+	// Exchanges is the number of exchanges that were begun on the connection, with this one.
+	Exchanges int
+	// Skipped is the number of answers to other requests that arrived before this one.
+	Skipped int
 
 	pool *Pool
 	conn *conn
@@ -130,8 +134,9 @@
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
+	c.exchanges++
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
-	res, err := p.exchange(c, x) //nolint:bodyclose // Answer.Close ends its use
+	res, skipped, err := p.exchange(c, x) //nolint:bodyclose // Answer.Close ends its use
 	if err != nil {
 		stop()
 		_ = c.raw.Close()
@@ -143,6 +148,7 @@
 	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Framing: framingOf(res), Length: res.ContentLength, Body: res.Body,
+		Exchanges: c.exchanges, Skipped: skipped,
 		pool: p, conn: c, res: res, stop: stop,
 	}, nil
 }
@@ -157,7 +163,9 @@
 	return FramingClose
 }
 
-func (p *Pool) exchange(c *conn, x Exchange) (*http.Response, error) {
+// exchange sends the request and waits for its answer. It returns the answer and the
+// number of answers to other requests that it skipped.
+func (p *Pool) exchange(c *conn, x Exchange) (_ *http.Response, skipped int, _ error) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(c, bufferBytes)
 	err := x.Request.Write(w)
@@ -165,27 +173,27 @@
 		err = w.Flush()
 	}
 	if err != nil && c.quiet() {
-		return nil, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
+		return nil, skipped, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
 	}
 	whole := err == nil
 	if err := c.awaitFirst(x); err != nil {
-		return nil, err
+		return nil, skipped, err
 	}
-	for range maxStrays {
+	for skipped = range maxStrays {
 		res, err := c.readHead(x)
 		if err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
+			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
 		}
 		if res.StatusCode >= http.StatusOK && (x.Mine == nil || x.Mine(res)) {
 			// A request that was cut short leaves the connection unusable.
 			res.Close = res.Close || !whole
-			return res, nil
+			return res, skipped, nil
 		}
 		if err := skip(c, res, x.FirstByte); err != nil {
-			return nil, err
+			return nil, skipped, err
 		}
 	}
-	return nil, errors.Mark(errors.New("only answers to other requests arrived"), ErrBroken)
+	return nil, skipped, errors.Mark(errors.New("only answers to other requests arrived"), ErrBroken)
 }
 
 // readHead reads the status line and the headers of an answer, within the bounds of
