versions: a host uses a version that another host has recorded

A host that sees a new software version writes it, and may use its replicas after its own write or a conflict. If its writes fail for a while and another host records the version meanwhile, the watch shows that, nothing is left to write, and nobody passed the replicas on: they waited for the next change of any replica.

TestVersionRecordedByAnotherHostIsUsed fails without it (expected 1, actual 0).

Measured: go test -race of versions and of host (-run 'Version|Record'): pass.

--- a/versions/recorder.go
+++ b/versions/recorder.go
@@ -91,10 +91,15 @@
 	}
 }
 
-// Apply applies records as they were read, or as they have changed.
+// Apply applies records as they were read, or as they have changed. Another host may have
+// recorded a version that waits to be used.
 func (r *Recorder) Apply(items []txn.Item) {
+	if len(items) == 0 {
+		return
+	}
 	r.learn(items)
 	r.signal()
+	r.onRecorded()
 }
 
 func (r *Recorder) learn(items []txn.Item) {
--- a/versions/versions_test.go
+++ b/versions/versions_test.go
@@ -84,6 +84,27 @@
 	})
 }
 
+// While a host can't write a new version, another one does. The host was not told that it may
+// use the version's replicas.
+func TestVersionRecordedByAnotherHostIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := txntest.NewStore()
+		start(t, newRecorder(t, store, true), "v1", "v2")
+		time.Sleep(time.Second)
+		item, err := store.Get(t.Context(), key(service))
+		require.NoError(t, err)
+		r := newRecorder(t, store, true)
+		recorded := 0
+		r.onRecorded = func() { recorded++ }
+		store.SetFault(func(string) txntest.Fault { return txntest.Refuse })
+		r.Observe(replicas("v2"))
+		time.Sleep(time.Second)
+		r.Apply([]txn.Item{item})
+		require.True(t, r.Admits(version("v2")))
+		require.Equal(t, 1, recorded)
+	})
+}
+
 // Whatever becomes of the writes, several recorders end with one record that admits what
 // each of them sees.
 func TestRecordersAgreeUnderFaults(t *testing.T) {
