forward: a stream of which no service is known is not resumed on a split route

Callers that resume a stream send the last event, and need not name the request that began it. Found by reading; the deployments in force have one service each, so that this was not what the users saw there.

Change: such a request is refused as not run. With the name of the request that began the stream, or on a route whose targets are all one service, nothing changes.

TestStreamOfAnUnknownServiceOfASplitRouteIsNotResumed, before: Error: An error is expected but got nil.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -267,13 +267,19 @@
 	}
 }
 
+// errServiceUnknown means that it is not known which service of a route began a stream.
+var errServiceUnknown = errors.New("service of the stream is not known")
+
 // pinResumed restricts a stream that the caller resumes to the software version that
-// began it. The events of two versions don't fit together, and replicas don't check
-// this.
+// began it. The events of two versions or services don't fit together, and replicas
+// don't check this.
 func (s *requestState) pinResumed(ctx context.Context) error {
 	if !s.req.Route.Resumable || s.req.LastEventID == "" {
 		return nil
 	}
+	if s.req.Stream() == "" && !s.req.Route.HasOneService() {
+		return verdict.Wrap(errServiceUnknown, verdict.NotRun, verdict.CodeNoUpstream, "The service that began the stream is not known.").WithRetryAfter(defaultRetryAfter)
+	}
 	version, err := s.Slots.StreamVersion(ctx, s.req.Service, s.req.Stream())
 	if err != nil {
 		return verdict.Wrap(err, verdict.NotRun, verdict.CodeNoUpstream, "The software version that began the stream is not known.").WithRetryAfter(defaultRetryAfter)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -378,6 +378,24 @@
 	require.Empty(t, o.slots.acquires)
 }
 
+// The service is chosen by the request that began the stream, which this caller doesn't name.
+func TestStreamOfAnUnknownServiceOfASplitRouteIsNotResumed(t *testing.T) {
+	split := *resumable
+	split.Targets = []route.Target{{Service: "a", Weight: 1}, {Service: "b", Weight: 1}}
+	resume := func(origin string) scriptResult {
+		rest := stream(strings.NewReader(events(4, 5)))
+		o := scriptResult{upstream: &fakeUpstream{attempts: []scriptedAttempt{rest}}, slots: &fakeSlots{left: 5}, sink: &recordingSink{}}
+		return o.runRequest(&Request{ID: "q", Route: &split, LastEventID: "3", Resumes: origin})
+	}
+	refused := resume("")
+	require.Error(t, refused.err)
+	require.Equal(t, verdict.NotRun, verdict.Of(refused.err))
+	require.Empty(t, refused.upstream.sent)
+	require.NoError(t, resume("p").err)
+	split.Targets[1].Service = "a"
+	require.NoError(t, resume("").err)
+}
+
 func TestResumedStreamIsPinnedToItsSoftwareVersion(t *testing.T) {
 	o := scriptResult{
 		upstream: &fakeUpstream{attempts: []scriptedAttempt{notRun(503), stream(failAfter(events(4, 5), errBroken)), stream(strings.NewReader(events(6, 6)))}},
--- a/route/route.go
+++ b/route/route.go
@@ -84,6 +84,21 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// HasOneService reports whether all requests of the route go to the same service.
+func (r *Route) HasOneService() bool {
+	service := ""
+	for _, t := range r.Targets {
+		if t.weight() <= 0 {
+			continue
+		}
+		if service != "" && t.Service != service {
+			return false
+		}
+		service = t.Service
+	}
+	return true
+}
+
 // Service returns the service for a request, chosen by the weights of the
 // targets. The same ID always gets the same service.
 func (r *Route) Service(id string) string {
