forward: the rest of a stream is checked event by event

Callers could see ORDER broken: after a resumption, or after bytes that a faulty replica sends behind a response without length or chunks, the parser passed on whatever ended with a blank line. Neither forward nor jobs compared the ids of events. Events that were skipped or repeated, the head of a second response and the text of an error reached the caller as the rest of the stream, and the stream ended as complete.

EventParser now checks its input. On routes that can be resumed, each event has a number, the first event of a body has the one after the event that was asked for (field After, set with Reset), and each further event the next one. A block of lines that is no event is an error, and so is a line that the format of events doesn't have. Feed returns the events before the fault together with the error; the attempt counts as failed, and the stream goes on elsewhere after the last good event or breaks off. A stream that can't be resumed needs no ids, as nobody asks for its rest, but numbers on a streaming route may not go back. On other routes ids are not looked at. jobs sets After, so that the rule holds for items.

--- a/forward/events.go
+++ b/forward/events.go
@@ -3,18 +3,53 @@
 import (
 	"bytes"
 	"cmp"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
+// IDRule is what an EventParser expects of the ids of events.
+type IDRule int
+
+// Values of IDRule.
+const (
+	// ConsecutiveIDs is the rule of streams that can be resumed: each event has an id,
+	// which is the number after that of the event before.
+	ConsecutiveIDs IDRule = iota
+	// IncreasingIDs is the rule of streams that can't be resumed: an id that is a number
+	// is larger than the one before it. Events without an id and with other ids are
+	// accepted, as nobody asks for the rest of such a stream.
+	IncreasingIDs
+	// AnyIDs is the rule of event streams on routes that are not for streams.
+	AnyIDs
+)
+
 // EventParser splits a stream of server-sent events (text/event-stream) at the
-// boundaries of events. It takes input in pieces of any size.
+// boundaries of events, and checks that the input is events which follow those
+// before. It takes input in pieces of any size.
+//
+// The lines between two blank lines are accepted if each is a comment, a field of the
+// format (id, data, event, retry) or, before the id and the data, a line such as
+// "x-weight-versions: 3", with a name of lowercase letters, digits and hyphens. They
+// hold at most one id, and an id or data unless they are comments, event and retry
+// fields only. The id obeys the IDRule. Anything else, such as the head of a response,
+// is an error.
 type EventParser struct {
+	// IDs is the rule for the ids of events.
+	IDs IDRule
+	// After is the id of the event after which the present body is to go on; empty is
+	// the beginning of the stream. It is used with ConsecutiveIDs only. If it is not a
+	// number, the first event may have any number.
+	After string
+
 	pending []byte
 	// received means that the present body has brought any byte.
 	received bool
+	// last is the number of the last event of the present body, if numbered is true.
+	last     uint64
+	numbered bool
 	// FirstID is the id of the first event of the present body; empty if there was none.
 	FirstID string
 	// LastID is the last id field in a complete event; empty if there was none.
@@ -27,24 +62,35 @@
 // maxPartialEventBytes bounds the bytes of one event.
 const maxPartialEventBytes = 256 << 10
 
+// Errors of the input of an EventParser.
+var (
+	errEventTooLarge   = errors.Newf("event is larger than %d bytes", maxPartialEventBytes)
+	errEndsWithinEvent = errors.New("event stream ends within an event")
+	errNoEvent         = errors.New("connection ends before the first event of a stream")
+	errNotEvent        = errors.New("event stream holds something other than events")
+	errEventID         = errors.New("event stream does not go on with the next event")
+)
+
 // Feed appends p to the input and returns the bytes up to the end of the last
 // complete event, without those that it returned before. It returns nil if no
-// event was completed. The result is valid until the next call. An error means
-// that an event is larger than maxPartialEventBytes.
+// event was completed. The result is valid until the next call.
+//
+// An error means that the input is not events that follow those before, or that an
+// event is larger than maxPartialEventBytes. The bytes returned with it are the events
+// before the fault. The rest of the body is then not to be fed.
 func (e *EventParser) Feed(p []byte) ([]byte, error) {
 	e.received = e.received || len(p) > 0
 	e.pending = append(e.pending, p...)
-	end := lastEventEnd(e.pending)
-	if end < 0 {
-		if len(e.pending) > maxPartialEventBytes {
-			return nil, errEventTooLarge
-		}
-		return nil, nil
-	}
-	complete := e.pending[:end]
-	e.recordFields(complete)
+	end, err := e.recordEvents(e.pending[:lastEventEnd(e.pending)])
+	complete := e.pending[:end:end]
 	e.pending = bytes.Clone(e.pending[end:])
-	return complete, nil
+	if err == nil && len(e.pending) > maxPartialEventBytes {
+		err = errEventTooLarge
+	}
+	if end == 0 {
+		return nil, err
+	}
+	return complete, err
 }
 
 // Remainder returns the input after the last complete event.
@@ -63,19 +109,22 @@
 	return nil
 }
 
-// Reset discards a partial event and prepares for the next body of the stream.
-func (e *EventParser) Reset() {
+// Reset discards a partial event and prepares for the next body of the stream, which
+// is to go on after the event with the given id; empty is the beginning.
+func (e *EventParser) Reset(after string) {
+	e.After = after
 	e.pending, e.received, e.FirstID = nil, false, ""
+	e.last, e.numbered = 0, false
 }
 
-// lastEventEnd returns the index after the last blank line in p, or -1 if there
+// lastEventEnd returns the index after the last blank line in p, or 0 if there
 // is none. As the event stream format allows, lines end with LF or CRLF, in any
 // mix.
 func lastEventEnd(p []byte) int {
 	for end := len(p); ; {
 		end = bytes.LastIndexByte(p[:end], '\n')
 		if end < 0 {
-			return -1
+			return 0
 		}
 		before := bytes.TrimSuffix(p[:end], []byte("\r"))
 		if len(before) == 0 || bytes.HasSuffix(before, []byte("\n")) {
@@ -84,27 +133,133 @@
 	}
 }
 
-// recordFields sets LastID from the id fields of complete events, and counts their data
-// lines.
-func (e *EventParser) recordFields(p []byte) {
+// recordEvents checks and records the events in p, which ends with a blank line. It
+// returns the index after the last event before the first fault.
+func (e *EventParser) recordEvents(p []byte) (int, error) {
+	var (
+		b        block
+		end, pos int
+	)
 	for line := range bytes.Lines(p) {
-		if value, ok := fieldValue(line, "id"); ok {
-			e.LastID = value
-			e.FirstID = cmp.Or(e.FirstID, value)
+		pos += len(line)
+		text := bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if len(text) > 0 {
+			if err := b.add(text); err != nil {
+				return end, err
+			}
+			continue
+		}
+		if err := e.record(&b); err != nil {
+			return end, err
+		}
+		b, end = block{}, pos
+	}
+	return end, nil
+}
+
+// record checks and records the lines between two blank lines.
+func (e *EventParser) record(b *block) error {
+	if !b.hasID && b.dataLines == 0 {
+		if b.other > 0 {
+			return errors.Wrapf(errNotEvent, "%d lines without an id and without data", b.other)
+		}
+		return nil
+	}
+	if err := e.checkID(b); err != nil {
+		return err
+	}
+	if b.hasID {
+		e.LastID = b.id
+		e.FirstID = cmp.Or(e.FirstID, b.id)
+	}
+	e.DataLines += b.dataLines
+	return nil
+}
+
+// checkID checks the id of an event by the rule of the stream.
+func (e *EventParser) checkID(b *block) error {
+	if e.IDs == AnyIDs {
+		return nil
+	}
+	n, err := strconv.ParseUint(b.id, 10, 64)
+	if err != nil {
+		if e.IDs == ConsecutiveIDs {
+			return errors.Wrapf(errEventID, "id %q is not a number", b.id)
 		}
-		if _, ok := fieldValue(line, "data"); ok {
-			e.DataLines++
+		return nil
+	}
+	last, known := e.previous()
+	if known && (n <= last || e.IDs == ConsecutiveIDs && n != last+1) {
+		return errors.Wrapf(errEventID, "id %d after %d", n, last)
+	}
+	e.last, e.numbered = n, true
+	return nil
+}
+
+// previous returns the number of the event before the next one. It returns false if
+// that is not known.
+func (e *EventParser) previous() (uint64, bool) {
+	if e.numbered || e.IDs != ConsecutiveIDs {
+		return e.last, e.numbered
+	}
+	if e.After == "" {
+		return 0, true
+	}
+	n, err := strconv.ParseUint(e.After, 10, 64)
+	return n, err == nil
+}
+
+// block is what the lines between two blank lines hold.
+type block struct {
+	id        string
+	hasID     bool
+	dataLines int
+	// other counts the lines that are no fields of the format.
+	other int
+}
+
+// maxQuotedBytes bounds what an error quotes of a line.
+const maxQuotedBytes = 80
+
+// add adds a line without its end.
+func (b *block) add(line []byte) error {
+	name, _, hasColon := bytes.Cut(line, []byte(":"))
+	id, isID := fieldValue(line, "id")
+	switch {
+	case isID && !b.hasID:
+		b.id, b.hasID = id, true
+	case isID:
+		return errors.Wrapf(errNotEvent, "two ids in one event: %q and %q", b.id, quotable(id))
+	case string(name) == "data":
+		b.dataLines++
+	case hasColon && len(name) == 0, string(name) == "event", string(name) == "retry":
+	case hasColon && isLowerToken(name) && !b.hasID && b.dataLines == 0:
+		b.other++
+	default:
+		return errors.Wrapf(errNotEvent, "line %q", quotable(string(line)))
+	}
+	return nil
+}
+
+func quotable(s string) string { return s[:min(len(s), maxQuotedBytes)] }
+
+// isLowerToken reports whether the name consists of lowercase letters, digits and
+// hyphens.
+func isLowerToken(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
 		}
 	}
+	return true
 }
 
 // fieldValue returns the value of a line that holds the named field. As the
 // event stream format defines, one space after the colon is not part of the
-// value.
+// value, and a line without a colon is a field without a value.
 func fieldValue(line []byte, name string) (string, bool) {
-	line = bytes.TrimRight(line, "\r\n")
-	value, ok := bytes.CutPrefix(line, []byte(name+":"))
-	if !ok {
+	found, value, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte(":"))
+	if string(found) != name {
 		return "", false
 	}
 	return string(bytes.TrimPrefix(value, []byte(" "))), true
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -36,10 +37,7 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
-	errEventTooLarge      = errors.Newf("event is larger than %d bytes", maxPartialEventBytes)
-	errEndsWithinEvent    = errors.New("event stream ends within an event")
 	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
-	errNoEvent            = errors.New("connection ends before the first event of a stream")
 )
 
 // handleSendError releases the slot of an attempt without a response and
@@ -206,24 +204,25 @@
 // relayEventStream sends complete events as they arrive, so that another
 // replica can resume the stream after the last one.
 func (s *requestState) relayEventStream(res *Response) (slots.Outcome, error) {
-	s.events.Reset()
+	s.events.IDs = idRule(s.req.Route)
+	s.events.Reset(s.lastEventID())
 	buf := make([]byte, relayBufferBytes)
 	progress := progress{dataLines: s.events.DataLines, at: s.Clock.Now()}
 	before := s.events.DataLines
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
-			complete, err := s.events.Feed(buf[:n])
-			if err != nil {
-				return slots.Failed, err
-			}
+			complete, feedErr := s.events.Feed(buf[:n])
 			s.timer.Record(s.Clock.Now(), s.events.DataLines-before)
-			if s.isStalled(&progress) {
+			if feedErr == nil && s.isStalled(&progress) {
 				return slots.Unreachable, errNoProgress
 			}
 			if err := s.writeToCaller(res, complete); err != nil {
 				return slots.Unused, err
 			}
+			if feedErr != nil {
+				return slots.Failed, feedErr
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return s.endEventStream(res)
@@ -234,6 +233,17 @@
 	}
 }
 
+// idRule returns the rule for the ids of a route's events.
+func idRule(rt *route.Route) IDRule {
+	switch {
+	case rt.Kind != route.Stream:
+		return AnyIDs
+	case rt.Resumable:
+		return ConsecutiveIDs
+	}
+	return IncreasingIDs
+}
+
 // progress is when a stream last brought data.
 type progress struct {
 	dataLines int
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -335,7 +335,7 @@
 
 // readEvents reads the events of a response and adds them to the item's output.
 func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer, seen *runLog) (runEnd, slots.Outcome, error) {
-	var events forward.EventParser
+	events := forward.EventParser{After: it.lastEventID}
 	defer func() { seen.firstEvent, seen.lastEvent = events.FirstID, events.LastID }()
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
