forward: events of a stalled read are sent before the stream is resumed

Callers could lose events: relayEventStream checked whether a stream had stalled before it wrote the complete events of the same read. The parser had recorded their ids by then, so the stream went on after events that were never sent. An event without data is such an event, as only data counts as progress. The events are now written first, so that the recorded id is always one that was sent.

On the code before (events 1 and 2 arrive after long pauses and have no data):

TestEventsOfAStalledReadAreSentBeforeTheStreamIsResumed expected: "id: 1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\n" actual: "id: 2\ndata: e2\n\nid: 3\ndata: e3\n\n"

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -214,15 +214,15 @@
 		if n > 0 {
 			complete, feedErr := s.events.Feed(buf[:n])
 			s.timer.Record(s.Clock.Now(), s.events.DataLines-before)
-			if feedErr == nil && s.isStalled(&progress) {
-				return slots.Unreachable, errNoProgress
-			}
 			if err := s.writeToCaller(res, complete); err != nil {
 				return slots.Unused, err
 			}
 			if feedErr != nil {
 				return slots.Failed, feedErr
 			}
+			if s.isStalled(&progress) {
+				return slots.Unreachable, errNoProgress
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return s.endEventStream(res)
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -7,6 +7,7 @@
 	"testing/iotest"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/route"
@@ -65,6 +66,17 @@
 	}
 }
 
+// Guards against a stream that goes on after events which its caller was never sent.
+func TestEventsOfAStalledReadAreSentBeforeTheStreamIsResumed(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	body := &slowReader{clock: clock, interval: 2 * resumable.MaxGap, pieces: []string{"id: 1\n\n", "id: 2\n\n", ""}}
+	upstream := &fakeUpstream{attempts: []scriptedAttempt{stream(body), stream(strings.NewReader(events(2, 3)))}}
+	o := scriptResult{upstream: upstream, slots: &fakeSlots{left: 5}, sink: &recordingSink{}, clock: clock}.run(resumable)
+	require.NoError(t, o.err)
+	require.Equal(t, "1", o.upstream.sent[1].LastEventID)
+	require.Equal(t, "id: 1\n\n"+events(2, 3), o.sink.body.String())
+}
+
 // Guards against well-formed streams that are broken off because nobody can resume them.
 func TestStreamThatCannotBeResumedNeedsNoNumbers(t *testing.T) {
 	rows := []struct {
