forward: event streams of routes that can't be resumed are not joined from two runs

Callers could get pieces of two runs in one response (ORDER): when the answer of an idempotent route was an event stream and broke off after its first events, the request was sent again with the id of the last event and the second response was appended. A replica resumes only where a route has "resumable", so the second run may begin anywhere, and its bytes need not be those of the first one.

Once part of a response was sent, a request is now sent again only on routes that can be resumed; on others the response breaks off, as large bodies did already. Before that, an idempotent request is still repeated from its start.

On the code before, in all four rows:

TestEventStreamOfAnIdempotentRouteIsNotJoinedFromTwoRuns: no error, two requests sent TestOnlyResumableRoutesAskForTheRestOfAStream: should be empty, but was 7

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -402,7 +402,10 @@
 // sendArgs returns the arguments of the next attempt. Time-outs for the replica
 // are set only if a further attempt could follow.
 func (s *requestState) sendArgs(ctx context.Context, g slots.Grant) SendArgs {
-	args := SendArgs{Replica: g.Replica, TimeLeft: s.req.Deadline.Sub(s.Clock.Now()), LastEventID: s.lastEventID()}
+	args := SendArgs{Replica: g.Replica, TimeLeft: s.req.Deadline.Sub(s.Clock.Now())}
+	if s.resumable() {
+		args.LastEventID = s.lastEventID()
+	}
 	if s.req.Route.Repeatable() && s.mayHaveRunCount+1 < s.req.Route.MaxAttempts {
 		args.FirstByteTimeout = max(minFirstByteTimeout, s.req.Route.Objective/2)
 		args.GapTimeout = s.req.Route.MaxGap / 2
@@ -411,14 +414,21 @@
 	return args
 }
 
+// resumable reports whether another run may go on after the last event of the response.
+func (s *requestState) resumable() bool { return idRule(s.req.Route) == ConsecutiveIDs }
+
 // lastEventID returns the id of the last event that the caller has received, or
 // an empty string.
 func (s *requestState) lastEventID() string {
 	return cmp.Or(s.events.LastID, s.req.LastEventID)
 }
 
-// mayRetry reports whether the request may be sent to one more replica.
+// mayRetry reports whether the request may be sent to one more replica. Once part of a
+// response was sent, a second run may only bring its rest, which some routes allow.
 func (s *requestState) mayRetry(ctx context.Context) bool {
+	if s.begun && !s.resumable() {
+		return false
+	}
 	return ctx.Err() == nil && s.req.Deadline.Sub(s.Clock.Now()) > minTimeLeft &&
 		s.mayHaveRunCount < s.req.Route.MaxAttempts && s.notRunCount < maxNotRunAttempts && (s.mayHaveRunCount == 0 || s.req.Route.Repeatable())
 }
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -147,3 +147,38 @@
 		require.Empty(t, e.LastID)
 	}
 }
+
+// Guards against a response that is joined from two runs of a request whose rest no replica
+// can be asked for.
+func TestEventStreamOfAnIdempotentRouteIsNotJoinedFromTwoRuns(t *testing.T) {
+	for name, broken := range map[string]io.Reader{
+		"connection broken":   failAfter(events(1, 2), errBroken),
+		"ends within event":   strings.NewReader(events(1, 2) + "id: 3\nda"),
+		"something else":      strings.NewReader(events(1, 2) + answerHead),
+		"larger than allowed": strings.NewReader(events(1, 2) + "data: " + strings.Repeat("x", maxPartialEventBytes+1)),
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := runScript(idempotent, 5, stream(broken), stream(strings.NewReader(events(1, 4))), stream(strings.NewReader(events(3, 4))))
+			require.True(t, errors.Is(o.err, ErrTruncated), "%v", o.err)
+			require.Equal(t, events(1, 2), o.sink.body.String())
+			require.Len(t, o.upstream.sent, 1)
+		})
+	}
+	o := runScript(idempotent, 5, stream(failAfter("id: 1\nda", errBroken)), stream(strings.NewReader(events(1, 4))))
+	require.NoError(t, o.err, "nothing was sent before")
+	require.Equal(t, events(1, 4), o.sink.body.String())
+}
+
+// Guards against a request that tells a replica of events which the route doesn't let it
+// resume after; the caller's own header is passed on as it is.
+func TestOnlyResumableRoutesAskForTheRestOfAStream(t *testing.T) {
+	for _, rt := range []*route.Route{idempotent, atMostOnce, notResumable} {
+		o := scriptResult{
+			upstream: &fakeUpstream{attempts: []scriptedAttempt{stream(strings.NewReader(events(1, 2)))}},
+			slots:    &fakeSlots{left: 5}, sink: &recordingSink{},
+		}.runRequest(&Request{ID: "q", Route: rt, LastEventID: "7"})
+		require.NoError(t, o.err)
+		require.Empty(t, o.upstream.sent[0].LastEventID)
+		require.Equal(t, events(1, 2), o.sink.body.String())
+	}
+}
