forward: an event stream is told by its media type

The type of a response was compared as a prefix. A replica that writes the type in other letters had its stream buffered to its end, without the checks of events, and a response of the type text/event-streaming was cut up as events. The media type is now compared, whatever its parameters, as jobs does.

On the code before: TestEventStreamIsToldByItsMediaType, "Text/Event-Stream": expected true, actual false.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -109,8 +109,10 @@
 	return s.relayBody(res)
 }
 
+// isEventStream reports whether a response is an event stream by its media type.
 func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
 // relayBody relays a response that is no event stream. The first part of it is
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -182,3 +183,14 @@
 		require.Equal(t, events(1, 2), o.sink.body.String())
 	}
 }
+
+// Guards against streams that are buffered to their end, and other responses that are taken
+// for streams, because of how the media type is written.
+func TestEventStreamIsToldByItsMediaType(t *testing.T) {
+	for value, want := range map[string]bool{
+		"text/event-stream": true, "Text/Event-Stream": true, "text/event-stream;charset=utf-8": true, "text/event-stream ; charset": true,
+		"text/event-streaming": false, "text/plain": false, "": false,
+	} {
+		require.Equal(t, want, isEventStream(http.Header{"Content-Type": {value}}), "%q", value)
+	}
+}
