forward: only an event stream with status 200 is the rest of a stream

An error status goes to the caller as it is, as nothing was sent before.

For streams that the host resumes, such responses were refused before, but counted as a completed request of the replica: a success that is not the rest now counts as failed, and a status from 500 on as an error of the replica. The table of responses is the same for both ways to resume, and compares the bytes that the caller gets.

On the code before:

TestCallerThatResumesGetsOnlyTheRest/another_media_type, no_media_type, status_204, status_206: no error

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -37,6 +37,7 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
+	errNotRest            = errors.New("response is not the rest of the stream")
 	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
 )
 
@@ -103,12 +104,28 @@
 	if res.Status == http.StatusOK && isEventStream(res.Header) {
 		return s.relayEventStream(res)
 	}
-	if s.begun {
-		return slots.Done, errReplicaFailed
+	if s.begun || s.askedAfter != "" && isSuccess(res.Status) {
+		return outcomeOfWrongRest(res.Status), errors.Wrapf(errNotRest, "status %d, content type %q", res.Status, res.Header.Get("Content-Type"))
 	}
 	return s.relayBody(res)
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// outcomeOfWrongRest returns the outcome of an attempt that was to bring the rest of a
+// stream and brought a response with this status.
+func outcomeOfWrongRest(status int) slots.Outcome {
+	switch {
+	case isSuccess(status):
+		return slots.Failed
+	case status >= http.StatusInternalServerError:
+		return slots.Errored
+	}
+	return slots.Done
+}
+
 // isEventStream reports whether a response is an event stream by its media type.
 func isEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
+	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
 // answerHead is the head of a response that another request's answer begins with.
@@ -184,6 +185,116 @@
 	}
 }
 
+// framed returns an attempt with the status, the content type and the framing.
+func framed(code int, contentType string, framing pool.Framing, body string) scriptedAttempt {
+	a := status(code, true)
+	a.response.Header.Set("Content-Type", contentType)
+	a.response.Framing, a.response.Body, a.response.Length = framing, strings.NewReader(body), -1
+	return a
+}
+
+const eventStream = "text/event-stream"
+
+// restRows are responses to a request for the events after event 2.
+var restRows = []struct {
+	name string
+	// rest is the response, and isRest whether it is the rest of the stream.
+	rest   func() scriptedAttempt
+	isRest bool
+	// status is what a caller that resumes the stream gets if nothing else is tried; zero
+	// is an error of the host's own.
+	status int
+	body   string
+}{
+	{"rest in chunks", func() scriptedAttempt { return framed(200, eventStream, pool.FramingChunked, events(3, 4)) }, true, 200, events(3, 4)},
+	{"rest with a length", func() scriptedAttempt { return framed(200, eventStream, pool.FramingLength, events(3, 4)) }, true, 200, events(3, 4)},
+	{"media type with a parameter", func() scriptedAttempt {
+		return framed(200, "Text/Event-Stream; charset=utf-8", pool.FramingChunked, events(3, 4))
+	}, true, 200, events(3, 4)},
+	{"empty in chunks", func() scriptedAttempt { return framed(200, eventStream, pool.FramingChunked, "") }, true, 200, ""},
+	{"empty with a length", func() scriptedAttempt { return framed(200, eventStream, pool.FramingLength, "") }, true, 200, ""},
+	{"empty with a length that is not reached", func() scriptedAttempt {
+		a := framed(200, eventStream, pool.FramingLength, "")
+		a.response.Body = failAfter("", io.ErrUnexpectedEOF)
+		return a
+	}, false, 0, ""},
+	{"events from the start", func() scriptedAttempt { return framed(200, eventStream, pool.FramingChunked, events(1, 4)) }, false, 0, ""},
+	{"event is skipped", func() scriptedAttempt { return framed(200, eventStream, pool.FramingChunked, events(4, 4)) }, false, 0, ""},
+	{"event is repeated", func() scriptedAttempt { return framed(200, eventStream, pool.FramingChunked, events(2, 4)) }, false, 0, ""},
+	{"another media type", func() scriptedAttempt { return framed(200, "text/plain", pool.FramingLength, events(3, 4)) }, false, 0, ""},
+	{"longer media type", func() scriptedAttempt { return framed(200, eventStream+"ing", pool.FramingLength, events(3, 4)) }, false, 0, ""},
+	{"no media type", func() scriptedAttempt { return framed(200, "", pool.FramingLength, events(3, 4)) }, false, 0, ""},
+	{"status 204", func() scriptedAttempt { return framed(204, eventStream, pool.FramingLength, "") }, false, 0, ""},
+	{"status 206", func() scriptedAttempt { return framed(206, eventStream, pool.FramingChunked, events(3, 4)) }, false, 0, ""},
+	{"status 302", func() scriptedAttempt { return framed(302, "", pool.FramingLength, "moved") }, false, 302, "moved"},
+	{"status 404", func() scriptedAttempt { return framed(404, "", pool.FramingLength, "none") }, false, 404, "none"},
+	{"status 404 with events", func() scriptedAttempt { return framed(404, eventStream, pool.FramingChunked, events(3, 4)) }, false, 404, events(3, 4)},
+	{"status 500", func() scriptedAttempt { return framed(500, "", pool.FramingLength, "failed") }, false, 500, "failed"},
+	{"status 500 with events", func() scriptedAttempt { return framed(500, eventStream, pool.FramingChunked, events(3, 4)) }, false, 500, events(3, 4)},
+	{"not signed", func() scriptedAttempt {
+		a := framed(200, eventStream, pool.FramingChunked, events(3, 4))
+		a.response.Verified = false
+		return a
+	}, false, 0, ""},
+}
+
+// Guards against a response that is not the rest of a begun stream and is passed on as such.
+func TestOnlyTheRestIsAddedToABegunStream(t *testing.T) {
+	for _, row := range restRows {
+		t.Run(row.name, func(t *testing.T) {
+			begun := func() scriptedAttempt { return stream(failAfter(events(1, 2), errBroken)) }
+			o := runScript(resumable, 5, begun(), row.rest())
+			require.Equal(t, row.isRest, o.err == nil, "%v", o.err)
+			require.Equal(t, "2", o.upstream.sent[1].LastEventID)
+			require.Equal(t, 200, o.sink.status)
+			want := events(1, 2)
+			if row.isRest {
+				want += row.body
+			} else {
+				require.True(t, errors.Is(o.err, ErrTruncated), "%v", o.err)
+			}
+			require.Equal(t, want, o.sink.body.String())
+
+			rt := *resumable
+			rt.MaxAttempts = 3
+			o = runScript(&rt, 5, begun(), row.rest(), stream(strings.NewReader(events(3, 4))))
+			require.NoError(t, o.err)
+			if !row.isRest {
+				require.Equal(t, events(1, 4), o.sink.body.String())
+			}
+			if code := row.rest().response.Status; isSuccess(code) && !row.isRest {
+				require.Equal(t, slots.Failed, o.slots.outcomes[1])
+			}
+		})
+	}
+}
+
+// Guards against a success that is not the rest of the stream which a caller resumes.
+func TestCallerThatResumesGetsOnlyTheRest(t *testing.T) {
+	for _, row := range restRows {
+		t.Run(row.name, func(t *testing.T) {
+			rt := *resumable
+			rt.MaxAttempts = 1
+			resume := func(rt *route.Route, attempts ...scriptedAttempt) scriptResult {
+				return scriptResult{
+					upstream: &fakeUpstream{attempts: attempts}, slots: &fakeSlots{left: 5, version: "v1"}, sink: &recordingSink{},
+				}.runRequest(&Request{ID: "q", Route: rt, LastEventID: "2", Resumes: "p"})
+			}
+			o := resume(&rt, row.rest())
+			require.Equal(t, row.status != 0, o.err == nil, "%v", o.err)
+			require.Equal(t, row.status, o.sink.status)
+			require.Equal(t, row.body, o.sink.body.String())
+
+			o = resume(resumable, row.rest(), stream(strings.NewReader(events(3, 4))))
+			require.NoError(t, o.err)
+			if row.status == 0 {
+				require.Equal(t, events(3, 4), o.sink.body.String())
+				require.Equal(t, "2", o.upstream.sent[1].LastEventID)
+			}
+		})
+	}
+}
+
 // Guards against streams that are buffered to their end, and other responses that are taken
 // for streams, because of how the media type is written.
 func TestEventStreamIsToldByItsMediaType(t *testing.T) {
