--- a/forward/relay.go
+++ b/forward/relay.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -36,10 +37,8 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
-	errEventTooLarge      = errors.Newf("event is larger than %d bytes", maxPartialEventBytes)
-	errEndsWithinEvent    = errors.New("event stream ends within an event")
+	errNotRest            = errors.New("response is not the rest of the stream")
 	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
-	errNoEvent            = errors.New("connection ends before the first event of a stream")
 )
 
 // handleSendError releases the slot of an attempt without a response and
@@ -105,14 +104,32 @@
 	if res.Status == http.StatusOK && isEventStream(res.Header) {
 		return s.relayEventStream(res)
 	}
-	if s.begun {
-		return slots.Done, errReplicaFailed
+	if s.begun || s.askedAfter != "" && isSuccess(res.Status) {
+		return outcomeOfWrongRest(res.Status), errors.Wrapf(errNotRest, "status %d, content type %q", res.Status, res.Header.Get("Content-Type"))
 	}
 	return s.relayBody(res)
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// outcomeOfWrongRest returns the outcome of an attempt that was to bring the rest of a
+// stream and brought a response with this status.
+func outcomeOfWrongRest(status int) slots.Outcome {
+	switch {
+	case isSuccess(status):
+		return slots.Failed
+	case status >= http.StatusInternalServerError:
+		return slots.Errored
+	}
+	return slots.Done
+}
+
+// isEventStream reports whether a response is an event stream by its media type.
 func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
 // relayBody relays a response that is no event stream. The first part of it is
@@ -206,24 +223,25 @@
 // relayEventStream sends complete events as they arrive, so that another
 // replica can resume the stream after the last one.
 func (s *requestState) relayEventStream(res *Response) (slots.Outcome, error) {
-	s.events.Reset()
+	s.events.IDs = idRule(s.req.Route)
+	s.events.Reset(s.lastEventID())
 	buf := make([]byte, relayBufferBytes)
 	progress := progress{dataLines: s.events.DataLines, at: s.Clock.Now()}
 	before := s.events.DataLines
 	for {
 		n, err := res.Body.Read(buf)
 		if n > 0 {
-			complete, err := s.events.Feed(buf[:n])
-			if err != nil {
-				return slots.Failed, err
-			}
+			complete, feedErr := s.events.Feed(buf[:n])
 			s.timer.Record(s.Clock.Now(), s.events.DataLines-before)
-			if s.isStalled(&progress) {
-				return slots.Unreachable, errNoProgress
-			}
 			if err := s.writeToCaller(res, complete); err != nil {
 				return slots.Unused, err
 			}
+			if feedErr != nil {
+				return slots.Failed, feedErr
+			}
+			if s.isStalled(&progress) {
+				return slots.Unreachable, errNoProgress
+			}
 		}
 		if errors.Is(err, io.EOF) {
 			return s.endEventStream(res)
@@ -234,6 +252,17 @@
 	}
 }
 
+// idRule returns the rule for the ids of a route's events.
+func idRule(rt *route.Route) IDRule {
+	switch {
+	case rt.Kind != route.Stream:
+		return AnyIDs
+	case rt.Resumable:
+		return ConsecutiveIDs
+	}
+	return IncreasingIDs
+}
+
 // progress is when a stream last brought data.
 type progress struct {
 	dataLines int
