pool: a connection carries a request's id only once

Callers were told "not run" for requests that a replica was running or had run, and requests that may run once ran at a second replica. Cause: the id of a request is the same when it is sent again (a caller's attempt to another replica and back, an item of a batch over minutes). If that sending took the kept connection of the first one, a response that the replica wrote again has the right id, and passes as the response to the later sending. Change: an exchange names the request's id. A connection remembers a hash of each id that it has carried and isn't taken for one of them again; it stays idle for others. It is closed after 1,000 exchanges, which bounds the memory to 4 KB a connection. Why it works: on one connection an id then stands for one sending, so that a response with another id is a stray and is skipped.

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -19,8 +19,8 @@
 	reader  *bufio.Reader
 	// arrived gets the outcome of the wait for the next byte.
 	arrived chan error
-	// exchanges counts the exchanges that were begun.
-	exchanges int
+	// carried holds the hash of the ID of each exchange that was begun.
+	carried []uint32
 	// written says whether any byte of the present request was taken.
 	written atomic.Bool
 	// expires is when an idle connection is no longer used.
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -7,8 +7,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +43,9 @@
 	maxStrayBytes = 1 << 20
 	// maxHeadBytes bounds the status line and the headers of an answer.
 	maxHeadBytes = 64 << 10
+	// maxExchanges bounds the exchanges of one connection, and with them the memory for
+	// the IDs that it has carried: 4 KB.
+	maxExchanges = 1000
 )
 
 // Errors of an exchange, to be tested with errors.Is.
@@ -59,6 +64,10 @@
 // Exchange is one request to an upstream.
 type Exchange struct {
 	Address string
+	// ID is that of the request. An upstream may write an answer again, which can't be
+	// told from one to a later sending of the same request, so that a connection carries
+	// only one request with an ID.
+	ID      string
 	Request *http.Request
 	// DialTimeout bounds the set-up of a connection and FirstByte the wait for
 	// an answer; zero is unbounded.
@@ -115,16 +124,19 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials func()
+	// seed is that of the hashes of IDs.
+	seed maphash.Seed
 }
 
 // New returns an empty pool. It calls dialed for each new connection.
 func New(dialed func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), dials: dialed}
+	return &Pool{idle: make(map[string][]*conn), dials: dialed, seed: maphash.MakeSeed()}
 }
 
 // Send makes an exchange. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, x Exchange) (*Answer, error) {
-	c := p.take(x.Address)
+	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
+	c := p.take(x.Address, id)
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, x.Address, x.DialTimeout); err != nil {
@@ -134,7 +146,7 @@
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
-	c.exchanges++
+	c.carried = append(c.carried, id)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	res, skipped, err := p.exchange(c, x) //nolint:bodyclose // Answer.Close ends its use
 	if err != nil {
@@ -148,7 +160,7 @@
 	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Framing: framingOf(res), Length: res.ContentLength, Body: res.Body,
-		Exchanges: c.exchanges, Skipped: skipped,
+		Exchanges: len(c.carried), Skipped: skipped,
 		pool: p, conn: c, res: res, stop: stop,
 	}, nil
 }
@@ -271,7 +283,7 @@
 func (a *Answer) Close() {
 	c := a.conn
 	open := a.stop()
-	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 {
+	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 || len(c.carried) >= maxExchanges {
 		_ = c.raw.Close()
 		return
 	}
@@ -305,24 +317,36 @@
 	return defaultIdle
 }
 
-// take returns the connection to an address that was used last, or nil.
-func (p *Pool) take(address string) *conn {
+// take returns the connection to an address that was used last of those that have not
+// carried a request with this hash of its ID, or nil. Two IDs with one hash only cost
+// another connection.
+func (p *Pool) take(address string, id uint32) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for {
-		of := p.idle[address]
-		if len(of) == 0 {
-			delete(p.idle, address)
-			return nil
+	for i := len(p.idle[address]) - 1; i >= 0; i-- {
+		c := p.idle[address][i]
+		usable := now.Before(c.expires) && c.quiet()
+		if usable && slices.Contains(c.carried, id) {
+			continue
 		}
-		c := of[len(of)-1]
-		p.idle[address] = of[:len(of)-1]
-		if now.Before(c.expires) && c.quiet() {
+		p.remove(address, i)
+		if usable {
 			return c
 		}
 		_ = c.raw.Close()
 	}
+	return nil
+}
+
+// remove takes the idle connection at a position out of the pool. p.mu must be held.
+func (p *Pool) remove(address string, i int) {
+	of := slices.Delete(p.idle[address], i, i+1)
+	if len(of) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = of
 }
 
 func (p *Pool) put(c *conn) {
@@ -337,12 +361,10 @@
 func (p *Pool) lost(c *conn, arrived chan error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	of := p.idle[c.address]
-	for i, other := range of {
-		if other == c && c.arrived == arrived {
-			p.idle[c.address] = append(of[:i:i], of[i+1:]...)
-			_ = c.raw.Close()
-			return
-		}
+	i := slices.Index(p.idle[c.address], c)
+	if i < 0 || c.arrived != arrived {
+		return
 	}
+	p.remove(c.address, i)
+	_ = c.raw.Close()
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -78,7 +78,7 @@
 
 func exchange(p *Pool, address, id string) (string, error) {
 	ans, err := p.Send(context.Background(), Exchange{
-		Address: address, Request: request(id), DialTimeout: time.Second, FirstByte: 150 * time.Millisecond, Gap: 150 * time.Millisecond,
+		Address: address, ID: id, Request: request(id), DialTimeout: time.Second, FirstByte: 150 * time.Millisecond, Gap: 150 * time.Millisecond,
 		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == id },
 	})
 	if err != nil {
@@ -245,6 +245,53 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// An upstream that writes its answer to a request again must not be taken to answer the request when it is sent again.
+func TestRepeatedAnswerIsNotTakenForTheSameRequestSentAgain(t *testing.T) {
+	address, conns := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		for last, id := "", read(r); id != ""; last, id = answer(id, "first run of "+id), read(r) {
+			_, _ = io.WriteString(c, last+answer(id, "first run of "+id))
+		}
+	}, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		id := read(r)
+		_, _ = io.WriteString(c, answer(id, "second run of "+id))
+		_, _ = r.ReadByte()
+	})
+	p := New(func() {})
+	for _, id := range []string{"a", "b"} {
+		body, err := exchange(p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "first run of "+id, body)
+	}
+	body, err := exchange(p, address, "a")
+	require.NoError(t, err)
+	require.Equal(t, "second run of a", body)
+	require.EqualValues(t, 2, conns.Load())
+}
+
+func TestIdleConnectionThatCarriedTheRequestStaysIdle(t *testing.T) {
+	address, conns := serve(t, well)
+	p := New(func() {})
+	for _, id := range []string{"a", "a", "b", "c"} {
+		body, err := exchange(p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "of "+id, body)
+	}
+	require.EqualValues(t, 2, conns.Load())
+	require.Len(t, p.idle[address], 2)
+}
+
+// The memory for the requests that a connection has carried must not grow without bound.
+func TestConnectionIsReplacedAfterItsLastExchange(t *testing.T) {
+	address, conns := serve(t, well)
+	p := New(func() {})
+	for i := range maxExchanges + 1 {
+		_, err := exchange(p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.LessOrEqual(t, int(conns.Load()), 1+i/maxExchanges)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
 // An idle connection that the upstream closes, or on which something arrives
 // unasked, isn't used again.
 func TestIdleConnectionIsDropped(t *testing.T) {
