pool: the bounds of the wait after a stray answer end with that wait

Callers got truncated streams, and runs were broken off while their replica was at work, where a replica had written an extra response before the right one. Cause: skipping the extra response sets a read deadline of FirstByte. (1) An exchange without a gap bound (a route without a longest pause) reads the body of its own response without setting another deadline, so that the read fails as soon as the old one passes. (2) The wait for the next response didn't ask GiveUp: a run slower than FirstByte was broken off, though no other attempt could follow. Evidence on: TestBodyAfterAStrayAnswerMayTakeLongerThanTheFirstByte "read tcp ...: i/o timeout" in the body; TestSilenceAfterAStrayAnswerGoesOn UntilItIsGivenUp "wait after an answer to another request: no data in 30ms", GiveUp never asked; also after an interim response (102). Change: skip waits with GiveUp as the wait for the first byte does, and removes the deadline when it ends. Measured: go test -race ./upstream/pool -count=3 passes.

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -86,6 +86,12 @@
 	}
 }
 
+// unboundReads removes the bound of each read. No goroutine may be reading.
+func (c *conn) unboundReads() {
+	c.gap, c.giveUp = 0, nil
+	_ = c.raw.SetReadDeadline(time.Time{})
+}
+
 // readWithinGap reads within the gap. When that is up it looks once more: a process
 // that was suspended finds both its timer and the data due.
 func (c *conn) readWithinGap(p []byte) (int, error) {
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -201,7 +201,7 @@
 			res.Close = res.Close || !whole
 			return res, skipped, nil
 		}
-		if err := skip(c, res, x.FirstByte); err != nil {
+		if err := skip(c, res, x); err != nil {
 			return nil, skipped, err
 		}
 	}
@@ -220,9 +220,11 @@
 	return http.ReadResponse(c.reader, x.Request)
 }
 
-// skip reads over an answer that isn't the request's and waits for the next.
-func skip(c *conn, res *http.Response, timeout time.Duration) error {
-	c.gap = timeout
+// skip reads over an answer that isn't the request's and waits for the next, within the
+// bounds of the wait for the first byte.
+func skip(c *conn, res *http.Response, x Exchange) error {
+	c.gap, c.giveUp = x.FirstByte, x.GiveUp
+	defer c.unboundReads()
 	n, err := io.CopyN(io.Discard, res.Body, maxStrayBytes)
 	if n == maxStrayBytes {
 		return errors.Mark(errors.Newf("an answer to another request has more than %d bytes", maxStrayBytes), ErrBroken)
@@ -287,8 +289,7 @@
 		_ = c.raw.Close()
 		return
 	}
-	_ = c.raw.SetReadDeadline(time.Time{})
-	c.gap, c.giveUp = 0, nil
+	c.unboundReads()
 	c.expires = time.Now().Add(idleTime(a.Header))
 	a.pool.put(c)
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -268,6 +268,53 @@
 	require.EqualValues(t, 2, conns.Load())
 }
 
+// The bound of the wait after a stray answer must not cut off the body of the answer that follows it.
+func TestBodyAfterAStrayAnswerMayTakeLongerThanTheFirstByte(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		whole := answer(read(r), "complete")
+		_, _ = io.WriteString(c, answer("stray", "x"))
+		time.Sleep(timeout / 2)
+		_, _ = io.WriteString(c, whole[:len(whole)-1])
+		time.Sleep(2 * timeout)
+		_, _ = io.WriteString(c, whole[len(whole)-1:])
+		_, _ = r.ReadByte()
+	})
+	ans, err := New(func() {}).Send(t.Context(), Exchange{
+		Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
+		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+	})
+	require.NoError(t, err)
+	defer ans.Close()
+	body, err := io.ReadAll(ans.Body)
+	require.NoError(t, err)
+	require.Equal(t, "complete", string(body))
+}
+
+// A run that is slower than the bound must not be broken off because of a stray answer before its own.
+func TestSilenceAfterAStrayAnswerGoesOnUntilItIsGivenUp(t *testing.T) {
+	const timeout = 30 * time.Millisecond
+	for _, stray := range []string{answer("stray", "x"), "HTTP/1.1 102 Processing\r\n\r\n"} {
+		resume := make(chan struct{})
+		address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			id := read(r)
+			_, _ = io.WriteString(c, stray)
+			<-resume
+			_, _ = io.WriteString(c, answer(id, "of "+id))
+		})
+		ans, err := New(func() {}).Send(t.Context(), Exchange{
+			Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
+			GiveUp: func() bool { resume <- struct{}{}; return false },
+			Mine:   func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+		})
+		require.NoError(t, err)
+		body, err := io.ReadAll(ans.Body)
+		require.NoError(t, err)
+		require.Equal(t, "of a", string(body))
+		ans.Close()
+	}
+}
+
 func TestIdleConnectionThatCarriedTheRequestStaysIdle(t *testing.T) {
 	address, conns := serve(t, well)
 	p := New(func() {})
