pool: closing an answer doesn't ask whether to give it up

An attempt that ended before its response did could hold a slot of another replica that nobody used, or wait on up to the request's deadline. Cause: Close looks for the end of the body for 1 ms with the exchange's GiveUp still set. GiveUp is asked each time that this millisecond passes: in forward it takes a slot for the next attempt. While none is free, Close asks 1,000 times a second and doesn't return; if the attempt had already taken one when it was given up (a body with a length, a stream without progress), the second replaces it and the first is not released (read from forward.reserve, not shown by a run there). Evidence on: TestClosingAnAnswerDoesNotAskToGiveUp "Should be zero, but was 10", the 10th being the one at which the test lets it end. Change: Close looks without GiveUp. Measured: go test -race ./upstream/pool -count=3 and ./forward pass.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -302,7 +302,7 @@
 	if a.Framing == FramingClose {
 		return false
 	}
-	a.conn.gap = drainTimeout
+	a.conn.gap, a.conn.giveUp = drainTimeout, nil
 	n, err := a.res.Body.Read(make([]byte, 1))
 	return n == 0 && err == io.EOF
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -145,6 +145,26 @@
 	require.Equal(t, 2, asked)
 }
 
+// An answer that is closed before its end must not be asked whether to give it up: that takes a slot for another attempt.
+func TestClosingAnAnswerDoesNotAskToGiveUp(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 10\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"} {
+		address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+read(r)+"\r\n"+framing)
+			_, _ = r.ReadByte()
+		})
+		asked := 0
+		ans, err := New(func() {}).Send(t.Context(), Exchange{
+			Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: time.Second, Gap: time.Second,
+			GiveUp: func() bool { asked++; return asked == 10 },
+		})
+		require.NoError(t, err)
+		_, err = io.ReadFull(ans.Body, make([]byte, 3))
+		require.NoError(t, err)
+		ans.Close()
+		require.Zero(t, asked)
+	}
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
