pool: interim responses aren't counted as answers to other requests

Exchanges failed as "may have run" while their response was arriving. Cause: status 1xx was skipped as an answer to another request, and the third skipped response of either kind ended the exchange, so that in fact only two were skipped. 101 was skipped too, and what came after it was read as HTTP. Evidence on: TestAnswerAfterInterimResponsesAndStraysIsRead "only answers to other requests arrived"; TestUnaskedChangeOfProtocolEndsTheExchange "Should be true", the bytes after 101 were taken for the answer. Change: interim responses have a bound of their own (16), three strays are skipped as documented, 101 ends the exchange as broken. Measured: go test -race ./upstream/pool ./platform passes. No replica that sends 1xx was seen; this guards what HTTP/1.1 allows.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -41,6 +41,8 @@
 	// maxStrayBytes the body of each.
 	maxStrays     = 3
 	maxStrayBytes = 1 << 20
+	// maxInterim bounds the interim responses (status 1xx) before one answer.
+	maxInterim = 16
 	// maxHeadBytes bounds the status line and the headers of an answer.
 	maxHeadBytes = 64 << 10
 	// maxExchanges bounds the exchanges of one connection, and with them the memory for
@@ -185,27 +187,45 @@
 		err = w.Flush()
 	}
 	if err != nil && c.quiet() {
-		return nil, skipped, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
+		return nil, 0, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
 	}
 	whole := err == nil
 	if err := c.awaitFirst(x); err != nil {
+		return nil, 0, err
+	}
+	res, skipped, err := c.receive(x)
+	if err != nil {
 		return nil, skipped, err
 	}
-	for skipped = range maxStrays {
+	// A request that was cut short leaves the connection unusable.
+	res.Close = res.Close || !whole
+	return res, skipped, nil
+}
+
+// receive reads answers up to the request's own, after the first byte has arrived. It
+// returns the number of answers to other requests that it skipped.
+func (c *conn) receive(x Exchange) (_ *http.Response, skipped int, _ error) {
+	for interim := 0; ; {
 		res, err := c.readHead(x)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
-		}
-		if res.StatusCode >= http.StatusOK && (x.Mine == nil || x.Mine(res)) {
-			// A request that was cut short leaves the connection unusable.
-			res.Close = res.Close || !whole
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
+		case res.StatusCode < http.StatusOK:
+			interim++
+		case x.Mine == nil || x.Mine(res):
 			return res, skipped, nil
+		default:
+			skipped++
+		}
+		if interim > maxInterim || skipped > maxStrays {
+			return nil, skipped, errors.Mark(errors.Newf("%d interim responses and %d answers to other requests arrived", interim, skipped), ErrBroken)
 		}
 		if err := skip(c, res, x); err != nil {
 			return nil, skipped, err
 		}
 	}
-	return nil, skipped, errors.Mark(errors.New("only answers to other requests arrived"), ErrBroken)
 }
 
 // readHead reads the status line and the headers of an answer, within the bounds of
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -335,6 +335,37 @@
 	}
 }
 
+// Interim responses must not use up the number of stray answers after which an exchange fails.
+func TestAnswerAfterInterimResponsesAndStraysIsRead(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nX-Id: a\r\nLink: </x>\r\n\r\n"
+	for name, before := range map[string]string{
+		"interim responses": strings.Repeat(interim, maxInterim),
+		"strays":            strings.Repeat(answer("stray", "x"), maxStrays),
+		"both":              strings.Repeat(interim+answer("stray", "x"), maxStrays) + interim,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				_, _ = io.WriteString(c, before+answer(read(r), "mine"))
+				_, _ = r.ReadByte()
+			})
+			body, err := exchange(New(func() {}), address, "a")
+			require.NoError(t, err)
+			require.Equal(t, "mine", body)
+		})
+	}
+}
+
+// What follows a change of protocol is no answer, even if it looks like one.
+func TestUnaskedChangeOfProtocolEndsTheExchange(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"+answer(read(r), "x"))
+		_, _ = r.ReadByte()
+	})
+	_, err := exchange(New(func() {}), address, "a")
+	require.True(t, errors.Is(err, ErrBroken), "%v", err)
+	require.False(t, errors.Is(err, ErrNotSent))
+}
+
 func TestIdleConnectionThatCarriedTheRequestStaysIdle(t *testing.T) {
 	address, conns := serve(t, well)
 	p := New(func() {})
