pool: an answer that comes before the whole request was read isn't lost

A refusal of a request with a long body was reported as "may have run", so that a request that may run once was failed and not sent to another replica. Cause: a replica that refuses early closes the connection with the rest of the request unread, and the kernel resets it. The write then fails, and whether the goroutine that waits for the first byte has run by then is up to the scheduler: if not, the exchange ended without looking at the refusal that had arrived. Why it works: the kernel hands over what arrived before the reset.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -180,17 +180,8 @@
 // exchange sends the request and waits for its answer. It returns the answer and the
 // number of answers to other requests that it skipped.
 func (p *Pool) exchange(c *conn, x Exchange) (_ *http.Response, skipped int, _ error) {
-	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	w := bufio.NewWriterSize(c, bufferBytes)
-	err := x.Request.Write(w)
-	if err == nil {
-		err = w.Flush()
-	}
-	if err != nil && c.quiet() {
-		return nil, 0, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
-	}
-	whole := err == nil
-	if err := c.awaitFirst(x); err != nil {
+	writeErr := c.writeRequest(x.Request)
+	if err := c.awaitAnswer(x, writeErr); err != nil {
 		return nil, 0, err
 	}
 	res, skipped, err := c.receive(x)
@@ -198,10 +189,31 @@
 		return nil, skipped, err
 	}
 	// A request that was cut short leaves the connection unusable.
-	res.Close = res.Close || !whole
+	res.Close = res.Close || writeErr != nil
 	return res, skipped, nil
 }
 
+func (c *conn) writeRequest(req *http.Request) error {
+	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
+	w := bufio.NewWriterSize(c, bufferBytes)
+	if err := req.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// awaitAnswer waits for the first byte of an answer. An upstream may answer before it
+// has read the whole request, and the rest of the request can't be written then.
+func (c *conn) awaitAnswer(x Exchange, writeErr error) error {
+	if writeErr == nil {
+		return c.awaitFirst(x)
+	}
+	if !c.written.Load() || c.first(recheck) != nil {
+		return errors.Mark(errors.Wrap(writeErr, "write request"), ErrBroken)
+	}
+	return nil
+}
+
 // receive reads answers up to the request's own, after the first byte has arrived. It
 // returns the number of answers to other requests that it skipped.
 func (c *conn) receive(x Exchange) (_ *http.Response, skipped int, _ error) {
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -366,6 +366,25 @@
 	require.False(t, errors.Is(err, ErrNotSent))
 }
 
+// A refusal that comes before the whole request was read must not be lost when the rest of the request can't be written.
+func TestEarlyAnswerIsReadWhenTheRequestCannotBeWritten(t *testing.T) {
+	const size = 4 << 20
+	refuse := func(_ *testing.T, c net.Conn, _ *bufio.Reader) {
+		_, _ = io.ReadFull(c, make([]byte, 1<<10))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Id: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		// Closing a connection with unread data resets it.
+	}
+	address, _ := serve(t, refuse)
+	for range 300 {
+		req := request("a")
+		req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, size)), size
+		ans, err := New(func() {}).Send(t.Context(), Exchange{Address: address, ID: "a", Request: req, FirstByte: time.Second})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, ans.Status)
+		ans.Close()
+	}
+}
+
 func TestIdleConnectionThatCarriedTheRequestStaysIdle(t *testing.T) {
 	address, conns := serve(t, well)
 	p := New(func() {})
