--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -19,8 +19,8 @@
 	reader  *bufio.Reader
 	// arrived gets the outcome of the wait for the next byte.
 	arrived chan error
-	// exchanges counts the exchanges that were begun.
-	exchanges int
+	// carried holds the hash of the ID of each exchange that was begun.
+	carried []uint32
 	// written says whether any byte of the present request was taken.
 	written atomic.Bool
 	// expires is when an idle connection is no longer used.
@@ -86,6 +86,12 @@
 	}
 }
 
+// unboundReads removes the bound of each read. No goroutine may be reading.
+func (c *conn) unboundReads() {
+	c.gap, c.giveUp = 0, nil
+	_ = c.raw.SetReadDeadline(time.Time{})
+}
+
 // readWithinGap reads within the gap. When that is up it looks once more: a process
 // that was suspended finds both its timer and the data due.
 func (c *conn) readWithinGap(p []byte) (int, error) {
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -7,8 +7,10 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,8 +41,13 @@
 	// maxStrayBytes the body of each.
 	maxStrays     = 3
 	maxStrayBytes = 1 << 20
+	// maxInterim bounds the interim responses (status 1xx) before one answer.
+	maxInterim = 16
 	// maxHeadBytes bounds the status line and the headers of an answer.
 	maxHeadBytes = 64 << 10
+	// maxExchanges bounds the exchanges of one connection, and with them the memory for
+	// the IDs that it has carried: 4 KB.
+	maxExchanges = 1000
 )
 
 // Errors of an exchange, to be tested with errors.Is.
@@ -59,6 +66,10 @@
 // Exchange is one request to an upstream.
 type Exchange struct {
 	Address string
+	// ID is that of the request. An upstream may write an answer again, which can't be
+	// told from one to a later sending of the same request, so that a connection carries
+	// only one request with an ID.
+	ID      string
 	Request *http.Request
 	// DialTimeout bounds the set-up of a connection and FirstByte the wait for
 	// an answer; zero is unbounded.
@@ -115,16 +126,19 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials func()
+	// seed is that of the hashes of IDs.
+	seed maphash.Seed
 }
 
 // New returns an empty pool. It calls dialed for each new connection.
 func New(dialed func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), dials: dialed}
+	return &Pool{idle: make(map[string][]*conn), dials: dialed, seed: maphash.MakeSeed()}
 }
 
 // Send makes an exchange. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, x Exchange) (*Answer, error) {
-	c := p.take(x.Address)
+	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
+	c := p.take(x.Address, id)
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, x.Address, x.DialTimeout); err != nil {
@@ -134,7 +148,7 @@
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
-	c.exchanges++
+	c.carried = append(c.carried, id)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	res, skipped, err := p.exchange(c, x) //nolint:bodyclose // Answer.Close ends its use
 	if err != nil {
@@ -148,7 +162,7 @@
 	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Framing: framingOf(res), Length: res.ContentLength, Body: res.Body,
-		Exchanges: c.exchanges, Skipped: skipped,
+		Exchanges: len(c.carried), Skipped: skipped,
 		pool: p, conn: c, res: res, stop: stop,
 	}, nil
 }
@@ -166,34 +180,64 @@
 // exchange sends the request and waits for its answer. It returns the answer and the
 // number of answers to other requests that it skipped.
 func (p *Pool) exchange(c *conn, x Exchange) (_ *http.Response, skipped int, _ error) {
+	writeErr := c.writeRequest(x.Request)
+	if err := c.awaitAnswer(x, writeErr); err != nil {
+		return nil, 0, err
+	}
+	res, skipped, err := c.receive(x)
+	if err != nil {
+		return nil, skipped, err
+	}
+	// A request that was cut short leaves the connection unusable.
+	res.Close = res.Close || writeErr != nil
+	return res, skipped, nil
+}
+
+func (c *conn) writeRequest(req *http.Request) error {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(c, bufferBytes)
-	err := x.Request.Write(w)
-	if err == nil {
-		err = w.Flush()
+	if err := req.Write(w); err != nil {
+		return err
 	}
-	if err != nil && c.quiet() {
-		return nil, skipped, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
+	return w.Flush()
+}
+
+// awaitAnswer waits for the first byte of an answer. An upstream may answer before it
+// has read the whole request, and the rest of the request can't be written then.
+func (c *conn) awaitAnswer(x Exchange, writeErr error) error {
+	if writeErr == nil {
+		return c.awaitFirst(x)
 	}
-	whole := err == nil
-	if err := c.awaitFirst(x); err != nil {
-		return nil, skipped, err
+	if !c.written.Load() || c.first(recheck) != nil {
+		return errors.Mark(errors.Wrap(writeErr, "write request"), ErrBroken)
 	}
-	for skipped = range maxStrays {
+	return nil
+}
+
+// receive reads answers up to the request's own, after the first byte has arrived. It
+// returns the number of answers to other requests that it skipped.
+func (c *conn) receive(x Exchange) (_ *http.Response, skipped int, _ error) {
+	for interim := 0; ; {
 		res, err := c.readHead(x)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
-		}
-		if res.StatusCode >= http.StatusOK && (x.Mine == nil || x.Mine(res)) {
-			// A request that was cut short leaves the connection unusable.
-			res.Close = res.Close || !whole
+		case res.StatusCode == http.StatusSwitchingProtocols:
+			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
+		case res.StatusCode < http.StatusOK:
+			interim++
+		case x.Mine == nil || x.Mine(res):
 			return res, skipped, nil
+		default:
+			skipped++
+		}
+		if interim > maxInterim || skipped > maxStrays {
+			return nil, skipped, errors.Mark(errors.Newf("%d interim responses and %d answers to other requests arrived", interim, skipped), ErrBroken)
 		}
-		if err := skip(c, res, x.FirstByte); err != nil {
+		if err := skip(c, res, x); err != nil {
 			return nil, skipped, err
 		}
 	}
-	return nil, skipped, errors.Mark(errors.New("only answers to other requests arrived"), ErrBroken)
 }
 
 // readHead reads the status line and the headers of an answer, within the bounds of
@@ -208,9 +252,11 @@
 	return http.ReadResponse(c.reader, x.Request)
 }
 
-// skip reads over an answer that isn't the request's and waits for the next.
-func skip(c *conn, res *http.Response, timeout time.Duration) error {
-	c.gap = timeout
+// skip reads over an answer that isn't the request's and waits for the next, within the
+// bounds of the wait for the first byte.
+func skip(c *conn, res *http.Response, x Exchange) error {
+	c.gap, c.giveUp = x.FirstByte, x.GiveUp
+	defer c.unboundReads()
 	n, err := io.CopyN(io.Discard, res.Body, maxStrayBytes)
 	if n == maxStrayBytes {
 		return errors.Mark(errors.Newf("an answer to another request has more than %d bytes", maxStrayBytes), ErrBroken)
@@ -271,12 +317,11 @@
 func (a *Answer) Close() {
 	c := a.conn
 	open := a.stop()
-	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 {
+	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 || len(c.carried) >= maxExchanges {
 		_ = c.raw.Close()
 		return
 	}
-	_ = c.raw.SetReadDeadline(time.Time{})
-	c.gap, c.giveUp = 0, nil
+	c.unboundReads()
 	c.expires = time.Now().Add(idleTime(a.Header))
 	a.pool.put(c)
 }
@@ -289,7 +334,7 @@
 	if a.Framing == FramingClose {
 		return false
 	}
-	a.conn.gap = drainTimeout
+	a.conn.gap, a.conn.giveUp = drainTimeout, nil
 	n, err := a.res.Body.Read(make([]byte, 1))
 	return n == 0 && err == io.EOF
 }
@@ -305,24 +350,36 @@
 	return defaultIdle
 }
 
-// take returns the connection to an address that was used last, or nil.
-func (p *Pool) take(address string) *conn {
+// take returns the connection to an address that was used last of those that have not
+// carried a request with this hash of its ID, or nil. Two IDs with one hash only cost
+// another connection.
+func (p *Pool) take(address string, id uint32) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for {
-		of := p.idle[address]
-		if len(of) == 0 {
-			delete(p.idle, address)
-			return nil
+	for i := len(p.idle[address]) - 1; i >= 0; i-- {
+		c := p.idle[address][i]
+		usable := now.Before(c.expires) && c.quiet()
+		if usable && slices.Contains(c.carried, id) {
+			continue
 		}
-		c := of[len(of)-1]
-		p.idle[address] = of[:len(of)-1]
-		if now.Before(c.expires) && c.quiet() {
+		p.remove(address, i)
+		if usable {
 			return c
 		}
 		_ = c.raw.Close()
 	}
+	return nil
+}
+
+// remove takes the idle connection at a position out of the pool. p.mu must be held.
+func (p *Pool) remove(address string, i int) {
+	of := slices.Delete(p.idle[address], i, i+1)
+	if len(of) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = of
 }
 
 func (p *Pool) put(c *conn) {
@@ -337,12 +394,10 @@
 func (p *Pool) lost(c *conn, arrived chan error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	of := p.idle[c.address]
-	for i, other := range of {
-		if other == c && c.arrived == arrived {
-			p.idle[c.address] = append(of[:i:i], of[i+1:]...)
-			_ = c.raw.Close()
-			return
-		}
+	i := slices.Index(p.idle[c.address], c)
+	if i < 0 || c.arrived != arrived {
+		return
 	}
+	p.remove(c.address, i)
+	_ = c.raw.Close()
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -78,7 +78,7 @@
 
 func exchange(p *Pool, address, id string) (string, error) {
 	ans, err := p.Send(context.Background(), Exchange{
-		Address: address, Request: request(id), DialTimeout: time.Second, FirstByte: 150 * time.Millisecond, Gap: 150 * time.Millisecond,
+		Address: address, ID: id, Request: request(id), DialTimeout: time.Second, FirstByte: 150 * time.Millisecond, Gap: 150 * time.Millisecond,
 		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == id },
 	})
 	if err != nil {
@@ -145,6 +145,26 @@
 	require.Equal(t, 2, asked)
 }
 
+// An answer that is closed before its end must not be asked whether to give it up: that takes a slot for another attempt.
+func TestClosingAnAnswerDoesNotAskToGiveUp(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 10\r\n\r\nabc", "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"} {
+		address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+read(r)+"\r\n"+framing)
+			_, _ = r.ReadByte()
+		})
+		asked := 0
+		ans, err := New(func() {}).Send(t.Context(), Exchange{
+			Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: time.Second, Gap: time.Second,
+			GiveUp: func() bool { asked++; return asked == 10 },
+		})
+		require.NoError(t, err)
+		_, err = io.ReadFull(ans.Body, make([]byte, 3))
+		require.NoError(t, err)
+		ans.Close()
+		require.Zero(t, asked)
+	}
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
@@ -245,6 +265,150 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// An upstream that writes its answer to a request again must not be taken to answer the request when it is sent again.
+func TestRepeatedAnswerIsNotTakenForTheSameRequestSentAgain(t *testing.T) {
+	address, conns := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		for last, id := "", read(r); id != ""; last, id = answer(id, "first run of "+id), read(r) {
+			_, _ = io.WriteString(c, last+answer(id, "first run of "+id))
+		}
+	}, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		id := read(r)
+		_, _ = io.WriteString(c, answer(id, "second run of "+id))
+		_, _ = r.ReadByte()
+	})
+	p := New(func() {})
+	for _, id := range []string{"a", "b"} {
+		body, err := exchange(p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "first run of "+id, body)
+	}
+	body, err := exchange(p, address, "a")
+	require.NoError(t, err)
+	require.Equal(t, "second run of a", body)
+	require.EqualValues(t, 2, conns.Load())
+}
+
+// The bound of the wait after a stray answer must not cut off the body of the answer that follows it.
+func TestBodyAfterAStrayAnswerMayTakeLongerThanTheFirstByte(t *testing.T) {
+	const timeout = 50 * time.Millisecond
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		whole := answer(read(r), "complete")
+		_, _ = io.WriteString(c, answer("stray", "x"))
+		time.Sleep(timeout / 2)
+		_, _ = io.WriteString(c, whole[:len(whole)-1])
+		time.Sleep(2 * timeout)
+		_, _ = io.WriteString(c, whole[len(whole)-1:])
+		_, _ = r.ReadByte()
+	})
+	ans, err := New(func() {}).Send(t.Context(), Exchange{
+		Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
+		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+	})
+	require.NoError(t, err)
+	defer ans.Close()
+	body, err := io.ReadAll(ans.Body)
+	require.NoError(t, err)
+	require.Equal(t, "complete", string(body))
+}
+
+// A run that is slower than the bound must not be broken off because of a stray answer before its own.
+func TestSilenceAfterAStrayAnswerGoesOnUntilItIsGivenUp(t *testing.T) {
+	const timeout = 30 * time.Millisecond
+	for _, stray := range []string{answer("stray", "x"), "HTTP/1.1 102 Processing\r\n\r\n"} {
+		resume := make(chan struct{})
+		address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+			id := read(r)
+			_, _ = io.WriteString(c, stray)
+			<-resume
+			_, _ = io.WriteString(c, answer(id, "of "+id))
+		})
+		ans, err := New(func() {}).Send(t.Context(), Exchange{
+			Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
+			GiveUp: func() bool { resume <- struct{}{}; return false },
+			Mine:   func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+		})
+		require.NoError(t, err)
+		body, err := io.ReadAll(ans.Body)
+		require.NoError(t, err)
+		require.Equal(t, "of a", string(body))
+		ans.Close()
+	}
+}
+
+// Interim responses must not use up the number of stray answers after which an exchange fails.
+func TestAnswerAfterInterimResponsesAndStraysIsRead(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nX-Id: a\r\nLink: </x>\r\n\r\n"
+	for name, before := range map[string]string{
+		"interim responses": strings.Repeat(interim, maxInterim),
+		"strays":            strings.Repeat(answer("stray", "x"), maxStrays),
+		"both":              strings.Repeat(interim+answer("stray", "x"), maxStrays) + interim,
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				_, _ = io.WriteString(c, before+answer(read(r), "mine"))
+				_, _ = r.ReadByte()
+			})
+			body, err := exchange(New(func() {}), address, "a")
+			require.NoError(t, err)
+			require.Equal(t, "mine", body)
+		})
+	}
+}
+
+// What follows a change of protocol is no answer, even if it looks like one.
+func TestUnaskedChangeOfProtocolEndsTheExchange(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"+answer(read(r), "x"))
+		_, _ = r.ReadByte()
+	})
+	_, err := exchange(New(func() {}), address, "a")
+	require.True(t, errors.Is(err, ErrBroken), "%v", err)
+	require.False(t, errors.Is(err, ErrNotSent))
+}
+
+// A refusal that comes before the whole request was read must not be lost when the rest of the request can't be written.
+func TestEarlyAnswerIsReadWhenTheRequestCannotBeWritten(t *testing.T) {
+	const size = 4 << 20
+	refuse := func(_ *testing.T, c net.Conn, _ *bufio.Reader) {
+		_, _ = io.ReadFull(c, make([]byte, 1<<10))
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nX-Id: a\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		// Closing a connection with unread data resets it.
+	}
+	address, _ := serve(t, refuse)
+	for range 300 {
+		req := request("a")
+		req.Body, req.ContentLength = io.NopCloser(io.LimitReader(zeros{}, size)), size
+		ans, err := New(func() {}).Send(t.Context(), Exchange{Address: address, ID: "a", Request: req, FirstByte: time.Second})
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, ans.Status)
+		ans.Close()
+	}
+}
+
+func TestIdleConnectionThatCarriedTheRequestStaysIdle(t *testing.T) {
+	address, conns := serve(t, well)
+	p := New(func() {})
+	for _, id := range []string{"a", "a", "b", "c"} {
+		body, err := exchange(p, address, id)
+		require.NoError(t, err)
+		require.Equal(t, "of "+id, body)
+	}
+	require.EqualValues(t, 2, conns.Load())
+	require.Len(t, p.idle[address], 2)
+}
+
+// The memory for the requests that a connection has carried must not grow without bound.
+func TestConnectionIsReplacedAfterItsLastExchange(t *testing.T) {
+	address, conns := serve(t, well)
+	p := New(func() {})
+	for i := range maxExchanges + 1 {
+		_, err := exchange(p, address, fmt.Sprint(i))
+		require.NoError(t, err)
+		require.LessOrEqual(t, int(conns.Load()), 1+i/maxExchanges)
+	}
+	require.EqualValues(t, 2, conns.Load())
+}
+
 // An idle connection that the upstream closes, or on which something arrives
 // unasked, isn't used again.
 func TestIdleConnectionIsDropped(t *testing.T) {
