pool: a reset that only the write of the request found breaks a close-delimited answer

Callers got a 200, framed as whole, with a part of the body, and streams that ended as complete before their last event, where a replica answered a request without a length, before it had read the whole request, and was killed or reset the connection. The kernel reports a reset once: the write of the request got ECONNRESET, and the reads after it found the bytes that had arrived and then an orderly end. exchange went on with the answer, as it should for an early refusal, but took that end for the end of the body.

A write that fails other than by its time-out shows that the connection was reset, so the end of a close-delimited body after it is an error. Bodies with a length or chunks show their end themselves. The check is in the pool, so it holds for online requests, streams and items of jobs alike.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -168,14 +168,13 @@
 func (p *Pool) exchange(c *conn, x Exchange) (_ *http.Response, skipped int, _ error) {
 	_ = c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 	w := bufio.NewWriterSize(c, bufferBytes)
-	err := x.Request.Write(w)
-	if err == nil {
-		err = w.Flush()
+	writeErr := x.Request.Write(w)
+	if writeErr == nil {
+		writeErr = w.Flush()
 	}
-	if err != nil && c.quiet() {
-		return nil, skipped, errors.Mark(errors.Wrap(err, "write request"), ErrBroken)
+	if writeErr != nil && c.quiet() {
+		return nil, skipped, errors.Mark(errors.Wrap(writeErr, "write request"), ErrBroken)
 	}
-	whole := err == nil
 	if err := c.awaitFirst(x); err != nil {
 		return nil, skipped, err
 	}
@@ -186,7 +185,8 @@
 		}
 		if res.StatusCode >= http.StatusOK && (x.Mine == nil || x.Mine(res)) {
 			// A request that was cut short leaves the connection unusable.
-			res.Close = res.Close || !whole
+			res.Close = res.Close || writeErr != nil
+			res.Body = checkedBody(res, writeErr)
 			return res, skipped, nil
 		}
 		if err := skip(c, res, x.FirstByte); err != nil {
