pool: a success that ends with its connection before its body is broken off

Callers got a 200 with an empty body, framed as whole (Content-Length: 0), where a replica wrote the head of a response without a length, and ended. The kernel ends the connection of a killed process with FIN, which for a close-delimited body is its end, so an empty one was taken for complete.

The new test on the code before:

--- FAIL: TestCloseDelimitedSuccessWithoutABodyIsBroken/close-delimited expected: true actual : false Messages: error is <nil>

An empty close-delimited body of a success is now an error of the exchange, as it is for the first event of a stream (errNoEvent). Event streams keep their own rule, since a resumed one may be empty, and so do failures, whose status says all. A close-delimited body that is cut after its first byte by FIN still can't be told from a whole one: PROTOCOL has no other sign of its end.

--- a/upstream/pool/head.go
+++ b/upstream/pool/head.go
@@ -3,13 +3,19 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// errResetDuringRequest means that an answer ends with a connection that was reset while
-// the request was written.
-var errResetDuringRequest = errors.Mark(errors.New("connection was reset during the request"), ErrBroken)
+// Errors of close-delimited answers that ended in order.
+var (
+	// errResetDuringRequest means that an answer ends with a connection that was reset
+	// while the request was written.
+	errResetDuringRequest = errors.Mark(errors.New("connection was reset during the request"), ErrBroken)
+	// errNoBody means that a success ends with its head.
+	errNoBody = errors.Mark(errors.New("connection ends after the head of a success"), ErrBroken)
+)
 
 // checkedBody returns the body of an answer whose request was written with the given
 // outcome. Reading it fails where an orderly end doesn't show that the body is complete.
@@ -21,22 +27,40 @@
 	if writeErr != nil && !isTimeout(writeErr) {
 		body.endErr = errors.WithSecondaryError(errResetDuringRequest, writeErr)
 	}
+	// An event stream that is resumed after its last event has no further one.
+	if isSuccess(res.StatusCode) && !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+		body.emptyErr = errNoBody
+	}
 	return body
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // closeDelimitedBody is a body that ends with its connection.
 type closeDelimitedBody struct {
 	io.ReadCloser
 	// endErr replaces an orderly end: the kernel reports a reset once only, so that
 	// after a failed write the read doesn't find it.
 	endErr error
+	// emptyErr replaces an orderly end before the first byte: an upstream that ends
+	// after its head can't be told from one that has sent an empty body.
+	emptyErr error
+	// received means that there was any byte.
+	received bool
 }
 
 // Read implements io.Reader.
 func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) && b.endErr != nil {
+	b.received = b.received || n > 0
+	switch {
+	case !errors.Is(err, io.EOF):
+	case b.endErr != nil:
 		return n, b.endErr
+	case !b.received && b.emptyErr != nil:
+		return n, b.emptyErr
 	}
 	return n, err
 }
--- a/upstream/pool/head_test.go
+++ b/upstream/pool/head_test.go
@@ -45,3 +45,32 @@
 	require.Equal(t, part, string(body))
 	require.True(t, errors.Is(err, ErrBroken), "error is %v", err)
 }
+
+// A replica that ends after its head leaves a success that would be passed on as whole,
+// with an empty body.
+func TestCloseDelimitedSuccessWithoutABodyIsBroken(t *testing.T) {
+	rows := []struct {
+		name, answer string
+		broken       bool
+	}{
+		{"close-delimited", closeDelimited("a", "application/json"), true},
+		{"close-delimited, HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\n", true},
+		{"close-delimited with a body", closeDelimited("a", "application/json") + "x", false},
+		{"event stream, which may be resumed after its last event", closeDelimited("a", "text/event-stream"), false},
+		{"length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n", false},
+		{"chunked", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
+		{"status without a body", "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n", false},
+		{"failure", "HTTP/1.1 422 Unprocessable Entity\r\nX-Id: a\r\n\r\n", false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				_ = read(r)
+				_, _ = io.WriteString(c, row.answer)
+			})
+			_, err := exchange(New(func() {}), address, "a")
+			require.Equal(t, row.broken, errors.Is(err, ErrBroken), "error is %v", err)
+			require.Equal(t, row.broken, err != nil, "error is %v", err)
+		})
+	}
+}
