--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -190,6 +190,7 @@
 	}
 	// A request that was cut short leaves the connection unusable.
 	res.Close = res.Close || writeErr != nil
+	res.Body = checkedBody(res, writeErr)
 	return res, skipped, nil
 }
 
