--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -70,7 +70,8 @@
 }
 
 func answer(status int, body io.Reader) *forward.Response {
-	return &forward.Response{Status: status, Verified: true, Body: body, Header: make(http.Header), Close: func() {}}
+	header := http.Header{"Content-Type": {"text/event-stream"}}
+	return &forward.Response{Status: status, Verified: true, Body: body, Header: header, Close: func() {}}
 }
 
 // answerInFull answers with the events 1 to 3 that follow the request's last event.
