jobs: the end of a connection alone does not complete an item

The kernel of a replica's process that is killed ends its connections with FIN where nothing is unread, and the process writes whole events. A close-delimited response (neither length nor chunks) then ends in order between two events, and the item was recorded as done with that part. Change: such an end is "unconfirmed". The item keeps its events and runs on after the last one, at once: no failure is counted and no delay set. It is done when a framed response ends, or when a second close-delimited response ends after the same event without another one. As before, a replica of another software version starts the item again. Why it works: a killed process leaves events to come, which the next run brings. Two ends after the same event are required, not one, since the first end may itself be that of a killed process: a run that broke off and then one that was killed before its first event prove nothing. Residual: two processes in a row that are killed, or end the connection, after the head and before the next event, both close-delimited. The protocol has nothing that would tell that from the end. After a hand-over the new owner asks once more. Cost: one short run more for an item whose replicas frame by the connection.

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -136,6 +136,8 @@
 	// the last of them.
 	eventData   []string
 	lastEventID string
+	// endedAfter is the id of the event after which a close-delimited response ended.
+	endedAfter string
 	// eventBytes is the size of eventData.
 	eventBytes int
 	// softwareVersion is that of the replicas that sent the events.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -156,6 +156,7 @@
 // discardEvents lets the next run start from the beginning.
 func (it *item) discardEvents() {
 	it.eventData, it.eventBytes, it.lastEventID, it.ran = nil, 0, "", 0
+	it.endedAfter = ""
 }
 
 // Revoked implements slots.BatchItems. It cancels the run; the item waits again.
@@ -183,13 +184,16 @@
 	// endBroken: the request failed, or the response was incomplete, not signed
 	// by the replica or of an unexpected status.
 	endBroken
+	// endUnconfirmed: the events ended with the connection. Whether the output is complete
+	// is shown by a further run, which is to go on after the last event.
+	endUnconfirmed
 	// endStopped: this host cancelled the run.
 	endStopped
 )
 
 // String returns the name of e in logs and metrics.
 func (e runEnd) String() string {
-	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "stopped"}[e]
+	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "unconfirmed", "stopped"}[e]
 }
 
 // run runs an item once on a granted slot and releases the slot.
@@ -240,6 +244,10 @@
 			m.setResult(it, Result{ID: it.ID})
 			return
 		}
+	case endUnconfirmed:
+		it.endedAfter = it.lastEventID
+		it.consecutiveFailures = 0
+		return
 	case endStopped:
 		it.consecutiveFailures = 0
 		return
@@ -376,7 +384,7 @@
 			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
-			return endDone, slots.Done, nil
+			return m.endOfEvents(ans.Framing, it, &events), slots.Done, nil
 		}
 		if err != nil {
 			return endBroken, outcomeOf(err), err
@@ -384,6 +392,21 @@
 	}
 }
 
+// endOfEvents returns how a run ended whose events ended in order. A close-delimited
+// response ends so too when its replica's process is killed between two events: the output
+// is complete once a second response ends after the same event, without another one.
+func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) runEnd {
+	if framing != pool.FramingClose {
+		return endDone
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
+		return endDone
+	}
+	return endUnconfirmed
+}
+
 // outputSize returns the size of an output with the data of these events.
 func outputSize(data []string) int {
 	size := 0
