jobs: tests that the rest of an item's output is proven

Cause: readEvents added whatever a response brought; that the ids follow the last event was not checked. An event without an id was added too, and the next run brought it again, as it wasn't asked to go on after it. These tests guard the items.

--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -11,6 +12,26 @@
 	"github.com/comfreyspindle/comfreyspindle/forward"
 )
 
+// wrongBodies are bodies that don't bring the events from the third on, whatever the
+// replica was asked.
+var wrongBodies = map[string]string{
+	"events with a gap":            events(4, 4),
+	"a gap after the third event":  events(3, 3) + events(5, 5),
+	"an event twice":               events(3, 3) + events(3, 3),
+	"a number that goes back":      events(3, 3) + events(1, 3),
+	"an event without an id":       "data: e3\n\n",
+	"the text of an error":         "data: e3\n\nupstream connect error\n\n",
+	"only the text of an error":    "upstream connect error\n\n",
+	"the head of another response": events(3, 3) + "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+}
+
+// answerWith answers with a body whatever is asked.
+func answerWith(body string) func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+	return func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+		return answer(http.StatusOK, strings.NewReader(body)), nil
+	}
+}
+
 // grantNext grants a slot once an item waits for one.
 func (h *testHost) grantNext(t *testing.T) {
 	t.Helper()
@@ -30,6 +51,56 @@
 	require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("a", 0))
 }
 
+// A replica that is asked to go on after an event sends something else than the rest.
+func TestRestOfAnOutputMustFollowTheLastEvent(t *testing.T) {
+	rows := map[string]string{"all events again": events(1, 3)}
+	for name, body := range wrongBodies {
+		rows[name] = body
+	}
+	for name, body := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a")
+			a := c.hosts["a"]
+			require.NoError(t, a.Submit(t.Context(), submission(1)))
+			a.replicas.answer = answerPartly
+			a.grantNext(t)
+			a.replicas.answer = answerWith(body)
+			a.grantNext(t)
+			c.requireOutput(t, a)
+		})
+	}
+}
+
+// A run from the start brings something else than a sequence of events.
+func TestOutputMustBeASequenceOfEvents(t *testing.T) {
+	for name, body := range wrongBodies {
+		if name == "events with a gap" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a")
+			a := c.hosts["a"]
+			require.NoError(t, a.Submit(t.Context(), submission(1)))
+			a.replicas.answer = answerWith(events(1, 2) + body)
+			a.grantNext(t)
+			c.requireOutput(t, a)
+		})
+	}
+}
+
+// An event without an id arrives and the connection breaks: the next run is not asked to go
+// on after that event and brings it again.
+func TestEventWithoutAnIDIsNotPartOfTheOutput(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+		return answer(http.StatusOK, io.MultiReader(strings.NewReader("data: e1\n\n"), failingReader{})), nil
+	}
+	a.grantNext(t)
+	c.requireOutput(t, a)
+}
+
 // A replica answers with status 200 and the page of a proxy or an error in JSON.
 func TestOutputMustBeAnEventStream(t *testing.T) {
 	for _, contentType := range []string{"", "text/html; charset=utf-8", "application/json", "text/event-streams"} {
