jobs: each event that is proven counts for where an item goes on

Seen by callers: items that run longer than needed, or that would never be done. The events of a read were added only if the whole read was free of faults and had data. Events before a fault were lost with it. An event without data at the end of an output was never counted: each run that was to confirm the end of a close-delimited response brought it again, and none of them ended without an event. A read without an id (comments) leaves the item where it is, guarded by TestItemGoesOnAfterItsLastEventBehindAComment. Why it works: the parser returns only events that follow the last one.

--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
 // wrongBodies are bodies that don't bring the events from the third on, whatever the
@@ -118,3 +119,54 @@
 		})
 	}
 }
+
+// The events before a fault are proven to be the output's: the next run goes on after them.
+func TestEventsBeforeAFaultAreKept(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	a.replicas.answer = answerWith(events(1, 2) + "upstream connect error\n\n")
+	a.grantNext(t)
+	c.requireOutput(t, a)
+	require.Equal(t, "2", a.replicas.sent[1].LastEventID)
+}
+
+// The last event has no data, so that it adds nothing to the text. Runs that were asked for
+// it again would never end without an event.
+func TestItemGoesOnAfterAnEventWithoutData(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	a.replicas.answer = func(_ *forward.Request, s forward.SendArgs) (*forward.Response, error) {
+		body := io.MultiReader(strings.NewReader(events(1, 3)), strings.NewReader("id: 4\n\n"))
+		switch s.LastEventID {
+		case "3":
+			body = strings.NewReader("id: 4\n\n")
+		case "4":
+			body = strings.NewReader("")
+		}
+		res := answer(http.StatusOK, body)
+		res.Framing = pool.FramingClose
+		return res, nil
+	}
+	a.grantNext(t)
+	a.grantNext(t)
+	a.flushNow(t)
+	require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("a", 0))
+}
+
+// A comment at the beginning of the rest has no id: the item still goes on after its last
+// event.
+func TestItemGoesOnAfterItsLastEventBehindAComment(t *testing.T) {
+	c := newCluster(t, "a")
+	a := c.hosts["a"]
+	require.NoError(t, a.Submit(t.Context(), submission(1)))
+	a.replicas.answer = answerPartly
+	a.grantNext(t)
+	a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+		return answer(http.StatusOK, io.MultiReader(strings.NewReader(": wait\n\n"), failingReader{})), nil
+	}
+	a.grantNext(t)
+	c.requireOutput(t, a)
+	require.Equal(t, "2", a.replicas.sent[2].LastEventID)
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"mime"
@@ -366,18 +367,19 @@
 	for {
 		n, err := ans.Body.Read(buf)
 		if n > 0 {
-			complete, err := events.Feed(buf[:n])
-			switch {
-			case err != nil:
-			case events.DataLines > dataLines:
+			complete, feedErr := events.Feed(buf[:n])
+			if err := m.appendEvents(it, forward.EventData(complete), events.LastID); err != nil {
+				return endBroken, slots.Failed, err
+			}
+			if events.DataLines > dataLines {
 				dataLines, progressAt = events.DataLines, m.Clock.Now()
 				timer.Record(progressAt, dataLines)
-				err = m.appendEvents(it, forward.EventData(complete), events.LastID)
-			case m.Clock.Now().Sub(progressAt) > runEventTimeout:
-				err = errors.Newf("no event with data in %v", runEventTimeout)
 			}
-			if err != nil {
-				return endBroken, slots.Failed, err
+			if feedErr != nil {
+				return endBroken, slots.Failed, feedErr
+			}
+			if m.Clock.Now().Sub(progressAt) > runEventTimeout {
+				return endBroken, slots.Failed, errors.Newf("no event with data in %v", runEventTimeout)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -416,8 +418,9 @@
 	return size
 }
 
-// appendEvents adds the data of complete events to an item's output. An output that
-// could not be recorded is discarded, and is an error.
+// appendEvents adds the data of complete events to an item's output. lastID is the id of
+// the last event of the run, or empty before the first. An output that could not be
+// recorded is discarded, and is an error.
 func (m *Manager) appendEvents(it *item, data []string, lastID string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -427,6 +430,6 @@
 		return errors.Newf("output is larger than %d bytes", maxOutputBytes)
 	}
 	it.eventData = append(it.eventData, data...)
-	it.lastEventID = lastID
+	it.lastEventID = cmp.Or(lastID, it.lastEventID)
 	return nil
 }
