--- a/jobs/run.go
+++ b/jobs/run.go
@@ -1,8 +1,10 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -155,6 +157,7 @@
 // discardEvents lets the next run start from the beginning.
 func (it *item) discardEvents() {
 	it.eventData, it.eventBytes, it.lastEventID, it.ran = nil, 0, "", 0
+	it.endedAfter = ""
 }
 
 // Revoked implements slots.BatchItems. It cancels the run; the item waits again.
@@ -182,13 +185,16 @@
 	// endBroken: the request failed, or the response was incomplete, not signed
 	// by the replica or of an unexpected status.
 	endBroken
+	// endUnconfirmed: the events ended with the connection. Whether the output is complete
+	// is shown by a further run, which is to go on after the last event.
+	endUnconfirmed
 	// endStopped: this host cancelled the run.
 	endStopped
 )
 
 // String returns the name of e in logs and metrics.
 func (e runEnd) String() string {
-	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "stopped"}[e]
+	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "unconfirmed", "stopped"}[e]
 }
 
 // run runs an item once on a granted slot and releases the slot.
@@ -239,6 +245,10 @@
 			m.setResult(it, Result{ID: it.ID})
 			return
 		}
+	case endUnconfirmed:
+		it.endedAfter = it.lastEventID
+		it.consecutiveFailures = 0
+		return
 	case endStopped:
 		it.consecutiveFailures = 0
 		return
@@ -318,11 +328,25 @@
 		return endFailed, slots.Unused, nil
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
+	case !isEventStream(ans.Header):
+		return endBroken, slots.Failed, errors.Newf("content type is %q, not %s", ans.Header.Get(headerContentType), eventStreamType)
 	}
 	defer func() { g.Run = timer.Run() }()
 	return m.readEvents(ans, it, timer, seen)
 }
 
+// The header with the media type of a response, and the type of an event stream.
+const (
+	headerContentType = "Content-Type"
+	eventStreamType   = "text/event-stream"
+)
+
+// isEventStream reports whether a response is an event stream by its media type.
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get(headerContentType))
+	return err == nil && mediaType == eventStreamType
+}
+
 // hasCustomers reports whether the configuration in force has customers.
 func (m *Manager) hasCustomers() bool { return m.Table().HasCustomers() }
 
@@ -343,25 +367,26 @@
 	for {
 		n, err := ans.Body.Read(buf)
 		if n > 0 {
-			complete, err := events.Feed(buf[:n])
-			switch {
-			case err != nil:
-			case events.DataLines > dataLines:
+			complete, feedErr := events.Feed(buf[:n])
+			if err := m.appendEvents(it, forward.EventData(complete), events.LastID); err != nil {
+				return endBroken, slots.Failed, err
+			}
+			if events.DataLines > dataLines {
 				dataLines, progressAt = events.DataLines, m.Clock.Now()
 				timer.Record(progressAt, dataLines)
-				err = m.appendEvents(it, forward.EventData(complete), events.LastID)
-			case m.Clock.Now().Sub(progressAt) > runEventTimeout:
-				err = errors.Newf("no event with data in %v", runEventTimeout)
 			}
-			if err != nil {
-				return endBroken, slots.Failed, err
+			if feedErr != nil {
+				return endBroken, slots.Failed, feedErr
+			}
+			if m.Clock.Now().Sub(progressAt) > runEventTimeout {
+				return endBroken, slots.Failed, errors.Newf("no event with data in %v", runEventTimeout)
 			}
 		}
 		if errors.Is(err, io.EOF) {
 			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
-			return endDone, slots.Done, nil
+			return m.endOfEvents(ans.Framing, it, &events), slots.Done, nil
 		}
 		if err != nil {
 			return endBroken, outcomeOf(err), err
@@ -369,6 +394,21 @@
 	}
 }
 
+// endOfEvents returns how a run ended whose events ended in order. A close-delimited
+// response ends so too when its replica's process is killed between two events: the output
+// is complete once a second response ends after the same event, without another one.
+func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) runEnd {
+	if framing != pool.FramingClose {
+		return endDone
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
+		return endDone
+	}
+	return endUnconfirmed
+}
+
 // outputSize returns the size of an output with the data of these events.
 func outputSize(data []string) int {
 	size := 0
@@ -378,8 +418,9 @@
 	return size
 }
 
-// appendEvents adds the data of complete events to an item's output. An output that
-// could not be recorded is discarded, and is an error.
+// appendEvents adds the data of complete events to an item's output. lastID is the id of
+// the last event of the run, or empty before the first. An output that could not be
+// recorded is discarded, and is an error.
 func (m *Manager) appendEvents(it *item, data []string, lastID string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -389,6 +430,6 @@
 		return errors.Newf("output is larger than %d bytes", maxOutputBytes)
 	}
 	it.eventData = append(it.eventData, data...)
-	it.lastEventID = lastID
+	it.lastEventID = cmp.Or(lastID, it.lastEventID)
 	return nil
 }
