pool: a connection that carried a stray answer or a HEAD isn't kept

An exchange failed as "may have run", or could read from the middle of another response, after a replica had repeated a response. Cause: (1) a connection on which a response to another request was skipped was kept for the next request, though a replica that writes too much may write more. (2) Which request a response belongs to is known only from its id, but its body was framed by the method of the present request: a response to HEAD that is written again before one to POST swallows the POST's head as its body, and the body of a response to POST before one to HEAD is read as a head. Evidence on, TestConnectionThatCannotBeTrustedIsNotKept: expected "of b" (a new connection), actual "after b"; malformed HTTP version "/1.1"; malformed HTTP version "xHTTP/1.1". Change: after strays or HEAD the connection is closed with the answer, and heads are read as answers with a body until the id shows whose they are. The price is one new connection for each such answer.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -188,8 +188,14 @@
 	if err != nil {
 		return nil, skipped, err
 	}
-	// A request that was cut short leaves the connection unusable.
-	res.Close = res.Close || writeErr != nil
+	// A request that was cut short leaves the connection unusable. After an answer to
+	// another request more may follow, and an answer to HEAD that is written again is read
+	// as one with a body.
+	head := x.Request.Method == http.MethodHead
+	res.Close = res.Close || writeErr != nil || skipped > 0 || head
+	if head {
+		res.Body = http.NoBody
+	}
 	return res, skipped, nil
 }
 
@@ -241,7 +247,9 @@
 }
 
 // readHead reads the status line and the headers of an answer, within the bounds of
-// their size and time: an upstream in trouble may send bytes without end.
+// their size and time: an upstream in trouble may send bytes without end. Which request
+// the answer belongs to is not known yet, so that its body is framed as that of any
+// request but HEAD.
 func (c *conn) readHead(x Exchange) (*http.Response, error) {
 	if x.HeadTimeout > 0 {
 		timer := time.AfterFunc(x.HeadTimeout, func() { _ = c.raw.Close() })
@@ -249,7 +257,7 @@
 	}
 	c.limited, c.left = true, maxHeadBytes
 	defer func() { c.limited = false }()
-	return http.ReadResponse(c.reader, x.Request)
+	return http.ReadResponse(c.reader, nil)
 }
 
 // skip reads over an answer that isn't the request's and waits for the next, within the
