--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -68,7 +68,7 @@
 	Address string
 	// ID is that of the request. An upstream may write an answer again, which can't be
 	// told from one to a later sending of the same request, so that a connection carries
-	// only one request with an ID.
+	// only one request with an ID. A request without one gets a new connection.
 	ID      string
 	Request *http.Request
 	// DialTimeout bounds the set-up of a connection and FirstByte the wait for
@@ -82,9 +82,10 @@
 	// GiveUp is called each time that FirstByte or Gap has passed without data, and
 	// reports whether to end the exchange. Nil ends it the first time.
 	GiveUp func() bool
-	// Mine reports whether an answer belongs to the request. Others are
-	// skipped.
-	Mine func(*http.Response) bool
+	// Mine reports whether an answer belongs to the request, from the answer and the number
+	// of exchanges that were begun on the connection, with this one. Others are skipped. Nil
+	// takes the first answer.
+	Mine func(res *http.Response, exchanges int) bool
 }
 
 // Framing is how an answer shows where its body ends.
@@ -138,7 +139,10 @@
 // Send makes an exchange. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, x Exchange) (*Answer, error) {
 	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
-	c := p.take(x.Address, id)
+	var c *conn
+	if x.ID != "" {
+		c = p.take(x.Address, id)
+	}
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, x.Address, x.DialTimeout); err != nil {
@@ -232,7 +236,7 @@
 			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
 		case res.StatusCode < http.StatusOK:
 			interim++
-		case x.Mine == nil || x.Mine(res):
+		case x.Mine == nil || x.Mine(res, len(c.carried)):
 			return res, skipped, nil
 		default:
 			skipped++
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -83,7 +83,7 @@
 func exchangeWithin(p *Pool, address, id string, timeout time.Duration) (string, error) {
 	ans, err := p.Send(context.Background(), Exchange{
 		Address: address, ID: id, Request: request(id), DialTimeout: time.Second, FirstByte: timeout, Gap: timeout,
-		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == id },
+		Mine: func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == id },
 	})
 	if err != nil {
 		return "", err
@@ -306,7 +306,7 @@
 	})
 	ans, err := New(func() {}).Send(t.Context(), Exchange{
 		Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
-		Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+		Mine: func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == "a" },
 	})
 	require.NoError(t, err)
 	defer ans.Close()
@@ -329,7 +329,7 @@
 		ans, err := New(func() {}).Send(t.Context(), Exchange{
 			Address: address, Request: request("a"), DialTimeout: time.Second, FirstByte: timeout,
 			GiveUp: func() bool { resume <- struct{}{}; return false },
-			Mine:   func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+			Mine:   func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == "a" },
 		})
 		require.NoError(t, err)
 		body, err := io.ReadAll(ans.Body)
@@ -410,7 +410,7 @@
 			p := New(func() {})
 			ans, err := p.Send(t.Context(), Exchange{
 				Address: address, ID: "a", Request: req, DialTimeout: time.Second, FirstByte: time.Second,
-				Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+				Mine: func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == "a" },
 			})
 			require.NoError(t, err)
 			require.EqualValues(t, 4, ans.Length)
@@ -535,7 +535,7 @@
 			defer cancel()
 			_, err := New(func() {}).Send(ctx, Exchange{
 				Address: address, Request: request("a"), DialTimeout: time.Second,
-				Mine: func(res *http.Response) bool { return res.Header.Get("X-Id") == "a" },
+				Mine: func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == "a" },
 			})
 			require.Error(t, err)
 			require.NoError(t, ctx.Err(), "ended by the bound, not by the deadline")
