pool: a connection to an earlier incarnation of a replica isn't used

A request that may run once failed as "may have run" although it reached nobody. Cause: the pool keeps connections by address. A machine that loses power sends no FIN, and keep-alive probes find that after about 20 s; a restarted replica at the same address resets the old connection when a request comes on it. What arrives on it from the earlier replica was also read as that of its successor ("leaves"). Change: an exchange names the upstream at its address (the replica's ID and start); an idle connection that was opened for another one is closed.

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -16,7 +16,9 @@
 type conn struct {
 	raw     net.Conn
 	address string
-	reader  *bufio.Reader
+	// upstream names what answers at the address.
+	upstream string
+	reader   *bufio.Reader
 	// arrived gets the outcome of the wait for the next byte.
 	arrived chan error
 	// carried holds the hash of the ID of each exchange that was begun.
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -66,6 +66,9 @@
 // Exchange is one request to an upstream.
 type Exchange struct {
 	Address string
+	// Upstream names what answers at the address. A connection to an earlier one may look
+	// open after that has failed, so that it isn't used for another.
+	Upstream string
 	// ID is that of the request. An upstream may write an answer again, which can't be
 	// told from one to a later sending of the same request, so that a connection carries
 	// only one request with an ID. A request without one gets a new connection.
@@ -141,7 +144,7 @@
 	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
 	var c *conn
 	if x.ID != "" {
-		c = p.take(x.Address, id)
+		c = p.take(x, id)
 	}
 	if c == nil {
 		var err error
@@ -149,6 +152,7 @@
 			return nil, errors.Mark(errors.Mark(err, ErrConnect), ErrNotSent)
 		}
 		p.dials()
+		c.upstream = x.Upstream
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
@@ -362,20 +366,20 @@
 	return defaultIdle
 }
 
-// take returns the connection to an address that was used last of those that have not
-// carried a request with this hash of its ID, or nil. Two IDs with one hash only cost
-// another connection.
-func (p *Pool) take(address string, id uint32) *conn {
+// take returns the connection to an exchange's upstream that was used last of those that
+// have not carried a request with this hash of its ID, or nil. Two IDs with one hash only
+// cost another connection.
+func (p *Pool) take(x Exchange, id uint32) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for i := len(p.idle[address]) - 1; i >= 0; i-- {
-		c := p.idle[address][i]
-		usable := now.Before(c.expires) && c.quiet()
+	for i := len(p.idle[x.Address]) - 1; i >= 0; i-- {
+		c := p.idle[x.Address][i]
+		usable := c.upstream == x.Upstream && now.Before(c.expires) && c.quiet()
 		if usable && slices.Contains(c.carried, id) {
 			continue
 		}
-		p.remove(address, i)
+		p.remove(x.Address, i)
 		if usable {
 			return c
 		}
