--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -66,9 +66,12 @@
 // Exchange is one request to an upstream.
 type Exchange struct {
 	Address string
+	// Upstream names what answers at the address. A connection to an earlier one may look
+	// open after that has failed, so that it isn't used for another.
+	Upstream string
 	// ID is that of the request. An upstream may write an answer again, which can't be
 	// told from one to a later sending of the same request, so that a connection carries
-	// only one request with an ID.
+	// only one request with an ID. A request without one gets a new connection.
 	ID      string
 	Request *http.Request
 	// DialTimeout bounds the set-up of a connection and FirstByte the wait for
@@ -82,9 +85,10 @@
 	// GiveUp is called each time that FirstByte or Gap has passed without data, and
 	// reports whether to end the exchange. Nil ends it the first time.
 	GiveUp func() bool
-	// Mine reports whether an answer belongs to the request. Others are
-	// skipped.
-	Mine func(*http.Response) bool
+	// Mine reports whether an answer belongs to the request, from the answer and the number
+	// of exchanges that were begun on the connection, with this one. Others are skipped. Nil
+	// takes the first answer.
+	Mine func(res *http.Response, exchanges int) bool
 }
 
 // Framing is how an answer shows where its body ends.
@@ -138,13 +142,17 @@
 // Send makes an exchange. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, x Exchange) (*Answer, error) {
 	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
-	c := p.take(x.Address, id)
+	var c *conn
+	if x.ID != "" {
+		c = p.take(x, id)
+	}
 	if c == nil {
 		var err error
 		if c, err = dial(ctx, x.Address, x.DialTimeout); err != nil {
 			return nil, errors.Mark(errors.Mark(err, ErrConnect), ErrNotSent)
 		}
 		p.dials()
+		c.upstream = x.Upstream
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
@@ -188,8 +196,14 @@
 	if err != nil {
 		return nil, skipped, err
 	}
-	// A request that was cut short leaves the connection unusable.
-	res.Close = res.Close || writeErr != nil
+	// A request that was cut short leaves the connection unusable. After an answer to
+	// another request more may follow, and an answer to HEAD that is written again is read
+	// as one with a body.
+	head := x.Request.Method == http.MethodHead
+	res.Close = res.Close || writeErr != nil || skipped > 0 || head
+	if head {
+		res.Body = http.NoBody
+	}
 	res.Body = checkedBody(res, writeErr)
 	return res, skipped, nil
 }
@@ -227,7 +241,7 @@
 			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
 		case res.StatusCode < http.StatusOK:
 			interim++
-		case x.Mine == nil || x.Mine(res):
+		case x.Mine == nil || x.Mine(res, len(c.carried)):
 			return res, skipped, nil
 		default:
 			skipped++
@@ -242,7 +256,9 @@
 }
 
 // readHead reads the status line and the headers of an answer, within the bounds of
-// their size and time: an upstream in trouble may send bytes without end.
+// their size and time: an upstream in trouble may send bytes without end. Which request
+// the answer belongs to is not known yet, so that its body is framed as that of any
+// request but HEAD.
 func (c *conn) readHead(x Exchange) (*http.Response, error) {
 	if x.HeadTimeout > 0 {
 		timer := time.AfterFunc(x.HeadTimeout, func() { _ = c.raw.Close() })
@@ -250,7 +266,7 @@
 	}
 	c.limited, c.left = true, maxHeadBytes
 	defer func() { c.limited = false }()
-	return http.ReadResponse(c.reader, x.Request)
+	return http.ReadResponse(c.reader, nil)
 }
 
 // skip reads over an answer that isn't the request's and waits for the next, within the
@@ -351,20 +367,20 @@
 	return defaultIdle
 }
 
-// take returns the connection to an address that was used last of those that have not
-// carried a request with this hash of its ID, or nil. Two IDs with one hash only cost
-// another connection.
-func (p *Pool) take(address string, id uint32) *conn {
+// take returns the connection to an exchange's upstream that was used last of those that
+// have not carried a request with this hash of its ID, or nil. Two IDs with one hash only
+// cost another connection.
+func (p *Pool) take(x Exchange, id uint32) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for i := len(p.idle[address]) - 1; i >= 0; i-- {
-		c := p.idle[address][i]
-		usable := now.Before(c.expires) && c.quiet()
+	for i := len(p.idle[x.Address]) - 1; i >= 0; i-- {
+		c := p.idle[x.Address][i]
+		usable := c.upstream == x.Upstream && now.Before(c.expires) && c.quiet()
 		if usable && slices.Contains(c.carried, id) {
 			continue
 		}
-		p.remove(address, i)
+		p.remove(x.Address, i)
 		if usable {
 			return c
 		}
