host: a request that crosses the close of its connection is not read

A request could be passed on to a replica although its connection was closed already, by the idle timeout or by an orderly stop: its bytes were read, then the connection was closed, since it still counted as idle, and then the request ran. Its caller saw a closed connection for a request that ran (LOST; a request that may run once is lost for good). expire looked at the phase and closed without the lock between, and Read looked at it after the bytes had been taken.

The new test has the bytes arrive at that moment and fails on the code before:

--- FAIL: TestRequestThatCrossesTheCloseOfItsConnectionIsNotRead/idle_timeout Error: Should be zero, but was 1 --- FAIL: TestRequestThatCrossesTheCloseOfItsConnectionIsNotRead/shutdown Error: Should be zero, but was 1

The connection now notes its close under the lock, and Read discards what arrives with it: the request crosses the close and is not run, so any caller may retry it.

--- a/host/connections.go
+++ b/host/connections.go
@@ -74,26 +74,35 @@
 	mu    sync.Mutex
 	phase phase
 	timer clockwork.Timer
+	// closed means that the host has closed the connection.
+	closed bool
 }
 
 // Read implements net.Conn. The first bytes after a response begin the next
-// request's header phase.
+// request's header phase. Bytes that arrive while the host closes the connection are
+// discarded: a request that can't be answered must not run.
 func (c *timeoutConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.mu.Lock()
-		first := c.phase == idle
-		c.mu.Unlock()
-		if first {
-			c.enter(readingHeaders)
-		}
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, net.ErrClosed
+	}
+	if c.phase == idle {
+		c.enterLocked(readingHeaders)
 	}
 	return n, err
 }
 
 // Close implements net.Conn. It also stops the timer.
 func (c *timeoutConn) Close() error {
-	c.enter(serving)
+	c.mu.Lock()
+	c.closed = true
+	c.enterLocked(serving)
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -110,6 +119,11 @@
 func (c *timeoutConn) enter(next phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.enterLocked(next)
+}
+
+// enterLocked is enter with the lock held.
+func (c *timeoutConn) enterLocked(next phase) {
 	c.phase = next
 	if c.timer != nil {
 		c.timer.Stop()
@@ -135,13 +149,13 @@
 // the phase starts again with its whole timeout.
 func (c *timeoutConn) expire(timed phase, due time.Time) {
 	c.mu.Lock()
-	expired := c.phase == timed && c.timer != nil
-	c.mu.Unlock()
+	defer c.mu.Unlock()
 	switch {
-	case !expired:
+	case c.phase != timed || c.timer == nil:
 	case c.clock.Since(due) > maxTimerDelay:
-		c.enter(timed)
+		c.enterLocked(timed)
 	default:
+		c.closed = true
 		// The client sees the closed connection; an error of Close has no
 		// other reader.
 		_ = c.Conn.Close()
--- a/host/connections_test.go
+++ b/host/connections_test.go
@@ -167,3 +167,36 @@
 	_, err := r.ReadByte()
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 }
+
+// crossingConn is a connection on which data arrives while the host closes it.
+type crossingConn struct {
+	net.Conn
+	close func()
+}
+
+func (c *crossingConn) Read(p []byte) (int, error) {
+	c.close()
+	return copy(p, "P"), nil
+}
+
+func (c *crossingConn) Close() error { return nil }
+
+// A request that arrives while its idle connection is closed is run, and its response has
+// nowhere to go.
+func TestRequestThatCrossesTheCloseOfItsConnectionIsNotRead(t *testing.T) {
+	closers := map[string]func(c *timeoutConn){
+		"idle timeout": func(c *timeoutConn) { c.expire(idle, c.clock.Now()) },
+		"shutdown":     func(c *timeoutConn) { _ = c.Close() },
+	}
+	for name, closeConn := range closers {
+		t.Run(name, func(t *testing.T) {
+			inner := &crossingConn{}
+			c := &timeoutConn{Conn: inner, clock: clockwork.NewFakeClock(), limits: func() route.Limits { return route.Limits{IdleTimeout: testIdleTimeout} }}
+			inner.close = func() { closeConn(c) }
+			c.enter(idle)
+			n, err := c.Read(make([]byte, 1))
+			require.Zero(t, n)
+			require.ErrorIs(t, err, net.ErrClosed)
+		})
+	}
+}
