jobs: an item starts again on a replica of another service

Seen by callers: the text of an item whose route is moved to another service while it is partly run begins with events of the one and goes on with events of the other. Replicas resume whatever they are asked, and an item only compared the software versions, which each service counts by itself. That the users saw this is not shown. Evidence, the new test on the code before: TestItemStartsAgainOnAnotherService: Should be empty, but was 2 (the run at the other service was to go on after event 2) Change: an item keeps the service with the software version of its events, also in a hand-over, and starts again where either differs. The field Service of Progress is new; hosts of older builds don't send it, and what they hand over is used as before (TestProgressWithoutAServiceIsKept).

--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -140,8 +140,9 @@
 	endedAfter string
 	// eventBytes is the size of eventData.
 	eventBytes int
-	// softwareVersion is that of the replicas that sent the events.
-	softwareVersion string
+	// service and softwareVersion are those of the replicas that sent the events. service
+	// is empty if a host of an older build has handed the events over.
+	service, softwareVersion string
 	// ran is how long the item has run so far.
 	ran time.Duration
 	// failures counts responses with status 500. consecutiveFailures counts
--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -10,6 +10,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/replica"
+	"github.com/comfreyspindle/comfreyspindle/route"
+	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
@@ -170,3 +173,57 @@
 	c.requireOutput(t, a)
 	require.Equal(t, "2", a.replicas.sent[2].LastEventID)
 }
+
+// moveRoute lets the job's route lead to another service.
+func (h *testHost) moveRoute(service string) {
+	h.Table = func() *route.Table {
+		return route.NewTable(2, route.Limits{}, []*route.Route{{
+			Host: "h", Prefix: "/p/", Kind: route.Batch, MaxAttempts: 2, Targets: []route.Target{{Service: service, Weight: 1}},
+		}}, nil)
+	}
+}
+
+// grantOn grants a slot of a replica of a service and software version once an item waits
+// for one.
+func (h *testHost) grantOn(t *testing.T, service, version string) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(h.Demand(false)) > 0 }, 3*time.Second, time.Millisecond)
+	h.Granted(slots.Grant{ID: 7, Replica: replica.Replica{ID: "r", Service: service, SoftwareVersion: version}})
+	<-h.released
+}
+
+// The route of a job is moved while an item is partly run. The software of two services is
+// not the same, whatever their versions are called.
+func TestItemStartsAgainOnAnotherService(t *testing.T) {
+	for _, handOver := range []bool{false, true} {
+		c := newCluster(t, "a", "b")
+		a := c.hosts["a"]
+		require.NoError(t, a.Submit(t.Context(), submission(1)))
+		a.replicas.answer = answerPartly
+		a.grantOn(t, "svc", "v1")
+		if handOver {
+			a.HandOver(t.Context())
+			a = c.hosts["b"]
+		}
+		a.moveRoute("other")
+		a.replicas.answer = answerInFull
+		a.grantOn(t, "other", "v1")
+		a.flushNow(t)
+		require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("a", 0))
+		last := a.replicas.sent[len(a.replicas.sent)-1]
+		require.Empty(t, last.LastEventID)
+	}
+}
+
+// A host of an older build hands over events without the service of their replicas: they
+// are kept, as the build itself would do.
+func TestProgressWithoutAServiceIsKept(t *testing.T) {
+	c := newCluster(t, "a", "b")
+	require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(1)))
+	b := c.hosts["b"]
+	require.NoError(t, b.Peer().Adopt(AdoptArgs{ID: "job", From: "a", Progress: []Progress{
+		{Item: "i0", Texts: []string{"e1", "e2"}, LastID: "2", SoftwareVersion: "v1"},
+	}}, new(None)))
+	b.grantOn(t, "svc", "v1")
+	require.Equal(t, "2", b.replicas.sent[0].LastEventID)
+}
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -191,12 +191,14 @@
 }
 
 // Progress is the state of a partly run item: the data of the events received so
-// far, the id of the last event, the software version of the replicas that sent
-// them, the number of failed runs, and how long it has run.
+// far, the id of the last event, the service and the software version of the replicas
+// that sent them, the number of failed runs, and how long it has run. Service is empty in
+// calls of older builds.
 type Progress struct {
 	Item            string
 	Texts           []string
 	LastID          string
+	Service         string
 	SoftwareVersion string
 	Failures        int
 	Ran             time.Duration
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -136,10 +136,11 @@
 }
 
 // continuesOn reports whether the replica can go on after the events received so
-// far. Events of two software versions don't fit together, and replicas don't
-// check this.
+// far. Events of two services or software versions don't fit together, and replicas
+// don't check this.
 func (it *item) continuesOn(r replica.Replica) bool {
-	return it.lastEventID == "" || it.softwareVersion == r.SoftwareVersion
+	sameService := it.service == r.Service || it.service == ""
+	return it.lastEventID == "" || sameService && it.softwareVersion == r.SoftwareVersion
 }
 
 // startOn marks the item as running on a replica. If that can't go on after the
@@ -149,7 +150,7 @@
 	if !it.continuesOn(r) {
 		it.discardEvents()
 	}
-	it.softwareVersion = r.SoftwareVersion
+	it.service, it.softwareVersion = r.Service, r.SoftwareVersion
 }
 
 // discardEvents lets the next run start from the beginning.
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -330,7 +330,8 @@
 	for _, p := range progress {
 		i := slices.IndexFunc(j.items, func(it *item) bool { return it.ID == p.Item })
 		if i >= 0 {
-			j.items[i].eventData, j.items[i].lastEventID, j.items[i].softwareVersion = p.Texts, p.LastID, p.SoftwareVersion
+			j.items[i].eventData, j.items[i].lastEventID = p.Texts, p.LastID
+			j.items[i].service, j.items[i].softwareVersion = p.Service, p.SoftwareVersion
 			j.items[i].failures, j.items[i].ran = p.Failures, p.Ran
 			j.items[i].eventBytes = outputSize(p.Texts)
 		}
@@ -394,7 +395,8 @@
 	for _, it := range j.items {
 		if !it.hasResult && (len(it.eventData) > 0 || it.failures > 0) {
 			args.Progress = append(args.Progress, Progress{
-				Item: it.ID, Texts: it.eventData, LastID: it.lastEventID, SoftwareVersion: it.softwareVersion, Failures: it.failures, Ran: it.ran,
+				Item: it.ID, Texts: it.eventData, LastID: it.lastEventID, Service: it.service, SoftwareVersion: it.softwareVersion,
+				Failures: it.failures, Ran: it.ran,
 			})
 		}
 	}
