--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -39,6 +39,8 @@
 	registered map[string]bool
 	// maxWaitingTokens is the limit of the route; zero means none.
 	maxWaitingTokens int64
+	// upstream replaces the replicas of each host; nil has no effect.
+	upstream forward.Upstream
 }
 
 type testHost struct {
@@ -164,8 +166,12 @@
 		}}, nil)
 	}
 	h := &testHost{replicas: &fakeReplicas{answer: answerInFull}, released: make(chan slots.Outcome, 64)}
+	var upstream forward.Upstream = h.replicas
+	if c.upstream != nil {
+		upstream = c.upstream
+	}
 	h.Manager = NewManager(Options{
-		Store: c.store, Slots: h, Upstream: h.replicas, View: view, Peers: c, Table: table,
+		Store: c.store, Slots: h, Upstream: upstream, View: view, Peers: c, Table: table,
 		StoreUnavailable: func() bool { return false }, IsRegistered: c.isRegistered, Retention: time.Minute, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log), Metrics: NewMetrics(prometheus.NewRegistry()),
 	})
 	c.mu.Lock()
