forward: the end of a connection does not complete a stream that can be resumed

Callers could get a stream that ends as complete before its last event (ORDER). A response without a length or chunks ends with its connection. The kernel ends the connections of a process that is killed in order (FIN) where nothing is unread, and replicas write each event whole, so such a stream ends between two events like a complete one. Only partial events were found.

On routes that can be resumed, the orderly end of a close-delimited response is now no proof. The host asks for the rest after the last event, at the same software version, and the stream is complete when a response with a length or in chunks ends, with or without further events, or when a second close-delimited response ends after the same event without any. The further request is one of the route's attempts and needs time before the deadline. It doesn't count against the replica: the outcome stays "ended", and the replica may be asked itself. If the end is not confirmed, the response breaks off, and the caller may resume. Events go to the caller as they arrive; only the end waits. An empty close-delimited response to the request of a caller that resumes, or after a response that broke off, confirms nothing by itself.

What remains: two replicas that are killed after the same event, the second one between its head and its first event, are taken for the end of the stream. A route with one attempt whose replicas never send a length or chunks gets no confirmation, so its streams break off.

One expectation of TestCloseDelimitedStreamWithoutEventsIsNotComplete is turned round, to the stricter side: an empty close-delimited response after a broken one was complete ("all events were received before"), which nothing showed; it is now an error, and the body is compared as before.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -219,6 +219,9 @@
 	// askedAfter is the id of the event after which the present attempt was to resume the
 	// stream; empty is the beginning.
 	askedAfter string
+	// endedAfter is the id of the last event that the caller had when a close-delimited
+	// response ended in order; empty if none did.
+	endedAfter string
 	// longestWrite is the longest time in which the caller accepted a piece of the
 	// present attempt's response.
 	longestWrite time.Duration
@@ -336,7 +339,9 @@
 	if err == nil {
 		return false, nil
 	}
-	s.avoid = append(s.avoid, g.Replica.ID)
+	if !errors.Is(err, errEndNotConfirmed) {
+		s.avoid = append(s.avoid, g.Replica.ID)
+	}
 	return s.mayRetry(ctx) && !errors.Is(err, errCallerDisconnected) && !errors.Is(err, errPartlySent), err
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -182,21 +182,37 @@
 }
 
 func (o scriptResult) runRequest(req *Request) scriptResult {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	if o.clock == nil {
 		o.clock = clockwork.NewRealClock()
 	}
-	r := &Runner{
-		Slots: o.slots, Upstream: o.upstream, Clock: o.clock, Log: logrus.NewEntry(log),
-		Metrics: NewMetrics(prometheus.NewRegistry()),
-	}
+	r := newRunner(o.slots, o.upstream)
+	r.Clock = o.clock
 	req.Arrived = o.clock.Now()
 	req.Deadline = req.Arrived.Add(time.Minute)
 	o.err = r.Run(context.Background(), req, o.sink)
 	return o
 }
 
+// newRunner returns a Runner with a real clock.
+func newRunner(s SlotClient, upstream Upstream) *Runner {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return &Runner{
+		Slots: s, Upstream: upstream, Clock: clockwork.NewRealClock(), Log: logrus.NewEntry(log),
+		Metrics: NewMetrics(prometheus.NewRegistry()),
+	}
+}
+
+// newRequest returns a request that goes on after the event with the given id; empty is
+// the beginning.
+func newRequest(rt *route.Route, after string) *Request {
+	req := &Request{ID: "q", Route: rt, Arrived: time.Now(), Deadline: time.Now().Add(time.Minute), LastEventID: after}
+	if after != "" {
+		req.Resumes = "p"
+	}
+	return req
+}
+
 // Each row scripts the replicas' reactions and states what the caller gets.
 // Field sent is the number of attempts.
 func TestRunReturnsResponseOrVerdict(t *testing.T) {
@@ -544,7 +560,7 @@
 	require.Zero(t, o.sink.begun)
 
 	o = runScript(resumable, 5, stream(failAfter(events(1, 2), errBroken)), empty())
-	require.NoError(t, o.err, "all events were received before")
+	require.True(t, errors.Is(o.err, ErrTruncated), "nothing shows that event 2 was the last: %v", o.err)
 	require.Equal(t, events(1, 2), o.sink.body.String())
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -38,6 +38,7 @@
 	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
 	errNotRest            = errors.New("response is not the rest of the stream")
+	errEndNotConfirmed    = errors.New("end of the connection doesn't show that the stream is complete")
 	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
 )
 
@@ -288,13 +289,25 @@
 // doesn't show that the stream is complete: a close-delimited body also ends when
 // its replica fails.
 func (s *requestState) endEventStream(res *Response) (slots.Outcome, error) {
-	if err := s.events.CheckEnd(res.Framing, s.lastEventID() != ""); err != nil {
+	if err := s.events.CheckEnd(res.Framing, s.askedAfter != ""); err != nil {
 		return s.readErrorOutcome(err), err
 	}
+	if res.Framing == pool.FramingClose && s.resumable() && !s.confirmsEnd() {
+		s.endedAfter = s.lastEventID()
+		return slots.Ended, errEndNotConfirmed
+	}
 	s.begin(res.Status, res.Header, -1)
 	return slots.Done, nil
 }
 
+// confirmsEnd reports whether the present body, which is close-delimited and has ended,
+// confirms the end of the stream: an earlier one ended after the same event, and this one
+// brought none. A replica that fails twice at just this event is not told from a stream
+// that is complete.
+func (s *requestState) confirmsEnd() bool {
+	return s.events.FirstID == "" && s.endedAfter != "" && s.endedAfter == s.lastEventID()
+}
+
 func (s *requestState) writeToCaller(res *Response, p []byte) error {
 	if len(p) == 0 {
 		return nil
