--- a/forward/relay.go
+++ b/forward/relay.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +37,8 @@
 	errCallerDisconnected = errors.New("caller disconnected")
 	errTooLarge           = errors.Newf("response is larger than %d bytes", maxResponseBytes)
 	errPartlySent         = errors.New("part of a response that can't be resumed was sent")
+	errNotRest            = errors.New("response is not the rest of the stream")
+	errEndNotConfirmed    = errors.New("end of the connection doesn't show that the stream is complete")
 	errNoProgress         = errors.Mark(errors.New("event stream sends bytes but no events"), pool.ErrSilent)
 )
 
@@ -103,14 +105,32 @@
 	if res.Status == http.StatusOK && isEventStream(res.Header) {
 		return s.relayEventStream(res)
 	}
-	if s.begun {
-		return slots.Done, errReplicaFailed
+	if s.begun || s.askedAfter != "" && isSuccess(res.Status) {
+		return outcomeOfWrongRest(res.Status), errors.Wrapf(errNotRest, "status %d, content type %q", res.Status, res.Header.Get("Content-Type"))
 	}
 	return s.relayBody(res)
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
+// outcomeOfWrongRest returns the outcome of an attempt that was to bring the rest of a
+// stream and brought a response with this status.
+func outcomeOfWrongRest(status int) slots.Outcome {
+	switch {
+	case isSuccess(status):
+		return slots.Failed
+	case status >= http.StatusInternalServerError:
+		return slots.Errored
+	}
+	return slots.Done
+}
+
+// isEventStream reports whether a response is an event stream by its media type.
 func isEventStream(h http.Header) bool {
-	return strings.HasPrefix(h.Get("Content-Type"), "text/event-stream")
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
 // relayBody relays a response that is no event stream. The first part of it is
@@ -269,13 +289,25 @@
 // doesn't show that the stream is complete: a close-delimited body also ends when
 // its replica fails.
 func (s *requestState) endEventStream(res *Response) (slots.Outcome, error) {
-	if err := s.events.CheckEnd(res.Framing, s.lastEventID() != ""); err != nil {
+	if err := s.events.CheckEnd(res.Framing, s.askedAfter != ""); err != nil {
 		return s.readErrorOutcome(err), err
 	}
+	if res.Framing == pool.FramingClose && s.resumable() && !s.confirmsEnd() {
+		s.endedAfter = s.lastEventID()
+		return slots.Ended, errEndNotConfirmed
+	}
 	s.begin(res.Status, res.Header, -1)
 	return slots.Done, nil
 }
 
+// confirmsEnd reports whether the present body, which is close-delimited and has ended,
+// confirms the end of the stream: an earlier one ended after the same event, and this one
+// brought none. A replica that fails twice at just this event is not told from a stream
+// that is complete.
+func (s *requestState) confirmsEnd() bool {
+	return s.events.FirstID == "" && s.endedAfter != "" && s.endedAfter == s.lastEventID()
+}
+
 func (s *requestState) writeToCaller(res *Response, p []byte) error {
 	if len(p) == 0 {
 		return nil
