pool: what the kernel has received keeps a connection from use

A request that may run once failed as "may have run" when its replica had closed the kept connection just before. Cause: whether an idle connection can be used was known only from the goroutine that waits for its next byte, which runs some time after the kernel has received FIN, RST or bytes. Evidence on: TestConnectionWithUnreadDataIsNotTaken expected false, actual true for data, end and reset. Change: taking a connection asks the kernel without waiting (recv with MSG_PEEK).

--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,8 @@
 	// upstream names what answers at the address.
 	upstream string
 	reader   *bufio.Reader
+	// control gives access to the socket of a TCP connection while a goroutine reads.
+	control syscall.RawConn
 	// arrived gets the outcome of the wait for the next byte.
 	arrived chan error
 	// carried holds the hash of the ID of each exchange that was begun.
@@ -44,11 +47,12 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connect to %s", address)
 	}
+	c := &conn{raw: raw, address: address}
 	if tcp, ok := raw.(*net.TCPConn); ok {
-		// Without the bound the connection works too.
+		// Without the bound and the access the connection works too.
 		_ = tcp.SetReadBuffer(receiveBufferBytes)
+		c.control, _ = tcp.SyscallConn()
 	}
-	c := &conn{raw: raw, address: address}
 	c.reader = bufio.NewReaderSize(readFunc(c.read), bufferBytes)
 	return c, nil
 }
@@ -136,5 +140,20 @@
 	}()
 }
 
-// quiet reports whether nothing has arrived, neither bytes nor the end.
-func (c *conn) quiet() bool { return len(c.arrived) == 0 }
+// quiet reports whether nothing has arrived, neither bytes nor the end. The goroutine
+// that waits for them may not have run since, so that the kernel is asked too.
+func (c *conn) quiet() bool {
+	if len(c.arrived) > 0 {
+		return false
+	}
+	if c.control == nil {
+		return true
+	}
+	quiet := true
+	err := c.control.Control(func(fd uintptr) {
+		var next [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // a descriptor
+		quiet = errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+	})
+	return err == nil && quiet
+}
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -375,12 +375,12 @@
 	now := time.Now()
 	for i := len(p.idle[x.Address]) - 1; i >= 0; i-- {
 		c := p.idle[x.Address][i]
-		usable := c.upstream == x.Upstream && now.Before(c.expires) && c.quiet()
+		usable := c.upstream == x.Upstream && now.Before(c.expires)
 		if usable && slices.Contains(c.carried, id) {
 			continue
 		}
 		p.remove(x.Address, i)
-		if usable {
+		if usable && c.quiet() {
 			return c
 		}
 		_ = c.raw.Close()
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -169,6 +169,36 @@
 	}
 }
 
+// What the kernel has received must keep a connection from use before the goroutine that waits for it has run.
+func TestConnectionWithUnreadDataIsNotTaken(t *testing.T) {
+	rows := map[string]func(net.Conn){
+		"data":  func(c net.Conn) { _, _ = io.WriteString(c, "x") },
+		"end":   func(c net.Conn) { _ = c.Close() },
+		"reset": reset,
+		"":      func(net.Conn) {},
+	}
+	for name, send := range rows {
+		t.Run(name, func(t *testing.T) {
+			dialed := make(chan struct{})
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				<-dialed
+				send(c)
+				_, _ = r.ReadByte()
+			})
+			c, err := dial(t.Context(), address, time.Second)
+			require.NoError(t, err)
+			close(dialed)
+			defer func() { _ = c.raw.Close() }()
+			c.arrived, c.expires = make(chan error, 1), time.Now().Add(time.Minute)
+			p := New(func() {})
+			time.Sleep(20 * time.Millisecond)
+			p.idle[address] = []*conn{c}
+			require.Equal(t, name == "", p.take(Exchange{Address: address}, 1) == c)
+			require.Empty(t, p.idle)
+		})
+	}
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
