pool: a short rest of an answer that nobody reads keeps its connection

Runs of batch items that a replica refused with a text cost a new connection each. Cause: jobs close a refusal without reading its body, and the pool kept a connection only if the body had been read to its end. Evidence on: TestShortRestOfAnAnswerKeepsItsConnection expected true, actual false (kept), with a length and in chunks. Change: closing an answer reads up to 4 KB more, waiting 1 ms for each piece as before. A longer or unfinished body still closes the connection. Measured: go test -race ./upstream/pool ./platform passes. How often replicas send refusals with a text was not measured.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -368,17 +368,22 @@
 	a.pool.put(c)
 }
 
-// drainTimeout bounds the wait for the end of a body that was read.
-const drainTimeout = time.Millisecond
+// Bounds of the rest of a body that is read when an answer is closed: the wait for each
+// piece and the size. The texts of refusals are shorter.
+const (
+	drainTimeout = time.Millisecond
+	maxRestBytes = 4 << 10
+)
 
-// drained reports whether the body has been read to its end.
+// drained reports whether the body has been read to its end, after a short rest of it
+// that has arrived.
 func (a *Answer) drained() bool {
 	if a.Framing == FramingClose {
 		return false
 	}
 	a.conn.gap, a.conn.giveUp = drainTimeout, nil
-	n, err := a.res.Body.Read(make([]byte, 1))
-	return n == 0 && err == io.EOF
+	_, err := io.CopyN(io.Discard, a.res.Body, maxRestBytes+1)
+	return errors.Is(err, io.EOF)
 }
 
 // idleTime returns how long an idle connection may be used.
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -105,6 +105,37 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// The text of a refusal that nobody reads must not cost a new connection; an answer that goes on must not be waited for.
+func TestShortRestOfAnAnswerKeepsItsConnection(t *testing.T) {
+	rows := []struct {
+		name, response string
+		kept           bool
+	}{
+		{"length", answer("a", "the reason"), true},
+		{"chunked", "HTTP/1.1 503 Busy\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true},
+		{"unfinished", "HTTP/1.1 503 Busy\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+		{"long", answer("a", strings.Repeat("x", maxRestBytes+1)), false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, conns := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				read(r)
+				_, _ = io.WriteString(c, row.response)
+				well(t, c, r)
+			}, well)
+			p := New(func() {})
+			ans, err := p.Send(t.Context(), Exchange{Address: address, ID: "a", Request: request("a"), DialTimeout: time.Second})
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+			ans.Close()
+			body, err := exchange(p, address, "b")
+			require.NoError(t, err)
+			require.Equal(t, "of b", body)
+			require.Equal(t, row.kept, conns.Load() == 1)
+		})
+	}
+}
+
 // The goroutine that waited for an answer may run on after the connection is idle again.
 func TestEndOfAnEarlierWaitKeepsAnIdleConnection(t *testing.T) {
 	earlier, present := make(chan error, 1), make(chan error, 1)
