--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -10,6 +10,7 @@
 	"hash/maphash"
 	"io"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,6 +30,10 @@
 	keepAlivePeriod = 2 * time.Second
 	// writeTimeout bounds the write of one request.
 	writeTimeout = 2 * time.Second
+	// earlyAnswerTimeout bounds the wait for an answer after the write of its request has
+	// failed. What arrived before a reset is there at once, but on a busy host the goroutine
+	// that reads it ran up to 160 ms later.
+	earlyAnswerTimeout = 500 * time.Millisecond
 	// defaultIdle is how long an idle connection is used when the upstream
 	// doesn't say how long it keeps it.
 	defaultIdle = 30 * time.Second
@@ -223,7 +228,7 @@
 	if writeErr == nil {
 		return c.awaitFirst(x)
 	}
-	if !c.written.Load() || c.first(recheck) != nil {
+	if !c.written.Load() || c.first(earlyAnswerTimeout) != nil {
 		return errors.Mark(errors.Wrap(writeErr, "write request"), ErrBroken)
 	}
 	return nil
@@ -266,7 +271,28 @@
 	}
 	c.limited, c.left = true, maxHeadBytes
 	defer func() { c.limited = false }()
-	return http.ReadResponse(c.reader, nil)
+	res, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	return res, checkHead(res)
+}
+
+// statusLine matches the beginning of a head.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// checkHead returns an error if a head has another one within a line: what an upstream
+// had begun to write was cut off, and the head of the next answer runs together with it.
+func checkHead(res *http.Response) error {
+	if statusLine.MatchString(res.Status) {
+		return errors.Newf("the status %q holds a second status line", res.Status)
+	}
+	for name, values := range res.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return errors.Newf("the header %s holds a status line: %q", name, values)
+		}
+	}
+	return nil
 }
 
 // skip reads over an answer that isn't the request's and waits for the next, within the
@@ -343,17 +369,22 @@
 	a.pool.put(c)
 }
 
-// drainTimeout bounds the wait for the end of a body that was read.
-const drainTimeout = time.Millisecond
+// Bounds of the rest of a body that is read when an answer is closed: the wait for each
+// piece and the size. The texts of refusals are shorter.
+const (
+	drainTimeout = time.Millisecond
+	maxRestBytes = 4 << 10
+)
 
-// drained reports whether the body has been read to its end.
+// drained reports whether the body has been read to its end, after a short rest of it
+// that has arrived.
 func (a *Answer) drained() bool {
 	if a.Framing == FramingClose {
 		return false
 	}
 	a.conn.gap, a.conn.giveUp = drainTimeout, nil
-	n, err := a.res.Body.Read(make([]byte, 1))
-	return n == 0 && err == io.EOF
+	_, err := io.CopyN(io.Discard, a.res.Body, maxRestBytes+1)
+	return errors.Is(err, io.EOF)
 }
 
 // idleTime returns how long an idle connection may be used.
@@ -376,12 +407,12 @@
 	now := time.Now()
 	for i := len(p.idle[x.Address]) - 1; i >= 0; i-- {
 		c := p.idle[x.Address][i]
-		usable := c.upstream == x.Upstream && now.Before(c.expires) && c.quiet()
+		usable := c.upstream == x.Upstream && now.Before(c.expires)
 		if usable && slices.Contains(c.carried, id) {
 			continue
 		}
 		p.remove(x.Address, i)
-		if usable {
+		if usable && c.quiet() {
 			return c
 		}
 		_ = c.raw.Close()
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -105,6 +105,37 @@
 	require.EqualValues(t, 1, conns.Load())
 }
 
+// The text of a refusal that nobody reads must not cost a new connection; an answer that goes on must not be waited for.
+func TestShortRestOfAnAnswerKeepsItsConnection(t *testing.T) {
+	rows := []struct {
+		name, response string
+		kept           bool
+	}{
+		{"length", answer("a", "the reason"), true},
+		{"chunked", "HTTP/1.1 503 Busy\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", true},
+		{"unfinished", "HTTP/1.1 503 Busy\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false},
+		{"long", answer("a", strings.Repeat("x", maxRestBytes+1)), false},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			address, conns := serve(t, func(t *testing.T, c net.Conn, r *bufio.Reader) {
+				read(r)
+				_, _ = io.WriteString(c, row.response)
+				well(t, c, r)
+			}, well)
+			p := New(func() {})
+			ans, err := p.Send(t.Context(), Exchange{Address: address, ID: "a", Request: request("a"), DialTimeout: time.Second})
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+			ans.Close()
+			body, err := exchange(p, address, "b")
+			require.NoError(t, err)
+			require.Equal(t, "of b", body)
+			require.Equal(t, row.kept, conns.Load() == 1)
+		})
+	}
+}
+
 // The goroutine that waited for an answer may run on after the connection is idle again.
 func TestEndOfAnEarlierWaitKeepsAnIdleConnection(t *testing.T) {
 	earlier, present := make(chan error, 1), make(chan error, 1)
@@ -169,6 +200,36 @@
 	}
 }
 
+// What the kernel has received must keep a connection from use before the goroutine that waits for it has run.
+func TestConnectionWithUnreadDataIsNotTaken(t *testing.T) {
+	rows := map[string]func(net.Conn){
+		"data":  func(c net.Conn) { _, _ = io.WriteString(c, "x") },
+		"end":   func(c net.Conn) { _ = c.Close() },
+		"reset": reset,
+		"":      func(net.Conn) {},
+	}
+	for name, send := range rows {
+		t.Run(name, func(t *testing.T) {
+			dialed := make(chan struct{})
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				<-dialed
+				send(c)
+				_, _ = r.ReadByte()
+			})
+			c, err := dial(t.Context(), address, time.Second)
+			require.NoError(t, err)
+			close(dialed)
+			defer func() { _ = c.raw.Close() }()
+			c.arrived, c.expires = make(chan error, 1), time.Now().Add(time.Minute)
+			p := New(func() {})
+			time.Sleep(20 * time.Millisecond)
+			p.idle[address] = []*conn{c}
+			require.Equal(t, name == "", p.take(Exchange{Address: address}, 1) == c)
+			require.Empty(t, p.idle)
+		})
+	}
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
@@ -339,6 +400,37 @@
 	}
 }
 
+// The beginning of an extra head must not run together with the head of the answer that follows it.
+func TestCutHeadBeforeAnAnswerIsNotReadAsPartOfIt(t *testing.T) {
+	const extra = "HTTP/1.1 503 Busy Now\r\nServer: x y\r\nX-Refused: 1\r\nX-Id: a\r\nContent-Length: 0\r\nX-More: yes\r\n\r\n"
+	p, cut := New(func() {}), make(chan int, 1)
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		id := read(r)
+		_, _ = io.WriteString(c, answer(id, "of "+id))
+		if id = read(r); id != "" {
+			_, _ = io.WriteString(c, extra[:<-cut]+answer(id, "of "+id))
+		}
+		_, _ = r.ReadByte()
+	})
+	mine := func(id string) func(*http.Response, int) bool {
+		return func(res *http.Response, _ int) bool { return res.Header.Get("X-Id") == id }
+	}
+	for n := range len(extra) + 1 {
+		_, err := exchangeWithin(p, address, fmt.Sprint("before ", n), time.Second)
+		require.NoError(t, err)
+		cut <- n
+		id := fmt.Sprint("after ", n)
+		ans, err := p.Send(t.Context(), Exchange{Address: address, ID: id, Request: request(id), FirstByte: 20 * time.Millisecond, Mine: mine(id)})
+		if err != nil {
+			require.False(t, errors.Is(err, ErrNotSent))
+			continue
+		}
+		require.Equal(t, http.StatusOK, ans.Status, "%q", extra[:n])
+		require.Empty(t, ans.Header.Get("X-Refused"), "%q", extra[:n])
+		_ = ans.conn.raw.Close()
+	}
+}
+
 // Interim responses must not use up the number of stray answers after which an exchange fails.
 func TestAnswerAfterInterimResponsesAndStraysIsRead(t *testing.T) {
 	const interim = "HTTP/1.1 103 Early Hints\r\nX-Id: a\r\nLink: </x>\r\n\r\n"
