host, platform: a response to an HTTP/1.0 caller is reset when its host ends

An HTTP/1.0 caller got a short stream that ended as complete when its host was killed, or its grace was over. Such a response has neither a length nor chunks and ends with its connection, and the kernel ends the connections of a process with FIN. Only responses that the host itself broke off were reset.

From its head to its end such a response now has the linger time zero, so that any close resets the connection, also that by the kernel; a complete response sets it back before the connection ends. HTTP/1.1 callers get a length or chunks and showed no short response.

--- a/host/connections_test.go
+++ b/host/connections_test.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 	"github.com/comfreyspindle/comfreyspindle/route"
 )
 
@@ -200,3 +201,41 @@
 		})
 	}
 }
+
+// The kernel ends the connections of a process in order, which completes the response.
+func TestStreamToHTTP10CallerEndsAsCompleteWithItsHost(t *testing.T) {
+	f := newFleet(t, 50*time.Millisecond)
+	a := f.start("a")
+	conn, err := net.Dial("tcp", a.settings.Callers)
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+	_, err = io.WriteString(conn, "POST /s/x HTTP/1.0\r\nHost: "+platformtest.Host+"\r\n\r\n")
+	require.NoError(t, err)
+	r := bufio.NewReader(conn)
+	res, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = res.Body.Read(make([]byte, 1))
+	require.NoError(t, err)
+	f.kill("a")
+	_, err = io.Copy(io.Discard, res.Body)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+func TestWholeStreamToHTTP10CallerIsReset(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	a := f.start("a")
+	for range 20 {
+		conn, err := net.Dial("tcp", a.settings.Callers)
+		require.NoError(t, err)
+		require.NoError(t, conn.SetDeadline(time.Now().Add(testTimeout)))
+		_, err = io.WriteString(conn, "POST /s/x HTTP/1.0\r\nHost: "+platformtest.Host+"\r\n\r\n")
+		require.NoError(t, err)
+		res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(res.Body)
+		require.NoError(t, err)
+		require.Equal(t, completeStream(), string(body))
+		_ = conn.Close()
+	}
+}
--- a/host/listener.go
+++ b/host/listener.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/thejerf/suture/v4"
+
+	"github.com/comfreyspindle/comfreyspindle/platform"
 )
 
 // listener is an HTTP server and the listener on its address.
@@ -38,6 +40,6 @@
 	return &listener{
 		name:   name,
 		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout},
-		server: &http.Server{Handler: handler, ConnState: trackState},
+		server: &http.Server{Handler: handler, ConnState: trackState, ConnContext: platform.ConnContext},
 	}, nil
 }
