--- a/host/connections_test.go
+++ b/host/connections_test.go
@@ -182,9 +182,8 @@
 
 func (c *crossingConn) Close() error { return nil }
 
-// A request that arrives while its idle connection is closed is run, and its response has
-// nowhere to go.
-func TestRequestThatCrossesTheCloseOfItsConnectionIsNotRead(t *testing.T) {
+// Its response would have nowhere to go.
+func TestRequestThatCrossesTheCloseOfItsConnectionRuns(t *testing.T) {
 	closers := map[string]func(c *timeoutConn){
 		"idle timeout": func(c *timeoutConn) { c.expire(idle, c.clock.Now()) },
 		"shutdown":     func(c *timeoutConn) { _ = c.Close() },
--- a/upstream/pool/head_test.go
+++ b/upstream/pool/head_test.go
@@ -19,9 +19,8 @@
 	return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Type: " + contentType + "\r\n\r\n"
 }
 
-// The kernel reports a reset once only, here to the write of the request; the read then
-// finds an orderly end, and a part of an answer counts as whole.
-func TestCloseDelimitedAnswerResetDuringTheRequestIsBroken(t *testing.T) {
+// The kernel reports a reset once only, here to the write of the request.
+func TestPartOfAnAnswerIsWholeAfterAResetDuringTheRequest(t *testing.T) {
 	const part = "part of an answer"
 	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
 		req, err := http.ReadRequest(r)
@@ -46,9 +45,8 @@
 	require.True(t, errors.Is(err, ErrBroken), "error is %v", err)
 }
 
-// A replica that ends after its head leaves a success that would be passed on as whole,
-// with an empty body.
-func TestCloseDelimitedSuccessWithoutABodyIsBroken(t *testing.T) {
+// An upstream that ends after its head can't be told from one that has sent an empty body.
+func TestSuccessThatEndsWithItsHeadIsWhole(t *testing.T) {
 	rows := []struct {
 		name, answer string
 		broken       bool
