jobs: an output that is not UTF-8 doesn't make its chunk of results unreadable

A result whose output holds a byte that is no UTF-8 was listed by the owner of its job and could not be read anywhere else: hosts that read the results from the store answered 503, and no host could take the job over, for all results of that chunk. CBOR text was written as it came and refused when it was read back.

The new test on the code before:

--- FAIL: TestRecordedOutputThatIsNotUTF8CannotBeRead decode results 0 of job j: cbor: invalid UTF-8 string

Results are now read back as they were recorded, so a position has the same content at all hosts. In the JSON for callers such bytes become U+FFFD, as they did before at the owner. That a replica sent such bytes was not seen.

--- a/jobs/read.go
+++ b/jobs/read.go
@@ -180,9 +180,20 @@
 	return decodeResults(found.Value, id, n)
 }
 
+// resultDecoding accepts any bytes in strings: outputs are recorded as replicas sent them,
+// and one that is not UTF-8 must not make the other results of its chunk unreadable.
+var resultDecoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
 func decodeResults(value []byte, id string, n int) ([]Result, error) {
 	var chunk []Result
-	return chunk, errors.Wrapf(cbor.Unmarshal(value, &chunk), "decode results %d of job %s", n, id)
+	err := resultDecoding.Unmarshal(value, &chunk)
+	return chunk, errors.Wrapf(err, "decode results %d of job %s", n, id)
 }
 
 // Body returns the request body of an item.
--- a/jobs/record_test.go
+++ b/jobs/record_test.go
@@ -86,3 +86,13 @@
 	s.Items[1].Tokens = 0
 	require.NoError(t, c.hosts["a"].Submit(t.Context(), s))
 }
+
+// Replicas may send bytes that are no UTF-8, which are recorded as they are.
+func TestRecordedOutputThatIsNotUTF8CannotBeRead(t *testing.T) {
+	want := []Result{{ID: "a", Done: true, Output: "x\xff\xc3"}, {ID: "b"}}
+	value, err := cbor.Marshal(want)
+	require.NoError(t, err)
+	got, err := decodeResults(value, "j", 0)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
