pool: a 205 without a body is complete

The check of a success that ends with its head took a close-delimited 205, which has no body, for broken off. The new row of its test on the code before:

--- FAIL: TestSuccessThatEndsWithItsHeadIsWhole/status_whose_body_is_empty

--- a/upstream/pool/head.go
+++ b/upstream/pool/head.go
@@ -28,14 +28,15 @@
 		body.endErr = errors.WithSecondaryError(errResetDuringRequest, writeErr)
 	}
 	// An event stream that is resumed after its last event has no further one.
-	if isSuccess(res.StatusCode) && !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+	if hasBody(res.StatusCode) && !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
 		body.emptyErr = errNoBody
 	}
 	return body
 }
 
-func isSuccess(status int) bool {
-	return status >= http.StatusOK && status < http.StatusMultipleChoices
+// hasBody reports whether a status is that of a success that may have a body.
+func hasBody(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices && status != http.StatusResetContent
 }
 
 // closeDelimitedBody is a body that ends with its connection.
--- a/upstream/pool/head_test.go
+++ b/upstream/pool/head_test.go
@@ -58,6 +58,7 @@
 		{"length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n", false},
 		{"chunked", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
 		{"status without a body", "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n", false},
+		{"status whose body is empty", "HTTP/1.1 205 Reset Content\r\nX-Id: a\r\n\r\n", false},
 		{"failure", "HTTP/1.1 422 Unprocessable Entity\r\nX-Id: a\r\n\r\n", false},
 	}
 	for _, row := range rows {
