forward, jobs: one function tells event streams by their media type

Both packages had one of their own; that of forward is exported. Parameters that can't be decoded don't matter any more for items. Measured: go test -race ./forward ./jobs passes.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -102,7 +102,7 @@
 		s.discard(res)
 		return slots.Errored, errReplicaFailed
 	}
-	if res.Status == http.StatusOK && isEventStream(res.Header) {
+	if res.Status == http.StatusOK && IsEventStream(res.Header) {
 		return s.relayEventStream(res)
 	}
 	if s.begun || s.askedAfter != "" && isSuccess(res.Status) {
@@ -127,8 +127,8 @@
 	return slots.Done
 }
 
-// isEventStream reports whether a response is an event stream by its media type.
-func isEventStream(h http.Header) bool {
+// IsEventStream reports whether a response is an event stream by its media type.
+func IsEventStream(h http.Header) bool {
 	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
 	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -302,6 +302,6 @@
 		"text/event-stream": true, "Text/Event-Stream": true, "text/event-stream;charset=utf-8": true, "text/event-stream ; charset": true,
 		"text/event-streaming": false, "text/plain": false, "": false,
 	} {
-		require.Equal(t, want, isEventStream(http.Header{"Content-Type": {value}}), "%q", value)
+		require.Equal(t, want, IsEventStream(http.Header{"Content-Type": {value}}), "%q", value)
 	}
 }
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -327,25 +326,13 @@
 		return endFailed, slots.Unused, nil
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
-	case !isEventStream(ans.Header):
-		return endBroken, slots.Failed, errors.Newf("content type is %q, not %s", ans.Header.Get(headerContentType), eventStreamType)
+	case !forward.IsEventStream(ans.Header):
+		return endBroken, slots.Failed, errors.Newf("content type is %q, not that of an event stream", ans.Header.Get("Content-Type"))
 	}
 	defer func() { g.Run = timer.Run() }()
 	return m.readEvents(ans, it, timer, seen)
 }
 
-// The header with the media type of a response, and the type of an event stream.
-const (
-	headerContentType = "Content-Type"
-	eventStreamType   = "text/event-stream"
-)
-
-// isEventStream reports whether a response is an event stream by its media type.
-func isEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get(headerContentType))
-	return err == nil && mediaType == eventStreamType
-}
-
 // hasCustomers reports whether the configuration in force has customers.
 func (m *Manager) hasCustomers() bool { return m.Table().HasCustomers() }
 
