jobs: a run whose response ends with its connection is reported as ended

A replica's process that is killed while it runs items with close-delimited responses ends their connections in order, and the broker was told "done", so that this was no sign of the crash. Online requests report "ended" for it, upon which the broker probes the replica. By reading; that callers saw anything of it is not shown. Evidence, the new test on the code before: TestEndOfAConnectionIsReportedToTheBroker/close-delimited expected: 0x7 (ended), actual: 0x0 (done) Change: jobs reports the same. A release without a content makes no request a suspect of the crash. Measured: go test -race of the tests of jobs about runs, and TestItemOutput, TestPartThatCrashesReplicasBetween and TestStreamsAndJobs of host pass.

--- a/jobs/framing_test.go
+++ b/jobs/framing_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/slots"
 	"github.com/comfreyspindle/comfreyspindle/upstream/pool"
 )
 
@@ -175,3 +176,25 @@
 	require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("a", 0))
 	require.Equal(t, []string{"", "", "3"}, replica.asked)
 }
+
+// The crash of a replica ends a close-delimited response in order too: the broker is to look
+// whether the replica is still there.
+func TestEndOfAConnectionIsReportedToTheBroker(t *testing.T) {
+	rows := map[string]struct {
+		answer  func(int) string
+		outcome slots.Outcome
+	}{
+		"close-delimited": {closeDelimitedUpTo(2), slots.Ended},
+		"with a length":   {withLengthUpTo(3), slots.Done},
+		"in chunks":       {chunkedUpTo(3, false), slots.Done},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a")
+			a := c.hosts["a"]
+			a.Upstream = newTCPReplica(t, []func(int) string{row.answer})
+			require.NoError(t, a.Submit(t.Context(), submission(1)))
+			require.Equal(t, row.outcome, a.grantSlot())
+		})
+	}
+}
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -372,7 +372,8 @@
 			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
-			return m.endOfEvents(ans.Framing, it, &events), slots.Done, nil
+			end, outcome := m.endOfEvents(ans.Framing, it, &events)
+			return end, outcome, nil
 		}
 		if err != nil {
 			return endBroken, outcomeOf(err), err
@@ -380,19 +381,20 @@
 	}
 }
 
-// endOfEvents returns how a run ended whose events ended in order. A close-delimited
-// response ends so too when its replica's process is killed between two events: the output
-// is complete once a second response ends after the same event, without another one.
-func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) runEnd {
+// endOfEvents returns how a run ended whose events ended in order, and the outcome to
+// report. A close-delimited response ends so too when its replica's process is killed
+// between two events: the output is complete once a second response ends after the same
+// event, without another one.
+func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) (runEnd, slots.Outcome) {
 	if framing != pool.FramingClose {
-		return endDone
+		return endDone, slots.Done
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
-		return endDone
+		return endDone, slots.Ended
 	}
-	return endUnconfirmed
+	return endUnconfirmed, slots.Ended
 }
 
 // outputSize returns the size of an output with the data of these events.
