--- a/jobs/run.go
+++ b/jobs/run.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"strings"
 	"time"
@@ -327,25 +326,13 @@
 		return endFailed, slots.Unused, nil
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
-	case !isEventStream(ans.Header):
-		return endBroken, slots.Failed, errors.Newf("content type is %q, not %s", ans.Header.Get(headerContentType), eventStreamType)
+	case !forward.IsEventStream(ans.Header):
+		return endBroken, slots.Failed, errors.Newf("content type is %q, not that of an event stream", ans.Header.Get("Content-Type"))
 	}
 	defer func() { g.Run = timer.Run() }()
 	return m.readEvents(ans, it, timer, seen)
 }
 
-// The header with the media type of a response, and the type of an event stream.
-const (
-	headerContentType = "Content-Type"
-	eventStreamType   = "text/event-stream"
-)
-
-// isEventStream reports whether a response is an event stream by its media type.
-func isEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get(headerContentType))
-	return err == nil && mediaType == eventStreamType
-}
-
 // hasCustomers reports whether the configuration in force has customers.
 func (m *Manager) hasCustomers() bool { return m.Table().HasCustomers() }
 
@@ -385,7 +372,8 @@
 			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
-			return m.endOfEvents(ans.Framing, it, &events), slots.Done, nil
+			end, outcome := m.endOfEvents(ans.Framing, it, &events)
+			return end, outcome, nil
 		}
 		if err != nil {
 			return endBroken, outcomeOf(err), err
@@ -393,19 +381,20 @@
 	}
 }
 
-// endOfEvents returns how a run ended whose events ended in order. A close-delimited
-// response ends so too when its replica's process is killed between two events: the output
-// is complete once a second response ends after the same event, without another one.
-func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) runEnd {
+// endOfEvents returns how a run ended whose events ended in order, and the outcome to
+// report. A close-delimited response ends so too when its replica's process is killed
+// between two events: the output is complete once a second response ends after the same
+// event, without another one.
+func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) (runEnd, slots.Outcome) {
 	if framing != pool.FramingClose {
-		return endDone
+		return endDone, slots.Done
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
-		return endDone
+		return endDone, slots.Ended
 	}
-	return endUnconfirmed
+	return endUnconfirmed, slots.Ended
 }
 
 // outputSize returns the size of an output with the data of these events.
