--- a/forward/relay.go
+++ b/forward/relay.go
@@ -301,11 +301,11 @@
 }
 
 // confirmsEnd reports whether the present body, which is close-delimited and has ended,
-// confirms the end of the stream: an earlier one ended after the same event, and this one
+// confirms the end of the stream: an earlier one ended after the same event, so this one
 // brought none. A replica that fails twice at just this event is not told from a stream
 // that is complete.
 func (s *requestState) confirmsEnd() bool {
-	return s.events.FirstID == "" && s.endedAfter != "" && s.endedAfter == s.lastEventID()
+	return s.endedAfter != "" && s.endedAfter == s.lastEventID()
 }
 
 func (s *requestState) writeToCaller(res *Response, p []byte) error {
