soak: the numbers of a page of results are checked

The soak checked the results on a page and not what it states of them: total, and the number up to its end, which may not go back. Both are now checked at each read.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -256,12 +256,12 @@
 }
 
 func (c *callers) readOnce(caller *platformtest.Caller, h *Host, id string, after int) int {
-	a, err := caller.ResultsAfter(h.Address, id, after)
+	page, err := caller.PageAfter(h.Address, id, after)
 	if platformtest.NotFound(err) {
 		c.ledger.violate("job %s: %s answered 404 after it was accepted", id, h.Name)
 	}
 	if err != nil {
 		return 0
 	}
-	return c.ledger.read(id, after, a, h.Name)
+	return c.ledger.read(id, after, page, h.Name)
 }
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -181,13 +181,17 @@
 	}
 }
 
-// read notes results of a job from a position on and checks that each position
-// keeps its result. It returns the number of positions that are known.
-func (l *Ledger) read(id string, after int, results []platformtest.Result, host string) int {
+// read notes a page of a job's results from a position on and checks that its numbers are
+// right and that each position keeps its result. It returns the number of positions that
+// are known.
+func (l *Ledger) read(id string, after int, page platformtest.Page, host string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	j := l.jobs[id]
-	for i, r := range results {
+	if page.Total != j.items || page.NextToken != after+len(page.Results) {
+		l.violations = append(l.violations, fmt.Sprintf("job %s: %s states %d items of %d, and %d results up to the end of %d after %d", id, host, page.Total, j.items, page.NextToken, len(page.Results), after))
+	}
+	for i, r := range page.Results {
 		at := after + i
 		switch {
 		case at < len(j.results) && j.results[at] != r:
