--- a/forward/events.go
+++ b/forward/events.go
@@ -188,25 +188,36 @@
 		}
 		return nil
 	}
-	last, known := e.previous()
-	if known && (n <= last || e.IDs == ConsecutiveIDs && n != last+1) {
-		return errors.Wrapf(errEventID, "id %d after %d", n, last)
+	if !e.follows(n) {
+		return errors.Wrapf(errEventID, "id %d after %q", n, e.previousID())
 	}
 	e.last, e.numbered = n, true
 	return nil
 }
 
-// previous returns the number of the event before the next one. It returns false if
-// that is not known.
-func (e *EventParser) previous() (uint64, bool) {
-	if e.numbered || e.IDs != ConsecutiveIDs {
-		return e.last, e.numbered
+// follows reports whether the number of an event may follow what came before. A stream
+// begins with the number 0 or 1.
+func (e *EventParser) follows(n uint64) bool {
+	switch {
+	case e.numbered && e.IDs == ConsecutiveIDs:
+		return n == e.last+1
+	case e.numbered:
+		return n > e.last
+	case e.IDs != ConsecutiveIDs:
+		return true
+	case e.After == "":
+		return n <= 1
 	}
-	if e.After == "" {
-		return 0, true
+	after, err := strconv.ParseUint(e.After, 10, 64)
+	return err != nil || n == after+1
+}
+
+// previousID returns the id of the event before the next one; empty is the beginning.
+func (e *EventParser) previousID() string {
+	if e.numbered {
+		return strconv.FormatUint(e.last, 10)
 	}
-	n, err := strconv.ParseUint(e.After, 10, 64)
-	return n, err == nil
+	return e.After
 }
 
 // block is what the lines between two blank lines hold.
