pool: an answer that has arrived isn't taken for silence

An attempt could be given up, and the request sent to another replica, though its response was there. Cause: the wait for the first byte ends by a timer. After it, the exchange looked for 10 ms whether the goroutine that reads had found something; on a busy host that goroutine runs later than that. Evidence on: TestAnswerThatHasArrivedIsNotSilence "no answer in 1ms" with a byte in the kernel's buffer. A give-up of this kind was not seen in a deployment. Change: if the kernel has received something when the time is up, the exchange waits up to 500 ms for the goroutine. The wait of a silent upstream is as before. Measured: go test -race ./upstream/pool ./platform passes.

--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -30,10 +30,9 @@
 	keepAlivePeriod = 2 * time.Second
 	// writeTimeout bounds the write of one request.
 	writeTimeout = 2 * time.Second
-	// earlyAnswerTimeout bounds the wait for an answer after the write of its request has
-	// failed. What arrived before a reset is there at once, but on a busy host the goroutine
-	// that reads it ran up to 160 ms later.
-	earlyAnswerTimeout = 500 * time.Millisecond
+	// wakeTimeout bounds the wait for the goroutine that reads what the kernel has received.
+	// On a busy host it ran up to 160 ms later.
+	wakeTimeout = 500 * time.Millisecond
 	// defaultIdle is how long an idle connection is used when the upstream
 	// doesn't say how long it keeps it.
 	defaultIdle = 30 * time.Second
@@ -227,7 +226,7 @@
 	if writeErr == nil {
 		return c.awaitFirst(x)
 	}
-	if !c.written.Load() || c.first(earlyAnswerTimeout) != nil {
+	if !c.written.Load() || c.first(wakeTimeout) != nil {
 		return errors.Mark(errors.Wrap(writeErr, "write request"), ErrBroken)
 	}
 	return nil
@@ -339,10 +338,14 @@
 		return c.ended(err)
 	case <-expired:
 	}
+	last := recheck
+	if !c.quiet() {
+		last = wakeTimeout
+	}
 	select {
 	case err := <-c.arrived:
 		return c.ended(err)
-	case <-time.After(recheck):
+	case <-time.After(last):
 		return errors.Mark(errors.Newf("no answer in %v", timeout), ErrSilent)
 	}
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -230,6 +230,21 @@
 	}
 }
 
+// An answer that the kernel has received must not be given up because the goroutine that reads it has not run.
+func TestAnswerThatHasArrivedIsNotSilence(t *testing.T) {
+	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+		_, _ = io.WriteString(c, "H")
+		_, _ = r.ReadByte()
+	})
+	c, err := dial(t.Context(), address, time.Second)
+	require.NoError(t, err)
+	defer func() { _ = c.raw.Close() }()
+	c.arrived = make(chan error, 1)
+	time.Sleep(20 * time.Millisecond)
+	time.AfterFunc(5*recheck, func() { c.arrived <- nil })
+	require.NoError(t, c.first(time.Millisecond))
+}
+
 // Each row is a way in which an exchange fails, with what must be known of it.
 func TestFailures(t *testing.T) {
 	rows := []struct {
