jobs: progress of an older build counts only if it is an output's beginning

A host takes over the events that a stopping host has received of an item. Builds before did not check the ids of events, so that theirs may hold events twice, lack some, or have none with an id. With an empty id the next run began at the start and its output was appended; otherwise it went on after an output that was wrong already. This acts while hosts are replaced one by one. By reading; that callers saw it is not shown. Otherwise the item begins again; its failed runs count as before. Events without data fail the test too, which costs a run.

--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -227,3 +227,29 @@
 	b.grantOn(t, "svc", "v1")
 	require.Equal(t, "2", b.replicas.sent[0].LastEventID)
 }
+
+// Guards against an output in which events stand twice, or are missing, since a host of an
+// older build handed over events that it had not checked.
+func TestProgressThatIsNotTheBeginningOfAnOutputIsDiscarded(t *testing.T) {
+	rows := map[string]Progress{
+		"no id":         {Texts: []string{"e1"}},
+		"no number":     {Texts: []string{"e1"}, LastID: "x"},
+		"event twice":   {Texts: []string{"e1", "e2", "e2"}, LastID: "1"},
+		"event missing": {Texts: []string{"e2"}, LastID: "2"},
+		"no event":      {LastID: "2"},
+	}
+	for name, p := range rows {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a", "b")
+			require.NoError(t, c.hosts["a"].Submit(t.Context(), submission(1)))
+			b := c.hosts["b"]
+			p.Item, p.SoftwareVersion, p.Failures = "i0", "v1", 1
+			require.NoError(t, b.Peer().Adopt(AdoptArgs{ID: "job", From: "a", Progress: []Progress{p}}, new(None)))
+			require.Equal(t, 1, b.jobs["job"].items[0].failures)
+			b.grantOn(t, "svc", "v1")
+			b.flushNow(t)
+			require.Empty(t, b.replicas.sent[0].LastEventID)
+			require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("b", 0))
+		})
+	}
+}
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -329,15 +330,27 @@
 func (j *job) restoreProgress(progress []Progress) {
 	for _, p := range progress {
 		i := slices.IndexFunc(j.items, func(it *item) bool { return it.ID == p.Item })
-		if i >= 0 {
-			j.items[i].eventData, j.items[i].lastEventID = p.Texts, p.LastID
-			j.items[i].service, j.items[i].softwareVersion = p.Service, p.SoftwareVersion
-			j.items[i].failures, j.items[i].ran = p.Failures, p.Ran
-			j.items[i].eventBytes = outputSize(p.Texts)
+		if i < 0 {
+			continue
+		}
+		it := j.items[i]
+		it.failures = p.Failures
+		if p.isBeginning() {
+			it.eventData, it.lastEventID, it.ran = p.Texts, p.LastID, p.Ran
+			it.service, it.softwareVersion = p.Service, p.SoftwareVersion
+			it.eventBytes = outputSize(p.Texts)
 		}
 	}
 }
 
+// isBeginning reports whether the number of events agrees with the id of the last one, if the
+// first has the number 0 or 1. Hosts of older builds hand over events that they did not check.
+// An output with events without data is not told from one that lacks events.
+func (p *Progress) isBeginning() bool {
+	last, err := strconv.Atoi(p.LastID)
+	return err == nil && len(p.Texts) > 0 && (last == len(p.Texts) || last == len(p.Texts)-1)
+}
+
 // HandOver cancels all runs, records all results and offers the open jobs to other
 // hosts. It is called when this host stops.
 func (m *Manager) HandOver(ctx context.Context) {
