forward: no event follows the largest number

A caller that resumes after event could have got event 0 as the next one, by overflow. Found in the review by reading. Change: the difference is compared.

--- a/forward/events.go
+++ b/forward/events.go
@@ -209,7 +209,7 @@
 		return n <= 1
 	}
 	after, err := strconv.ParseUint(e.After, 10, 64)
-	return err != nil || n == after+1
+	return err != nil || n > after && n-after == 1
 }
 
 // previousID returns the id of the event before the next one; empty is the beginning.
