pool: one function tells event streams by their media type

The pool compared the content type by its beginning, forward and jobs by media type: an empty close-delimited rest of type "Text/Event-Stream" was broken off in place of confirming the end. Found in the review; the new row of TestSuccessThatEndsWithItsHeadIsWhole fails without it. Change: IsEventStream moves from forward to pool, which all three use. Measured: go test ./forward ./upstream/pool passes.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"time"
 
@@ -102,7 +101,7 @@
 		s.discard(res)
 		return slots.Errored, errReplicaFailed
 	}
-	if res.Status == http.StatusOK && IsEventStream(res.Header) {
+	if res.Status == http.StatusOK && pool.IsEventStream(res.Header) {
 		return s.relayEventStream(res)
 	}
 	if s.begun || s.askedAfter != "" && isSuccess(res.Status) {
@@ -127,12 +126,6 @@
 	return slots.Done
 }
 
-// IsEventStream reports whether a response is an event stream by its media type.
-func IsEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
-	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
-}
-
 // relayBody relays a response that is no event stream. The first part of it is
 // buffered, so that the request can be retried if the response breaks off there.
 func (s *requestState) relayBody(res *Response) (slots.Outcome, error) {
--- a/forward/rest_test.go
+++ b/forward/rest_test.go
@@ -128,6 +128,7 @@
 		{"7", "8", true},
 		{"7", "7", false},
 		{"7", "9", false},
+		{"18446744073709551615", "0", false},
 		{"7", "1", false},
 		{"x", "5", true},
 		{"7", "x", false},
@@ -302,6 +303,6 @@
 		"text/event-stream": true, "Text/Event-Stream": true, "text/event-stream;charset=utf-8": true, "text/event-stream ; charset": true,
 		"text/event-streaming": false, "text/plain": false, "": false,
 	} {
-		require.Equal(t, want, IsEventStream(http.Header{"Content-Type": {value}}), "%q", value)
+		require.Equal(t, want, pool.IsEventStream(http.Header{"Content-Type": {value}}), "%q", value)
 	}
 }
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -326,7 +326,7 @@
 		return endFailed, slots.Unused, nil
 	case ans.Status != http.StatusOK:
 		return endBroken, slots.Done, errors.Newf("replica responded with status %d", ans.Status)
-	case !forward.IsEventStream(ans.Header):
+	case !pool.IsEventStream(ans.Header):
 		return endBroken, slots.Failed, errors.Newf("content type is %q, not that of an event stream", ans.Header.Get("Content-Type"))
 	}
 	defer func() { g.Run = timer.Run() }()
--- a/upstream/pool/head.go
+++ b/upstream/pool/head.go
@@ -2,8 +2,8 @@
 
 import (
 	"io"
+	"mime"
 	"net/http"
-	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -28,12 +28,18 @@
 		body.endErr = errors.WithSecondaryError(errResetDuringRequest, writeErr)
 	}
 	// An event stream that is resumed after its last event has no further one.
-	if hasBody(res.StatusCode) && !strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream") {
+	if hasBody(res.StatusCode) && !IsEventStream(res.Header) {
 		body.emptyErr = errNoBody
 	}
 	return body
 }
 
+// IsEventStream reports whether a response is an event stream by its media type.
+func IsEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == "text/event-stream" && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
 // hasBody reports whether a status is that of a success that may have a body.
 func hasBody(status int) bool {
 	return status >= http.StatusOK && status < http.StatusMultipleChoices && status != http.StatusResetContent
--- a/upstream/pool/head_test.go
+++ b/upstream/pool/head_test.go
@@ -55,6 +55,7 @@
 		{"close-delimited, HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Id: a\r\n\r\n", true},
 		{"close-delimited with a body", closeDelimited("a", "application/json") + "x", false},
 		{"event stream, which may be resumed after its last event", closeDelimited("a", "text/event-stream"), false},
+		{"event stream, spelt otherwise", closeDelimited("a", "Text/Event-Stream; charset=utf-8"), false},
 		{"length", "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 0\r\n\r\n", false},
 		{"chunked", "HTTP/1.1 200 OK\r\nX-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", false},
 		{"status without a body", "HTTP/1.1 204 No Content\r\nX-Id: a\r\n\r\n", false},
