batch: the rest of an item's output is proven

An item that was preempted in mid-stream is sent again with its output so far. A replica that can't continue an answer ignores that field, begins again and doesn't set the header that says where its answer goes on. The batch runner read neither: the whole output was appended to the part, so that the result held the beginning twice. A stream that goes on elsewhere, and a rest that comes as JSON, were taken for complete as well.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -146,18 +148,33 @@
 	defer func() { _ = res.Body.Close() }()
 	o.load = loadFromHeader(res.Header)
 	o.leaving = res.Header.Get(upstream.HeaderLeaving) != ""
+	streamed = streamed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 	switch {
 	case res.Status >= http.StatusInternalServerError:
 		cause := &upstream.StatusError{Upstream: u.Name, Status: res.Status, Header: res.Header}
 		o.err = verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered with status %d.", u.Name, res.Status)
-	case streamed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
-		r.readStream(res, u, attempt, &o)
+	case streamed && res.Status == http.StatusOK && resumedAfter(res) == strconv.Itoa(attempt.Partial.Tokens):
+		r.readStream(res, u, attempt, attempt.Partial, &o)
+	case resumedAfter(res) != fromBeginning:
+		o.err = verdict.New(verdict.Ran, verdict.CodeIncomplete, "The answer of upstream %s goes on after %q tokens in place of %d.",
+			u.Name, resumedAfter(res), attempt.Partial.Tokens)
+	case streamed:
+		r.readStream(res, u, attempt, run.Partial{}, &o)
 	default:
 		r.readUnstreamed(res, u, attempt, &o)
 	}
 	return o
 }
 
+// fromBeginning is what resumedAfter returns for a whole response.
+const fromBeginning = "0"
+
+// resumedAfter returns the number of tokens after which a response states that it goes on. A
+// replica that ignores the output of an earlier attempt states nothing and begins again.
+func resumedAfter(res *upstream.Response) string {
+	return cmp.Or(res.Header.Get(upstream.HeaderResumed), fromBeginning)
+}
+
 // loadFromHeader returns the load report in a response header, or nil if there is
 // no valid one.
 func loadFromHeader(h http.Header) *upstream.Load {
@@ -210,11 +227,11 @@
 	usage        json.RawMessage
 }
 
-// readStream reads a streamed response. If the stream ends without the end
-// marker, it sets the error and the output so far.
-func (r *itemRunner) readStream(res *upstream.Response, u *service.Upstream, attempt *run.Attempt, o *outcome) {
-	a := &assembler{tokens: attempt.Partial.Tokens}
-	a.text.WriteString(attempt.Partial.Text)
+// readStream reads a streamed response that goes on after the given output. If the stream
+// ends without the end marker, it sets the error and the output so far.
+func (r *itemRunner) readStream(res *upstream.Response, u *service.Upstream, attempt *run.Attempt, after run.Partial, o *outcome) {
+	a := &assembler{tokens: after.Tokens}
+	a.text.WriteString(after.Text)
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, maxEventBytes)
 	for lines.Scan() {
--- a/batch/run/items.go
+++ b/batch/run/items.go
@@ -187,6 +187,10 @@
 	if v != verdict.NotRun {
 		w.countWasted(s, WasteItemFailed, 1)
 	}
+	if v == verdict.Ran {
+		// The answer can't be used, perhaps because of the output that it was to go on after.
+		delete(s.partials, attempt.Index)
+	}
 	s.queue = append(s.queue, attempt.Index)
 }
 
--- a/batch/run/worker_test.go
+++ b/batch/run/worker_test.go
@@ -390,3 +390,21 @@
 	_, _, failed := b.status(id).Counts()
 	require.Equal(t, 1, failed)
 }
+
+// Guards against an item that no replica can go on with and that fails at each try.
+func TestItemWhoseRestIsUnusableBeginsAgain(t *testing.T) {
+	b := newTestService(t)
+	b.accept(b.kv, 1)
+	w := b.worker("a", run.DefaultLimits())
+	b.announce(w)
+	b.step(w, 1)
+	partial := run.Partial{Text: "a", Tokens: 1}
+	w.Preempt(b.startItems(w, 1)[0], partial)
+	lost := b.startItems(w, 1)[0]
+	require.Equal(t, partial, lost.Partial)
+	w.Fail(lost, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "The replica was lost."))
+	unusable := b.startItems(w, 1)[0]
+	require.Equal(t, partial, unusable.Partial)
+	w.Fail(unusable, verdict.New(verdict.Ran, verdict.CodeIncomplete, "The answer goes on elsewhere."))
+	require.Zero(t, b.startItems(w, 1)[0].Partial)
+}
