batch: a stream that reports an error gives no result

An engine whose run fails in mid-stream sends an event with an error and then the end marker. The batch runner knew the marker only: the item was recorded as done with the part of the output that came before. It also passed over data that is no JSON, so that a stream that went on after a cut event lacked that event, and it did not read fields without a space after the colon, which online requests accept. By reading; that callers saw it is not shown. Evidence, the new tests on the code before: TestFailedStreamGivesNoResult/error_object, error_event, error_without_a_space, error_without_an_object, goes_on_after_a_cut Expected nil, but got: &store.Result{CustomID:"i", ...} TestFieldsOfEventsAreRead Received unexpected error: The answer of upstream u ended early. Change: an error or data that is no JSON ends the try as one that has run, which is no sign of a crashed replica and counts as a try. A line that the end of the connection cuts still counts as a lost connection. Measured: go test -race ./batch passes.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -234,20 +234,55 @@
 	a.text.WriteString(after.Text)
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, maxEventBytes)
+	err := a.addLines(lines)
+	o.partial = run.Partial{Text: a.text.String(), Tokens: a.tokens}
+	switch {
+	case err == nil:
+		o.result = a.buildResult(attempt, res.Status)
+	case errors.Is(err, errFailedStream):
+		o.err = verdict.Wrap(err, verdict.Ran, verdict.CodeUpstreamFailed, "The answer of upstream %s is not complete.", u.Name)
+	default:
+		o.err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer of upstream %s ended early.", u.Name)
+	}
+}
+
+// errFailedStream means that a stream reports an error or holds something other than events.
+var errFailedStream = errors.New("event stream failed")
+
+// addLines adds the events of a stream up to the end marker. A connection that ends within
+// a line leaves a part of it, which is no event.
+func (a *assembler) addLines(lines *bufio.Scanner) error {
 	for lines.Scan() {
-		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
-		if !ok {
-			continue
+		ended, err := a.addLine(lines.Bytes())
+		if ended {
+			return nil
 		}
-		if string(data) == endMarker {
-			o.result = a.buildResult(attempt, res.Status)
-			return
+		if err != nil && lines.Scan() {
+			return err
 		}
-		a.addEvent(data)
 	}
-	o.partial = run.Partial{Text: a.text.String(), Tokens: a.tokens}
-	cause := errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF)
-	o.err = verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer of upstream %s ended early.", u.Name)
+	return errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF)
+}
+
+// addLine adds one line of a stream. It reports whether that is the end marker.
+func (a *assembler) addLine(line []byte) (ended bool, _ error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch {
+	case string(name) == "event" && string(value) == "error":
+		return false, errors.Wrap(errFailedStream, "error event")
+	case string(name) != "data", len(value) == 0:
+		return false, nil
+	case string(value) == endMarker:
+		return true, nil
+	case !gjson.ValidBytes(value):
+		return false, errors.Wrap(errFailedStream, "data that is not JSON")
+	}
+	if failure := gjson.GetBytes(value, "error"); failure.Exists() && failure.Type != gjson.Null {
+		return false, errors.Wrapf(errFailedStream, "error %s", failure.Raw)
+	}
+	a.addEvent(value)
+	return false, nil
 }
 
 // addEvent adds the data of one event. Each event with text counts as one token.
--- a/batch/engine_test.go
+++ b/batch/engine_test.go
@@ -85,3 +85,40 @@
 		})
 	}
 }
+
+// Guards against a result with a part of the output, of a stream that reports an error or is
+// cut within an event.
+func TestFailedStreamGivesNoResult(t *testing.T) {
+	first := "data: {\"choices\":[{\"text\":\"a \"}]}\n\n"
+	end := "\n\ndata: [DONE]\n\n"
+	rows := map[string]struct {
+		body string
+		lost bool
+	}{
+		"cut between events":      {first, true},
+		"cut within an event":     {first + `data: {"choices":[{"text":"b`, true},
+		"goes on after a cut":     {first + `data: {"choices":[{"text":"b` + end, false},
+		"error object":            {first + `data: {"error":{"message":"out of memory"}}` + end, false},
+		"error event":             {first + "event: error\ndata: {}" + end, false},
+		"error without a space":   {first + `data:{"error":{"message":"out of memory"}}` + end, false},
+		"error without an object": {first + `data: {"error":"out of memory"}` + end, false},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			o := runItem(t, run.Partial{}, answerOf("text/event-stream", "", row.body))
+			require.Nil(t, o.result)
+			require.Error(t, o.err)
+			require.Equal(t, run.Partial{Text: "a ", Tokens: 1}, o.partial)
+			require.Equal(t, row.lost, o.replicaFailed)
+		})
+	}
+}
+
+// Guards against an output without the events of a replica that writes no space after the
+// name of a field, or other fields than data.
+func TestFieldsOfEventsAreRead(t *testing.T) {
+	body := ": comment\n\nevent: message\ndata:{\"error\":null,\"choices\":[{\"text\":\"a\"}]}\n\ndata:\n\ndata:[DONE]\n\n"
+	o := runItem(t, run.Partial{}, answerOf("text/event-stream", "", body))
+	require.NoError(t, o.err)
+	require.Equal(t, "a", gjson.GetBytes(o.result.Response.Body, "choices.0.text").String())
+}
