online: a response with tool calls beside text can't be resumed

A stream whose events hold tool calls, a function call or reasoning can't be resumed, since the text alone is sent to the next upstream. That was noticed only in events without text. After an event with both the stream was resumed, and the caller got tool calls or reasoning of two runs. By reading; that callers saw it is not shown. Evidence, new rows of the test on the code before: TestResponseWithToolCallsCannotBeResumed {"choices":[{"delta":{"content":"b","tool_calls":[{"index":0}]}}]} expected: false, actual: true Change: each event is searched for these fields first; one that is there and not empty disables resuming. Engines that write them empty in each event, and a text that holds their names, stay resumable, as the other new rows show. Measured: go test -race ./online -run 'TestResponseWithTool|FuzzEventScanner' passes.

--- a/online/stream_test.go
+++ b/online/stream_test.go
@@ -60,6 +60,12 @@
 		`{"choices":[{"delta":{"tool_calls":[{"index":0}]}}]}`:                false,
 		`{"choices":[{"delta":{"content":null,"tool_calls":[{"index":0}]}}]}`: false,
 		`{"choices":[{"delta":{"content":"","reasoning_content":"so"}}]}`:     false,
+		// Events with a text as well.
+		`{"choices":[{"delta":{"content":"b","tool_calls":[{"index":0}]}}]}`:               false,
+		`{"choices":[{"delta":{"content":"b","reasoning_content":"so"}}]}`:                 false,
+		`{"choices":[{"delta":{"content":"\n","tool_calls":[{"index":0}]}}]}`:              false,
+		`{"choices":[{"delta":{"content":"b","tool_calls":[],"reasoning_content":null}}]}`: true,
+		`{"choices":[{"delta":{"content":"say \"tool_calls\" or \"reasoning"}}]}`:          true,
 	}
 	for event, resumable := range rows {
 		var delivered transcript
--- a/online/transcript.go
+++ b/online/transcript.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -29,8 +30,10 @@
 	textField    = []byte(`"text":"`)
 )
 
-// add records the data of one event.
+// add records the data of one event. A response with output other than text can't be
+// resumed.
 func (t *transcript) add(data []byte) {
+	t.resumeDisabled = t.resumeDisabled || hasOtherOutput(data)
 	if t.resumeDisabled {
 		if hasText(data) {
 			t.tokens++
@@ -64,20 +67,39 @@
 	return bytes.Contains(data, contentField) || bytes.Contains(data, textField)
 }
 
+// otherOutputFields begin the names of the fields of an event with output other than text,
+// as JSON.
+var otherOutputFields = [][]byte{[]byte(`"tool_calls"`), []byte(`"function_call"`), []byte(`"reasoning`)}
+
+func hasOtherOutputField(data []byte) bool {
+	return slices.ContainsFunc(otherOutputFields, func(field []byte) bool { return bytes.Contains(data, field) })
+}
+
+// hasOtherOutput reports whether an event holds tool calls or reasoning, with or without
+// text. Engines write these fields empty as well.
+func hasOtherOutput(data []byte) bool {
+	if !hasOtherOutputField(data) {
+		return false
+	}
+	found := false
+	gjson.GetBytes(data, "choices.0.delta").ForEach(func(name, value gjson.Result) bool {
+		empty := value.Type == gjson.Null || value.Raw == `""` || value.IsArray() && len(value.Array()) == 0
+		found = !empty && hasOtherOutputField([]byte(name.Raw))
+		return !found
+	})
+	return found
+}
+
 // addParsed records an event that holds no text field in the form in which
-// engines usually write it. A response with tool calls or reasoning can't be
-// resumed.
+// engines usually write it. One that holds no text but another field of output
+// can't be resumed.
 func (t *transcript) addParsed(data []byte) {
 	if text := eventText(data); text != "" {
 		t.tokens++
 		t.text = append(t.text, text...)
 		return
 	}
-	for _, field := range []string{`"tool_calls"`, `"function_call"`, `"reasoning`} {
-		if bytes.Contains(data, []byte(field)) {
-			t.resumeDisabled = true
-		}
-	}
+	t.resumeDisabled = hasOtherOutputField(data)
 }
 
 func eventText(data []byte) string {
