online: the rest of a stream is an event stream

A resumed response that states the right position, but is no event stream, was sent as a whole after the events that the caller had: status, headers and a JSON body at the place of the rest, and the request ended as answered. By reading; that callers saw it is not shown. Evidence, the new test on the code before: TestRestOfAStreamIsAnEventStream An error is expected but got nil. Change: the check of a resumed response covers its content type. It fails like a response that goes on elsewhere: the caller gets an error event. Measured: go test -race ./online passes.

--- a/online/online_test.go
+++ b/online/online_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -584,3 +585,26 @@
 	require.GreaterOrEqual(t, acc.available, int64(0))
 	require.Equal(t, acc.spent, r.totalCost(accounting.CrossRegionBytes))
 }
+
+// Guards against a response that is no event stream at the place of the rest of a stream.
+func TestRestOfAStreamIsAnEventStream(t *testing.T) {
+	rest := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderResumed, "1")
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"choices":[{"message":{"content":"b"}}]}`)
+	}
+	var calls atomic.Int32
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			rest(w, r)
+			return
+		}
+		streamOf(event("REQUEST", "a"))(w, r)
+	})
+	r := newTestRunner(t, address, address)
+	out := &recordingSink{}
+	require.Error(t, r.Run(t.Context(), r.request(true, "p", 2), out))
+	require.EqualValues(t, 2, calls.Load())
+	require.Equal(t, "a", out.text())
+	require.NotContains(t, out.String(), "message\":{\"content")
+}
--- a/online/response.go
+++ b/online/response.go
@@ -35,10 +35,11 @@
 		return verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed,
 			"Upstream %s answered with status %d.", name, res.Status)
 	}
-	if err := s.checkResumed(res, name); err != nil {
+	isEventStream := strings.HasPrefix(res.Header.Get("Content-Type"), contentTypeEventStream)
+	if err := s.checkResumed(res, isEventStream, name); err != nil {
 		return err
 	}
-	if !strings.HasPrefix(res.Header.Get("Content-Type"), contentTypeEventStream) {
+	if !isEventStream {
 		return s.relayBuffered(res, name, onFirstToken)
 	}
 	if s.req.Doc.Kind == service.KindPlain {
@@ -47,13 +48,13 @@
 	return s.relayEventStream(res, name, onFirstToken)
 }
 
-// checkResumed checks that a resumed response continues where the part that the
-// caller has received ends.
-func (s *requestState) checkResumed(res *upstream.Response, name string) error {
+// checkResumed checks that a resumed response is a stream that continues where the part
+// that the caller has received ends.
+func (s *requestState) checkResumed(res *upstream.Response, isEventStream bool, name string) error {
 	if s.delivered.tokens == 0 {
 		return nil
 	}
-	if res.Status == http.StatusOK && res.Header.Get(upstream.HeaderResumed) == itoa(s.delivered.tokens) {
+	if isEventStream && res.Status == http.StatusOK && res.Header.Get(upstream.HeaderResumed) == itoa(s.delivered.tokens) {
 		return nil
 	}
 	s.delivered.disableResume()
