upstream: a connection carries a request's id only once

The client of engines and plain services kept a connection on which an answer to another request had come, if that had no body. The request's own answer then came as that to the next request, and so on: each failed as one that may have run. By reading; that callers saw it is not shown. Change: a connection that brought another request's answer is closed. Each connection remembers the hashes of the ids that it has carried. If the transport takes it for one of these, it is closed before a byte is written, which the client already handles as an idle connection that the upstream had closed.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -113,10 +113,10 @@
 // *StatusError.
 func (c *Client) Send(ctx context.Context, u *service.Upstream, r *Request) (*Response, error) {
 	for {
-		sent := &attempt{}
+		sent := &attempt{id: r.ID}
 		res, err := c.send(ctx, u, r, sent)
 		if err == nil {
-			return checked(res, u, r)
+			return checked(res, u, r, sent)
 		}
 		if !sent.none() {
 			return nil, failed(err, verdict.MayHaveRun, u)
@@ -134,6 +134,8 @@
 
 // attempt notes which connections the transport gave one request.
 type attempt struct {
+	id string
+
 	mu     sync.Mutex
 	conns  []usedConn
 	reused bool
@@ -154,6 +156,20 @@
 		return
 	}
 	a.conns = append(a.conns, usedConn{conn: conn, base: conn.count()})
+	if !conn.carry(a.id) {
+		_ = conn.Close()
+	}
+}
+
+// close closes the connections.
+func (a *attempt) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, used := range a.conns {
+		if used.conn != nil {
+			_ = used.conn.Close()
+		}
+	}
 }
 
 // none reports whether no byte of the request was or will be written.
@@ -177,10 +193,12 @@
 	return c.http.Do(req)
 }
 
-// checked rules out refusals and answers to other requests.
-func checked(res *http.Response, u *service.Upstream, r *Request) (*Response, error) {
+// checked rules out refusals and answers to other requests. After one of these the
+// request's own may follow, so that the connection isn't used again.
+func checked(res *http.Response, u *service.Upstream, r *Request, sent *attempt) (*Response, error) {
 	if id := res.Header.Get(HeaderRequestID); id != "" && id != r.ID {
 		_ = res.Body.Close()
+		sent.close()
 		return nil, verdict.New(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered another request.", u.Name)
 	}
 	if slices.Contains(u.RefusalStatuses, res.StatusCode) {
--- a/upstream/client_test.go
+++ b/upstream/client_test.go
@@ -340,3 +340,59 @@
 	require.NoError(t, res.Body.Close())
 	require.Equal(t, "HTTP/1.1", string(proto))
 }
+
+// Guards against answers that stay one request behind on a connection that brought an
+// answer to another request.
+func TestConnectionWithAStrayAnswerIsNotKept(t *testing.T) {
+	s := startRaw(t, func(s *rawServer, conn net.Conn, in *bufio.Reader, n int) bool {
+		req := s.run(in)
+		if req == nil {
+			return false
+		}
+		id := req.Header.Get(upstream.HeaderRequestID)
+		if id == "first" {
+			_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: another\r\nContent-Length: 0\r\n\r\n", upstream.HeaderRequestID)
+			return err == nil
+		}
+		if n > 0 {
+			return answer(conn, "first") && answer(conn, id)
+		}
+		return answer(conn, id)
+	})
+	c := upstream.NewClient(upstream.ClientOptions{DialTimeout: time.Second, IdleConns: 4})
+	defer c.Close()
+	u := &service.Upstream{Name: "u", Address: s.Addr().String()}
+	_, err := c.Send(t.Context(), u, &upstream.Request{ID: "first", Method: http.MethodPost, Path: "/"})
+	require.ErrorContains(t, err, "answered another request")
+	res, err := c.Send(t.Context(), u, &upstream.Request{ID: "second", Method: http.MethodPost, Path: "/"})
+	require.NoError(t, err)
+	require.Equal(t, "second", res.Header.Get(upstream.HeaderRequestID))
+	require.NoError(t, res.Body.Close())
+}
+
+// Guards against an answer that an upstream sends again and that is taken for that to a later
+// sending of the same request.
+func TestRepeatedAnswerIsNotTakenForALaterOne(t *testing.T) {
+	s := startRaw(t, func(s *rawServer, conn net.Conn, in *bufio.Reader, n int) bool {
+		req := s.run(in)
+		if req == nil {
+			return false
+		}
+		refusal := fmt.Sprintf("HTTP/1.1 503 Full\r\n%s: r\r\nContent-Length: 0\r\n\r\n", upstream.HeaderRequestID)
+		if s.count("r") == 1 || n > 0 {
+			_, err := io.WriteString(conn, refusal)
+			return err == nil
+		}
+		return answer(conn, "r")
+	})
+	c := upstream.NewClient(upstream.ClientOptions{DialTimeout: time.Second, IdleConns: 4})
+	defer c.Close()
+	u := &service.Upstream{Name: "u", Address: s.Addr().String(), RefusalStatuses: []int{http.StatusServiceUnavailable}}
+	r := &upstream.Request{ID: "r", Method: http.MethodPost, Path: "/"}
+	_, err := c.Send(t.Context(), u, r)
+	require.Equal(t, verdict.NotRun, verdict.Of(err))
+	res, err := c.Send(t.Context(), u, r)
+	require.NoError(t, err)
+	require.NoError(t, res.Body.Close())
+	require.Equal(t, 2, s.count("r"))
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,7 +1,9 @@
 package upstream
 
 import (
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -18,6 +20,29 @@
 	written int64
 	writing bool
 	sealed  bool
+	// carried holds the hash of the ID of each request.
+	carried []uint32
+}
+
+// maxCarried bounds the requests of one connection, and with them the memory for their
+// IDs: 4 KB.
+const maxCarried = 1000
+
+// carriedSeed is that of the hashes of IDs.
+var carriedSeed = maphash.MakeSeed()
+
+// carry records that the connection is to carry the request with an ID. It returns false if
+// it must not: an answer that an upstream writes again can't be told from one to a later
+// sending of the same request. Two IDs with one hash only cost another connection.
+func (c *countedConn) carry(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hash := uint32(maphash.String(carriedSeed, id)) //nolint:gosec // part of the hash
+	if id != "" && slices.Contains(c.carried, hash) || len(c.carried) >= maxCarried {
+		return false
+	}
+	c.carried = append(c.carried, hash)
+	return true
 }
 
 // Write implements net.Conn.
