kv: a reply of the store that its connection cut is not a whole one

The client of the project's own store took a reply without a length for complete when its connection ended in order, as it does when the store's process is killed: a value was then cut. A reply without a valid ETag gave an entry of version 0, which stands for a key that doesn't exist. By reading; that a host met it is not shown. Evidence, the new test on the code before: TestCutReplyIsNotTakenForAWholeOne/value_without_a_length, value_without_a_version error <nil> is not "platform unreachable" Change: both are errors, of unknown outcome for writes. platform/store.go has the same transport, but all that it reads is JSON objects, which a cut makes invalid. Measured: go test -race ./kv/... passes.

--- a/kv/http.go
+++ b/kv/http.go
@@ -66,6 +66,9 @@
 	if err := statusError(res.status); err != nil {
 		return Entry{}, errors.Wrapf(err, "get %q", key)
 	}
+	if res.version == 0 {
+		return Entry{}, errors.Mark(errors.Wrapf(errNoVersion, "get %q", key), ErrUnreachable)
+	}
 	return Entry{Key: key, Value: res.body, Version: res.version}, nil
 }
 
@@ -86,6 +89,9 @@
 	if err := statusError(res.status); err != nil {
 		return 0, errors.Wrapf(err, "put %q", put.Key)
 	}
+	if res.version == 0 {
+		return 0, errors.Mark(errors.Wrapf(errNoVersion, "put %q", put.Key), ErrUnknown)
+	}
 	return res.version, nil
 }
 
@@ -119,6 +125,12 @@
 	return c, nil
 }
 
+// Errors of replies that are not whole.
+var (
+	errNoVersion = errors.New("reply has no valid ETag")
+	errNoLength  = errors.New("reply ends with its connection")
+)
+
 type response struct {
 	status  int
 	version Version
@@ -171,9 +183,18 @@
 	if err != nil {
 		return response{}, errors.Mark(err, ErrUnknown)
 	}
+	if endsWithConnection(res) {
+		return response{}, errors.Mark(errNoLength, ErrUnknown)
+	}
 	return response{status: res.StatusCode, version: versionOf(res.Header), body: data}, nil
 }
 
+// endsWithConnection reports whether nothing but the end of the connection shows the end of a
+// reply, so that a part of it can't be told from the whole.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0 && !res.Uncompressed
+}
+
 // readError replaces ErrUnknown by ErrUnreachable: a read has no effect that
 // could be unknown.
 func readError(err error) error {
--- a/kv/http_test.go
+++ b/kv/http_test.go
@@ -1,7 +1,9 @@
 package kv_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -116,3 +118,35 @@
 	_, err = s.Put(context.Background(), kv.Put{Key: "k"})
 	errtest.Is(t, err, kv.ErrUnreachable)
 }
+
+// Guards against a value, a version or a page that the end of the store's connection has cut.
+func TestCutReplyIsNotTakenForAWholeOne(t *testing.T) {
+	rows := map[string]string{
+		"value without a length":  "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nConnection: close\r\n\r\nval",
+		"value within its length": "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 5\r\n\r\nval",
+		"value without a version": "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nvalue",
+	}
+	for name, reply := range rows {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+			go func() {
+				for {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(conn))
+					_, _ = io.WriteString(conn, reply)
+					_ = conn.Close()
+				}
+			}()
+			store := kv.NewHTTP("h", []string{l.Addr().String()}, 2*time.Second)
+			_, err = store.Get(t.Context(), "k")
+			errtest.Is(t, err, kv.ErrUnreachable)
+			_, err = store.Put(t.Context(), kv.Put{Key: "k", Value: []byte("v")})
+			errtest.Is(t, err, kv.ErrUnknown)
+		})
+	}
+}
