txn: a listing with an empty page in its middle fails

A page without keys that says that more follow ended a listing, which was then taken for complete although keys were missing. By reading; the stores of the project and of the bench were not seen to send such a page. Evidence, the new test on the code before: TestListFailsWhenAPageIsCut error <nil> is not "outcome unknown" Change: it is an error, since a listing can't go on without a last key. Measured: go test -race ./kv/... passes.

--- a/kv/txn/list_test.go
+++ b/kv/txn/list_test.go
@@ -1,6 +1,7 @@
 package txn_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -42,3 +43,20 @@
 	errtest.Is(t, err, txn.ErrRefused)
 	require.Equal(t, 1, s.Calls("range"))
 }
+
+// emptyPages is a store whose pages after the first hold nothing but say that more follow.
+type emptyPages struct{ txn.Store }
+
+// Range implements txn.Store.
+func (emptyPages) Range(_ context.Context, _, after string) (txn.Page, error) {
+	if after == "" {
+		return txn.Page{Items: []txn.Item{{Key: "p/1"}}, More: true}, nil
+	}
+	return txn.Page{More: true}, nil
+}
+
+// Guards against a listing that lacks the keys of pages that the store did not fill.
+func TestListFailsWhenAPageIsCut(t *testing.T) {
+	_, _, err := txn.List(t.Context(), emptyPages{}, "p/")
+	errtest.Is(t, err, txn.ErrUnknown)
+}
--- a/kv/txn/txn.go
+++ b/kv/txn/txn.go
@@ -154,7 +154,10 @@
 		return nil, 0, err
 	}
 	items, at := page.Items, page.At
-	for page.More && len(page.Items) > 0 {
+	for page.More {
+		if len(page.Items) == 0 {
+			return nil, 0, errors.Mark(errors.Newf("list %q: a page has no keys but more follow", prefix), ErrUnknown)
+		}
 		page, err = nextPage(ctx, s, prefix, page.Items[len(page.Items)-1].Key)
 		if err != nil {
 			return nil, 0, err
