peer: a call that connects to a removed peer doesn't keep its connection

Forget and Close passed over a connection that a call was just making: the call went on over it, and it stayed open although nothing referred to it. Replies can't be mixed up by it: net/rpc numbers them for each connection.

--- a/peer/client.go
+++ b/peer/client.go
@@ -36,8 +36,12 @@
 	mu    sync.Mutex
 	rpc   *rpc.Client
 	codec *clientCodec
+	// forgotten means that the peer was removed while a call may have been dialling.
+	forgotten bool
 }
 
+var errForgotten = errors.New("peer was removed while a call connected to it")
+
 var _ Invoker = (*Client)(nil)
 
 // NewClient returns a Client. The timeout bounds each call, connection set-up
@@ -150,6 +154,10 @@
 	conn := rpc.NewClientWithCodec(codec)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.forgotten {
+		_ = conn.Close()
+		return nil, nil, errForgotten
+	}
 	p.rpc, p.codec = conn, codec
 	return conn, codec, nil
 }
@@ -189,7 +197,11 @@
 	if !ok {
 		return
 	}
-	if conn, _ := p.current(); conn != nil {
+	p.mu.Lock()
+	p.forgotten = true
+	conn := p.rpc
+	p.mu.Unlock()
+	if conn != nil {
 		p.drop(conn)
 	}
 }
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"io"
 	"math/big"
 	"net"
 	"sync/atomic"
@@ -321,3 +322,29 @@
 		})
 	}
 }
+
+// Guards against a connection to a removed peer that stays open, since a call was dialling
+// when the peer was removed.
+func TestForgetEndsAConnectionThatIsBeingMade(t *testing.T) {
+	conf := testTLS(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	c := newClient(t, 5*time.Second, conf)
+	result := make(chan error, 1)
+	go func() {
+		var reply string
+		result <- c.Call(t.Context(), l.Addr().String(), "Echo.Say", "a", &reply)
+	}()
+	raw, err := l.Accept()
+	require.NoError(t, err)
+	c.Forget(l.Addr().String())
+	conn := tls.Server(raw, conf)
+	t.Cleanup(func() { _ = conn.Close() })
+	require.NoError(t, conn.SetDeadline(time.Now().Add(2*time.Second)))
+	require.NoError(t, conn.Handshake())
+	n, err := conn.Read(make([]byte, 1))
+	require.Zero(t, n, "bytes of the call")
+	errtest.Is(t, err, io.EOF)
+	errtest.Is(t, <-result, peer.ErrUnreachable)
+}
