online: a stream has no length of its first upstream

If the upstream that began a stream declared a length, that was sent to the caller. The server of net/http refuses further bytes at that length, and breaks the connection of a shorter response: a stream that another upstream finished was cut or broken off, and a stream that ended with an error event too. By reading; that callers saw it is not shown. Evidence, the new test on the code before: TestStreamHasNoLengthOfItsFirstUpstream Should be empty, but was [5000] Change: streams of engines are sent without a length. Measured: go test -race ./online ./gateway passes.

--- a/online/online_test.go
+++ b/online/online_test.go
@@ -608,3 +608,35 @@
 	require.Equal(t, "a", out.text())
 	require.NotContains(t, out.String(), "message\":{\"content")
 }
+
+// headerSink records the headers of a response.
+type headerSink struct {
+	recordingSink
+	header http.Header
+}
+
+// Begin implements online.Sink.
+func (s *headerSink) Begin(status int, header http.Header) error {
+	s.header = header.Clone()
+	return s.recordingSink.Begin(status, header)
+}
+
+// Guards against a resumed stream that is cut, or refused by the caller's connection, at the
+// length that its first upstream had declared.
+func TestStreamHasNoLengthOfItsFirstUpstream(t *testing.T) {
+	var calls atomic.Int32
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			w.Header().Set(upstream.HeaderResumed, "1")
+			streamOf(event("REQUEST", "b"), "data: [DONE]\n\n")(w, r)
+			return
+		}
+		w.Header().Set("Content-Length", "5000")
+		streamOf(event("REQUEST", "a"))(w, r)
+	})
+	r := newTestRunner(t, address, address)
+	out := &headerSink{}
+	require.NoError(t, r.Run(t.Context(), r.request(true, "p", 2), out))
+	require.Equal(t, "ab", out.text())
+	require.Empty(t, out.header.Values("Content-Length"))
+}
--- a/online/stream.go
+++ b/online/stream.go
@@ -28,12 +28,14 @@
 
 // relayEventStream sends events as they arrive and returns nil only after the
 // end marker. It sends all events that one read completed in one write, and
-// waits for no more.
+// waits for no more. The length of the response isn't that of the stream, of which
+// another upstream may send the rest.
 func (s *requestState) relayEventStream(res *upstream.Response, name string, onFirstToken func()) error {
 	pooled, _ := streamBufferPool.Get().(*[]byte)
 	defer streamBufferPool.Put(pooled)
 	scanner := &eventScanner{requestID: s.req.ID, delivered: &s.delivered}
 	buf, buffered := *pooled, 0
+	res.Header.Del("Content-Length")
 	for {
 		n, readErr := res.Body.Read(buf[buffered:])
 		buffered += n
