batch: an answer with reasoning or tool calls is not resumed from its text

An item that was preempted after events with reasoning or tool calls was sent again with its text only, and the result joined the texts of two runs, of which the second had not the reasoning of the first. Online requests don't resume such answers. By reading; that callers saw it is not shown. Evidence, the new test on the code before: TestAnswerWithOtherOutputIsNotResumed/reasoning expected: {Text:"", Tokens:0}, actual: {Text:"a ", Tokens:1} also "reasoning, too" and "tool calls" Change: online and batch tell such events by one function, now in upstream; the item begins again. Measured: go test -race ./batch ./online ./upstream passes.

--- a/batch/engine.go
+++ b/batch/engine.go
@@ -225,6 +225,8 @@
 	tokens       int
 	finishReason string
 	usage        json.RawMessage
+	// resumeDisabled means that a later attempt can't go on after the text.
+	resumeDisabled bool
 }
 
 // readStream reads a streamed response that goes on after the given output. If the stream
@@ -235,7 +237,7 @@
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, maxEventBytes)
 	err := a.addLines(lines)
-	o.partial = run.Partial{Text: a.text.String(), Tokens: a.tokens}
+	o.partial = a.partial()
 	switch {
 	case err == nil:
 		o.result = a.buildResult(attempt, res.Status)
@@ -285,8 +287,17 @@
 	return false, nil
 }
 
+// partial returns the output from which a later attempt may resume.
+func (a *assembler) partial() run.Partial {
+	if a.resumeDisabled {
+		return run.Partial{}
+	}
+	return run.Partial{Text: a.text.String(), Tokens: a.tokens}
+}
+
 // addEvent adds the data of one event. Each event with text counts as one token.
 func (a *assembler) addEvent(data []byte) {
+	a.resumeDisabled = a.resumeDisabled || upstream.HasOtherOutput(data)
 	event := gjson.ParseBytes(bytes.Clone(data))
 	if !a.firstEvent.Exists() {
 		a.firstEvent = event
--- a/batch/engine_test.go
+++ b/batch/engine_test.go
@@ -122,3 +122,24 @@
 	require.NoError(t, o.err)
 	require.Equal(t, "a", gjson.GetBytes(o.result.Response.Body, "choices.0.text").String())
 }
+
+// Guards against an output of two runs: the text alone doesn't show where an answer with
+// reasoning or tool calls goes on.
+func TestAnswerWithOtherOutputIsNotResumed(t *testing.T) {
+	rows := map[string]struct {
+		event string
+		want  run.Partial
+	}{
+		"text":           {`{"choices":[{"delta":{"content":"b","reasoning_content":null,"tool_calls":[]}}]}`, run.Partial{Text: "a b", Tokens: 2}},
+		"reasoning":      {`{"choices":[{"delta":{"reasoning_content":"so"}}]}`, run.Partial{}},
+		"reasoning, too": {`{"choices":[{"delta":{"content":"b","reasoning":"so"}}]}`, run.Partial{}},
+		"tool calls":     {`{"choices":[{"delta":{"content":"","tool_calls":[{"index":0}]}}]}`, run.Partial{}},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			o := runItem(t, run.Partial{Text: "a ", Tokens: 1}, answerOf("text/event-stream", "1", "data: "+row.event+"\n\n"))
+			require.Nil(t, o.result)
+			require.Equal(t, row.want, o.partial)
+		})
+	}
+}
--- a/online/transcript.go
+++ b/online/transcript.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -33,7 +32,7 @@
 // add records the data of one event. A response with output other than text can't be
 // resumed.
 func (t *transcript) add(data []byte) {
-	t.resumeDisabled = t.resumeDisabled || hasOtherOutput(data)
+	t.resumeDisabled = t.resumeDisabled || upstream.HasOtherOutput(data)
 	if t.resumeDisabled {
 		if hasText(data) {
 			t.tokens++
@@ -67,29 +66,6 @@
 	return bytes.Contains(data, contentField) || bytes.Contains(data, textField)
 }
 
-// otherOutputFields begin the names of the fields of an event with output other than text,
-// as JSON.
-var otherOutputFields = [][]byte{[]byte(`"tool_calls"`), []byte(`"function_call"`), []byte(`"reasoning`)}
-
-func hasOtherOutputField(data []byte) bool {
-	return slices.ContainsFunc(otherOutputFields, func(field []byte) bool { return bytes.Contains(data, field) })
-}
-
-// hasOtherOutput reports whether an event holds tool calls or reasoning, with or without
-// text. Engines write these fields empty as well.
-func hasOtherOutput(data []byte) bool {
-	if !hasOtherOutputField(data) {
-		return false
-	}
-	found := false
-	gjson.GetBytes(data, "choices.0.delta").ForEach(func(name, value gjson.Result) bool {
-		empty := value.Type == gjson.Null || value.Raw == `""` || value.IsArray() && len(value.Array()) == 0
-		found = !empty && hasOtherOutputField([]byte(name.Raw))
-		return !found
-	})
-	return found
-}
-
 // addParsed records an event that holds no text field in the form in which
 // engines usually write it. One that holds no text but another field of output
 // can't be resumed.
@@ -99,7 +75,7 @@
 		t.text = append(t.text, text...)
 		return
 	}
-	t.resumeDisabled = hasOtherOutputField(data)
+	t.resumeDisabled = upstream.HasOtherOutputField(data)
 }
 
 func eventText(data []byte) string {
