gateway: a truncated response to an HTTP/1.0 caller is reset

For an HTTP/1.0 caller the end of the connection is the end of a response without a length. Evidence, the new test on the code before: TestTruncatedResponseToAnHTTP10CallerIsReset Expected error with "connection reset by peer" in chain but got nil. A host whose process ends in such a response still ends its connections in order; that is open here. Measured: go test -race ./gateway passes, the new test 5 of 5 times.

--- a/gateway/batches.go
+++ b/gateway/batches.go
@@ -89,7 +89,7 @@
 	if err != nil && w.headerSent {
 		// The status has been sent, so closing the connection is the only way
 		// to show the caller that the file is incomplete.
-		panic(http.ErrAbortHandler)
+		g.abort(c)
 	}
 	return err
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -245,3 +246,29 @@
 	require.Equal(t, `PUT /a/b?c=d body auth=""`, w.Body.String())
 	require.Equal(t, "ran", w.Header().Get(gateway.HeaderVerdict))
 }
+
+// Guards against a truncated response that an HTTP/1.0 caller, for whom the end of the
+// connection ends the response, takes for a complete one.
+func TestTruncatedResponseToAnHTTP10CallerIsReset(t *testing.T) {
+	up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(100 * time.Millisecond) // the caller must have the piece before the reset drops it
+		panic(http.ErrAbortHandler)
+	}))
+	defer up.Close()
+	doc := testDocument(up.Listener.Addr().String())
+	doc.Kind = service.KindPlain
+	srv := httptest.NewServer(newGateway(t, doc).Handler())
+	defer srv.Close()
+	conn, err := net.Dial("tcp", srv.Listener.Addr().String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = fmt.Fprintf(conn, "GET /s/chat/a HTTP/1.0\r\nAuthorization: Bearer %s\r\n\r\n", apiKey)
+	require.NoError(t, err)
+	text, err := io.ReadAll(conn)
+	require.Contains(t, string(text), "data: a\n\n")
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+}
--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -75,7 +76,33 @@
 	}
 	err := g.Runner.Run(c.Request().Context(), req, sink)
 	if sink.aborted {
-		panic(http.ErrAbortHandler)
+		g.abort(c)
 	}
 	return err
 }
+
+// abort breaks the connection after part of a response was sent: only that shows the caller
+// that the response is incomplete. An HTTP/1.0 caller takes an orderly end of the connection
+// for the end of the response, so its connection is reset.
+func (g *Gateway) abort(c echo.Context) {
+	if !c.Request().ProtoAtLeast(1, 1) {
+		if err := resetConnection(c.Response()); err != nil {
+			g.Log.WithError(err).Warn("can't reset the connection of a truncated response")
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// resetConnection closes the connection of a response by a reset.
+func resetConnection(w http.ResponseWriter) error {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return errors.Wrap(err, "take over connection")
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		err = tcp.SetLinger(0)
+	}
+	// A reset is sent by closing; its error has nobody left to be told.
+	_ = conn.Close()
+	return errors.Wrap(err, "set linger")
+}
