upstream: most events are told quickly from those with tool calls

The search of each event of an online stream for tool calls and reasoning tripled the time to record an event. Three searches begin with a quotation mark, the most frequent letter of JSON. Change: two parts of these names, which begin with rarer letters, are searched for first. go test -race ./online ./batch ./upstream passes.

--- a/upstream/event.go
+++ b/upstream/event.go
@@ -11,9 +11,19 @@
 // as JSON.
 var otherOutputFields = [][]byte{[]byte(`"tool_calls"`), []byte(`"function_call"`), []byte(`"reasoning`)}
 
+// Parts of these names by which most events are told quickly from those that have such a
+// field. They begin with letters that are rarer in JSON than a quotation mark.
+var (
+	callPart      = []byte("_call")
+	reasoningPart = []byte("reasoning")
+)
+
 // HasOtherOutputField reports whether an event names a field with output other than text,
 // which may be empty.
 func HasOtherOutputField(data []byte) bool {
+	if !bytes.Contains(data, callPart) && !bytes.Contains(data, reasoningPart) {
+		return false
+	}
 	return slices.ContainsFunc(otherOutputFields, func(field []byte) bool { return bytes.Contains(data, field) })
 }
 
