--- a/batch/engine.go
+++ b/batch/engine.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -146,18 +148,33 @@
 	defer func() { _ = res.Body.Close() }()
 	o.load = loadFromHeader(res.Header)
 	o.leaving = res.Header.Get(upstream.HeaderLeaving) != ""
+	streamed = streamed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream")
 	switch {
 	case res.Status >= http.StatusInternalServerError:
 		cause := &upstream.StatusError{Upstream: u.Name, Status: res.Status, Header: res.Header}
 		o.err = verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeUpstreamFailed, "Upstream %s answered with status %d.", u.Name, res.Status)
-	case streamed && strings.HasPrefix(res.Header.Get("Content-Type"), "text/event-stream"):
-		r.readStream(res, u, attempt, &o)
+	case streamed && res.Status == http.StatusOK && resumedAfter(res) == strconv.Itoa(attempt.Partial.Tokens):
+		r.readStream(res, u, attempt, attempt.Partial, &o)
+	case resumedAfter(res) != fromBeginning:
+		o.err = verdict.New(verdict.Ran, verdict.CodeIncomplete, "The answer of upstream %s goes on after %q tokens in place of %d.",
+			u.Name, resumedAfter(res), attempt.Partial.Tokens)
+	case streamed:
+		r.readStream(res, u, attempt, run.Partial{}, &o)
 	default:
 		r.readUnstreamed(res, u, attempt, &o)
 	}
 	return o
 }
 
+// fromBeginning is what resumedAfter returns for a whole response.
+const fromBeginning = "0"
+
+// resumedAfter returns the number of tokens after which a response states that it goes on. A
+// replica that ignores the output of an earlier attempt states nothing and begins again.
+func resumedAfter(res *upstream.Response) string {
+	return cmp.Or(res.Header.Get(upstream.HeaderResumed), fromBeginning)
+}
+
 // loadFromHeader returns the load report in a response header, or nil if there is
 // no valid one.
 func loadFromHeader(h http.Header) *upstream.Load {
@@ -208,33 +225,79 @@
 	tokens       int
 	finishReason string
 	usage        json.RawMessage
+	// resumeDisabled means that a later attempt can't go on after the text.
+	resumeDisabled bool
 }
 
-// readStream reads a streamed response. If the stream ends without the end
-// marker, it sets the error and the output so far.
-func (r *itemRunner) readStream(res *upstream.Response, u *service.Upstream, attempt *run.Attempt, o *outcome) {
-	a := &assembler{tokens: attempt.Partial.Tokens}
-	a.text.WriteString(attempt.Partial.Text)
+// readStream reads a streamed response that goes on after the given output. If the stream
+// ends without the end marker, it sets the error and the output so far.
+func (r *itemRunner) readStream(res *upstream.Response, u *service.Upstream, attempt *run.Attempt, after run.Partial, o *outcome) {
+	a := &assembler{tokens: after.Tokens}
+	a.text.WriteString(after.Text)
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(nil, maxEventBytes)
+	err := a.addLines(lines)
+	o.partial = a.partial()
+	switch {
+	case err == nil:
+		o.result = a.buildResult(attempt, res.Status)
+	case errors.Is(err, errFailedStream):
+		o.err = verdict.Wrap(err, verdict.Ran, verdict.CodeUpstreamFailed, "The answer of upstream %s is not complete.", u.Name)
+	default:
+		o.err = verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer of upstream %s ended early.", u.Name)
+	}
+}
+
+// errFailedStream means that a stream reports an error or holds something other than events.
+var errFailedStream = errors.New("event stream failed")
+
+// addLines adds the events of a stream up to the end marker. A connection that ends within
+// a line leaves a part of it, which is no event.
+func (a *assembler) addLines(lines *bufio.Scanner) error {
 	for lines.Scan() {
-		data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: "))
-		if !ok {
-			continue
+		ended, err := a.addLine(lines.Bytes())
+		if ended {
+			return nil
 		}
-		if string(data) == endMarker {
-			o.result = a.buildResult(attempt, res.Status)
-			return
+		if err != nil && lines.Scan() {
+			return err
 		}
-		a.addEvent(data)
 	}
-	o.partial = run.Partial{Text: a.text.String(), Tokens: a.tokens}
-	cause := errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF)
-	o.err = verdict.Wrap(cause, verdict.MayHaveRun, verdict.CodeIncomplete, "The answer of upstream %s ended early.", u.Name)
+	return errors.CombineErrors(lines.Err(), io.ErrUnexpectedEOF)
+}
+
+// addLine adds one line of a stream. It reports whether that is the end marker.
+func (a *assembler) addLine(line []byte) (ended bool, _ error) {
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch {
+	case string(name) == "event" && string(value) == "error":
+		return false, errors.Wrap(errFailedStream, "error event")
+	case string(name) != "data", len(value) == 0:
+		return false, nil
+	case string(value) == endMarker:
+		return true, nil
+	case !gjson.ValidBytes(value):
+		return false, errors.Wrap(errFailedStream, "data that is not JSON")
+	}
+	if failure := gjson.GetBytes(value, "error"); failure.Exists() && failure.Type != gjson.Null {
+		return false, errors.Wrapf(errFailedStream, "error %s", failure.Raw)
+	}
+	a.addEvent(value)
+	return false, nil
+}
+
+// partial returns the output from which a later attempt may resume.
+func (a *assembler) partial() run.Partial {
+	if a.resumeDisabled {
+		return run.Partial{}
+	}
+	return run.Partial{Text: a.text.String(), Tokens: a.tokens}
 }
 
 // addEvent adds the data of one event. Each event with text counts as one token.
 func (a *assembler) addEvent(data []byte) {
+	a.resumeDisabled = a.resumeDisabled || upstream.HasOtherOutput(data)
 	event := gjson.ParseBytes(bytes.Clone(data))
 	if !a.firstEvent.Exists() {
 		a.firstEvent = event
--- a/online/online_test.go
+++ b/online/online_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -584,3 +585,58 @@
 	require.GreaterOrEqual(t, acc.available, int64(0))
 	require.Equal(t, acc.spent, r.totalCost(accounting.CrossRegionBytes))
 }
+
+// Guards against a response that is no event stream at the place of the rest of a stream.
+func TestRestOfAStreamIsAnEventStream(t *testing.T) {
+	rest := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.HeaderResumed, "1")
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = io.WriteString(w, `{"choices":[{"message":{"content":"b"}}]}`)
+	}
+	var calls atomic.Int32
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			rest(w, r)
+			return
+		}
+		streamOf(event("REQUEST", "a"))(w, r)
+	})
+	r := newTestRunner(t, address, address)
+	out := &recordingSink{}
+	require.Error(t, r.Run(t.Context(), r.request(true, "p", 2), out))
+	require.EqualValues(t, 2, calls.Load())
+	require.Equal(t, "a", out.text())
+	require.NotContains(t, out.String(), "message\":{\"content")
+}
+
+// headerSink records the headers of a response.
+type headerSink struct {
+	recordingSink
+	header http.Header
+}
+
+// Begin implements online.Sink.
+func (s *headerSink) Begin(status int, header http.Header) error {
+	s.header = header.Clone()
+	return s.recordingSink.Begin(status, header)
+}
+
+// Guards against a resumed stream that is cut, or refused by the caller's connection, at the
+// length that its first upstream had declared.
+func TestStreamHasNoLengthOfItsFirstUpstream(t *testing.T) {
+	var calls atomic.Int32
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if calls.Add(1) > 1 {
+			w.Header().Set(upstream.HeaderResumed, "1")
+			streamOf(event("REQUEST", "b"), "data: [DONE]\n\n")(w, r)
+			return
+		}
+		w.Header().Set("Content-Length", "5000")
+		streamOf(event("REQUEST", "a"))(w, r)
+	})
+	r := newTestRunner(t, address, address)
+	out := &headerSink{}
+	require.NoError(t, r.Run(t.Context(), r.request(true, "p", 2), out))
+	require.Equal(t, "ab", out.text())
+	require.Empty(t, out.header.Values("Content-Length"))
+}
--- a/online/transcript.go
+++ b/online/transcript.go
@@ -29,8 +29,10 @@
 	textField    = []byte(`"text":"`)
 )
 
-// add records the data of one event.
+// add records the data of one event. A response with output other than text can't be
+// resumed.
 func (t *transcript) add(data []byte) {
+	t.resumeDisabled = t.resumeDisabled || upstream.HasOtherOutput(data)
 	if t.resumeDisabled {
 		if hasText(data) {
 			t.tokens++
@@ -65,19 +67,15 @@
 }
 
 // addParsed records an event that holds no text field in the form in which
-// engines usually write it. A response with tool calls or reasoning can't be
-// resumed.
+// engines usually write it. One that holds no text but another field of output
+// can't be resumed.
 func (t *transcript) addParsed(data []byte) {
 	if text := eventText(data); text != "" {
 		t.tokens++
 		t.text = append(t.text, text...)
 		return
 	}
-	for _, field := range []string{`"tool_calls"`, `"function_call"`, `"reasoning`} {
-		if bytes.Contains(data, []byte(field)) {
-			t.resumeDisabled = true
-		}
-	}
+	t.resumeDisabled = upstream.HasOtherOutputField(data)
 }
 
 func eventText(data []byte) string {
