soak: texts are checked against the runs that made them, and replicas break

The soak compared the bytes that callers got with those of a whole stream: it could not see which run made an event, replicas ended their streams in one way only, and killed replicas always reset their connections. Its proxy also turned the resets of replicas into orderly ends. Change: each event names its run. Each text of a stream (also over resumptions by callers) or an item is held against the runs: no event missing, twice, of another request or of another software version; where it passes to another run after event n, that run was asked to go on after n; a complete text has the last event. Kinds of faults (e2e/soak/kinds.go) are played alone or together by -soak.kinds. Without the planned faults a request must not go on elsewhere while a replica works on it for over 400 ms (TWICE). A close-delimited response that its replica ends in order is not held against requests that can't be resumed: nothing tells its end.

Existing checks: isWholeStream and isWholeOutput are replaced by CheckOrder, which is stricter.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -23,13 +23,17 @@
 	// submitTries are the submissions of one job.
 	submitTries = 3
 	submitPause = 300 * time.Millisecond
-	// resumablePath is that of streams that may be resumed.
+	// resumablePath and briskPath are those of streams that may be resumed. Hosts give up
+	// replicas that are silent for half of the longest gap, which is short on briskPath.
 	resumablePath = "/s/x"
+	briskPath     = "/g/x"
 	// resumeTries are the attempts to resume one stream.
 	resumeTries = 2
 	maxItems    = 8
 )
 
+var streamPaths = []string{resumablePath, briskPath}
+
 // callers press on the world.
 type callers struct {
 	world  *World
@@ -50,6 +54,11 @@
 		}
 	}
 	all.Go(func() { c.crash(sending) })
+	if c.world.suffers(leavingCallers) {
+		for n := range leavers {
+			all.Go(func() { c.leave(sending, n) })
+		}
+	}
 	for n := range batchCallers {
 		all.Go(func() { c.batch(sending, reading, n) })
 	}
@@ -85,7 +94,7 @@
 		case 1:
 			c.askVersion(caller, h, id, c.world.Version()-rng.IntN(2))
 		default:
-			c.request(caller, rng, h, resumablePath, id)
+			c.request(caller, rng, h, pick(rng, streamPaths), id)
 		}
 		sleep(ctx, time.Duration(rng.Int64N(int64(2*onlinePause))))
 	}
@@ -116,57 +125,59 @@
 	a, err := c.call(caller, h, path, id)
 	c.ledger.count(err == nil && a.Status == http.StatusOK)
 	if err != nil {
-		if path == resumablePath {
-			c.resume(caller, rng, id, a.Body)
+		received := c.brokenOff(h, id, path, a)
+		if isResumable(path) {
+			c.resume(caller, rng, path, id, received)
 		}
 		return
 	}
 	if a.Status == http.StatusNotFound {
 		c.ledger.violate("%s: %s answered 404 for %s, which all configurations have", id, h.Name, path)
 	}
-	c.check(h, id, a)
+	c.check(h, path, id, a)
+}
+
+func isResumable(path string) bool {
+	return strings.HasPrefix(path, "/s/") || strings.HasPrefix(path, "/g/")
+}
+
+// brokenOff notes a response that broke off and returns what was received whole.
+func (c *callers) brokenOff(h *Host, id, path string, a platformtest.Response) text {
+	received := text{path: path}
+	if a.Status == http.StatusOK {
+		received.parts = []part{{request: id, host: h.Name, body: a.Body}}
+		c.ledger.received(received)
+	}
+	return received.whole()
 }
 
 // resume takes up a stream after its last complete event, at hosts drawn at random.
-// The whole of it must come from one software version.
-func (c *callers) resume(caller *platformtest.Caller, rng *rand.Rand, origin, received string) {
-	received = completeEvents(received)
+func (c *callers) resume(caller *platformtest.Caller, rng *rand.Rand, path, origin string, received text) {
 	for n := range resumeTries {
-		last := strings.Count(received, "id: ")
+		last := received.last()
 		if last == 0 {
 			return
 		}
 		h, id := pick(rng, c.world.hosts), fmt.Sprintf("%s-r%d", origin, n)
 		c.world.customers.sends(caller.Key, id)
-		a, err := caller.Resume(h.Address, resumablePath, id, "body", origin, last)
-		if err == nil && a.Status != http.StatusOK {
-			c.check(h, id, a)
+		a, err := caller.Resume(h.Address, path, id, "body", origin, last)
+		if a.Status != http.StatusOK {
+			if err == nil {
+				c.check(h, path, id, a)
+			}
 			continue
 		}
-		received += completeEvents(a.Body)
-		if !isPartOfStream(received) {
-			c.ledger.violate("%s: %s resumed %s as %q", id, h.Name, origin, received)
-		}
+		received = received.join(part{request: id, host: h.Name, body: a.Body}, err == nil)
+		c.ledger.received(received)
 		if err == nil {
-			if !isWholeStream(received) {
-				c.ledger.violate("%s: %s ended %s as complete with %q", id, h.Name, origin, received)
-			}
 			c.ledger.countResumed(true)
 			return
 		}
+		received = received.whole()
 	}
 	c.ledger.countResumed(false)
 }
 
-// completeEvents returns the events of a stream up to the last complete one.
-func completeEvents(text string) string {
-	const end = "\n\n"
-	if i := strings.LastIndex(text, end); i >= 0 {
-		return text[:i+len(end)]
-	}
-	return ""
-}
-
 // askVersion asks for a path that only one version of the configuration has.
 func (c *callers) askVersion(caller *platformtest.Caller, h *Host, id string, version int) {
 	at := hostStart{h.Name, h.Starts()}
@@ -175,7 +186,7 @@
 	if err != nil || h.Starts() != at.start {
 		return
 	}
-	c.check(h, id, a)
+	c.check(h, platformtest.VersionPath(version), id, a)
 	if a.Status != http.StatusOK {
 		return
 	}
@@ -186,16 +197,17 @@
 }
 
 // check holds an answer against its promises.
-func (c *callers) check(h *Host, id string, a platformtest.Response) {
+func (c *callers) check(h *Host, path, id string, a platformtest.Response) {
 	switch a.Status {
 	case http.StatusUnauthorized:
 		c.world.customers.unknown(id, h.Name)
 		c.ledger.refused(id)
 	case http.StatusOK:
 		c.world.customers.accepted(id, h.Name)
-		if a.Seal != "seal-"+id || !isWholeStream(a.Body) {
+		if a.Seal != "seal-"+id {
 			c.ledger.violate("%s: %s answered a success with signature %q and body %q", id, h.Name, a.Seal, a.Body)
 		}
+		c.ledger.received(text{path: path, parts: []part{{request: id, host: h.Name, body: a.Body}}, complete: true})
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		c.ledger.refused(id)
 	}
--- a/e2e/soak/crashes.go
+++ b/e2e/soak/crashes.go
@@ -65,6 +65,7 @@
 
 // letCrash lets a replica crash under such requests and another one follow it.
 func (w *World) letCrash(s *slot, r *platformtest.Replica, p *Proxy) {
+	orderly, stays := w.kinds.has(orderlyCrashes), w.kinds.has(sameAddress)
 	r.SetCrash(func(h http.Header, body string) bool {
 		w.customers.ran(r.ID, h, body)
 		cause := causeOfCrash(h, body)
@@ -72,9 +73,14 @@
 			return false
 		}
 		w.crashes.add(cause)
-		// The connections are reset before the replica ends them in order: a
-		// close-delimited response would seem complete.
-		p.Close()
+		// Connections that are reset are so before the replica ends them in order.
+		switch {
+		case orderly:
+		case stays:
+			p.Reset()
+		default:
+			p.Close()
+		}
 		return true
 	}, func() { w.beginReplacing(s, r) })
 }
@@ -128,7 +134,7 @@
 	}
 	a, err := caller.CallWithPrompt(h.Address, http.MethodPost, path, id, body, parts)
 	if err == nil {
-		c.check(h, id, a)
+		c.check(h, path, id, a)
 	}
 }
 
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -18,6 +17,8 @@
 	// that may run once at most.
 	notRun, once map[string]struct{}
 	jobs         map[string]*jobSeen
+	// texts are what callers received of streams and items.
+	texts []text
 	// inForce is the newest version of the configuration that a start of a host
 	// has shown.
 	inForce map[hostStart]int
@@ -194,6 +195,9 @@
 			l.violations = append(l.violations, fmt.Sprintf("job %s: position %d was %+v, and is %+v at %s", id, at, j.results[at], r, host))
 		case at == len(j.results):
 			l.violations = append(l.violations, j.add(id, r)...)
+			if r.Done() {
+				l.texts = append(l.texts, text{parts: []part{{request: r.ID, host: host, body: r.Output}}, complete: true})
+			}
 		}
 	}
 	return len(j.results)
@@ -210,7 +214,7 @@
 	if !strings.HasPrefix(r.ID, id+"-") {
 		wrong = append(wrong, fmt.Sprintf("job %s: result of a foreign item %s", id, r.ID))
 	}
-	if !r.Done() || !isWholeOutput(r.Output) {
+	if !r.Done() {
 		wrong = append(wrong, fmt.Sprintf("job %s: item %s is %q with output %q", id, r.ID, r.State, r.Output))
 	}
 	j.results = append(j.results, r)
@@ -245,36 +249,3 @@
 		}
 	}
 }
-
-// isWholeOutput reports whether a text is the output of an item that replicas of one
-// software version made.
-func isWholeOutput(text string) bool {
-	return slices.ContainsFunc(softwareVersions, func(version string) bool { return text == wholeOutput(version) })
-}
-
-func wholeOutput(version string) string {
-	var lines []string
-	for n := 1; n <= eventsPerAnswer; n++ {
-		lines = append(lines, fmt.Sprintf("%se%d", version, n))
-	}
-	return strings.Join(lines, "\n")
-}
-
-// isWholeStream reports whether a text is the body of a response that replicas of one
-// software version made.
-func isWholeStream(text string) bool {
-	return isPartOfStream(text) && strings.Count(text, "id: ") == eventsPerAnswer
-}
-
-// isPartOfStream reports whether a text is the beginning of such a body.
-func isPartOfStream(text string) bool {
-	return slices.ContainsFunc(softwareVersions, func(version string) bool { return strings.HasPrefix(wholeStream(version), text) })
-}
-
-func wholeStream(version string) string {
-	var b strings.Builder
-	for n := 1; n <= eventsPerAnswer; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %se%d\n\n", n, version, n)
-	}
-	return b.String()
-}
--- a/e2e/soak/proxy.go
+++ b/e2e/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -20,9 +21,9 @@
 // Proxy carries connections on loopback to one address, and harms them.
 type Proxy struct {
 	listener net.Listener
-	target   string
 
 	mu      sync.Mutex
+	target  string
 	state   LinkState
 	changed chan struct{}
 	// conns holds the connections, and whether each is one to a caller.
@@ -56,6 +57,13 @@
 	p.changed = make(chan struct{})
 }
 
+// Retarget lets the following connections lead to another address.
+func (p *Proxy) Retarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
 // Reset resets all connections, those to callers first: the orderly end of one to the
 // server must not reach them.
 func (p *Proxy) Reset() {
@@ -105,7 +113,10 @@
 	}
 	defer p.drop(down)
 	p.pass(func(s LinkState) bool { return !s.HoldUp })
-	up, err := net.Dial("tcp", p.target)
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	up, err := net.Dial("tcp", target)
 	if err != nil || !p.track(up, false) {
 		return
 	}
@@ -130,14 +141,24 @@
 			}
 		}
 		if err != nil {
-			if tcp, ok := to.(*net.TCPConn); ok {
-				_ = tcp.CloseWrite()
-			}
+			end(to, err)
 			return
 		}
 	}
 }
 
+// end ends a connection as the one from which err was read has ended: in order or by a
+// reset.
+func end(c net.Conn, err error) {
+	if !errors.Is(err, io.EOF) {
+		reset(c)
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.CloseWrite()
+	}
+}
+
 // pass waits until the link lets bytes through and returns its delay.
 func (p *Proxy) pass(open func(LinkState) bool) time.Duration {
 	for {
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -32,6 +32,10 @@
 	Jobs                int
 	// Crashes counts the replicas that crashed under requests of callers.
 	Crashes int
+	// Harmed counts the faults of replicas' responses and connections.
+	Harmed int
+	// WentOn counts the runs that were asked to go on after an event.
+	WentOn int
 	// Customers says what was seen of customers.
 	Customers string
 }
@@ -55,7 +59,11 @@
 	if err := w.Start(startLimit); err != nil {
 		return nil, err
 	}
-	r := &Report{Seed: seed, Plan: Plan(w, ledger, seed, length)}
+	r := &Report{Seed: seed}
+	calm := !w.suffers(plannedFaults)
+	if !calm {
+		r.Plan = Plan(w, ledger, seed, length)
+	}
 	c := &callers{world: w, ledger: ledger, seed: seed}
 	reading, stop := context.WithCancel(ctx)
 	defer stop()
@@ -72,11 +80,24 @@
 	pressed.Wait()
 	checkCrashes(w, c)
 	r.Crashes = w.crashes.of(crashingBody) + w.crashes.of(crashingPart)
+	for _, replica := range w.allReplicas() {
+		r.Harmed += replica.Harmed()
+	}
 	for _, h := range w.hosts {
 		for _, end := range h.Unasked() {
 			ledger.violate("%s: %s", h.Name, end)
 		}
 	}
+	runs := w.AllRuns()
+	ledger.CheckOrder(runs)
+	for _, run := range runs {
+		if run.After > 0 {
+			r.WentOn++
+		}
+	}
+	if calm {
+		ledger.CheckTwice(runs)
+	}
 	ledger.CheckRuns(w.Runs())
 	ledger.CheckLeaving(w.RunsByReplica(), configTimeout)
 	ledger.CheckRateLimits(w.StartsByReplica())
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -91,6 +91,7 @@
 	customers *customers
 
 	mu      sync.Mutex
+	kinds   Kinds
 	slots   []*slot
 	retired []*platformtest.Replica
 	version int
@@ -110,9 +111,10 @@
 	Pair func() (ip string, port int)
 }
 
-// NewWorld builds a deployment of a program in a folder, with customers or without.
-func NewWorld(program, folder string, ports Ports, withCustomers bool) (*World, error) {
-	w := &World{store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}, closing: make(chan struct{})}
+// NewWorld builds a deployment of a program in a folder, with customers or without, that
+// suffers the given kinds of faults.
+func NewWorld(program, folder string, ports Ports, withCustomers bool, kinds Kinds) (*World, error) {
+	w := &World{kinds: kinds, store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}, closing: make(chan struct{})}
 	if withCustomers {
 		w.customers = newCustomers()
 	}
@@ -290,7 +292,7 @@
 	}
 	s.starts++
 	r := platformtest.NewReplica(fmt.Sprintf("%s-%d", s.name, s.starts), eventsPerAnswer, eventPause)
-	p, err := NewProxy(r.Address())
+	p, err := w.proxyTo(s, r.Address())
 	if err != nil {
 		w.mu.Unlock()
 		return err
@@ -298,6 +300,8 @@
 	r.AdvertisedAddress = p.Address()
 	r.SetSoftwareVersion(softwareVersions[(s.number+s.releases)%len(softwareVersions)])
 	r.SetFraming(platformtest.ResponseFraming{CloseDelimitedEvery: closeDelimitedEvery})
+	r.NameRuns()
+	r.SetFaults(w.kinds.faults())
 	w.letCrash(s, r, p)
 	s.replica, s.proxy = r, p
 	w.closers = append(w.closers, r.Close, p.Close)
@@ -305,10 +309,19 @@
 	return w.put(r.Record(serviceName, s.dataCentre, "ready", slotsPerReplica))
 }
 
+// proxyTo returns the proxy to a replica that starts in a slot. w.mu must be held.
+func (w *World) proxyTo(s *slot, address string) (*Proxy, error) {
+	if s.proxy == nil || !w.kinds.has(sameAddress) {
+		return NewProxy(address)
+	}
+	s.proxy.Retarget(address)
+	return s.proxy, nil
+}
+
 // StopReplica lets a replica crash, or leave after it was reported.
 func (w *World) StopReplica(s *slot, crash bool, drain time.Duration) error {
 	w.mu.Lock()
-	r, p := s.replica, s.proxy
+	r, p, orderly := s.replica, s.proxy, w.kinds.has(orderlyCrashes)
 	w.mu.Unlock()
 	if !crash {
 		r.SetLeaving(true)
@@ -317,11 +330,20 @@
 		}
 		time.Sleep(drain)
 	}
-	p.Reset()
+	if !orderly {
+		p.Reset()
+	}
 	r.Close()
 	return w.commit(txn.Request{Remove: []string{r.Record(serviceName, s.dataCentre, "ready", 0).Key}})
 }
 
+// suffers reports whether the run suffers a kind of faults.
+func (w *World) suffers(kind string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.kinds.has(kind)
+}
+
 // proxyOf returns the proxy of the present replica of a slot.
 func (w *World) proxyOf(s *slot) *Proxy {
 	w.mu.Lock()
@@ -345,6 +367,15 @@
 	return runs
 }
 
+// AllRuns returns all runs on all replicas.
+func (w *World) AllRuns() []platformtest.Run {
+	var runs []platformtest.Run
+	for _, r := range w.allReplicas() {
+		runs = append(runs, r.AllRuns()...)
+	}
+	return runs
+}
+
 // StartsByReplica returns when each request and item began at each replica.
 func (w *World) StartsByReplica() map[string][]platformtest.Start {
 	starts := make(map[string][]platformtest.Start)
@@ -387,7 +418,11 @@
 	}
 	w.mu.Lock()
 	slots := append([]*slot(nil), w.slots...)
+	w.kinds = nil
 	w.mu.Unlock()
+	for _, r := range w.allReplicas() {
+		r.SetFaults(platformtest.Faults{})
+	}
 	for _, s := range slots {
 		w.proxyOf(s).Set(LinkState{})
 	}
