soak: split events, events with other weights, and items that fail for good

Change: replicas can write events in two pieces, and let an event carry another version of the weights (PROTOCOL.md).

--- a/e2e/soak/kinds.go
+++ b/e2e/soak/kinds.go
@@ -52,6 +52,8 @@
 	"close-header": func(f *platformtest.Faults) { f.CloseHeader = rate },
 	"silent":       func(f *platformtest.Faults) { f.Silent, f.Silence = rate, silence },
 	"full":         func(f *platformtest.Faults) { f.Capacity = slotsPerReplica / 2 },
+	"split":        func(f *platformtest.Faults) { f.Split = 2 },
+	"reload":       func(f *platformtest.Faults) { f.Reload = rate },
 	"max-conns":    func(f *platformtest.Faults) { f.MaxConns = maxConns },
 	// Resumptions follow streams that were cut.
 	"fail-resumed":   func(f *platformtest.Faults) { f.EndWithin, f.FailResumed = rate, 2 },
--- a/e2e/soak/ledger.go
+++ b/e2e/soak/ledger.go
@@ -19,6 +19,8 @@
 	jobs         map[string]*jobSeen
 	// texts are what callers received of streams and items.
 	texts []text
+	// abandoned are the items that were given up.
+	abandoned []string
 	// inForce is the newest version of the configuration that a start of a host
 	// has shown.
 	inForce map[hostStart]int
@@ -195,6 +197,9 @@
 			l.violations = append(l.violations, fmt.Sprintf("job %s: position %d was %+v, and is %+v at %s", id, at, j.results[at], r, host))
 		case at == len(j.results):
 			l.violations = append(l.violations, j.add(id, r)...)
+			if r.Abandoned() {
+				l.abandoned = append(l.abandoned, r.ID)
+			}
 			if r.Done() {
 				l.texts = append(l.texts, text{parts: []part{{request: r.ID, host: host, body: r.Output}}, complete: true})
 			}
@@ -214,7 +219,7 @@
 	if !strings.HasPrefix(r.ID, id+"-") {
 		wrong = append(wrong, fmt.Sprintf("job %s: result of a foreign item %s", id, r.ID))
 	}
-	if !r.Done() {
+	if !r.Done() && !r.Abandoned() {
 		wrong = append(wrong, fmt.Sprintf("job %s: item %s is %q with output %q", id, r.ID, r.State, r.Output))
 	}
 	j.results = append(j.results, r)
@@ -234,6 +239,24 @@
 	return ids
 }
 
+// CheckAbandoned checks that items were given up only after as many failed runs as the
+// route allows.
+func (l *Ledger) CheckAbandoned(runs []platformtest.Run) {
+	failed := make(map[string]int)
+	for _, r := range runs {
+		if r.End == platformtest.RunFailed {
+			failed[r.Request]++
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range l.abandoned {
+		if failed[id] < platformtest.ItemAttempts {
+			l.violations = append(l.violations, fmt.Sprintf("item %s was given up after %d failed runs", id, failed[id]))
+		}
+	}
+}
+
 // CheckRuns compares the promises with what the replicas ran.
 func (l *Ledger) CheckRuns(runs map[string]int) {
 	l.mu.Lock()
--- a/e2e/soak/order.go
+++ b/e2e/soak/order.go
@@ -34,7 +34,7 @@
 func (e event) String() string { return fmt.Sprintf("event %d of run %s", e.number, e.run) }
 
 var (
-	streamEvent = regexp.MustCompile(`\Aid: (\d+)\ndata: (v\d+)e(\d+) (\S+)\n\n`)
+	streamEvent = regexp.MustCompile(`\A(?:x-weight-versions: \d+\n)?id: (\d+)\ndata: (v\d+)e(\d+) (\S+)\n\n`)
 	itemEvent   = regexp.MustCompile(`\A()(v\d+)e(\d+) (\S+)(?:\n|\z)`)
 )
 
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -90,6 +90,7 @@
 	}
 	runs := w.AllRuns()
 	ledger.CheckOrder(runs)
+	ledger.CheckAbandoned(runs)
 	for _, run := range runs {
 		if run.After > 0 {
 			r.WentOn++
