--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -133,15 +133,17 @@
 		}
 	}
 	for _, h := range w.hosts {
-		caller, served := w.newCaller(), 0
+		caller := w.newCaller()
+		var failed []string
 		for n := range calmRequests {
-			a, err := caller.Call(h.Address, http.MethodPost, "/s/x", fmt.Sprintf("calm-%s-%d", h.Name, n), "body")
-			if err == nil && a.Status == http.StatusOK {
-				served++
+			began, id := time.Now(), fmt.Sprintf("calm-%s-%d", h.Name, n)
+			a, err := caller.Call(h.Address, http.MethodPost, "/s/x", id, "body")
+			if err != nil || a.Status != http.StatusOK {
+				failed = append(failed, fmt.Sprintf("%s after %s: status %d, %v, %.200s", id, time.Since(began), a.Status, err, a.Body))
 			}
 		}
-		if served < minCalm {
-			c.ledger.violate("after the faults %s serves %d of %d requests", h.Name, served, calmRequests)
+		if served := calmRequests - len(failed); served < minCalm {
+			c.ledger.violate("after the faults %s serves %d of %d requests: %q", h.Name, served, calmRequests, failed)
 		}
 	}
 }
