soak: the address of a replica that has ended refuses connections

Cause: of the soak itself. The proxy of a replica that had ended accepted connections as before and dropped them, where the kernel refuses those to the port of a process that is gone. Without orderly-crashes it was closed. Change: a replica's proxy refuses connections from the end of the replica on, and accepts them again if the next replica has the same address.

--- a/e2e/soak/crashes.go
+++ b/e2e/soak/crashes.go
@@ -65,7 +65,7 @@
 
 // letCrash lets a replica crash under such requests and another one follow it.
 func (w *World) letCrash(s *slot, r *platformtest.Replica, p *Proxy) {
-	orderly, stays := w.kinds.has(orderlyCrashes), w.kinds.has(sameAddress)
+	orderly := w.kinds.has(orderlyCrashes)
 	r.SetCrash(func(h http.Header, body string) bool {
 		w.customers.ran(r.ID, h, body)
 		cause := causeOfCrash(h, body)
@@ -73,13 +73,10 @@
 			return false
 		}
 		w.crashes.add(cause)
-		// Connections that are reset are so before the replica ends them in order.
-		switch {
-		case orderly:
-		case stays:
+		p.Refuse()
+		if !orderly {
+			// The connections are reset before the replica ends them in order.
 			p.Reset()
-		default:
-			p.Close()
 		}
 		return true
 	}, func() { w.beginReplacing(s, r) })
--- a/e2e/soak/proxy.go
+++ b/e2e/soak/proxy.go
@@ -20,12 +20,13 @@
 
 // Proxy carries connections on loopback to one address, and harms them.
 type Proxy struct {
-	listener net.Listener
+	address string
 
-	mu      sync.Mutex
-	target  string
-	state   LinkState
-	changed chan struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	target   string
+	state    LinkState
+	changed  chan struct{}
 	// conns holds the connections, and whether each is one to a caller.
 	conns  map[net.Conn]bool
 	closed bool
@@ -40,13 +41,13 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a proxy")
 	}
-	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
-	go p.serve()
+	p := &Proxy{address: l.Addr().String(), listener: l, target: target, changed: make(chan struct{}), conns: make(map[net.Conn]bool)}
+	go p.serve(l)
 	return p, nil
 }
 
 // Address returns the address of the proxy.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // Set changes what happens to the bytes.
 func (p *Proxy) Set(s LinkState) {
@@ -57,11 +58,25 @@
 	p.changed = make(chan struct{})
 }
 
-// Retarget lets the following connections lead to another address.
-func (p *Proxy) Retarget(target string) {
+// Refuse lets the proxy accept no further connections. Those that are there go on.
+func (p *Proxy) Refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.listener.Close()
+}
+
+// Retarget lets the following connections lead to another address, also after Refuse.
+func (p *Proxy) Retarget(target string) error {
+	p.Refuse()
+	l, err := net.Listen("tcp", p.Address())
+	if err != nil {
+		return errors.Wrap(err, "listen again for a proxy")
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.target = target
+	p.target, p.listener = target, l
+	go p.serve(l)
+	return nil
 }
 
 // Reset resets all connections, those to callers first: the orderly end of one to the
@@ -87,7 +102,7 @@
 
 // Close ends the proxy and its connections.
 func (p *Proxy) Close() {
-	_ = p.listener.Close()
+	p.Refuse()
 	p.mu.Lock()
 	p.closed = true
 	p.mu.Unlock()
@@ -95,9 +110,9 @@
 	p.Reset()
 }
 
-func (p *Proxy) serve() {
+func (p *Proxy) serve(l net.Listener) {
 	for {
-		down, err := p.listener.Accept()
+		down, err := l.Accept()
 		if err != nil {
 			return
 		}
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -314,8 +314,7 @@
 	if s.proxy == nil || !w.kinds.has(sameAddress) {
 		return NewProxy(address)
 	}
-	s.proxy.Retarget(address)
-	return s.proxy, nil
+	return s.proxy, s.proxy.Retarget(address)
 }
 
 // StopReplica lets a replica crash, or leave after it was reported.
@@ -330,6 +329,7 @@
 		}
 		time.Sleep(drain)
 	}
+	p.Refuse()
 	if !orderly {
 		p.Reset()
 	}
