--- a/jobs/run.go
+++ b/jobs/run.go
@@ -1,9 +1,7 @@
 package jobs
 
 import (
-	"cmp"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -342,82 +340,3 @@
 	}
 	return slots.Failed
 }
-
-// readEvents reads the events of a response and adds them to the item's output.
-func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer, seen *runLog) (runEnd, slots.Outcome, error) {
-	events := forward.EventParser{After: it.lastEventID}
-	defer func() { seen.firstEvent, seen.lastEvent = events.FirstID, events.LastID }()
-	resumed := it.lastEventID != ""
-	buf := make([]byte, readBufferBytes)
-	dataLines, progressAt := 0, m.Clock.Now()
-	for {
-		n, err := ans.Body.Read(buf)
-		if n > 0 {
-			complete, feedErr := events.Feed(buf[:n])
-			if err := m.appendEvents(it, forward.EventData(complete), events.LastID); err != nil {
-				return endBroken, slots.Failed, err
-			}
-			if events.DataLines > dataLines {
-				dataLines, progressAt = events.DataLines, m.Clock.Now()
-				timer.Record(progressAt, dataLines)
-			}
-			if feedErr != nil {
-				return endBroken, slots.Failed, feedErr
-			}
-			if m.Clock.Now().Sub(progressAt) > runEventTimeout {
-				return endBroken, slots.Failed, errors.Newf("no event with data in %v", runEventTimeout)
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
-				return endBroken, slots.Failed, err
-			}
-			end, outcome := m.endOfEvents(ans.Framing, it, &events)
-			return end, outcome, nil
-		}
-		if err != nil {
-			return endBroken, outcomeOf(err), err
-		}
-	}
-}
-
-// endOfEvents returns how a run ended whose events ended in order, and the outcome to
-// report. A close-delimited response ends so too when its replica's process is killed
-// between two events: the output is complete once a second response ends after the same
-// event, without another one.
-func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) (runEnd, slots.Outcome) {
-	if framing != pool.FramingClose {
-		return endDone, slots.Done
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
-		return endDone, slots.Ended
-	}
-	return endUnconfirmed, slots.Ended
-}
-
-// outputSize returns the size of an output with the data of these events.
-func outputSize(data []string) int {
-	size := 0
-	for _, text := range data {
-		size += len(text) + len("\n")
-	}
-	return size
-}
-
-// appendEvents adds the data of complete events to an item's output. lastID is the id of
-// the last event of the run, or empty before the first. An output that could not be
-// recorded is discarded, and is an error.
-func (m *Manager) appendEvents(it *item, data []string, lastID string) error {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	it.eventBytes += outputSize(data)
-	if it.eventBytes > maxOutputBytes {
-		it.discardEvents()
-		return errors.Newf("output is larger than %d bytes", maxOutputBytes)
-	}
-	it.eventData = append(it.eventData, data...)
-	it.lastEventID = cmp.Or(lastID, it.lastEventID)
-	return nil
-}
