forward: the confirmation of a stream's end waits for a slot

Callers got all events of a close-delimited stream and then a broken connection. Cause: the request that confirms the end waited for a slot as any retry, 250 ms. While batch items hold all slots and hosts are short of processor time, none is free so soon, and the response broke off. The caller waits for the end only, and leaves a silent stream after two seconds at the earliest. Resumptions after other breaks wait 250 ms as before.

--- a/forward/ends_test.go
+++ b/forward/ends_test.go
@@ -190,6 +190,18 @@
 	require.Equal(t, "version of r1", o.slots.acquires[1].SoftwareVersion)
 }
 
+// Guards against complete streams that are broken off as no slot for the confirmation of
+// their end is free at once.
+func TestConfirmationOfTheEndWaitsForASlot(t *testing.T) {
+	ended := stream(strings.NewReader(events(1, 5)))
+	ended.response.Framing = pool.FramingClose
+	confirmed := stream(strings.NewReader(""))
+	confirmed.response.Framing = pool.FramingLength
+	o := runScript(resumable, 5, ended, confirmed)
+	require.NoError(t, o.err)
+	require.Equal(t, confirmSlotTimeout, o.slots.waits[1])
+}
+
 // Guards against streams that nobody can resume and that are asked for again or broken off
 // because they end with their connection, as such a response does.
 func TestCloseDelimitedStreamThatCannotBeResumedEndsWithItsConnection(t *testing.T) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -108,6 +108,9 @@
 	// fallbackSlotTimeout bounds the wait for a slot if the route has no
 	// objective, or if an earlier attempt may have run the request.
 	fallbackSlotTimeout = 250 * time.Millisecond
+	// confirmSlotTimeout bounds the wait for a slot to confirm the end of a stream whose
+	// events the caller has: callers leave a stream that is silent for two seconds.
+	confirmSlotTimeout = 1500 * time.Millisecond
 	// minFirstByteTimeout is the shortest time that a replica has for the first
 	// byte before the request is retried on another one.
 	minFirstByteTimeout = 250 * time.Millisecond
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -59,6 +59,7 @@
 	returned int
 	left     int
 	acquires []slots.AcquireArgs
+	waits    []time.Duration
 	outcomes []slots.Outcome
 	// version and versionErr are what StreamVersion returns.
 	version    string
@@ -72,8 +73,9 @@
 	firstAttempt            bool
 }
 
-func (f *fakeSlots) Acquire(_ context.Context, args slots.AcquireArgs, _ time.Duration) (slots.Grant, error) {
+func (f *fakeSlots) Acquire(_ context.Context, args slots.AcquireArgs, wait time.Duration) (slots.Grant, error) {
 	f.acquires = append(f.acquires, args)
+	f.waits = append(f.waits, wait)
 	if f.left == 0 {
 		return slots.Grant{}, &slots.RefusedError{RetryAfter: 700 * time.Millisecond}
 	}
