host: a test of confirmations doesn't count what hosts read of themselves

So the test was wrong: it counted from the start of the hosts on. Change: it counts once both hosts see each other and a second has passed, as TestOnlyTheBrokerAsksTheStore does. What it demands is the same: no call at all.

--- a/host/revocation_test.go
+++ b/host/revocation_test.go
@@ -173,6 +173,11 @@
 func TestNothingIsConfirmedWithoutCustomers(t *testing.T) {
 	f := newFleet(t, time.Millisecond)
 	a, b := f.startRevoking("a", "dc", f.address), f.startRevoking("b", "dc", f.address)
+	// A host that another one doesn't see yet reads its own record.
+	for _, h := range []*Host{a, b} {
+		require.Eventually(t, func() bool { return len(h.view.Local()) == 2 }, 10*time.Second, 10*time.Millisecond)
+	}
+	time.Sleep(time.Second)
 	before := f.store.Calls("commit") + f.store.Calls("get")
 	time.Sleep(revocationInTests)
 	require.Equal(t, before, f.store.Calls("commit")+f.store.Calls("get"))
