forward, jobs: one rule for the end of close-delimited streams

Online requests and batch items each had the rule that the end of a connection is proven by a second one after the same event, and forward had its condition twice. Change: type Ending has it once. No decision changes, but that an item notes the end also if its run is stopped at that moment, which makes the note no less true.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -103,7 +103,7 @@
 // slotTimeout returns how long the request may wait for a slot.
 func (s *requestState) slotTimeout() time.Duration {
 	now := s.Clock.Now()
-	if s.endedAfter != "" && s.endedAfter == s.lastEventID() {
+	if s.ending.IsUnconfirmed(s.lastEventID()) {
 		return min(confirmSlotTimeout, s.req.Deadline.Sub(now))
 	}
 	if s.mayHaveRunCount > 0 || s.req.Route.Objective <= 0 {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -152,9 +152,7 @@
 	// askedAfter is the id of the event after which the present attempt was to resume the
 	// stream; empty is the beginning.
 	askedAfter string
-	// endedAfter is the id of the last event that the caller had when a close-delimited
-	// response ended in order; empty if none did.
-	endedAfter string
+	ending     Ending
 	// longestWrite is the longest time in which the caller accepted a piece of the
 	// present attempt's response.
 	longestWrite time.Duration
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -285,22 +285,13 @@
 	if err := s.events.CheckEnd(res.Framing, s.askedAfter != ""); err != nil {
 		return s.readErrorOutcome(err), err
 	}
-	if res.Framing == pool.FramingClose && s.resumable() && !s.confirmsEnd() {
-		s.endedAfter = s.lastEventID()
+	if s.resumable() && !s.ending.Proves(res.Framing, s.lastEventID()) {
 		return slots.Ended, errEndNotConfirmed
 	}
 	s.begin(res.Status, res.Header, -1)
 	return slots.Done, nil
 }
 
-// confirmsEnd reports whether the present body, which is close-delimited and has ended,
-// confirms the end of the stream: an earlier one ended after the same event, so this one
-// brought none. A replica that fails twice at just this event is not told from a stream
-// that is complete.
-func (s *requestState) confirmsEnd() bool {
-	return s.endedAfter != "" && s.endedAfter == s.lastEventID()
-}
-
 func (s *requestState) writeToCaller(res *Response, p []byte) error {
 	if len(p) == 0 {
 		return nil
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -136,8 +136,7 @@
 	// the last of them.
 	eventData   []string
 	lastEventID string
-	// endedAfter is the id of the event after which a close-delimited response ended.
-	endedAfter string
+	ending      forward.Ending
 	// eventBytes is the size of eventData.
 	eventBytes int
 	// service and softwareVersion are those of the replicas that sent the events. service
--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -105,7 +105,7 @@
 	c.requireOutput(t, a)
 }
 
-// A replica answers with status 200 and the page of a proxy or an error in JSON.
+// Guards against HTML or JSON with status 200 that is taken for an output without events.
 func TestOutputMustBeAnEventStream(t *testing.T) {
 	for _, contentType := range []string{"", "text/html; charset=utf-8", "application/json", "text/event-streams"} {
 		t.Run(contentType, func(t *testing.T) {
--- a/jobs/output.go
+++ b/jobs/output.go
@@ -40,7 +40,7 @@
 			if err := events.CheckEnd(ans.Framing, resumed); err != nil {
 				return endBroken, slots.Failed, err
 			}
-			end, outcome := m.endOfEvents(ans.Framing, it, &events)
+			end, outcome := m.endOfEvents(ans.Framing, it)
 			return end, outcome, nil
 		}
 		if err != nil {
@@ -50,19 +50,18 @@
 }
 
 // endOfEvents returns how a run ended whose events ended in order, and the outcome to
-// report. A close-delimited response ends so too when its replica's process is killed
-// between two events: the output is complete once a second response ends after the same
-// event, without another one.
-func (m *Manager) endOfEvents(framing pool.Framing, it *item, events *forward.EventParser) (runEnd, slots.Outcome) {
-	if framing != pool.FramingClose {
-		return endDone, slots.Done
+// report.
+func (m *Manager) endOfEvents(framing pool.Framing, it *item) (runEnd, slots.Outcome) {
+	outcome := slots.Done
+	if framing == pool.FramingClose {
+		outcome = slots.Ended
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if events.LastID == "" && it.endedAfter != "" && it.endedAfter == it.lastEventID {
-		return endDone, slots.Ended
+	if it.ending.Proves(framing, it.lastEventID) {
+		return endDone, outcome
 	}
-	return endUnconfirmed, slots.Ended
+	return endUnconfirmed, outcome
 }
 
 // outputSize returns the size of an output with the data of these events.
--- a/jobs/random_faults_test.go
+++ b/jobs/random_faults_test.go
@@ -304,7 +304,7 @@
 		if j != nil {
 			t.Logf("rev %d recorded %d unrecorded %d disowned %v", j.rev, len(j.recorded), len(j.unrecorded), j.disowned)
 			for _, it := range j.items {
-				t.Logf("%s result %v running %v after %q ended %q notBefore %v events %v", it.ID, it.hasResult, it.running, it.lastEventID, it.endedAfter, time.Until(it.notBefore), it.eventData)
+				t.Logf("%s result %v running %v after %q ended %q notBefore %v events %v", it.ID, it.hasResult, it.running, it.lastEventID, it.ending, time.Until(it.notBefore), it.eventData)
 			}
 		}
 		h.mu.Unlock()
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -153,7 +153,7 @@
 // discardEvents lets the next run start from the beginning.
 func (it *item) discardEvents() {
 	it.eventData, it.eventBytes, it.lastEventID, it.ran = nil, 0, "", 0
-	it.endedAfter = ""
+	it.ending = forward.Ending{}
 }
 
 // Revoked implements slots.BatchItems. It cancels the run; the item waits again.
@@ -241,11 +241,7 @@
 			m.setResult(it, Result{ID: it.ID})
 			return
 		}
-	case endUnconfirmed:
-		it.endedAfter = it.lastEventID
-		it.consecutiveFailures = 0
-		return
-	case endStopped:
+	case endUnconfirmed, endStopped:
 		it.consecutiveFailures = 0
 		return
 	case endRejected, endBroken:
