--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -1,12 +1,12 @@
 package upstream
 
 import (
-	"hash/maphash"
 	"net"
-	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/idset"
 )
 
 var errSealed = errors.New("connection sealed: the request was given up")
@@ -20,28 +20,20 @@
 	written int64
 	writing bool
 	sealed  bool
-	// carried holds the hash of the ID of each request.
-	carried []uint32
+	// carried holds the ID of each request.
+	carried idset.Set
 }
 
-// maxCarried bounds the requests of one connection, and with them the memory for their
-// IDs: 4 KB.
-const maxCarried = 1000
-
-// carriedSeed is that of the hashes of IDs.
-var carriedSeed = maphash.MakeSeed()
-
 // carry records that the connection is to carry the request with an ID. It returns false if
 // it must not: an answer that an upstream writes again can't be told from one to a later
-// sending of the same request. Two IDs with one hash only cost another connection.
+// sending of the same request.
 func (c *countedConn) carry(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	hash := uint32(maphash.String(carriedSeed, id)) //nolint:gosec // part of the hash
-	if id != "" && slices.Contains(c.carried, hash) || len(c.carried) >= maxCarried {
+	if c.carried.Has(id) || c.carried.IsFull() {
 		return false
 	}
-	c.carried = append(c.carried, hash)
+	c.carried.Add(id)
 	return true
 }
 
--- a/upstream/pool/conn.go
+++ b/upstream/pool/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/idset"
 )
 
 // conn is one connection to an upstream. At any time at most one goroutine
@@ -24,8 +26,8 @@
 	control syscall.RawConn
 	// arrived gets the outcome of the wait for the next byte.
 	arrived chan error
-	// carried holds the hash of the ID of each exchange that was begun.
-	carried []uint32
+	// carried holds the ID of each exchange that was begun.
+	carried idset.Set
 	// written says whether any byte of the present request was taken.
 	written atomic.Bool
 	// expires is when an idle connection is no longer used.
--- a/upstream/pool/exchange.go
+++ b/upstream/pool/exchange.go
@@ -65,7 +65,7 @@
 			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
 		case res.StatusCode < http.StatusOK:
 			interim++
-		case x.Mine == nil || x.Mine(res, len(c.carried)):
+		case x.Mine == nil || x.Mine(res, c.carried.Len()):
 			return res, skipped, nil
 		default:
 			skipped++
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"hash/maphash"
 	"io"
 	"net/http"
 	"slices"
@@ -47,9 +46,6 @@
 	maxInterim = 16
 	// maxHeadBytes bounds the status line and the headers of an answer.
 	maxHeadBytes = 64 << 10
-	// maxExchanges bounds the exchanges of one connection, and with them the memory for
-	// the IDs that it has carried: 4 KB.
-	maxExchanges = 1000
 )
 
 // Errors of an exchange, to be tested with errors.Is.
@@ -132,21 +128,18 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn
 	dials func()
-	// seed is that of the hashes of IDs.
-	seed maphash.Seed
 }
 
 // New returns an empty pool. It calls dialed for each new connection.
 func New(dialed func()) *Pool {
-	return &Pool{idle: make(map[string][]*conn), dials: dialed, seed: maphash.MakeSeed()}
+	return &Pool{idle: make(map[string][]*conn), dials: dialed}
 }
 
 // Send makes an exchange. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, x Exchange) (*Answer, error) {
-	id := uint32(maphash.String(p.seed, x.ID)) //nolint:gosec // part of the hash
 	var c *conn
 	if x.ID != "" {
-		c = p.take(x, id)
+		c = p.take(x)
 	}
 	if c == nil {
 		var err error
@@ -158,7 +151,7 @@
 		c.await(func(arrived chan error) { p.lost(c, arrived) })
 	}
 	c.written.Store(false)
-	c.carried = append(c.carried, id)
+	c.carried.Add(x.ID)
 	stop := context.AfterFunc(ctx, func() { _ = c.raw.Close() })
 	res, skipped, err := p.exchange(c, x) //nolint:bodyclose // Answer.Close ends its use
 	if err != nil {
@@ -172,7 +165,7 @@
 	c.gap, c.giveUp = x.Gap, x.GiveUp
 	return &Answer{
 		Status: res.StatusCode, Header: res.Header, Framing: framingOf(res), Length: res.ContentLength, Body: res.Body,
-		Exchanges: len(c.carried), Skipped: skipped,
+		Exchanges: c.carried.Len(), Skipped: skipped,
 		pool: p, conn: c, res: res, stop: stop,
 	}, nil
 }
@@ -192,7 +185,7 @@
 func (a *Answer) Close() {
 	c := a.conn
 	open := a.stop()
-	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 || len(c.carried) >= maxExchanges {
+	if !open || a.res.Close || !a.drained() || c.reader.Buffered() > 0 || c.carried.IsFull() {
 		_ = c.raw.Close()
 		return
 	}
@@ -231,16 +224,15 @@
 }
 
 // take returns the connection to an exchange's upstream that was used last of those that
-// have not carried a request with this hash of its ID, or nil. Two IDs with one hash only
-// cost another connection.
-func (p *Pool) take(x Exchange, id uint32) *conn {
+// have not carried a request with its ID, or nil.
+func (p *Pool) take(x Exchange) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	for i := len(p.idle[x.Address]) - 1; i >= 0; i-- {
 		c := p.idle[x.Address][i]
 		usable := c.upstream == x.Upstream && now.Before(c.expires)
-		if usable && slices.Contains(c.carried, id) {
+		if usable && c.carried.Has(x.ID) {
 			continue
 		}
 		p.remove(x.Address, i)
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/comfreyspindle/comfreyspindle/internal/idset"
 )
 
 // script is what a stand-in does on one connection, request by request.
@@ -224,7 +226,7 @@
 			p := New(func() {})
 			time.Sleep(20 * time.Millisecond)
 			p.idle[address] = []*conn{c}
-			require.Equal(t, name == "", p.take(Exchange{Address: address}, 1) == c)
+			require.Equal(t, name == "", p.take(Exchange{Address: address}) == c)
 			require.Empty(t, p.idle)
 		})
 	}
@@ -496,7 +498,7 @@
 	}
 }
 
-// What follows on a connection that carried a stray answer, or one whose body is a matter of opinion, must not reach another request.
+// What follows on a connection after an answer to another request, or after one to HEAD, must not reach another request.
 func TestConnectionThatCannotBeTrustedIsNotKept(t *testing.T) {
 	rows := []struct{ name, method, before, response string }{
 		{"stray answer", http.MethodPost, answer("stray", "x"), answer("a", "mine")},
@@ -549,10 +551,10 @@
 func TestConnectionIsReplacedAfterItsLastExchange(t *testing.T) {
 	address, conns := serve(t, well)
 	p := New(func() {})
-	for i := range maxExchanges + 1 {
+	for i := range idset.Max + 1 {
 		_, err := exchangeWithin(p, address, fmt.Sprint(i), 10*time.Second)
 		require.NoError(t, err)
-		require.LessOrEqual(t, int(conns.Load()), 1+i/maxExchanges)
+		require.LessOrEqual(t, int(conns.Load()), 1+i/idset.Max)
 	}
 	require.EqualValues(t, 2, conns.Load())
 }
