--- a/gateway/sink.go
+++ b/gateway/sink.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/labstack/echo/v4"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/connreset"
 	"github.com/comfreyspindle/comfreyspindle/online"
 	"github.com/comfreyspindle/comfreyspindle/upstream"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
@@ -86,23 +86,9 @@
 // for the end of the response, so its connection is reset.
 func (g *Gateway) abort(c echo.Context) {
 	if !c.Request().ProtoAtLeast(1, 1) {
-		if err := resetConnection(c.Response()); err != nil {
+		if err := connreset.Reset(c.Response()); err != nil {
 			g.Log.WithError(err).Warn("can't reset the connection of a truncated response")
 		}
 	}
 	panic(http.ErrAbortHandler)
 }
-
-// resetConnection closes the connection of a response by a reset.
-func resetConnection(w http.ResponseWriter) error {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return errors.Wrap(err, "take over connection")
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		err = tcp.SetLinger(0)
-	}
-	// A reset is sent by closing; its error has nobody left to be told.
-	_ = conn.Close()
-	return errors.Wrap(err, "set linger")
-}
