host, platform, slots: logs say how old the version is that a host believes in

A host that serves an old configuration logged the last notice and its age, but not when the store had last answered the broker that sent it.

The client of the store reports the moment from which each answer counts; a notice carries the time since the last one (StoreAge, 0 from older builds); the log of a 404 has it beside the origin and the age of the version in force and the age of this host's own last answer, which is also a gauge. No decision uses it yet.

--- a/host/config.go
+++ b/host/config.go
@@ -27,6 +27,10 @@
 	table atomic.Pointer[route.Table]
 
 	mu sync.Mutex
+	// from says where the configuration in force came from, and since is when it came into
+	// force.
+	from  string
+	since time.Time
 	// raw is the encoded configuration in force, as sent to peers.
 	raw []byte
 	// record is the configuration's record as last read from the store.
@@ -107,7 +111,7 @@
 	if !table.Replaces(previous) {
 		return table.Version, nil
 	}
-	c.raw = value
+	c.raw, c.from, c.since = value, from, time.Now()
 	c.table.Store(table)
 	c.onVersion(table.Version)
 	entry := c.log.WithFields(logrus.Fields{"version": table.Version, "from": from})
@@ -132,25 +136,43 @@
 	return nil, 0
 }
 
+// origin returns where the configuration in force came from, and for how long it has been in
+// force.
+func (c *Config) origin() (from string, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.since.IsZero() {
+		return "", 0
+	}
+	return c.from, time.Since(c.since)
+}
+
 // receivedNotice is a broker's notice with the time at which it was received.
 type receivedNotice struct {
-	broker  string
-	version int64
-	at      time.Time
+	broker string
+	slots.Notice
+	at time.Time
 }
 
 // recordNotice records a broker's notice for the log and handles it.
 func (h *Host) recordNotice(broker membership.Host, n slots.Notice) {
-	h.lastNotice.Store(&receivedNotice{broker: broker.Name, version: n.ConfigVersion, at: h.clock.Now()})
+	h.lastNotice.Store(&receivedNotice{broker: broker.Name, Notice: n, at: h.clock.Now()})
 	h.handleNotice(broker, n)
 }
 
-// configSource returns fields that say where this host gets the configuration: the broker
-// that it polls now, and the last notice with the version that it named.
+// configSource returns fields that say how old the configuration of this host may be: where it
+// came from, when the store last answered this host, the broker that it polls now, and the last
+// notice with the version that it named and the time since the store had answered its broker.
 func (h *Host) configSource() logrus.Fields {
 	fields := logrus.Fields{"polls": h.slotClient.LocalBroker(), "store_available": h.storeAvailable()}
+	from, age := h.config.origin()
+	fields["config_from"], fields["config_age_ms"] = from, age.Milliseconds()
+	if age, ok := h.storeContact.age(); ok {
+		fields["store_answer_age_ms"] = age.Milliseconds()
+	}
 	if n := h.lastNotice.Load(); n != nil {
-		fields["notice_from"], fields["notice_version"], fields["notice_age_ms"] = n.broker, n.version, h.clock.Since(n.at).Milliseconds()
+		fields["notice_from"], fields["notice_version"], fields["notice_age_ms"] = n.broker, n.ConfigVersion, h.clock.Since(n.at).Milliseconds()
+		fields["notice_current"], fields["notice_store_age_ms"] = n.Current, n.StoreAge.Milliseconds()
 	}
 	return fields
 }
--- a/host/config_source_test.go
+++ b/host/config_source_test.go
@@ -26,4 +26,10 @@
 	require.Equal(t, broker.settings.Host, fields["polls"])
 	require.Less(t, fields["notice_age_ms"], int64(2000))
 	require.Equal(t, true, fields["store_available"])
+	require.Equal(t, true, fields["notice_current"])
+	require.Positive(t, fields["notice_store_age_ms"])
+	require.Less(t, fields["notice_store_age_ms"], int64(2000))
+	require.Less(t, fields["store_answer_age_ms"], int64(2000))
+	require.Contains(t, []string{"store", broker.settings.Peers}, fields["config_from"])
+	require.Positive(t, fields["config_age_ms"])
 }
--- a/host/host.go
+++ b/host/host.go
@@ -98,8 +98,10 @@
 	requests                *shutdown.Requests
 
 	stopping atomic.Bool
-	// storeDown is set while calls to the store fail.
-	storeDown atomic.Bool
+	// storeDown is set while calls to the store fail, and storeContact knows when one was last
+	// answered.
+	storeDown    atomic.Bool
+	storeContact *storeContact
 	// hostsVersion is the version of the membership view in the last notice of
 	// a broker, or 0 after a failed fetch.
 	hostsVersion atomic.Int64
@@ -144,6 +146,7 @@
 		log:              newLogger(logs, reg).WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
 		recoveryRequests: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), bootTime: boottime.Now, dialer: dialer,
 	}
+	h.storeContact = &storeContact{clock: h.bootTime}
 	h.store = h.newStore()
 	h.cancel = sync.OnceFunc(func() { close(h.quit) })
 	h.view = membership.NewStatic(membership.Host{
@@ -163,7 +166,7 @@
 		Name: "comfreyspindle_store_silent_connections_total", Help: "Calls to the store that got their response only on another connection.",
 	})
 	h.registry.MustRegister(silent)
-	options := []platform.StoreOption{platform.WithSilenceLog(h.log, silent.Inc)}
+	options := []platform.StoreOption{platform.WithSilenceLog(h.log, silent.Inc), platform.WithAnswers(h.storeContact.record)}
 	if d := responseTime(h.settings.ConfigTimeout, h.settings.DrainTimeout); d > 0 {
 		options = append(options, platform.WithResponseTime(d))
 	}
@@ -225,6 +228,7 @@
 	h.broker = slots.NewBroker(h.clock, rng, h.log)
 	h.broker.SetMetrics(slots.NewMetrics(h.registry))
 	h.broker.SetStoreAvailable(h.storeAvailable)
+	h.provisionStoreContact()
 	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
 	h.versions = versions.NewRecorder(h.store, h.clock, h.log, h.settings.FirstStart, h.replicas.versionsRecorded)
 	h.replicas.versions = h.versions
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -42,6 +42,8 @@
 	// storeAvailable reports whether the store answers this host; nil counts as
 	// true.
 	storeAvailable func() bool
+	// storeAge returns the time since the store last answered this host; nil counts as zero.
+	storeAge func() time.Duration
 	// isBroker reports whether this host is the broker of its data centre; nil counts
 	// as true. It was last called at isBrokerAt.
 	isBroker   func() bool
@@ -159,6 +161,10 @@
 // found to be leaving. It must be called before the broker is used.
 func (b *Broker) SetOnLeaving(onLeaving func(replica.Replica)) { b.onLeaving = onLeaving }
 
+// SetStoreAge sets the function that returns the time since the store last answered this host.
+// It must be called before the broker is used.
+func (b *Broker) SetStoreAge(storeAge func() time.Duration) { b.storeAge = storeAge }
+
 // SetConfigVersion sets the version of the configuration in force on this host
 // and ends waiting polls, so that other hosts see it at once.
 func (b *Broker) SetConfigVersion(version int64) {
@@ -325,6 +331,9 @@
 	n := Notice{
 		ConfigVersion: b.configVersion, HostsVersion: b.hostsVersion, Current: b.storeAvailable == nil || b.storeAvailable(),
 	}
+	if b.storeAge != nil {
+		n.StoreAge = b.storeAge()
+	}
 	if b.lastConfirmed != nil {
 		if version, age, ok := b.lastConfirmed(); ok {
 			n.ConfirmedVersion, n.ConfirmedAge = version, age
--- a/slots/messages.go
+++ b/slots/messages.go
@@ -96,6 +96,9 @@
 	HostsVersion int64
 	// Current reports that the store answers the broker.
 	Current bool
+	// StoreAge is the time since the store last answered the broker, and zero in the replies
+	// of builds without the field.
+	StoreAge time.Duration
 	// ConfirmedVersion was the newest version of the configuration at some moment not
 	// before ConfirmedAge before the reply. It may differ from ConfigVersion, which the
 	// broker reads at another moment. Zero means that nothing is confirmed, as in the
