host, slots: a host that the store has not answered lately isn't current

What callers saw: requests handled by an older version than the one that was acknowledged more than apply_ms before, also 404 for routes that had been added, at hosts that nothing had disturbed.

Cause: a broker said that it was current until one of its own calls to the store had failed. A store that leaves some hosts without answers fails none of their calls until these time out: a watch 2 s after its wait, a renewal, of which one is sent each 1.3 s, after 1.5 s. Meanwhile all hosts of the data centre believed the broker. The class: the absence of an error taken for evidence.

Change: the age of the store's last answer decides. A host is current for 0.7 of the time in which a change must take effect, from the moment from which its last answer counts; then it says so at once, by ending the polls that wait. The first poll of another broker asks for a reply at once, as that one may not be current either. No call is added: renewals and watches renew the contact (TestStoreCallsOfACalmFleet counts as before).

The calm fleet's stand-in of the store tells its hosts of its answers, as the client of the platform's does.

--- a/host/config.go
+++ b/host/config.go
@@ -164,7 +164,7 @@
 // came from, when the store last answered this host, the broker that it polls now, and the last
 // notice with the version that it named and the time since the store had answered its broker.
 func (h *Host) configSource() logrus.Fields {
-	fields := logrus.Fields{"polls": h.slotClient.LocalBroker(), "store_available": h.storeAvailable()}
+	fields := logrus.Fields{"polls": h.slotClient.LocalBroker(), "store_available": h.hasStore()}
 	from, age := h.config.origin()
 	fields["config_from"], fields["config_age_ms"] = from, age.Milliseconds()
 	if age, ok := h.storeContact.age(); ok {
--- a/host/host.go
+++ b/host/host.go
@@ -146,7 +146,7 @@
 		log:              newLogger(logs, reg).WithFields(logrus.Fields{"host": s.Host, "data_centre": s.DataCentre}),
 		recoveryRequests: make(chan struct{}, 1), quit: make(chan struct{}), done: make(chan struct{}), bootTime: boottime.Now, dialer: dialer,
 	}
-	h.storeContact = &storeContact{clock: h.bootTime}
+	h.storeContact = h.newStoreContact()
 	h.store = h.newStore()
 	h.cancel = sync.OnceFunc(func() { close(h.quit) })
 	h.view = membership.NewStatic(membership.Host{
@@ -227,7 +227,7 @@
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	h.broker = slots.NewBroker(h.clock, rng, h.log)
 	h.broker.SetMetrics(slots.NewMetrics(h.registry))
-	h.broker.SetStoreAvailable(h.storeAvailable)
+	h.broker.SetStoreAvailable(h.hasStore)
 	h.provisionStoreContact()
 	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
 	h.versions = versions.NewRecorder(h.store, h.clock, h.log, h.settings.FirstStart, h.replicas.versionsRecorded)
@@ -248,7 +248,7 @@
 	engine := h.provisionPaths(dials.Inc)
 	h.slotClient = &slots.Client{
 		View: h.view, Peers: h.brokerClient, Broker: h.broker, Clock: h.clock, Log: h.log, OnReplicas: h.replicas.replaceFromPeer,
-		OnNotice: h.recordNotice, StoreAvailable: h.storeAvailable, Replicas: h.replicas,
+		OnNotice: h.recordNotice, StoreAvailable: h.hasStore, Replicas: h.replicas,
 		CutOff: h.paths.CutOff,
 	}
 	h.slotClient.Init()
@@ -297,8 +297,6 @@
 // storeUnavailable reports whether the last calls to the store failed.
 func (h *Host) storeUnavailable() bool { return h.storeDown.Load() }
 
-func (h *Host) storeAvailable() bool { return !h.storeUnavailable() }
-
 func (h *Host) markStoreUnavailable() { h.storeDown.Store(true) }
 
 func (h *Host) markStoreAvailable() { h.storeDown.Store(false) }
@@ -326,6 +324,7 @@
 	control := suture.New("control", spec)
 	control.Add(h.peerServer)
 	control.Add(h.presence)
+	control.Add(h.storeContact)
 	control.Add(h.versions)
 	for _, w := range h.watchers() {
 		control.Add(w)
--- a/host/peer.go
+++ b/host/peer.go
@@ -81,7 +81,7 @@
 	if version, age, ok := p.host.lastConfirmed(); ok {
 		reply.ConfirmedVersion, reply.ConfirmedAge = version, age
 	}
-	reply.Current = p.host.slotClient.IsBroker() && p.host.replicas.isCurrent() && !p.host.storeUnavailable()
+	reply.Current = p.host.slotClient.IsBroker() && p.host.replicas.isCurrent() && p.host.hasStore()
 	return nil
 }
 
@@ -149,15 +149,15 @@
 	}
 }
 
-// lacksUpdates reports whether the store is unavailable and no broker with an
+// lacksUpdates reports whether the store does not answer this host and no broker with an
 // available store has replied lately, so that the records of this host may be
 // stale.
-func (h *Host) lacksUpdates() bool { return h.storeUnavailable() && h.slotClient.RecordsStale() }
+func (h *Host) lacksUpdates() bool { return !h.hasStore() && h.slotClient.RecordsStale() }
 
 // replicasCurrent reports whether the replica records of this host were up to date
 // lately.
 func (h *Host) replicasCurrent() bool {
-	watching := h.slotClient.IsBroker() && h.replicas.isCurrent() && !h.storeUnavailable()
+	watching := h.slotClient.IsBroker() && h.replicas.isCurrent() && h.hasStore()
 	return watching || h.replicas.haveRecords() && h.slotClient.ReceivesRecords()
 }
 
--- a/host/store_calls_test.go
+++ b/host/store_calls_test.go
@@ -96,6 +96,29 @@
 	return s.Store.Keep(ctx, lease)
 }
 
+// answeringStore tells a host of the answers of the store, as the client of the platform's does.
+type answeringStore struct {
+	txn.Store
+	host *Host
+}
+
+func (s *answeringStore) answered() { s.host.storeContact.record(s.host.bootTime()) }
+
+func (s *answeringStore) Range(ctx context.Context, prefix, after string) (txn.Page, error) {
+	defer s.answered()
+	return s.Store.Range(ctx, prefix, after)
+}
+
+func (s *answeringStore) Watch(ctx context.Context, prefix string, after txn.Rev, wait time.Duration) (txn.Changes, error) {
+	defer s.answered()
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+func (s *answeringStore) Keep(ctx context.Context, lease txn.Lease) error {
+	defer s.answered()
+	return s.Store.Keep(ctx, lease)
+}
+
 // calmFleet is the part of a fleet that calls the store while nothing happens: the hosts'
 // records, the watches and the confirming reads, in the virtual time of a synctest bubble.
 // Replies to polls are handed over directly.
@@ -122,6 +145,7 @@
 	t.Cleanup(f.services.Wait)
 	for _, h := range f.hosts {
 		f.services.Go(func() { _ = h.presence.Serve(ctx) })
+		f.services.Go(func() { _ = h.storeContact.Serve(ctx) })
 		for _, w := range h.watchers() {
 			f.services.Go(func() { _ = w.Serve(ctx) })
 		}
@@ -135,10 +159,12 @@
 func (f *calmFleet) newHost(s *platform.Settings) *Host {
 	start := time.Now()
 	h := &Host{
-		settings: s, clock: clockwork.NewRealClock(), registry: prometheus.NewRegistry(), store: f.store, log: quietLog(),
+		settings: s, clock: clockwork.NewRealClock(), registry: prometheus.NewRegistry(), log: quietLog(),
 		bootTime: func() time.Duration { return time.Since(start) + time.Hour }, recoveryRequests: make(chan struct{}, 1),
 		view: membership.NewStatic(membership.Host{Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: s.Host}),
 	}
+	h.store = &answeringStore{Store: f.store, host: h}
+	h.storeContact = h.newStoreContact()
 	h.config = &Config{log: h.log, onRetire: h.retire, onVersion: h.versionInForce}
 	h.provisionPresence()
 	h.provisionWork()
--- a/slots/client.go
+++ b/slots/client.go
@@ -166,6 +166,8 @@
 	suspects map[string]suspicion
 	// polls holds what ends the poll in progress at each broker.
 	polls map[string]context.CancelFunc
+	// polled is the broker of the own data centre to which the last poll went.
+	polled string
 	// outdatedUntil holds the time until which a broker that the store does not
 	// answer is passed over, by host name.
 	outdatedUntil map[string]time.Time
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -61,6 +61,7 @@
 	args := PollArgs{Host: self.Name, CutOff: c.isCutOff(), Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Quota: c.quotaAttachment(h, remote), Loads: c.takeLoads(h, dataCentre)}
 	if !remote {
 		args.Free = c.free.recent(c.Clock.Now())
+		args.NoWait = c.isNewBroker(h)
 	}
 	var reply PollReply
 	sent := c.bootTime()
@@ -81,6 +82,17 @@
 	return true
 }
 
+// isNewBroker records a poll of the broker of the own data centre and reports whether the last
+// one went to another. A new broker is asked for a reply at once: it may not be current either, or
+// have a newer configuration.
+func (c *Client) isNewBroker(h membership.Host) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isNew := c.polled != h.Name
+	c.polled = h.Name
+	return isNew
+}
+
 // poll calls Poll. It ends when the broker becomes suspect.
 func (c *Client) poll(ctx context.Context, h membership.Host, args PollArgs, reply *PollReply) error {
 	ctx, cancel := context.WithCancel(ctx)
