slots: a broker that wasn't current gets requests only once it says that it is

Cause: a host passed over a broker that wasn't current for two seconds, then sent its requests there again; only its next poll found that the broker was as out of date as before. In the trace edge-montego-a-1, without an answer since 8.96 s, said so at 10.72 s, and granted a slot of a replica that had left 2.54 s earlier at 12.56 s.

Change: in its own data centre, a host passes such a broker over until a poll finds that it is current. After the cooldown one poll goes there, with a reply at once, while requests stay with the present broker. When the whole store is back, hosts also agree on the first broker with its first reply, not after the cooldown. For other data centres, which a host may not poll, time decides as before.

Test: TestOutdatedBrokerGetsNoRequestsUntilItIsCurrent failed before.

--- a/slots/client.go
+++ b/slots/client.go
@@ -40,7 +40,8 @@
 	suspectCooldown    = time.Second
 	maxSuspectCooldown = 8 * time.Second
 	// outdatedCooldown is how long a broker that the store does not answer is
-	// passed over.
+	// passed over before it is asked again. One of the own data centre is passed over until
+	// it says that it is current.
 	outdatedCooldown = 2 * time.Second
 	// idlePollDelay is the delay after a poll that failed or was not needed,
 	// and pollDelay the delay after any other.
@@ -168,8 +169,8 @@
 	polls map[string]context.CancelFunc
 	// polled is the broker of the own data centre to which the last poll went.
 	polled string
-	// outdatedUntil holds the time until which a broker that the store does not
-	// answer is passed over, by host name.
+	// outdatedUntil holds the time from which on a broker that the store did not
+	// answer may be asked again, by host name.
 	outdatedUntil map[string]time.Time
 	// version is the version of the replica records that this host has, and
 	// lastUpdate is when a broker with an available store last replied.
@@ -226,6 +227,7 @@
 func (c *Client) brokers(dataCentre string) []membership.Host {
 	ranked := c.rankedHosts(dataCentre)
 	self, storeAvailable := c.View.Self().Name, c.StoreAvailable()
+	own := dataCentre == c.View.Self().DataCentre
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
@@ -233,7 +235,7 @@
 		switch {
 		case now.Before(c.suspects[h.Name].until):
 			return 2
-		case now.Before(c.outdatedUntil[h.Name]), h.Name == self && !storeAvailable:
+		case c.isOutdated(h, own, now), h.Name == self && !storeAvailable:
 			return 1
 		}
 		return 0
@@ -246,6 +248,39 @@
 	return ranked[:min(len(ranked), maxBrokerTries)]
 }
 
+// isOutdated reports whether a broker is passed over since the store did not answer it. One of
+// the own data centre is, until a poll has found that it is current. The lock is held.
+func (c *Client) isOutdated(h membership.Host, own bool, now time.Time) bool {
+	until, ok := c.outdatedUntil[h.Name]
+	return ok && (own || now.Before(until))
+}
+
+// outdatedToAsk returns a host of the own data centre that precedes its broker, was passed over
+// since the store did not answer it, and is to be asked again whether it is current.
+func (c *Client) outdatedToAsk(broker membership.Host) (membership.Host, bool) {
+	c.mu.Lock()
+	none := len(c.outdatedUntil) == 0
+	c.mu.Unlock()
+	if none || broker.DataCentre != c.View.Self().DataCentre {
+		return membership.Host{}, false
+	}
+	ranked := c.rankedHosts(broker.DataCentre)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	for _, h := range ranked {
+		if h.Name == broker.Name {
+			break
+		}
+		until, ok := c.outdatedUntil[h.Name]
+		if ok && !now.Before(until) && !now.Before(c.suspects[h.Name].until) {
+			c.outdatedUntil[h.Name] = now.Add(outdatedCooldown)
+			return h, true
+		}
+	}
+	return membership.Host{}, false
+}
+
 // suspect records that a broker did not answer, and ends the poll there so that the next one
 // goes to another broker.
 func (c *Client) suspect(h membership.Host, err error) {
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -311,6 +311,26 @@
 	require.False(t, other.RecordsStale())
 }
 
+// Requests went to the broker that the store left without answers before a poll asked it again.
+func TestOutdatedBrokerGetsNoRequestsUntilItIsCurrent(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	broker.storeUnavailable = true
+	f.poll(t, other)
+	for range 3 {
+		require.True(t, other.IsBroker())
+		f.clock.Advance(outdatedCooldown + 1)
+		require.True(t, other.IsBroker(), "it has not said that it is current")
+		f.poll(t, other)
+	}
+	broker.storeUnavailable = false
+	f.poll(t, other)
+	require.True(t, other.IsBroker(), "it was asked a moment ago")
+	f.clock.Advance(outdatedCooldown + 1)
+	f.poll(t, other)
+	require.False(t, other.IsBroker(), "it says that it is current")
+}
+
 // The first poll after the store answers again has requested no records, so its
 // reply has none. They must not be mistaken for an empty list.
 func TestRecordsAreKeptWhenStoreRecovers(t *testing.T) {
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -58,7 +58,11 @@
 		return false
 	}
 	h := ranked[0]
-	args := PollArgs{Host: self.Name, CutOff: c.isCutOff(), Holds: grants, Wants: demands, Partial: remote, Version: c.knownVersion(h, remote), Quota: c.quotaAttachment(h, remote), Loads: c.takeLoads(h, dataCentre)}
+	version := c.knownVersion(h, remote)
+	if outdated, ok := c.outdatedToAsk(h); ok {
+		h, version = outdated, c.recordsVersion()
+	}
+	args := PollArgs{Host: self.Name, CutOff: c.isCutOff(), Holds: grants, Wants: demands, Partial: remote, Version: version, Quota: c.quotaAttachment(h, remote), Loads: c.takeLoads(h, dataCentre)}
 	if !remote {
 		args.Free = c.free.recent(c.Clock.Now())
 		args.NoWait = c.isNewBroker(h)
@@ -142,14 +146,23 @@
 // Records are received only by the hosts that keep them, and neither from
 // brokers of other data centres nor from those that the store does not answer.
 func (c *Client) knownVersion(h membership.Host, remote bool) int64 {
+	c.mu.Lock()
+	outdated := c.isOutdated(h, true, c.Clock.Now())
+	c.mu.Unlock()
+	if remote || outdated {
+		return skipRecords
+	}
+	return c.recordsVersion()
+}
+
+// recordsVersion returns the version of the replica records of this host, or skipRecords if it
+// does not keep any.
+func (c *Client) recordsVersion() int64 {
 	if !c.isRecordHolder() {
 		return skipRecords
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if remote || c.Clock.Now().Before(c.outdatedUntil[h.Name]) {
-		return skipRecords
-	}
 	return c.version
 }
 
@@ -188,7 +201,9 @@
 	c.mu.Lock()
 	now := c.Clock.Now()
 	c.addGrants(now, h.Name, reply.Granted)
-	if !reply.Notice.Current && h.Name != c.View.Self().Name {
+	if reply.Notice.Current {
+		delete(c.outdatedUntil, h.Name)
+	} else if h.Name != c.View.Self().Name {
 		c.outdatedUntil[h.Name] = now.Add(outdatedCooldown)
 	}
 	c.mu.Unlock()
