slots: without a current broker, a host reads the store by itself at once

Cause: hosts that don't keep the replica records are never the broker while one that does answers, current or not.

Change: a host whose best broker has said that the store doesn't answer it takes its records for stale at once. By then it has asked all that may be the broker.

--- a/host/turned_away_test.go
+++ b/host/turned_away_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer/peertest"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 )
@@ -41,7 +42,7 @@
 		}
 		return true
 	}, testTimeout, time.Millisecond)
-	for _, m := range f.hosts["h0"].slotClient.RecordHolders() {
+	for _, m := range membership.Rendezvous(membership.All(f.hosts["h0"].view), "slots/dc", size) {
 		f.ranked = append(f.ranked, f.hosts[m.Name])
 	}
 	require.Eventually(t, f.ranked[0].slotClient.IsBroker, testTimeout, time.Millisecond)
@@ -58,17 +59,19 @@
 // The hosts that the store answers served an older version for as long as they believed their broker.
 func TestChangeIsInForceInTimeThoughTheStoreAnswersTheBrokerNoMore(t *testing.T) {
 	for _, row := range []struct {
-		turnedAway int
+		hosts, turnedAway int
 		// phase is the time from the start of the fleet until the store is silent: the sooner a
 		// call of the broker is due, the sooner it finds out.
 		phase time.Duration
 	}{
-		{1, 0}, {1, 300 * time.Millisecond}, {1, 600 * time.Millisecond}, {1, 900 * time.Millisecond}, {1, 1200 * time.Millisecond},
-		{2, 0}, {2, 300 * time.Millisecond}, {2, 600 * time.Millisecond}, {2, 900 * time.Millisecond}, {2, 1200 * time.Millisecond},
+		{4, 1, 0}, {4, 1, 300 * time.Millisecond}, {4, 1, 600 * time.Millisecond}, {4, 1, 900 * time.Millisecond}, {4, 1, 1200 * time.Millisecond},
+		{4, 2, 0}, {4, 2, 300 * time.Millisecond}, {4, 2, 600 * time.Millisecond}, {4, 2, 900 * time.Millisecond}, {4, 2, 1200 * time.Millisecond},
+		// All hosts that keep the replica records.
+		{7, 5, 0}, {7, 5, 400 * time.Millisecond}, {7, 5, 800 * time.Millisecond}, {7, 5, 1200 * time.Millisecond},
 	} {
-		t.Run(fmt.Sprintf("%d turned away, phase %s", row.turnedAway, row.phase), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d of %d, phase %s", row.turnedAway, row.hosts, row.phase), func(t *testing.T) {
 			t.Parallel()
-			f := newTurnedAwayFleet(t, 4)
+			f := newTurnedAwayFleet(t, row.hosts)
 			time.Sleep(silentTime/2 + row.phase)
 			f.turnAway(row.turnedAway)
 			f.put(platformtest.ConfigVersion(7, "svc"))
--- a/slots/client.go
+++ b/slots/client.go
@@ -329,11 +329,24 @@
 }
 
 // RecordsStale reports whether no broker with an available store has replied
-// within recordsStaleTimeout.
+// within recordsStaleTimeout, or whether the store answers none of those that this host may poll.
 func (c *Client) RecordsStale() bool {
+	c.mu.Lock()
+	stale, outdated := c.Clock.Now().Sub(c.lastUpdate) > recordsStaleTimeout, len(c.outdatedUntil) > 0
+	c.mu.Unlock()
+	return stale || outdated && c.isBrokerOutdated()
+}
+
+// isBrokerOutdated reports whether the store does not answer the broker of the own data centre,
+// and so none of the hosts that may be it.
+func (c *Client) isBrokerOutdated() bool {
+	ranked := c.brokers(c.View.Self().DataCentre)
+	if len(ranked) == 0 || ranked[0].Name == c.View.Self().Name {
+		return false
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Clock.Now().Sub(c.lastUpdate) > recordsStaleTimeout
+	return c.isOutdated(ranked[0], true, c.Clock.Now())
 }
 
 // ReceivesRecords reports whether this host keeps the replica records and a broker with
