forward: an event without end is not copied at each read

What operators of systems like ours saw: bytes without end that are no answer filled the memory of the machine that had called the replica. Here all that is kept of an event is bounded, but each read copied all of the unfinished event and searched it for its end again, so that a stream of 256 KiB in pieces of 64 bytes cost 558 MB of allocations, and 5.1 MB in reads of 16 KiB.

Change: the parser keeps one buffer, which grows as a slice does, and looks for the end of an event in new bytes only. A buffer that a large event has left is not kept for small ones.

Tests: TestEventWithoutEndIsNotCopiedAtEachRead failed before (558,257,520 and 5,050,384 bytes where 1.5 MiB are allowed); TestEventEndIsFoundWhereverItIsSplit and TestLargeEventLeavesNoLargeBuffer guard the change itself.

--- a/forward/events.go
+++ b/forward/events.go
@@ -44,7 +44,11 @@
 	// number, the first event may have any number.
 	After string
 
-	pending []byte
+	// buf holds what was returned by the last call of Feed, up to start, and after it the
+	// bytes of an event that is not complete. The first scanned bytes of these hold no end of
+	// an event.
+	buf            []byte
+	start, scanned int
 	// received means that the present body has brought any byte.
 	received bool
 	// last is the number of the last event of the present body, if numbered is true.
@@ -59,8 +63,12 @@
 	DataLines int
 }
 
-// maxPartialEventBytes bounds the bytes of one event.
-const maxPartialEventBytes = 256 << 10
+const (
+	// maxPartialEventBytes bounds the bytes of one event.
+	maxPartialEventBytes = 256 << 10
+	// maxKeptBytes bounds the buffer that is kept from one read to the next without need.
+	maxKeptBytes = 2 * relayBufferBytes
+)
 
 // Errors of the input of an EventParser.
 var (
@@ -80,27 +88,39 @@
 // before the fault. The rest of the body is then not to be fed.
 func (e *EventParser) Feed(p []byte) ([]byte, error) {
 	e.received = e.received || len(p) > 0
-	e.pending = append(e.pending, p...)
-	end, err := e.recordEvents(e.pending[:lastEventEnd(e.pending)])
-	complete := e.pending[:end:end]
-	e.pending = bytes.Clone(e.pending[end:])
-	if err == nil && len(e.pending) > maxPartialEventBytes {
+	e.buf = append(e.discardReturned(), p...)
+	end, err := e.recordEvents(e.buf[:lastEventEnd(e.buf, e.scanned)])
+	e.start, e.scanned = end, len(e.buf)-end
+	if err == nil && e.scanned > maxPartialEventBytes {
 		err = errEventTooLarge
 	}
 	if end == 0 {
 		return nil, err
 	}
-	return complete, err
+	return e.buf[:end:end], err
+}
+
+// discardReturned returns the buffer with the bytes of an event that is not complete only. One that
+// a large event has left behind is not kept for small ones.
+func (e *EventParser) discardReturned() []byte {
+	if e.start == 0 {
+		return e.buf
+	}
+	rest := e.buf[e.start:]
+	if cap(e.buf) > maxKeptBytes && len(rest) < maxKeptBytes/2 {
+		return bytes.Clone(rest)
+	}
+	return e.buf[:copy(e.buf, rest)]
 }
 
 // Remainder returns the input after the last complete event.
-func (e *EventParser) Remainder() []byte { return e.pending }
+func (e *EventParser) Remainder() []byte { return e.buf[e.start:] }
 
 // CheckEnd returns an error if a body that has ended is not a complete stream: it
 // ends within an event, or it is close-delimited and empty. A resumed stream may
 // be empty, if its last event was received before.
 func (e *EventParser) CheckEnd(framing pool.Framing, resumed bool) error {
-	if n := len(e.pending); n > 0 {
+	if n := len(e.Remainder()); n > 0 {
 		return errors.Wrapf(errEndsWithinEvent, "%d bytes of a partial event", n)
 	}
 	if framing == pool.FramingClose && !e.received && !resumed {
@@ -113,19 +133,21 @@
 // is to go on after the event with the given id; empty is the beginning.
 func (e *EventParser) Reset(after string) {
 	e.After = after
-	e.pending, e.received, e.FirstID = nil, false, ""
+	e.buf, e.start, e.scanned = nil, 0, 0
+	e.received, e.FirstID = false, ""
 	e.last, e.numbered = 0, false
 }
 
-// lastEventEnd returns the index after the last blank line in p, or 0 if there
-// is none. As the event stream format allows, lines end with LF or CRLF, in any
-// mix.
-func lastEventEnd(p []byte) int {
+// lastEventEnd returns the index after the last blank line in p that ends at or after the index
+// from, or 0 if there is none. As the event stream format allows, lines end with LF or CRLF, in
+// any mix.
+func lastEventEnd(p []byte, from int) int {
 	for end := len(p); ; {
-		end = bytes.LastIndexByte(p[:end], '\n')
-		if end < 0 {
+		n := bytes.LastIndexByte(p[from:end], '\n')
+		if n < 0 {
 			return 0
 		}
+		end = from + n
 		before := bytes.TrimSuffix(p[:end], []byte("\r"))
 		if len(before) == 0 || bytes.HasSuffix(before, []byte("\n")) {
 			return end + 1
