forward, jobs, host: responses without end are bounded together

What operators of systems like ours saw: a faulty replica's bytes without end filled the memory of the machine that had called it, and the requests of other clients ended with that process.

Cause: each response is bounded by itself (256 KiB of an event, or of a body that may still be retried), but nothing bounded them together. 300 responses that trickle up to that bound and never end held 92 MB of live heap, of the 144 MB that a host has.

Change: what responses hold before it can be passed on, beyond 16 KiB each, is counted for the process. One that would exceed an eighth of the memory limit fails as a response that is too large does, so that sound ones, which hold less, go on. A gauge shows the bytes.

Not bounded together: heads (64 KiB each) and the outputs of batch items (900 KiB each, bounded by slots).

--- a/forward/events.go
+++ b/forward/events.go
@@ -43,12 +43,16 @@
 	// the beginning of the stream. It is used with ConsecutiveIDs only. If it is not a
 	// number, the first event may have any number.
 	After string
+	// Unfinished bounds what this parser and others hold together; nil bounds nothing.
+	// Release must be called after use if it is set.
+	Unfinished *Unfinished
 
 	// buf holds what was returned by the last call of Feed, up to start, and after it the
 	// bytes of an event that is not complete. The first scanned bytes of these hold no end of
 	// an event.
 	buf            []byte
 	start, scanned int
+	share          unfinishedShare
 	// received means that the present body has brought any byte.
 	received bool
 	// last is the number of the last event of the present body, if numbered is true.
@@ -84,15 +88,15 @@
 // event was completed. The result is valid until the next call.
 //
 // An error means that the input is not events that follow those before, or that an
-// event is larger than maxPartialEventBytes. The bytes returned with it are the events
+// event is larger than maxPartialEventBytes or than Unfinished allows. The bytes returned with it are the events
 // before the fault. The rest of the body is then not to be fed.
 func (e *EventParser) Feed(p []byte) ([]byte, error) {
 	e.received = e.received || len(p) > 0
 	e.buf = append(e.discardReturned(), p...)
 	end, err := e.recordEvents(e.buf[:lastEventEnd(e.buf, e.scanned)])
 	e.start, e.scanned = end, len(e.buf)-end
-	if err == nil && e.scanned > maxPartialEventBytes {
-		err = errEventTooLarge
+	if err == nil {
+		err = e.checkSize()
 	}
 	if end == 0 {
 		return nil, err
@@ -100,6 +104,21 @@
 	return e.buf[:end:end], err
 }
 
+// checkSize returns an error if the event that is not complete is too large.
+func (e *EventParser) checkSize() error {
+	if e.scanned > maxPartialEventBytes {
+		return errEventTooLarge
+	}
+	e.share.of = e.Unfinished
+	return e.share.resize(e.scanned)
+}
+
+// Release discards a partial event.
+func (e *EventParser) Release() {
+	e.buf, e.start, e.scanned = nil, 0, 0
+	e.share.release()
+}
+
 // discardReturned returns the buffer with the bytes of an event that is not complete only. One that
 // a large event has left behind is not kept for small ones.
 func (e *EventParser) discardReturned() []byte {
@@ -133,7 +152,7 @@
 // is to go on after the event with the given id; empty is the beginning.
 func (e *EventParser) Reset(after string) {
 	e.After = after
-	e.buf, e.start, e.scanned = nil, 0, 0
+	e.Release()
 	e.received, e.FirstID = false, ""
 	e.last, e.numbered = 0, false
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -92,7 +92,7 @@
 	Write(p []byte) error
 }
 
-// Runner runs requests. All fields but ReplicasSilentFor are required.
+// Runner runs requests. All fields but ReplicasSilentFor and Unfinished are required.
 type Runner struct {
 	Host     string
 	Slots    SlotClient
@@ -103,6 +103,8 @@
 	// ReplicasSilentFor returns the time since bytes last arrived from any replica, for the
 	// log. It returns false if that is unknown.
 	ReplicasSilentFor func() (time.Duration, bool)
+	// Unfinished bounds what all responses hold together; nil bounds nothing.
+	Unfinished *Unfinished
 }
 
 // Limits of one request.
@@ -183,7 +185,8 @@
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
 	defer cancel()
 	req.Fingerprint = quarantine.FingerprintOfPath(req.Host, req.Target, req.Body)
-	s := &requestState{Runner: r, req: req, sink: sink}
+	s := &requestState{Runner: r, req: req, sink: sink, events: EventParser{Unfinished: r.Unfinished}}
+	defer s.events.Release()
 	defer s.releaseReserved()
 	err := s.pinResumed(ctx)
 	if err == nil {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -129,7 +129,9 @@
 // relayBody relays a response that is no event stream. The first part of it is
 // buffered, so that the request can be retried if the response breaks off there.
 func (s *requestState) relayBody(res *Response) (slots.Outcome, error) {
-	first, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedBytes+1))
+	share := unfinishedShare{of: s.Unfinished}
+	defer share.release()
+	first, err := share.readFirst(res.Body, maxBufferedBytes+1)
 	if err != nil {
 		return s.readErrorOutcome(err), errors.Wrap(err, "read response body")
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -49,6 +49,9 @@
 	// set as the soft limit of the Go runtime, above which garbage is
 	// collected more often.
 	softMemoryFraction = 0.7
+	// unfinishedFraction is the part of the process's memory limit that parts of responses may
+	// use before they can be passed on. The buffers that hold them may be twice as large.
+	unfinishedFraction = 0.125
 	// recoveryDelay is the time after the start at which a host searches for
 	// jobs whose owner is no longer a member. Leases of the host's earlier
 	// incarnation have expired by then.
@@ -256,14 +259,18 @@
 	h.provisionQuarantine(engine)
 	h.provisionQuotas()
 	h.replicas.onRateLimit = h.slotClient.ReportRateLimit
+	unfinished := forward.NewUnfinished(int64(unfinishedFraction * float64(h.settings.MemoryBytes)))
+	h.registerGauge("comfreyspindle_unfinished_response_bytes", "Bytes of responses that replicas have begun and that can't be passed on yet, beyond 16 KiB each.",
+		nil, func() float64 { return float64(unfinished.Bytes()) })
 	h.jobs = jobs.NewManager(jobs.Options{
-		Store: h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
+		Unfinished: unfinished,
+		Store:      h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
 		StoreUnavailable: h.storeUnavailable, IsRegistered: h.presence.IsRegistered, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
 	})
 	h.slotClient.BatchItems = h.jobs
 	h.runner = &forward.Runner{
 		Host: h.settings.Host, Slots: h.slotClient, Upstream: engine, Clock: h.clock, Log: h.log,
-		Metrics: forward.NewMetrics(h.registry), ReplicasSilentFor: h.paths.SilentFor,
+		Metrics: forward.NewMetrics(h.registry), ReplicasSilentFor: h.paths.SilentFor, Unfinished: unfinished,
 	}
 }
 
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -28,7 +28,7 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-// Options are the dependencies and settings of a Manager. All fields are
+// Options are the dependencies and settings of a Manager. All fields but Unfinished are
 // required.
 type Options struct {
 	Store    txn.Store
@@ -47,6 +47,8 @@
 	Clock     clockwork.Clock
 	Log       *logrus.Entry
 	Metrics   *Metrics
+	// Unfinished bounds what all responses hold together; nil bounds nothing.
+	Unfinished *forward.Unfinished
 }
 
 // Manager runs the jobs that this host owns and forwards calls about other jobs
--- a/jobs/output.go
+++ b/jobs/output.go
@@ -13,7 +13,8 @@
 
 // readEvents reads the events of a response and adds them to the item's output.
 func (m *Manager) readEvents(ans *forward.Response, it *item, timer *slots.RunTimer, seen *runLog) (runEnd, slots.Outcome, error) {
-	events := forward.EventParser{After: it.lastEventID}
+	events := forward.EventParser{After: it.lastEventID, Unfinished: m.Unfinished}
+	defer events.Release()
 	defer func() { seen.firstEvent, seen.lastEvent = events.FirstID, events.LastID }()
 	resumed := it.lastEventID != ""
 	buf := make([]byte, readBufferBytes)
