--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -85,7 +85,7 @@
 func (c *callers) online(ctx context.Context, n int) {
 	rng, caller, keys := c.rng("online", n), c.world.newCaller(), c.rng("keys", n)
 	versions := 2
-	if c.world.suffers(silentConnections) {
+	if c.world.suffers(silentConnections) || c.world.suffers(upgrade) {
 		versions = recentVersions
 	}
 	for i := 0; ctx.Err() == nil; i++ {
--- a/e2e/soak/faults.go
+++ b/e2e/soak/faults.go
@@ -133,23 +133,29 @@
 	return Fault{Text: fmt.Sprintf("stop %s, down %s", h.Name, down), run: func(context.Context) {
 		h.life.Lock()
 		defer h.life.Unlock()
-		paused, limit := h.pauses.Load(), stopTimeout+stopSlack
-		if h.still.Load() > 0 {
-			// The host takes the signal when it goes on.
-			limit += maxSpell
-		}
-		h.Signal(syscall.SIGTERM)
-		if !h.Ended(limit) {
-			if h.pauses.Load() == paused {
-				p.ledger.violate("%s has not ended %s after its signal", h.Name, limit)
-			}
-			h.Kill()
-		}
+		p.stop(h)
 		time.Sleep(down)
 		p.restart(h)
 	}}
 }
 
+// stop stops a host by its signal. The host's life is locked.
+func (p *planner) stop(h *Host) {
+	paused, limit := h.pauses.Load(), stopTimeout+stopSlack
+	if h.still.Load() > 0 {
+		// The host takes the signal when it goes on.
+		limit += maxSpell
+	}
+	h.Signal(syscall.SIGTERM)
+	if h.Ended(limit) {
+		return
+	}
+	if h.pauses.Load() == paused {
+		p.ledger.violate("%s has not ended %s after its signal", h.Name, limit)
+	}
+	h.Kill()
+}
+
 // pause lets a host stand still, whatever else happens to it.
 func (p *planner) pause() Fault {
 	h, spell := pick(p.rng, p.world.hosts), p.spell()
--- a/e2e/soak/kinds.go
+++ b/e2e/soak/kinds.go
@@ -26,6 +26,9 @@
 	// silentConnections lets connections of all kinds fall silent for good, while new ones
 	// work, and changes the configuration.
 	silentConnections = "silent-connections"
+	// upgrade stops hosts in turn, starts each with the next build, and changes the
+	// configuration.
+	upgrade = "upgrade"
 )
 
 // CIKinds are the kinds of the seeds that name none.
@@ -62,7 +65,7 @@
 
 // Validate returns an error if a kind is not known.
 func (k Kinds) Validate() error {
-	known := append(slices.Sorted(maps.Keys(responseFaults)), plannedFaults, orderlyCrashes, sameAddress, leavingCallers, silentConnections)
+	known := append(slices.Sorted(maps.Keys(responseFaults)), plannedFaults, orderlyCrashes, sameAddress, leavingCallers, silentConnections, upgrade)
 	for _, name := range k {
 		if !slices.Contains(known, name) {
 			return fmt.Errorf("kind of faults %q is none of %v", name, known)
--- a/e2e/soak/process.go
+++ b/e2e/soak/process.go
@@ -10,11 +10,15 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Process is one run after another of a program. It is safe for concurrent use.
+// Process is one run after another of a program, whose builds take turns. It is safe for
+// concurrent use.
 type Process struct {
-	program, settingsVariable, settingsPath string
-	args                                    []string
-	log                                     *os.File
+	// builds are the paths of the builds. The first run is that of builds[first].
+	builds                         []string
+	first                          int
+	settingsVariable, settingsPath string
+	args                           []string
+	log                            *os.File
 
 	mu  sync.Mutex
 	cmd *exec.Cmd
@@ -38,7 +42,8 @@
 func (p *Process) Start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cmd := exec.Command(p.program, p.args...)
+	build := p.builds[(p.first+p.starts)%len(p.builds)]
+	cmd := exec.Command(build, p.args...)
 	cmd.Env = append(os.Environ(), p.settingsVariable+"="+p.settingsPath)
 	cmd.Stdout, cmd.Stderr = p.log, p.log
 	cmd.SysProcAttr = OwnGroup()
--- a/e2e/soak/silence.go
+++ b/e2e/soak/silence.go
@@ -82,12 +82,12 @@
 
 // CheckVersion checks what a host answered to a request, sent at a time, for the route of one
 // version: configTimeout after a version was acknowledged its route is served and those of
-// older versions are not. Nothing is promised in contactTime after connections fell silent, nor
-// while other faults are played.
+// older versions are not. Nothing is promised in contactTime after connections fell silent or the
+// host started, nor while other faults are played.
 func (w *World) CheckVersion(l *Ledger, host, id string, version int, sent time.Time, a platformtest.Response) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.kinds.has(plannedFaults) || !w.kinds.has(silentConnections) {
+	if w.kinds.has(plannedFaults) || !w.kinds.has(silentConnections) && !w.kinds.has(upgrade) || w.isYoung(host, sent) {
 		return
 	}
 	for _, at := range w.silences {
--- a/e2e/soak/soak.go
+++ b/e2e/soak/soak.go
@@ -63,7 +63,7 @@
 		return nil, err
 	}
 	r := &Report{Seed: seed}
-	calm := !w.suffers(plannedFaults) && !w.suffers(silentConnections)
+	calm := !w.suffers(plannedFaults) && !w.suffers(silentConnections) && !w.suffers(upgrade)
 	r.Plan = w.plan(ledger, seed, length)
 	c := &callers{world: w, ledger: ledger, seed: seed}
 	reading, stop := context.WithCancel(ctx)
@@ -121,6 +121,10 @@
 		p := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 6))}
 		plan = sorted(append(plan, p.planSilences(length)...))
 	}
+	if w.suffers(upgrade) {
+		p := &planner{world: w, ledger: l, rng: rand.New(rand.NewPCG(seed, 7))}
+		plan = sorted(append(plan, p.planUpgrade(length)...))
+	}
 	return plan
 }
 
--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -23,6 +23,7 @@
 	from   = flag.Uint64("soak.from", 1, "first of the further seeds")
 	length = flag.Duration("soak.length", 12*time.Second, "time over which faults begin")
 	kinds  = flag.String("soak.kinds", "", "kinds of faults to play in place of those of CI, separated by commas")
+	beside = flag.String("soak.beside", "", "paths of earlier builds of spindled that run beside the present one, separated by commas; each start of a host takes the next build")
 	keep   = flag.String("soak.keep", "", "folder that keeps the logs and reports of seeds that break a promise")
 )
 
@@ -99,7 +100,11 @@
 
 func play(t *testing.T, seed uint64, length time.Duration, kinds soak.Kinds) {
 	folder := t.TempDir()
-	w, err := soak.NewWorld(program, folder, soak.Ports{
+	builds := []string{program}
+	if *beside != "" {
+		builds = append(builds, strings.Split(*beside, ",")...)
+	}
+	w, err := soak.NewWorld(builds, folder, soak.Ports{
 		Free: func() string { return porttest.Free(t) },
 		Pair: func() (string, int) { return freePair(t) },
 	}, soak.HasCustomers(seed), kinds)
--- a/e2e/soak/world.go
+++ b/e2e/soak/world.go
@@ -119,20 +119,21 @@
 }
 
 // NewWorld builds a deployment of a program in a folder, with customers or without, that
-// suffers the given kinds of faults.
-func NewWorld(program, folder string, ports Ports, withCustomers bool, kinds Kinds) (*World, error) {
+// suffers the given kinds of faults. The builds of the program run beside each other: each start
+// of a host takes the next one.
+func NewWorld(builds []string, folder string, ports Ports, withCustomers bool, kinds Kinds) (*World, error) {
 	w := &World{kinds: kinds, store: newLeasedStore(), crashes: crashes{count: make(map[string]int)}, closing: make(chan struct{}), acknowledged: make(map[int]time.Time)}
 	if withCustomers {
 		w.customers = newCustomers()
 	}
-	if err := w.build(program, folder, ports); err != nil {
+	if err := w.build(builds, folder, ports); err != nil {
 		w.Close()
 		return nil, err
 	}
 	return w, nil
 }
 
-func (w *World) build(program, folder string, ports Ports) error {
+func (w *World) build(builds []string, folder string, ports Ports) error {
 	if err := w.Configure(); err != nil {
 		return err
 	}
@@ -151,8 +152,9 @@
 			})
 		}
 	}
-	for _, h := range w.hosts {
-		if err := w.provision(h, program, folder, ports); err != nil {
+	for n, h := range w.hosts {
+		h.Process = &Process{builds: builds, first: n}
+		if err := w.provision(h, folder, ports); err != nil {
 			return err
 		}
 	}
@@ -160,7 +162,7 @@
 }
 
 // provision prepares a host's links, settings and process.
-func (w *World) provision(h *Host, program, folder string, ports Ports) error {
+func (w *World) provision(h *Host, folder string, ports Ports) error {
 	for _, other := range w.hosts {
 		if other == h {
 			continue
@@ -194,9 +196,7 @@
 	if err != nil {
 		return errors.Wrap(err, "create log")
 	}
-	h.Process = &Process{
-		program: program, args: []string{"edge"}, settingsVariable: platform.SettingsVariable, settingsPath: path, log: log,
-	}
+	h.args, h.settingsVariable, h.settingsPath, h.log = []string{"edge"}, platform.SettingsVariable, path, log
 	w.closers = append(w.closers, func() { _ = log.Close() })
 	return nil
 }
