--- a/forward/unfinished.go
+++ b/forward/unfinished.go
@@ -66,12 +66,12 @@
 	_ = s.resize(0)
 }
 
-// readFirst reads a body to its end, or max bytes of it, while its share allows.
-func (s *unfinishedShare) readFirst(body io.Reader, max int) ([]byte, error) {
+// readFirst reads a body to its end, or up to a limit in bytes, while its share allows.
+func (s *unfinishedShare) readFirst(body io.Reader, limit int) ([]byte, error) {
 	var first []byte
 	buf := make([]byte, relayBufferBytes)
-	for len(first) < max {
-		n, err := body.Read(buf[:min(len(buf), max-len(first))])
+	for len(first) < limit {
+		n, err := body.Read(buf[:min(len(buf), limit-len(first))])
 		first = append(first, buf[:n]...)
 		if err := s.resize(len(first)); err != nil {
 			return first, err
--- a/host/turned_away_test.go
+++ b/host/turned_away_test.go
@@ -58,34 +58,34 @@
 
 // The hosts that the store answers served an older version for as long as they believed their broker.
 func TestChangeIsInForceInTimeThoughTheStoreAnswersTheBrokerNoMore(t *testing.T) {
-	for _, row := range []struct {
-		hosts, turnedAway int
-		// phase is the time from the start of the fleet until the store is silent: the sooner a
-		// call of the broker is due, the sooner it finds out.
-		phase time.Duration
-	}{
-		{4, 1, 0}, {4, 1, 300 * time.Millisecond}, {4, 1, 600 * time.Millisecond}, {4, 1, 900 * time.Millisecond}, {4, 1, 1200 * time.Millisecond},
-		{4, 2, 0}, {4, 2, 300 * time.Millisecond}, {4, 2, 600 * time.Millisecond}, {4, 2, 900 * time.Millisecond}, {4, 2, 1200 * time.Millisecond},
-		// All hosts that keep the replica records.
-		{7, 5, 0}, {7, 5, 400 * time.Millisecond}, {7, 5, 800 * time.Millisecond}, {7, 5, 1200 * time.Millisecond},
-	} {
-		t.Run(fmt.Sprintf("%d of %d, phase %s", row.turnedAway, row.hosts, row.phase), func(t *testing.T) {
-			t.Parallel()
-			f := newTurnedAwayFleet(t, row.hosts)
-			time.Sleep(silentTime/2 + row.phase)
-			f.turnAway(row.turnedAway)
-			f.put(platformtest.ConfigVersion(7, "svc"))
-			acknowledged := time.Now()
-			answered := f.ranked[row.turnedAway:]
-			require.Eventually(t, func() bool {
-				for _, h := range answered {
-					if h.config.Table().Version != 7 {
-						return false
-					}
-				}
-				return true
-			}, answered[0].settings.ConfigTimeout, time.Millisecond)
-			t.Log("in force after", time.Since(acknowledged))
-		})
+	// The third row turns all hosts away that keep the replica records.
+	for _, row := range []struct{ hosts, turnedAway int }{{4, 1}, {4, 2}, {7, 5}} {
+		// The sooner a call of the broker is due, the sooner it finds out.
+		for phase := time.Duration(0); phase < renewInterval; phase += 300 * time.Millisecond {
+			testChangeWhileHostsAreTurnedAway(t, row.hosts, row.turnedAway, phase)
+		}
 	}
 }
+
+// testChangeWhileHostsAreTurnedAway changes the configuration just after the store has left some hosts
+// without answers, a phase after the start of the fleet.
+func testChangeWhileHostsAreTurnedAway(t *testing.T, hosts, turnedAway int, phase time.Duration) {
+	t.Run(fmt.Sprintf("%d of %d, phase %s", turnedAway, hosts, phase), func(t *testing.T) {
+		t.Parallel()
+		f := newTurnedAwayFleet(t, hosts)
+		time.Sleep(silentTime/2 + phase)
+		f.turnAway(turnedAway)
+		f.put(platformtest.ConfigVersion(7, "svc"))
+		acknowledged := time.Now()
+		answered := f.ranked[turnedAway:]
+		require.Eventually(t, func() bool {
+			for _, h := range answered {
+				if h.config.Table().Version != 7 {
+					return false
+				}
+			}
+			return true
+		}, answered[0].settings.ConfigTimeout, time.Millisecond)
+		t.Log("in force after", time.Since(acknowledged))
+	})
+}
