slots: what was found of brokers that follow the present one is forgotten in time

What callers would have seen: after an outage of the whole store, once the broker of a data centre failed, each host that keeps the replica records took itself for the broker, for a poll or two: two brokers grant the same slots and judge crashes by half of the requests.

Test: TestHostsAgreeOnTheNextBrokerLongAfterTheStoreWasAway failed before.

--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -331,6 +331,37 @@
 	require.False(t, other.IsBroker(), "it says that it is current")
 }
 
+// Once the store had been away, each host took itself for the broker when the first one failed.
+func TestHostsAgreeOnTheNextBrokerLongAfterTheStoreWasAway(t *testing.T) {
+	f := newFleetOf("x1", "x2", "x3", "x4")
+	ranked := f.hosts["x1"].rankedHosts("x")
+	pollAll := func() {
+		for _, h := range ranked {
+			f.poll(t, f.hosts[h.Name])
+		}
+	}
+	for _, m := range f.hosts {
+		m.storeUnavailable = true
+	}
+	for range 2 * len(ranked) {
+		pollAll()
+	}
+	for _, m := range f.hosts {
+		m.storeUnavailable = false
+	}
+	f.clock.Advance(outdatedCooldown + 1)
+	for range 3 {
+		pollAll()
+		f.clock.Advance(outdatedCooldown + 1)
+	}
+	f.setDown(ranked[0].Name, true)
+	for _, h := range ranked[1:] {
+		m := f.hosts[h.Name]
+		m.suspect(ranked[0], errors.New("unreachable"))
+		require.Equal(t, h.Name == ranked[1].Name, m.IsBroker(), h.Name)
+	}
+}
+
 // The first poll after the store answers again has requested no records, so its
 // reply has none. They must not be mistaken for an empty list.
 func TestRecordsAreKeptWhenStoreRecovers(t *testing.T) {
--- a/slots/outdated.go
+++ b/slots/outdated.go
@@ -1,6 +1,7 @@
 package slots
 
 import (
+	"slices"
 	"time"
 
 	"github.com/comfreyspindle/comfreyspindle/membership"
@@ -39,6 +40,22 @@
 	return membership.Host{}, false
 }
 
+// forgetOutdated records that a broker is current. Those that follow it are not asked as long as
+// it is the broker, so what was found of them counts for the cooldown only. The lock is held.
+func (c *Client) forgetOutdated(broker membership.Host, now time.Time) {
+	delete(c.outdatedUntil, broker.Name)
+	if len(c.outdatedUntil) == 0 {
+		return
+	}
+	ranked := c.rankedHosts(broker.DataCentre)
+	following := slices.IndexFunc(ranked, func(h membership.Host) bool { return h.Name == broker.Name }) + 1
+	for _, h := range ranked[following:] {
+		if !now.Before(c.outdatedUntil[h.Name]) {
+			delete(c.outdatedUntil, h.Name)
+		}
+	}
+}
+
 // isBrokerOutdated reports whether the store does not answer the broker of the own data centre,
 // and so none of the hosts that may be it.
 func (c *Client) isBrokerOutdated() bool {
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -202,7 +202,7 @@
 	now := c.Clock.Now()
 	c.addGrants(now, h.Name, reply.Granted)
 	if reply.Notice.Current {
-		delete(c.outdatedUntil, h.Name)
+		c.forgetOutdated(h, now)
 	} else if h.Name != c.View.Self().Name {
 		c.outdatedUntil[h.Name] = now.Add(outdatedCooldown)
 	}
