forward, jobs, platform: a replica that can't be reached is not taken for one that leaves

With the hosts' logs, an item is sent to two replicas that refuse connections up to a dozen times, with the end "turned_away" and the outcome "unused", so that the broker gives it these replicas again and again.

Cause: ErrReplicaLeaving was made with errors.Mark(..., pool.ErrNotSent). A marked error has the identity of its mark, so that every error of a request that was not sent "is" ErrReplicaLeaving. In package forward the same comparison kept requests from replicas whose kept connection had been closed.

Change: the sentinel has its own identity, and the replica client marks what it returns. What an error says about a replica is decided in one place for requests and items (FailureOutcome); an item whose kept connection was closed before anything was sent reports nothing, as a request does.

Measured: TestItemsReportThatTheirReplicaIsNotReached failed before on "connection refused" (unused in place of unreachable), TestReplicaThatGotNothingIsNotTakenForALeavingOne failed before too.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -132,8 +132,8 @@
 )
 
 // ErrReplicaLeaving means that the replica is leaving and that nothing was sent to
-// it; pool.ErrNotSent holds too.
-var ErrReplicaLeaving = errors.Mark(errors.New("replica is leaving"), pool.ErrNotSent)
+// it. Upstreams mark it with pool.ErrNotSent.
+var ErrReplicaLeaving = errors.New("replica is leaving")
 
 // ErrTruncated means that part of the response was sent to the caller and the
 // rest can't be delivered.
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -154,6 +154,7 @@
 
 var (
 	errDial   = errors.Mark(errors.Mark(errors.New("refused"), pool.ErrConnect), pool.ErrNotSent)
+	errLeaves = errors.Mark(ErrReplicaLeaving, pool.ErrNotSent)
 	errBroken = errors.Mark(errors.New("reset"), pool.ErrBroken)
 	errSilent = errors.Mark(errors.New("silent"), pool.ErrSilent)
 )
@@ -282,13 +283,22 @@
 
 // The grants of slots may be older than the word that their replicas leave.
 func TestRequestIsPlacedElsewhereIfItsReplicaLeaves(t *testing.T) {
-	o := runScript(atMostOnce, 5, scriptedAttempt{err: ErrReplicaLeaving}, ok(strings.NewReader("x")))
+	o := runScript(atMostOnce, 5, scriptedAttempt{err: errLeaves}, ok(strings.NewReader("x")))
 	require.NoError(t, o.err)
 	require.Equal(t, "x", o.sink.body.String())
 	require.Equal(t, []string{"r1"}, o.slots.acquires[1].Avoid)
 	require.Equal(t, slots.Unused, o.slots.outcomes[0])
 }
 
+func TestReplicaThatGotNothingIsNotTakenForALeavingOne(t *testing.T) {
+	notSent := errors.Mark(errors.New("closed"), pool.ErrNotSent)
+	require.False(t, errors.Is(notSent, ErrReplicaLeaving))
+	o := runScript(atMostOnce, 5, scriptedAttempt{err: notSent}, ok(strings.NewReader("x")))
+	require.NoError(t, o.err)
+	require.Empty(t, o.slots.acquires[1].Avoid)
+	require.Equal(t, slots.Unused, o.slots.outcomes[0])
+}
+
 func TestTruncatedStreamReturnsErrTruncated(t *testing.T) {
 	for name, o := range map[string]scriptResult{
 		"can't be resumed":        runScript(notResumable, 5, stream(failAfter(events(1, 2), errBroken))),
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -44,13 +44,8 @@
 // handleSendError releases the slot of an attempt without a response and
 // reports whether to retry the request.
 func (s *requestState) handleSendError(ctx context.Context, g slots.Grant, err error) (retry bool, _ error) {
-	outcome := slots.Failed
-	switch {
-	case ctx.Err() != nil, errors.Is(err, pool.ErrCarrier):
-		outcome = slots.Unused
-	case errors.Is(err, pool.ErrConnect), errors.Is(err, pool.ErrSilent):
-		outcome = slots.Unreachable
-	case errors.Is(err, pool.ErrNotSent):
+	outcome := FailureOutcome(err)
+	if ctx.Err() != nil {
 		outcome = slots.Unused
 	}
 	s.Slots.Release(g, outcome)
@@ -182,11 +177,22 @@
 // read to its end. Replicas cut off responses that stay unread, so the end of one that a
 // slow caller held up says nothing about its replica, nor does that of what carried it.
 func (s *requestState) readErrorOutcome(err error) slots.Outcome {
-	if s.longestWrite >= slowCallerWrite || errors.Is(err, pool.ErrCarrier) {
+	if s.longestWrite >= slowCallerWrite {
 		return slots.Unused
 	}
-	if errors.Is(err, pool.ErrSilent) {
+	return FailureOutcome(err)
+}
+
+// FailureOutcome returns what an error of an Upstream, or of reading its response, says about
+// the replica.
+func FailureOutcome(err error) slots.Outcome {
+	switch {
+	case errors.Is(err, pool.ErrCarrier):
+		return slots.Unused
+	case errors.Is(err, pool.ErrConnect), errors.Is(err, pool.ErrSilent):
 		return slots.Unreachable
+	case errors.Is(err, pool.ErrNotSent):
+		return slots.Unused
 	}
 	return slots.Failed
 }
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -504,6 +504,37 @@
 	}
 }
 
+func TestItemsReportThatTheirReplicaIsNotReached(t *testing.T) {
+	failure := func(marks ...error) error {
+		err := errors.New("failure")
+		for _, mark := range marks {
+			err = errors.Mark(err, mark)
+		}
+		return err
+	}
+	rows := []struct {
+		name string
+		err  error
+		want slots.Outcome
+	}{
+		{"connection refused", failure(pool.ErrConnect, pool.ErrNotSent), slots.Unreachable},
+		{"silent", failure(pool.ErrSilent), slots.Unreachable},
+		{"reset", failure(pool.ErrBroken), slots.Failed},
+		{"kept connection closed before anything was sent", failure(pool.ErrNotSent), slots.Unused},
+		{"replica is leaving", errors.Mark(forward.ErrReplicaLeaving, pool.ErrNotSent), slots.Unused},
+		{"carrying host ended", failure(pool.ErrCarrier, pool.ErrNotSent), slots.Unused},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			c := newCluster(t, "a")
+			a := c.hosts["a"]
+			require.NoError(t, a.Submit(t.Context(), submission(1)))
+			a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) { return nil, row.err }
+			require.Equal(t, row.want.String(), a.grantSlot().String())
+		})
+	}
+}
+
 func TestEndStopsTheJobAtItsOwner(t *testing.T) {
 	c := newCluster(t, "a", "b")
 	ctx, cancel := context.WithCancel(context.Background())
--- a/jobs/output.go
+++ b/jobs/output.go
@@ -45,7 +45,7 @@
 			return end, outcome, nil
 		}
 		if err != nil {
-			return endBroken, outcomeOf(err), err
+			return endBroken, forward.FailureOutcome(err), err
 		}
 	}
 }
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -302,7 +302,7 @@
 		return endRejected, slots.Unused, err
 	}
 	if err != nil {
-		return endBroken, outcomeOf(err), err
+		return endBroken, forward.FailureOutcome(err), err
 	}
 	defer ans.Close()
 	seen.status, seen.framing, seen.connectionUse, seen.skipped = ans.Status, ans.Framing, ans.ConnectionUse, ans.Skipped
@@ -330,13 +330,3 @@
 
 // hasCustomers reports whether the configuration in force has customers.
 func (m *Manager) hasCustomers() bool { return m.Table().HasCustomers() }
-
-func outcomeOf(err error) slots.Outcome {
-	switch {
-	case errors.Is(err, pool.ErrCarrier):
-		return slots.Unused
-	case errors.Is(err, pool.ErrConnect), errors.Is(err, pool.ErrSilent):
-		return slots.Unreachable
-	}
-	return slots.Failed
-}
