host, slots: replica records name the store's revision, so that older ones don't replace newer ones

A host that has read the store by itself, or has a newer broker's records, takes the older ones of the next broker that counts as current: the records carry no revision, only a number that each broker draws.

Change: Replicas knows a revision of the store whose changes its view includes, raised after the changes are published. PollReply and StateReply carry it (0 in the replies of older builds, which are taken as before). Older records are not taken; until the broker has caught up the host asks it for none, since a poll with another version is answered at once. A log line names both revisions.

--- a/host/peer.go
+++ b/host/peer.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/replica"
@@ -49,6 +50,8 @@
 	// HaveReplicas reports that Replicas comes from the replica records. If
 	// false, an empty Replicas doesn't mean that there are none.
 	HaveReplicas bool
+	// RecordsRev is that of slots.PollReply.
+	RecordsRev txn.Rev
 	// ReplicasCurrent reports that the records come from the store, or from a broker
 	// that the store answered, and were up to date lately.
 	ReplicasCurrent bool
@@ -75,7 +78,8 @@
 		reply.Config = encoded
 	}
 	reply.Hosts = membership.All(p.host.view)
-	reply.Replicas, reply.HaveReplicas = p.host.replicas.snapshot(), p.host.replicas.haveRecords()
+	reply.HaveReplicas = p.host.replicas.haveRecords()
+	reply.Replicas, reply.RecordsRev = p.host.replicas.snapshotAt()
 	reply.ReplicasCurrent = p.host.replicasCurrent()
 	reply.Quarantine = p.host.broker.Quarantined()
 	if version, age, ok := p.host.lastConfirmed(); ok {
@@ -186,10 +190,12 @@
 	h.quarantine.apply(reply.Quarantine)
 	usable := reply.HaveReplicas && (reply.ReplicasCurrent || h.storeUnavailable())
 	if reply.Current && h.lacksUpdates() || usable && !h.replicas.haveRecords() {
-		h.log.WithFields(logrus.Fields{
-			"address": address, "replicas": len(reply.Replicas), "current": reply.ReplicasCurrent,
-		}).Info("replica records taken from peer")
-		h.replicas.replaceFromPeer(reply.Replicas)
+		entry := h.log.WithFields(logrus.Fields{"address": address, "replicas": len(reply.Replicas), "current": reply.ReplicasCurrent, "rev": reply.RecordsRev})
+		if newer := h.replicas.replaceFromPeer(reply.Replicas, reply.RecordsRev); newer != 0 {
+			entry.WithField("own_rev", newer).Info("replica records of a peer are older than those of this host")
+		} else {
+			entry.Info("replica records taken from peer")
+		}
 	}
 	return reply, nil
 }
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -28,6 +28,9 @@
 
 	mu   sync.Mutex
 	view *replica.View
+	// rev is a revision of the store whose changes the view includes; zero means that none is
+	// known.
+	rev txn.Rev
 	// listed is set once the view has all replicas, and loaded once they were passed to the
 	// broker.
 	listed, loaded bool
@@ -202,6 +205,7 @@
 		}
 	}
 	r.markStoreAvailable()
+	r.setRev(0)
 	r.view.Replace(r.clock.Now(), all)
 	r.listed, r.fromStore, r.peerVersions = true, true, nil
 	r.publish()
@@ -217,6 +221,20 @@
 	r.publish()
 }
 
+// readTo is called after the changes up to a revision of the store were applied.
+func (r *Replicas) readTo(rev txn.Rev) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.setRev(max(rev, r.rev))
+}
+
+// setRev sets a revision whose changes the view includes. It is raised after they are published,
+// and lowered before. It requires r.mu.
+func (r *Replicas) setRev(rev txn.Rev) {
+	r.rev = rev
+	r.broker.SetRecordsRev(rev)
+}
+
 // markStoreUnavailable is called after a failed read of the store.
 func (r *Replicas) markStoreUnavailable() {
 	r.mu.Lock()
@@ -290,10 +308,16 @@
 	}
 }
 
-// replaceFromPeer replaces the records by those of a peer.
-func (r *Replicas) replaceFromPeer(all []replica.Replica) {
+// replaceFromPeer replaces the records by those of a peer, which include the changes up to a
+// revision, or an unknown one if it is zero. If its own are newer it keeps them and returns their
+// revision, otherwise zero.
+func (r *Replicas) replaceFromPeer(all []replica.Replica, rev txn.Rev) (newer txn.Rev) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if rev != 0 && rev < r.rev {
+		return r.rev
+	}
+	r.setRev(0)
 	r.view.ReplaceFromPeer(r.clock.Now(), all)
 	r.listed, r.fromStore, r.peerVersions = true, false, make(map[softwareVersion]struct{})
 	for _, of := range all {
@@ -303,6 +327,8 @@
 		r.versions.Pause()
 	}
 	r.publish()
+	r.setRev(rev)
+	return 0
 }
 
 // isCurrent reports whether the records are loaded and the last read of the
@@ -320,9 +346,16 @@
 }
 
 func (r *Replicas) snapshot() []replica.Replica {
+	all, _ := r.snapshotAt()
+	return all
+}
+
+// snapshotAt returns the usable replicas and a revision of the store whose changes they include,
+// or zero if none is known.
+func (r *Replicas) snapshotAt() ([]replica.Replica, txn.Rev) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Collect(maps.Values(r.usable))
+	return slices.Collect(maps.Values(r.usable)), r.rev
 }
 
 // registerSpeedMetrics registers what this host, as a broker, knows of the speed of
--- a/host/versions_test.go
+++ b/host/versions_test.go
@@ -217,7 +217,7 @@
 		return txntest.None
 	})
 	peers := []replica.Replica{a.replicas.snapshot()[0], {ID: "p", Service: "svc", SoftwareVersion: "v2"}}
-	a.replicas.replaceFromPeer(peers)
+	a.replicas.replaceFromPeer(peers, 0)
 	require.ElementsMatch(t, peers, a.replicas.snapshot())
 	seen := platformtest.NewReplica("s", 8, time.Millisecond)
 	t.Cleanup(seen.Close)
--- a/host/watch.go
+++ b/host/watch.go
@@ -55,6 +55,9 @@
 	// it.
 	onList    func(ctx context.Context, items []txn.Item)
 	onChanges func(ctx context.Context, items []txn.Item)
+	// onRead is called with the revision up to which all changes were passed on, after each
+	// successful call; nil has no effect.
+	onRead func(at txn.Rev)
 	// alongList reads what must be known to use a listing, which fails with it, at the same
 	// time; nil reads nothing.
 	alongList func(ctx context.Context) error
@@ -109,6 +112,9 @@
 			}
 		}
 		at = next
+		if w.onRead != nil {
+			w.onRead(at)
+		}
 	}
 	return ctx.Err()
 }
--- a/host/watchers.go
+++ b/host/watchers.go
@@ -36,7 +36,7 @@
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.watchTimeout = func() time.Duration { return changeWatchTimeout(h.settings.DrainTimeout) }
 	replicas.alongList = h.versions.Refresh
-	replicas.onList, replicas.onChanges = h.replicas.replace, h.replicas.apply
+	replicas.onList, replicas.onChanges, replicas.onRead = h.replicas.replace, h.replicas.apply, h.replicas.readTo
 	replicas.onUnavailable, replicas.onAvailable = h.replicas.markStoreUnavailable, func() {}
 	return []*Watcher{&config, &hosts, &replicas}
 }
--- a/slots/broker.go
+++ b/slots/broker.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 )
@@ -39,6 +40,9 @@
 	// empty.
 	replicas map[string]replica.Replica
 	version  int64
+	// recordsRev is a revision of the store whose changes the replica records include; zero
+	// means that none is known.
+	recordsRev txn.Rev
 	// storeAvailable reports whether the store answers this host; nil counts as
 	// true.
 	storeAvailable func() bool
@@ -131,6 +135,14 @@
 	b.plan()
 }
 
+// SetRecordsRev sets a revision of the store whose changes the replica records include, or zero
+// if none is known. The records must be set before it is raised, and after it is lowered.
+func (b *Broker) SetRecordsRev(rev txn.Rev) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.recordsRev = rev
+}
+
 // SetStoreAvailable sets the function that reports whether the store answers
 // this host. It must be called before the broker is used.
 func (b *Broker) SetStoreAvailable(storeAvailable func() bool) { b.storeAvailable = storeAvailable }
@@ -317,7 +329,7 @@
 	reply.Granted = b.takeGrants(updates)
 	reply.Revoked = updates.revoked
 	updates.revoked = nil
-	reply.Version, reply.Known = b.version, b.replicas != nil
+	reply.Version, reply.Known, reply.RecordsRev = b.version, b.replicas != nil, b.recordsRev
 	reply.Notice = b.notice()
 	stale := version != b.version && version != skipRecords
 	if stale {
--- a/slots/client.go
+++ b/slots/client.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/quota"
@@ -136,8 +137,9 @@
 	BatchItems BatchItems
 	Clock      clockwork.Clock
 	Log        *logrus.Entry
-	// OnReplicas receives the replica records that a broker sent.
-	OnReplicas func([]replica.Replica)
+	// OnReplicas receives the replica records that a broker sent, with PollReply.RecordsRev. If
+	// those of this host are newer it keeps them and returns their revision, otherwise zero.
+	OnReplicas func(all []replica.Replica, rev txn.Rev) (newer txn.Rev)
 	// StoreAvailable reports whether the store answers this host.
 	StoreAvailable func() bool
 	// Replicas knows what replicas have said to this host.
@@ -179,6 +181,10 @@
 	// recordsAt is when a broker with an available store last replied that this host
 	// has its records, or sent them.
 	recordsAt time.Time
+	// awaitedRev is the revision of the records of this host while those of the broker are
+	// older, and awaitedOf the broker. Zero means that they are not.
+	awaitedRev txn.Rev
+	awaitedOf  string
 	// receivedRecords is set once a broker that has replica records has
 	// replied.
 	receivedRecords bool
--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/replica"
@@ -41,7 +42,17 @@
 	granted  []Grant
 	revoked  []GrantID
 	received []replica.Replica
-	states   states
+	// recordsRev is the revision of the records of the host.
+	recordsRev txn.Rev
+	states     states
+}
+
+func (m *member) receive(all []replica.Replica, rev txn.Rev) (newer txn.Rev) {
+	if rev != 0 && rev < m.recordsRev {
+		return m.recordsRev
+	}
+	m.received, m.recordsRev = all, rev
+	return 0
 }
 
 // states holds what replicas have said to a host.
@@ -144,7 +155,7 @@
 		view.Set(append(append([]membership.Host{}, all[:i]...), all[i+1:]...))
 		m.Client = &Client{
 			View: view, Peers: f, Broker: m.broker, BatchItems: m, Clock: f.clock, Log: logrus.NewEntry(log),
-			OnReplicas: func(all []replica.Replica) { m.received = all }, StoreAvailable: func() bool { return !m.storeUnavailable },
+			OnReplicas: m.receive, StoreAvailable: func() bool { return !m.storeUnavailable },
 			OnNotice: func(membership.Host, Notice) {}, Replicas: &m.states,
 		}
 		m.Init()
@@ -558,6 +569,46 @@
 	}
 }
 
+func TestOlderRecordsOfABrokerAreAskedForOnceItHasCaughtUp(t *testing.T) {
+	rows := []struct {
+		name string
+		// rev is the revision that the broker names once its records have changed.
+		rev   txn.Rev
+		taken bool
+	}{
+		{"still older", 15, false},
+		{"caught up", 20, true},
+		{"newer", 25, true},
+		{"a build that names none", 0, true},
+	}
+	for _, row := range rows {
+		t.Run(row.name, func(t *testing.T) {
+			f := newFleet()
+			broker, other := f.broker("x")
+			other.received, other.recordsRev = []replica.Replica{{ID: "own"}}, 20
+			broker.broker.SetRecordsRev(10)
+			f.poll(t, other)
+			require.Len(t, other.received, 1, "older records")
+			require.Equal(t, skipRecords, other.recordsVersion(broker.View.Self()), "the broker sends them with each reply otherwise")
+			require.True(t, other.ReceivesRecords())
+			broker.broker.SetReplicas(records(3), "x")
+			broker.broker.SetRecordsRev(row.rev)
+			f.poll(t, other)
+			f.poll(t, other)
+			require.Equal(t, row.taken, len(other.received) == 2)
+		})
+	}
+}
+
+func TestRecordsOfAnotherBrokerAreAskedForAtOnce(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	other.received, other.recordsRev = []replica.Replica{{ID: "own"}}, 20
+	broker.broker.SetRecordsRev(10)
+	f.poll(t, other)
+	require.NotEqual(t, skipRecords, other.recordsVersion(f.hosts["y1"].View.Self()))
+}
+
 func TestUnchangedRecordsKeepVersion(t *testing.T) {
 	f := newFleet()
 	broker, other := f.broker("x")
--- a/slots/messages.go
+++ b/slots/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/quota"
 	"github.com/comfreyspindle/comfreyspindle/replica"
@@ -79,7 +80,10 @@
 	Version  int64
 	Replicas []replica.Replica
 	Known    bool
-	Notice   Notice
+	// RecordsRev is a revision of the store whose changes the broker's records include. Zero
+	// means that none is known, as in the replies of builds without the field.
+	RecordsRev txn.Rev
+	Notice     Notice
 	// Quota is sent back with the host's next poll.
 	Quota quota.Stamp
 	// Free holds what the broker knows of other data centres from its hosts.
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -5,7 +5,10 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 )
 
@@ -60,7 +63,7 @@
 	h := ranked[0]
 	version := c.knownVersion(h, remote)
 	if outdated, ok := c.outdatedToAsk(h); ok {
-		h, version = outdated, c.recordsVersion()
+		h, version = outdated, c.recordsVersion(outdated)
 	}
 	args := PollArgs{Host: self.Name, CutOff: c.isCutOff(), Holds: grants, Wants: demands, Partial: remote, Version: version, Quota: c.quotaAttachment(h, remote), Loads: c.takeLoads(h, dataCentre)}
 	if !remote {
@@ -152,17 +155,20 @@
 	if remote || outdated {
 		return skipRecords
 	}
-	return c.recordsVersion()
+	return c.recordsVersion(h)
 }
 
 // recordsVersion returns the version of the replica records of this host, or skipRecords if it
-// does not keep any.
-func (c *Client) recordsVersion() int64 {
+// does not keep any or has newer ones than the broker.
+func (c *Client) recordsVersion(h membership.Host) int64 {
 	if !c.isRecordHolder() {
 		return skipRecords
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.awaitedRev != 0 && c.awaitedOf == h.Name {
+		return skipRecords
+	}
 	return c.version
 }
 
@@ -231,33 +237,53 @@
 // the own data centre. Those of a broker that the store does not answer are
 // used only while the store does not answer this host either.
 func (c *Client) applyRecords(h membership.Host, reply PollReply, withRecords bool) {
-	own := h.Name == c.View.Self().Name
-	usable := !own && (reply.Notice.Current || !c.StoreAvailable())
-	if c.updateVersion(reply, own, usable, withRecords && reply.Known) {
-		c.OnReplicas(reply.Replicas)
+	usable := c.isUsable(h, &reply)
+	withRecords = withRecords && reply.Known
+	var newer txn.Rev
+	if usable && withRecords && c.lacksRecords(reply.Version) {
+		newer = c.OnReplicas(reply.Replicas, reply.RecordsRev)
 	}
+	c.recordReceipt(h, &reply, withRecords, newer)
 	if usable {
 		c.OnNotice(h, reply.Notice)
 	}
 }
 
-// updateVersion records which replica records this host has and when it got them, and
-// reports whether those of the reply are new.
-func (c *Client) updateVersion(reply PollReply, own, usable, withRecords bool) bool {
+// isUsable reports whether what a broker of the own data centre says is used by this host.
+func (c *Client) isUsable(h membership.Host, reply *PollReply) bool {
+	return h.Name != c.View.Self().Name && (reply.Notice.Current || !c.StoreAvailable())
+}
+
+func (c *Client) lacksRecords(version int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	changed := usable && withRecords && reply.Version != c.version
-	if withRecords && (usable || own) {
+	return version != c.version
+}
+
+// recordReceipt records which replica records this host has after a reply of the broker of the
+// own data centre, and when it got them. If those of this host are newer than the broker's, newer
+// is their revision.
+func (c *Client) recordReceipt(h membership.Host, reply *PollReply, withRecords bool, newer txn.Rev) {
+	own, usable := h.Name == c.View.Self().Name, c.isUsable(h, reply)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h.Name != c.awaitedOf || reply.RecordsRev >= c.awaitedRev || reply.RecordsRev == 0 {
+		c.awaitedRev = 0
+	}
+	switch {
+	case newer != 0:
+		c.awaitedRev, c.awaitedOf = newer, h.Name
+		c.Log.WithFields(logrus.Fields{"peer": h.Name, "rev": reply.RecordsRev, "own_rev": newer}).Info("replica records of a peer are older than those of this host")
+	case withRecords && (usable || own):
 		c.version = reply.Version
 	}
 	if !own && reply.Notice.Current {
 		c.lastUpdate = c.Clock.Now()
-		if withRecords {
+		if withRecords || c.awaitedRev != 0 {
 			c.recordsAt = c.lastUpdate
 		}
 	}
 	c.receivedRecords = c.receivedRecords || usable && reply.Known
-	return changed
 }
 
 // isRecordHolder reports whether this host is one of those in its data centre
