host, replica: an outage of the store ends when the store answers again, not with the next broker's first listing

Class: the absence of a call taken for the absence of an answer.

Change: the store contact knows since when answers came without a gap; the outage ended then. An outage's end never moves back to an earlier failed read.

--- a/host/host.go
+++ b/host/host.go
@@ -232,7 +232,7 @@
 	h.broker.SetMetrics(slots.NewMetrics(h.registry))
 	h.broker.SetStoreAvailable(h.hasStore)
 	h.provisionStoreContact()
-	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log)
+	h.replicas = newReplicas(h.broker, h.settings.DataCentre, h.clock, h.log, h.storeContact.lasted)
 	h.versions = versions.NewRecorder(h.store, h.clock, h.log, h.settings.FirstStart, h.replicas.versionsRecorded)
 	h.replicas.versions = h.versions
 	h.broker.SetVersions(versions.NewReader(h.store))
--- a/host/replicas.go
+++ b/host/replicas.go
@@ -48,10 +48,12 @@
 	// unavailableSince is the time of the first failed read of the store; zero
 	// while reads succeed.
 	unavailableSince time.Time
+	// contactLasted returns the time for which the store has answered this host.
+	contactLasted func() time.Duration
 }
 
-func newReplicas(broker *slots.Broker, dataCentre string, clock clockwork.Clock, log *logrus.Entry) *Replicas {
-	return &Replicas{broker: broker, dataCentre: dataCentre, clock: clock, log: log, view: replica.NewView()}
+func newReplicas(broker *slots.Broker, dataCentre string, clock clockwork.Clock, log *logrus.Entry, contactLasted func() time.Duration) *Replicas {
+	return &Replicas{broker: broker, dataCentre: dataCentre, clock: clock, log: log, view: replica.NewView(), contactLasted: contactLasted}
 }
 
 // IsLeaving reports whether a replica is known to be leaving.
@@ -245,12 +247,12 @@
 	r.view.SetOutageEnd(r.clock.Now())
 }
 
-// markStoreAvailable is called after a successful read of the store. It
-// requires r.mu.
+// markStoreAvailable is called after a successful read of the store. The outage may have ended
+// long before, while this host read no replica records. It requires r.mu.
 func (r *Replicas) markStoreAvailable() {
 	if !r.unavailableSince.IsZero() {
 		r.unavailableSince = time.Time{}
-		r.view.SetOutageEnd(r.clock.Now())
+		r.view.SetOutageEnd(r.clock.Now().Add(-r.contactLasted()))
 	}
 }
 
--- a/host/replicas_test.go
+++ b/host/replicas_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/stretchr/testify/require"
@@ -16,8 +17,16 @@
 // readAt returns Replicas that have listed two replicas at revision 20 of the store and then seen
 // one of them go at revision 30.
 func readAt(t *testing.T) *Replicas {
-	broker := slots.NewBroker(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 1)), quietLog())
-	r := newReplicas(broker, "dc", clockwork.NewRealClock(), quietLog())
+	r, items := list(t, clockwork.NewRealClock(), func() time.Duration { return 0 })
+	r.apply(t.Context(), []txn.Item{{Key: items[1].Key, Rev: 30, Deleted: true}})
+	r.readTo(30)
+	return r
+}
+
+// list returns Replicas that have listed two replicas at revision 20 of the store.
+func list(t *testing.T, clock clockwork.Clock, contactLasted func() time.Duration) (*Replicas, []txn.Item) {
+	broker := slots.NewBroker(clock, rand.New(rand.NewPCG(1, 1)), quietLog())
+	r := newReplicas(broker, "dc", clock, quietLog(), contactLasted)
 	var items []txn.Item
 	for _, name := range []string{"kept", "gone"} {
 		of := platformtest.NewReplica(name, 4, 0)
@@ -27,9 +36,7 @@
 	}
 	r.replace(t.Context(), items)
 	r.readTo(20)
-	r.apply(t.Context(), []txn.Item{{Key: items[1].Key, Rev: 30, Deleted: true}})
-	r.readTo(30)
-	return r
+	return r, items
 }
 
 func ids(all []replica.Replica) []string {
@@ -79,3 +86,31 @@
 	require.Empty(t, got)
 	require.EqualValues(t, 38, rev)
 }
+
+// A host reads no replica records while another one is the broker, so its last read may have
+// failed long ago.
+func TestReplicaThatLeftLongAfterAnOutageIsNotKept(t *testing.T) {
+	for _, row := range []struct {
+		lasted time.Duration
+		kept   time.Duration
+	}{
+		{0, 2 * time.Second},
+		{500 * time.Millisecond, 1500 * time.Millisecond},
+		{3 * time.Second, 0},
+	} {
+		t.Run(row.lasted.String(), func(t *testing.T) {
+			clock := clockwork.NewFakeClock()
+			r, items := list(t, clock, func() time.Duration { return row.lasted })
+			r.markStoreUnavailable()
+			clock.Advance(5 * time.Second)
+			r.replace(t.Context(), items[:1])
+			if row.kept > 0 {
+				clock.Advance(row.kept - time.Millisecond)
+				require.ElementsMatch(t, []string{"kept", "gone"}, ids(r.snapshot()))
+				clock.Advance(2 * time.Millisecond)
+			}
+			require.Eventually(t, func() bool { return len(r.snapshot()) == 1 }, time.Second, time.Millisecond)
+			require.Equal(t, []string{"kept"}, ids(r.snapshot()))
+		})
+	}
+}
--- a/host/store_contact.go
+++ b/host/store_contact.go
@@ -53,13 +53,16 @@
 
 	mu sync.Mutex
 	// at is the last moment at which the store is known to have answered, and zero before the
-	// first answer.
-	at time.Duration
+	// first answer. since is the first of the answers without a gap of more than limit.
+	at, since time.Duration
 }
 
 // record records that the store answered this host at a moment of the clock.
 func (c *storeContact) record(at time.Duration) {
 	c.mu.Lock()
+	if c.at == 0 || at-c.at > c.limit {
+		c.since = at
+	}
 	c.at = max(c.at, at)
 	c.mu.Unlock()
 	select {
@@ -79,6 +82,13 @@
 	return max(c.clock()-c.at, 0), true
 }
 
+// lasted returns the time for which the store has answered this host, up to the last answer.
+func (c *storeContact) lasted() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at - c.since
+}
+
 // present reports whether the store has answered this host lately.
 func (c *storeContact) present() bool {
 	age, ok := c.age()
--- a/host/store_contact_test.go
+++ b/host/store_contact_test.go
@@ -62,3 +62,18 @@
 		require.ErrorIs(t, <-ended, context.Canceled)
 	})
 }
+
+func TestContactLastsFromTheFirstAnswerAfterAGap(t *testing.T) {
+	c := &storeContact{limit: time.Second, answered: make(chan struct{}, 1)}
+	for _, row := range []struct{ at, lasted time.Duration }{
+		{10 * time.Second, 0},
+		{10900 * time.Millisecond, 900 * time.Millisecond},
+		{11900 * time.Millisecond, 1900 * time.Millisecond},
+		{11500 * time.Millisecond, 1900 * time.Millisecond},
+		{13 * time.Second, 0},
+		{13500 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		c.record(row.at)
+		require.Equal(t, row.lasted, c.lasted(), "answer at %v", row.at)
+	}
+}
--- a/replica/replica.go
+++ b/replica/replica.go
@@ -63,8 +63,13 @@
 	}
 }
 
-// SetOutageEnd records that the store was unavailable until now.
-func (v *View) SetOutageEnd(now time.Time) { v.outageEnd = now }
+// SetOutageEnd records that the store was unavailable until the given time. An earlier time than
+// before changes nothing.
+func (v *View) SetOutageEnd(end time.Time) {
+	if end.After(v.outageEnd) {
+		v.outageEnd = end
+	}
+}
 
 // Replace applies a complete listing from the store.
 func (v *View) Replace(now time.Time, listed []Replica) {
