limits: a request that the queue refuses is not charged to its caller

Seen by a caller: while a host is overloaded, requests that were refused as such used up the caller's rate, and the next one was refused for its limit though none had run.

Cause: the caller's limiters are charged before the queue decides, and kept what a refused request took. Change: the charge is taken back with the refusal. A request that waits and is then evicted or cancelled stays charged, since rate.Reservation gives back only what has not become due.

Measured: TestRefusedRequestIsNotChargedToItsCaller failed before on both rows (requests, tokens).

--- a/limits/caller.go
+++ b/limits/caller.go
@@ -18,23 +18,25 @@
 	share    float64
 }
 
-// checkCallerLimits refuses a request that exceeds this host's share of its
-// caller's limits.
-func (q *queue) checkCallerLimits(req *Request, now time.Time) error {
+// chargeCaller charges a request to its caller, or refuses it if it exceeds this host's share
+// of the caller's limits. The returned function takes the charge back.
+func (q *queue) chargeCaller(req *Request, now time.Time) (refund func(), err error) {
 	c, ok := q.callers[req.Caller]
 	if !ok || c.RequestsPerSecond == 0 && c.TokensPerSecond == 0 {
-		return nil
+		return func() {}, nil
 	}
 	l := q.limitersFor(c, now)
 	requests := reserve(l.requests, 1, now)
 	tokens := reserve(l.tokens, max(1, req.Tokens), now)
-	wait := max(requests.DelayFrom(now), tokens.DelayFrom(now))
-	if wait == 0 {
-		return nil
+	refund = func() {
+		requests.CancelAt(now)
+		tokens.CancelAt(now)
 	}
-	requests.CancelAt(now)
-	tokens.CancelAt(now)
-	return q.newCallerLimitError(c, wait)
+	if wait := max(requests.DelayFrom(now), tokens.DelayFrom(now)); wait > 0 {
+		refund()
+		return nil, q.newCallerLimitError(c, wait)
+	}
+	return refund, nil
 }
 
 // limitersFor returns the limiters of a caller, updated if the document or this
--- a/limits/fairqueue_test.go
+++ b/limits/fairqueue_test.go
@@ -350,6 +350,39 @@
 	})
 }
 
+func TestRefusedRequestIsNotChargedToItsCaller(t *testing.T) {
+	for name, limit := range map[string]func(*service.Caller){
+		"requests": func(c *service.Caller) { c.RequestsPerSecond = 1 },
+		"tokens":   func(c *service.Caller) { c.TokensPerSecond = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				doc := document()
+				doc.Routing.Concurrency, doc.Routing.QueueLimit = 1, 1
+				limit(&doc.Callers[0])
+				q := newQueue(nil)
+				release, err := q.Admit(t.Context(), limits.Request{Doc: doc, Class: &doc.Classes[0], Caller: "c1", Tokens: 1})
+				require.NoError(t, err)
+				waiting, cancel := context.WithCancel(t.Context())
+				go func() {
+					_, _ = q.Admit(waiting, limits.Request{Doc: doc, Class: &doc.Classes[0], Caller: "c2", Tokens: 1})
+				}()
+				synctest.Wait()
+				limited := limits.Request{Doc: doc, Class: &doc.Classes[0], Caller: doc.Callers[0].Name, Tokens: 1}
+				_, err = q.Admit(t.Context(), limited)
+				require.Equal(t, verdict.CodeOverloaded, verdict.As(err).Code)
+				cancel()
+				synctest.Wait()
+				release()
+				_, err = q.Admit(t.Context(), limited)
+				require.NoError(t, err, "the refused request took nothing")
+				_, err = q.Admit(t.Context(), limited)
+				require.Equal(t, verdict.CodeCallerLimit, verdict.As(err).Code, "the admitted one did")
+			})
+		})
+	}
+}
+
 func TestCallerLimitsAreSplitAmongHosts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		doc := document()
--- a/limits/queue.go
+++ b/limits/queue.go
@@ -120,7 +120,8 @@
 	q.updateDocument(req.Doc)
 	q.refreshLimit(now)
 	tokens := float64(max(1, req.Tokens))
-	if err := q.checkCallerLimits(req, now); err != nil {
+	refund, err := q.chargeCaller(req, now)
+	if err != nil {
 		return nil, err
 	}
 	class := q.classQueueFor(req.Class)
@@ -134,6 +135,7 @@
 	}
 	wait := q.estimateWait(class, caller, tokens)
 	if wait > time.Duration(maxWaitFraction*float64(class.class.FirstToken)) || !q.ensureQueueCapacity(class, caller) {
+		refund()
 		return nil, q.newOverloadedError(req.Doc.Name, wait)
 	}
 	class.push(caller, w)
