slots: records that a host did not take count as not received

Found by reading the diff: whether a broker's records are used was decided twice for one reply. If the store is lost between the two, the host didn't take the records and noted their version as its own, and had the older ones until the next change.

Change: decided once. TestRecordsThatWereNotTakenAreAskedForAgain failed before.

--- a/slots/client_test.go
+++ b/slots/client_test.go
@@ -600,6 +600,16 @@
 	}
 }
 
+func TestRecordsThatWereNotTakenAreAskedForAgain(t *testing.T) {
+	f := newFleet()
+	broker, other := f.broker("x")
+	calls := 0
+	other.StoreAvailable = func() bool { calls++; return calls == 1 } // the store is lost meanwhile
+	other.applyReply(broker.View.Self(), PollReply{Version: 7, Known: true, Replicas: []replica.Replica{{ID: "rx"}}}, false, true)
+	require.Empty(t, other.received)
+	require.NotEqualValues(t, 7, other.version)
+}
+
 func TestRecordsOfAnotherBrokerAreAskedForAtOnce(t *testing.T) {
 	f := newFleet()
 	broker, other := f.broker("x")
--- a/slots/poll.go
+++ b/slots/poll.go
@@ -237,23 +237,18 @@
 // the own data centre. Those of a broker that the store does not answer are
 // used only while the store does not answer this host either.
 func (c *Client) applyRecords(h membership.Host, reply PollReply, withRecords bool) {
-	usable := c.isUsable(h, &reply)
+	usable := h.Name != c.View.Self().Name && (reply.Notice.Current || !c.StoreAvailable())
 	withRecords = withRecords && reply.Known
 	var newer txn.Rev
 	if usable && withRecords && c.lacksRecords(reply.Version) {
 		newer = c.OnReplicas(reply.Replicas, reply.RecordsRev)
 	}
-	c.recordReceipt(h, &reply, withRecords, newer)
+	c.recordReceipt(h, &reply, usable, withRecords, newer)
 	if usable {
 		c.OnNotice(h, reply.Notice)
 	}
 }
 
-// isUsable reports whether what a broker of the own data centre says is used by this host.
-func (c *Client) isUsable(h membership.Host, reply *PollReply) bool {
-	return h.Name != c.View.Self().Name && (reply.Notice.Current || !c.StoreAvailable())
-}
-
 func (c *Client) lacksRecords(version int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -263,8 +258,8 @@
 // recordReceipt records which replica records this host has after a reply of the broker of the
 // own data centre, and when it got them. If those of this host are newer than the broker's, newer
 // is their revision.
-func (c *Client) recordReceipt(h membership.Host, reply *PollReply, withRecords bool, newer txn.Rev) {
-	own, usable := h.Name == c.View.Self().Name, c.isUsable(h, reply)
+func (c *Client) recordReceipt(h membership.Host, reply *PollReply, usable, withRecords bool, newer txn.Rev) {
+	own := h.Name == c.View.Self().Name
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if h.Name != c.awaitedOf || reply.RecordsRev >= c.awaitedRev || reply.RecordsRev == 0 {
