review: a request that crashes replicas at one event makes its truncated output look complete

Claim: if answers have no length and end with their connection, an item that crashes each replica at the same event is listed as done with the events before it, and the client of a resumable stream gets them as a complete answer (rule MIXED).

Code at fault: Ending.Proves in forward/ending.go takes the second orderly end after the same event as proof.

--- a/review/standin2/droppedroute.go
+++ b/review/standin2/droppedroute.go
@@ -19,7 +19,7 @@
 // droppedRoute: a batch job is done and its results have been read. Then the configuration drops its
 // route, the only one of its host name.
 func droppedRoute(w *world, trouble bool) (bool, error) {
-	owner, other, far, err := w.threeZones()
+	owner, other, far, err := w.twoZones(w.soundReplicas)
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -47,7 +48,24 @@
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) (broken bool, err error){}
 
-func main() { os.Exit(run()) }
+func main() {
+	if len(os.Args) == 5 {
+		serveAsReplica()
+		return
+	}
+	os.Exit(run())
+}
+
+// serveAsReplica is the process of a replica.
+func serveAsReplica() {
+	events, _ := strconv.Atoi(os.Args[3])
+	interval, _ := time.ParseDuration(os.Args[4])
+	if os.Args[1] == unframedCommand {
+		serveUnframed(os.Args[2], events, interval)
+		return
+	}
+	serveReplica(os.Args[2], events, interval)
+}
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
