--- a/host/host.go
+++ b/host/host.go
@@ -28,6 +28,7 @@
 	"github.com/comfreyspindle/comfreyspindle/jobs"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/membership/registry"
 	"github.com/comfreyspindle/comfreyspindle/peer"
 	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/quota"
@@ -220,9 +221,10 @@
 			}
 			return call(ctx, to.PeerAddress, peerName+".Ping", StateArgs{}, new(PingReply))
 		},
+		watching: h.shouldWatch, bootTime: h.bootTime,
 		onRemoved: h.hostRemoved, onRejoin: h.requestRecovery, onChange: func() { h.broker.HostsChanged() },
 		onStoreUnavailable: h.markStoreUnavailable, onStoreAvailable: h.markStoreAvailable,
-		hosts: make(map[string]membership.Host), expired: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
+		table: registry.NewTable(), pinging: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
 	}
 }
 
@@ -331,6 +333,7 @@
 	control := suture.New("control", spec)
 	control.Add(h.peerServer)
 	control.Add(h.presence)
+	control.Add(pinger{h.presence})
 	control.Add(h.storeContact)
 	control.Add(h.versions)
 	for _, w := range h.watchers() {
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -14,9 +14,11 @@
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
+	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/membership/registry"
 )
 
 func quietLog() *logrus.Entry {
@@ -63,7 +65,7 @@
 	r := &watchRecorder{values: make(map[string]string)}
 	w := &Watcher{
 		name: "test", store: store, prefix: "p/", clock: clockwork.NewRealClock(), log: quietLog(),
-		onList: r.record, onChanges: r.record, watchTimeout: func() time.Duration { return wait }, storeUnavailable: storeUnavailable,
+		onList: func(ctx context.Context, items []txn.Item, _ txn.Rev) { r.record(ctx, items) }, onChanges: r.record, watchTimeout: func() time.Duration { return wait }, storeUnavailable: storeUnavailable,
 		onUnavailable: func() { r.mu.Lock(); r.unavailableCalls++; r.mu.Unlock() },
 		onAvailable:   func() { r.mu.Lock(); r.availableCalls++; r.mu.Unlock() },
 	}
@@ -178,7 +180,9 @@
 		onRemoved: func(h membership.Host) { f.mu.Lock(); f.removed = append(f.removed, h.Name); f.mu.Unlock() },
 		onRejoin:  func() {},
 		onChange:  func() {},
-		hosts:     make(map[string]membership.Host), expired: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
+		watching:  func() bool { return true },
+		bootTime:  boottime.Now,
+		table:     registry.NewTable(), pinging: make(map[string]struct{}), recheckRequested: make(chan struct{}, 1),
 	}
 	return f
 }
@@ -221,8 +225,8 @@
 func TestHostWithExpiredRecordIsRemovedWhenPingsFail(t *testing.T) {
 	f := newPresenceFixture(false)
 	ctx := context.Background()
-	f.Replace(ctx, []txn.Item{record("a", false), record("b", false)})
-	f.Replace(ctx, []txn.Item{record("b", false)})
+	f.Replace(ctx, []txn.Item{record("a", false), record("b", false)}, 0)
+	f.Replace(ctx, []txn.Item{record("b", false)}, 0)
 	require.Eventually(t, func() bool { return len(f.names()) == 2 }, testTimeout, 5*time.Millisecond)
 }
 
--- a/host/peer.go
+++ b/host/peer.go
@@ -11,6 +11,7 @@
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/membership/registry"
 	"github.com/comfreyspindle/comfreyspindle/quarantine"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/slots"
@@ -29,9 +30,14 @@
 	stateFetchTimeout  = 500 * time.Millisecond
 )
 
-// StateArgs are the arguments of State, Ping and Confirmation: the version of the configuration that
-// the requesting host has, or 0.
-type StateArgs struct{ ConfigVersion int64 }
+// StateArgs are the arguments of State, Ping and Confirmation.
+type StateArgs struct {
+	// ConfigVersion is the version of the configuration that the requesting host has, or 0.
+	ConfigVersion int64
+	// ReadsReport reports that the requesting host reads StateReply.Report. Hosts of older
+	// builds read Hosts.
+	ReadsReport bool
+}
 
 // WaitLimit implements peer.Repeatable.
 func (StateArgs) WaitLimit() time.Duration { return 0 }
@@ -44,7 +50,10 @@
 type StateReply struct {
 	// Config is empty unless it is newer than the requesting host's
 	// configuration.
-	Config   []byte
+	Config []byte
+	// Report is what the host knows of all hosts, itself included. Replies of older builds,
+	// and those to them, have only the Hosts.
+	Report   *registry.Report
 	Hosts    []membership.Host
 	Replicas []replica.Replica
 	// HaveReplicas reports that Replicas comes from the replica records. If
@@ -77,7 +86,12 @@
 	if encoded, version := p.host.config.current(); version > args.ConfigVersion {
 		reply.Config = encoded
 	}
-	reply.Hosts = membership.All(p.host.view)
+	if args.ReadsReport {
+		report := p.host.presence.Report()
+		reply.Report = &report
+	} else {
+		reply.Hosts = membership.All(p.host.view)
+	}
 	reply.HaveReplicas = p.host.replicas.haveRecords()
 	reply.Replicas, reply.RecordsRev = p.host.replicas.snapshotAt()
 	reply.ReplicasCurrent = p.host.replicasCurrent()
@@ -148,11 +162,24 @@
 		return
 	}
 	if address := addresses[f.rng.IntN(len(addresses))]; address != self.PeerAddress {
-		// fetchState logs the error; the next fetch may choose another peer.
-		_, _ = f.host.fetchState(ctx, address)
+		report, err := f.host.fetchState(ctx, address)
+		if err != nil {
+			// fetchState has logged the error; the next fetch may choose another peer.
+			return
+		}
+		if f.host.presence.Merge(ctx, report.sent, report.Report) {
+			// The broker's next notice may take back what a peer knew.
+			f.host.hostsVersion.Store(0)
+		}
 	}
 }
 
+// fetchedReport is a report of a peer and when it was requested, by bootTime.
+type fetchedReport struct {
+	registry.Report
+	sent time.Duration
+}
+
 // lacksUpdates reports whether the store does not answer this host and no broker with an
 // available store has replied lately, so that the records of this host may be
 // stale.
@@ -166,19 +193,19 @@
 }
 
 // fetchState fetches a peer's state and applies what this host lacks: a newer
-// configuration, unknown hosts, and the replica records if this host has none,
-// or if its own may be stale and the peer's are current. Records that are not up to
-// date may name replicas that have left, so a host without any takes them only if it
-// can't read the store.
-func (h *Host) fetchState(ctx context.Context, address string) (StateReply, error) {
+// configuration, and the replica records if this host has none, or if its own may be
+// stale and the peer's are current. Records that are not up to date may name replicas
+// that have left, so a host without any takes them only if it can't read the store. It
+// returns what the peer knows of the hosts.
+func (h *Host) fetchState(ctx context.Context, address string) (fetchedReport, error) {
 	_, version := h.config.current()
 	var reply StateReply
 	sent := h.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
 	defer cancel()
-	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: version}, &reply); err != nil {
+	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: version, ReadsReport: true}, &reply); err != nil {
 		h.log.WithError(err).WithFields(logrus.Fields{"address": address, "version": version}).Warn("can't fetch state from peer")
-		return reply, err
+		return fetchedReport{}, err
 	}
 	if len(reply.Config) > 0 {
 		h.config.setIfNewer(reply.Config, address)
@@ -186,7 +213,6 @@
 	if reply.ConfirmedVersion != 0 {
 		h.handleConfirmation(reply.ConfirmedVersion, sent, reply.ConfirmedAge)
 	}
-	h.presence.AddFromPeer(reply.Hosts)
 	h.quarantine.apply(reply.Quarantine)
 	usable := reply.HaveReplicas && (reply.ReplicasCurrent || h.storeUnavailable())
 	if reply.Current && h.lacksUpdates() || usable && !h.replicas.haveRecords() {
@@ -197,12 +223,15 @@
 			entry.Info("replica records taken from peer")
 		}
 	}
-	return reply, nil
+	if reply.Report == nil {
+		return fetchedReport{registry.Hearsay(reply.Hosts), sent}, nil
+	}
+	return fetchedReport{*reply.Report, sent}, nil
 }
 
 // handleNotice fetches the broker's state if its configuration is newer than
-// this host's, or if its membership view has changed since the last notice. The
-// view replaces this host's only if the broker's store is available.
+// this host's, or if its membership view has changed since the last notice. This host
+// follows the view only if the broker's store is available.
 func (h *Host) handleNotice(broker membership.Host, n slots.Notice) {
 	_, version := h.config.current()
 	hostsChanged := h.hostsVersion.Swap(n.HostsVersion) != n.HostsVersion
@@ -210,7 +239,8 @@
 		return
 	}
 	go func() {
-		reply, err := h.fetchState(context.Background(), broker.PeerAddress)
+		ctx := context.Background()
+		report, err := h.fetchState(ctx, broker.PeerAddress)
 		if err != nil {
 			if _, version = h.config.current(); n.ConfigVersion > version {
 				h.log.WithFields(logrus.Fields{
@@ -220,9 +250,11 @@
 			h.hostsVersion.Store(0)
 			return
 		}
-		if n.Current {
-			h.presence.ReplaceFromPeer(reply.Hosts)
-			h.presence.RecheckIfMissing(reply.Hosts)
+		if !n.Current {
+			h.presence.Merge(ctx, report.sent, report.Report)
+			return
 		}
+		h.presence.Follow(ctx, report.sent, report.Report)
+		h.presence.RecheckIfMissing(report.Members())
 	}()
 }
--- a/host/presence.go
+++ b/host/presence.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"maps"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -14,9 +10,10 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/sirupsen/logrus"
 
-	"github.com/comfreyspindle/comfreyspindle/internal/wait"
+	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/membership/registry"
 )
 
 const hostPrefix = fleetPrefix + "hosts/"
@@ -40,24 +37,17 @@
 	// changes accumulate before the next read. Without it, hosts that start
 	// together would cost one call for each pair of hosts.
 	hostBatchDelay = 400 * time.Millisecond
-	// pingInterval and pingTimeout apply to pings of a host whose record has
-	// expired.
-	pingInterval = time.Second
-	pingTimeout  = 500 * time.Millisecond
 	// recheckDelay is the delay before a check of the host's own record, in which several
 	// requests for one accumulate.
 	recheckDelay = 150 * time.Millisecond
 	// noticeTimeout is the time in which brokers see a record that has been written.
 	noticeTimeout = 1500 * time.Millisecond
-	// maxFailedPings is the number of failed pings in a row after which a host
-	// is removed.
-	maxFailedPings = 2
 )
 
 // Presence keeps this host's own record in the store and maintains the
-// membership view from the records of all hosts. A host whose record expires
-// stays in the view while it answers pings: the store may have rejected its
-// renewals or been unavailable itself.
+// membership view from the records of all hosts and what peers know of them. A host
+// whose record expires stays in the view while it answers pings: the store may have
+// rejected its renewals or been unavailable itself.
 type Presence struct {
 	store         txn.Store
 	view          *membership.Static
@@ -67,8 +57,13 @@
 	// ping checks that a host is running and not stopping, and tells it that its record
 	// is gone. If alone is set, it uses a connection of its own: the shared one may be silent.
 	ping func(ctx context.Context, h membership.Host, alone bool) error
+	// watching reports whether this host watches the records, and so pings the hosts whose
+	// records have expired. The others follow those that do.
+	watching func() bool
+	// bootTime is the clock by which signs of other hosts are aged.
+	bootTime boottime.Clock
 	// onRemoved is called when a host has been removed from the view after its
-	// record expired and its pings failed.
+	// record expired and the pings of this host or of a peer failed.
 	onRemoved func(h membership.Host)
 	// onChange is called when the view may have changed. onRejoin is called
 	// when the host's own record has been written again after its first
@@ -89,9 +84,10 @@
 	doubtful         bool
 	recheckRequested chan struct{}
 
-	mu      sync.Mutex
-	hosts   map[string]membership.Host
-	expired map[string]struct{}
+	mu    sync.Mutex
+	table *registry.Table
+	// pinging holds the names of the hosts that are being pinged.
+	pinging map[string]struct{}
 	leaseID txn.Lease
 	leaving bool
 	// listed is set once the records of all hosts have been listed, and written once that
@@ -153,31 +149,6 @@
 	}
 }
 
-// Replace applies a complete list of the host records. Known hosts that are
-// not listed are pinged, and this host writes its record again if that is missing.
-func (p *Presence) Replace(ctx context.Context, items []txn.Item) {
-	listed := make(map[string]struct{}, len(items))
-	for _, item := range items {
-		listed[strings.TrimPrefix(item.Key, hostPrefix)] = struct{}{}
-	}
-	p.mu.Lock()
-	p.listed = true
-	var missing []string
-	for name := range p.hosts {
-		if _, ok := listed[name]; !ok {
-			missing = append(missing, name)
-		}
-	}
-	if _, ok := listed[p.view.Self().Name]; !ok && p.written {
-		p.Recheck()
-	}
-	p.mu.Unlock()
-	p.Apply(ctx, items)
-	for _, name := range missing {
-		p.startPinging(ctx, name)
-	}
-}
-
 // wasListed reports whether the hosts' records have been listed.
 func (p *Presence) wasListed() bool {
 	p.mu.Lock()
@@ -192,133 +163,3 @@
 	defer p.mu.Unlock()
 	return p.listed && p.written
 }
-
-// Apply applies changes of host records. Hosts whose record was deleted, or replaced by
-// something else, are pinged.
-func (p *Presence) Apply(ctx context.Context, items []txn.Item) {
-	var lost []string
-	p.mu.Lock()
-	for _, item := range items {
-		name := strings.TrimPrefix(item.Key, hostPrefix)
-		if item.Deleted {
-			lost = append(lost, name)
-			continue
-		}
-		h, err := decodeHost(item, name)
-		if err != nil {
-			p.log.WithError(err).WithField("peer", name).Warn("can't decode host record")
-			lost = append(lost, name)
-			continue
-		}
-		if self := p.view.Self(); name == self.Name && p.written && !h.SameProcess(self) {
-			lost = append(lost, name)
-		}
-		delete(p.expired, name)
-		if p.hosts[name] != h {
-			p.log.WithFields(logrus.Fields{"peer": name, "address": h.PeerAddress, "rev": item.Rev}).Info("host added or changed")
-		}
-		p.hosts[name] = h
-	}
-	p.publish()
-	p.mu.Unlock()
-	for _, name := range lost {
-		p.startPinging(ctx, name)
-	}
-}
-
-// decodeHost decodes the record of a host with a name. A record of another host says nothing
-// of this one.
-func decodeHost(item txn.Item, name string) (membership.Host, error) {
-	var h membership.Host
-	if err := json.Unmarshal(item.Value, &h); err != nil {
-		return h, errors.Wrapf(err, "decode the record of host %q", name)
-	}
-	if h.Name != name || h.DataCentre == "" {
-		return h, errors.Newf("decode the record of host %q: it is of host %q in data centre %q", name, h.Name, h.DataCentre)
-	}
-	return h, nil
-}
-
-// AddFromPeer adds the alive hosts of a peer's view that this host doesn't
-// know. It removes none.
-func (p *Presence) AddFromPeer(hosts []membership.Host) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, h := range hosts {
-		if _, ok := p.hosts[h.Name]; !ok && h.State == membership.Alive {
-			p.hosts[h.Name] = h
-		}
-	}
-	p.publish()
-}
-
-// ReplaceFromPeer replaces the known hosts by those of a broker whose store is
-// available.
-func (p *Presence) ReplaceFromPeer(hosts []membership.Host) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	clear(p.hosts)
-	clear(p.expired)
-	for _, h := range hosts {
-		p.hosts[h.Name] = h
-	}
-	p.publish()
-}
-
-// publish updates the membership view from the known hosts. It requires p.mu.
-func (p *Presence) publish() {
-	defer p.onChange()
-	self := p.view.Self().Name
-	others := slices.Collect(maps.Values(p.hosts))
-	p.view.Set(slices.DeleteFunc(others, func(h membership.Host) bool { return h.Name == self }))
-}
-
-// startPinging starts to ping a host whose record has expired or was deleted.
-func (p *Presence) startPinging(ctx context.Context, name string) {
-	if name == p.view.Self().Name {
-		p.Recheck()
-		return
-	}
-	p.mu.Lock()
-	h, known := p.hosts[name]
-	_, pinging := p.expired[name]
-	if !known || pinging {
-		p.mu.Unlock()
-		return
-	}
-	p.expired[name] = struct{}{}
-	p.mu.Unlock()
-	go p.pingExpired(ctx, h)
-}
-
-// pingExpired pings a host until its record is present again. It removes the
-// host after maxFailedPings failed pings in a row.
-func (p *Presence) pingExpired(ctx context.Context, h membership.Host) {
-	failures := 0
-	for ctx.Err() == nil {
-		pingCtx, cancel := context.WithTimeout(ctx, pingTimeout)
-		err := p.ping(pingCtx, h, failures > 0)
-		cancel()
-		p.mu.Lock()
-		if _, expired := p.expired[h.Name]; !expired {
-			p.mu.Unlock()
-			return
-		}
-		if err == nil {
-			failures = 0
-		} else if failures++; failures >= maxFailedPings {
-			delete(p.expired, h.Name)
-			delete(p.hosts, h.Name)
-			p.publish()
-			p.mu.Unlock()
-			p.log.WithError(err).WithField("peer", h.Name).Warn("host removed: record expired and pings failed")
-			p.onRemoved(h)
-			return
-		}
-		p.mu.Unlock()
-		if failures > 0 {
-			continue
-		}
-		wait.For(ctx, p.clock, pingInterval)
-	}
-}
--- a/host/presence_test.go
+++ b/host/presence_test.go
@@ -82,7 +82,7 @@
 			"it sees an odd record": func(f *presenceFixture) {
 				f.Apply(context.Background(), []txn.Item{{Key: hostPrefix + "self", Value: []byte("[[["), Rev: 9}})
 			},
-			"a list lacks it": func(f *presenceFixture) { f.Replace(context.Background(), nil) },
+			"a list lacks it": func(f *presenceFixture) { f.Replace(context.Background(), nil, 0) },
 		} {
 			t.Run(name+", "+reason, func(t *testing.T) {
 				t.Parallel()
@@ -124,15 +124,14 @@
 	p := at.presence
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.expired, name)
-	delete(p.hosts, name)
+	p.table.Forget(name)
 	p.publish()
 }
 
 // startPair starts two hosts that see each other and returns them, the broker first.
 func (f *fleet) startPair() (broker, other *Host) {
 	a, b := f.start("a"), f.start("b")
-	require.Eventually(f.t, func() bool { return len(a.view.Local()) == 2 && len(b.view.Local()) == 2 }, 10*time.Second, 10*time.Millisecond)
+	f.awaitView()
 	if a.slotClient.IsBroker() {
 		return a, b
 	}
--- a/host/watch.go
+++ b/host/watch.go
@@ -51,9 +51,9 @@
 	prefix string
 	clock  clockwork.Clock
 	log    *logrus.Entry
-	// onList receives a complete list, and onChanges the changes that follow
-	// it.
-	onList    func(ctx context.Context, items []txn.Item)
+	// onList receives a complete list, which has all changes up to a revision, and
+	// onChanges the changes that follow it.
+	onList    func(ctx context.Context, items []txn.Item, at txn.Rev)
 	onChanges func(ctx context.Context, items []txn.Item)
 	// onRead is called with the revision up to which all changes were passed on, after each
 	// successful call; nil has no effect.
@@ -170,7 +170,7 @@
 	if err := group.Wait(); err != nil {
 		return 0, err
 	}
-	w.onList(ctx, items)
+	w.onList(ctx, items, at)
 	return at, nil
 }
 
--- a/host/watchers.go
+++ b/host/watchers.go
@@ -15,17 +15,18 @@
 	config, hosts, replicas := base, base, base
 	hosts.storeUnavailable, replicas.storeUnavailable = h.storeUnavailable, h.storeUnavailable
 	config.name, config.prefix, config.watchTimeout = "configuration", platform.OperatorPrefix, h.configWatchTimeout
-	config.onList, config.onChanges = h.config.applyItems, h.config.applyItems
+	config.onList = func(ctx context.Context, items []txn.Item, _ txn.Rev) { h.config.applyItems(ctx, items) }
+	config.onChanges = h.config.applyItems
 	config.onUnavailable, config.onAvailable = h.markStoreUnavailable, h.markStoreAvailable
 	hosts.watchTimeout = func() time.Duration { return hostsWatchTimeout }
 	hosts.active = func() bool { return !h.presence.wasListed() || h.shouldWatch() }
 	hosts.name, hosts.prefix, hosts.batchDelay = "hosts", fleetPrefix, hostBatchDelay
-	hosts.onList = func(ctx context.Context, items []txn.Item) {
+	hosts.onList = func(ctx context.Context, items []txn.Item, at txn.Rev) {
 		records := splitFleet(items)
 		if !h.presence.wasListed() {
 			h.slotClient.StartStaleTimer()
 		}
-		h.presence.Replace(ctx, records.hosts)
+		h.presence.Replace(ctx, records.hosts, at)
 		h.applyFleet(ctx, records)
 	}
 	hosts.onChanges = func(ctx context.Context, items []txn.Item) {
@@ -33,10 +34,12 @@
 		h.presence.Apply(ctx, records.hosts)
 		h.applyFleet(ctx, records)
 	}
+	hosts.onRead = h.presence.readTo
 	replicas.name, replicas.prefix = "replicas", platform.ReplicaPrefix
 	replicas.watchTimeout = func() time.Duration { return changeWatchTimeout(h.settings.DrainTimeout) }
 	replicas.alongList = h.versions.Refresh
-	replicas.onList, replicas.onChanges, replicas.onRead = h.replicas.replace, h.replicas.apply, h.replicas.readTo
+	replicas.onList = func(ctx context.Context, items []txn.Item, _ txn.Rev) { h.replicas.replace(ctx, items) }
+	replicas.onChanges, replicas.onRead = h.replicas.apply, h.replicas.readTo
 	replicas.onUnavailable, replicas.onAvailable = h.replicas.markStoreUnavailable, func() {}
 	return []*Watcher{&config, &hosts, &replicas}
 }
