platform, jobs: a batch job is found by its id and says itself who may read it

Cause: serveJob looked for a route of the call's host name before it looked for the job, and asked that route (PublicBatch) whether the call needs a key. So a job that was submitted with a key also couldn't be read by its customer once its route had become public, and one submitted without a key not once its route needed one.

Change: the host name decides nothing. The customer in the job's record says who may read it; a call with a known key is that customer's whatever the route says now, one without reaches the jobs that were submitted without a key.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -59,7 +59,7 @@
 		}
 		a, joined := m.accepting[s.ID]
 		if !joined {
-			a = &acceptance{done: make(chan struct{}), customer: s.Access.Customer}
+			a = &acceptance{done: make(chan struct{}), customer: s.owner()}
 			m.accepting[s.ID] = a
 		}
 		m.mu.Unlock()
@@ -68,7 +68,7 @@
 		}
 		select {
 		case <-a.done:
-			if a.customer == s.Access.Customer {
+			if a.customer == s.owner() {
 				return a.err
 			}
 			// Another customer's submission has ended. If it is recorded, the next pass
@@ -201,6 +201,21 @@
 	return m.isStored(ctx, id)
 }
 
+// IsAccepted reports whether there is a job that a call may reach.
+func (m *Manager) IsAccepted(ctx context.Context, a Access, id string) (bool, error) {
+	m.mu.Lock()
+	customer, known := m.customerOfLocked(id)
+	m.mu.Unlock()
+	if known {
+		return a.allows(customer), nil
+	}
+	_, _, err := m.loadHeadFor(ctx, a, id)
+	if err != nil && verdict.As(err).Code == verdict.CodeNotFound {
+		return false, nil
+	}
+	return err == nil, err
+}
+
 // isStored reads whether a job is recorded.
 func (m *Manager) isStored(ctx context.Context, id string) (bool, error) {
 	_, err := m.Store.Get(ctx, headKey(id))
@@ -267,7 +282,7 @@
 		ID: s.ID, Owner: self.Name, Incarnation: self.Incarnation, DataCentre: self.DataCentre, RouteHost: s.Host, RoutePrefix: s.Prefix,
 		CreatedMs: m.Clock.Now().UnixMilli(), RunTargetMs: s.RunTarget.Milliseconds(), RetentionMs: s.Retention.Milliseconds(),
 		ItemCount: len(s.Items), Tokens: s.tokens(), WaitingTokens: s.tokens(),
-		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(), Customer: s.Access.Customer,
+		MeanRunMs: m.meanRunTime(routeKey{s.Host, s.Prefix}).Milliseconds(), Customer: s.owner(),
 	}
 	head.nextWrite()
 	return head
--- a/jobs/backlog.go
+++ b/jobs/backlog.go
@@ -31,7 +31,7 @@
 
 // backlogRequest returns the request to accept a job under the limit in force.
 func (m *Manager) backlogRequest(s *Submission) backlog.Request {
-	r := backlog.Request{JobID: s.ID, Queue: backlog.Queue{RouteHost: s.Host, RoutePrefix: s.Prefix, Customer: s.Access.Customer}, Tokens: s.tokens()}
+	r := backlog.Request{JobID: s.ID, Queue: backlog.Queue{RouteHost: s.Host, RoutePrefix: s.Prefix, Customer: s.owner()}, Tokens: s.tokens()}
 	table := m.Table()
 	if table == nil {
 		return r
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -36,6 +36,16 @@
 	Retention time.Duration
 	// Access says whose job it is, and that no other customer's job is meant.
 	Access Access
+	// Public reports that the job belongs to no customer, although one may submit it.
+	Public bool
+}
+
+// owner returns the name of the customer that the job belongs to, or empty.
+func (s *Submission) owner() string {
+	if s.Public {
+		return ""
+	}
+	return s.Access.Customer
 }
 
 // tokens returns the tokens of all items.
