pool: a status that is none of HTTP ends an exchange at once

Here it was not passed on, but the request waited for its deadline and got 504. 600 and 999 were passed on for requests that run at most once.

Cause: each status below 200 was taken for an interim response, after which the next one is awaited on the connection. Change: a status below 100 or above 599 breaks the exchange: requests that may be repeated go to another replica, others get 502. 600 to 999 too: RFC 9110 lets a client treat them as a 5xx, and callers decide by classes of statuses, of which these have none, whether a request may be sent again.

Items were not affected (TestStatusThatIsNoneOfHTTPIsNoResultOfAnItem passed before too). Early answers that are reset, through another host's tunnel: 20 cases, 3 times and 3 times with -race, none taken for whole.

--- a/jobs/framing_test.go
+++ b/jobs/framing_test.go
@@ -144,6 +144,33 @@
 	}
 }
 
+// A replica in trouble sends the output with a status that is none of HTTP: that is no result
+// of the item, and no failed attempt of it.
+func TestStatusThatIsNoneOfHTTPIsNoResultOfAnItem(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999"} {
+		for name, whole := range map[string]func(int) string{"length": withLengthUpTo(3), "chunked": chunkedUpTo(3, false)} {
+			t.Run(status+" "+name, func(t *testing.T) {
+				t.Parallel()
+				c := newCluster(t, "a")
+				a := c.hosts["a"]
+				trouble := func(after int) string { return strings.Replace(whole(after), "200 OK", status+" Trouble", 1) }
+				a.Upstream = newTCPReplica(t, []func(int) string{trouble, whole})
+				require.NoError(t, a.Submit(t.Context(), submission(1)))
+				a.grantNext(t)
+				a.flushNow(t)
+				require.Empty(t, c.results("a", 0))
+				a.mu.Lock()
+				failures := a.jobs["job"].items[0].failures
+				a.mu.Unlock()
+				require.Zero(t, failures)
+				a.grantNext(t)
+				a.flushNow(t)
+				require.Equal(t, []Result{{ID: "i0", Done: true, Output: output}}, c.results("a", 0))
+			})
+		}
+	}
+}
+
 // The run that confirms the end of an output is no further attempt after a failed one.
 func TestEndOfAnOutputIsConfirmedWithoutDelay(t *testing.T) {
 	c := newCluster(t, "a")
--- a/tunnel/tunnel_test.go
+++ b/tunnel/tunnel_test.go
@@ -212,6 +212,58 @@
 	}
 }
 
+// A replica answers a long upload at once with a success without a length, sends a part and
+// resets the connection sooner or later. Through another host the part must not look whole.
+func TestEarlyResponseThatIsResetIsNotCompleteThroughATunnel(t *testing.T) {
+	const whole, early = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull", "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart"
+	for _, size := range []int{900e3, 15e6} {
+		for _, kept := range []bool{false, true} {
+			for _, delay := range []time.Duration{0, time.Millisecond, 20 * time.Millisecond, 150 * time.Millisecond, 700 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%d bytes, kept %t, reset after %v", size, kept, delay), func(t *testing.T) {
+					t.Parallel()
+					address := listen(t, func(c *net.TCPConn) {
+						if kept {
+							first, err := http.ReadRequest(bufio.NewReader(c))
+							if err != nil {
+								return
+							}
+							_, _ = io.Copy(io.Discard, first.Body)
+							_, _ = io.WriteString(c, whole)
+						}
+						_, _ = io.ReadFull(c, make([]byte, 1<<10))
+						_, _ = io.WriteString(c, early)
+						time.Sleep(delay)
+						_ = c.SetLinger(0)
+					})
+					s, _ := startServer(t, ServerOptions{})
+					paths := newPaths()
+					paths.lost(address, syscall.EHOSTUNREACH)
+					paths.tunnelled(address)
+					require.True(t, paths.IsLost(address))
+					p := pool.New(func() {}, pool.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+						return paths.open(ctx, "carrier", s.address(), address)
+					}))
+					if kept {
+						ans, err := p.Send(t.Context(), pool.Exchange{ID: "first", Address: address, Request: request("x"), FirstByte: 5 * time.Second})
+						require.NoError(t, err)
+						_, err = io.Copy(io.Discard, ans.Body)
+						require.NoError(t, err)
+						ans.Close()
+					}
+					ans, err := p.Send(t.Context(), pool.Exchange{ID: "second", Address: address, Request: request(strings.Repeat("x", size)), FirstByte: 5 * time.Second})
+					if err != nil {
+						return
+					}
+					defer ans.Close()
+					require.Equal(t, kept, ans.Exchanges == 2)
+					_, err = io.ReadAll(ans.Body)
+					require.Error(t, err)
+				})
+			}
+		}
+	}
+}
+
 // Closing a tunnel must end the replica's work at once.
 func TestCloseEndsTheConnectionToTheReplica(t *testing.T) {
 	ended := make(chan struct{})
--- a/upstream/pool/exchange.go
+++ b/upstream/pool/exchange.go
@@ -53,6 +53,10 @@
 	return nil
 }
 
+// maxStatus is the last status that HTTP defines a class for (RFC 9110, section 15). What an
+// upstream sends with another one is no answer that a caller could read.
+const maxStatus = 599
+
 // receive reads answers up to the request's own, after the first byte has arrived. It
 // returns the number of answers to other requests that it skipped.
 func (c *conn) receive(x Exchange) (_ *http.Response, skipped int, _ error) {
@@ -61,6 +65,8 @@
 		switch {
 		case err != nil:
 			return nil, skipped, errors.Mark(errors.Wrap(err, "read answer"), ErrBroken)
+		case res.StatusCode < http.StatusContinue, res.StatusCode > maxStatus:
+			return nil, skipped, errors.Mark(errors.Newf("the status %q is none of HTTP", res.Status), ErrBroken)
 		case res.StatusCode == http.StatusSwitchingProtocols:
 			return nil, skipped, errors.Mark(errors.New("the upstream changes the protocol unasked"), ErrBroken)
 		case res.StatusCode < http.StatusOK:
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -468,6 +468,39 @@
 	}
 }
 
+// An upstream in trouble answers with a status that is none of HTTP. One below 100 was taken
+// for an interim response on a kept connection, so that the request waited for its deadline.
+func TestStatusThatIsNoneOfHTTPFailsTheExchangeAtOnce(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "+12", "600", "999"} {
+		for _, framing := range []string{"Content-Length: 4\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n", "\r\npart"} {
+			for _, kept := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %.10q, kept %t", status, framing, kept), func(t *testing.T) {
+					t.Parallel()
+					address, conns := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+						if kept {
+							_, _ = io.WriteString(c, answer(read(r), "before"))
+						}
+						_, _ = io.WriteString(c, fmt.Sprintf("HTTP/1.1 %s Trouble\r\nX-Id: %s\r\n%s", status, read(r), framing))
+						_, _ = r.ReadByte()
+					})
+					p := New(func() {})
+					if kept {
+						_, err := exchange(p, address, "before")
+						require.NoError(t, err)
+					}
+					began := time.Now()
+					_, err := exchangeWithin(p, address, "a", 20*time.Second)
+					require.True(t, errors.Is(err, ErrBroken), "%v", err)
+					require.False(t, errors.Is(err, ErrNotSent))
+					require.Less(t, time.Since(began), 10*time.Second)
+					require.EqualValues(t, 1, conns.Load())
+					require.Empty(t, p.idle)
+				})
+			}
+		}
+	}
+}
+
 // What follows a change of protocol is no answer, even if it looks like one.
 func TestUnaskedChangeOfProtocolEndsTheExchange(t *testing.T) {
 	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
