host: replica records are listed anew after those of a peer that names no revision

A host takes the replica records of a broker of an older build, which name no revision, and a replica in them has left since. The watch went on where it was, after the end of that replica's record, so that the replica stayed in the view until the host was restarted.

Change: such records count as outdated until the store's are listed again, and no revision is claimed for them meanwhile.

--- a/host/replicas.go
+++ b/host/replicas.go
@@ -31,6 +31,8 @@
 	// rev is a revision of the store whose changes the view includes; zero means that none is
 	// known.
 	rev txn.Rev
+	// outdated is set while the records are those of a peer that named no revision.
+	outdated bool
 	// listed is set once the view has all replicas, and loaded once they were passed to the
 	// broker.
 	listed, loaded bool
@@ -207,6 +209,7 @@
 		}
 	}
 	r.markStoreAvailable()
+	r.outdated = false
 	r.setRev(0)
 	r.view.Replace(r.clock.Now(), all)
 	r.listed, r.fromStore, r.peerVersions = true, true, nil
@@ -227,7 +230,17 @@
 func (r *Replicas) readTo(rev txn.Rev) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.setRev(max(rev, r.rev))
+	if !r.outdated {
+		r.setRev(max(rev, r.rev))
+	}
+}
+
+// isOutdated reports whether the records were taken from a peer that names no revision, as those
+// of older builds, and may be older than what this host has read.
+func (r *Replicas) isOutdated() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.outdated
 }
 
 // setRev sets a revision whose changes the view includes. It is raised after they are published,
@@ -319,6 +332,7 @@
 	if rev != 0 && rev < r.rev {
 		return r.rev
 	}
+	r.outdated = rev == 0
 	r.setRev(0)
 	r.view.ReplaceFromPeer(r.clock.Now(), all)
 	r.listed, r.fromStore, r.peerVersions = true, false, make(map[softwareVersion]struct{})
--- a/host/replicas_test.go
+++ b/host/replicas_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
+	"github.com/comfreyspindle/comfreyspindle/kv/txn/txntest"
+	"github.com/comfreyspindle/comfreyspindle/platform"
 	"github.com/comfreyspindle/comfreyspindle/platform/platformtest"
 	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/slots"
@@ -73,6 +76,37 @@
 	}
 }
 
+// A broker of an older build, whose records have no revision, names a replica that has left. The
+// watch went on after the replica's end, so that the replica stayed until the host was restarted.
+func TestReplicaThatHasLeftIsRemovedOnceTheStoreIsReadAgain(t *testing.T) {
+	store := txntest.NewStore()
+	left := platformtest.NewReplica("left", 1, time.Millisecond)
+	t.Cleanup(left.Close)
+	record := left.Record("svc", "dc", "ready", 4)
+	put := func(req txn.Request) {
+		_, err := store.Commit(t.Context(), req)
+		require.NoError(t, err)
+	}
+	put(txn.Request{Writes: []txn.Write{record}})
+	r := newReplicas(slots.NewBroker(clockwork.NewRealClock(), rand.New(rand.NewPCG(1, 1)), quietLog()), "dc", clockwork.NewRealClock(), quietLog(), func() time.Duration { return 0 })
+	w := &Watcher{
+		name: "replicas", store: store, prefix: platform.ReplicaPrefix, clock: clockwork.NewRealClock(), log: quietLog(),
+		onList: func(ctx context.Context, items []txn.Item, _ txn.Rev) { r.replace(ctx, items) }, onChanges: r.apply, onRead: r.readTo, outdated: r.isOutdated,
+		watchTimeout: func() time.Duration { return 20 * time.Millisecond },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = w.Serve(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	require.Eventually(t, func() bool { return len(r.snapshot()) == 1 }, testTimeout, time.Millisecond)
+	known := r.snapshot()
+	put(txn.Request{Remove: []string{record.Key}})
+	require.Eventually(t, func() bool { return len(r.snapshot()) == 0 }, testTimeout, time.Millisecond)
+	require.Zero(t, r.replaceFromPeer(known, 0))
+	require.Len(t, r.snapshot(), 1)
+	require.Eventually(t, func() bool { return len(r.snapshot()) == 0 }, testTimeout, time.Millisecond)
+}
+
 // The store's revisions count, not the order of arrival: what is read later may be older.
 func TestListingReplacesWhatAPeerHasSent(t *testing.T) {
 	r := readAt(t)
--- a/host/watch.go
+++ b/host/watch.go
@@ -58,6 +58,9 @@
 	// onRead is called with the revision up to which all changes were passed on, after each
 	// successful call; nil has no effect.
 	onRead func(at txn.Rev)
+	// outdated reports whether what was passed on may have been replaced by something older
+	// since, so that all keys are listed again; nil never does.
+	outdated func() bool
 	// alongList reads what must be known to use a listing, which fails with it, at the same
 	// time; nil reads nothing.
 	alongList func(ctx context.Context) error
@@ -92,6 +95,10 @@
 			wait.For(ctx, w.clock, minRetryDelay)
 			continue
 		}
+		if at != 0 && w.outdated != nil && w.outdated() {
+			w.log.WithField("after", at).Info("records were replaced by older ones; listing all keys again")
+			at = 0
+		}
 		next, err := w.listOrWatch(ctx, at)
 		if errors.Is(err, txn.ErrCompacted) {
 			w.log.WithField("after", at).Info("revision was compacted; listing all keys again")
--- a/host/watchers.go
+++ b/host/watchers.go
@@ -39,7 +39,7 @@
 	replicas.watchTimeout = func() time.Duration { return changeWatchTimeout(h.settings.DrainTimeout) }
 	replicas.alongList = h.versions.Refresh
 	replicas.onList = func(ctx context.Context, items []txn.Item, _ txn.Rev) { h.replicas.replace(ctx, items) }
-	replicas.onChanges, replicas.onRead = h.replicas.apply, h.replicas.readTo
+	replicas.onChanges, replicas.onRead, replicas.outdated = h.replicas.apply, h.replicas.readTo, h.replicas.isOutdated
 	replicas.onUnavailable, replicas.onAvailable = h.replicas.markStoreUnavailable, func() {}
 	return []*Watcher{&config, &hosts, &replicas}
 }
