jobs: an announcement of an owner names the revision of the job's record

Change: announcements and reads of the record bring its revision, and the later one counts. Those of older builds count least.

Measured: TestLateAnnouncementOfAFormerOwnerIsIgnored can't be compiled before the change; the first late announcement replaced the owner in the code as it was, which assigned without a condition. go test ./jobs passes.

--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -291,7 +291,7 @@
 func (m *Manager) startAccepted(head *Head, rev txn.Rev, items []Item) {
 	m.addOwned(newJob(*head, rev, items, nil))
 	m.Log.WithFields(logrus.Fields{"job": head.ID, "customer": head.Customer, "items": len(items), "rev": rev, "due": head.due()}).Info("job accepted")
-	go m.announce(head.ID, head.Customer, "")
+	go m.announce(AnnounceArgs{ID: head.ID, Customer: head.Customer, Rev: rev}, "")
 }
 
 // newJobRequest returns the transaction that creates a job's records with a permit.
--- a/jobs/access.go
+++ b/jobs/access.go
@@ -1,5 +1,7 @@
 package jobs
 
+import "github.com/comfreyspindle/comfreyspindle/kv/txn"
+
 // Access says which jobs a call may reach. The zero value reaches all.
 type Access struct {
 	// Restricted is set if the configuration has customers.
@@ -18,4 +20,16 @@
 type cachedOwner struct {
 	// host is the name of the owner, customer that of the customer.
 	host, customer string
+	// rev is the revision of the head record that names the owner, or zero if it is not
+	// known, as in calls of older builds.
+	rev txn.Rev
+}
+
+// cacheOwner records the owner of a job of another host, unless a later write of the head
+// record is known to name one. m.mu must be held.
+func (m *Manager) cacheOwner(id string, o cachedOwner) {
+	if known, ok := m.cachedOwners[id]; ok && o.rev < known.rev {
+		return
+	}
+	m.cachedOwners[id] = o
 }
--- a/jobs/access_test.go
+++ b/jobs/access_test.go
@@ -199,3 +199,18 @@
 	go h.flushNowEventually(t)
 	require.NoError(t, h.End(t.Context(), Access{}, id))
 }
+
+// A host is told of two owners of a job, of the former one last. Calls about the job went to
+// the former owner.
+func TestLateAnnouncementOfAFormerOwnerIsIgnored(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	peer := c.hosts["c"].Peer()
+	for _, args := range []AnnounceArgs{{ID: "job", Owner: "b", Rev: 9}, {ID: "job", Owner: "a", Rev: 5}, {ID: "job", Owner: "a"}} {
+		require.NoError(t, peer.Announce(args, new(None)))
+		c.hosts["c"].mu.Lock()
+		require.Equal(t, "b", c.hosts["c"].cachedOwners["job"].host)
+		c.hosts["c"].mu.Unlock()
+	}
+	require.NoError(t, peer.Announce(AnnounceArgs{ID: "job", Owner: "a", Rev: 12}, new(None)))
+	require.Equal(t, "a", c.hosts["c"].cachedOwners["job"].host)
+}
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
 	"github.com/comfreyspindle/comfreyspindle/verdict"
 )
@@ -112,12 +113,18 @@
 }
 
 // AnnounceArgs are the arguments of Peer.Announce.
-type AnnounceArgs struct{ ID, Owner, Customer string }
+type AnnounceArgs struct {
+	ID, Owner, Customer string
+	// Rev is the revision of the head record that names the owner, or zero in calls of older
+	// builds.
+	Rev txn.Rev
+}
 
 // None is the reply of methods that return nothing.
 type None struct{}
 
-// Announce caches the owner of a job, unless this host owns the job itself.
+// Announce caches the owner of a job, unless this host owns the job itself or knows of a later
+// owner.
 func (p *Peer) Announce(args AnnounceArgs, _ *None) error {
 	p.m.mu.Lock()
 	defer p.m.mu.Unlock()
@@ -125,7 +132,7 @@
 		go p.m.checkOwner(args.ID)
 		return nil
 	}
-	p.m.cachedOwners[args.ID] = cachedOwner{args.Owner, args.Customer}
+	p.m.cacheOwner(args.ID, cachedOwner{args.Owner, args.Customer, args.Rev})
 	return nil
 }
 
@@ -155,14 +162,15 @@
 // announce notifies all hosts of the region that this host owns a job, so that
 // they need not read its head record. A host that misses the call reads it. The
 // former owner, if there is one, comes first: it may still run the job.
-func (m *Manager) announce(id, customer, formerOwner string) {
+func (m *Manager) announce(args AnnounceArgs, formerOwner string) {
 	self := m.View.Self()
+	args.Owner = self.Name
 	if formerOwner != "" && formerOwner != self.Name {
-		go m.announceToFormerOwner(id, customer, formerOwner)
+		go m.announceToFormerOwner(args, formerOwner)
 	}
 	for _, h := range membership.All(m.View) {
 		if h.Region == self.Region && h.Name != self.Name && h.Name != formerOwner {
-			m.announceTo(h, id, customer)
+			m.announceTo(h, args)
 		}
 	}
 }
@@ -170,9 +178,9 @@
 // announceToFormerOwner notifies the former owner once it is in the view: a host that
 // stood still may come back, with a view of its own, just when its jobs are taken
 // over.
-func (m *Manager) announceToFormerOwner(id, customer, formerOwner string) {
+func (m *Manager) announceToFormerOwner(args AnnounceArgs, formerOwner string) {
 	for range maxOwnerChecks {
-		if h, ok := m.findHost(formerOwner); ok && m.announceTo(h, id, customer) {
+		if h, ok := m.findHost(formerOwner); ok && m.announceTo(h, args) {
 			return
 		}
 		<-m.Clock.After(ownerCheckDelay)
@@ -180,12 +188,12 @@
 }
 
 // announceTo notifies one host and reports whether it answered.
-func (m *Manager) announceTo(h membership.Host, id, customer string) bool {
+func (m *Manager) announceTo(h membership.Host, args AnnounceArgs) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", AnnounceArgs{ID: id, Owner: m.View.Self().Name, Customer: customer}, new(None))
+	err := m.Peers.Call(ctx, h.PeerAddress, PeerName+".Announce", args, new(None))
 	if err != nil {
-		m.Log.WithError(err).WithField("job", id).WithField("peer", h.Name).Debug("cannot announce job owner to peer")
+		m.Log.WithError(err).WithField("job", args.ID).WithField("peer", h.Name).Debug("cannot announce job owner to peer")
 	}
 	return err == nil
 }
--- a/jobs/read.go
+++ b/jobs/read.go
@@ -82,13 +82,13 @@
 	owner, known := m.cachedOwners[id]
 	m.mu.Unlock()
 	if !known {
-		head, _, err := m.loadHead(ctx, id)
+		head, rev, err := m.loadHead(ctx, id)
 		if err != nil {
 			return false, err
 		}
-		owner = cachedOwner{head.Owner, head.Customer}
+		owner = cachedOwner{head.Owner, head.Customer, rev}
 		m.mu.Lock()
-		m.cachedOwners[id] = owner
+		m.cacheOwner(id, owner)
 		m.mu.Unlock()
 	}
 	h, ok := m.findHost(owner.host)
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -35,7 +35,7 @@
 	j, ok := m.jobs[head.ID]
 	if !ok {
 		if head.Owner != m.View.Self().Name {
-			m.cachedOwners[head.ID] = cachedOwner{head.Owner, head.Customer}
+			m.cacheOwner(head.ID, cachedOwner{head.Owner, head.Customer, rev})
 		}
 		m.mu.Unlock()
 		return false
@@ -197,7 +197,7 @@
 	j.restoreProgress(progress)
 	m.addOwned(j)
 	m.Log.WithFields(logrus.Fields{"job": id, "from": from, "listed": head.ResultCount, "total": head.ItemCount, "rev": rev}).Info("job taken over")
-	go m.announce(id, head.Customer, from)
+	go m.announce(AnnounceArgs{ID: id, Customer: head.Customer, Rev: rev}, from)
 	return nil
 }
 
@@ -351,7 +351,7 @@
 	}
 	m.disown(j, "handed over")
 	m.mu.Lock()
-	m.cachedOwners[j.head.ID] = cachedOwner{next.Name, j.head.Customer}
+	m.cacheOwner(j.head.ID, cachedOwner{next.Name, j.head.Customer, j.rev})
 	m.mu.Unlock()
 	log.Info("job handed over")
 }
