pool, platform: a body without a length is complete only if its replica still runs

Cause: the kernel ends the connections of a killed process in order. On routes that can't be resumed that was the end of the body; on others, a second replica that ended after the same event counted as proof, which a request that crashes replicas gives by itself.

Change: when such a body has ended, the host connects to the replica once more. If it can't, the end is a broken connection. The confirmation by a second replica stays, for replicas that truncate a response and go on running.

--- a/upstream/pool/body.go
+++ b/upstream/pool/body.go
@@ -18,12 +18,13 @@
 )
 
 // checkedBody returns the body of an answer whose request was written with the given
-// outcome. Reading it fails where an orderly end doesn't show that the body is complete.
-func checkedBody(res *http.Response, writeErr error) io.ReadCloser {
+// outcome. Reading it fails where an orderly end doesn't show that the body is complete:
+// alive, if it is not nil, then returns an error unless the upstream still runs.
+func checkedBody(res *http.Response, writeErr error, alive func() error) io.ReadCloser {
 	if framingOf(res) != FramingClose || res.Body == http.NoBody {
 		return res.Body
 	}
-	body := &closeDelimitedBody{ReadCloser: res.Body}
+	body := &closeDelimitedBody{ReadCloser: res.Body, alive: alive}
 	if writeErr != nil && !isTimeout(writeErr) {
 		body.endErr = errors.WithSecondaryError(errResetDuringRequest, writeErr)
 	}
@@ -54,6 +55,11 @@
 	// emptyErr replaces an orderly end before the first byte: an upstream that ends
 	// after its head can't be told from one that has sent an empty body.
 	emptyErr error
+	// alive returns an error unless the upstream still runs after an orderly end; nil
+	// asks nothing. checked is set once it was called, and goneErr is what it returned.
+	alive   func() error
+	checked bool
+	goneErr error
 	// received means that there was any byte.
 	received bool
 }
@@ -68,6 +74,19 @@
 		return n, b.endErr
 	case !b.received && b.emptyErr != nil:
 		return n, b.emptyErr
+	case b.isGone():
+		return n, b.goneErr
 	}
 	return n, err
 }
+
+// isGone reports whether the upstream no longer runs after the orderly end of the body.
+func (b *closeDelimitedBody) isGone() bool {
+	if !b.checked && b.alive != nil {
+		b.checked = true
+		if err := b.alive(); err != nil {
+			b.goneErr = errors.Mark(errors.Wrap(err, "connection ended and the upstream is gone"), ErrBroken)
+		}
+	}
+	return b.goneErr != nil
+}
--- a/upstream/pool/exchange.go
+++ b/upstream/pool/exchange.go
@@ -28,7 +28,7 @@
 	if head {
 		res.Body = http.NoBody
 	}
-	res.Body = checkedBody(res, writeErr)
+	res.Body = checkedBody(res, writeErr, x.Alive)
 	return res, skipped, nil
 }
 
--- a/upstream/pool/pool.go
+++ b/upstream/pool/pool.go
@@ -91,6 +91,10 @@
 	// of exchanges that were begun on the connection, with this one. Others are skipped. Nil
 	// takes the first answer.
 	Mine func(res *http.Response, exchanges int) bool
+	// Alive returns an error unless the upstream still runs. It is called when a
+	// close-delimited body has ended in order, which is also how the connections of a
+	// process that is killed end. Nil takes each orderly end for the end of the body.
+	Alive func() error
 	// Seen, if it is not nil, is set to what was used.
 	Seen *Connection
 }
--- a/upstream/pool/pool_test.go
+++ b/upstream/pool/pool_test.go
@@ -501,6 +501,46 @@
 	}
 }
 
+// A body without a length ends with its connection, also if the upstream's process is killed.
+// Whether that still runs is asked once for such a body, and not for others.
+func TestOrderlyEndOfAnUpstreamThatIsGoneIsNoEndOfABody(t *testing.T) {
+	for name, row := range map[string]struct {
+		framing string
+		gone    bool
+		asked   int
+	}{
+		"close-delimited, gone":  {"\r\nbody", true, 1},
+		"close-delimited, alive": {"\r\nbody", false, 1},
+		"length, gone":           {"Content-Length: 4\r\n\r\nbody", true, 0},
+		"chunked, gone":          {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%s", read(r), row.framing)
+			})
+			asked := 0
+			ans, err := New(func() {}).Send(t.Context(), Exchange{
+				Address: address, ID: "a", Request: request("a"), FirstByte: time.Second, Gap: time.Second,
+				Alive: func() error {
+					if asked++; row.gone {
+						return errors.New("refused")
+					}
+					return nil
+				},
+			})
+			require.NoError(t, err)
+			defer ans.Close()
+			body, err := io.ReadAll(ans.Body)
+			require.Equal(t, "body", string(body))
+			broken := row.gone && row.asked > 0
+			require.Equal(t, broken, errors.Is(err, ErrBroken), "%v", err)
+			_, again := ans.Body.Read(make([]byte, 1))
+			require.Equal(t, broken, errors.Is(again, ErrBroken), "%v", again)
+			require.Equal(t, row.asked, asked)
+		})
+	}
+}
+
 // What follows a change of protocol is no answer, even if it looks like one.
 func TestUnaskedChangeOfProtocolEndsTheExchange(t *testing.T) {
 	address, _ := serve(t, func(_ *testing.T, c net.Conn, r *bufio.Reader) {
