jobs: an item that crashes replicas reaches few of them

Cause: only responses of 500 and 422 counted against an item. A run that ended with its connection was tried again after 2 s at most, whatever became of the replica.

Change: after a broken run without a further event the owner looks whether the replica is gone. Three such replicas make the item suspect: it runs twice more, spread evenly over the rest of its retention, at whose end it is given up as before. The count is handed over.

--- a/host/host.go
+++ b/host/host.go
@@ -267,6 +267,7 @@
 	h.jobs = jobs.NewManager(jobs.Options{
 		Unfinished: unfinished,
 		Store:      h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
+		ReplicaGone:      func(ctx context.Context, r replica.Replica) bool { return !h.paths.CutOff() && !engine.Accepts(ctx, r) },
 		StoreUnavailable: h.storeUnavailable, IsRegistered: h.presence.IsRegistered, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
 	})
 	h.slotClient.BatchItems = h.jobs
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -120,6 +120,10 @@
 	// It doubles with each consecutive failure up to maxRunRetryDelay.
 	runRetryDelay    = 50 * time.Millisecond
 	maxRunRetryDelay = 2 * time.Second
+	// crashesToSuspect is the number of replicas that are gone after a run of an item from
+	// which on the item is suspected to crash them. It runs suspectRuns times more.
+	crashesToSuspect = 3
+	suspectRuns      = 2
 	// remoteDemandWindow is the time before an item is due from which on slots
 	// are also requested in other data centres.
 	remoteDemandWindow = 16 * time.Second
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -362,6 +363,82 @@
 	require.Equal(t, output, c.results("a", 0)[0].Output)
 }
 
+// grantAndWait grants a slot, and waits until the run is over.
+func (h *testHost) grantAndWait(t *testing.T) slots.Outcome {
+	outcome := h.grantSlot()
+	require.Eventually(t, func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return !h.jobs["job"].items[0].running
+	}, 5*time.Second, time.Millisecond)
+	return outcome
+}
+
+// An item crashes each replica that begins to run it. It was sent to another one every two
+// seconds until the end of its retention.
+func TestItemThatCrashesReplicasReachesFew(t *testing.T) {
+	for _, retention := range []time.Duration{time.Minute, 10 * time.Minute} {
+		c := newCluster(t, "a")
+		a := c.hosts["a"]
+		clock := clockwork.NewFakeClock()
+		a.Clock = clock
+		a.ReplicaGone = func(context.Context, replica.Replica) bool { return true }
+		a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+			return nil, errors.Mark(errors.New("reset"), pool.ErrBroken)
+		}
+		s := submission(1)
+		s.Retention = retention
+		require.NoError(t, a.Submit(t.Context(), s))
+		var runs []time.Duration
+		for at := time.Duration(0); at < retention; at += time.Second {
+			if len(a.Demand(false)) > 0 {
+				require.Equal(t, slots.Failed, a.grantAndWait(t))
+				runs = append(runs, at)
+			}
+			clock.Advance(time.Second)
+		}
+		require.Len(t, runs, crashesToSuspect+suspectRuns, "%v", runs)
+		require.Less(t, runs[crashesToSuspect-1], 10*time.Second)
+		require.Greater(t, runs[len(runs)-1], retention/2, "the last runs are spread over the retention")
+	}
+}
+
+// Replicas crash under an item that isn't the cause: it brings further events, or they are
+// still there.
+func TestItemUnderWhichReplicasCrashIsSuspectOnlyWithoutProgress(t *testing.T) {
+	for name, row := range map[string]struct {
+		gone     bool
+		progress int
+		suspect  bool
+	}{
+		"gone, no progress":  {true, 0, true},
+		"gone, progress":     {true, 1, false},
+		"there, no progress": {false, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, "a")
+			a := c.hosts["a"]
+			clock := clockwork.NewFakeClock()
+			a.Clock = clock
+			a.ReplicaGone = func(context.Context, replica.Replica) bool { return row.gone }
+			last := 0
+			a.replicas.answer = func(*forward.Request, forward.SendArgs) (*forward.Response, error) {
+				first := last + 1
+				last += row.progress
+				return answer(http.StatusOK, io.MultiReader(strings.NewReader(events(first, last)), iotest.ErrReader(errors.Mark(errors.New("reset"), pool.ErrBroken)))), nil
+			}
+			require.NoError(t, a.Submit(t.Context(), submission(1)))
+			for range 2 * crashesToSuspect {
+				if len(a.Demand(false)) > 0 {
+					require.Equal(t, slots.Failed, a.grantAndWait(t))
+				}
+				clock.Advance(maxRunRetryDelay)
+			}
+			require.Equal(t, row.suspect, len(a.Demand(false)) == 0)
+		})
+	}
+}
+
 // endlessEvents makes complete events without end.
 type endlessEvents struct{ n int }
 
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -13,6 +13,7 @@
 	"github.com/comfreyspindle/comfreyspindle/jobs/backlog"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
 	"github.com/comfreyspindle/comfreyspindle/membership"
+	"github.com/comfreyspindle/comfreyspindle/replica"
 	"github.com/comfreyspindle/comfreyspindle/route"
 	"github.com/comfreyspindle/comfreyspindle/slots"
 )
@@ -42,6 +43,9 @@
 	StoreUnavailable func() bool
 	// IsRegistered reads from the store whether a host's record is there.
 	IsRegistered func(ctx context.Context, host string) (bool, error)
+	// ReplicaGone reports whether a replica accepts no connection while this host reaches
+	// others; nil counts none as gone.
+	ReplicaGone func(ctx context.Context, r replica.Replica) bool
 	// Retention is how long the results of a job can be read.
 	Retention time.Duration
 	Clock     clockwork.Clock
@@ -149,7 +153,9 @@
 	// failures counts responses with status 500. consecutiveFailures counts
 	// failed runs of any kind and determines the delay before the next run.
 	failures, consecutiveFailures int
-	notBefore                     time.Time
+	// crashes counts the replicas that are gone after a run that brought no further event.
+	crashes   int
+	notBefore time.Time
 }
 
 func newJob(head Head, rev txn.Rev, items []Item, results []Result) *job {
--- a/jobs/peer.go
+++ b/jobs/peer.go
@@ -209,7 +209,9 @@
 	Service         string
 	SoftwareVersion string
 	Failures        int
-	Ran             time.Duration
+	// Crashes is the number of replicas that were gone after a run that brought no event.
+	Crashes int
+	Ran     time.Duration
 }
 
 // AdoptArgs are the arguments of Peer.Adopt.
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -186,21 +187,32 @@
 	endUnconfirmed
 	// endStopped: this host cancelled the run.
 	endStopped
+	// endCrashed: the run was broken and brought no further event, and its replica is gone.
+	endCrashed
 )
 
 // String returns the name of e in logs and metrics.
 func (e runEnd) String() string {
-	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "unconfirmed", "stopped"}[e]
+	return [...]string{"done", "invalid", "failed", "turned_away", "broken", "unconfirmed", "stopped", "crashed"}[e]
 }
 
 // run runs an item once on a granted slot and releases the slot.
 func (m *Manager) run(ctx context.Context, g slots.Grant, it *item, rt *route.Route) {
 	start := m.Clock.Now()
 	var seen runLog
+	before := m.eventsOf(it)
 	end, outcome, err := m.runOnReplica(ctx, &g, it, rt, &seen)
 	if ctx.Err() != nil && end != endDone {
 		end, outcome = endStopped, slots.Unused
 	}
+	// Whether the replica is gone takes some time to find out, for which the slot isn't held.
+	release := sync.OnceFunc(func() { m.Slots.Release(g, outcome) })
+	if end == endBroken && m.ReplicaGone != nil && forward.FailureOutcome(err) == slots.Failed && m.eventsOf(it) <= before {
+		release()
+		if m.ReplicaGone(ctx, g.Replica) {
+			end = endCrashed
+		}
+	}
 	m.mu.Lock()
 	delete(m.runs, g.ID)
 	it.running = false
@@ -208,7 +220,7 @@
 	it.ran += m.Clock.Now().Sub(start)
 	m.applyRunEnd(it, rt, end)
 	m.mu.Unlock()
-	m.Slots.Release(g, outcome)
+	release()
 	m.Metrics.runs.WithLabelValues(end.String()).Inc()
 	entry := m.Log.WithFields(logrus.Fields{
 		"job": it.job.head.ID, "item": it.ID, "replica": g.Replica.ID, "broker": g.Broker, "software_version": g.Replica.SoftwareVersion, "end": end.String(),
@@ -244,14 +256,41 @@
 	case endUnconfirmed, endStopped:
 		it.consecutiveFailures = 0
 		return
+	case endCrashed:
+		it.crashes++
+		if it.crashes >= crashesToSuspect {
+			m.delayRun(it, m.suspectDelay(it))
+			return
+		}
 	case endRejected, endBroken:
 	}
 	delay := min(runRetryDelay<<min(it.consecutiveFailures, 6), maxRunRetryDelay)
 	it.consecutiveFailures++
+	m.delayRun(it, delay)
+}
+
+// delayRun lets an item wait before its next run. m.mu must be held.
+func (m *Manager) delayRun(it *item, delay time.Duration) {
 	it.notBefore = m.Clock.Now().Add(delay)
 	m.Clock.AfterFunc(delay, func() { signal(m.demandChanged) })
 }
 
+// suspectDelay returns the delay before an item runs again that is suspected to crash
+// replicas: its last runs are spread evenly over the rest of its retention, and after them it
+// waits for the end of that. m.mu must be held.
+func (m *Manager) suspectDelay(it *item) time.Duration {
+	left := it.job.head.expiresAt().Sub(m.Clock.Now())
+	runs := max(crashesToSuspect+suspectRuns-it.crashes, 0)
+	return max(left/time.Duration(runs+1), maxRunRetryDelay)
+}
+
+// eventsOf returns the number of events of an item's output so far.
+func (m *Manager) eventsOf(it *item) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(it.eventData)
+}
+
 // setResult sets the result of an item and requests that it be recorded. m.mu
 // must be held.
 func (m *Manager) setResult(it *item, r Result) {
--- a/jobs/takeover.go
+++ b/jobs/takeover.go
@@ -255,7 +255,7 @@
 			continue
 		}
 		it := j.items[i]
-		it.failures = p.Failures
+		it.failures, it.crashes = p.Failures, p.Crashes
 		if p.isBeginning() {
 			it.eventData, it.lastEventID, it.ran = p.Texts, p.LastID, p.Ran
 			it.service, it.softwareVersion = p.Service, p.SoftwareVersion
@@ -334,10 +334,10 @@
 	args := AdoptArgs{ID: j.head.ID, From: self.Name}
 	m.mu.Lock()
 	for _, it := range j.items {
-		if !it.hasResult && (len(it.eventData) > 0 || it.failures > 0) {
+		if !it.hasResult && (len(it.eventData) > 0 || it.failures > 0 || it.crashes > 0) {
 			args.Progress = append(args.Progress, Progress{
 				Item: it.ID, Texts: it.eventData, LastID: it.lastEventID, Service: it.service, SoftwareVersion: it.softwareVersion,
-				Failures: it.failures, Ran: it.ran,
+				Failures: it.failures, Crashes: it.crashes, Ran: it.ran,
 			})
 		}
 	}
