--- a/host/watch.go
+++ b/host/watch.go
@@ -95,10 +95,6 @@
 			wait.For(ctx, w.clock, minRetryDelay)
 			continue
 		}
-		if at != 0 && w.outdated != nil && w.outdated() {
-			w.log.WithField("after", at).Info("records were replaced by older ones; listing all keys again")
-			at = 0
-		}
 		next, err := w.listOrWatch(ctx, at)
 		if errors.Is(err, txn.ErrCompacted) {
 			w.log.WithField("after", at).Info("revision was compacted; listing all keys again")
@@ -140,12 +136,16 @@
 	return retryDelay
 }
 
-// listOrWatch lists all keys if after is 0, and otherwise watches for changes
-// after it. It returns the revision from which to continue.
+// listOrWatch lists all keys if after is 0 or they are outdated, and otherwise watches for
+// changes after it. It returns the revision from which to continue.
 func (w *Watcher) listOrWatch(ctx context.Context, after txn.Rev) (txn.Rev, error) {
 	if after == 0 {
 		return w.list(ctx)
 	}
+	if w.outdated != nil && w.outdated() {
+		w.log.WithField("after", after).Info("records were replaced by older ones; listing all keys again")
+		return w.list(ctx)
+	}
 	changes, err := w.store.Watch(ctx, w.prefix, after, w.watchTimeout())
 	if err != nil {
 		return 0, err
--- a/membership/registry/registry.go
+++ b/membership/registry/registry.go
@@ -22,12 +22,12 @@
 type Status uint8
 
 const (
-	// Listed: the record is in the store.
+	// Listed means that the record is in the store.
 	Listed Status = iota
-	// Expired: the record is gone. Its host stays a member while it answers pings,
+	// Expired means that the record is gone. Its host stays a member while it answers pings,
 	// since the store may have rejected its renewals or been unavailable itself.
 	Expired
-	// Removed: the record is gone and the host did not answer. It is a member again
+	// Removed means that the record is gone and the host did not answer. It is a member again
 	// only with a new record, or if it answers another host later.
 	Removed
 )
