host: the hosts that report an empty storage host are among those that see the request

Cause: three of all hosts were to report it, chosen by their names, but only hosts that watch the store see the request: the brokers, one a data centre. None of the three may be one.

Change: the three are chosen among the brokers and the host that decides. What several of them report conflicts harmlessly.

--- a/host/recovery.go
+++ b/host/recovery.go
@@ -83,8 +83,8 @@
 // String names the service in supervisor events.
 func (recovery) String() string { return "recovery" }
 
-// Reports of an emptied storage host. Up to retireReporters hosts report it,
-// one every retireReportInterval, so that one of them may fail.
+// Reports of an emptied storage host. Up to retireReporters of the hosts that see the request
+// report it, one every retireReportInterval, so that one of them may fail.
 const (
 	retireReporters      = 3
 	retireReportInterval = time.Second
@@ -93,8 +93,7 @@
 // retire reports a storage host as empty. No data is stored there that would
 // have to be moved first.
 func (h *Host) retire(name string) {
-	reporters := membership.Rendezvous(membership.All(h.view), "retire/"+name, retireReporters)
-	for rank, reporter := range reporters {
+	for rank, reporter := range membership.Rendezvous(h.watchingHosts(), "retire/"+name, retireReporters) {
 		if reporter.Name != h.settings.Host {
 			continue
 		}
@@ -102,6 +101,19 @@
 	}
 }
 
+// watchingHosts returns the hosts that watch the store as far as this host knows: the brokers, and
+// itself, which has been told of a change by the store.
+func (h *Host) watchingHosts() []membership.Host {
+	hosts := append(h.slotClient.RemoteBrokers(), h.view.Self())
+	local := h.slotClient.LocalBroker()
+	for _, other := range h.view.Local() {
+		if other.Name == local && local != h.settings.Host {
+			hosts = append(hosts, other)
+		}
+	}
+	return hosts
+}
+
 func (h *Host) reportEmpty(name string) {
 	req, err := platform.RetireDone(name)
 	if err != nil {
--- a/host/recovery_test.go
+++ b/host/recovery_test.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -71,3 +72,28 @@
 	}
 	require.Equal(t, 4, runs)
 }
+
+// The operator asks to empty storage hosts. Of the three hosts that were to report one as empty
+// none may have seen the request, since only brokers watch the store: it was never reported.
+func TestStorageHostIsReportedAsEmpty(t *testing.T) {
+	f := newFleet(t, time.Millisecond)
+	for i := range 4 {
+		f.start(fmt.Sprint("a", i))
+		f.startAt(fmt.Sprint("b", i), "other", f.address)
+	}
+	f.awaitView()
+	// Watches that hosts began before they knew the broker end.
+	time.Sleep(confirmedWatchTimeout + time.Second)
+	var reports []string
+	for i := range 8 {
+		request, report := platformtest.Retire(fmt.Sprint("storage-", i))
+		f.put(request)
+		reports = append(reports, report)
+	}
+	for _, report := range reports {
+		require.Eventually(t, func() bool {
+			_, err := f.store.Get(t.Context(), report)
+			return err == nil
+		}, 2*testTimeout, 10*time.Millisecond, report)
+	}
+}
