host, jobs: what joins the view is logged; a run that is stopped counts against no item

Found by reading the diff. The line "host added or changed" was lost with the merging of host records; it names peers' facts too now. A run that was cancelled while its host looked whether the replica is gone counted as one under which it had crashed.

--- a/host/members.go
+++ b/host/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sirupsen/logrus"
 
 	"github.com/comfreyspindle/comfreyspindle/internal/wait"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -114,16 +115,19 @@
 func (p *Presence) update(ctx context.Context, apply func() registry.Changes) bool {
 	p.mu.Lock()
 	changes := apply()
-	if changes.Any {
+	if changes.Any() {
 		p.publish()
 	}
 	p.mu.Unlock()
+	for _, h := range changes.Added {
+		p.log.WithFields(logrus.Fields{"peer": h.Name, "address": h.PeerAddress}).Info("host added or changed")
+	}
 	for _, h := range changes.Removed {
 		p.log.WithField("peer", h.Name).Warn("host removed: its record expired and pings failed")
 		p.onRemoved(h)
 	}
 	p.pingExpired(ctx)
-	return changes.Any
+	return changes.Any()
 }
 
 // readRecord returns the record of a host. It reports false if the item is none: the
--- a/jobs/run.go
+++ b/jobs/run.go
@@ -209,7 +209,7 @@
 	release := sync.OnceFunc(func() { m.Slots.Release(g, outcome) })
 	if end == endBroken && m.ReplicaGone != nil && forward.FailureOutcome(err) == slots.Failed && m.eventsOf(it) <= before {
 		release()
-		if m.ReplicaGone(ctx, g.Replica) {
+		if m.ReplicaGone(ctx, g.Replica) && ctx.Err() == nil {
 			end = endCrashed
 		}
 	}
--- a/membership/registry/registry.go
+++ b/membership/registry/registry.go
@@ -112,15 +112,17 @@
 
 // Changes are the effects of facts on the members.
 type Changes struct {
-	// Any reports that members were added, changed or removed.
-	Any bool
-	// Removed holds the hosts that are no longer members.
-	Removed []membership.Host
+	// Added holds the hosts that are new members or have changed, and Removed those that are
+	// no longer members.
+	Added, Removed []membership.Host
 }
 
+// Any reports whether members were added, changed or removed.
+func (c *Changes) Any() bool { return len(c.Added)+len(c.Removed) > 0 }
+
 // Add adds other effects.
 func (c *Changes) Add(other Changes) {
-	c.Any = c.Any || other.Any
+	c.Added = append(c.Added, other.Added...)
 	c.Removed = append(c.Removed, other.Removed...)
 }
 
@@ -172,11 +174,13 @@
 	}
 	t.entries[e.host.Name] = e
 	wasMember, isMember := known && old.status != Removed, e.status != Removed
-	changes := Changes{Any: wasMember != isMember || isMember && old.host != e.host}
-	if wasMember && !isMember {
-		changes.Removed = []membership.Host{old.host}
+	switch {
+	case isMember && (!wasMember || old.host != e.host):
+		return Changes{Added: []membership.Host{e.host}}
+	case wasMember && !isMember:
+		return Changes{Removed: []membership.Host{old.host}}
 	}
-	return changes
+	return Changes{}
 }
 
 // Answered records that a host answered a ping that was sent at a time, while its
--- a/membership/registry/registry_test.go
+++ b/membership/registry/registry_test.go
@@ -153,7 +153,7 @@
 	table.Write(record("x", 5))
 	table.Delete("x", 6)
 	changes := table.Unanswered("x", 5, time.Minute)
-	require.Equal(t, Changes{Any: true, Removed: []membership.Host{host("x", 5)}}, changes)
+	require.Equal(t, Changes{Removed: []membership.Host{host("x", 5)}}, changes)
 	require.Equal(t, []Fact{signed(fact("x", 5, Removed), time.Second)}, table.Report(time.Minute+time.Second).Facts)
 	require.Empty(t, table.Report(time.Minute+2*removalMemory).Facts)
 }
