--- a/slots/client.go
+++ b/slots/client.go
@@ -36,10 +36,6 @@
 	callMargin = 2 * quota.AnswerTimeout
 	// pollTimeout bounds a poll.
 	pollTimeout = pollWait + 400*time.Millisecond
-	// suspectCooldown is how long a broker that did not answer is passed over.
-	// It doubles with each further failure, up to maxSuspectCooldown.
-	suspectCooldown    = time.Second
-	maxSuspectCooldown = 8 * time.Second
 	// outdatedCooldown is how long a broker that the store does not answer is
 	// passed over before it is asked again. One of the own data centre is passed over until
 	// it says that it is current.
@@ -196,12 +192,6 @@
 	loadsSentAt map[string]time.Time
 }
 
-// suspicion describes the failures of a broker that did not answer.
-type suspicion struct {
-	until    time.Time
-	failures int
-}
-
 // Init prepares the client for use.
 func (c *Client) Init() {
 	c.grants = make(map[GrantID]Grant)
@@ -254,38 +244,6 @@
 	return ranked[:min(len(ranked), maxBrokerTries)]
 }
 
-// suspect records that a broker did not answer, and ends the poll there so that the next one
-// goes to another broker.
-func (c *Client) suspect(h membership.Host, err error) {
-	c.mu.Lock()
-	now := c.Clock.Now()
-	s := c.suspects[h.Name]
-	if now.Before(s.until) {
-		// Failures of calls made before the cooldown count as one.
-		c.mu.Unlock()
-		return
-	}
-	s.until = now.Add(min(suspectCooldown<<min(s.failures, 8), maxSuspectCooldown))
-	s.failures++
-	c.suspects[h.Name] = s
-	if endPoll, ok := c.polls[h.Name]; ok {
-		endPoll()
-	}
-	c.mu.Unlock()
-	c.Peers.Retire(h.PeerAddress)
-	c.Log.WithError(err).WithField("peer", h.Name).WithField("failures", s.failures).Warn("broker does not answer")
-}
-
-// clearSuspicion ends the suspicion about a broker that has answered.
-func (c *Client) clearSuspicion(h membership.Host) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if _, ok := c.suspects[h.Name]; ok {
-		delete(c.suspects, h.Name)
-		c.Log.WithField("peer", h.Name).Info("broker answers again")
-	}
-}
-
 // IsBroker reports whether this host should act as the broker of its data
 // centre.
 func (c *Client) IsBroker() bool {
@@ -387,13 +345,6 @@
 	return c.Peers.Call(ctx, h.PeerAddress, PeerName+"."+method, args, reply)
 }
 
-// isSuspect reports whether a broker is passed over since it did not answer.
-func (c *Client) isSuspect(h membership.Host) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.Clock.Now().Before(c.suspects[h.Name].until)
-}
-
 // call calls a broker, which may be this host's own. The timeout bounds a call of another one,
 // see callPeer.
 func (c *Client) call(ctx context.Context, h membership.Host, timeout time.Duration, method string, args, reply any) error {
