host: the log and a gauge tell for how long a host has known that its configuration is outdated

Cause of this commit: the log told that a fetch failed, not for how long a host had known of a newer version, how large the configuration is, or how long the fetch had taken; so a fetch that never succeeds looked like one that is late. Change: fields bytes, named_ms_ago, took_ms and config_behind_ms, gauge comfreyspindle_config_behind_seconds. No logic is changed.

--- a/host/config.go
+++ b/host/config.go
@@ -25,6 +25,7 @@
 	onVersion func(version int64)
 
 	table atomic.Pointer[route.Table]
+	lag   configLag
 
 	mu sync.Mutex
 	// from says where the configuration in force came from, and since is when it came into
@@ -114,7 +115,7 @@
 	c.raw, c.from, c.since = value, from, time.Now()
 	c.table.Store(table)
 	c.onVersion(table.Version)
-	entry := c.log.WithFields(logrus.Fields{"version": table.Version, "from": from})
+	entry := c.log.WithFields(logrus.Fields{"version": table.Version, "from": from, "bytes": len(value), "named_ms_ago": c.lag.inForce(table.Version).Milliseconds()})
 	if previous != nil {
 		entry = entry.WithField("replaces", previous.Version)
 	}
@@ -156,6 +157,7 @@
 
 // recordNotice records a broker's notice for the log and handles it.
 func (h *Host) recordNotice(broker membership.Host, n slots.Notice) {
+	h.config.lag.name(n.ConfigVersion)
 	h.lastNotice.Store(&receivedNotice{broker: broker.Name, Notice: n, at: h.clock.Now()})
 	h.handleNotice(broker, n)
 }
@@ -167,6 +169,7 @@
 	fields := logrus.Fields{"polls": h.slotClient.LocalBroker(), "store_available": h.hasStore()}
 	from, age := h.config.origin()
 	fields["config_from"], fields["config_age_ms"] = from, age.Milliseconds()
+	fields["config_behind_ms"] = h.config.lag.behind().Milliseconds()
 	if age, ok := h.storeContact.age(); ok {
 		fields["store_answer_age_ms"] = age.Milliseconds()
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -183,6 +183,8 @@
 	h.peerClient = h.newPeerClient(callTimeout, metrics)
 	h.brokerClient = h.newPeerClient(brokerCallTimeout, metrics)
 	h.config = &Config{log: h.log, onRetire: h.retire, onVersion: h.versionInForce}
+	h.registerGauge("comfreyspindle_config_behind_seconds", "Time since this host first heard of a newer configuration than the one in force; 0 if it has heard of none.",
+		nil, func() float64 { return h.config.lag.behind().Seconds() })
 	h.provisionPresence()
 	h.provisionWork()
 	h.provisionRevocation()
--- a/host/peer.go
+++ b/host/peer.go
@@ -204,7 +204,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
 	defer cancel()
 	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: version, ReadsReport: true}, &reply); err != nil {
-		h.log.WithError(err).WithFields(logrus.Fields{"address": address, "version": version}).Warn("can't fetch state from peer")
+		h.log.WithError(err).WithFields(logrus.Fields{"address": address, "version": version, "took_ms": (h.bootTime() - sent).Milliseconds()}).Warn("can't fetch state from peer")
 		return fetchedReport{}, err
 	}
 	if len(reply.Config) > 0 {
