host: a large configuration reaches all hosts in time

Cause: a host fetched a newer configuration with all else that its broker knows in a call of 500 ms, whatever its size, and each notice started a further call. Twelve hosts that fetch 519 KB over the 22 Mbit/s of their broker need 2.3 s: all calls ended before their reply was there, the next ones began, the link was full, and nobody asked the store, which answered. Class: a retry that starts over what it could not finish in its time, at many callers at once (congestion collapse), and a failure that is logged and has no consequence. Change: the configuration has a call of its own, is compressed once a version (519 KB to about 30 KB), is fetched by one call at a time whose limit follows from the time in which a change must take effect, and is read from the store if that fails. Hosts of older builds go on getting and giving it by State.

--- a/host/config.go
+++ b/host/config.go
@@ -34,6 +34,8 @@
 	since time.Time
 	// raw is the encoded configuration in force, as sent to peers.
 	raw []byte
+	// pack returns raw, compressed; nil as long as there is no configuration.
+	pack func() []byte
 	// record is the configuration's record as last read from the store.
 	record configRecord
 }
@@ -113,6 +115,7 @@
 		return table.Version, nil
 	}
 	c.raw, c.from, c.since = value, from, time.Now()
+	c.pack = sync.OnceValue(func() []byte { return configEncoder.EncodeAll(value, nil) })
 	c.table.Store(table)
 	c.onVersion(table.Version)
 	entry := c.log.WithFields(logrus.Fields{"version": table.Version, "from": from, "bytes": len(value), "named_ms_ago": c.lag.inForce(table.Version).Milliseconds()})
@@ -137,6 +140,17 @@
 	return nil, 0
 }
 
+// packed returns a function that compresses the configuration in force, once for all callers,
+// and its version. The version is 0 if there is none.
+func (c *Config) packed() (pack func() []byte, version int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.table.Load(); t != nil {
+		return c.pack, t.Version
+	}
+	return nil, 0
+}
+
 // origin returns where the configuration in force came from, and for how long it has been in
 // force.
 func (c *Config) origin() (from string, age time.Duration) {
--- a/host/fleet_test.go
+++ b/host/fleet_test.go
@@ -37,6 +37,8 @@
 	dialers map[string]*peertest.Dialer
 	// prepare is called with each host before it serves; it may be nil.
 	prepare func(h *Host)
+	// links are the links between the hosts; nil are as fast as the machine.
+	links *peertest.Links
 }
 
 func newFleet(t *testing.T, eventInterval time.Duration) *fleet {
@@ -91,6 +93,7 @@
 // serve starts a host with settings and waits until it is ready.
 func (f *fleet) serve(s *platform.Settings) *Host {
 	f.dialers[s.Host] = peertest.NewDialer()
+	f.dialers[s.Host].SetLinks(f.links)
 	h, err := newHost(s, f.logs, f.dialers[s.Host].Dial)
 	require.NoError(f.t, err)
 	f.run(h)
--- a/host/host.go
+++ b/host/host.go
@@ -106,6 +106,8 @@
 	// answered.
 	storeDown    atomic.Bool
 	storeContact *storeContact
+	// configFetcher gets the configurations that brokers name.
+	configFetcher *configFetcher
 	// hostsVersion is the version of the membership view in the last notice of
 	// a broker, or 0 after a failed fetch.
 	hostsVersion atomic.Int64
@@ -185,6 +187,7 @@
 	h.config = &Config{log: h.log, onRetire: h.retire, onVersion: h.versionInForce}
 	h.registerGauge("comfreyspindle_config_behind_seconds", "Time since this host first heard of a newer configuration than the one in force; 0 if it has heard of none.",
 		nil, func() float64 { return h.config.lag.behind().Seconds() })
+	h.configFetcher = h.newConfigFetcher()
 	h.provisionPresence()
 	h.provisionWork()
 	h.provisionRevocation()
@@ -339,6 +342,7 @@
 	control.Add(pinger{h.presence})
 	control.Add(h.storeContact)
 	control.Add(h.versions)
+	control.Add(h.configFetcher)
 	for _, w := range h.watchers() {
 		control.Add(w)
 	}
--- a/host/peer.go
+++ b/host/peer.go
@@ -33,6 +33,7 @@
 // StateArgs are the arguments of State, Ping and Confirmation.
 type StateArgs struct {
 	// ConfigVersion is the version of the configuration that the requesting host has, or 0.
+	// Hosts of older builds fetch the configuration by State, others by Config.
 	ConfigVersion int64
 	// ReadsReport reports that the requesting host reads StateReply.Report. Hosts of older
 	// builds read Hosts.
@@ -80,8 +81,8 @@
 // Peer serves the calls of peers to this host.
 type Peer struct{ host *Host }
 
-// State returns the configuration, the membership view and the replica records
-// that this host has.
+// State returns the membership view and the replica records that this host has and, for hosts of
+// older builds, the configuration.
 func (p *Peer) State(args StateArgs, reply *StateReply) error {
 	if encoded, version := p.host.config.current(); version > args.ConfigVersion {
 		reply.Config = encoded
@@ -162,6 +163,7 @@
 		return
 	}
 	if address := addresses[f.rng.IntN(len(addresses))]; address != self.PeerAddress {
+		f.fetchConfig(ctx, address)
 		report, err := f.host.fetchState(ctx, address)
 		if err != nil {
 			// fetchState has logged the error; the next fetch may choose another peer.
@@ -174,6 +176,15 @@
 	}
 }
 
+// fetchConfig gets the configuration of a peer if it is newer than that of this host.
+func (f *stateFetcher) fetchConfig(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, f.host.configFetcher.timeout)
+	defer cancel()
+	if err := f.host.fetchConfig(ctx, address); err != nil {
+		f.log.WithError(err).WithField("address", address).Warn("can't fetch the configuration of a peer")
+	}
+}
+
 // fetchedReport is a report of a peer and when it was requested, by bootTime.
 type fetchedReport struct {
 	registry.Report
@@ -192,24 +203,20 @@
 	return watching || h.replicas.haveRecords() && h.slotClient.ReceivesRecords()
 }
 
-// fetchState fetches a peer's state and applies what this host lacks: a newer
-// configuration, and the replica records if this host has none, or if its own may be
+// fetchState fetches a peer's state but its configuration, and takes its replica records if this
+// host has none, or if its own may be
 // stale and the peer's are current. Records that are not up to date may name replicas
 // that have left, so a host without any takes them only if it can't read the store. It
 // returns what the peer knows of the hosts.
 func (h *Host) fetchState(ctx context.Context, address string) (fetchedReport, error) {
-	_, version := h.config.current()
 	var reply StateReply
 	sent := h.bootTime()
 	callCtx, cancel := context.WithTimeout(ctx, stateFetchTimeout)
 	defer cancel()
-	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: version, ReadsReport: true}, &reply); err != nil {
-		h.log.WithError(err).WithFields(logrus.Fields{"address": address, "version": version, "took_ms": (h.bootTime() - sent).Milliseconds()}).Warn("can't fetch state from peer")
+	if err := h.peerClient.Call(callCtx, address, peerName+".State", StateArgs{ConfigVersion: noConfigVersion, ReadsReport: true}, &reply); err != nil {
+		h.log.WithError(err).WithFields(logrus.Fields{"address": address, "took_ms": (h.bootTime() - sent).Milliseconds()}).Warn("can't fetch state from peer")
 		return fetchedReport{}, err
 	}
-	if len(reply.Config) > 0 {
-		h.config.setIfNewer(reply.Config, address)
-	}
 	if reply.ConfirmedVersion != 0 {
 		h.handleConfirmation(reply.ConfirmedVersion, sent, reply.ConfirmedAge)
 	}
@@ -229,24 +236,18 @@
 	return fetchedReport{*reply.Report, sent}, nil
 }
 
-// handleNotice fetches the broker's state if its configuration is newer than
-// this host's, or if its membership view has changed since the last notice. This host
+// handleNotice lets the broker's configuration be fetched if it is newer than this host's, and
+// fetches its membership view if that has changed since the last notice. This host
 // follows the view only if the broker's store is available.
 func (h *Host) handleNotice(broker membership.Host, n slots.Notice) {
-	_, version := h.config.current()
-	hostsChanged := h.hostsVersion.Swap(n.HostsVersion) != n.HostsVersion
-	if n.ConfigVersion <= version && !hostsChanged {
+	h.configFetcher.want(n.ConfigVersion, broker.PeerAddress)
+	if h.hostsVersion.Swap(n.HostsVersion) == n.HostsVersion {
 		return
 	}
 	go func() {
 		ctx := context.Background()
 		report, err := h.fetchState(ctx, broker.PeerAddress)
 		if err != nil {
-			if _, version = h.config.current(); n.ConfigVersion > version {
-				h.log.WithFields(logrus.Fields{
-					"peer": broker.Name, "version": version, "named": n.ConfigVersion,
-				}).Warn("broker has a newer configuration, which can't be fetched")
-			}
 			h.hostsVersion.Store(0)
 			return
 		}
--- a/peer/peertest/dialer.go
+++ b/peer/peertest/dialer.go
@@ -13,6 +13,7 @@
 	mu    sync.Mutex
 	conns map[string][]*silenceable
 	held  bool
+	links *Links
 }
 
 // NewDialer returns a Dialer.
@@ -28,13 +29,23 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &silenceable{Conn: raw, silent: make(chan struct{}), closed: make(chan struct{})}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.links != nil {
+		raw = &linked{raw, d.links, address}
+	}
+	conn := &silenceable{Conn: raw, silent: make(chan struct{}), closed: make(chan struct{})}
 	d.conns[address] = append(d.conns[address], conn)
 	return conn, nil
 }
 
+// SetLinks lets what arrives on connections that are opened later come over links.
+func (d *Dialer) SetLinks(l *Links) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.links = l
+}
+
 // HoldDials lets later dials wait until their context ends, as those to a host that doesn't
 // accept connections.
 func (d *Dialer) HoldDials() {
