slots, membership: the broker of a data centre is a host with the most processor time

Cause: the broker was chosen by the hash of its name alone. In data centres with hosts of 0.144 to 0.8 of a core it was mostly one of the smallest, which can't answer the calls of twelve hosts in a burst: their calls timed out, the role moved, each new broker listed the store, and what hosts knew was seconds old. Change: the record of a host says how much processor time it has, and hosts with more rank first, in classes bounded by powers of two; those of a class keep their order. While a data centre has a host of an older build, whose record doesn't say it, the order is the former one, so that all hosts agree.

--- a/host/host.go
+++ b/host/host.go
@@ -157,7 +157,7 @@
 	h.cancel = sync.OnceFunc(func() { close(h.quit) })
 	h.view = membership.NewStatic(membership.Host{
 		Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: s.Peers,
-		OperatorsAddress: s.Metrics, TunnelAddress: s.Tunnels, Incarnation: uint64(clock.Now().UnixNano()),
+		OperatorsAddress: s.Metrics, TunnelAddress: s.Tunnels, CPU: s.CPU, Incarnation: uint64(clock.Now().UnixNano()),
 	})
 	if err := h.provision(); err != nil {
 		return nil, err
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -4,6 +4,9 @@
 package membership
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"sort"
 	"sync"
 
@@ -52,6 +55,9 @@
 	// TunnelAddress accepts connections that the host carries to replicas for other hosts.
 	// It is empty for a host that carries none.
 	TunnelAddress string `json:"tunnel_address,omitempty"`
+	// CPU is the processor time that the host has, in cores. It is zero if that is not known, as
+	// for hosts of older builds.
+	CPU float64 `json:"cpu,omitempty"`
 	// Incarnation increases with each start of the host.
 	Incarnation uint64 `json:"incarnation"`
 	State       State  `json:"state"`
@@ -101,6 +107,17 @@
 	return out
 }
 
+// MostCPUFirst sorts ranked hosts by their processor time, the most first, in classes that are
+// bounded by powers of two. The hosts of a class keep their order, and so do all hosts if the
+// processor time of any is not known: hosts of older builds don't sort, and all must agree.
+func MostCPUFirst(ranked []Host) {
+	if slices.ContainsFunc(ranked, func(h Host) bool { return h.CPU <= 0 }) {
+		return
+	}
+	class := func(h Host) float64 { return math.Floor(math.Log2(h.CPU)) }
+	slices.SortStableFunc(ranked, func(a, b Host) int { return cmp.Compare(class(b), class(a)) })
+}
+
 // Static is a View that changes only through Set and SetState.
 type Static struct {
 	mu      sync.Mutex
--- a/slots/client.go
+++ b/slots/client.go
@@ -205,7 +205,8 @@
 }
 
 // rankedHosts returns the hosts that may be the broker of a data centre, in the
-// order that all hosts agree on.
+// order that all hosts agree on. A broker answers all hosts of its data centre, so those with the
+// most processor time come first.
 func (c *Client) rankedHosts(dataCentre string) []membership.Host {
 	var candidates []membership.Host
 	for _, h := range membership.All(c.View) {
@@ -213,7 +214,9 @@
 			candidates = append(candidates, h)
 		}
 	}
-	return membership.Rendezvous(candidates, "slots/"+dataCentre, len(candidates))
+	ranked := membership.Rendezvous(candidates, "slots/"+dataCentre, len(candidates))
+	membership.MostCPUFirst(ranked)
+	return ranked
 }
 
 // brokers returns the brokers to try, in this order: those that the store
