intake, platform, host: the bodies of all requests together are bounded

What callers saw: a process that ran out of memory and ended, under clients that stop just short of the end of their bodies. Cause: a whole body was read before anything else, with up to two copies while its buffer grew, and held until its connection ended; the limit on bodies holds for each request alone. Class: a limit on one, none on all. Change: package intake counts the bytes that are held of all requests until they are answered, jobs with their copies. Beyond a quarter of the process's memory limit a request that has brought no byte for 250 ms is dropped, the longest first; if there is none the new one gets 503 host_full. A quarter of that is kept for requests up to 64 KiB, so that ordinary callers get their answers meanwhile. Buffers grow with what has arrived, so that an announced body holds nothing.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -72,18 +72,18 @@
 		address func(h *host) string
 		client  client
 	}{
-		{"bodies with a length", 100, callers, body(bodyHead(4_000_000), 4_000_000-1, 1<<20)},
-		{"bodies piece by piece", 100, callers, body(bodyHead(4_000_000), 4_000_000-1, 16<<10)},
+		{"bodies with a length", 100, callers, body(bodyHead("/s/x", 4_000_000), 4_000_000-1, 1<<20)},
+		{"bodies piece by piece", 100, callers, body(bodyHead("/s/x", 4_000_000), 4_000_000-1, 16<<10)},
 		{"bodies in large chunks", 100, callers, chunks(64<<10, 3_900_000)},
 		{"bodies in small chunks", 100, callers, chunks(32, 1_000_000)},
-		{"jobs", 100, callers, body(jobHead(4_000_000), 4_000_000-1, 1<<20)},
-		{"heads without end", 200, callers, body(requestLine, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
-		{"heads over the limit", 200, callers, body(requestLine, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n", "\r\n")},
+		{"jobs", 100, callers, body(bodyHead("/b/x", 4_000_000), 4_000_000-1, 1<<20)},
+		{"heads without end", 200, callers, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
+		{"heads over the limit", 200, callers, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n", "\r\n")},
 		{"empty lines", 200, callers, body("", 1_000_000, 16<<10, "\r\n")},
 		{"connections", 600, callers, body("POST /s/x", 0, 1)},
 		{"messages of peers", 100, func(h *host) string { return h.settings.Peers }, body(gobHead(400<<20), 4_000_000, 1<<20)},
-		{"heads of operators", 200, func(h *host) string { return h.settings.Metrics }, body(requestLine, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
-		{"heads of the balancer", 200, func(h *host) string { return h.settings.Ready }, body(requestLine, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
+		{"heads of operators", 200, func(h *host) string { return h.settings.Metrics }, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
+		{"heads of the balancer", 200, func(h *host) string { return h.settings.Ready }, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
 		{"connections of operators", 600, func(h *host) string { return h.settings.Metrics }, body("GET /metr", 0, 1)},
 	} {
 		t.Run(strings.ReplaceAll(row.name, " ", "_"), func(t *testing.T) {
@@ -99,14 +99,10 @@
 // keeps its connection open then.
 type client func(turn int) []byte
 
-const requestLine = "POST /s/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\n"
+var requestHead = platformtest.RequestHead("/s/x")
 
-func bodyHead(length int) string {
-	return requestLine + "X-Request-Id: crowd\r\nX-Timeout-Ms: 60000\r\nContent-Length: " + strconv.Itoa(length) + "\r\n\r\n"
-}
-
-func jobHead(length int) string {
-	return strings.Replace(bodyHead(length), "/s/x", "/b/x", 1)
+func bodyHead(path string, length int) string {
+	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n", platformtest.RequestHead(path), length)
 }
 
 // gobHead begins a message of a peer that has a number of bytes.
@@ -152,7 +148,7 @@
 	return func(turn int) []byte {
 		switch {
 		case turn == 0:
-			return []byte(requestLine + "X-Request-Id: crowd\r\nX-Timeout-Ms: 60000\r\nTransfer-Encoding: chunked\r\n\r\n")
+			return []byte(requestHead + "Transfer-Encoding: chunked\r\n\r\n")
 		case turn <= turns:
 			return some
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -24,6 +24,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/comfreyspindle/comfreyspindle/forward"
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/internal/boottime"
 	"github.com/comfreyspindle/comfreyspindle/jobs"
 	"github.com/comfreyspindle/comfreyspindle/kv/txn"
@@ -106,6 +107,8 @@
 	// answered.
 	storeDown    atomic.Bool
 	storeContact *storeContact
+	// intake bounds what callers' requests may hold; nil bounds nothing.
+	intake *intake.Budget
 	// configFetcher gets the configurations that brokers name.
 	configFetcher *configFetcher
 	// hostsVersion is the version of the membership view in the last notice of
@@ -283,11 +286,12 @@
 }
 
 func (h *Host) provisionListeners() (err error) {
+	h.provisionIntake()
 	h.writes = newPendingWrites(h.settings.MemoryBytes, h.log)
 	h.requests = shutdown.NewRequests(h.clock, h.log)
 	h.registerSlowReaderMetrics()
 	handler := &platform.Handler{
-		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Requests: h.requests, Log: h.log,
+		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Requests: h.requests, Log: h.log, Intake: h.intake,
 		KeysUsable: h.tableUsable, ConfigSource: h.configSource,
 	}
 	if h.callers, err = h.listen("callers", h.settings.Callers, handler.Echo()); err != nil {
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -76,6 +76,7 @@
 	CodeDuplicate           Code = "duplicate"
 	CodePlatformUnavailable Code = "platform_unavailable"
 	CodeDraining            Code = "draining"
+	CodeHostFull            Code = "host_full"
 	CodeInternal            Code = "internal"
 )
 
@@ -102,6 +103,7 @@
 	CodeDuplicate:           http.StatusConflict,
 	CodePlatformUnavailable: http.StatusServiceUnavailable,
 	CodeDraining:            http.StatusServiceUnavailable,
+	CodeHostFull:            http.StatusServiceUnavailable,
 	CodeInternal:            http.StatusInternalServerError,
 }
 
