host: heads are refused while they arrive, and count with the bodies

Cause: header_bytes was compared once net/http had read a head, up to 1 MB of it and with its decoded copy, and nothing bounded all heads together. Change: a connection refuses a head that has more than header_bytes and 32 KiB (request line, and what is read of the body with it) with 431 and reads no further. Heads beyond 4 KiB count in the budget of the bodies, three times; one that has stalled is dropped for others, and without memory a head gets 503. Shorter heads over the limit get 431 as before.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -2,6 +2,7 @@
 package crowd_test
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -293,3 +294,40 @@
 	require.NoError(t, err)
 	return peak
 }
+
+// What honest callers send was not to be refused by the bounds that keep crowds out.
+func TestHonestRequestsGetThroughInCalm(t *testing.T) {
+	h := start(t)
+	const piece, pause = 128 << 10, 20 * time.Millisecond
+	request := platformtest.RequestHead("/o/x")
+	for _, row := range []struct {
+		name  string
+		head  string
+		piece string
+		end   string
+	}{
+		{"a slow body of the largest size", fmt.Sprintf("Content-Length: %d\r\n", bodyBytes), strings.Repeat("a", piece), ""},
+		{"a slow one in chunks", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n", piece, strings.Repeat("a", piece)), "0\r\n\r\n"},
+		{"a large head", fmt.Sprintf("X-More: %s\r\nContent-Length: %d\r\n", strings.Repeat("a", headerBytes-1<<10), bodyBytes), strings.Repeat("a", piece), ""},
+	} {
+		t.Run(strings.ReplaceAll(row.name, " ", "_"), func(t *testing.T) {
+			conn, err := net.Dial("tcp", h.settings.Callers)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			require.NoError(t, conn.SetDeadline(time.Now().Add(callerTimeout)))
+			_, err = conn.Write([]byte(request + row.head + "\r\n"))
+			require.NoError(t, err)
+			for range bodyBytes / piece {
+				time.Sleep(pause)
+				_, err = conn.Write([]byte(row.piece))
+				require.NoError(t, err)
+			}
+			_, err = conn.Write([]byte(row.end))
+			require.NoError(t, err)
+			res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer func() { _ = res.Body.Close() }()
+			require.Equal(t, http.StatusOK, res.StatusCode)
+		})
+	}
+}
--- a/host/connections.go
+++ b/host/connections.go
@@ -10,6 +10,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/route"
 )
 
@@ -36,6 +37,8 @@
 	// caller may take to accept a piece; nil bounds neither.
 	writes       *pendingWrites
 	writeTimeout time.Duration
+	// intake bounds the heads and bodies of all requests together; nil bounds neither.
+	intake *intake.Budget
 
 	mu sync.Mutex
 	// open holds the connections that are not closed.
@@ -49,7 +52,7 @@
 		return nil, err
 	}
 	limitSendBuffer(conn)
-	c := &timeoutConn{Conn: conn, clock: l.clock, limits: l.limits, writes: l.writes, writeTimeout: l.writeTimeout, onClose: l.remove}
+	c := &timeoutConn{Conn: conn, clock: l.clock, limits: l.limits, writes: l.writes, writeTimeout: l.writeTimeout, intake: l.intake, onClose: l.remove}
 	l.mu.Lock()
 	if l.open == nil {
 		l.open = make(map[*timeoutConn]struct{})
@@ -100,9 +103,14 @@
 	// writeTimeout is that of the listener.
 	writeTimeout time.Duration
 
+	// intake bounds the heads of all requests together; nil bounds none.
+	intake *intake.Budget
+
 	mu    sync.Mutex
 	phase phase
 	timer clockwork.Timer
+	// head is what is held of the head that is arriving, or of the request that is served.
+	head head
 	// closed means that the host has closed the connection.
 	closed bool
 	// onClose is called when the connection is closed; it may be nil.
@@ -125,6 +133,11 @@
 	if c.phase == idle {
 		c.enterLocked(readingHeaders)
 	}
+	if c.phase == readingHeaders {
+		if refusal := c.head.grow(n, c.limits().HeaderBytes); refusal != 0 {
+			return 0, c.refuseHead(refusal)
+		}
+	}
 	return n, err
 }
 
@@ -171,6 +184,14 @@
 // enterLocked is enter with the lock held.
 func (c *timeoutConn) enterLocked(next phase) {
 	c.phase = next
+	switch {
+	case c.closed || next == idle:
+		c.head.end()
+	case next == readingHeaders:
+		c.head.begin(c.intake, c.closeLater)
+	case next == serving:
+		c.head.arrived()
+	}
 	if c.timer != nil {
 		c.timer.Stop()
 		c.timer = nil
--- a/host/listener.go
+++ b/host/listener.go
@@ -57,7 +57,7 @@
 	}
 	return &listener{
 		name:   name,
-		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout},
+		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout, intake: h.intake},
 		server: &http.Server{Handler: handler, ConnState: trackState, ConnContext: platform.ConnContext},
 	}, nil
 }
