host: connections are bounded by the machine's memory and descriptors

What callers saw: a host whose descriptors are used up reaches no replica, no store and no other host. Cause: nothing bounded connections; one that sends half of a request line holds a descriptor, two goroutines and two buffers until header_ms is over, an idle one until idle_ms. Evidence: 618 descriptors with 600 connections, where 400 are allowed, at the callers' and at the operators' listener (e2e/crowd, red before this commit). Change: callers may have as many connections as a quarter of the memory holds at 32 KiB each and as 0.4 of the descriptors beyond 200; operators and the balancer 32 each. For one more, the connection is closed whose head has been arriving for the longest time, or one whose body has stalled, or the one that has been idle for the longest; a request that is served is never ended.

--- a/host/connections.go
+++ b/host/connections.go
@@ -39,18 +39,35 @@
 	writeTimeout time.Duration
 	// intake bounds the heads and bodies of all requests together; nil bounds neither.
 	intake *intake.Budget
+	// maxOpen bounds the open connections; zero is unbounded.
+	maxOpen int
 
 	mu sync.Mutex
 	// open holds the connections that are not closed.
 	open map[*timeoutConn]struct{}
+	// closedForOthers and refused count connections that were closed since maxOpen are open.
+	closedForOthers, refused int64
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. If the listener has as many connections as it may, it closes
+// one of them for the new one, or else the new one.
 func (l *timeoutListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if !l.makeRoom() {
+			// The caller sees the closed connection; an error of Close has no other reader.
+			_ = conn.Close()
+			continue
+		}
+		return l.add(conn), nil
 	}
+}
+
+// add adds a connection that was accepted.
+func (l *timeoutListener) add(conn net.Conn) *timeoutConn {
 	limitSendBuffer(conn)
 	c := &timeoutConn{Conn: conn, clock: l.clock, limits: l.limits, writes: l.writes, writeTimeout: l.writeTimeout, intake: l.intake, onClose: l.remove}
 	l.mu.Lock()
@@ -60,7 +77,55 @@
 	l.open[c] = struct{}{}
 	l.mu.Unlock()
 	c.enter(readingHeaders)
-	return c, nil
+	return c
+}
+
+// makeRoom closes a connection if there are as many as there may be: the one whose head has
+// been arriving for the longest time, which honest callers send at once, or one whose body has
+// stalled, or the one that has been idle for the longest time. It reports false if there is none.
+func (l *timeoutListener) makeRoom() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.maxOpen <= 0 || len(l.open) < l.maxOpen {
+		return true
+	}
+	victim := l.longestIn(readingHeaders)
+	if victim == nil && l.intake.DropStalled() {
+		l.closedForOthers++
+		return true
+	}
+	if victim == nil {
+		victim = l.longestIn(idle)
+	}
+	if victim == nil || !victim.closeUnlessServing() {
+		l.refused++
+		return false
+	}
+	delete(l.open, victim)
+	l.closedForOthers++
+	return true
+}
+
+// longestIn returns the connection that has been in a phase for the longest time, or nil. The
+// lock is held.
+func (l *timeoutListener) longestIn(p phase) *timeoutConn {
+	var longest *timeoutConn
+	var since time.Time
+	for c := range l.open {
+		now, at := c.phaseSince()
+		if now == p && (longest == nil || at.Before(since)) {
+			longest, since = c, at
+		}
+	}
+	return longest
+}
+
+// counts returns the number of open connections, and of those that were closed or refused since
+// there were as many as there may be.
+func (l *timeoutListener) counts() (open int, closedForOthers, refused int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open), l.closedForOthers, l.refused
 }
 
 func (l *timeoutListener) remove(c *timeoutConn) {
@@ -108,6 +173,8 @@
 
 	mu    sync.Mutex
 	phase phase
+	// since is when the phase began.
+	since time.Time
 	timer clockwork.Timer
 	// head is what is held of the head that is arriving, or of the request that is served.
 	head head
@@ -153,6 +220,26 @@
 	return c.Conn.Close()
 }
 
+// closeUnlessServing closes the connection if no request of it is being served.
+func (c *timeoutConn) closeUnlessServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase == serving {
+		return false
+	}
+	c.closed = true
+	// The client sees the closed connection; an error of Close has no other reader.
+	_ = c.Conn.Close()
+	return true
+}
+
+// phaseSince returns the phase and when it began.
+func (c *timeoutConn) phaseSince() (phase, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase, c.since
+}
+
 // closeIfIdle closes the connection if no byte of a next request has been read.
 func (c *timeoutConn) closeIfIdle() {
 	c.mu.Lock()
@@ -183,7 +270,7 @@
 
 // enterLocked is enter with the lock held.
 func (c *timeoutConn) enterLocked(next phase) {
-	c.phase = next
+	c.phase, c.since = next, c.clock.Now()
 	switch {
 	case c.closed || next == idle:
 		c.head.end()
--- a/host/heads.go
+++ b/host/heads.go
@@ -72,7 +72,7 @@
 		answer += "Retry-After: 1\r\n"
 	}
 	// The caller sees the closed connection if it does not get the answer.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, _ = c.Conn.Write([]byte(answer + "\r\n"))
 	return &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeadRefused}
 }
--- a/host/host.go
+++ b/host/host.go
@@ -294,15 +294,15 @@
 		Table: h.config.Table, Run: h.runner.Run, Jobs: h.jobs, Requests: h.requests, Log: h.log, Intake: h.intake,
 		KeysUsable: h.tableUsable, ConfigSource: h.configSource,
 	}
-	if h.callers, err = h.listen("callers", h.settings.Callers, handler.Echo()); err != nil {
+	if h.callers, err = h.listen("callers", h.settings.Callers, handler.Echo(), maxCallerConnections(h.settings.MemoryBytes, h.settings.Descriptors)); err != nil {
 		return err
 	}
-	if h.ready, err = h.listen("readiness", h.settings.Ready, platform.NewReadyHandler(h.isReady)); err != nil {
+	if h.ready, err = h.listen("readiness", h.settings.Ready, platform.NewReadyHandler(h.isReady), maxOperatorConnections); err != nil {
 		return err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(h.registry, promhttp.HandlerOpts{}))
-	h.metrics, err = h.listen("metrics", h.settings.Metrics, mux)
+	h.metrics, err = h.listen("metrics", h.settings.Metrics, mux, maxOperatorConnections)
 	return err
 }
 
--- a/host/intake.go
+++ b/host/intake.go
@@ -1,10 +1,51 @@
 package host
 
-import "github.com/comfreyspindle/comfreyspindle/intake"
+import (
+	"github.com/prometheus/client_golang/prometheus"
 
-// intakeFraction is the part of the memory limit that heads and bodies may use until their
-// requests have been answered.
-const intakeFraction = 0.25
+	"github.com/comfreyspindle/comfreyspindle/intake"
+)
+
+// Parts of the machine's limits that connections and requests may use.
+const (
+	// intakeFraction is the part of the memory limit that heads and bodies may use until their
+	// requests have been answered.
+	intakeFraction = 0.25
+	// connectionMemoryFraction is the part of the memory limit that callers' connections may
+	// use, and connectionBytes what one takes without a request.
+	connectionMemoryFraction = 0.25
+	connectionBytes          = 32 << 10
+	// reservedDescriptors is the number of descriptors that are kept for files.
+	reservedDescriptors = 200
+	// callersFraction and peersFraction are the parts of the other descriptors that
+	// connections of callers and of other hosts may use. The rest is for connections to
+	// replicas, to the store and to other hosts, and for tunnels.
+	callersFraction = 0.4
+	peersFraction   = 0.25
+	// maxOperatorConnections bounds the connections of operators, and those of the load
+	// balancer.
+	maxOperatorConnections = 32
+)
+
+// maxCallerConnections returns how many connections callers may have open by the limits of the
+// machine, or zero if it has none.
+func maxCallerConnections(memoryBytes int64, descriptors int) int {
+	byMemory := int(connectionMemoryFraction * float64(memoryBytes) / connectionBytes)
+	byDescriptors := descriptorShare(callersFraction, descriptors)
+	if byMemory == 0 || byDescriptors == 0 {
+		return max(byMemory, byDescriptors)
+	}
+	return min(byMemory, byDescriptors)
+}
+
+// descriptorShare returns a part of the descriptors that are not reserved, at least 1, or zero if
+// their number is not known.
+func descriptorShare(fraction float64, descriptors int) int {
+	if descriptors <= 0 {
+		return 0
+	}
+	return max(int(fraction*float64(descriptors-reservedDescriptors)), 1)
+}
 
 // provisionIntake bounds what callers' requests may hold while they arrive.
 func (h *Host) provisionIntake() {
@@ -16,3 +57,14 @@
 	h.registerCounter("comfreyspindle_intake_dropped_total", "Requests that stalled and were dropped for others.",
 		nil, func() float64 { return float64(h.intake.Counts().Dropped) })
 }
+
+// registerConnectionMetrics reports the connections of a listener.
+func (h *Host) registerConnectionMetrics(l *listener) {
+	labels := prometheus.Labels{"listener": l.name}
+	h.registerGauge("comfreyspindle_connections", "Open connections of a listener.",
+		labels, func() float64 { open, _, _ := l.inner.counts(); return float64(open) })
+	h.registerCounter("comfreyspindle_connections_closed_for_others_total", "Connections that were closed since there were as many as there may be.",
+		labels, func() float64 { _, closed, _ := l.inner.counts(); return float64(closed) })
+	h.registerCounter("comfreyspindle_connections_refused_total", "Connections that were refused since there were as many as there may be.",
+		labels, func() float64 { _, _, refused := l.inner.counts(); return float64(refused) })
+}
--- a/host/listener.go
+++ b/host/listener.go
@@ -50,14 +50,19 @@
 // String names the service in supervisor events.
 func (l *listener) String() string { return l.name }
 
-func (h *Host) listen(name, address string, handler http.Handler) (*listener, error) {
+// listen listens on an address for at most a number of connections; zero is unbounded.
+func (h *Host) listen(name, address string, handler http.Handler, maxOpen int) (*listener, error) {
 	inner, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s", name)
 	}
-	return &listener{
-		name:   name,
-		inner:  &timeoutListener{Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout, intake: h.intake},
+	l := &listener{
+		name: name,
+		inner: &timeoutListener{
+			Listener: inner, clock: h.clock, limits: h.limits, writes: h.writes, writeTimeout: callerWriteTimeout, intake: h.intake, maxOpen: maxOpen,
+		},
 		server: &http.Server{Handler: handler, ConnState: trackState, ConnContext: platform.ConnContext},
-	}, nil
+	}
+	h.registerConnectionMetrics(l)
+	return l, nil
 }
