peer: messages and connections of peers are bounded

Cause: gob reads as much as a message names, up to 1 GB, while bytes arrive, and nothing bounded all messages or connections. Evidence: 408 MB with 100 messages that name 400 MB and bring 4 MB each; 617 descriptors with 600 connections (e2e/crowd, red before this commit). Change: the length of a message is checked before gob reads it: 64 MiB at most, and large ones count in a budget of an eighth of the memory from when their length is known. Connections may use a quarter of the descriptors beyond 200; for one more the quietest is closed.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -86,6 +86,7 @@
 		{"heads of operators", 200, func(h *host) string { return h.settings.Metrics }, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
 		{"heads of the balancer", 200, func(h *host) string { return h.settings.Ready }, body(requestHead, 900_000, 16<<10, "X-More: aaaaaaaaaaaaaaaaaaaaaa\r\n")},
 		{"connections of operators", 600, func(h *host) string { return h.settings.Metrics }, body("GET /metr", 0, 1)},
+		{"connections of peers", 600, func(h *host) string { return h.settings.Peers }, body(gobHead(100), 0, 1)},
 	} {
 		t.Run(strings.ReplaceAll(row.name, " ", "_"), func(t *testing.T) {
 			h := start(t)
--- a/host/host.go
+++ b/host/host.go
@@ -195,7 +195,9 @@
 	h.provisionWork()
 	h.provisionRevocation()
 	var err error
-	if h.peerServer, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics), peer.WithLog(h.log)); err != nil {
+	if h.peerServer, err = peer.Listen(s.Peers, nil, peer.WithMetrics(metrics), peer.WithLog(h.log),
+		peer.WithIntake(intake.NewBudget(int64(peerIntakeFraction*float64(s.MemoryBytes)), h.clock, h.log)),
+		peer.WithMaxConns(descriptorShare(peersFraction, s.Descriptors))); err != nil {
 		return err
 	}
 	for name, receiver := range map[string]any{
--- a/host/intake.go
+++ b/host/intake.go
@@ -11,6 +11,8 @@
 	// intakeFraction is the part of the memory limit that heads and bodies may use until their
 	// requests have been answered.
 	intakeFraction = 0.25
+	// peerIntakeFraction is the part that large messages of other hosts may use.
+	peerIntakeFraction = 0.125
 	// connectionMemoryFraction is the part of the memory limit that callers' connections may
 	// use, and connectionBytes what one takes without a request.
 	connectionMemoryFraction = 0.25
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -176,11 +176,12 @@
 	return b.dropStalled(nil)
 }
 
-// dropStalled is DropStalled with the lock held. It spares one request.
+// dropStalled is DropStalled with the lock held. It spares one request, and those that hold
+// nothing.
 func (b *Budget) dropStalled(spared *Hold) bool {
 	var victim *Hold
 	for h := range b.arriving {
-		if h != spared && (victim == nil || h.progressAt.Before(victim.progressAt)) {
+		if h != spared && h.bytes > 0 && (victim == nil || h.progressAt.Before(victim.progressAt)) {
 			victim = h
 		}
 	}
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -203,6 +203,7 @@
 // concurrent calls of one connection.
 type serverCodec struct {
 	conn    *countingConn
+	in      *messageReader
 	dec     *gob.Decoder
 	enc     *gob.Encoder
 	buf     *bufio.Writer
@@ -224,11 +225,10 @@
 	method string
 }
 
-func newServerCodec(s *Server, conn net.Conn) *serverCodec {
-	c := newCountingConn(conn)
-	buf := bufio.NewWriter(c)
+func newServerCodec(s *Server, c *countingConn) *serverCodec {
+	buf, in := bufio.NewWriter(c), newMessageReader(c, s.intake)
 	return &serverCodec{
-		conn: c, dec: gob.NewDecoder(c), enc: gob.NewEncoder(buf), buf: buf, metrics: s.metrics, methodLabel: s.methodLabel, stamps: s.stamps,
+		conn: c, in: in, dec: gob.NewDecoder(in), enc: gob.NewEncoder(buf), buf: buf, metrics: s.metrics, methodLabel: s.methodLabel, stamps: s.stamps,
 		timeout: replyTimeout, idleTimeout: s.idleTimeout, inFlight: make(chan struct{}, maxCalls), closed: make(chan struct{}),
 	}
 }
@@ -293,6 +293,9 @@
 
 // Close implements rpc.ServerCodec.
 func (c *serverCodec) Close() error {
-	c.closeOnce.Do(func() { close(c.closed) })
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		c.in.end()
+	})
 	return c.conn.Close()
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/timeline"
 )
 
@@ -45,6 +46,9 @@
 	clock   *timeline.Clock
 	log     *logrus.Entry
 	dialer  DialFunc
+	// intake and maxConns are those of Server.
+	intake   *intake.Budget
+	maxConns int
 }
 
 // WithMetrics counts the messages and bytes of calls in m.
@@ -53,6 +57,13 @@
 // WithDialer opens a Client's connections with dial in place of a net.Dialer.
 func WithDialer(dial DialFunc) Option { return func(o *options) { o.dialer = dial } }
 
+// WithIntake bounds the large messages of all connections to a Server together.
+func WithIntake(budget *intake.Budget) Option { return func(o *options) { o.intake = budget } }
+
+// WithMaxConns bounds the open connections to a Server; zero is unbounded. For one more, that is
+// closed on which nothing has arrived for the longest time.
+func WithMaxConns(n int) Option { return func(o *options) { o.maxConns = n } }
+
 // WithLog logs to an entry in place of the standard logger.
 func WithLog(log *logrus.Entry) Option { return func(o *options) { o.log = log } }
 
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -15,7 +15,7 @@
 
 // serveConn serves the calls of one connection until it breaks off, each in a goroutine
 // of its own. net/rpc would let a panic of a method end the process.
-func (s *Server) serveConn(conn net.Conn) {
+func (s *Server) serveConn(conn *countingConn) {
 	codec := newServerCodec(s, conn)
 	var calls sync.WaitGroup
 	for {
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
+
+	"github.com/comfreyspindle/comfreyspindle/intake"
 )
 
 // Limits of a server.
@@ -36,8 +38,13 @@
 	// idleTimeout is serverIdleTimeout, except in tests.
 	idleTimeout time.Duration
 
+	// intake bounds the large messages of all connections together; nil bounds each alone.
+	intake *intake.Budget
+	// maxConns bounds the open connections; zero is unbounded.
+	maxConns int
+
 	mu      sync.Mutex
-	conns   map[net.Conn]struct{}
+	conns   map[*countingConn]struct{}
 	methods map[string]struct{}
 }
 
@@ -54,7 +61,7 @@
 	o := applyOptions(opts)
 	return &Server{
 		rpc: rpc.NewServer(), listener: l, metrics: o.metrics, stamps: stamper{o.clock}, log: o.log, idleTimeout: serverIdleTimeout,
-		conns: make(map[net.Conn]struct{}), methods: make(map[string]struct{}),
+		intake: o.intake, maxConns: o.maxConns, conns: make(map[*countingConn]struct{}), methods: make(map[string]struct{}),
 	}, nil
 }
 
@@ -95,26 +102,44 @@
 			}
 			return errors.Wrap(err, "accept connection from peer")
 		}
-		if !s.track(ctx, conn) {
+		counting := newCountingConn(conn)
+		if !s.track(ctx, counting) {
 			return ctx.Err()
 		}
-		go s.serveConn(conn)
+		go s.serveConn(counting)
 	}
 }
 
 // track adds a connection to those that close closes. If ctx has ended, it closes
 // the connection and returns false.
-func (s *Server) track(ctx context.Context, conn net.Conn) bool {
+func (s *Server) track(ctx context.Context, conn *countingConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
 		_ = conn.Close()
 		return false
 	}
+	if s.maxConns > 0 && len(s.conns) >= s.maxConns {
+		s.closeQuietest()
+	}
 	s.conns[conn] = struct{}{}
 	return true
 }
 
+// closeQuietest closes the connection on which nothing has arrived for the longest time. Its
+// peer opens another one for its next call. The lock is held.
+func (s *Server) closeQuietest() {
+	var quietest *countingConn
+	for conn := range s.conns {
+		if quietest == nil || conn.lastHeard() < quietest.lastHeard() {
+			quietest = conn
+		}
+	}
+	delete(s.conns, quietest)
+	s.log.WithFields(logrus.Fields{"remote": quietest.RemoteAddr().String(), "connection": quietest.describe(0)}).Warn("connection of a peer closed: there are as many as there may be")
+	_ = quietest.Close()
+}
+
 func (s *Server) close() {
 	_ = s.listener.Close()
 	s.mu.Lock()
