jobs: the bodies of the jobs that a host owns are bounded

Cause: a host holds the bodies of all items of its jobs until the jobs are gone, and accepted any number of them. Change: a job whose bodies would bring those of the host's jobs over a quarter of the memory limit gets 503 host_full. Jobs that are taken over are owned in any case, since nobody else may be left. The bound allows 36 MB on the smallest machine, where a job of the deployments has about 150 kB.

--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -97,6 +98,29 @@
 	}
 }
 
+// Jobs of the largest size that are accepted one after the other ended the process, too.
+func TestHostOutlivesWholeJobs(t *testing.T) {
+	h := start(t)
+	const jobs, atOnce, items, itemBytes = 100, 2, 40, 60_000
+	var group sync.WaitGroup
+	var accepted atomic.Int64
+	for worker := range atOnce {
+		group.Go(func() {
+			c := &platformtest.Caller{HTTP: &http.Client{Timeout: callerTimeout}, Timeout: callerTimeout}
+			for n := range jobs / atOnce {
+				// A job may be accepted or refused, or its connection closed.
+				if r, err := c.SubmitBodies(h.settings.Callers, fmt.Sprintf("job-%d-%d", worker, n), items, itemBytes); err == nil && r.Status == http.StatusAccepted {
+					accepted.Add(1)
+				}
+			}
+		})
+	}
+	group.Wait()
+	t.Log("accepted", accepted.Load())
+	h.settle(t)
+	h.requireServing(t)
+}
+
 // client is one of a crowd: it returns the next bytes that it sends, or none at its end. It
 // keeps its connection open then.
 type client func(turn int) []byte
--- a/host/host.go
+++ b/host/host.go
@@ -275,8 +275,9 @@
 	h.registerGauge("comfreyspindle_unfinished_response_bytes", "Bytes of responses that replicas have begun and that can't be passed on yet, beyond 16 KiB each.",
 		nil, func() float64 { return float64(unfinished.Bytes()) })
 	h.jobs = jobs.NewManager(jobs.Options{
-		Unfinished: unfinished,
-		Store:      h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
+		MaxBodyBytes: int64(jobsFraction * float64(h.settings.MemoryBytes)),
+		Unfinished:   unfinished,
+		Store:        h.store, Slots: h.slotClient, Upstream: engine, View: h.view, Peers: h.peerClient, Table: h.config.Table,
 		ReplicaGone:      func(ctx context.Context, r replica.Replica) bool { return !h.paths.CutOff() && !engine.Accepts(ctx, r) },
 		StoreUnavailable: h.storeUnavailable, IsRegistered: h.presence.IsRegistered, Retention: h.settings.ResultRetention, Clock: h.clock, Log: h.log, Metrics: jobs.NewMetrics(h.registry),
 	})
--- a/host/intake.go
+++ b/host/intake.go
@@ -13,6 +13,8 @@
 	intakeFraction = 0.25
 	// peerIntakeFraction is the part that large messages of other hosts may use.
 	peerIntakeFraction = 0.125
+	// jobsFraction is the part that the bodies of jobs may use.
+	jobsFraction = 0.25
 	// connectionMemoryFraction is the part of the memory limit that callers' connections may
 	// use, and connectionBytes what one takes without a request.
 	connectionMemoryFraction = 0.25
--- a/jobs/accept.go
+++ b/jobs/accept.go
@@ -36,6 +36,8 @@
 	done chan struct{}
 	// customer is the customer that submits the job.
 	customer string
+	// bodyBytes is the size of the bodies of all items.
+	bodyBytes int64
 	// err may be read once done is closed.
 	err error
 }
@@ -59,7 +61,11 @@
 		}
 		a, joined := m.accepting[s.ID]
 		if !joined {
-			a = &acceptance{done: make(chan struct{}), customer: s.owner()}
+			a = &acceptance{done: make(chan struct{}), customer: s.owner(), bodyBytes: s.bodyBytes()}
+			if m.MaxBodyBytes > 0 && m.heldBodyBytes()+a.bodyBytes > m.MaxBodyBytes {
+				m.mu.Unlock()
+				return verdict.New(verdict.NotRun, verdict.CodeHostFull, "The host has no memory for the bodies of the job.").WithRetryAfter(retryAfter)
+			}
 			m.accepting[s.ID] = a
 		}
 		m.mu.Unlock()
@@ -79,6 +85,19 @@
 	}
 }
 
+// heldBodyBytes returns the size of the bodies of all jobs that this host owns or is accepting.
+// m.mu must be held.
+func (m *Manager) heldBodyBytes() int64 {
+	var sum int64
+	for _, j := range m.jobs {
+		sum += j.bodyBytes
+	}
+	for _, a := range m.accepting {
+		sum += a.bodyBytes
+	}
+	return sum
+}
+
 // awaitAcceptances waits until no submission is being recorded, or until ctx ends. It reports
 // whether there were any.
 func (m *Manager) awaitAcceptances(ctx context.Context) bool {
--- a/jobs/jobs.go
+++ b/jobs/jobs.go
@@ -48,6 +48,15 @@
 	return s.Access.Customer
 }
 
+// bodyBytes returns the size of the bodies of all items.
+func (s *Submission) bodyBytes() int64 {
+	var sum int64
+	for _, it := range s.Items {
+		sum += int64(len(it.Body))
+	}
+	return sum
+}
+
 // tokens returns the tokens of all items.
 func (s *Submission) tokens() int64 {
 	var sum int64
--- a/jobs/manager.go
+++ b/jobs/manager.go
@@ -53,6 +53,9 @@
 	Metrics   *Metrics
 	// Unfinished bounds what all responses hold together; nil bounds nothing.
 	Unfinished *forward.Unfinished
+	// MaxBodyBytes bounds the bodies of the items of all jobs that this host owns or accepts;
+	// zero is unbounded. Jobs that it takes over are owned in any case.
+	MaxBodyBytes int64
 }
 
 // Manager runs the jobs that this host owns and forwards calls about other jobs
@@ -113,6 +116,8 @@
 type job struct {
 	head Head
 	rev  txn.Rev
+	// bodyBytes is the size of the bodies of all items.
+	bodyBytes int64
 	// items are in the order of submission.
 	items []*item
 	// recorded are the results that are in the store, unrecorded those that
@@ -166,6 +171,7 @@
 	}
 	for _, it := range items {
 		_, ended := recordedIDs[it.ID]
+		j.bodyBytes += int64(len(it.Body))
 		j.items = append(j.items, &item{Item: it, job: j, hasResult: ended})
 	}
 	return j
