gateway, node: the bodies of all requests together are bounded

Cause: each body is read whole and has a limit of its own; nothing bounded all of them, and one that stops short is held for read_timeout (30 s). Change: gateway.max_held_bytes (256 MiB by default, the size of 32 bodies of the largest size) bounds what package intake counts, with the refusal 503 host_full. Uploaded files go to the store piece by piece and don't count. The operators' bodies keep their own limit.

--- a/gateway/complete.go
+++ b/gateway/complete.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/tidwall/gjson"
 
 	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/online"
 	"github.com/comfreyspindle/comfreyspindle/service"
@@ -124,13 +124,32 @@
 	return nil
 }
 
+// holdBody counts the body of a request against Intake until the request has been answered.
+func (g *Gateway) holdBody(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		hold := g.Intake.Begin(func() { stopReading(c) })
+		defer hold.End()
+		c.Set(holdContextKey, hold)
+		return next(c)
+	}
+}
+
+// stopReading ends the reading of a request's body, now and later.
+func stopReading(c echo.Context) {
+	// An error means that the connection is closed, which ends the reading too.
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Now())
+}
+
 func (g *Gateway) readBody(c echo.Context) ([]byte, error) {
 	if err := g.setReadDeadline(c); err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, g.Limits.MaxBodyBytes))
+	hold, _ := c.Get(holdContextKey).(*intake.Hold)
+	body, err := hold.ReadBody(c.Request().Body, c.Request().ContentLength, g.Limits.MaxBodyBytes)
 	if err != nil {
-		return nil, readError(err)
+		stopReading(c)
+		c.Response().Header().Set(echo.HeaderConnection, "close")
+		return nil, g.bodyError(err)
 	}
 	// The deadline applies to the body only. net/http keeps reading from the
 	// connection to detect that the caller has disconnected; a deadline left in
@@ -138,6 +157,22 @@
 	return body, http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
 }
 
+// fullRetryAfter is the Retry-After of a request for which there is no memory. Another host has
+// room, and here a stalled request makes room before.
+const fullRetryAfter = time.Second
+
+// bodyError converts an error from reading a body to a verdict error.
+func (g *Gateway) bodyError(err error) error {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeTooLarge, "The body exceeds %d bytes.", g.Limits.MaxBodyBytes)
+	case errors.IsAny(err, intake.ErrFull, intake.ErrDropped):
+		return verdict.Wrap(err, verdict.NotRun, verdict.CodeHostFull, "The host has no memory for the body.").WithRetryAfter(fullRetryAfter)
+	default:
+		return readError(err)
+	}
+}
+
 // setReadDeadline limits the time in which a caller must send its body.
 func (g *Gateway) setReadDeadline(c echo.Context) error {
 	deadline := time.Now().Add(g.Limits.ReadTimeout)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	"github.com/comfreyspindle/comfreyspindle/batch"
 	"github.com/comfreyspindle/comfreyspindle/config"
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/online"
 	"github.com/comfreyspindle/comfreyspindle/settings"
 	"github.com/comfreyspindle/comfreyspindle/shutdown"
@@ -37,13 +38,18 @@
 // config.Identity.
 const identityContextKey = "identity"
 
-// Gateway serves the callers' API. All exported fields are required.
+// holdContextKey is the echo context key that holds the *intake.Hold of a request.
+const holdContextKey = "hold"
+
+// Gateway serves the callers' API. All exported fields but Intake are required.
 type Gateway struct {
 	Config  *config.Holder
 	Runner  *online.Runner
 	Batches batch.API
 	Limits  settings.Gateway
-	Log     *logrus.Entry
+	// Intake bounds the bodies of all requests together; nil bounds each alone.
+	Intake *intake.Budget
+	Log    *logrus.Entry
 	// Requests tracks the requests, so that a stop cuts none.
 	Requests *shutdown.Requests
 
@@ -72,7 +78,7 @@
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
 	e.HTTPErrorHandler = g.handleError
-	e.Use(requestID, g.track, g.refuseWhileDraining, g.authenticate)
+	e.Use(requestID, g.track, g.refuseWhileDraining, g.authenticate, g.holdBody)
 	v1 := e.Group("/v1")
 	v1.POST("/chat/completions", g.complete)
 	v1.POST("/completions", g.complete)
--- a/node/online.go
+++ b/node/online.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/comfreyspindle/comfreyspindle/gateway"
+	"github.com/comfreyspindle/comfreyspindle/intake"
 	"github.com/comfreyspindle/comfreyspindle/ledger"
 	"github.com/comfreyspindle/comfreyspindle/limits"
 	"github.com/comfreyspindle/comfreyspindle/online"
@@ -87,6 +88,7 @@
 	n.online.gateway = &gateway.Gateway{
 		Config: n.config.holder, Runner: n.online.runner, Batches: n.batch.manager,
 		Limits: n.settings.Gateway, Log: n.log.WithField("part", "gateway"),
+		Intake:   intake.NewBudget(n.settings.Gateway.MaxHeldBytes, n.clock, n.log.WithField("part", "gateway")),
 		Requests: shutdown.NewRequests(n.clock, n.log.WithField("part", "gateway")),
 	}
 	n.gateway = newHTTPService("callers", l, n.online.gateway.Handler(), n.settings.Gateway)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,9 @@
 	MaxHeaderBytes int `yaml:"max_header_bytes" default:"65536" validate:"min=1024"`
 	// MaxBodyBytes limits the size of a request's body, except for uploaded files.
 	MaxBodyBytes int64 `yaml:"max_body_bytes" default:"8388608" validate:"min=1024"`
+	// MaxHeldBytes limits the size of the bodies of all requests together, except for uploaded
+	// files, from their arrival until they are answered.
+	MaxHeldBytes int64 `yaml:"max_held_bytes" default:"268435456" validate:"min=1048576"`
 	// MaxFileBytes limits the size of an input file of a batch job.
 	MaxFileBytes int64 `yaml:"max_file_bytes" default:"268435456" validate:"min=1024"`
 	// MaxLineBytes limits the length of a line of an input file.
