tunnel, host: connections for tunnels are bounded by the descriptors

Cause: 512 tunnels of two descriptors each may be carried, where a small host has 400 to 3,075 descriptors in all, and connections that have not asked for a replica yet were not bounded for the second that they have for it. Change: tunnels may use 0.2 of the descriptors beyond 200, and 64 further connections may wait; others are closed.

--- a/host/intake.go
+++ b/host/intake.go
@@ -22,10 +22,13 @@
 	// reservedDescriptors is the number of descriptors that are kept for files.
 	reservedDescriptors = 200
 	// callersFraction and peersFraction are the parts of the other descriptors that
-	// connections of callers and of other hosts may use. The rest is for connections to
-	// replicas, to the store and to other hosts, and for tunnels.
-	callersFraction = 0.4
-	peersFraction   = 0.25
+	// connections of callers and of other hosts may use, and tunnelsFraction that of tunnels,
+	// which take descriptorsPerTunnel each. The rest is for connections to replicas, to the
+	// store and to other hosts.
+	callersFraction      = 0.4
+	peersFraction        = 0.25
+	tunnelsFraction      = 0.2
+	descriptorsPerTunnel = 2
 	// maxOperatorConnections bounds the connections of operators, and those of the load
 	// balancer.
 	maxOperatorConnections = 32
--- a/host/paths.go
+++ b/host/paths.go
@@ -46,7 +46,7 @@
 		return nil
 	}
 	h.tunnels, err = tunnel.Listen(h.settings.Tunnels, tunnel.ServerOptions{
-		Paths: h.paths, IsReplica: h.replicas.HasAddress, Log: h.log, Metrics: h.tunnelMetrics,
+		Paths: h.paths, IsReplica: h.replicas.HasAddress, MaxTunnels: descriptorShare(tunnelsFraction, h.settings.Descriptors) / descriptorsPerTunnel, Log: h.log, Metrics: h.tunnelMetrics,
 	})
 	if err != nil {
 		return err
--- a/tunnel/server.go
+++ b/tunnel/server.go
@@ -29,16 +29,22 @@
 	// maxTunnels bounds the connections that a host carries. Each takes two descriptors and
 	// twice maxFrameBytes.
 	maxTunnels = 512
+	// maxWaiting bounds the connections, beside those that are carried, whose request has not
+	// arrived or whose replica has not accepted.
+	maxWaiting = 64
 )
 
-// ServerOptions are what a Server needs. All fields but Metrics are required.
+// ServerOptions are what a Server needs. All fields but Metrics and MaxTunnels are
+// required.
 type ServerOptions struct {
 	// Paths makes the connections to replicas, directly only.
 	Paths *Paths
 	// IsReplica reports whether this host knows a replica at an address.
 	IsReplica func(address string) bool
-	Log       *logrus.Entry
-	Metrics   *Metrics
+	// MaxTunnels bounds the connections that are carried; zero is 512.
+	MaxTunnels int
+	Log        *logrus.Entry
+	Metrics    *Metrics
 }
 
 // Server carries connections of other hosts to replicas.
@@ -62,6 +68,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for tunnels")
 	}
+	if o.MaxTunnels <= 0 || o.MaxTunnels > maxTunnels {
+		o.MaxTunnels = maxTunnels
+	}
 	return &Server{ServerOptions: o, listener: l, conns: make(map[net.Conn]struct{}), carried: make(map[*tunnelState]struct{})}, nil
 }
 
@@ -98,7 +107,7 @@
 func (s *Server) track(ctx context.Context, c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || len(s.conns) >= s.MaxTunnels+maxWaiting {
 		return false
 	}
 	s.conns[c] = struct{}{}
@@ -210,7 +219,7 @@
 		return nil, statusUnknown
 	case s.Paths.CutOff():
 		return nil, statusCutOff
-	case s.active.Add(1) > maxTunnels:
+	case s.active.Add(1) > int64(s.MaxTunnels):
 		s.active.Add(-1)
 		return nil, statusBusy
 	}
