--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -56,9 +56,8 @@
 	if err != nil {
 		panic(err)
 	}
-	program = filepath.Join(dir, "spindled")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/spindled").CombinedOutput(); err != nil {
-		panic(string(out))
+	if program, err = soak.BuildProgram(dir); err != nil {
+		panic(err)
 	}
 	code := m.Run()
 	_ = os.RemoveAll(dir)
--- a/e2e/soak/process.go
+++ b/e2e/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"os/exec"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,14 @@
 	unasked []string
 }
 
+// BuildProgram builds spindled, from a folder beside this one, into a folder, and returns the
+// path of the program.
+func BuildProgram(folder string) (string, error) {
+	path := filepath.Join(folder, "spindled")
+	out, err := exec.Command("go", "build", "-o", path, "../../cmd/spindled").CombinedOutput()
+	return path, errors.Wrapf(err, "build spindled: %s", out)
+}
+
 // OwnGroup returns the attributes of a process in a group of its own. If it shared that of
 // the tests, the system would send it SIGHUP once it is stopped by a signal and the shell that
 // began the tests ends.
