--- a/e2e/soak/soak_test.go
+++ b/e2e/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
