host: the configuration is fetched in pieces

Cause, traced: a fetch that its host had given up was still sent as a whole, so the replies of the next polls, and with them the notices of the next version, waited for up to 3.8 s of the link. Change: pieces of 16 KiB, of which one is lost at most.

--- a/host/config_fetch.go
+++ b/host/config_fetch.go
@@ -32,6 +32,8 @@
 	configRetryDelay = 100 * time.Millisecond
 	// maxConfigBytes bounds a configuration once it is decompressed.
 	maxConfigBytes = 16 << 20
+	// maxPieceBytes bounds a piece of a configuration on its way.
+	maxPieceBytes = 16 << 10
 	// noConfigVersion is a StateArgs.ConfigVersion to which no configuration is newer.
 	noConfigVersion = math.MaxInt64
 )
@@ -53,6 +55,8 @@
 type ConfigArgs struct {
 	// Version is the version of the configuration that the requesting host has, or 0.
 	Version int64
+	// Offset is the number of compressed bytes that the requesting host has of a newer one.
+	Offset int
 }
 
 // WaitLimit implements peer.Repeatable.
@@ -63,18 +67,26 @@
 
 // ConfigReply is the reply of Config.
 type ConfigReply struct {
-	// Packed is the configuration compressed with zstd. It is empty unless it is newer than
-	// the requesting host's.
-	Packed []byte
+	// Version is that of the peer's configuration, and Size its compressed size. Both are zero
+	// unless it is newer than the requesting host's.
+	Version int64
+	Size    int
+	// Piece is what follows the offset, at most maxPieceBytes, of the configuration compressed
+	// with zstd.
+	Piece []byte
 }
 
-// Config returns the configuration of this host. It is compressed, since all hosts of a data
-// centre may fetch it at once over the link of their broker, which may be slow.
+// Config returns a piece of the configuration of this host. It is compressed, since all hosts of
+// a data centre may fetch it at once over the link of their broker, which may be slow; and sent in
+// pieces, so that of a fetch that is given up little is still sent.
 func (p *Peer) Config(args ConfigArgs, reply *ConfigReply) error {
-	packed, version := p.host.config.packed()
-	if version > args.Version {
-		reply.Packed = packed()
+	pack, version := p.host.config.packed()
+	if version <= args.Version {
+		return nil
 	}
+	packed := pack()
+	from := min(max(args.Offset, 0), len(packed))
+	*reply = ConfigReply{Version: version, Size: len(packed), Piece: packed[from:min(from+maxPieceBytes, len(packed))]}
 	return nil
 }
 
@@ -193,15 +205,14 @@
 // fetchConfig gets the configuration of a peer and puts it in force if it is newer.
 func (h *Host) fetchConfig(ctx context.Context, address string) error {
 	_, version := h.config.current()
-	var reply ConfigReply
-	err := h.peerClient.Call(ctx, address, peerName+".Config", ConfigArgs{Version: version}, &reply)
+	packed, err := h.fetchPacked(ctx, address, version)
 	if isMissingMethod(err) {
 		return h.fetchConfigOfOlderBuild(ctx, address, version)
 	}
-	if err != nil || len(reply.Packed) == 0 {
+	if err != nil || len(packed) == 0 {
 		return err
 	}
-	value, err := configDecoder.DecodeAll(reply.Packed, nil)
+	value, err := configDecoder.DecodeAll(packed, nil)
 	if err != nil {
 		return errors.Wrapf(err, "decompress the configuration of peer %s", address)
 	}
@@ -209,6 +220,31 @@
 	return nil
 }
 
+// fetchPacked gets the compressed configuration of a peer, piece by piece, if it is newer than a
+// version. It begins again if the peer gets another one meanwhile.
+func (h *Host) fetchPacked(ctx context.Context, address string, version int64) ([]byte, error) {
+	var packed []byte
+	var sent int64
+	for {
+		var reply ConfigReply
+		if err := h.peerClient.Call(ctx, address, peerName+".Config", ConfigArgs{Version: version, Offset: len(packed)}, &reply); err != nil {
+			return nil, err
+		}
+		if reply.Version != sent && len(packed) > 0 {
+			packed, sent = nil, 0
+			continue
+		}
+		sent = reply.Version
+		packed = append(packed, reply.Piece...)
+		if len(packed) >= reply.Size {
+			return packed, nil
+		}
+		if len(reply.Piece) == 0 || reply.Size > maxConfigBytes {
+			return nil, errors.Newf("peer %s sent %d of %d bytes of its configuration", address, len(packed), reply.Size)
+		}
+	}
+}
+
 // fetchConfigOfOlderBuild is fetchConfig for a peer that sends its configuration with the rest
 // of its state only.
 func (h *Host) fetchConfigOfOlderBuild(ctx context.Context, address string, version int64) error {
